--- a/packages/http/include/ht_client.h
+++ b/packages/http/include/ht_client.h
@@ -55,6 +55,7 @@
                          0: any */
   int64_t timeout_ms; /* of the whole exchange */
   bool once;          /* must never be sent twice, by the library either */
+  bool fresh;         /* over a new connection */
   const char *sign;   /* CURLOPT_AWS_SIGV4 provider string, or NULL */
   const char *credentials; /* "ID:SECRET" for signing, or NULL */
 };
@@ -63,6 +64,7 @@
 {
   unsigned ring_capacity;    /* submitted requests not yet taken */
   long max_host_connections; /* to one server; 0: no bound */
+  long kept_connections;     /* idle, for use again; 0: the library's default */
 };
 
 struct ht_client;
--- a/packages/http/include/ht_server.h
+++ b/packages/http/include/ht_server.h
@@ -47,6 +47,7 @@
   unsigned max_connections;
   size_t max_body;      /* bytes of a request body */
   size_t header_memory; /* bytes for the headers of one connection */
+  bool unwatched;       /* the `gone' handler is called only at the end */
   const struct ht_server_handlers *handlers; /* borrowed */
   void *context;
   struct ht_server **self; /* set before the first handler is called */
--- a/packages/http/src/ht_client.c
+++ b/packages/http/src/ht_client.c
@@ -44,6 +44,7 @@
   int64_t start_by;
   int64_t timeout_ms;
   bool once;
+  bool fresh;
   bool headers_seen;
   char error[CURL_ERROR_SIZE];
 };
@@ -138,6 +139,9 @@
   curl_multi_setopt (client->multi, CURLMOPT_TIMERDATA, client);
   curl_multi_setopt (client->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
                      options->max_host_connections);
+  if (options->kept_connections > 0)
+    curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS,
+                       options->kept_connections);
   talloc_set_destructor (client, client_destroy);
   return client;
 }
@@ -182,6 +186,7 @@
   e->start_by = request->start_by;
   e->timeout_ms = request->timeout_ms;
   e->once = request->once;
+  e->fresh = request->fresh;
   talloc_set_destructor (e, exchange_destroy);
   for (size_t i = 0; i < request->header_count; i++)
     add_header (e, request->headers[i].name, request->headers[i].value);
@@ -331,7 +336,7 @@
     curl_easy_setopt (e->easy, CURLOPT_CUSTOMREQUEST, e->method);
   /* Without a body there is nothing to rewind, and libcurl would send it
      again: only a fresh connection prevents that.  */
-  if (e->once && (e->body_len == 0 || e->sign != NULL))
+  if (e->fresh || (e->once && (e->body_len == 0 || e->sign != NULL)))
     curl_easy_setopt (e->easy, CURLOPT_FRESH_CONNECT, 1L);
 }
 
--- a/packages/http/src/ht_server.c
+++ b/packages/http/src/ht_server.c
@@ -584,7 +584,8 @@
 server_destroy (struct ht_server *server)
 {
   atomic_store (&server->closing, true);
-  g_thread_join (server->watcher);
+  if (server->watcher != NULL)
+    g_thread_join (server->watcher);
   resume_all (server);
   MHD_stop_daemon (server->daemon);
   g_hash_table_destroy (server->calls);
@@ -627,7 +628,8 @@
       talloc_free (server);
       return NULL;
     }
-  server->watcher = g_thread_new ("callers-watch", watcher_main, server);
+  if (!options->unwatched)
+    server->watcher = g_thread_new ("callers-watch", watcher_main, server);
   talloc_set_destructor (server, server_destroy);
   return server;
 }
--- /dev/null
+++ b/packages/jobs/include/jb_msg.h
@@ -0,0 +1,141 @@
+#ifndef JB_MSG_H
+#define JB_MSG_H
+
+/* Messages between entry hosts.  Any of them may be lost, late or doubled:
+   requests are repeated until they are answered, and mean the same each time.
+
+   JB_MSG_BEAT     sent to all, several times a second
+   JB_MSG_REQUEST  a client's call, to the holder of the pool
+   JB_MSG_REPLY    to a request
+   JB_MSG_CATALOG  the configuration, to a host that has an older one
+   JB_MSG_CLEAR    the planner asks a pool's holder to empty a host
+   JB_MSG_CLEARED  how far that is
+   JB_MSG_LOAD     what a pool's holder tells the planner of its load  */
+
+#include "jb_catalog.h"
+#include "jb_desc.h"
+#include "jb_out.h"
+
+enum jb_msg_type
+{
+  JB_MSG_BEAT,
+  JB_MSG_REQUEST,
+  JB_MSG_REPLY,
+  JB_MSG_CATALOG,
+  JB_MSG_CLEAR,
+  JB_MSG_CLEARED,
+  JB_MSG_LOAD,
+  JB_MSG_TYPES
+};
+
+struct jb_msg_duty
+{
+  char *part;
+  uint64_t fence;
+};
+
+/* How long ago another member was heard.  */
+struct jb_msg_heard
+{
+  uint64_t incarnation;
+  int64_t age_ms;
+};
+
+struct jb_msg_beat
+{
+  char *name;
+  char *address;
+  char *zone;
+  bool stopping;
+  bool store_good; /* the store answered lately */
+  uint64_t catalog_version;
+  uint32_t duty_count;
+  struct jb_msg_duty *duties;
+  uint32_t heard_count;
+  struct jb_msg_heard *heard;
+};
+
+enum jb_request_kind
+{
+  JB_REQUEST_SUBMIT,
+  JB_REQUEST_QUERY,
+  JB_REQUEST_CANCEL,
+  JB_REQUEST_PENDING,
+  JB_REQUEST_KINDS
+};
+
+struct jb_msg_request
+{
+  uint64_t call; /* of the sending host */
+  uint32_t kind; /* enum jb_request_kind */
+  char *pool;
+  char *id;             /* of the job, or NULL */
+  char *queue;          /* of a JB_REQUEST_PENDING, or NULL */
+  struct jb_desc *desc; /* of a JB_REQUEST_SUBMIT, or NULL */
+};
+
+struct jb_msg_reply
+{
+  uint64_t call;
+  uint32_t kind; /* enum jb_answer_kind; JB_MSG_ELSEWHERE: ask again */
+  uint32_t state;
+  uint32_t pending;
+  int64_t retry_after_ms;
+};
+
+enum
+{
+  JB_MSG_ELSEWHERE = 1000 /* the sender does not hold the pool */
+};
+
+struct jb_msg_clear
+{
+  char *pool;
+  char *instance; /* of the host's backend server */
+};
+
+struct jb_msg_cleared
+{
+  char *pool;
+  char *instance;
+  bool empty; /* nothing runs there, and nothing is started for a while */
+};
+
+/* Load of a pool, all in thousandths of cores.  */
+struct jb_msg_load
+{
+  char *pool;
+  int64_t room;         /* of its sound backend servers */
+  int64_t running;      /* what finite tasks use */
+  int64_t waiting;      /* what tasks wait for whose turn has come */
+  int64_t steady;       /* what lasting tasks use */
+  int64_t waiting_work; /* times milliseconds, of all accepted work */
+  int64_t arriving;     /* work handed in a second, lately */
+  uint32_t idle_count;
+  char **idle; /* instances without any task */
+};
+
+struct jb_msg
+{
+  uint32_t type; /* enum jb_msg_type */
+  union
+  {
+    struct jb_msg_beat beat;
+    struct jb_msg_request request;
+    struct jb_msg_reply reply;
+    struct jb_catalog catalog;
+    struct jb_msg_clear clear;
+    struct jb_msg_cleared cleared;
+    struct jb_msg_load load;
+  } u;
+};
+
+void jb_msg_code (struct ba_io *io, struct jb_msg *message);
+
+/* Return the encoding of MESSAGE, owned by MEM.  */
+struct ba_bytes jb_msg_encode (TALLOC_CTX *mem, const struct jb_msg *message);
+
+/* Return the message that BYTES hold, owned by MEM, or NULL.  */
+struct jb_msg *jb_msg_decode (TALLOC_CTX *mem, struct ba_bytes bytes);
+
+#endif
--- /dev/null
+++ b/packages/jobs/include/jb_out.h
@@ -0,0 +1,190 @@
+#ifndef JB_OUT_H
+#define JB_OUT_H
+
+/* The way from the decisions to the outside, and back.  */
+
+#include "jb_order.h"
+
+enum jb_level
+{
+  JB_LEVEL_ERROR,
+  JB_LEVEL_WARN,
+  JB_LEVEL_INFO,
+  JB_LEVEL_DEBUG
+};
+
+/* The final answer to a client's call.  */
+enum jb_answer_kind
+{
+  JB_ANSWER_ACCEPTED,
+  JB_ANSWER_STATE,
+  JB_ANSWER_CANCELLED,
+  JB_ANSWER_PENDING,     /* number of jobs that have not begun */
+  JB_ANSWER_NO_JOB,      /* there is no such job */
+  JB_ANSWER_NO_QUEUE,    /* there is no such queue */
+  JB_ANSWER_BAD_KEY,     /* the key belongs to no organisation */
+  JB_ANSWER_BAD_REQUEST, /* not accepted: it makes no sense */
+  JB_ANSWER_REFUSED,     /* not accepted, and it never runs: too much work */
+  JB_ANSWER_UNAVAILABLE, /* not accepted, and it never runs: for now */
+  JB_ANSWER_UNKNOWN      /* it may have been accepted, or not */
+};
+
+enum jb_job_state
+{
+  JB_JOB_PENDING,
+  JB_JOB_RUNNING,
+  JB_JOB_COMPLETED,
+  JB_JOB_FAILED,
+  JB_JOB_CANCELLED
+};
+
+struct jb_answer
+{
+  enum jb_answer_kind kind;
+  enum jb_job_state state;
+  uint32_t pending;
+  int64_t retry_after_ms; /* 0: not said */
+  const char *reason;     /* for people, or NULL */
+};
+
+struct jb_log_field
+{
+  const char *name;
+  const char *value; /* NULL: the field is left out */
+};
+
+struct jb_member_address
+{
+  uint64_t incarnation;
+  const char *address;
+};
+
+/* What a driver does.  Everything is borrowed for the duration of a call.  */
+struct jb_effects
+{
+  void (*submit) (void *context, uint64_t number,
+                  const struct jb_order *order);
+  void (*send) (void *context, uint64_t member, struct ba_bytes message);
+  void (*members) (void *context, const struct jb_member_address *members,
+                   uint32_t count);
+  void (*answer) (void *context, uint64_t call,
+                  const struct jb_answer *answer);
+  void (*log) (void *context, enum jb_level level, const char *event,
+               const struct jb_log_field *fields, uint32_t count);
+};
+
+enum jb_counter
+{
+  JB_COUNT_ACCEPTED,
+  JB_COUNT_REPEATED, /* handed in again */
+  JB_COUNT_REFUSED,
+  JB_COUNT_UNAVAILABLE,
+  JB_COUNT_UNKNOWN,
+  JB_COUNT_BAD_KEY,
+  JB_COUNT_NO_QUEUE,
+  JB_COUNT_BAD_REQUEST,
+  JB_COUNT_COMPLETED,
+  JB_COUNT_FAILED,
+  JB_COUNT_CANCELLED,
+  JB_COUNT_STARTS,
+  JB_COUNT_START_ROOM,
+  JB_COUNT_START_OLD,
+  JB_COUNT_START_LATE,
+  JB_COUNT_START_FENCE,
+  JB_COUNT_START_TICKET,
+  JB_COUNT_START_ILL,
+  JB_COUNT_START_UNKNOWN,
+  JB_COUNT_END_DONE,
+  JB_COUNT_END_FAILED,
+  JB_COUNT_END_STOPPED,
+  JB_COUNT_END_LAPSED,
+  JB_COUNT_END_BROKEN,
+  JB_COUNT_END_ALONE,
+  JB_COUNT_VANISHED, /* runs that a backend server knows nothing of */
+  JB_COUNT_LOOKS,
+  JB_COUNT_LOOKS_LOST, /* without an answer */
+  JB_COUNT_WRITES,
+  JB_COUNT_WRITES_UNKNOWN,
+  JB_COUNT_READS,
+  JB_COUNT_TAKEOVERS,
+  JB_COUNT_DEPOSED,
+  JB_COUNT_RELEASED,
+  JB_COUNT_MOVES,
+  JB_COUNT_MAINTENANCE,
+  JB_COUNT_KINDS
+};
+
+/* Latencies that are measured, in milliseconds.  */
+enum jb_histogram
+{
+  JB_HIST_STORED,   /* handing in to stored */
+  JB_HIST_STARTED,  /* handing in to the first start */
+  JB_HIST_DONE,     /* handing in to done */
+  JB_HIST_WRITE,    /* a transaction */
+  JB_HIST_START,    /* a start of a task */
+  JB_HIST_TAKEOVER, /* from the claim to the first start */
+  JB_HIST_KINDS
+};
+
+enum
+{
+  JB_HIST_BUCKETS = 14 /* upper bounds of 1, 2, 4 ... ms; the last: any */
+};
+
+struct jb_metrics
+{
+  uint64_t counters[JB_COUNT_KINDS];
+  uint64_t buckets[JB_HIST_KINDS][JB_HIST_BUCKETS];
+  uint64_t sums_us[JB_HIST_KINDS];
+};
+
+struct jb_out;
+
+/* Called once with the reply to an order.  REPLY is borrowed.  SENT is the
+   time when the order was submitted.  */
+typedef void jb_done (void *data, jb_time now, jb_time sent,
+                      const struct jb_reply *reply);
+
+struct jb_out *jb_out_new (TALLOC_CTX *mem, const struct jb_effects *effects,
+                           void *context);
+
+/* Submit ORDER, borrowed.  DONE is called with the reply unless OWNER, a
+   talloc chunk, is freed before.  */
+void jb_out_submit (struct jb_out *out, TALLOC_CTX *owner, jb_time now,
+                    const struct jb_order *order, jb_done *done, void *data);
+
+/* Hand over the reply to the order NUMBER.  */
+void jb_out_reply (struct jb_out *out, jb_time now, uint64_t number,
+                   const struct jb_reply *reply);
+
+/* Return since when no call to the store has succeeded although some were
+   made, or 0 when the last one did.  */
+jb_time jb_out_store_failing (const struct jb_out *out);
+
+void jb_out_send (struct jb_out *out, uint64_t member,
+                  struct ba_bytes message);
+void jb_out_members (struct jb_out *out,
+                     const struct jb_member_address *members, uint32_t count);
+void jb_out_answer (struct jb_out *out, uint64_t call,
+                    const struct jb_answer *answer);
+
+/* Log EVENT with pairs of names and values, ended by NULL.  A pair whose value
+   is NULL is left out; "" stands for an empty one.  */
+void jb_log (struct jb_out *out, enum jb_level level, const char *event,
+             ...) G_GNUC_NULL_TERMINATED;
+
+/* Return NUMBER as text that is good until the next eight calls.  */
+const char *jb_num (int64_t number);
+
+void jb_count (struct jb_out *out, enum jb_counter counter);
+void jb_observe (struct jb_out *out, enum jb_histogram histogram,
+                 jb_time duration);
+const struct jb_metrics *jb_out_metrics (const struct jb_out *out);
+
+/* Return the name of a state of a job, static.  */
+const char *jb_job_state_name (enum jb_job_state state);
+
+/* Return metrics in the text exposition format, owned by MEM.  */
+char *jb_metrics_expose (TALLOC_CTX *mem, const struct jb_metrics *metrics);
+
+#endif
--- /dev/null
+++ b/packages/jobs/src/jb_catalog.c
@@ -0,0 +1,154 @@
+#include "jb_catalog.h"
+
+#include <string.h>
+
+enum
+{
+  MAX_QUEUES = 100000,
+  MAX_ORGS = 10000,
+  MAX_KEYS = 1000,
+  MAX_POOLS = 1000
+};
+
+void
+jb_amount_code (struct ba_io *io, struct jb_amount *amount)
+{
+  ba_io_i64 (io, &amount->cpu);
+  ba_io_i64 (io, &amount->memory);
+  ba_io_i64 (io, &amount->accelerators);
+}
+
+static void
+queue_code (struct ba_io *io, struct jb_queue *queue)
+{
+  ba_io_name (io, &queue->name);
+  ba_io_name (io, &queue->host);
+  ba_io_name (io, &queue->prefix);
+  ba_io_name (io, &queue->pool);
+  ba_io_u32 (io, &queue->priority);
+  ba_io_u32 (io, &queue->max_attempts);
+  ba_io_u32 (io, &queue->stretch_milli);
+  ba_io_i64 (io, &queue->target_ms);
+  ba_io_i64 (io, &queue->timeout_ms);
+  ba_io_bool (io, &queue->open);
+  ba_io_bool (io, &queue->advised);
+  ba_io_i64 (io, &queue->advice_valid_ms);
+}
+
+static void
+org_code (struct ba_io *io, struct jb_org *org)
+{
+  ba_io_name (io, &org->name);
+  ba_io_array (io, org->keys, org->key_count, MAX_KEYS, ba_io_name);
+  ba_io_u32 (io, &org->weight);
+  jb_amount_code (io, &org->cap);
+}
+
+static void
+pool_code (struct ba_io *io, struct jb_pool_settings *pool)
+{
+  ba_io_name (io, &pool->name);
+  ba_io_bool (io, &pool->guards);
+  ba_io_bool (io, &pool->standby);
+}
+
+void
+jb_catalog_code (struct ba_io *io, struct jb_catalog *catalog)
+{
+  ba_io_u64 (io, &catalog->version);
+  ba_io_array (io, catalog->queues, catalog->queue_count, MAX_QUEUES,
+               queue_code);
+  ba_io_array (io, catalog->orgs, catalog->org_count, MAX_ORGS, org_code);
+  ba_io_array (io, catalog->pools, catalog->pool_count, MAX_POOLS, pool_code);
+  ba_io_i64 (io, &catalog->max_body);
+}
+
+static int
+free_index (GHashTable **holder)
+{
+  g_hash_table_destroy (*holder);
+  return 0;
+}
+
+void
+jb_catalog_index (struct jb_catalog *catalog)
+{
+  GHashTable **holder = talloc (catalog, GHashTable *);
+
+  catalog->keys = g_hash_table_new (g_str_hash, g_str_equal);
+  *holder = catalog->keys;
+  talloc_set_destructor (holder, free_index);
+  for (uint32_t i = 0; i < catalog->org_count; i++)
+    for (uint32_t j = 0; j < catalog->orgs[i].key_count; j++)
+      g_hash_table_insert (catalog->keys, catalog->orgs[i].keys[j],
+                           &catalog->orgs[i]);
+}
+
+/* Return whether HOST, with or without a port, is NAME.  */
+static bool
+host_is (const char *host, const char *name)
+{
+  size_t len = strlen (name);
+
+  return g_ascii_strncasecmp (host, name, len) == 0
+         && (host[len] == '\0' || host[len] == ':');
+}
+
+const struct jb_queue *
+jb_catalog_match (const struct jb_catalog *catalog, const char *host,
+                  const char *path)
+{
+  const struct jb_queue *best = NULL;
+  size_t best_len = 0;
+
+  if (host == NULL)
+    return NULL;
+  for (uint32_t i = 0; i < catalog->queue_count; i++)
+    {
+      const struct jb_queue *queue = &catalog->queues[i];
+      size_t len = strlen (queue->prefix);
+
+      if ((best != NULL && len <= best_len)
+          || strncmp (path, queue->prefix, len) != 0
+          || !host_is (host, queue->host))
+        continue;
+      best = queue;
+      best_len = len;
+    }
+  return best;
+}
+
+const struct jb_queue *
+jb_catalog_queue (const struct jb_catalog *catalog, const char *name)
+{
+  for (uint32_t i = 0; i < catalog->queue_count; i++)
+    if (strcmp (catalog->queues[i].name, name) == 0)
+      return &catalog->queues[i];
+  return NULL;
+}
+
+const struct jb_org *
+jb_catalog_key (const struct jb_catalog *catalog, const char *key)
+{
+  if (key == NULL)
+    return NULL;
+  return g_hash_table_lookup (catalog->keys, key);
+}
+
+const struct jb_org *
+jb_catalog_org (const struct jb_catalog *catalog, const char *name)
+{
+  for (uint32_t i = 0; i < catalog->org_count; i++)
+    if (strcmp (catalog->orgs[i].name, name) == 0)
+      return &catalog->orgs[i];
+  return NULL;
+}
+
+const struct jb_pool_settings *
+jb_catalog_pool (const struct jb_catalog *catalog, const char *name)
+{
+  for (uint32_t i = 0; i < catalog->pool_count; i++)
+    if (strcmp (catalog->pools[i].name, name) == 0)
+      return &catalog->pools[i];
+  return NULL;
+}
--- /dev/null
+++ b/packages/jobs/src/jb_duty.c
@@ -0,0 +1,481 @@
+#include "jb_duty.h"
+
+#include <string.h>
+
+/* Of one call to the store; ten times its usual answer.  */
+#define STORE_TIMEOUT_MS 800
+
+/* Before a transaction that failed is sent again.  */
+#define RETRY_PAUSE (60 * JB_MS)
+
+/* Content of the owner row.  */
+struct owner_row
+{
+  char *holder;
+  uint64_t incarnation;
+  uint32_t generation;
+  uint64_t sequence; /* of the holder's transactions */
+};
+
+struct transaction
+{
+  struct transaction *next;
+  struct jb_row *set; /* the first is the owner row */
+  uint32_t set_count;
+  struct jb_row *removed;
+  uint32_t removed_count;
+  uint64_t sequence;
+  jb_duty_written *written;
+  void *data;
+};
+
+struct jb_duty
+{
+  struct jb_duty_options options;
+  enum jb_duty_phase phase;
+  uint64_t row_version;
+  uint64_t fence;
+  uint32_t generation;
+  uint64_t sequence;         /* of the last transaction made */
+  struct transaction *first; /* being sent, or to be sent again */
+  struct transaction *last;
+  bool sent;     /* the first is under way */
+  bool doubtful; /* the first was sent before, without an answer */
+  bool verifying;
+  jb_time retry_at;
+  jb_time failing_since;
+  jb_time confirmed;
+};
+
+static void
+owner_row_code (struct ba_io *io, struct owner_row *row)
+{
+  ba_io_name (io, &row->holder);
+  ba_io_u64 (io, &row->incarnation);
+  ba_io_u32 (io, &row->generation);
+  ba_io_u64 (io, &row->sequence);
+}
+
+static bool
+owner_row_decode (TALLOC_CTX *mem, struct ba_bytes value,
+                  struct owner_row *row)
+{
+  struct ba_io io;
+
+  memset (row, 0, sizeof *row);
+  ba_io_reader (&io, mem, value);
+  owner_row_code (&io, row);
+  return ba_io_ended (&io);
+}
+
+struct jb_duty *
+jb_duty_new (TALLOC_CTX *mem, const struct jb_duty_options *options)
+{
+  struct jb_duty *duty = talloc_zero (mem, struct jb_duty);
+
+  duty->options = *options;
+  duty->options.part = talloc_strdup (duty, options->part);
+  duty->options.holder = talloc_strdup (duty, options->holder);
+  return duty;
+}
+
+enum jb_duty_phase
+jb_duty_phase (const struct jb_duty *duty)
+{
+  return duty->phase;
+}
+
+uint64_t
+jb_duty_fence (const struct jb_duty *duty)
+{
+  return duty->fence;
+}
+
+uint32_t
+jb_duty_generation (const struct jb_duty *duty)
+{
+  return duty->generation;
+}
+
+bool
+jb_duty_writing (const struct jb_duty *duty)
+{
+  return duty->first != NULL;
+}
+
+jb_time
+jb_duty_failing_since (const struct jb_duty *duty)
+{
+  return duty->failing_since;
+}
+
+jb_time
+jb_duty_confirmed (const struct jb_duty *duty)
+{
+  return duty->confirmed;
+}
+
+static struct jb_row
+owner_row (const struct jb_duty *duty)
+{
+  struct jb_row row = { .table = JB_DUTY_TABLE,
+                        .part = duty->options.part,
+                        .key = JB_DUTY_KEY,
+                        .version = duty->row_version };
+
+  return row;
+}
+
+static struct ba_bytes
+owner_value (struct jb_duty *duty, TALLOC_CTX *mem, uint64_t sequence)
+{
+  struct owner_row row = { .holder = (char *)duty->options.holder,
+                           .incarnation = duty->options.incarnation,
+                           .generation = duty->generation,
+                           .sequence = sequence };
+
+  return ba_io_encode (mem, owner_row_code, &row);
+}
+
+/* Return the owner row among the rows of REPLY, or NULL.  */
+static const struct jb_row *
+find_owner (const struct jb_duty *duty, const struct jb_reply *reply)
+{
+  for (uint32_t i = 0; i < reply->row_count; i++)
+    if (strcmp (reply->rows[i].table, JB_DUTY_TABLE) == 0
+        && strcmp (reply->rows[i].part, duty->options.part) == 0
+        && strcmp (reply->rows[i].key, JB_DUTY_KEY) == 0)
+      return &reply->rows[i];
+  return NULL;
+}
+
+/* Return whether ROW was written by this claim, and its SEQUENCE.  */
+static bool
+is_ours (const struct jb_duty *duty, const struct jb_row *row,
+         uint64_t *sequence)
+{
+  TALLOC_CTX *scratch = talloc_new (NULL);
+  struct owner_row owner;
+  bool ours = row != NULL && row->version != 0
+              && owner_row_decode (scratch, row->value, &owner)
+              && owner.incarnation == duty->options.incarnation
+              && owner.generation == duty->generation;
+
+  if (ours)
+    *sequence = owner.sequence;
+  talloc_free (scratch);
+  return ours;
+}
+
+static void
+submit (struct jb_duty *duty, jb_time now, struct jb_order *order,
+        jb_done *done)
+{
+  order->timeout_ms = STORE_TIMEOUT_MS;
+  jb_out_submit (duty->options.out, duty, now, order, done, duty);
+}
+
+static void
+read_owner (struct jb_duty *duty, jb_time now, jb_done *done)
+{
+  struct jb_order order
+      = { .kind = JB_ORDER_READ,
+          .u.read = { JB_DUTY_TABLE, duty->options.part, NULL } };
+
+  jb_count (duty->options.out, JB_COUNT_READS);
+  submit (duty, now, &order, done);
+}
+
+static void
+depose (struct jb_duty *duty, jb_time now)
+{
+  duty->phase = JB_DUTY_FREE;
+  jb_count (duty->options.out, JB_COUNT_DEPOSED);
+  jb_log (duty->options.out, JB_LEVEL_WARN, "duty-lost", "duty",
+          duty->options.part, "fence", jb_num ((int64_t)duty->fence), "reason",
+          "another holder", NULL);
+  duty->options.deposed (duty->options.data, now);
+}
+
+/* ---- claiming ---- */
+
+static void
+claim_end (struct jb_duty *duty, jb_time now, bool held)
+{
+  duty->phase = held ? JB_DUTY_HELD : JB_DUTY_FREE;
+  if (held)
+    {
+      duty->fence = duty->row_version;
+      duty->confirmed = now;
+      duty->failing_since = 0;
+      jb_count (duty->options.out, JB_COUNT_TAKEOVERS);
+    }
+  jb_log (duty->options.out, JB_LEVEL_INFO,
+          held ? "duty-taken" : "claim-failed", "duty", duty->options.part,
+          "fence", held ? jb_num ((int64_t)duty->fence) : NULL, "generation",
+          jb_num (duty->generation), NULL);
+  duty->options.claimed (duty->options.data, now, held);
+}
+
+/* The claim had no answer: see what became of it.  */
+static void
+claim_checked (void *data, jb_time now, jb_time sent,
+               const struct jb_reply *reply)
+{
+  struct jb_duty *duty = data;
+  uint64_t sequence;
+
+  (void)sent;
+  if (reply->result != JB_OK)
+    {
+      claim_end (duty, now, false);
+      return;
+    }
+  if (!is_ours (duty, find_owner (duty, reply), &sequence))
+    {
+      claim_end (duty, now, false);
+      return;
+    }
+  duty->row_version = find_owner (duty, reply)->version;
+  claim_end (duty, now, true);
+}
+
+static void
+claim_written (void *data, jb_time now, jb_time sent,
+               const struct jb_reply *reply)
+{
+  struct jb_duty *duty = data;
+
+  (void)sent;
+  if (reply->result == JB_OK)
+    {
+      duty->row_version = reply->version;
+      claim_end (duty, now, true);
+    }
+  else if (reply->result == JB_UNKNOWN)
+    read_owner (duty, now, claim_checked);
+  else
+    claim_end (duty, now, false);
+}
+
+static void
+claim_read (void *data, jb_time now, jb_time sent,
+            const struct jb_reply *reply)
+{
+  struct jb_duty *duty = data;
+  TALLOC_CTX *scratch = talloc_new (NULL);
+  struct jb_row expected;
+  struct jb_row set;
+  struct jb_order order = { .kind = JB_ORDER_WRITE };
+  const struct jb_row *row;
+  struct owner_row owner;
+
+  (void)sent;
+  if (reply->result != JB_OK)
+    {
+      talloc_free (scratch);
+      claim_end (duty, now, false);
+      return;
+    }
+  row = find_owner (duty, reply);
+  duty->row_version = row != NULL ? row->version : 0;
+  duty->generation = 1;
+  if (row != NULL && owner_row_decode (scratch, row->value, &owner))
+    duty->generation = owner.generation + 1;
+  expected = owner_row (duty);
+  set = expected;
+  set.value = owner_value (duty, scratch, 0);
+  order.u.write.expected = &expected;
+  order.u.write.expected_count = 1;
+  order.u.write.set = &set;
+  order.u.write.set_count = 1;
+  jb_count (duty->options.out, JB_COUNT_WRITES);
+  submit (duty, now, &order, claim_written);
+  talloc_free (scratch);
+}
+
+void
+jb_duty_claim (struct jb_duty *duty, jb_time now)
+{
+  g_assert (duty->phase == JB_DUTY_FREE);
+  duty->phase = JB_DUTY_CLAIMING;
+  duty->sequence = 0;
+  read_owner (duty, now, claim_read);
+}
+
+/* ---- writing ---- */
+
+static void send_first (struct jb_duty *duty, jb_time now);
+
+static void
+finish_first (struct jb_duty *duty, jb_time now, uint64_t version)
+{
+  struct transaction *done = duty->first;
+
+  duty->row_version = version;
+  duty->failing_since = 0;
+  duty->doubtful = false;
+  duty->first = done->next;
+  if (duty->first == NULL)
+    duty->last = NULL;
+  if (done->written != NULL)
+    done->written (done->data, now);
+  talloc_free (done);
+  if (duty->first != NULL && !duty->sent)
+    send_first (duty, now);
+}
+
+static void
+write_conflict (struct jb_duty *duty, jb_time now,
+                const struct jb_reply *reply)
+{
+  const struct jb_row *row = find_owner (duty, reply);
+  uint64_t sequence = 0;
+
+  if (is_ours (duty, row, &sequence) && duty->doubtful
+      && sequence == duty->first->sequence)
+    finish_first (duty, now, row->version);
+  else
+    depose (duty, now);
+}
+
+static void
+write_done (void *data, jb_time now, jb_time sent,
+            const struct jb_reply *reply)
+{
+  struct jb_duty *duty = data;
+
+  duty->sent = false;
+  if (reply->result == JB_OK || reply->result == JB_CONFLICT)
+    duty->confirmed = sent;
+  if (reply->result == JB_OK)
+    {
+      jb_observe (duty->options.out, JB_HIST_WRITE, now - sent);
+      finish_first (duty, now, reply->version);
+      return;
+    }
+  if (reply->result == JB_CONFLICT)
+    {
+      write_conflict (duty, now, reply);
+      return;
+    }
+  if (reply->result == JB_UNKNOWN)
+    {
+      duty->doubtful = true;
+      jb_count (duty->options.out, JB_COUNT_WRITES_UNKNOWN);
+    }
+  if (duty->failing_since == 0)
+    {
+      duty->failing_since = sent;
+      jb_log (duty->options.out, JB_LEVEL_WARN, "store-write-failed", "duty",
+              duty->options.part, "outcome",
+              reply->result == JB_UNKNOWN ? "unknown" : "refused", NULL);
+    }
+  duty->retry_at = now + RETRY_PAUSE;
+}
+
+static void
+send_first (struct jb_duty *duty, jb_time now)
+{
+  struct transaction *first = duty->first;
+  struct jb_row expected = owner_row (duty);
+  struct jb_order order
+      = { .kind = JB_ORDER_WRITE,
+          .u.write = { .expected = &expected,
+                       .expected_count = 1,
+                       .set = first->set,
+                       .set_count = first->set_count,
+                       .removed = first->removed,
+                       .removed_count = first->removed_count } };
+
+  duty->sent = true;
+  duty->retry_at = JB_NEVER;
+  jb_count (duty->options.out, JB_COUNT_WRITES);
+  submit (duty, now, &order, write_done);
+}
+
+static struct jb_row *
+copy_rows (TALLOC_CTX *mem, const struct jb_row *rows, uint32_t count,
+           uint32_t before)
+{
+  struct jb_row *copies
+      = talloc_zero_array (mem, struct jb_row, before + count + 1);
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      struct jb_row *copy = &copies[before + i];
+
+      copy->table = talloc_strdup (copies, rows[i].table);
+      copy->part = talloc_strdup (copies, rows[i].part);
+      copy->key = talloc_strdup (copies, rows[i].key);
+      copy->value
+          = ba_bytes_copy (copies, rows[i].value.data, rows[i].value.len);
+    }
+  return copies;
+}
+
+void
+jb_duty_write (struct jb_duty *duty, jb_time now, const struct jb_row *set,
+               uint32_t set_count, const struct jb_row *removed,
+               uint32_t removed_count, jb_duty_written *written, void *data)
+{
+  struct transaction *t = talloc_zero (duty, struct transaction);
+
+  g_assert (duty->phase == JB_DUTY_HELD
+            && set_count + removed_count <= JB_DUTY_MAX_ROWS);
+  t->sequence = ++duty->sequence;
+  t->set = copy_rows (t, set, set_count, 1);
+  t->set[0] = owner_row (duty);
+  t->set[0].value = owner_value (duty, t, t->sequence);
+  t->set_count = set_count + 1;
+  t->removed = copy_rows (t, removed, removed_count, 0);
+  t->removed_count = removed_count;
+  t->written = written;
+  t->data = data;
+  if (duty->last != NULL)
+    duty->last->next = t;
+  else
+    duty->first = t;
+  duty->last = t;
+  if (duty->first == t && !duty->sent)
+    send_first (duty, now);
+}
+
+/* ---- being the holder still ---- */
+
+static void
+verified (void *data, jb_time now, jb_time sent, const struct jb_reply *reply)
+{
+  struct jb_duty *duty = data;
+  uint64_t sequence;
+
+  duty->verifying = false;
+  if (reply->result != JB_OK)
+    return;
+  if (is_ours (duty, find_owner (duty, reply), &sequence))
+    duty->confirmed = MAX (duty->confirmed, sent);
+  else
+    depose (duty, now);
+}
+
+void
+jb_duty_verify (struct jb_duty *duty, jb_time now)
+{
+  if (duty->phase != JB_DUTY_HELD || duty->verifying || duty->sent)
+    return;
+  duty->verifying = true;
+  read_owner (duty, now, verified);
+}
+
+jb_time
+jb_duty_run (struct jb_duty *duty, jb_time now)
+{
+  if (duty->phase != JB_DUTY_HELD || duty->first == NULL || duty->sent)
+    return JB_NEVER;
+  if (now >= duty->retry_at)
+    {
+      send_first (duty, now);
+      return JB_NEVER;
+    }
+  return duty->retry_at;
+}
--- /dev/null
+++ b/packages/jobs/src/jb_host.c
@@ -0,0 +1,624 @@
+#include "jb_host.h"
+
+#include "jb_pool.h"
+
+#include <string.h>
+
+/* A look at what operators wrote waits so long for a change.  Shorter than a
+   configuration may take to be in force, since the connection may have gone
+   silent.  */
+#define WATCH_WAIT_MS 1200
+#define WATCH_TIMEOUT_MS 500      /* more than the wait */
+#define WATCH_PAUSE (150 * JB_MS) /* after a failure */
+
+/* Between two lists of backend servers, while a pool is held.  */
+#define LIST_PERIOD (1000 * JB_MS)
+#define LIST_TIMEOUT_MS 800
+
+/* Between two looks at who holds what.  */
+#define ELECT_PERIOD (50 * JB_MS)
+#define CLAIM_PAUSE (300 * JB_MS)
+
+/* A holder whose writes have failed for so long gives up, if another host
+   reaches the store.  */
+#define STORE_PATIENCE (900 * JB_MS)
+
+/* A member that still has an older configuration so long after this host got
+   a newer one is sent it.  */
+#define CATALOG_PATIENCE (400 * JB_MS)
+
+struct held_pool
+{
+  char *name;
+  struct jb_pool *pool; /* NULL: neither held nor being claimed */
+  jb_time next_claim;
+};
+
+struct jb_host
+{
+  struct jb_host_options options;
+  struct jb_out *out;
+  struct jb_members *members;
+  struct jb_entry *entry;
+  const struct jb_catalog *catalog; /* NULL: none yet */
+  jb_time catalog_since;
+  jb_time catalog_sent;
+  GPtrArray *pools; /* struct held_pool */
+  jb_time now;      /* of the event that is being taken in */
+  jb_time wall;     /* Unix time of the clock's origin */
+  bool stopping;
+  bool beat_due; /* something changed that peers should know */
+  /* what operators wrote */
+  bool watching;
+  uint64_t watched; /* version */
+  jb_time next_watch;
+  /* backend servers */
+  bool listing;
+  jb_time next_list;
+  jb_time next_elect;
+};
+
+static struct held_pool *
+find_pool (const struct jb_host *host, const char *name)
+{
+  for (guint i = 0; i < host->pools->len; i++)
+    {
+      struct held_pool *held = g_ptr_array_index (host->pools, i);
+
+      if (strcmp (held->name, name) == 0)
+        return held;
+    }
+  return NULL;
+}
+
+static bool
+is_held (const struct held_pool *held)
+{
+  return held->pool != NULL && !jb_pool_over (held->pool)
+         && jb_pool_phase (held->pool) == JB_DUTY_HELD;
+}
+
+/* ---- requests and replies ---- */
+
+static bool
+holds (void *data, const char *name)
+{
+  struct held_pool *held = find_pool (data, name);
+
+  return held != NULL && is_held (held);
+}
+
+static void
+take_request (struct jb_host *host, jb_time now, uint64_t from,
+              const struct jb_msg_request *request)
+{
+  struct held_pool *held = find_pool (host, request->pool);
+  struct jb_msg reply
+      = { .type = JB_MSG_REPLY,
+          .u.reply = { .call = request->call, .kind = JB_MSG_ELSEWHERE } };
+  struct ba_bytes bytes;
+
+  if (held != NULL && is_held (held))
+    {
+      jb_pool_request (held->pool, now, from, request);
+      return;
+    }
+  if (from == host->options.incarnation)
+    return;
+  bytes = jb_msg_encode (NULL, &reply);
+  jb_out_send (host->out, from, bytes);
+  talloc_free (bytes.data);
+}
+
+static void
+take_own_request (void *data, jb_time now,
+                  const struct jb_msg_request *request)
+{
+  struct jb_host *host = data;
+
+  take_request (host, now, host->options.incarnation, request);
+}
+
+static void
+send_reply (void *data, uint64_t member, const struct jb_msg_reply *reply)
+{
+  struct jb_host *host = data;
+  struct jb_msg message = { .type = JB_MSG_REPLY, .u.reply = *reply };
+  struct ba_bytes bytes;
+
+  if (member == host->options.incarnation)
+    {
+      jb_entry_reply (host->entry, host->now, reply);
+      return;
+    }
+  bytes = jb_msg_encode (NULL, &message);
+  jb_out_send (host->out, member, bytes);
+  talloc_free (bytes.data);
+}
+
+static void
+pool_changed (void *data, struct jb_pool *pool)
+{
+  struct jb_host *host = data;
+
+  host->beat_due = true;
+  if (!jb_pool_over (pool))
+    host->next_list = 0;
+}
+
+/* ---- configuration ---- */
+
+static void
+take_catalog (struct jb_host *host, jb_time now, struct jb_catalog *catalog,
+              const char *from)
+{
+  if (host->catalog != NULL && catalog->version <= host->catalog->version)
+    return;
+  jb_log (host->out, JB_LEVEL_INFO, "configuration-taken", "version",
+          jb_num ((int64_t)catalog->version), "before",
+          host->catalog != NULL ? jb_num ((int64_t)host->catalog->version)
+                                : NULL,
+          "from", from, "queues", jb_num (catalog->queue_count), NULL);
+  jb_catalog_index (catalog);
+  talloc_free ((void *)host->catalog);
+  host->catalog = talloc_steal (host, catalog);
+  host->catalog_since = now;
+  host->beat_due = true;
+  for (uint32_t i = 0; i < catalog->pool_count; i++)
+    if (find_pool (host, catalog->pools[i].name) == NULL)
+      {
+        struct held_pool *held = talloc_zero (host, struct held_pool);
+
+        held->name = talloc_strdup (held, catalog->pools[i].name);
+        g_ptr_array_add (host->pools, held);
+      }
+}
+
+static void
+watch_done (void *data, jb_time now, jb_time sent,
+            const struct jb_reply *reply)
+{
+  struct jb_host *host = data;
+
+  (void)sent;
+  host->watching = false;
+  host->next_watch = now;
+  if (reply->result == JB_GONE)
+    {
+      jb_log (host->out, JB_LEVEL_INFO, "history-gone", "after",
+              jb_num ((int64_t)host->watched), NULL);
+      host->watched = 0;
+      return;
+    }
+  if (reply->result != JB_OK)
+    {
+      host->next_watch = now + WATCH_PAUSE;
+      return;
+    }
+  host->watched = reply->version;
+  if (reply->catalog != NULL)
+    take_catalog (host, now, reply->catalog, "store");
+}
+
+static void
+watch (struct jb_host *host, jb_time now)
+{
+  struct jb_order order
+      = { .kind = JB_ORDER_WATCH, .timeout_ms = WATCH_TIMEOUT_MS };
+
+  if (host->watching || now < host->next_watch)
+    return;
+  host->watching = true;
+  order.u.watch.after = host->watched;
+  if (host->watched != 0)
+    {
+      order.u.watch.wait_ms = WATCH_WAIT_MS;
+      order.timeout_ms += WATCH_WAIT_MS;
+    }
+  jb_count (host->out, JB_COUNT_READS);
+  jb_out_submit (host->out, host, now, &order, watch_done, host);
+}
+
+struct catalog_visit
+{
+  struct jb_host *host;
+  struct ba_bytes bytes;
+};
+
+static void
+send_catalog (void *data, const struct jb_member *member)
+{
+  struct catalog_visit *visit = data;
+  struct jb_host *host = visit->host;
+
+  if (member->catalog_version < host->catalog->version)
+    jb_out_send (host->out, member->incarnation, visit->bytes);
+}
+
+static void
+has_older (void *data, const struct jb_member *member)
+{
+  struct catalog_visit *visit = data;
+
+  if (member->catalog_version < visit->host->catalog->version)
+    visit->bytes.len = 1;
+}
+
+/* Send the configuration to members that lag behind: the store may not answer
+   them.  */
+static void
+spread_catalog (struct jb_host *host, jb_time now)
+{
+  struct catalog_visit visit = { .host = host };
+  struct jb_msg message = { .type = JB_MSG_CATALOG };
+
+  if (host->catalog == NULL || now - host->catalog_since < CATALOG_PATIENCE
+      || now - host->catalog_sent < CATALOG_PATIENCE)
+    return;
+  jb_members_each (host->members, now, has_older, &visit);
+  if (visit.bytes.len == 0)
+    return;
+  host->catalog_sent = now;
+  message.u.catalog = *host->catalog;
+  visit.bytes = jb_msg_encode (NULL, &message);
+  jb_members_each (host->members, now, send_catalog, &visit);
+  talloc_free (visit.bytes.data);
+}
+
+/* ---- backend servers ---- */
+
+static void
+backends_listed (void *data, jb_time now, jb_time sent,
+                 const struct jb_reply *reply)
+{
+  struct jb_host *host = data;
+
+  host->listing = false;
+  if (reply->result != JB_OK)
+    return;
+  for (guint i = 0; i < host->pools->len; i++)
+    {
+      struct held_pool *held = g_ptr_array_index (host->pools, i);
+
+      if (held->pool != NULL)
+        jb_pool_backends (held->pool, now, sent, reply->backends,
+                          reply->backend_count);
+    }
+}
+
+static uint32_t
+duty_count (const struct jb_host *host)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < host->pools->len; i++)
+    if (((struct held_pool *)g_ptr_array_index (host->pools, i))->pool != NULL)
+      count++;
+  return count;
+}
+
+static void
+list_backends (struct jb_host *host, jb_time now)
+{
+  struct jb_order order
+      = { .kind = JB_ORDER_LIST_BACKENDS, .timeout_ms = LIST_TIMEOUT_MS };
+
+  if (host->listing || now < host->next_list || duty_count (host) == 0)
+    return;
+  host->listing = true;
+  host->next_list = now + LIST_PERIOD;
+  jb_count (host->out, JB_COUNT_READS);
+  jb_out_submit (host->out, host, now, &order, backends_listed, host);
+}
+
+/* ---- duties ---- */
+
+static bool
+store_is_good (const struct jb_host *host, jb_time now)
+{
+  jb_time failing = jb_out_store_failing (host->out);
+
+  return failing == 0 || now - failing < STORE_PATIENCE / 2;
+}
+
+static void
+free_lost_pools (struct jb_host *host, jb_time now)
+{
+  for (guint i = 0; i < host->pools->len; i++)
+    {
+      struct held_pool *held = g_ptr_array_index (host->pools, i);
+
+      if (held->pool == NULL || !jb_pool_over (held->pool))
+        continue;
+      TALLOC_FREE (held->pool);
+      held->next_claim = now + CLAIM_PAUSE;
+      host->beat_due = true;
+    }
+}
+
+static void
+claim (struct jb_host *host, jb_time now, struct held_pool *held)
+{
+  struct jb_pool_options options = { .out = host->out,
+                                     .bounds = &host->options.bounds,
+                                     .catalog = &host->catalog,
+                                     .name = held->name,
+                                     .holder = host->options.name,
+                                     .incarnation = host->options.incarnation,
+                                     .reply = send_reply,
+                                     .changed = pool_changed,
+                                     .data = host };
+
+  held->pool = jb_pool_new (host, &options);
+  jb_pool_wall (held->pool, host->wall);
+  jb_pool_claim (held->pool, now);
+}
+
+static void
+any_good_store (void *data, const struct jb_member *member)
+{
+  bool *found = data;
+
+  *found = *found || (member->store_good && !member->stopping);
+}
+
+/* Give up what this host can't do while another can.  */
+static void
+release_if_cut_off (struct jb_host *host, jb_time now)
+{
+  bool elsewhere = false;
+  jb_time failing = jb_out_store_failing (host->out);
+
+  if (failing == 0 || now - failing < STORE_PATIENCE)
+    return;
+  jb_members_each (host->members, now, any_good_store, &elsewhere);
+  for (guint i = 0; elsewhere && i < host->pools->len; i++)
+    {
+      struct held_pool *held = g_ptr_array_index (host->pools, i);
+
+      if (is_held (held))
+        jb_pool_release (held->pool, now, "the store is out of reach");
+    }
+}
+
+static void
+elect (struct jb_host *host, jb_time now)
+{
+  jb_time heard_by;
+
+  if (now < host->next_elect)
+    return;
+  host->next_elect = now + ELECT_PERIOD;
+  release_if_cut_off (host, now);
+  heard_by = jb_members_heard_by (host->members);
+  for (guint i = 0; i < host->pools->len; i++)
+    {
+      struct held_pool *held = g_ptr_array_index (host->pools, i);
+      const char *part;
+      char *text;
+
+      if (is_held (held))
+        {
+          part = jb_pool_part (held->pool);
+          jb_pool_wall (held->pool, host->wall);
+          if (jb_members_superseded (host->members, now, part,
+                                     jb_pool_fence (held->pool))
+              == 0)
+            jb_pool_confirm (held->pool, heard_by);
+          else
+            jb_pool_release (held->pool, now, "a peer has a higher fence");
+        }
+      if (held->pool != NULL || host->stopping || now < held->next_claim
+          || !store_is_good (host, now))
+        continue;
+      text = talloc_asprintf (NULL, "pool/%s", held->name);
+      if (jb_members_should_claim (host->members, now, text,
+                                   duty_count (host)))
+        claim (host, now, held);
+      talloc_free (text);
+    }
+}
+
+/* ---- beats ---- */
+
+static void
+say (struct jb_host *host, jb_time now, jb_time *next)
+{
+  struct jb_self self
+      = { .stopping = host->stopping,
+          .store_good = store_is_good (host, now),
+          .catalog_version = host->catalog ? host->catalog->version : 0 };
+  struct jb_msg_duty *duties
+      = talloc_array (NULL, struct jb_msg_duty, host->pools->len + 1);
+
+  for (guint i = 0; i < host->pools->len; i++)
+    {
+      struct held_pool *held = g_ptr_array_index (host->pools, i);
+
+      if (is_held (held))
+        duties[self.duty_count++]
+            = (struct jb_msg_duty){ (char *)jb_pool_part (held->pool),
+                                    jb_pool_fence (held->pool) };
+    }
+  self.duties = duties;
+  if (host->beat_due)
+    {
+      host->beat_due = false;
+      jb_members_say (host->members, now, &self);
+    }
+  *next = MIN (*next, jb_members_run (host->members, now, &self));
+  talloc_free (duties);
+}
+
+/* ---- what the driver calls ---- */
+
+static int
+host_destroy (struct jb_host *host)
+{
+  g_ptr_array_free (host->pools, TRUE);
+  return 0;
+}
+
+struct jb_host *
+jb_host_new (TALLOC_CTX *mem, jb_time now,
+             const struct jb_host_options *options,
+             const struct jb_effects *effects, void *context)
+{
+  struct jb_host *host = talloc_zero (mem, struct jb_host);
+  struct jb_members_options members = { .name = options->name,
+                                        .address = options->address,
+                                        .zone = options->zone,
+                                        .incarnation = options->incarnation };
+  struct jb_entry_options entry = { .incarnation = options->incarnation,
+                                    .catalog = &host->catalog,
+                                    .holds = holds,
+                                    .local = take_own_request,
+                                    .data = host };
+
+  host->options = *options;
+  host->options.name = talloc_strdup (host, options->name);
+  host->options.zone = talloc_strdup (host, options->zone);
+  host->options.address = talloc_strdup (host, options->address);
+  host->now = now;
+  host->pools = g_ptr_array_new ();
+  host->out = jb_out_new (host, effects, context);
+  members.out = host->out;
+  host->members = jb_members_new (host, now, &members);
+  entry.out = host->out;
+  entry.members = host->members;
+  host->entry = jb_entry_new (host, &entry);
+  talloc_set_destructor (host, host_destroy);
+  return host;
+}
+
+void
+jb_host_wall (struct jb_host *host, jb_time origin)
+{
+  host->wall = origin;
+}
+
+void
+jb_host_bounds (struct jb_host *host, const struct jb_bounds *bounds)
+{
+  host->options.bounds = *bounds;
+}
+
+void
+jb_host_call (struct jb_host *host, jb_time now, uint64_t number,
+              const struct jb_call *call)
+{
+  host->now = now;
+  jb_entry_call (host->entry, now, number, call);
+}
+
+bool
+jb_host_message (struct jb_host *host, jb_time now, uint64_t from,
+                 struct ba_bytes bytes)
+{
+  struct jb_msg *message = jb_msg_decode (NULL, bytes);
+
+  host->now = now;
+  if (message == NULL)
+    return false;
+  switch ((enum jb_msg_type)message->type)
+    {
+    case JB_MSG_BEAT:
+      jb_members_beat (host->members, now, from, &message->u.beat);
+      break;
+    case JB_MSG_REQUEST:
+      take_request (host, now, from, &message->u.request);
+      break;
+    case JB_MSG_REPLY:
+      jb_entry_reply (host->entry, now, &message->u.reply);
+      break;
+    case JB_MSG_CATALOG:
+      {
+        struct jb_catalog *catalog = talloc_zero (NULL, struct jb_catalog);
+
+        ba_io_copy (catalog, jb_catalog_code, &message->u.catalog, catalog);
+        take_catalog (host, now, catalog, "peer");
+        if (host->catalog != catalog)
+          talloc_free (catalog);
+        break;
+      }
+    case JB_MSG_CLEAR:
+    case JB_MSG_CLEARED:
+    case JB_MSG_LOAD:
+    case JB_MSG_TYPES:
+      break;
+    }
+  talloc_free (message);
+  return true;
+}
+
+void
+jb_host_reply (struct jb_host *host, jb_time now, uint64_t number,
+               const struct jb_reply *reply)
+{
+  host->now = now;
+  jb_out_reply (host->out, now, number, reply);
+}
+
+jb_time
+jb_host_run (struct jb_host *host, jb_time now)
+{
+  jb_time next = JB_NEVER;
+
+  host->now = now;
+  free_lost_pools (host, now);
+  elect (host, now);
+  watch (host, now);
+  list_backends (host, now);
+  spread_catalog (host, now);
+  for (guint i = 0; i < host->pools->len; i++)
+    {
+      struct held_pool *held = g_ptr_array_index (host->pools, i);
+
+      if (held->pool != NULL)
+        next = MIN (next, jb_pool_run (held->pool, now));
+    }
+  next = MIN (next, jb_entry_run (host->entry, now));
+  free_lost_pools (host, now);
+  say (host, now, &next);
+  next = MIN (next, host->next_elect);
+  if (!host->watching)
+    next = MIN (next, host->next_watch);
+  if (!host->listing && duty_count (host) > 0)
+    next = MIN (next, host->next_list);
+  return MAX (next, now + JB_MS);
+}
+
+void
+jb_host_stop (struct jb_host *host, jb_time now)
+{
+  host->now = now;
+  host->stopping = true;
+  host->beat_due = true;
+  for (guint i = 0; i < host->pools->len; i++)
+    {
+      struct held_pool *held = g_ptr_array_index (host->pools, i);
+
+      if (is_held (held))
+        jb_pool_release (held->pool, now, "this host stops");
+    }
+}
+
+bool
+jb_host_idle (const struct jb_host *host)
+{
+  return jb_entry_waiting (host->entry) == 0;
+}
+
+bool
+jb_host_ready (const struct jb_host *host, jb_time now)
+{
+  return host->catalog != NULL && !host->stopping
+         && (store_is_good (host, now)
+             || jb_members_live (host->members, now) > 0);
+}
+
+const struct jb_metrics *
+jb_host_metrics (const struct jb_host *host)
+{
+  return jb_out_metrics (host->out);
+}
--- /dev/null
+++ b/packages/jobs/src/jb_members.c
@@ -0,0 +1,614 @@
+#include "jb_members.h"
+
+#include "ba_hash.h"
+
+#include <string.h>
+
+/* A member that is not heard for so long is taken for dead: five beats. */
+#define SILENCE (1000 * JB_MS)
+
+/* Between two beats.  */
+#define BEAT_PERIOD (200 * JB_MS)
+
+/* Another member heard it within: it lives.  */
+#define HEARD_BY_OTHER_MS 700
+
+/* After the start, before a duty that nobody is known to hold is claimed.  */
+#define SETTLING (1200 * JB_MS)
+
+/* The next best candidate waits so much longer.  */
+#define CANDIDATE_STEP (400 * JB_MS)
+
+/* Between two writings of this host's row, and two readings of all rows.  */
+#define RENEW_PERIOD (1500 * JB_MS)
+#define READ_PERIOD (5000 * JB_MS)
+#define READ_PERIOD_FEW (1000 * JB_MS)
+
+/* A row that has not changed for so long: its host does not reach the store.
+ */
+#define QUIET (4000 * JB_MS)
+
+/* A member that is silent for so long is forgotten.  */
+#define FORGET (20 * JB_SECOND)
+
+#define STORE_TIMEOUT_MS 800
+
+#define MEMBER_TABLE "member"
+
+/* What is remembered of a duty.  */
+struct holding
+{
+  char *part;
+  uint64_t holder; /* incarnation that last said it holds it */
+  uint64_t fence;
+  jb_time vacant_since; /* 0: it is held */
+};
+
+struct jb_members
+{
+  struct jb_members_options options;
+  jb_time started;
+  GPtrArray *all;       /* struct jb_member */
+  GHashTable *holdings; /* part -> struct holding */
+  jb_time next_beat;
+  jb_time next_renewal;
+  jb_time next_read;
+  jb_time last_read; /* answered */
+  bool renewing;
+  bool reading;
+  uint64_t own_row_version;
+};
+
+struct member_row
+{
+  uint64_t incarnation;
+  char *address;
+  char *zone;
+};
+
+static void
+member_row_code (struct ba_io *io, struct member_row *row)
+{
+  ba_io_u64 (io, &row->incarnation);
+  ba_io_name (io, &row->address);
+  ba_io_name (io, &row->zone);
+}
+
+static int
+members_destroy (struct jb_members *members)
+{
+  g_ptr_array_free (members->all, TRUE);
+  g_hash_table_destroy (members->holdings);
+  return 0;
+}
+
+struct jb_members *
+jb_members_new (TALLOC_CTX *mem, jb_time now,
+                const struct jb_members_options *options)
+{
+  struct jb_members *members = talloc_zero (mem, struct jb_members);
+
+  members->options = *options;
+  members->options.name = talloc_strdup (members, options->name);
+  members->options.address = talloc_strdup (members, options->address);
+  members->options.zone = talloc_strdup (members, options->zone);
+  members->started = now;
+  members->all = g_ptr_array_new ();
+  members->holdings = g_hash_table_new (g_str_hash, g_str_equal);
+  talloc_set_destructor (members, members_destroy);
+  return members;
+}
+
+const struct jb_member *
+jb_members_find (const struct jb_members *members, uint64_t incarnation)
+{
+  for (guint i = 0; i < members->all->len; i++)
+    {
+      struct jb_member *member = g_ptr_array_index (members->all, i);
+
+      if (member->incarnation == incarnation)
+        return member;
+    }
+  return NULL;
+}
+
+bool
+jb_member_lives (const struct jb_member *member, jb_time now)
+{
+  return member->heard != 0 && now - member->heard < SILENCE;
+}
+
+/* Tell the driver whom to connect to.  */
+static void
+connect_all (struct jb_members *members)
+{
+  guint count = members->all->len;
+  struct jb_member_address *addresses
+      = talloc_array (NULL, struct jb_member_address, count + 1);
+
+  for (guint i = 0; i < count; i++)
+    {
+      struct jb_member *member = g_ptr_array_index (members->all, i);
+
+      addresses[i].incarnation = member->incarnation;
+      addresses[i].address = member->address;
+    }
+  jb_out_members (members->options.out, addresses, count);
+  talloc_free (addresses);
+}
+
+static void
+forget (struct jb_members *members, struct jb_member *member,
+        const char *reason)
+{
+  jb_log (members->options.out, JB_LEVEL_INFO, "member-gone", "member",
+          member->name, "reason", reason, NULL);
+  g_ptr_array_remove (members->all, member);
+  talloc_free (member);
+}
+
+/* Return the member INCARNATION, making it when it is new.  An older
+   incarnation of NAME goes.  */
+static struct jb_member *
+admit (struct jb_members *members, uint64_t incarnation, const char *name,
+       const char *address, const char *zone)
+{
+  struct jb_member *member
+      = (struct jb_member *)jb_members_find (members, incarnation);
+
+  if (member != NULL)
+    return member;
+  for (guint i = members->all->len; i-- > 0;)
+    {
+      struct jb_member *old = g_ptr_array_index (members->all, i);
+
+      if (strcmp (old->name, name) == 0)
+        forget (members, old, "a newer process has its name");
+    }
+  member = talloc_zero (members, struct jb_member);
+  member->incarnation = incarnation;
+  member->name = talloc_strdup (member, name);
+  member->address = talloc_strdup (member, address);
+  member->zone = talloc_strdup (member, zone);
+  g_ptr_array_add (members->all, member);
+  jb_log (members->options.out, JB_LEVEL_INFO, "member-found", "member", name,
+          "address", address, NULL);
+  connect_all (members);
+  return member;
+}
+
+static struct holding *
+get_holding (struct jb_members *members, const char *part)
+{
+  struct holding *holding = g_hash_table_lookup (members->holdings, part);
+
+  if (holding == NULL)
+    {
+      holding = talloc_zero (members, struct holding);
+      holding->part = talloc_strdup (holding, part);
+      g_hash_table_insert (members->holdings, holding->part, holding);
+    }
+  return holding;
+}
+
+static void
+note_holder (struct jb_members *members, uint64_t holder,
+             const struct jb_msg_duty *duty)
+{
+  struct holding *holding = get_holding (members, duty->part);
+
+  if (duty->fence < holding->fence)
+    return;
+  holding->holder = holder;
+  holding->fence = duty->fence;
+}
+
+void
+jb_members_beat (struct jb_members *members, jb_time now, uint64_t from,
+                 const struct jb_msg_beat *beat)
+{
+  struct jb_member *member;
+
+  if (from == members->options.incarnation)
+    return;
+  member = admit (members, from, beat->name, beat->address, beat->zone);
+  if (!jb_member_lives (member, now))
+    jb_log (members->options.out, JB_LEVEL_INFO, "member-heard", "member",
+            member->name, NULL);
+  member->heard = now;
+  member->stopping = beat->stopping;
+  member->store_good = beat->store_good;
+  member->catalog_version = beat->catalog_version;
+  TALLOC_FREE (member->duties);
+  TALLOC_FREE (member->others);
+  member->duty_count = beat->duty_count;
+  member->duties
+      = talloc_array (member, struct jb_msg_duty, beat->duty_count + 1);
+  for (uint32_t i = 0; i < beat->duty_count; i++)
+    {
+      member->duties[i].part
+          = talloc_strdup (member->duties, beat->duties[i].part);
+      member->duties[i].fence = beat->duties[i].fence;
+      note_holder (members, from, &beat->duties[i]);
+    }
+  member->heard_count = beat->heard_count;
+  member->others = talloc_memdup (member, beat->heard,
+                                  beat->heard_count * sizeof *beat->heard);
+}
+
+static void
+send_beat (struct jb_members *members, jb_time now, const struct jb_self *self)
+{
+  TALLOC_CTX *scratch = talloc_new (NULL);
+  struct jb_msg message = { .type = JB_MSG_BEAT };
+  struct jb_msg_beat *beat = &message.u.beat;
+  struct ba_bytes bytes;
+
+  beat->name = (char *)members->options.name;
+  beat->address = (char *)members->options.address;
+  beat->zone = (char *)members->options.zone;
+  beat->stopping = self->stopping;
+  beat->store_good = self->store_good;
+  beat->catalog_version = self->catalog_version;
+  beat->duties = (struct jb_msg_duty *)self->duties;
+  beat->duty_count = self->duty_count;
+  beat->heard
+      = talloc_array (scratch, struct jb_msg_heard, members->all->len + 1);
+  for (guint i = 0; i < members->all->len; i++)
+    {
+      struct jb_member *member = g_ptr_array_index (members->all, i);
+
+      if (jb_member_lives (member, now))
+        beat->heard[beat->heard_count++]
+            = (struct jb_msg_heard){ member->incarnation,
+                                     (now - member->heard) / JB_MS };
+    }
+  bytes = jb_msg_encode (scratch, &message);
+  for (guint i = 0; i < members->all->len; i++)
+    {
+      struct jb_member *member = g_ptr_array_index (members->all, i);
+
+      jb_out_send (members->options.out, member->incarnation, bytes);
+    }
+  talloc_free (scratch);
+  for (uint32_t i = 0; i < self->duty_count; i++)
+    note_holder (members, members->options.incarnation, &self->duties[i]);
+}
+
+void
+jb_members_say (struct jb_members *members, jb_time now,
+                const struct jb_self *self)
+{
+  send_beat (members, now, self);
+  members->next_beat = now + BEAT_PERIOD;
+}
+
+/* ---- rows ---- */
+
+static void
+renewed (void *data, jb_time now, jb_time sent, const struct jb_reply *reply)
+{
+  struct jb_members *members = data;
+
+  (void)now;
+  (void)sent;
+  members->renewing = false;
+  if (reply->result == JB_OK)
+    members->own_row_version = reply->version;
+}
+
+static void
+renew (struct jb_members *members, jb_time now)
+{
+  TALLOC_CTX *scratch = talloc_new (NULL);
+  struct member_row content
+      = { members->options.incarnation, (char *)members->options.address,
+          (char *)members->options.zone };
+  struct jb_row row
+      = { .table = MEMBER_TABLE, .part = "", .key = members->options.name };
+  struct jb_order order = { .kind = JB_ORDER_WRITE,
+                            .timeout_ms = STORE_TIMEOUT_MS,
+                            .u.write = { .set = &row, .set_count = 1 } };
+
+  row.value = ba_io_encode (scratch, member_row_code, &content);
+  members->renewing = true;
+  members->next_renewal = now + RENEW_PERIOD;
+  jb_count (members->options.out, JB_COUNT_WRITES);
+  jb_out_submit (members->options.out, members, now, &order, renewed, members);
+  talloc_free (scratch);
+}
+
+static void
+take_row (struct jb_members *members, jb_time now, const struct jb_row *row)
+{
+  TALLOC_CTX *scratch = talloc_new (NULL);
+  struct member_row content = { 0 };
+  struct jb_member *member = NULL;
+  struct ba_io io;
+
+  ba_io_reader (&io, scratch, row->value);
+  member_row_code (&io, &content);
+  if (!ba_io_ended (&io))
+    jb_log (members->options.out, JB_LEVEL_WARN, "row-unreadable", "table",
+            MEMBER_TABLE, "key", row->key, NULL);
+  else if (strcmp (row->key, members->options.name) != 0)
+    member = admit (members, content.incarnation, row->key, content.address,
+                    content.zone);
+  if (member != NULL && member->row_version != row->version)
+    {
+      member->row_version = row->version;
+      member->row_changed = now;
+    }
+  talloc_free (scratch);
+}
+
+static void
+rows_read (void *data, jb_time now, jb_time sent, const struct jb_reply *reply)
+{
+  struct jb_members *members = data;
+
+  (void)sent;
+  members->reading = false;
+  if (reply->result != JB_OK)
+    return;
+  members->last_read = now;
+  for (uint32_t i = 0; i < reply->row_count; i++)
+    take_row (members, now, &reply->rows[i]);
+}
+
+static void
+read_rows (struct jb_members *members, jb_time now)
+{
+  struct jb_order order = { .kind = JB_ORDER_READ,
+                            .timeout_ms = STORE_TIMEOUT_MS,
+                            .u.read = { MEMBER_TABLE, "", NULL } };
+
+  members->reading = true;
+  jb_count (members->options.out, JB_COUNT_READS);
+  jb_out_submit (members->options.out, members, now, &order, rows_read,
+                 members);
+}
+
+/* Return whether so many known members are silent that the store is asked
+   whether they live.  */
+static bool
+is_minority (const struct jb_members *members, jb_time now)
+{
+  return 2 * (jb_members_live (members, now) + 1) <= members->all->len + 1;
+}
+
+static void
+forget_silent (struct jb_members *members, jb_time now)
+{
+  for (guint i = members->all->len; i-- > 0;)
+    {
+      struct jb_member *member = g_ptr_array_index (members->all, i);
+      jb_time last = MAX (member->heard, member->row_changed);
+
+      if (now - last > FORGET)
+        forget (members, member, "silent");
+    }
+}
+
+jb_time
+jb_members_run (struct jb_members *members, jb_time now,
+                const struct jb_self *self)
+{
+  if (now >= members->next_beat)
+    {
+      forget_silent (members, now);
+      jb_members_say (members, now, self);
+    }
+  if (!members->renewing && !self->stopping && now >= members->next_renewal)
+    renew (members, now);
+  if (!members->reading && now >= members->next_read)
+    {
+      members->next_read
+          = now
+            + (is_minority (members, now) || members->all->len == 0
+                   ? READ_PERIOD_FEW
+                   : READ_PERIOD);
+      read_rows (members, now);
+    }
+  return MIN (members->next_beat,
+              MIN (members->next_renewal, members->next_read));
+}
+
+/* ---- questions ---- */
+
+void
+jb_members_each (const struct jb_members *members, jb_time now,
+                 void (*visit) (void *, const struct jb_member *), void *data)
+{
+  for (guint i = 0; i < members->all->len; i++)
+    {
+      struct jb_member *member = g_ptr_array_index (members->all, i);
+
+      if (jb_member_lives (member, now))
+        visit (data, member);
+    }
+}
+
+static void
+count_live (void *data, const struct jb_member *member)
+{
+  (void)member;
+  ++*(uint32_t *)data;
+}
+
+uint32_t
+jb_members_live (const struct jb_members *members, jb_time now)
+{
+  uint32_t count = 0;
+
+  jb_members_each (members, now, count_live, &count);
+  return count;
+}
+
+static uint64_t
+held_fence (const struct jb_member *member, const char *part)
+{
+  for (uint32_t i = 0; i < member->duty_count; i++)
+    if (strcmp (member->duties[i].part, part) == 0)
+      return member->duties[i].fence;
+  return 0;
+}
+
+const struct jb_member *
+jb_members_holder (struct jb_members *members, jb_time now, const char *part)
+{
+  const struct jb_member *best = NULL;
+  uint64_t best_fence = 0;
+
+  for (guint i = 0; i < members->all->len; i++)
+    {
+      const struct jb_member *member = g_ptr_array_index (members->all, i);
+      uint64_t fence = held_fence (member, part);
+
+      if (fence > best_fence && jb_member_lives (member, now))
+        {
+          best = member;
+          best_fence = fence;
+        }
+    }
+  return best;
+}
+
+uint64_t
+jb_members_fence (struct jb_members *members, const char *part)
+{
+  return get_holding (members, part)->fence;
+}
+
+uint64_t
+jb_members_superseded (const struct jb_members *members, jb_time now,
+                       const char *part, uint64_t fence)
+{
+  for (guint i = 0; i < members->all->len; i++)
+    {
+      const struct jb_member *member = g_ptr_array_index (members->all, i);
+      uint64_t other = held_fence (member, part);
+
+      if (other > fence && jb_member_lives (member, now))
+        return other;
+    }
+  return 0;
+}
+
+jb_time
+jb_members_heard_by (const struct jb_members *members)
+{
+  jb_time latest = 0;
+
+  for (guint i = 0; i < members->all->len; i++)
+    {
+      const struct jb_member *member = g_ptr_array_index (members->all, i);
+
+      for (uint32_t j = 0; j < member->heard_count; j++)
+        if (member->others[j].incarnation == members->options.incarnation)
+          latest
+              = MAX (latest, member->heard - member->others[j].age_ms * JB_MS);
+    }
+  return latest;
+}
+
+/* ---- who takes a duty that is free ---- */
+
+/* Return whether a live member has heard INCARNATION lately.  */
+static bool
+heard_elsewhere (const struct jb_members *members, jb_time now,
+                 uint64_t incarnation)
+{
+  for (guint i = 0; i < members->all->len; i++)
+    {
+      const struct jb_member *member = g_ptr_array_index (members->all, i);
+
+      if (!jb_member_lives (member, now))
+        continue;
+      for (uint32_t j = 0; j < member->heard_count; j++)
+        if (member->others[j].incarnation == incarnation
+            && member->others[j].age_ms < HEARD_BY_OTHER_MS)
+          return true;
+    }
+  return false;
+}
+
+/* Return whether no silent member renews its row.  */
+static bool
+silent_are_quiet (const struct jb_members *members, jb_time now)
+{
+  if (members->last_read == 0
+      || now - members->last_read > 2 * READ_PERIOD_FEW)
+    return false;
+  for (guint i = 0; i < members->all->len; i++)
+    {
+      const struct jb_member *member = g_ptr_array_index (members->all, i);
+
+      if (!jb_member_lives (member, now)
+          && now - MAX (member->row_changed, member->heard) < QUIET)
+        return false;
+    }
+  return true;
+}
+
+/* Return how many live candidates come before this host for PART: those with
+   fewer duties, then by a hash that is equal everywhere.  */
+static uint32_t
+candidate_rank (const struct jb_members *members, jb_time now,
+                const char *part, uint32_t load)
+{
+  uint64_t seed = ba_hash_str (part, 0);
+  uint64_t own = ba_hash_str (members->options.name, seed);
+  uint32_t rank = 0;
+
+  for (guint i = 0; i < members->all->len; i++)
+    {
+      const struct jb_member *member = g_ptr_array_index (members->all, i);
+
+      if (!jb_member_lives (member, now) || member->stopping
+          || !member->store_good)
+        continue;
+      if (member->duty_count < load
+          || (member->duty_count == load
+              && ba_hash_str (member->name, seed) < own))
+        rank++;
+    }
+  return rank;
+}
+
+/* Return whether PART is held by nobody as far as this host can tell.  */
+static bool
+is_vacant (struct jb_members *members, jb_time now, struct holding *holding)
+{
+  const struct jb_member *last;
+
+  if (jb_members_holder (members, now, holding->part) != NULL)
+    return false;
+  last = jb_members_find (members, holding->holder);
+  if (last != NULL && jb_member_lives (last, now))
+    return true; /* it lives, and says that it holds it no more */
+  if (holding->holder == members->options.incarnation)
+    return true;
+  if (now - members->started < SETTLING || members->last_read == 0)
+    return false;
+  if (holding->holder != 0 && heard_elsewhere (members, now, holding->holder))
+    return false;
+  return !is_minority (members, now) || silent_are_quiet (members, now);
+}
+
+bool
+jb_members_should_claim (struct jb_members *members, jb_time now,
+                         const char *part, uint32_t load)
+{
+  struct holding *holding = get_holding (members, part);
+
+  if (!is_vacant (members, now, holding))
+    {
+      holding->vacant_since = 0;
+      return false;
+    }
+  if (holding->vacant_since == 0)
+    holding->vacant_since = now;
+  return now - holding->vacant_since
+         >= candidate_rank (members, now, part, load) * CANDIDATE_STEP;
+}
--- /dev/null
+++ b/packages/jobs/src/jb_msg.c
@@ -0,0 +1,143 @@
+#include "jb_msg.h"
+
+enum
+{
+  MAX_DUTIES = 1000,
+  MAX_MEMBERS = 10000,
+  MAX_IDLE = 100000
+};
+
+static void
+duty_code (struct ba_io *io, struct jb_msg_duty *duty)
+{
+  ba_io_name (io, &duty->part);
+  ba_io_u64 (io, &duty->fence);
+}
+
+static void
+heard_code (struct ba_io *io, struct jb_msg_heard *heard)
+{
+  ba_io_u64 (io, &heard->incarnation);
+  ba_io_i64 (io, &heard->age_ms);
+}
+
+static void
+beat_code (struct ba_io *io, struct jb_msg_beat *beat)
+{
+  ba_io_name (io, &beat->name);
+  ba_io_name (io, &beat->address);
+  ba_io_name (io, &beat->zone);
+  ba_io_bool (io, &beat->stopping);
+  ba_io_bool (io, &beat->store_good);
+  ba_io_u64 (io, &beat->catalog_version);
+  ba_io_array (io, beat->duties, beat->duty_count, MAX_DUTIES, duty_code);
+  ba_io_array (io, beat->heard, beat->heard_count, MAX_MEMBERS, heard_code);
+}
+
+static void
+request_code (struct ba_io *io, struct jb_msg_request *request)
+{
+  bool has_desc = request->desc != NULL;
+
+  ba_io_u64 (io, &request->call);
+  ba_io_enum (io, &request->kind, JB_REQUEST_KINDS);
+  ba_io_name (io, &request->pool);
+  ba_io_str (io, &request->id);
+  ba_io_str (io, &request->queue);
+  ba_io_bool (io, &has_desc);
+  if (io->reading && has_desc)
+    request->desc = talloc_zero (io->mem, struct jb_desc);
+  if (request->desc != NULL)
+    jb_desc_code (io, request->desc);
+}
+
+static void
+reply_code (struct ba_io *io, struct jb_msg_reply *reply)
+{
+  ba_io_u64 (io, &reply->call);
+  ba_io_u32 (io, &reply->kind);
+  ba_io_u32 (io, &reply->state);
+  ba_io_u32 (io, &reply->pending);
+  ba_io_i64 (io, &reply->retry_after_ms);
+}
+
+static void
+clear_code (struct ba_io *io, struct jb_msg_clear *clear)
+{
+  ba_io_name (io, &clear->pool);
+  ba_io_name (io, &clear->instance);
+}
+
+static void
+cleared_code (struct ba_io *io, struct jb_msg_cleared *cleared)
+{
+  ba_io_name (io, &cleared->pool);
+  ba_io_name (io, &cleared->instance);
+  ba_io_bool (io, &cleared->empty);
+}
+
+static void
+load_code (struct ba_io *io, struct jb_msg_load *load)
+{
+  ba_io_name (io, &load->pool);
+  ba_io_i64 (io, &load->room);
+  ba_io_i64 (io, &load->running);
+  ba_io_i64 (io, &load->waiting);
+  ba_io_i64 (io, &load->steady);
+  ba_io_i64 (io, &load->waiting_work);
+  ba_io_i64 (io, &load->arriving);
+  ba_io_array (io, load->idle, load->idle_count, MAX_IDLE, ba_io_name);
+}
+
+void
+jb_msg_code (struct ba_io *io, struct jb_msg *message)
+{
+  ba_io_enum (io, &message->type, JB_MSG_TYPES);
+  switch ((enum jb_msg_type)message->type)
+    {
+    case JB_MSG_BEAT:
+      beat_code (io, &message->u.beat);
+      break;
+    case JB_MSG_REQUEST:
+      request_code (io, &message->u.request);
+      break;
+    case JB_MSG_REPLY:
+      reply_code (io, &message->u.reply);
+      break;
+    case JB_MSG_CATALOG:
+      jb_catalog_code (io, &message->u.catalog);
+      break;
+    case JB_MSG_CLEAR:
+      clear_code (io, &message->u.clear);
+      break;
+    case JB_MSG_CLEARED:
+      cleared_code (io, &message->u.cleared);
+      break;
+    case JB_MSG_LOAD:
+      load_code (io, &message->u.load);
+      break;
+    case JB_MSG_TYPES:
+      break;
+    }
+}
+
+struct ba_bytes
+jb_msg_encode (TALLOC_CTX *mem, const struct jb_msg *message)
+{
+  struct jb_msg copy = *message;
+
+  return ba_io_encode (mem, jb_msg_code, &copy);
+}
+
+struct jb_msg *
+jb_msg_decode (TALLOC_CTX *mem, struct ba_bytes bytes)
+{
+  struct jb_msg *message = talloc_zero (mem, struct jb_msg);
+  struct ba_io io;
+
+  ba_io_reader (&io, message, bytes);
+  jb_msg_code (&io, message);
+  if (!ba_io_ended (&io))
+    TALLOC_FREE (message);
+  return message;
+}
--- /dev/null
+++ b/packages/jobs/src/jb_pool.c
@@ -0,0 +1,874 @@
+#include "jb_pool_internal.h"
+
+#include "jb_admit.h"
+
+#include <string.h>
+
+/* Sweeps look for what nothing else brings up.  */
+#define SWEEP_PERIOD (200 * JB_MS)
+
+/* A host that is to be taken away is kept empty so long after it was last
+   asked for.  */
+#define CLOSED_PERIOD (2500 * JB_MS)
+
+/* A list that leaves a backend server out is believed when the next does so,
+   too: entries lapse while the store is away and return a moment after.  */
+#define UNLISTED_PERIOD (2500 * JB_MS)
+
+/* Store writes have failed for so long: new jobs are refused.  */
+#define STORE_AWAY (300 * JB_MS)
+
+/* Occurrences start so long after they are due, never before.  */
+#define DUE_MARGIN_MS 15
+
+/* Ended jobs are forgotten so long after what was promised.  */
+#define RETIRE_MARGIN_MS 30000
+
+#define LOAD_PERIOD (2 * JB_SECOND)
+
+enum
+{
+  MAX_EARLY = 2000,       /* requests before the rows are read */
+  MAX_RETIRED = 40,       /* jobs in one turn */
+  DEFAULT_WORK = 4000000, /* mean work of a queue before any job is known */
+  RETRY_UNAVAILABLE_MS = 1000
+};
+
+static void
+claimed (void *data, jb_time now, bool held)
+{
+  struct jb_pool *pool = data;
+
+  if (held)
+    jb_pool_begin_loading (pool, now);
+  pool->options.changed (pool->options.data, pool);
+}
+
+static void
+deposed (void *data, jb_time now)
+{
+  struct jb_pool *pool = data;
+
+  (void)now;
+  pool->stage = JB_STAGE_IDLE;
+  pool->options.changed (pool->options.data, pool);
+}
+
+static int
+pool_destroy (struct jb_pool *pool)
+{
+  /* The duty goes first, with what refers to jobs and backends.  */
+  TALLOC_FREE (pool->duty);
+  g_hash_table_destroy (pool->backends);
+  g_hash_table_destroy (pool->jobs);
+  g_hash_table_destroy (pool->queues);
+  g_ptr_array_free (pool->active, TRUE);
+  g_ptr_array_free (pool->dirty, TRUE);
+  g_ptr_array_free (pool->early, TRUE);
+  return 0;
+}
+
+struct jb_pool *
+jb_pool_new (TALLOC_CTX *mem, const struct jb_pool_options *options)
+{
+  struct jb_pool *pool = talloc_zero (mem, struct jb_pool);
+  struct jb_duty_options duty = { .out = options->out,
+                                  .holder = options->holder,
+                                  .incarnation = options->incarnation,
+                                  .claimed = claimed,
+                                  .deposed = deposed,
+                                  .data = pool };
+
+  pool->options = *options;
+  pool->options.name = talloc_strdup (pool, options->name);
+  pool->part = talloc_asprintf (pool, "pool/%s", options->name);
+  duty.part = pool->part;
+  pool->duty = jb_duty_new (pool, &duty);
+  pool->backends = g_hash_table_new (g_str_hash, g_str_equal);
+  pool->jobs = g_hash_table_new (g_str_hash, g_str_equal);
+  pool->queues = g_hash_table_new (g_str_hash, g_str_equal);
+  pool->active = g_ptr_array_new ();
+  pool->dirty = g_ptr_array_new ();
+  pool->early = g_ptr_array_new ();
+  talloc_set_destructor (pool, pool_destroy);
+  return pool;
+}
+
+const char *
+jb_pool_part (const struct jb_pool *pool)
+{
+  return pool->part;
+}
+
+const char *
+jb_pool_name (const struct jb_pool *pool)
+{
+  return pool->options.name;
+}
+
+void
+jb_pool_claim (struct jb_pool *pool, jb_time now)
+{
+  jb_duty_claim (pool->duty, now);
+}
+
+enum jb_duty_phase
+jb_pool_phase (const struct jb_pool *pool)
+{
+  return jb_duty_phase (pool->duty);
+}
+
+bool
+jb_pool_over (const struct jb_pool *pool)
+{
+  return pool->stage == JB_STAGE_IDLE
+         && jb_duty_phase (pool->duty) != JB_DUTY_CLAIMING;
+}
+
+uint64_t
+jb_pool_fence (const struct jb_pool *pool)
+{
+  return jb_duty_fence (pool->duty);
+}
+
+jb_time
+jb_pool_failing_since (const struct jb_pool *pool)
+{
+  return jb_duty_failing_since (pool->duty);
+}
+
+void
+jb_pool_confirm (struct jb_pool *pool, jb_time confirmed_at)
+{
+  pool->confirmed = MAX (pool->confirmed, confirmed_at);
+}
+
+void
+jb_pool_wall (struct jb_pool *pool, jb_time origin)
+{
+  pool->wall = origin;
+}
+
+/* ---- answers ---- */
+
+static void
+reply (struct jb_pool *pool, uint64_t member, uint64_t call, uint32_t kind,
+       uint32_t state, uint32_t pending, int64_t retry_after_ms)
+{
+  struct jb_msg_reply message = { call, kind, state, pending, retry_after_ms };
+
+  pool->options.reply (pool->options.data, member, &message);
+}
+
+void
+jb_pool_answer_waiters (struct jb_pool *pool, struct jb_job *job, jb_time now)
+{
+  struct jb_waiter **link = &job->waiters;
+
+  (void)now;
+  while (*link != NULL)
+    {
+      struct jb_waiter *waiter = *link;
+      bool cancel = waiter->kind == JB_REQUEST_CANCEL;
+
+      if (cancel ? !job->end_stored : !job->stored)
+        {
+          link = &waiter->next;
+          continue;
+        }
+      *link = waiter->next;
+      if (!cancel)
+        reply (pool, waiter->member, waiter->call, JB_ANSWER_ACCEPTED, 0, 0,
+               0);
+      else
+        reply (pool, waiter->member, waiter->call,
+               job->state == JB_JOB_CANCELLED ? JB_ANSWER_CANCELLED
+                                              : JB_ANSWER_NO_JOB,
+               0, 0, 0);
+      talloc_free (waiter);
+    }
+}
+
+static void
+wait_for (struct jb_job *job, uint64_t member,
+          const struct jb_msg_request *request)
+{
+  struct jb_waiter *waiter = talloc_zero (job, struct jb_waiter);
+
+  waiter->member = member;
+  waiter->call = request->call;
+  waiter->kind = request->kind;
+  waiter->next = job->waiters;
+  job->waiters = waiter;
+}
+
+void
+jb_pool_release (struct jb_pool *pool, jb_time now, const char *reason)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (jb_duty_phase (pool->duty) == JB_DUTY_HELD)
+    {
+      jb_count (pool->options.out, JB_COUNT_RELEASED);
+      jb_log (pool->options.out, JB_LEVEL_INFO, "duty-released", "duty",
+              pool->part, "fence",
+              jb_num ((int64_t)jb_duty_fence (pool->duty)), "reason", reason,
+              NULL);
+    }
+  (void)now;
+  g_hash_table_iter_init (&iter, pool->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct jb_job *job = value;
+
+      for (struct jb_waiter *w = job->waiters; w != NULL; w = w->next)
+        reply (pool, w->member, w->call, JB_MSG_ELSEWHERE, 0, 0, 0);
+      job->waiters = NULL;
+    }
+  pool->stage = JB_STAGE_IDLE;
+  pool->options.changed (pool->options.data, pool);
+}
+
+/* ---- jobs ---- */
+
+struct jb_queue_stats *
+jb_pool_queue (struct jb_pool *pool, const char *name)
+{
+  struct jb_queue_stats *stats = g_hash_table_lookup (pool->queues, name);
+
+  if (stats == NULL)
+    {
+      stats = talloc_zero (pool, struct jb_queue_stats);
+      stats->mean_work = DEFAULT_WORK;
+      stats->stretch = 1;
+      g_hash_table_insert (pool->queues, talloc_strdup (stats, name), stats);
+    }
+  return stats;
+}
+
+/* Work out JOB's times by this host's clock.  */
+static void
+set_times (struct jb_pool *pool, struct jb_job *job)
+{
+  const struct jb_desc *desc = job->desc;
+
+  job->received = desc->received_ms * JB_MS - pool->wall;
+  job->objective = job->received
+                   + (jb_desc_longest (desc) * desc->stretch_milli / 1000
+                      + desc->target_ms)
+                         * JB_MS;
+}
+
+void
+jb_pool_add_job (struct jb_pool *pool, struct jb_job *job)
+{
+  g_hash_table_insert (pool->jobs, job->desc->id, job);
+  if (job->ended != 0)
+    return;
+  set_times (pool, job);
+  if (job->desc->times == 0)
+    jb_job_open_next (job);
+  g_ptr_array_add (pool->active, job);
+}
+
+void
+jb_pool_open_due (struct jb_pool *pool, struct jb_job *job, jb_time now)
+{
+  const struct jb_desc *desc = job->desc;
+  int64_t unix_ms = (now + pool->wall) / JB_MS;
+
+  while (job->opened < desc->times
+         && unix_ms >= desc->first_ms + job->opened * desc->interval_ms
+                           + DUE_MARGIN_MS)
+    {
+      jb_job_open_next (job);
+      pool->schedule_due = true;
+    }
+}
+
+static void
+stop_all_runs (struct jb_pool *pool, struct jb_job *job, jb_time now,
+               const char *reason)
+{
+  for (guint i = 0; i < job->groups->len; i++)
+    {
+      struct jb_group *group = g_ptr_array_index (job->groups, i);
+
+      for (uint32_t j = 0; group->runs > 0 && j < group->count; j++)
+        jb_pool_stop_run (pool, &group->tasks[j], now, reason);
+    }
+}
+
+void
+jb_pool_end_job (struct jb_pool *pool, struct jb_job *job,
+                 enum jb_job_state state, jb_time now, const char *reason)
+{
+  static const enum jb_counter counters[]
+      = { [JB_JOB_COMPLETED] = JB_COUNT_COMPLETED,
+          [JB_JOB_FAILED] = JB_COUNT_FAILED,
+          [JB_JOB_CANCELLED] = JB_COUNT_CANCELLED };
+
+  job->state = state;
+  job->ended = now;
+  jb_count (pool->options.out, counters[state]);
+  if (state == JB_JOB_COMPLETED)
+    jb_observe (pool->options.out, JB_HIST_DONE, now - job->received);
+  jb_log (pool->options.out, JB_LEVEL_INFO, "job-ended", "job", job->desc->id,
+          "queue", job->desc->queue, "state", jb_job_state_name (state),
+          "reason", reason, "ms", jb_num ((now - job->received) / JB_MS),
+          "late_ms", jb_num ((now - job->objective) / JB_MS), NULL);
+  jb_pool_mark (pool, job, now);
+  stop_all_runs (pool, job, now, reason);
+}
+
+/* Drop from the active jobs one that has ended and has nothing running.  */
+static void
+settle_job (struct jb_pool *pool, struct jb_job *job)
+{
+  if (job->ended == 0 || job->runs > 0 || job->settled)
+    return;
+  job->settled = true;
+  g_ptr_array_remove_fast (pool->active, job);
+}
+
+void
+jb_pool_run_over (struct jb_pool *pool, struct jb_task *task, jb_time now)
+{
+  struct jb_job *job = task->group->job;
+  const struct jb_step *step = jb_task_step (task);
+  const struct jb_task *counted = step->gang ? &task->group->tasks[0] : task;
+
+  if (job->ended != 0)
+    {
+      if (task->state != JB_RUN_NONE)
+        jb_pool_stop_run (pool, task, now, "its job has ended");
+      settle_job (pool, job);
+      return;
+    }
+  if (!step->lasts && job->desc->max_attempts > 0
+      && counted->failures >= job->desc->max_attempts && !task->done)
+    jb_pool_end_job (pool, job, JB_JOB_FAILED, now,
+                     "a task has failed too often");
+  else if (jb_job_done (job))
+    jb_pool_end_job (pool, job, JB_JOB_COMPLETED, now, NULL);
+  else if (job->desc->times > 1)
+    jb_job_trim (job);
+  settle_job (pool, job);
+}
+
+/* ---- requests ---- */
+
+/* Return the work that is accepted and not done.  */
+static int64_t
+waiting_work (const struct jb_pool *pool)
+{
+  int64_t work = 0;
+
+  for (guint i = 0; i < pool->active->len; i++)
+    {
+      const struct jb_job *job = g_ptr_array_index (pool->active, i);
+
+      if (job->ended != 0)
+        continue;
+      for (guint j = 0; j < job->groups->len; j++)
+        {
+          const struct jb_group *group = g_ptr_array_index (job->groups, j);
+          const struct jb_step *step = jb_group_step (group);
+
+          if (!step->lasts)
+            work += (int64_t)(group->count - group->done) * step->amount.cpu
+                    * step->estimate_ms;
+        }
+    }
+  return work;
+}
+
+static void
+add_room (const struct jb_pool *pool, struct jb_amount *sum,
+          struct jb_amount *largest)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, pool->backends);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct jb_backend *backend = value;
+
+      if (!backend->listed || backend->silent > 1)
+        continue;
+      jb_amount_add (sum, &backend->room);
+      largest->cpu = MAX (largest->cpu, backend->room.cpu);
+      largest->memory = MAX (largest->memory, backend->room.memory);
+      largest->accelerators
+          = MAX (largest->accelerators, backend->room.accelerators);
+    }
+}
+
+static struct jb_admit
+admit (struct jb_pool *pool, const struct jb_desc *desc)
+{
+  struct jb_amount room = { 0 };
+  struct jb_admit_input input = { .desc = desc,
+                                  .waiting_work = waiting_work (pool),
+                                  .jobs = pool->active->len };
+
+  add_room (pool, &room, &input.largest);
+  input.room = room.cpu;
+  return jb_admit (&input);
+}
+
+static void
+submit (struct jb_pool *pool, jb_time now, uint64_t member,
+        const struct jb_msg_request *request)
+{
+  struct jb_job *job = g_hash_table_lookup (pool->jobs, request->id);
+  struct jb_queue_stats *stats;
+  struct jb_admit decision;
+  struct jb_desc *desc;
+  jb_time failing = jb_duty_failing_since (pool->duty);
+
+  if (job != NULL)
+    {
+      jb_count (pool->options.out, JB_COUNT_REPEATED);
+      wait_for (job, member, request);
+      jb_pool_answer_waiters (pool, job, now);
+      return;
+    }
+  if (failing != 0 && now - failing > STORE_AWAY)
+    {
+      jb_count (pool->options.out, JB_COUNT_UNAVAILABLE);
+      jb_log (pool->options.out, JB_LEVEL_INFO, "job-unavailable", "job",
+              request->id, "reason", "the store is away", "since_ms",
+              jb_num ((now - failing) / JB_MS), NULL);
+      reply (pool, member, request->call, JB_ANSWER_UNAVAILABLE, 0, 0,
+             RETRY_UNAVAILABLE_MS);
+      return;
+    }
+  decision = admit (pool, request->desc);
+  if (!decision.accepted)
+    {
+      jb_count (pool->options.out, JB_COUNT_REFUSED);
+      jb_log (pool->options.out, JB_LEVEL_INFO, "job-refused", "job",
+              request->id, "queue", request->desc->queue, "reason",
+              decision.reason, "retry_after_ms",
+              jb_num (decision.retry_after_ms), NULL);
+      reply (pool, member, request->call, JB_ANSWER_REFUSED, 0, 0,
+             decision.retry_after_ms);
+      return;
+    }
+  desc = talloc_zero (pool, struct jb_desc);
+  ba_io_copy (desc, jb_desc_code, request->desc, desc);
+  job = jb_job_new (pool, desc);
+  jb_pool_add_job (pool, job);
+  stats = jb_pool_queue (pool, desc->queue);
+  if (!jb_desc_lasts (desc))
+    stats->mean_work = (stats->mean_work * 15 + jb_desc_work (desc)) / 16;
+  pool->arrived_work += jb_desc_work (desc);
+  wait_for (job, member, request);
+  jb_pool_mark (pool, job, now);
+}
+
+static enum jb_job_state
+shown_state (const struct jb_job *job)
+{
+  if (job->end_stored)
+    return job->state;
+  return job->begun ? JB_JOB_RUNNING : JB_JOB_PENDING;
+}
+
+static void
+query (struct jb_pool *pool, uint64_t member,
+       const struct jb_msg_request *request)
+{
+  struct jb_job *job = g_hash_table_lookup (pool->jobs, request->id);
+
+  if (job == NULL || !job->stored)
+    reply (pool, member, request->call, JB_ANSWER_NO_JOB, 0, 0, 0);
+  else
+    reply (pool, member, request->call, JB_ANSWER_STATE, shown_state (job), 0,
+           0);
+}
+
+static void
+cancel (struct jb_pool *pool, jb_time now, uint64_t member,
+        const struct jb_msg_request *request)
+{
+  struct jb_job *job = g_hash_table_lookup (pool->jobs, request->id);
+
+  if (job == NULL)
+    {
+      reply (pool, member, request->call, JB_ANSWER_NO_JOB, 0, 0, 0);
+      return;
+    }
+  wait_for (job, member, request);
+  if (job->ended == 0)
+    {
+      jb_pool_end_job (pool, job, JB_JOB_CANCELLED, now, "cancelled");
+      settle_job (pool, job);
+    }
+  jb_pool_answer_waiters (pool, job, now);
+}
+
+static void
+count_pending (struct jb_pool *pool, uint64_t member,
+               const struct jb_msg_request *request)
+{
+  uint32_t pending = 0;
+
+  for (guint i = 0; i < pool->active->len; i++)
+    {
+      const struct jb_job *job = g_ptr_array_index (pool->active, i);
+
+      if (job->stored && job->ended == 0 && !job->begun
+          && strcmp (job->desc->queue, request->queue) == 0)
+        pending++;
+    }
+  reply (pool, member, request->call, JB_ANSWER_PENDING, 0, pending, 0);
+}
+
+static void
+keep_early (struct jb_pool *pool, uint64_t member,
+            const struct jb_msg_request *request)
+{
+  struct jb_early *early = talloc_zero (pool, struct jb_early);
+  struct jb_msg message = { .type = JB_MSG_REQUEST, .u.request = *request };
+
+  early->member = member;
+  early->message = jb_msg_decode (early, jb_msg_encode (early, &message));
+  g_ptr_array_add (pool->early, early);
+}
+
+void
+jb_pool_request (struct jb_pool *pool, jb_time now, uint64_t member,
+                 const struct jb_msg_request *request)
+{
+  if (jb_duty_phase (pool->duty) != JB_DUTY_HELD)
+    {
+      reply (pool, member, request->call, JB_MSG_ELSEWHERE, 0, 0, 0);
+      return;
+    }
+  if (pool->stage == JB_STAGE_LOADING)
+    {
+      if (pool->early->len < MAX_EARLY)
+        keep_early (pool, member, request);
+      return;
+    }
+  if (!jb_pool_stands (pool, now))
+    {
+      /* It may have been taken over: the answer would be a guess.  */
+      jb_duty_verify (pool->duty, now);
+      return;
+    }
+  switch ((enum jb_request_kind)request->kind)
+    {
+    case JB_REQUEST_SUBMIT:
+      submit (pool, now, member, request);
+      break;
+    case JB_REQUEST_QUERY:
+      query (pool, member, request);
+      break;
+    case JB_REQUEST_CANCEL:
+      cancel (pool, now, member, request);
+      break;
+    case JB_REQUEST_PENDING:
+      count_pending (pool, member, request);
+      break;
+    case JB_REQUEST_KINDS:
+      break;
+    }
+}
+
+/* ---- backend servers ---- */
+
+static void
+take_entry (struct jb_pool *pool, jb_time now,
+            const struct jb_backend_entry *entry)
+{
+  struct jb_backend *backend
+      = g_hash_table_lookup (pool->backends, entry->instance);
+
+  if (backend == NULL)
+    {
+      backend = jb_backend_new (pool, entry);
+      backend->idle_since = now;
+      g_hash_table_insert (pool->backends, backend->instance, backend);
+      jb_log (pool->options.out, JB_LEVEL_INFO, "backend-found", "backend",
+              entry->instance, "pool", pool->options.name, "rack",
+              backend->rack, NULL);
+      pool->schedule_due = true;
+    }
+  if (!backend->draining && entry->draining)
+    jb_log (pool->options.out, JB_LEVEL_INFO, "backend-draining", "backend",
+            entry->instance, "pool", pool->options.name, "runs",
+            jb_num (backend->task_count), NULL);
+  if (jb_backend_reborn (backend, entry->born_ms))
+    {
+      /* A look tells what that means.  */
+      backend->next_look = now;
+      backend->reached = false;
+    }
+  jb_backend_update (backend, entry, now);
+  backend->listed_at = now;
+}
+
+/* A backend server that has left the list, runs nothing and owes nothing is
+   forgotten.  */
+static gboolean
+is_forgettable (gpointer key, gpointer value, gpointer data)
+{
+  struct jb_backend *backend = value;
+  jb_time now = *(jb_time *)data;
+
+  (void)key;
+  if (backend->listed || backend->task_count > 0 || backend->starts_out > 0
+      || backend->looking || now - backend->listed_at < 2 * UNLISTED_PERIOD)
+    return FALSE;
+  talloc_free (backend);
+  return TRUE;
+}
+
+void
+jb_pool_backends (struct jb_pool *pool, jb_time now, jb_time listed_at,
+                  const struct jb_backend_entry *entries, uint32_t count)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (pool->stage == JB_STAGE_IDLE)
+    return;
+  pool->listed_at = listed_at;
+  for (uint32_t i = 0; i < count; i++)
+    if (strcmp (entries[i].pool, pool->options.name) == 0)
+      take_entry (pool, now, &entries[i]);
+  g_hash_table_iter_init (&iter, pool->backends);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct jb_backend *backend = value;
+
+      if (backend->listed && now - backend->listed_at > UNLISTED_PERIOD)
+        {
+          backend->listed = false;
+          jb_log (pool->options.out, JB_LEVEL_WARN, "backend-unlisted",
+                  "backend", backend->instance, "pool", pool->options.name,
+                  "runs", jb_num (backend->task_count), NULL);
+        }
+    }
+  if (pool->flush == NULL)
+    g_hash_table_foreach_remove (pool->backends, is_forgettable, &now);
+  jb_pool_scan_check (pool, now);
+}
+
+/* Count the tasks of TASK's step that are not at work.  */
+static uint32_t
+others_away (const struct jb_task *task)
+{
+  const struct jb_group *group = task->group;
+  uint32_t away = 0;
+
+  for (uint32_t i = 0; i < group->count; i++)
+    {
+      const struct jb_task *other = &group->tasks[i];
+
+      if (other != task
+          && (other->state != JB_RUN_RUNNING || other->percent < 100
+              || other->backend->silent > 0))
+        away++;
+    }
+  return away;
+}
+
+/* Have lasting tasks of BACKEND run elsewhere, as far as they may be away.  */
+static void
+move_lasting (struct jb_pool *pool, struct jb_backend *backend, jb_time now,
+              const char *reason)
+{
+  for (struct jb_task *task = backend->tasks; task != NULL; task = task->next)
+    {
+      const struct jb_step *step = jb_task_step (task);
+
+      if (!step->lasts || task->state != JB_RUN_RUNNING)
+        continue;
+      if (step->may_miss > 0 && !backend->draining
+          && others_away (task) >= step->may_miss)
+        continue;
+      jb_pool_stop_run (pool, task, now, reason);
+    }
+}
+
+bool
+jb_pool_clear (struct jb_pool *pool, jb_time now, const char *instance)
+{
+  struct jb_backend *backend = g_hash_table_lookup (pool->backends, instance);
+
+  if (backend == NULL || pool->stage != JB_STAGE_ACTIVE
+      || !jb_pool_stands (pool, now))
+    return false;
+  if (now >= backend->closed_until)
+    jb_log (pool->options.out, JB_LEVEL_INFO, "backend-closed", "backend",
+            instance, "pool", pool->options.name, "runs",
+            jb_num (backend->task_count), NULL);
+  backend->closed_until = now + CLOSED_PERIOD;
+  move_lasting (pool, backend, now, "its host is to be taken away");
+  return backend->task_count == 0 && backend->starts_out == 0
+         && backend->reached && backend->silent == 0
+         && backend->acked_end == backend->listed_end;
+}
+
+void
+jb_pool_load (struct jb_pool *pool, TALLOC_CTX *mem, jb_time now,
+              struct jb_msg_load *load)
+{
+  GHashTableIter iter;
+  gpointer value;
+  struct jb_amount room = { 0 };
+  struct jb_amount largest = { 0 };
+
+  memset (load, 0, sizeof *load);
+  load->pool = (char *)pool->options.name;
+  add_room (pool, &room, &largest);
+  load->room = room.cpu;
+  load->idle
+      = talloc_array (mem, char *, g_hash_table_size (pool->backends) + 1);
+  g_hash_table_iter_init (&iter, pool->backends);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct jb_backend *backend = value;
+
+      if (jb_pool_usable (pool, backend, now) && backend->task_count == 0)
+        load->idle[load->idle_count++] = backend->instance;
+      for (struct jb_task *task = backend->tasks; task != NULL;
+           task = task->next)
+        {
+          const struct jb_step *step = jb_task_step (task);
+
+          if (step->fills)
+            continue;
+          if (step->lasts)
+            load->steady += step->amount.cpu;
+          else
+            load->running += step->amount.cpu;
+        }
+    }
+  for (guint i = 0; i < pool->active->len; i++)
+    {
+      const struct jb_job *job = g_ptr_array_index (pool->active, i);
+
+      for (guint j = 0; job->ended == 0 && j < job->groups->len; j++)
+        {
+          const struct jb_group *group = g_ptr_array_index (job->groups, j);
+          const struct jb_step *step = jb_group_step (group);
+
+          if (group->open && !step->fills
+              && group->count > group->done + group->runs)
+            load->waiting
+                += (int64_t)(group->count - group->done - group->runs)
+                   * step->amount.cpu;
+        }
+    }
+  load->waiting_work = waiting_work (pool);
+  load->arriving = pool->arriving;
+}
+
+/* ---- time ---- */
+
+static void
+measure_load (struct jb_pool *pool, jb_time now)
+{
+  jb_time span = now - pool->arrived_from;
+
+  if (span < LOAD_PERIOD)
+    return;
+  pool->arriving = pool->arrived_work * 1000 / (span / JB_MS);
+  pool->arrived_work = 0;
+  pool->arrived_from = now;
+}
+
+/* Forget jobs that ended long ago.  */
+static void
+retire_jobs (struct jb_pool *pool, jb_time now)
+{
+  GHashTableIter iter;
+  gpointer value;
+  struct jb_row removed[MAX_RETIRED];
+  TALLOC_CTX *scratch = talloc_new (NULL);
+  uint32_t count = 0;
+  jb_time age = (pool->options.bounds->status_ms + RETIRE_MARGIN_MS) * JB_MS;
+
+  g_hash_table_iter_init (&iter, pool->jobs);
+  while (count < MAX_RETIRED && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct jb_job *job = value;
+
+      if (!job->end_stored || job->runs > 0 || job->queued
+          || job->waiters != NULL || now - job->ended < age)
+        continue;
+      removed[count++] = (struct jb_row){
+        .table = JB_JOB_TABLE,
+        .part = pool->part,
+        .key = talloc_asprintf (scratch, "%s%s", job->desc->id, JB_KEY_END)
+      };
+      g_ptr_array_remove_fast (pool->active, job);
+      g_hash_table_iter_remove (&iter);
+      talloc_free (job);
+    }
+  if (count > 0)
+    jb_duty_write (pool->duty, now, NULL, 0, removed, count, NULL, NULL);
+  talloc_free (scratch);
+}
+
+/* Bring up what nothing else does.  */
+static void
+sweep (struct jb_pool *pool, jb_time now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (now < pool->next_sweep)
+    return;
+  pool->next_sweep = now + SWEEP_PERIOD;
+  pool->schedule_due = true;
+  measure_load (pool, now);
+  if (pool->stage < JB_STAGE_SCANNING)
+    return;
+  jb_pool_scan_check (pool, now);
+  jb_pool_resend_stops (pool, now);
+  if (!jb_pool_stands (pool, now))
+    jb_duty_verify (pool->duty, now);
+  for (guint i = 0; i < pool->active->len; i++)
+    {
+      struct jb_job *job = g_ptr_array_index (pool->active, i);
+
+      if (job->ended == 0 && job->stored)
+        jb_pool_open_due (pool, job, now);
+    }
+  if (pool->stage == JB_STAGE_ACTIVE)
+    {
+      g_hash_table_iter_init (&iter, pool->backends);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        if (((struct jb_backend *)value)->draining)
+          move_lasting (pool, value, now, "its backend server is leaving");
+      if (pool->flush == NULL && !jb_duty_writing (pool->duty))
+        retire_jobs (pool, now);
+    }
+}
+
+jb_time
+jb_pool_run (struct jb_pool *pool, jb_time now)
+{
+  jb_time due;
+
+  if (jb_duty_phase (pool->duty) != JB_DUTY_HELD)
+    return JB_NEVER;
+  due = jb_duty_run (pool->duty, now);
+  sweep (pool, now);
+  jb_pool_schedule (pool, now);
+  jb_pool_flush (pool, now);
+  jb_pool_look_all (pool, now);
+  if (pool->schedule_due)
+    due = MIN (due, pool->next_schedule);
+  due = MIN (due, pool->next_sweep);
+  due = MIN (due, jb_pool_flush_due (pool));
+  return MIN (due, jb_pool_look_due (pool));
+}
--- /dev/null
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -0,0 +1,150 @@
+#ifndef JB_POOL_INTERNAL_H
+#define JB_POOL_INTERNAL_H
+
+/* State of the holder of a pool, shared by the files jb_pool*.c.  */
+
+#include "jb_place.h"
+#include "jb_pool.h"
+#include "jb_rank.h"
+
+#define JB_JOB_TABLE "job"
+
+/* Rows of a job: its ID and one of these.  */
+#define JB_KEY_DESC ".d"
+#define JB_KEY_PROGRESS ".p"
+#define JB_KEY_END ".e"
+
+/* A run that dies with the entry host that cares for it is lost so long after
+   the last lease; a look at a backend server renews it.  Long enough for a
+   successor to take over, and short enough that work on a dark host is soon
+   done elsewhere.  */
+#define JB_LEASE_MS 3500
+
+/* An answered look is followed by the next within; it renews the lease.  */
+#define JB_LOOK_WAIT_MS 1000
+
+/* Standing without confirmation.  */
+#define JB_STANDING (1800 * JB_MS)
+
+enum jb_pool_stage
+{
+  JB_STAGE_IDLE,     /* not held */
+  JB_STAGE_LOADING,  /* reading the rows */
+  JB_STAGE_SCANNING, /* looking at all backend servers for what runs */
+  JB_STAGE_ACTIVE
+};
+
+/* A client that waits until JOB's state is durable.  */
+struct jb_waiter
+{
+  struct jb_waiter *next;
+  uint64_t member;
+  uint64_t call;
+  uint32_t kind; /* enum jb_request_kind */
+};
+
+/* A request that came before the rows were read.  */
+struct jb_early
+{
+  uint64_t member;
+  struct jb_msg *message;
+};
+
+/* What is learnt of a queue's jobs.  */
+struct jb_queue_stats
+{
+  int64_t mean_work; /* thousandths of cores times ms */
+  double stretch;    /* how long tasks really take, against their estimate */
+};
+
+struct jb_pool
+{
+  struct jb_pool_options options;
+  char *part;
+  struct jb_duty *duty;
+  enum jb_pool_stage stage;
+  jb_time claimed;
+  jb_time scan_until; /* what a former holder started has lapsed by then */
+  jb_time confirmed;  /* by peers */
+  jb_time wall;       /* Unix time of the clock's origin */
+  bool started;       /* a task, since the claim */
+  /* backend servers by instance */
+  GHashTable *backends;
+  jb_time listed_at;          /* sending time of the newest list taken in */
+  struct jb_backend **usable; /* fit for work, made by schedule */
+  uint32_t usable_count;
+  /* jobs by ID */
+  GHashTable *jobs;
+  GPtrArray *active;  /* those that have not ended, or still have runs */
+  GHashTable *queues; /* name -> struct jb_queue_stats */
+  /* writing */
+  GPtrArray *dirty; /* jobs */
+  jb_time dirty_since;
+  struct jb_flush *flush;
+  bool schedule_due;
+  jb_time next_schedule;
+  jb_time next_sweep;
+  /* load */
+  int64_t arrived_work; /* since arrived_from */
+  jb_time arrived_from;
+  int64_t arriving;
+  GPtrArray *early; /* struct jb_early, that came before the rows were read */
+};
+
+static inline jb_time
+jb_pool_standing_until (const struct jb_pool *pool)
+{
+  return MAX (pool->confirmed, jb_duty_confirmed (pool->duty)) + JB_STANDING;
+}
+
+/* Return whether orders may be given.  */
+static inline bool
+jb_pool_stands (const struct jb_pool *pool, jb_time now)
+{
+  return pool->stage >= JB_STAGE_SCANNING
+         && jb_duty_phase (pool->duty) == JB_DUTY_HELD
+         && now < jb_pool_standing_until (pool);
+}
+
+/* jb_pool_load.c */
+void jb_pool_begin_loading (struct jb_pool *pool, jb_time now);
+void jb_pool_scan_check (struct jb_pool *pool, jb_time now);
+
+/* jb_pool_store.c */
+void jb_pool_mark (struct jb_pool *pool, struct jb_job *job, jb_time now);
+void jb_pool_flush (struct jb_pool *pool, jb_time now);
+/* When nothing waits to be written, all ends that were listed are durable.  */
+void jb_pool_settle_ends (struct jb_pool *pool, jb_time now);
+jb_time jb_pool_flush_due (const struct jb_pool *pool);
+
+/* jb_pool_look.c */
+void jb_pool_look_all (struct jb_pool *pool, jb_time now);
+jb_time jb_pool_look_due (const struct jb_pool *pool);
+void jb_pool_lose_runs (struct jb_pool *pool, struct jb_backend *backend,
+                        jb_time now, const char *reason);
+
+/* jb_pool_start.c */
+void jb_pool_schedule (struct jb_pool *pool, jb_time now);
+void jb_pool_stop_run (struct jb_pool *pool, struct jb_task *task, jb_time now,
+                       const char *reason);
+void jb_pool_stop_foreign (struct jb_pool *pool, struct jb_backend *backend,
+                           const char *task, uint32_t run, jb_time now);
+void jb_pool_resend_stops (struct jb_pool *pool, jb_time now);
+bool jb_pool_usable (const struct jb_pool *pool,
+                     const struct jb_backend *backend, jb_time now);
+/* The start or stop of TASK has been settled, or its run is over: what hangs
+   on it goes on.  */
+void jb_pool_run_over (struct jb_pool *pool, struct jb_task *task,
+                       jb_time now);
+
+/* jb_pool.c */
+struct jb_queue_stats *jb_pool_queue (struct jb_pool *pool, const char *name);
+void jb_pool_add_job (struct jb_pool *pool, struct jb_job *job);
+void jb_pool_end_job (struct jb_pool *pool, struct jb_job *job,
+                      enum jb_job_state state, jb_time now,
+                      const char *reason);
+void jb_pool_answer_waiters (struct jb_pool *pool, struct jb_job *job,
+                             jb_time now);
+void jb_pool_open_due (struct jb_pool *pool, struct jb_job *job, jb_time now);
+
+#endif
--- /dev/null
+++ b/packages/jobs/src/jb_pool_load.c
@@ -0,0 +1,200 @@
+/* Taking a pool over: the rows are read, then every backend server is looked
+   at, so that what runs is found before anything is started again.  */
+
+#include "jb_pool_internal.h"
+
+#include <string.h>
+
+#define STORE_TIMEOUT_MS 1500
+#define READ_PAUSE_MS 100
+
+static void read_page (struct jb_pool *pool, jb_time now, const char *from);
+
+static struct jb_job *
+load_desc (struct jb_pool *pool, const struct jb_row *row)
+{
+  struct jb_desc *desc = talloc_zero (pool, struct jb_desc);
+  struct jb_job *job;
+  struct ba_io io;
+
+  ba_io_reader (&io, desc, row->value);
+  jb_desc_code (&io, desc);
+  if (!ba_io_ended (&io) || jb_desc_check (desc) != NULL)
+    {
+      talloc_free (desc);
+      return NULL;
+    }
+  job = jb_job_new (pool, desc);
+  job->stored = true;
+  job->loaded = true;
+  return job;
+}
+
+/* A job that has ended: nothing but its state is kept.  */
+static struct jb_job *
+load_end (struct jb_pool *pool, const char *id, const struct jb_row *row)
+{
+  struct jb_desc *desc = talloc_zero (pool, struct jb_desc);
+  uint32_t state = 0;
+  struct jb_job *job;
+  struct ba_io io;
+
+  ba_io_reader (&io, desc, row->value);
+  ba_io_enum (&io, &state, JB_JOB_CANCELLED + 1);
+  ba_io_name (&io, &desc->queue);
+  if (io.failed)
+    {
+      talloc_free (desc);
+      return NULL;
+    }
+  desc->id = talloc_strdup (desc, id);
+  desc->spec = talloc_strdup (desc, "");
+  job = jb_job_new (pool, desc);
+  job->stored = true;
+  job->end_stored = true;
+  job->state = state;
+  return job;
+}
+
+static void
+load_row (struct jb_pool *pool, jb_time now, const struct jb_row *row)
+{
+  char id[JB_ID_LEN + 1];
+  const char *kind;
+  struct jb_job *job;
+  bool good = false;
+
+  if (strlen (row->key) != JB_ID_LEN + 2)
+    return;
+  g_strlcpy (id, row->key, sizeof id);
+  kind = row->key + JB_ID_LEN;
+  job = g_hash_table_lookup (pool->jobs, id);
+  if (strcmp (kind, JB_KEY_DESC) == 0 && job == NULL)
+    {
+      job = load_desc (pool, row);
+      good = job != NULL;
+      if (good)
+        jb_pool_add_job (pool, job);
+    }
+  else if (strcmp (kind, JB_KEY_END) == 0 && job == NULL)
+    {
+      job = load_end (pool, id, row);
+      good = job != NULL;
+      if (good)
+        {
+          job->ended = now;
+          jb_pool_add_job (pool, job);
+        }
+    }
+  else if (strcmp (kind, JB_KEY_PROGRESS) == 0 && job != NULL)
+    good = jb_progress_apply (job, row->value);
+  if (!good)
+    jb_log (pool->options.out, JB_LEVEL_ERROR, "row-unreadable", "table",
+            JB_JOB_TABLE, "pool", pool->options.name, "key", row->key, NULL);
+}
+
+static void
+loaded (struct jb_pool *pool, jb_time now)
+{
+  pool->stage = JB_STAGE_SCANNING;
+  pool->schedule_due = true;
+  jb_log (pool->options.out, JB_LEVEL_INFO, "pool-loaded", "pool",
+          pool->options.name, "jobs", jb_num (g_hash_table_size (pool->jobs)),
+          "active", jb_num (pool->active->len), "ms",
+          jb_num ((now - pool->claimed) / JB_MS), NULL);
+  for (guint i = 0; i < pool->early->len; i++)
+    {
+      struct jb_early *early = g_ptr_array_index (pool->early, i);
+
+      jb_pool_request (pool, now, early->member, &early->message->u.request);
+      talloc_free (early);
+    }
+  g_ptr_array_set_size (pool->early, 0);
+}
+
+static void
+page_read (void *data, jb_time now, jb_time sent, const struct jb_reply *reply)
+{
+  struct jb_pool *pool = data;
+  char *from;
+
+  (void)sent;
+  if (pool->stage != JB_STAGE_LOADING)
+    return;
+  if (reply->result != JB_OK)
+    {
+      jb_log (pool->options.out, JB_LEVEL_WARN, "store-read-failed", "pool",
+              pool->options.name, NULL);
+      jb_pool_release (pool, now, "its rows can't be read");
+      return;
+    }
+  for (uint32_t i = 0; i < reply->row_count; i++)
+    load_row (pool, now, &reply->rows[i]);
+  if (!reply->more || reply->row_count == 0)
+    {
+      loaded (pool, now);
+      return;
+    }
+  /* The next key after the last one read.  */
+  from = talloc_asprintf (NULL, "%s!", reply->rows[reply->row_count - 1].key);
+  read_page (pool, now, from);
+  talloc_free (from);
+}
+
+static void
+read_page (struct jb_pool *pool, jb_time now, const char *from)
+{
+  struct jb_order order = { .kind = JB_ORDER_READ,
+                            .timeout_ms = STORE_TIMEOUT_MS,
+                            .u.read = { JB_JOB_TABLE, pool->part, from } };
+
+  jb_count (pool->options.out, JB_COUNT_READS);
+  jb_out_submit (pool->options.out, pool->duty, now, &order, page_read, pool);
+}
+
+void
+jb_pool_begin_loading (struct jb_pool *pool, jb_time now)
+{
+  pool->stage = JB_STAGE_LOADING;
+  pool->claimed = now;
+  /* A former holder stood for a while after the claim, and what it ordered
+     last holds its lease.  */
+  pool->scan_until
+      = now + JB_STANDING
+        + JB_LEASE_MS * JB_MS * 100 / (100 - JB_SLOW_CLOCK_PERCENT)
+        + JB_LEASE_MARGIN_MS * JB_MS;
+  read_page (pool, now, NULL);
+}
+
+void
+jb_pool_scan_check (struct jb_pool *pool, jb_time now)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t missing = 0;
+
+  if (pool->stage != JB_STAGE_SCANNING)
+    return;
+  if (jb_duty_generation (pool->duty) > 1 && now < pool->scan_until)
+    {
+      if (pool->listed_at < pool->claimed)
+        return;
+      g_hash_table_iter_init (&iter, pool->backends);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        if (!((struct jb_backend *)value)->reached)
+          missing++;
+      if (missing > 0)
+        return;
+    }
+  pool->stage = JB_STAGE_ACTIVE;
+  pool->schedule_due = true;
+  for (guint i = 0; i < pool->active->len; i++)
+    {
+      struct jb_job *job = g_ptr_array_index (pool->active, i);
+
+      job->loaded = false;
+    }
+  jb_log (pool->options.out, JB_LEVEL_INFO, "pool-active", "pool",
+          pool->options.name, "ms", jb_num ((now - pool->claimed) / JB_MS),
+          "unreached", jb_num (missing), NULL);
+}
--- /dev/null
+++ b/packages/jobs/src/jb_pool_start.c
@@ -0,0 +1,535 @@
+/* Starting and stopping of tasks.  A start without an answer may still be
+   carried out, so the task waits until a stop of that run has been answered,
+   which bars it, or until the lease that it asked for has passed.  */
+
+#include "jb_pool_internal.h"
+
+#include <string.h>
+
+#define START_TIMEOUT_MS 800
+#define STOP_TIMEOUT_MS 600
+
+/* Before a stop without an answer is sent again.  */
+#define STOP_RETRY (250 * JB_MS)
+
+/* A backend server that turned a start away is not asked again for so long:
+   until a look has told what it holds, or until it may have recovered.  */
+#define ROOM_PAUSE (150 * JB_MS)
+#define ILL_PAUSE (1000 * JB_MS)
+
+/* Runs are numbered from here on by each holder, so that numbers rise over
+   holders without being stored.  */
+#define RUNS_OF_HOLDER 10000
+
+enum
+{
+  MAX_STARTS_OUT = 64,  /* of one backend server, without an answer */
+  MAX_STARTS_TURN = 200 /* in one turn of scheduling */
+};
+
+/* Between two turns of scheduling.  */
+#define SCHEDULE_GAP (4 * JB_MS)
+
+bool
+jb_pool_usable (const struct jb_pool *pool, const struct jb_backend *backend,
+                jb_time now)
+{
+  (void)pool;
+  return backend->reached && backend->listed && !backend->draining
+         && backend->silent == 0 && backend->clock_at != 0
+         && now >= backend->ill_until && now >= backend->suspect_until
+         && now >= backend->closed_until
+         && backend->starts_out < MAX_STARTS_OUT;
+}
+
+/* ---- stopping ---- */
+
+struct stop
+{
+  struct jb_pool *pool;
+  struct jb_backend *backend;
+  struct jb_task_ref ref;
+  uint32_t run;
+};
+
+/* Return the task that REF names if its present run is RUN on BACKEND, else
+   NULL: much may have happened since an order was given.  */
+static struct jb_task *
+find_run (const struct jb_pool *pool, const struct jb_task_ref *ref,
+          const struct jb_backend *backend, uint32_t run)
+{
+  struct jb_job *job = g_hash_table_lookup (pool->jobs, ref->id);
+  struct jb_task *task = job != NULL ? jb_job_task (job, ref) : NULL;
+
+  if (task == NULL || task->backend != backend || task->run != run)
+    return NULL;
+  return task;
+}
+
+static void
+stop_done (void *data, jb_time now, jb_time sent, const struct jb_reply *reply)
+{
+  struct stop *stop = data;
+  struct jb_backend *backend = stop->backend;
+  struct jb_task *task = find_run (stop->pool, &stop->ref, backend, stop->run);
+
+  (void)sent;
+  if (reply->result == JB_GONE)
+    jb_pool_lose_runs (stop->pool, backend, now,
+                       "another life is at its address");
+  else if (reply->result == JB_CONFLICT && reply->refusal == JB_REFUSAL_FENCE)
+    jb_duty_verify (stop->pool->duty, now);
+  else if ((reply->result == JB_OK || reply->result == JB_CONFLICT)
+           && task != NULL)
+    {
+      task->settled = now;
+      task->state = JB_RUN_STOPPING;
+      backend->next_look = MIN (backend->next_look, now);
+    }
+  talloc_free (stop);
+}
+
+static void
+order_stop (struct jb_pool *pool, struct jb_backend *backend, const char *name,
+            uint32_t run, jb_time now)
+{
+  struct stop *stop = talloc_zero (backend, struct stop);
+  struct jb_order order
+      = { .kind = JB_ORDER_STOP,
+          .timeout_ms = STOP_TIMEOUT_MS,
+          .target = { backend->address, backend->instance,
+                      jb_duty_fence (pool->duty), backend->silent > 0 },
+          .u.stop = { name, run } };
+
+  stop->pool = pool;
+  stop->backend = backend;
+  stop->run = run;
+  if (!jb_task_ref_parse (name, &stop->ref))
+    memset (&stop->ref, 0, sizeof stop->ref);
+  jb_out_submit (pool->options.out, backend, now, &order, stop_done, stop);
+}
+
+void
+jb_pool_stop_foreign (struct jb_pool *pool, struct jb_backend *backend,
+                      const char *task, uint32_t run, jb_time now)
+{
+  if (!jb_pool_stands (pool, now))
+    return;
+  jb_log (pool->options.out, JB_LEVEL_INFO, "run-unwanted", "task", task,
+          "run", jb_num (run), "backend", backend->instance, NULL);
+  order_stop (pool, backend, task, run, now);
+}
+
+void
+jb_pool_stop_run (struct jb_pool *pool, struct jb_task *task, jb_time now,
+                  const char *reason)
+{
+  char name[JB_TASK_NAME_SIZE];
+
+  if (task->state == JB_RUN_NONE || task->state == JB_RUN_STARTING)
+    return; /* the answer to the start comes first */
+  jb_task_name (task, name);
+  if (task->state == JB_RUN_RUNNING)
+    {
+      task->state = JB_RUN_STOPPING;
+      task->settled = 0;
+      jb_log (pool->options.out, JB_LEVEL_INFO, "run-stopped", "task", name,
+              "run", jb_num (task->run), "backend", task->backend->instance,
+              "reason", reason, NULL);
+    }
+  task->ordered = now;
+  if (jb_pool_stands (pool, now))
+    order_stop (pool, task->backend, name, task->run, now);
+}
+
+void
+jb_pool_resend_stops (struct jb_pool *pool, jb_time now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, pool->backends);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    for (struct jb_task *task = ((struct jb_backend *)value)->tasks;
+         task != NULL; task = task->next)
+      if ((task->state == JB_RUN_UNSURE || task->state == JB_RUN_STOPPING)
+          && task->settled == 0 && now - task->ordered >= STOP_RETRY)
+        jb_pool_stop_run (pool, task, now, "no answer yet");
+}
+
+/* ---- starting ---- */
+
+struct start
+{
+  struct jb_pool *pool;
+  struct jb_task *task; /* set while the answer is taken in */
+  struct jb_backend *backend;
+  struct jb_task_ref ref;
+  uint32_t run;
+};
+
+static void
+clear_start (struct jb_pool *pool, struct jb_task *task, jb_time now)
+{
+  jb_task_clear (task, now);
+  pool->schedule_due = true;
+  jb_pool_run_over (pool, task, now);
+}
+
+static void
+start_refused (struct start *start, jb_time now, const struct jb_reply *reply)
+{
+  struct jb_pool *pool = start->pool;
+  struct jb_backend *backend = start->backend;
+  enum jb_counter counter = JB_COUNT_START_ILL;
+
+  switch (reply->refusal)
+    {
+    case JB_REFUSAL_ROOM:
+      counter = JB_COUNT_START_ROOM;
+      backend->ill_until = now + ROOM_PAUSE;
+      break;
+    case JB_REFUSAL_OLD:
+      counter = JB_COUNT_START_OLD;
+      break;
+    case JB_REFUSAL_LATE:
+      counter = JB_COUNT_START_LATE;
+      backend->ill_until = now + ROOM_PAUSE;
+      backend->reached = false; /* its clock is not what was thought */
+      backend->next_look = now;
+      break;
+    case JB_REFUSAL_FENCE:
+      counter = JB_COUNT_START_FENCE;
+      backend->ill_until = now + ILL_PAUSE;
+      jb_duty_verify (pool->duty, now);
+      break;
+    case JB_REFUSAL_TICKET:
+      counter = JB_COUNT_START_TICKET;
+      break;
+    default:
+      backend->ill_until = now + ILL_PAUSE;
+      break;
+    }
+  jb_count (pool->options.out, counter);
+  jb_log (pool->options.out, JB_LEVEL_INFO, "start-refused", "job",
+          start->task->group->job->desc->id, "backend", backend->instance,
+          "reason", jb_num (reply->refusal), "result", jb_num (reply->result),
+          NULL);
+}
+
+/* The start may be carried out at any time until its lease has passed.  */
+static void
+start_unknown (struct start *start, jb_time now)
+{
+  jb_count (start->pool->options.out, JB_COUNT_START_UNKNOWN);
+  start->task->state = JB_RUN_UNSURE;
+  jb_pool_stop_run (start->pool, start->task, now, "its start had no answer");
+  start->backend->next_look = MIN (start->backend->next_look, now);
+}
+
+static void
+start_ok (struct start *start, jb_time now, jb_time sent,
+          const struct jb_reply *reply)
+{
+  struct jb_pool *pool = start->pool;
+  struct jb_task *task = start->task;
+  struct jb_job *job = task->group->job;
+  char name[JB_TASK_NAME_SIZE];
+
+  jb_count (pool->options.out, JB_COUNT_STARTS);
+  jb_observe (pool->options.out, JB_HIST_START, now - sent);
+  if (task->started == 0)
+    task->started = now;
+  task->settled = now;
+  task->state = JB_RUN_RUNNING;
+  jb_backend_clock (start->backend, now, reply->clock_ms);
+  start->backend->next_look = MIN (start->backend->next_look, now);
+  if (!pool->started)
+    {
+      pool->started = true;
+      jb_observe (pool->options.out, JB_HIST_TAKEOVER, now - pool->claimed);
+    }
+  if (!job->seen_started)
+    {
+      job->seen_started = true;
+      jb_observe (pool->options.out, JB_HIST_STARTED, now - job->received);
+    }
+  jb_log (pool->options.out, JB_LEVEL_DEBUG, "run-started", "task",
+          jb_task_name (task, name), "run", jb_num (task->run), "backend",
+          start->backend->instance, NULL);
+  jb_pool_run_over (pool, task, now);
+}
+
+static void
+start_done (void *data, jb_time now, jb_time sent,
+            const struct jb_reply *reply)
+{
+  struct start *start = data;
+  struct jb_pool *pool = start->pool;
+  struct jb_backend *backend = start->backend;
+  struct jb_task *task = find_run (pool, &start->ref, backend, start->run);
+
+  backend->starts_out--;
+  start->task = task;
+  if (task == NULL)
+    {
+      /* The run was found to be over before its start was answered.  */
+      talloc_free (start);
+      return;
+    }
+  switch (reply->result)
+    {
+    case JB_OK:
+      if (task->state == JB_RUN_STARTING || task->state == JB_RUN_RUNNING)
+        start_ok (start, now, sent, reply);
+      break;
+    case JB_GONE:
+      jb_pool_lose_runs (pool, backend, now, "another life is at its address");
+      backend->ill_until = now + ILL_PAUSE;
+      break;
+    case JB_UNKNOWN:
+      if (task->state == JB_RUN_STARTING)
+        start_unknown (start, now);
+      break;
+    default:
+      if (task->state == JB_RUN_STARTING)
+        {
+          start_refused (start, now, reply);
+          if (reply->clock_ms > 0)
+            jb_backend_clock (backend, now, reply->clock_ms);
+          clear_start (pool, task, now);
+        }
+      break;
+    }
+  talloc_free (start);
+}
+
+/* Return the number of the next run of TASK.  */
+static uint32_t
+next_run (const struct jb_pool *pool, const struct jb_task *task)
+{
+  uint32_t first = (jb_duty_generation (pool->duty) - 1) * RUNS_OF_HOLDER + 1;
+
+  return MAX (task->run + 1, first);
+}
+
+static void
+order_start (struct jb_pool *pool, struct jb_task *task, jb_time now)
+{
+  struct jb_backend *backend = task->backend;
+  struct start *start = talloc_zero (backend, struct start);
+  char name[JB_TASK_NAME_SIZE];
+  struct jb_order order = { .kind = JB_ORDER_START,
+                            .timeout_ms = START_TIMEOUT_MS,
+                            .target = { backend->address, backend->instance,
+                                        jb_duty_fence (pool->duty), false } };
+
+  start->pool = pool;
+  start->backend = backend;
+  start->run = task->run;
+  backend->starts_out++;
+  order.u.start.task = jb_task_name (task, name);
+  jb_task_ref_parse (name, &start->ref);
+  order.u.start.run = task->run;
+  order.u.start.spec = task->group->job->desc->spec;
+  order.u.start.until_ms = jb_backend_lease (backend, now, JB_LEASE_MS);
+  order.u.start.checkpoint = task->checkpoint;
+  jb_out_submit (pool->options.out, backend, now, &order, start_done, start);
+}
+
+static void
+place_and_start (struct jb_pool *pool, struct jb_task *task,
+                 struct jb_backend *backend, uint32_t run, jb_time now)
+{
+  jb_task_place (task, backend, JB_RUN_STARTING);
+  task->run = run;
+  order_start (pool, task, now);
+}
+
+/* ---- scheduling ---- */
+
+static bool
+is_startable (const struct jb_task *task)
+{
+  return task->state == JB_RUN_NONE && !task->done;
+}
+
+/* A group with tasks to start.  */
+struct candidate
+{
+  struct jb_group *group;
+  struct jb_rank rank;
+};
+
+static int64_t
+group_work_left (const struct jb_group *group)
+{
+  const struct jb_step *step = jb_group_step (group);
+
+  return (int64_t)(group->count - group->done) * step->amount.cpu
+         * step->estimate_ms;
+}
+
+static struct jb_rank
+rank_group (struct jb_pool *pool, const struct jb_group *group, jb_time now)
+{
+  const struct jb_job *job = group->job;
+  const struct jb_step *step = jb_group_step (group);
+  const struct jb_queue_stats *stats = jb_pool_queue (pool, job->desc->queue);
+  struct jb_rank_input input = { .lasts = step->lasts,
+                                 .fills = step->fills,
+                                 .priority = job->desc->priority,
+                                 .work = jb_desc_work (job->desc),
+                                 .mean_work = stats->mean_work,
+                                 .received = job->received,
+                                 .objective = job->objective };
+
+  for (guint i = 0; i < job->groups->len; i++)
+    {
+      const struct jb_group *other = g_ptr_array_index (job->groups, i);
+
+      if (other->occurrence == group->occurrence)
+        input.work_left += group_work_left (other);
+    }
+  input.chain_left_ms
+      = (int64_t)((double)jb_desc_chain (job->desc, group->step)
+                  * stats->stretch);
+  return jb_rank (&input, now);
+}
+
+static int
+compare_candidates (const void *a, const void *b)
+{
+  return jb_rank_compare (&((const struct candidate *)a)->rank,
+                          &((const struct candidate *)b)->rank);
+}
+
+/* Return the groups with tasks to start, first those that go first.  */
+static GArray *
+collect_candidates (struct jb_pool *pool, jb_time now)
+{
+  GArray *candidates = g_array_new (FALSE, FALSE, sizeof (struct candidate));
+
+  for (guint i = 0; i < pool->active->len; i++)
+    {
+      struct jb_job *job = g_ptr_array_index (pool->active, i);
+
+      if (job->ended != 0 || !job->stored || job->loaded)
+        continue;
+      for (guint j = 0; j < job->groups->len; j++)
+        {
+          struct jb_group *group = g_ptr_array_index (job->groups, j);
+          struct candidate candidate = { .group = group };
+
+          if (!group->open || group->done + group->runs >= group->count)
+            continue;
+          candidate.rank = rank_group (pool, group, now);
+          g_array_append_val (candidates, candidate);
+        }
+    }
+  qsort (candidates->data, candidates->len, sizeof (struct candidate),
+         compare_candidates);
+  return candidates;
+}
+
+static void
+collect_usable (struct jb_pool *pool, jb_time now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  talloc_free (pool->usable);
+  pool->usable = talloc_array (pool, struct jb_backend *,
+                               g_hash_table_size (pool->backends) + 1);
+  pool->usable_count = 0;
+  g_hash_table_iter_init (&iter, pool->backends);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (jb_pool_usable (pool, value, now))
+      pool->usable[pool->usable_count++] = value;
+}
+
+/* Start the tasks of GROUP for which there is room.  Return their number.  */
+static uint32_t
+start_group (struct jb_pool *pool, struct jb_group *group, jb_time now)
+{
+  uint32_t started = 0;
+
+  for (uint32_t i = 0; i < group->count; i++)
+    {
+      struct jb_task *task = &group->tasks[i];
+      struct jb_backend *backend;
+
+      if (!is_startable (task))
+        continue;
+      backend = jb_place (task, pool->usable, pool->usable_count,
+                          task->last_backend);
+      if (backend == NULL)
+        break; /* the others are of the same size */
+      place_and_start (pool, task, backend, next_run (pool, task), now);
+      started++;
+    }
+  return started;
+}
+
+/* Start all tasks of the gang GROUP, or none.  */
+static uint32_t
+start_gang (struct jb_pool *pool, struct jb_group *group, jb_time now)
+{
+  uint32_t run = 0;
+  uint32_t placed = 0;
+
+  if (group->runs > 0)
+    return 0; /* the former run has to end first */
+  while (placed < group->count)
+    {
+      struct jb_task *task = &group->tasks[placed];
+      struct jb_backend *backend = jb_place (
+          task, pool->usable, pool->usable_count, task->last_backend);
+
+      if (backend == NULL)
+        break;
+      run = MAX (run, next_run (pool, task));
+      jb_task_place (task, backend, JB_RUN_STARTING);
+      placed++;
+    }
+  if (placed < group->count)
+    {
+      while (placed-- > 0)
+        jb_task_clear (&group->tasks[placed], now);
+      return 0;
+    }
+  for (uint32_t i = 0; i < group->count; i++)
+    {
+      group->tasks[i].run = run;
+      order_start (pool, &group->tasks[i], now);
+    }
+  return group->count;
+}
+
+void
+jb_pool_schedule (struct jb_pool *pool, jb_time now)
+{
+  GArray *candidates;
+  uint32_t started = 0;
+
+  if (!pool->schedule_due || now < pool->next_schedule
+      || !jb_pool_stands (pool, now))
+    return;
+  pool->schedule_due = false;
+  pool->next_schedule = now + SCHEDULE_GAP;
+  collect_usable (pool, now);
+  if (pool->usable_count == 0)
+    return;
+  candidates = collect_candidates (pool, now);
+  for (guint i = 0; i < candidates->len && started < MAX_STARTS_TURN; i++)
+    {
+      struct jb_group *group
+          = g_array_index (candidates, struct candidate, i).group;
+
+      started += jb_group_step (group)->gang ? start_gang (pool, group, now)
+                                             : start_group (pool, group, now);
+    }
+  if (started >= MAX_STARTS_TURN)
+    pool->schedule_due = true;
+  g_array_free (candidates, TRUE);
+}
--- /dev/null
+++ b/packages/jobs/src/jb_pool_store.c
@@ -0,0 +1,234 @@
+/* What must last of a pool's jobs is written in groups: whatever changed while
+   the transaction before was under way goes into the next one.  */
+
+#include "jb_pool_internal.h"
+
+/* From the first change to the transaction, so that changes share one.  */
+#define FLUSH_DELAY (8 * JB_MS)
+
+enum
+{
+  MAX_FLUSH_JOBS = 28 /* of at most three rows each */
+};
+
+enum written_kind
+{
+  WRITTEN_DESC,
+  WRITTEN_PROGRESS,
+  WRITTEN_END
+};
+
+struct written_job
+{
+  struct jb_job *job;
+  enum written_kind kind;
+};
+
+struct noted_end
+{
+  struct jb_backend *backend;
+  uint64_t end;
+};
+
+/* A transaction under way.  */
+struct jb_flush
+{
+  struct jb_pool *pool;
+  jb_time begun;
+  uint32_t job_count;
+  struct written_job jobs[MAX_FLUSH_JOBS];
+  uint32_t end_count;
+  struct noted_end *ends;
+};
+
+void
+jb_pool_mark (struct jb_pool *pool, struct jb_job *job, jb_time now)
+{
+  job->dirty = true;
+  if (job->queued)
+    return;
+  job->queued = true;
+  g_ptr_array_add (pool->dirty, job);
+  if (pool->dirty_since == 0)
+    pool->dirty_since = now;
+}
+
+static void
+add_row (struct jb_pool *pool, TALLOC_CTX *mem, struct jb_row *rows,
+         uint32_t *count, const struct jb_job *job, const char *kind,
+         struct ba_bytes value)
+{
+  struct jb_row *row = &rows[(*count)++];
+
+  *row = (struct jb_row){ .table = JB_JOB_TABLE, .part = pool->part };
+  row->key = talloc_asprintf (mem, "%s%s", job->desc->id, kind);
+  row->value = value;
+}
+
+static struct ba_bytes
+encode_end (TALLOC_CTX *mem, const struct jb_job *job)
+{
+  uint32_t state = job->state;
+  struct ba_io io;
+
+  ba_io_writer (&io);
+  ba_io_enum (&io, &state, JB_JOB_CANCELLED + 1);
+  ba_io_name (&io, &job->desc->queue);
+  return ba_io_finish (&io, mem);
+}
+
+/* Remember up to where the ends of the backends are covered once all that is
+   dirty now is durable.  */
+static void
+note_ends (struct jb_pool *pool, struct jb_flush *flush)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  flush->ends = talloc_array (flush, struct noted_end,
+                              g_hash_table_size (pool->backends) + 1);
+  g_hash_table_iter_init (&iter, pool->backends);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct jb_backend *backend = value;
+
+      if (backend->listed_end > backend->stored_end)
+        flush->ends[flush->end_count++]
+            = (struct noted_end){ backend, backend->listed_end };
+    }
+}
+
+static void
+job_written (struct jb_pool *pool, const struct written_job *written,
+             jb_time now)
+{
+  struct jb_job *job = written->job;
+
+  switch (written->kind)
+    {
+    case WRITTEN_DESC:
+      job->stored = true;
+      jb_count (pool->options.out, JB_COUNT_ACCEPTED);
+      jb_observe (pool->options.out, JB_HIST_STORED, now - job->received);
+      jb_log (pool->options.out, JB_LEVEL_INFO, "job-accepted", "job",
+              job->desc->id, "queue", job->desc->queue, "organisation",
+              job->desc->org, "work",
+              jb_num (jb_desc_work (job->desc) / 1000000), "ms",
+              jb_num ((now - job->received) / JB_MS), NULL);
+      pool->schedule_due = true;
+      break;
+    case WRITTEN_PROGRESS:
+      break;
+    case WRITTEN_END:
+      job->stored = true;
+      job->end_stored = true;
+      break;
+    }
+  jb_pool_answer_waiters (pool, job, now);
+}
+
+static void
+flush_written (void *data, jb_time now)
+{
+  struct jb_flush *flush = data;
+  struct jb_pool *pool = flush->pool;
+
+  pool->flush = NULL;
+  for (uint32_t i = 0; i < flush->job_count; i++)
+    job_written (pool, &flush->jobs[i], now);
+  for (uint32_t i = 0; i < flush->end_count; i++)
+    {
+      struct jb_backend *backend = flush->ends[i].backend;
+
+      backend->stored_end = MAX (backend->stored_end, flush->ends[i].end);
+      backend->next_look = MIN (backend->next_look, now);
+    }
+  talloc_free (flush);
+  jb_pool_settle_ends (pool, now);
+}
+
+void
+jb_pool_settle_ends (struct jb_pool *pool, jb_time now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (pool->flush != NULL || pool->dirty->len > 0)
+    return;
+  g_hash_table_iter_init (&iter, pool->backends);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct jb_backend *backend = value;
+
+      if (backend->listed_end <= backend->stored_end)
+        continue;
+      backend->stored_end = backend->listed_end;
+      backend->next_look = MIN (backend->next_look, now);
+    }
+}
+
+void
+jb_pool_flush (struct jb_pool *pool, jb_time now)
+{
+  struct jb_row set[MAX_FLUSH_JOBS];
+  struct jb_row removed[2 * MAX_FLUSH_JOBS];
+  uint32_t set_count = 0;
+  uint32_t removed_count = 0;
+  struct ba_bytes nothing = { NULL, 0 };
+  struct jb_flush *flush;
+
+  if (pool->flush != NULL || now < jb_pool_flush_due (pool)
+      || jb_duty_phase (pool->duty) != JB_DUTY_HELD)
+    return;
+  flush = talloc_zero (pool->duty, struct jb_flush);
+  flush->pool = pool;
+  flush->begun = now;
+  while (pool->dirty->len > 0 && flush->job_count < MAX_FLUSH_JOBS)
+    {
+      struct jb_job *job = g_ptr_array_index (pool->dirty, 0);
+      struct written_job *written = &flush->jobs[flush->job_count++];
+
+      g_ptr_array_remove_index (pool->dirty, 0);
+      job->queued = false;
+      job->dirty = false;
+      written->job = job;
+      if (job->ended != 0)
+        {
+          written->kind = WRITTEN_END;
+          add_row (pool, flush, set, &set_count, job, JB_KEY_END,
+                   encode_end (flush, job));
+          add_row (pool, flush, removed, &removed_count, job, JB_KEY_DESC,
+                   nothing);
+          add_row (pool, flush, removed, &removed_count, job, JB_KEY_PROGRESS,
+                   nothing);
+        }
+      else if (!job->stored)
+        {
+          written->kind = WRITTEN_DESC;
+          add_row (pool, flush, set, &set_count, job, JB_KEY_DESC,
+                   ba_io_encode (flush, jb_desc_code, job->desc));
+        }
+      else
+        {
+          written->kind = WRITTEN_PROGRESS;
+          add_row (pool, flush, set, &set_count, job, JB_KEY_PROGRESS,
+                   jb_progress_encode (flush, job));
+        }
+    }
+  if (pool->dirty->len == 0)
+    {
+      note_ends (pool, flush);
+      pool->dirty_since = 0;
+    }
+  pool->flush = flush;
+  jb_duty_write (pool->duty, now, set, set_count, removed, removed_count,
+                 flush_written, flush);
+}
+
+jb_time
+jb_pool_flush_due (const struct jb_pool *pool)
+{
+  if (pool->flush != NULL || pool->dirty->len == 0)
+    return JB_NEVER;
+  return pool->dirty_since + FLUSH_DELAY;
+}
--- /dev/null
+++ b/packages/jobs/src/jb_rank.c
@@ -0,0 +1,67 @@
+#include "jb_rank.h"
+
+#include <glib.h>
+#include <math.h>
+
+/* A job's worth: a part that is the same for all, and one for its work
+   against the mean, up to a limit.  From the users' rules.  */
+#define WORTH_BASE 0.3
+#define WORTH_WORK 0.7
+#define WORTH_LIMIT 4.0
+
+/* Up to so many times its objective a late job earns something.  */
+#define LATE_FACTOR 3
+
+/* Exponent of the room that a job takes: 1 would leave large jobs behind, and
+   0 ignores the room.  */
+#define ROOM_EXPONENT 0.8
+
+double
+jb_rank_worth (int64_t work, int64_t mean_work)
+{
+  double relative = mean_work > 0 ? (double)work / (double)mean_work : 1;
+
+  return MIN (WORTH_BASE + WORTH_WORK * relative, WORTH_LIMIT);
+}
+
+struct jb_rank
+jb_rank (const struct jb_rank_input *input, jb_time now)
+{
+  struct jb_rank rank
+      = { .priority = input->priority, .received = input->received };
+  double room = (double)MAX (input->work_left, 1);
+  jb_time finish = now + input->chain_left_ms * JB_MS;
+  jb_time late_limit
+      = input->received + LATE_FACTOR * (input->objective - input->received);
+
+  rank.worth = jb_rank_worth (input->work, input->mean_work)
+               / pow (room, ROOM_EXPONENT);
+  if (input->fills)
+    rank.class = JB_RANK_FILLING;
+  else if (input->lasts)
+    rank.class = JB_RANK_LASTING;
+  else if (finish <= input->objective)
+    rank.class = JB_RANK_ON_TIME;
+  else if (finish <= late_limit)
+    rank.class = JB_RANK_LATE;
+  else
+    rank.class = JB_RANK_OVERDUE;
+  return rank;
+}
+
+int
+jb_rank_compare (const struct jb_rank *a, const struct jb_rank *b)
+{
+  /* Lasting work is owed at once whatever its priority.  */
+  if ((a->class == JB_RANK_LASTING) != (b->class == JB_RANK_LASTING))
+    return a->class == JB_RANK_LASTING ? -1 : 1;
+  if (a->priority != b->priority)
+    return a->priority < b->priority ? -1 : 1;
+  if (a->class != b->class)
+    return a->class < b->class ? -1 : 1;
+  if (a->worth != b->worth)
+    return a->worth > b->worth ? -1 : 1;
+  if (a->received != b->received)
+    return a->received < b->received ? -1 : 1;
+  return 0;
+}
--- a/packages/peer/include/pr_peers.h
+++ b/packages/peer/include/pr_peers.h
@@ -1,34 +1,13 @@
 #ifndef PR_PEERS_H
 #define PR_PEERS_H
 
-/* Messages between the entry hosts: framed msgpack over TCP.
+/* Messages of the decision core between the entry hosts, over a link.  */
 
-   Each process sends over connections that it opens itself and receives over
-   those that it accepts.  The accepting side sends a challenge; the opening
-   side answers with its incarnation and a keyed digest over the challenge, so
-   only holders of the shared secret are heard.  A message that can't be sent
-   is dropped: every protocol above heals from lost messages.  */
-
-#include "ba_counter.h"
-#include "ba_error.h"
 #include "co_event.h"
+#include "pr_link.h"
 
 struct pr_peers;
 
-enum pr_counter
-{
-  PR_COUNTER_SENT,
-  PR_COUNTER_SENT_BYTES,
-  PR_COUNTER_RECEIVED,
-  PR_COUNTER_RECEIVED_BYTES,
-  PR_COUNTER_DROPPED,
-  PR_COUNTER_BAD_FRAME,
-  PR_COUNTER_BAD_SECRET,
-  PR_COUNTER_BAD_VERSION,
-  PR_COUNTER_OVERSIZED,
-  PR_COUNTER_COUNT
-};
-
 struct pr_options
 {
   const char *address; /* to listen on */
--- a/packages/server/include/sv_log.h
+++ b/packages/server/include/sv_log.h
@@ -5,6 +5,7 @@
    by a thread of their own, through log4c; any thread may log.  */
 
 #include "cf_settings.h"
+#include "jb_out.h"
 
 struct sv_log;
 
@@ -18,6 +19,11 @@
 void sv_log (struct sv_log *log, enum cf_log_level level, const char *event,
              ...) G_GNUC_NULL_TERMINATED;
 
+/* As sv_log, for COUNT fields.  */
+void sv_log_fields (struct sv_log *log, enum cf_log_level level,
+                    const char *event, const struct jb_log_field *fields,
+                    uint32_t count);
+
 /* Return whether lines of LEVEL are written.  */
 bool sv_log_wants (const struct sv_log *log, enum cf_log_level level);
 
--- /dev/null
+++ b/packages/server/src/sv_jobs.c
@@ -0,0 +1,720 @@
+#include "sv_jobs.h"
+
+#include "ba_clock.h"
+#include "ba_ring.h"
+#include "ht_server.h"
+#include "pr_link.h"
+#include "sv_log.h"
+#include "sv_supervisor.h"
+
+#include <errno.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+#include <sys/signalfd.h>
+#include <time.h>
+#include <unistd.h>
+
+enum
+{
+  EVENT_RING = 16384,
+  OUTSIDE_RING = 8192,
+  MAX_HOST_CONNECTIONS = 6, /* to one backend server, or to the store */
+  KEPT_CONNECTIONS = 1024,  /* idle, for use again */
+  HEADER_MEMORY = 32 * 1024,
+  ADMIN_CONNECTIONS = 32,
+  WATCH_MS = 500,
+  MAX_WAIT_MS = 1000,
+  SETTINGS_MS = 1000, /* between looks whether the settings have changed */
+  EXIT_FAILED_DUTY = 70
+};
+
+/* A planned stop: the balancer needs so long to send no more callers here. */
+#define LAME_DUCK (2200 * JB_MS)
+
+/* Answers under way have so long to reach their callers.  */
+#define LAST_ANSWERS (250 * JB_MS)
+
+enum event_type
+{
+  EVENT_CALL,
+  EVENT_REPLY,
+  EVENT_MESSAGE,
+  EVENT_STOP,
+  EVENT_BOUNDS
+};
+
+/* Handed to the decider; a talloc chunk without parent.  */
+struct event
+{
+  enum event_type type;
+  uint64_t number; /* of the call or order, or the sending member */
+  struct jb_call call;
+  struct jb_reply reply;
+  struct ba_bytes message;
+  struct jb_bounds bounds;
+};
+
+struct sv_jobs
+{
+  struct sv_jobs_options options;
+  struct sv_log *log;
+  struct ht_server *callers;
+  struct ht_server *readiness;
+  struct ht_server *admin;
+  struct ht_client *outside;
+  struct pr_link *peers;
+  struct ba_ring *events;
+  struct jb_host *host; /* decider only */
+  struct sv_supervisor *supervisor;
+  int signals;
+  jb_time stop_at; /* decider only: when it may end; 0: it goes on */
+  _Atomic bool ready;
+  _Atomic bool closing; /* answers close their connections */
+  _Atomic bool stopped;
+  _Atomic bool stopping_decider;
+  GMutex metrics_lock;
+  struct jb_metrics metrics; /* a copy */
+  _Atomic uint64_t dropped;  /* events for which the ring had no room */
+};
+
+static bool
+push (struct sv_jobs *jobs, struct event *event)
+{
+  if (ba_ring_push (jobs->events, event))
+    return true;
+  atomic_fetch_add (&jobs->dropped, 1);
+  talloc_free (event);
+  return false;
+}
+
+static int64_t
+unix_ms (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
+/* ---- orders ---- */
+
+/* An order on its way; belongs to the outside thread.  */
+struct exchange
+{
+  struct sv_jobs *jobs;
+  uint64_t number;
+  enum jb_order_kind kind;
+  GByteArray *body;
+};
+
+static bool
+order_body (struct ht_exchange *ht, void *context, const void *data,
+            size_t len)
+{
+  struct exchange *exchange = context;
+
+  (void)ht;
+  g_byte_array_append (exchange->body, data, (guint)len);
+  return true;
+}
+
+static void
+order_done (struct ht_exchange *ht, void *context, enum ht_result result,
+            unsigned status)
+{
+  struct exchange *exchange = context;
+  struct sv_jobs *jobs = exchange->jobs;
+  struct event *event = talloc_zero (NULL, struct event);
+
+  (void)ht;
+  event->type = EVENT_REPLY;
+  event->number = exchange->number;
+  event->reply.mem = event;
+  if (result == HT_ANSWERED)
+    jobs->options.wire->decode (jobs->options.platform, event, exchange->kind,
+                                status, (const char *)exchange->body->data,
+                                exchange->body->len, &event->reply);
+  else
+    event->reply.result = result == HT_NOT_SENT ? JB_REFUSED : JB_UNKNOWN;
+  push (jobs, event);
+  g_byte_array_free (exchange->body, TRUE);
+  talloc_free (exchange);
+}
+
+static const struct ht_handlers order_handlers
+    = { .body = order_body, .done = order_done };
+
+/* The order can't be given at all.  */
+static void
+refuse_order (struct sv_jobs *jobs, uint64_t number, enum jb_result result)
+{
+  struct event *event = talloc_zero (NULL, struct event);
+
+  event->type = EVENT_REPLY;
+  event->number = number;
+  event->reply.mem = event;
+  event->reply.result = result;
+  push (jobs, event);
+}
+
+static void
+do_submit (void *context, uint64_t number, const struct jb_order *order)
+{
+  struct sv_jobs *jobs = context;
+  TALLOC_CTX *scratch = talloc_new (NULL);
+  struct sv_wire_request *wire
+      = jobs->options.wire->encode (jobs->options.platform, scratch, order);
+  struct exchange *exchange;
+  struct ht_request request
+      = { .timeout_ms = order->timeout_ms, .fresh = order->target.fresh };
+
+  if (wire == NULL)
+    {
+      refuse_order (jobs, number, JB_INVALID);
+      talloc_free (scratch);
+      return;
+    }
+  request.method = wire->method;
+  request.url = wire->url;
+  request.headers = wire->headers;
+  request.header_count = wire->header_count;
+  request.body = wire->body;
+  request.body_len = wire->body_len;
+  request.once = wire->once;
+  exchange = talloc_zero (NULL, struct exchange);
+  exchange->jobs = jobs;
+  exchange->number = number;
+  exchange->kind = order->kind;
+  exchange->body = g_byte_array_new ();
+  if (!ht_client_submit (jobs->outside, &request, &order_handlers, exchange))
+    {
+      g_byte_array_free (exchange->body, TRUE);
+      talloc_free (exchange);
+      refuse_order (jobs, number, JB_REFUSED);
+    }
+  talloc_free (scratch);
+}
+
+/* ---- peers ---- */
+
+static void
+do_send (void *context, uint64_t member, struct ba_bytes message)
+{
+  struct sv_jobs *jobs = context;
+
+  pr_link_send (jobs->peers, member, message);
+}
+
+static void
+do_members (void *context, const struct jb_member_address *members,
+            uint32_t count)
+{
+  struct sv_jobs *jobs = context;
+  struct pr_member *copies = talloc_array (NULL, struct pr_member, count + 1);
+
+  for (uint32_t i = 0; i < count; i++)
+    copies[i]
+        = (struct pr_member){ members[i].incarnation, members[i].address };
+  pr_link_members (jobs->peers, copies, count);
+  talloc_free (copies);
+}
+
+static enum pr_taken
+take_message (void *context, uint64_t from, struct ba_bytes body)
+{
+  struct sv_jobs *jobs = context;
+  struct event *event = talloc_zero (NULL, struct event);
+
+  event->type = EVENT_MESSAGE;
+  event->number = from;
+  event->message = ba_bytes_copy (event, body.data, body.len);
+  return push (jobs, event) ? PR_TAKEN : PR_FULL;
+}
+
+/* ---- calls of clients ---- */
+
+static void
+do_answer (void *context, uint64_t call, const struct jb_answer *answer)
+{
+  struct sv_jobs *jobs = context;
+  TALLOC_CTX *scratch = talloc_new (NULL);
+  struct sv_wire_answer wire = { 0 };
+  struct ht_field fields[3];
+  size_t count = 0;
+  char retry[24];
+
+  jobs->options.wire->answer (jobs->options.platform, scratch, answer, &wire);
+  if (wire.body != NULL)
+    fields[count++] = (struct ht_field){ "Content-Type", wire.content_type };
+  if (wire.retry_after_s > 0)
+    {
+      g_snprintf (retry, sizeof retry, "%" G_GINT64_FORMAT,
+                  wire.retry_after_s);
+      fields[count++] = (struct ht_field){ "Retry-After", retry };
+    }
+  if (atomic_load (&jobs->closing))
+    fields[count++] = (struct ht_field){ "Connection", "close" };
+  ht_call_answer (jobs->callers, call, wire.status, fields, count,
+                  wire.body != NULL ? wire.body : "",
+                  wire.body != NULL ? strlen (wire.body) : 0);
+  talloc_free (scratch);
+}
+
+static void
+answer_plain (struct ht_server *server, uint64_t call, unsigned status,
+              const char *text)
+{
+  static const struct ht_field fields[]
+      = { { "Content-Type", "text/plain; charset=utf-8" } };
+
+  ht_call_answer (server, call, status, fields, 1, text, strlen (text));
+}
+
+static bool
+take_call (void *context, const struct ht_call *call)
+{
+  struct sv_jobs *jobs = context;
+  const struct sv_wire *wire = jobs->options.wire;
+  struct event *event = talloc_zero (NULL, struct event);
+  struct sv_wire_call in = { .method = call->method,
+                             .target = call->target,
+                             .body = call->body,
+                             .body_len = call->body_len,
+                             .received_ms = unix_ms () };
+
+  event->type = EVENT_CALL;
+  event->number = call->id;
+  in.host = ht_call_header (jobs->callers, call->id, event, "Host");
+  in.key = ht_call_header (jobs->callers, call->id, event, wire->key_header);
+  in.deadline
+      = ht_call_header (jobs->callers, call->id, event, wire->deadline_header);
+  if (!wire->call (jobs->options.platform, event, &in, &event->call))
+    {
+      answer_plain (jobs->callers, call->id, 405, "unknown method\n");
+      talloc_free (event);
+      return true;
+    }
+  return push (jobs, event);
+}
+
+static void
+call_too_large (void *context, const struct ht_call *call)
+{
+  struct sv_jobs *jobs = context;
+
+  answer_plain (jobs->callers, call->id, 413, "the body is too large\n");
+}
+
+static void
+call_gone (void *context, uint64_t id)
+{
+  struct sv_jobs *jobs = context;
+
+  /* A job that was handed in stays; its answer goes nowhere.  */
+  (void)jobs;
+  (void)id;
+}
+
+static const struct ht_server_handlers call_handlers
+    = { .request = take_call, .too_large = call_too_large, .gone = call_gone };
+
+static bool
+take_check (void *context, const struct ht_call *call)
+{
+  struct sv_jobs *jobs = context;
+  bool known = strcmp (call->target, jobs->options.wire->ready_path) == 0;
+  bool ready = atomic_load (&jobs->ready);
+
+  answer_plain (jobs->readiness, call->id,
+                !known  ? 404
+                : ready ? 200
+                        : 503,
+                ready ? "ready\n" : "not ready\n");
+  return true;
+}
+
+static const struct ht_server_handlers check_handlers = {
+  .request = take_check, .too_large = call_too_large, .gone = call_gone
+};
+
+static bool
+take_admin (void *context, const struct ht_call *call)
+{
+  struct sv_jobs *jobs = context;
+  TALLOC_CTX *scratch = talloc_new (NULL);
+  struct jb_metrics metrics;
+  char *text;
+
+  if (strcmp (call->target, "/metrics") != 0)
+    {
+      answer_plain (jobs->admin, call->id, 404, "no such page\n");
+      talloc_free (scratch);
+      return true;
+    }
+  g_mutex_lock (&jobs->metrics_lock);
+  metrics = jobs->metrics;
+  g_mutex_unlock (&jobs->metrics_lock);
+  text = jb_metrics_expose (scratch, &metrics);
+  text = talloc_asprintf_append_buffer (
+      text,
+      "# TYPE dogwoodpulley_log_lost_total counter\n"
+      "dogwoodpulley_log_lost_total %" G_GUINT64_FORMAT "\n"
+      "# TYPE dogwoodpulley_events_dropped_total counter\n"
+      "dogwoodpulley_events_dropped_total %" G_GUINT64_FORMAT "\n",
+      sv_log_lost (jobs->log), atomic_load (&jobs->dropped));
+  answer_plain (jobs->admin, call->id, 200, text);
+  talloc_free (scratch);
+  return true;
+}
+
+static const struct ht_server_handlers admin_handlers = {
+  .request = take_admin, .too_large = call_too_large, .gone = call_gone
+};
+
+/* ---- log ---- */
+
+static void
+do_log (void *context, enum jb_level level, const char *event,
+        const struct jb_log_field *fields, uint32_t count)
+{
+  struct sv_jobs *jobs = context;
+
+  sv_log_fields (jobs->log, (enum cf_log_level)level, event, fields, count);
+}
+
+static const struct jb_effects effects = { .submit = do_submit,
+                                           .send = do_send,
+                                           .members = do_members,
+                                           .answer = do_answer,
+                                           .log = do_log };
+
+/* ---- the decider ---- */
+
+static void
+begin_stop (struct sv_jobs *jobs, jb_time now)
+{
+  if (jobs->stop_at != 0)
+    return;
+  jobs->stop_at = now + LAME_DUCK;
+  atomic_store (&jobs->ready, false);
+  atomic_store (&jobs->closing, true);
+  jb_host_stop (jobs->host, now);
+}
+
+static void
+take_event (struct sv_jobs *jobs, jb_time now, struct event *event)
+{
+  switch (event->type)
+    {
+    case EVENT_CALL:
+      jb_host_call (jobs->host, now, event->number, &event->call);
+      break;
+    case EVENT_REPLY:
+      jb_host_reply (jobs->host, now, event->number, &event->reply);
+      break;
+    case EVENT_MESSAGE:
+      if (!jb_host_message (jobs->host, now, event->number, event->message))
+        sv_log (jobs->log, CF_LOG_WARN, "message-unreadable", NULL);
+      break;
+    case EVENT_STOP:
+      begin_stop (jobs, now);
+      break;
+    case EVENT_BOUNDS:
+      jb_host_bounds (jobs->host, &event->bounds);
+      break;
+    }
+  talloc_free (event);
+}
+
+static void
+publish (struct sv_jobs *jobs, jb_time now)
+{
+  atomic_store (&jobs->ready,
+                jobs->stop_at == 0 && jb_host_ready (jobs->host, now));
+  if (jobs->stop_at != 0 && now >= jobs->stop_at && jb_host_idle (jobs->host))
+    atomic_store (&jobs->stopped, true);
+  g_mutex_lock (&jobs->metrics_lock);
+  jobs->metrics = *jb_host_metrics (jobs->host);
+  g_mutex_unlock (&jobs->metrics_lock);
+}
+
+static void
+run_decider (void *data, void (*heartbeat) (void *), void *context)
+{
+  struct sv_jobs *jobs = data;
+  struct pollfd p = { .fd = ba_ring_fd (jobs->events), .events = POLLIN };
+  jb_time next = 0;
+
+  while (!atomic_load (&jobs->stopping_decider))
+    {
+      jb_time now = ba_clock_now ();
+      int64_t wait = CLAMP ((next - now + JB_MS - 1) / JB_MS, 0, MAX_WAIT_MS);
+      struct event *event;
+
+      poll (&p, 1, (int)wait);
+      heartbeat (context);
+      ba_ring_clear (jobs->events);
+      now = ba_clock_now ();
+      jb_host_wall (jobs->host, unix_ms () * JB_MS - now);
+      while ((event = ba_ring_pop (jobs->events)) != NULL)
+        take_event (jobs, now, event);
+      next = jb_host_run (jobs->host, now);
+      publish (jobs, now);
+    }
+}
+
+static void
+stop_decider (void *data)
+{
+  struct sv_jobs *jobs = data;
+
+  atomic_store (&jobs->stopping_decider, true);
+  ba_ring_wake (jobs->events);
+}
+
+static void
+run_outside (void *data, void (*heartbeat) (void *), void *context)
+{
+  ht_client_run (data, heartbeat, context);
+}
+
+static void
+stop_outside (void *data)
+{
+  ht_client_stop (data);
+}
+
+static void
+run_peers (void *data, void (*heartbeat) (void *), void *context)
+{
+  pr_link_run (data, heartbeat, context);
+}
+
+static void
+stop_peers (void *data)
+{
+  pr_link_stop (data);
+}
+
+/* ---- construction ---- */
+
+static int
+open_signals (void)
+{
+  sigset_t set;
+
+  sigemptyset (&set);
+  sigaddset (&set, SIGTERM);
+  sigaddset (&set, SIGINT);
+  sigaddset (&set, SIGHUP);
+  pthread_sigmask (SIG_BLOCK, &set, NULL);
+  signal (SIGPIPE, SIG_IGN);
+  return signalfd (-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+}
+
+static struct ht_server *
+open_server (struct sv_jobs *jobs, const char *address,
+             unsigned max_connections, size_t max_body,
+             const struct ht_server_handlers *handlers,
+             struct ht_server **self, GError **error)
+{
+  struct ht_server_options options = { .address = address,
+                                       .threads = 1,
+                                       .max_connections = max_connections,
+                                       .max_body = max_body,
+                                       .header_memory = HEADER_MEMORY,
+                                       .unwatched = true,
+                                       .handlers = handlers,
+                                       .context = jobs,
+                                       .self = self };
+
+  return ht_server_new (jobs, &options, error);
+}
+
+static int
+jobs_destroy (struct sv_jobs *jobs)
+{
+  TALLOC_FREE (jobs->admin);
+  TALLOC_FREE (jobs->readiness);
+  TALLOC_FREE (jobs->callers);
+  return 0;
+}
+
+static bool
+open_servers (struct sv_jobs *jobs, GError **error)
+{
+  const struct sv_jobs_settings *settings = jobs->options.settings;
+
+  if (open_server (jobs, settings->listen, settings->max_connections,
+                   settings->max_body, &call_handlers, &jobs->callers, error)
+      == NULL)
+    return false;
+  if (open_server (jobs, settings->ready, ADMIN_CONNECTIONS, 0,
+                   &check_handlers, &jobs->readiness, error)
+      == NULL)
+    return false;
+  return settings->admin == NULL
+         || open_server (jobs, settings->admin, ADMIN_CONNECTIONS, 0,
+                         &admin_handlers, &jobs->admin, error)
+                != NULL;
+}
+
+static bool
+make_host (struct sv_jobs *jobs, GError **error)
+{
+  const struct sv_jobs_settings *settings = jobs->options.settings;
+  struct jb_host_options host = { .name = settings->name,
+                                  .zone = settings->zone,
+                                  .address = settings->peer,
+                                  .bounds = settings->bounds };
+  struct pr_link_options link = { .address = settings->peer,
+                                  .secret = settings->secret,
+                                  .emit = take_message,
+                                  .context = jobs };
+
+  if (getrandom (&host.incarnation, sizeof host.incarnation, 0)
+      != sizeof host.incarnation)
+    {
+      g_set_error (error, BA_ERROR, BA_ERROR_IO, "no random number: %s",
+                   g_strerror (errno));
+      return false;
+    }
+  link.incarnation = host.incarnation;
+  jobs->peers = pr_link_new (jobs, &link, error);
+  if (jobs->peers == NULL)
+    return false;
+  jobs->host = jb_host_new (jobs, ba_clock_now (), &host, &effects, jobs);
+  return true;
+}
+
+static void
+supervise (struct sv_jobs *jobs)
+{
+  const struct sv_child_options children[]
+      = { { "log", sv_log_run, sv_log_stop, jobs->log },
+          { "outside", run_outside, stop_outside, jobs->outside },
+          { "peers", run_peers, stop_peers, jobs->peers },
+          { "decider", run_decider, stop_decider, jobs } };
+
+  jobs->supervisor = sv_supervisor_new (jobs);
+  for (size_t i = 0; i < G_N_ELEMENTS (children); i++)
+    sv_supervisor_add (jobs->supervisor, &children[i]);
+}
+
+struct sv_jobs *
+sv_jobs_new (TALLOC_CTX *mem, const struct sv_jobs_options *options,
+             GError **error)
+{
+  struct sv_jobs *jobs = talloc_zero (mem, struct sv_jobs);
+  struct ht_client_options outside
+      = { .ring_capacity = OUTSIDE_RING,
+          .max_host_connections = MAX_HOST_CONNECTIONS,
+          .kept_connections = KEPT_CONNECTIONS };
+
+  jobs->options = *options;
+  g_mutex_init (&jobs->metrics_lock);
+  talloc_set_destructor (jobs, jobs_destroy);
+  jobs->signals = open_signals ();
+  jobs->log
+      = sv_log_new (jobs, &options->settings->log, options->settings->name);
+  jobs->events = ba_ring_new (jobs, EVENT_RING);
+  jobs->outside = ht_client_new (jobs, &outside);
+  if (!make_host (jobs, error) || !open_servers (jobs, error))
+    {
+      talloc_free (jobs);
+      return NULL;
+    }
+  supervise (jobs);
+  return jobs;
+}
+
+/* ---- running ---- */
+
+static void
+reload (struct sv_jobs *jobs)
+{
+  GError *error = NULL;
+  const struct sv_jobs_settings *settings
+      = jobs->options.reload (jobs->options.data, &error);
+  struct event *event;
+
+  if (settings == NULL)
+    {
+      sv_log (jobs->log, CF_LOG_ERROR, "settings-rejected", "reason",
+              error != NULL ? error->message : "unknown", NULL);
+      g_clear_error (&error);
+      return;
+    }
+  jobs->options.settings = settings;
+  sv_log (jobs->log, CF_LOG_INFO, "settings-loaded", NULL);
+  event = talloc_zero (NULL, struct event);
+  event->type = EVENT_BOUNDS;
+  event->bounds = settings->bounds;
+  push (jobs, event);
+}
+
+static void
+take_signal (struct sv_jobs *jobs, uint32_t number)
+{
+  struct event *event;
+
+  if (number == SIGHUP)
+    {
+      reload (jobs);
+      return;
+    }
+  sv_log (jobs->log, CF_LOG_INFO, "stopping", NULL);
+  event = talloc_zero (NULL, struct event);
+  event->type = EVENT_STOP;
+  push (jobs, event);
+}
+
+/* Let answers that are on their way reach their callers.  */
+static void
+finish_answers (struct sv_jobs *jobs)
+{
+  int64_t until = ba_clock_now () + LAST_ANSWERS;
+
+  ht_server_quiesce (jobs->callers);
+  while (ba_clock_now () < until)
+    g_usleep (20000);
+}
+
+int
+sv_jobs_run (struct sv_jobs *jobs)
+{
+  const struct sv_jobs_settings *settings = jobs->options.settings;
+  struct pollfd p = { .fd = jobs->signals, .events = POLLIN };
+  const char *failed = NULL;
+
+  sv_supervisor_start (jobs->supervisor);
+  sv_log (jobs->log, CF_LOG_INFO, "started", "listen", settings->listen,
+          "zone", settings->zone, "version", DP_VERSION, NULL);
+  while (!atomic_load (&jobs->stopped) && failed == NULL)
+    {
+      struct signalfd_siginfo info;
+
+      poll (&p, 1, WATCH_MS);
+      while (read (p.fd, &info, sizeof info) == (ssize_t)sizeof info)
+        take_signal (jobs, info.ssi_signo);
+      failed = sv_supervisor_watch (jobs->supervisor);
+    }
+  if (failed != NULL)
+    {
+      /* Threads that hang can't be stopped: the process is replaced.  */
+      fprintf (stderr, "dogwoodpulleyd: duty %s failed\n", failed);
+      _exit (EXIT_FAILED_DUTY);
+    }
+  finish_answers (jobs);
+  sv_log (jobs->log, CF_LOG_INFO, "stopped", NULL);
+  TALLOC_FREE (jobs->admin);
+  TALLOC_FREE (jobs->readiness);
+  TALLOC_FREE (jobs->callers);
+  sv_supervisor_stop (jobs->supervisor);
+  close (jobs->signals);
+  return EXIT_SUCCESS;
+}
--- a/packages/server/src/sv_log.c
+++ b/packages/server/src/sv_log.c
@@ -13,6 +13,7 @@
 enum
 {
   RING_CAPACITY = 16384,
+  MAX_FIELDS = 24,
   WAIT_MS = 200
 };
 
@@ -53,7 +54,7 @@
 append_line (log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
   (void)appender;
-  return fputs (event->evt_rendered_msg, stderr);
+  return fputs (event->evt_rendered_msg, stdout);
 }
 
 static const log4c_appender_type_t line_appender
@@ -74,7 +75,7 @@
   layout = log4c_layout_get ("dogwoodpulley_line");
   log4c_layout_set_type (layout, &line_layout);
   log4c_appender_type_set (&line_appender);
-  log->appender = log4c_appender_get ("dogwoodpulley_stderr");
+  log->appender = log4c_appender_get ("dogwoodpulley_stdout");
   log4c_appender_set_type (log->appender, &line_appender);
   log4c_appender_set_layout (log->appender, layout);
   log->category = log4c_category_get ("dogwoodpulley");
@@ -120,39 +121,32 @@
 
 static char *
 key_value_line (TALLOC_CTX *mem, const char *time, const char *level,
-                const char *host, const char *event, va_list args)
+                const char *host, const char *event,
+                const struct jb_log_field *fields, uint32_t count)
 {
   char *line = talloc_asprintf (mem, "time=%s level=%s host=%s event=%s", time,
                                 level, host, event);
-  const char *name;
-
-  while ((name = va_arg (args, const char *)) != NULL)
-    {
-      const char *value = va_arg (args, const char *);
 
-      if (value != NULL)
-        line = add_pair (line, name, value);
-    }
+  for (uint32_t i = 0; i < count; i++)
+    if (fields[i].value != NULL)
+      line = add_pair (line, fields[i].name, fields[i].value);
   return talloc_strdup_append_buffer (line, "\n");
 }
 
 static char *
 json_line (TALLOC_CTX *mem, const char *time, const char *level,
-           const char *host, const char *event, va_list args)
+           const char *host, const char *event,
+           const struct jb_log_field *fields, uint32_t count)
 {
   json_t *root = json_pack ("{s:s,s:s,s:s,s:s}", "time", time, "level", level,
                             "host", host, "event", event);
-  const char *name;
   char *text;
   char *line;
 
-  while ((name = va_arg (args, const char *)) != NULL)
-    {
-      const char *value = va_arg (args, const char *);
-
-      if (value != NULL)
-        json_object_set_new (root, name, json_string (value));
-    }
+  for (uint32_t i = 0; i < count; i++)
+    if (fields[i].value != NULL)
+      json_object_set_new (root, fields[i].name,
+                           json_string (fields[i].value));
   text = json_dumps (root, JSON_COMPACT | JSON_PRESERVE_ORDER);
   line = talloc_asprintf (mem, "%s\n", text);
   free (text);
@@ -161,31 +155,49 @@
 }
 
 void
-sv_log (struct sv_log *log, enum cf_log_level level, const char *event, ...)
+sv_log_fields (struct sv_log *log, enum cf_log_level level, const char *event,
+               const struct jb_log_field *fields, uint32_t count)
 {
   struct line *line;
   char time[40];
-  va_list args;
 
   if (!sv_log_wants (log, level))
     return;
   line = talloc_zero (NULL, struct line);
   line->level = level;
   now_text (time, sizeof time);
-  va_start (args, event);
   if (log->settings.format == CF_LOG_JSON)
-    line->text
-        = json_line (line, time, level_names[level], log->host, event, args);
+    line->text = json_line (line, time, level_names[level], log->host, event,
+                            fields, count);
   else
     line->text = key_value_line (line, time, level_names[level], log->host,
-                                 event, args);
-  va_end (args);
+                                 event, fields, count);
   if (ba_ring_push (log->lines, line))
     return;
   atomic_fetch_add (&log->lost, 1);
   talloc_free (line);
 }
 
+void
+sv_log (struct sv_log *log, enum cf_log_level level, const char *event, ...)
+{
+  struct jb_log_field fields[MAX_FIELDS];
+  uint32_t count = 0;
+  const char *name;
+  va_list args;
+
+  if (!sv_log_wants (log, level))
+    return;
+  va_start (args, event);
+  while (count < MAX_FIELDS && (name = va_arg (args, const char *)) != NULL)
+    {
+      fields[count].name = name;
+      fields[count++].value = va_arg (args, const char *);
+    }
+  va_end (args);
+  sv_log_fields (log, level, event, fields, count);
+}
+
 uint64_t
 sv_log_lost (struct sv_log *log)
 {
@@ -204,6 +216,7 @@
                           line->text);
       talloc_free (line);
     }
+  fflush (stdout);
 }
 
 void
--- a/programs/dogwoodpulleyd.c
+++ b/programs/dogwoodpulleyd.c
@@ -1,5 +1,6 @@
 /* dogwoodpulleyd: one entry host.  */
 
+#include "pf_platform.h"
 #include "sv_daemon.h"
 
 #include <argp.h>
@@ -23,12 +24,17 @@
 static const struct argp_option options[]
     = { { "settings", 's', "FILE", 0, "YAML file with the settings", 0 },
         { "check", 'c', NULL, 0, "Check the settings and exit", 0 },
+        { "jobs", 'j', NULL, 0,
+          "Take jobs on the prepared platform, whose settings file the "
+          "environment names",
+          0 },
         { 0 } };
 
 struct arguments
 {
   const char *settings;
   bool check;
+  bool jobs;
 };
 
 static error_t
@@ -44,8 +50,11 @@
     case 'c':
       arguments->check = true;
       return 0;
+    case 'j':
+      arguments->jobs = true;
+      return 0;
     case ARGP_KEY_END:
-      if (arguments->settings == NULL)
+      if (arguments->settings == NULL && !arguments->jobs)
         argp_error (state, "--settings FILE is needed");
       return 0;
     default:
@@ -66,6 +75,8 @@
   int status;
 
   argp_parse (&argp, argc, argv, 0, NULL, &arguments);
+  if (arguments.jobs)
+    return pf_run ();
   mem = talloc_new (NULL);
   settings = cf_settings_load (mem, arguments.settings, &error);
   if (settings == NULL)
--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -51,7 +51,7 @@
 entry_start () {
   local i=$1
   "$BIN/programs/dogwoodpulleyd" --settings "$SITE_DIR/entry-$i.yaml" \
-    2>> "$SITE_DIR/entry-$i.log" &
+    >> "$SITE_DIR/entry-$i.log" 2>&1 &
   echo $! > "$SITE_DIR/entry-$i.pid"
   disown
 }
