Maintenance waves by a planner

Change: one entry host holds the duty "plan": it lists hosts, has the holder of a pool empty one, orders its maintenance with its fence, and tells operators. Ruled out: taking a host whose tasks still run (thrown away, and budgets).

--- a/packages/jobs/include/jb_msg.h
+++ b/packages/jobs/include/jb_msg.h
@@ -92,6 +92,7 @@
 {
   char *pool;
   char *instance; /* of the host's backend server */
+  bool taken;     /* the host is gone: nothing is started there any more */
 };
 
 struct jb_msg_cleared
--- /dev/null
+++ b/packages/jobs/include/jb_planner.h
@@ -0,0 +1,57 @@
+#ifndef JB_PLANNER_H
+#define JB_PLANNER_H
+
+/* The one entry host that gives orders on hosts: maintenance waves, and moves
+   between pools.
+
+   A host is taken away only when the holder of its pool has said that nothing
+   runs there; the holder decides when its lasting tasks may be away.  The
+   planner's fence goes with each order; a new planner waits until the former
+   one's last order is old before it gives its first.  */
+
+#include "jb_duty.h"
+#include "jb_msg.h"
+
+struct jb_planner;
+
+struct jb_planner_options
+{
+  struct jb_out *out;
+  const struct jb_bounds *bounds;          /* borrowed */
+  const struct jb_catalog *const *catalog; /* borrowed */
+  const char *holder;
+  uint64_t incarnation;
+  /* Ask the holder of CLEAR's pool.  */
+  void (*clear) (void *data, jb_time now, const struct jb_msg_clear *clear);
+  /* The claim succeeded or failed, or the duty was lost.  The planner must
+     not be freed from here.  */
+  void (*changed) (void *data);
+  void *data;
+};
+
+#define JB_PLANNER_PART "plan"
+
+struct jb_planner *jb_planner_new (TALLOC_CTX *mem,
+                                   const struct jb_planner_options *options);
+void jb_planner_claim (struct jb_planner *planner, jb_time now);
+bool jb_planner_held (const struct jb_planner *planner);
+bool jb_planner_over (const struct jb_planner *planner);
+uint64_t jb_planner_fence (const struct jb_planner *planner);
+void jb_planner_confirm (struct jb_planner *planner, jb_time confirmed);
+void jb_planner_release (struct jb_planner *planner, jb_time now,
+                         const char *reason);
+
+/* Take in a wave that an operator asked for, seen first at SEEN.  */
+void jb_planner_wave (struct jb_planner *planner, jb_time seen,
+                      const struct jb_wave_entry *wave);
+
+/* Take in what the holder of a pool said.  */
+void jb_planner_cleared (struct jb_planner *planner, jb_time now,
+                         const struct jb_msg_cleared *cleared);
+void jb_planner_load (struct jb_planner *planner, jb_time now,
+                      const struct jb_msg_load *load);
+
+/* Do what is due, and return when to be called next.  */
+jb_time jb_planner_run (struct jb_planner *planner, jb_time now);
+
+#endif
--- a/packages/jobs/include/jb_pool.h
+++ b/packages/jobs/include/jb_pool.h
@@ -69,6 +69,9 @@
    taken away.  Return whether nothing runs there.  */
 bool jb_pool_clear (struct jb_pool *pool, jb_time now, const char *instance);
 
+/* The host of the backend server INSTANCE has been taken away.  */
+void jb_pool_taken (struct jb_pool *pool, jb_time now, const char *instance);
+
 /* Fill LOAD, its arrays owned by MEM.  */
 void jb_pool_load (struct jb_pool *pool, TALLOC_CTX *mem, jb_time now,
                    struct jb_msg_load *load);
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -1,5 +1,6 @@
 #include "jb_host.h"
 
+#include "jb_planner.h"
 #include "jb_pool.h"
 
 #include <string.h>
@@ -27,6 +28,9 @@
    a newer one is sent it.  */
 #define CATALOG_PATIENCE (400 * JB_MS)
 
+/* Between two words on a pool's load to the planner.  */
+#define LOAD_PERIOD (200 * JB_MS)
+
 struct held_pool
 {
   char *name;
@@ -34,6 +38,13 @@
   jb_time next_claim;
 };
 
+/* A maintenance wave that operators asked for.  */
+struct seen_wave
+{
+  jb_time seen;
+  struct jb_wave_entry entry;
+};
+
 struct jb_host
 {
   struct jb_host_options options;
@@ -43,9 +54,13 @@
   const struct jb_catalog *catalog; /* NULL: none yet */
   jb_time catalog_since;
   jb_time catalog_sent;
-  GPtrArray *pools; /* struct held_pool */
-  jb_time now;      /* of the event that is being taken in */
-  jb_time wall;     /* Unix time of the clock's origin */
+  GPtrArray *pools;           /* struct held_pool */
+  struct jb_planner *planner; /* NULL: neither held nor being claimed */
+  jb_time next_plan;          /* claim of that duty */
+  GPtrArray *waves;           /* struct seen_wave */
+  jb_time next_load;
+  jb_time now;  /* of the event that is being taken in */
+  jb_time wall; /* Unix time of the clock's origin */
   bool stopping;
   bool beat_due; /* something changed that peers should know */
   /* what operators wrote */
@@ -174,6 +189,27 @@
       }
 }
 
+static void
+take_wave (struct jb_host *host, jb_time now,
+           const struct jb_wave_entry *entry)
+{
+  struct seen_wave *wave;
+
+  for (guint i = 0; i < host->waves->len; i++)
+    if (((struct seen_wave *)g_ptr_array_index (host->waves, i))->entry.wave
+        == entry->wave)
+      return;
+  wave = talloc_zero (host, struct seen_wave);
+  wave->seen = now;
+  wave->entry = *entry;
+  wave->entry.hosts = talloc_array (wave, const char *, entry->host_count + 1);
+  for (uint32_t i = 0; i < entry->host_count; i++)
+    wave->entry.hosts[i] = talloc_strdup (wave, entry->hosts[i]);
+  g_ptr_array_add (host->waves, wave);
+  if (host->planner != NULL)
+    jb_planner_wave (host->planner, wave->seen, &wave->entry);
+}
+
 static void
 watch_done (void *data, jb_time now, jb_time sent,
             const struct jb_reply *reply)
@@ -198,6 +234,8 @@
   host->watched = reply->version;
   if (reply->catalog != NULL)
     take_catalog (host, now, reply->catalog, "store");
+  for (uint32_t i = 0; i < reply->wave_count; i++)
+    take_wave (host, now, &reply->waves[i]);
 }
 
 static void
@@ -289,7 +327,7 @@
 static uint32_t
 duty_count (const struct jb_host *host)
 {
-  uint32_t count = 0;
+  uint32_t count = host->planner != NULL ? 1 : 0;
 
   for (guint i = 0; i < host->pools->len; i++)
     if (((struct held_pool *)g_ptr_array_index (host->pools, i))->pool != NULL)
@@ -322,8 +360,14 @@
 }
 
 static void
-free_lost_pools (struct jb_host *host, jb_time now)
+free_lost_duties (struct jb_host *host, jb_time now)
 {
+  if (host->planner != NULL && jb_planner_over (host->planner))
+    {
+      TALLOC_FREE (host->planner);
+      host->next_plan = now + CLAIM_PAUSE;
+      host->beat_due = true;
+    }
   for (guint i = 0; i < host->pools->len; i++)
     {
       struct held_pool *held = g_ptr_array_index (host->pools, i);
@@ -379,6 +423,162 @@
       if (is_held (held))
         jb_pool_release (held->pool, now, "the store is out of reach");
     }
+  if (elsewhere && host->planner != NULL && jb_planner_held (host->planner))
+    jb_planner_release (host->planner, now, "the store is out of reach");
+}
+
+/* ---- the planner ---- */
+
+static const struct jb_member *
+holder_of (struct jb_host *host, jb_time now, const char *pool)
+{
+  char *part = talloc_asprintf (NULL, "pool/%s", pool);
+  const struct jb_member *member
+      = jb_members_holder (host->members, now, part);
+
+  talloc_free (part);
+  return member;
+}
+
+static void
+send_message (struct jb_host *host, uint64_t member,
+              const struct jb_msg *message)
+{
+  struct ba_bytes bytes = jb_msg_encode (NULL, message);
+
+  jb_out_send (host->out, member, bytes);
+  talloc_free (bytes.data);
+}
+
+/* Empty a host of a pool that is held here.  Return whether it is empty.  */
+static bool
+clear_here (struct jb_host *host, jb_time now,
+            const struct jb_msg_clear *clear)
+{
+  struct held_pool *held = find_pool (host, clear->pool);
+
+  if (held == NULL || !is_held (held))
+    return false;
+  if (clear->taken)
+    {
+      jb_pool_taken (held->pool, now, clear->instance);
+      return false;
+    }
+  return jb_pool_clear (held->pool, now, clear->instance);
+}
+
+static void
+ask_clear (void *data, jb_time now, const struct jb_msg_clear *clear)
+{
+  struct jb_host *host = data;
+  const struct jb_member *member;
+  struct jb_msg message = { .type = JB_MSG_CLEAR, .u.clear = *clear };
+  struct jb_msg_cleared cleared
+      = { .pool = clear->pool, .instance = clear->instance };
+
+  if (holds (host, clear->pool))
+    {
+      cleared.empty = clear_here (host, now, clear);
+      if (!clear->taken)
+        jb_planner_cleared (host->planner, now, &cleared);
+      return;
+    }
+  member = holder_of (host, now, clear->pool);
+  if (member != NULL)
+    send_message (host, member->incarnation, &message);
+}
+
+static void
+take_clear (struct jb_host *host, jb_time now, uint64_t from,
+            const struct jb_msg_clear *clear)
+{
+  struct jb_msg message = { .type = JB_MSG_CLEARED };
+
+  message.u.cleared.pool = clear->pool;
+  message.u.cleared.instance = clear->instance;
+  message.u.cleared.empty = clear_here (host, now, clear);
+  if (!clear->taken)
+    send_message (host, from, &message);
+}
+
+static void
+planner_changed (void *data)
+{
+  struct jb_host *host = data;
+
+  host->beat_due = true;
+}
+
+static void
+claim_plan (struct jb_host *host, jb_time now)
+{
+  struct jb_planner_options options
+      = { .out = host->out,
+          .bounds = &host->options.bounds,
+          .catalog = &host->catalog,
+          .holder = host->options.name,
+          .incarnation = host->options.incarnation,
+          .clear = ask_clear,
+          .changed = planner_changed,
+          .data = host };
+
+  host->planner = jb_planner_new (host, &options);
+  for (guint i = 0; i < host->waves->len; i++)
+    {
+      struct seen_wave *wave = g_ptr_array_index (host->waves, i);
+
+      jb_planner_wave (host->planner, wave->seen, &wave->entry);
+    }
+  jb_planner_claim (host->planner, now);
+}
+
+static void
+elect_planner (struct jb_host *host, jb_time now, jb_time heard_by)
+{
+  if (host->planner != NULL && jb_planner_held (host->planner))
+    {
+      if (jb_members_superseded (host->members, now, JB_PLANNER_PART,
+                                 jb_planner_fence (host->planner))
+          != 0)
+        jb_planner_release (host->planner, now, "a peer has a higher fence");
+      else
+        jb_planner_confirm (host->planner, heard_by);
+    }
+  if (host->planner != NULL || host->stopping || now < host->next_plan
+      || host->catalog == NULL || !store_is_good (host, now))
+    return;
+  if (jb_members_should_claim (host->members, now, JB_PLANNER_PART,
+                               duty_count (host)))
+    claim_plan (host, now);
+}
+
+/* Tell the planner of the load of the pools held here.  */
+static void
+tell_loads (struct jb_host *host, jb_time now)
+{
+  const struct jb_member *planner;
+  bool here = host->planner != NULL && jb_planner_held (host->planner);
+
+  if (now < host->next_load)
+    return;
+  host->next_load = now + LOAD_PERIOD;
+  planner = jb_members_holder (host->members, now, JB_PLANNER_PART);
+  for (guint i = 0; i < host->pools->len; i++)
+    {
+      struct held_pool *held = g_ptr_array_index (host->pools, i);
+      struct jb_msg message = { .type = JB_MSG_LOAD };
+      TALLOC_CTX *scratch;
+
+      if (!is_held (held) || (!here && planner == NULL))
+        continue;
+      scratch = talloc_new (NULL);
+      jb_pool_load (held->pool, scratch, now, &message.u.load);
+      if (here)
+        jb_planner_load (host->planner, now, &message.u.load);
+      else
+        send_message (host, planner->incarnation, &message);
+      talloc_free (scratch);
+    }
 }
 
 static void
@@ -391,6 +591,7 @@
   host->next_elect = now + ELECT_PERIOD;
   release_if_cut_off (host, now);
   heard_by = jb_members_heard_by (host->members);
+  elect_planner (host, now, heard_by);
   for (guint i = 0; i < host->pools->len; i++)
     {
       struct held_pool *held = g_ptr_array_index (host->pools, i);
@@ -431,6 +632,10 @@
   struct jb_msg_duty *duties
       = talloc_array (NULL, struct jb_msg_duty, host->pools->len + 1);
 
+  if (host->planner != NULL && jb_planner_held (host->planner))
+    duties[self.duty_count++]
+        = (struct jb_msg_duty){ JB_PLANNER_PART,
+                                jb_planner_fence (host->planner) };
   for (guint i = 0; i < host->pools->len; i++)
     {
       struct held_pool *held = g_ptr_array_index (host->pools, i);
@@ -456,6 +661,7 @@
 host_destroy (struct jb_host *host)
 {
   g_ptr_array_free (host->pools, TRUE);
+  g_ptr_array_free (host->waves, TRUE);
   return 0;
 }
 
@@ -481,6 +687,7 @@
   host->options.address = talloc_strdup (host, options->address);
   host->now = now;
   host->pools = g_ptr_array_new ();
+  host->waves = g_ptr_array_new ();
   host->out = jb_out_new (host, effects, context);
   members.out = host->out;
   host->members = jb_members_new (host, now, &members);
@@ -542,8 +749,16 @@
         break;
       }
     case JB_MSG_CLEAR:
+      take_clear (host, now, from, &message->u.clear);
+      break;
     case JB_MSG_CLEARED:
+      if (host->planner != NULL)
+        jb_planner_cleared (host->planner, now, &message->u.cleared);
+      break;
     case JB_MSG_LOAD:
+      if (host->planner != NULL)
+        jb_planner_load (host->planner, now, &message->u.load);
+      break;
     case JB_MSG_TYPES:
       break;
     }
@@ -565,7 +780,7 @@
   jb_time next = JB_NEVER;
 
   host->now = now;
-  free_lost_pools (host, now);
+  free_lost_duties (host, now);
   elect (host, now);
   watch (host, now);
   list_backends (host, now);
@@ -577,8 +792,11 @@
       if (held->pool != NULL)
         next = MIN (next, jb_pool_run (held->pool, now));
     }
+  tell_loads (host, now);
+  if (host->planner != NULL)
+    next = MIN (next, jb_planner_run (host->planner, now));
   next = MIN (next, jb_entry_run (host->entry, now));
-  free_lost_pools (host, now);
+  free_lost_duties (host, now);
   say (host, now, &next);
   next = MIN (next, host->next_elect);
   if (!host->watching)
@@ -594,6 +812,8 @@
   host->now = now;
   host->stopping = true;
   host->beat_due = true;
+  if (host->planner != NULL && jb_planner_held (host->planner))
+    jb_planner_release (host->planner, now, "this host stops");
   for (guint i = 0; i < host->pools->len; i++)
     {
       struct held_pool *held = g_ptr_array_index (host->pools, i);
--- a/packages/jobs/src/jb_msg.c
+++ b/packages/jobs/src/jb_msg.c
@@ -66,6 +66,7 @@
 {
   ba_io_name (io, &clear->pool);
   ba_io_name (io, &clear->instance);
+  ba_io_bool (io, &clear->taken);
 }
 
 static void
--- /dev/null
+++ b/packages/jobs/src/jb_planner_internal.h
@@ -0,0 +1,101 @@
+#ifndef JB_PLANNER_INTERNAL_H
+#define JB_PLANNER_INTERNAL_H
+
+/* State of the planner, shared by the files jb_planner*.c.  */
+
+#include "jb_planner.h"
+
+/* What the planner wants with a host.  */
+enum host_aim
+{
+  AIM_NONE,
+  AIM_MAINTENANCE,
+  AIM_MOVE
+};
+
+/* How far that is.  */
+enum host_step
+{
+  STEP_IDLE,
+  STEP_CLEARING, /* the holder of its pool empties it */
+  STEP_ORDERED,  /* the order is under way */
+  STEP_AWAY      /* it was carried out; the host is not back yet */
+};
+
+struct host
+{
+  char *name;
+  char *pool;     /* as listed */
+  char *instance; /* of its backend server, as listed; or NULL */
+  char *rack;     /* or NULL */
+  enum jb_host_state state;
+  jb_time listed_at;
+  enum host_aim aim;
+  enum host_step step;
+  char *target;       /* pool to move to */
+  struct wave *wave;  /* whose maintenance it is */
+  char *old_instance; /* when the order was given */
+  jb_time since;      /* of the step */
+  jb_time asked;      /* the holder was asked last */
+  jb_time empty_at;   /* when an answer that it is empty was asked for */
+  jb_time retry_at;   /* not tried before */
+  jb_time moved_at;   /* its last move was seen to end */
+};
+
+struct wave
+{
+  uint64_t number;
+  jb_time seen;
+  jb_time due;
+  uint32_t at_once;
+  GHashTable *left; /* names of hosts without their maintenance */
+  GPtrArray *done;  /* names */
+  bool loaded;      /* what was done before is known */
+  bool completed;   /* operators have been told */
+  bool reported;    /* that it runs */
+  bool reporting;
+  jb_time next_report;
+};
+
+struct pool_load
+{
+  char *name;
+  jb_time at;
+  struct jb_msg_load load;
+};
+
+struct jb_planner
+{
+  struct jb_planner_options options;
+  struct jb_duty *duty;
+  bool over;
+  bool loaded; /* its rows have been read */
+  jb_time claimed;
+  jb_time confirmed;
+  GHashTable *hosts; /* name -> struct host */
+  GPtrArray *waves;
+  GHashTable *loads; /* pool -> struct pool_load */
+  GHashTable *saved; /* wave number -> GPtrArray of names, of the rows */
+  bool listing;
+  GPtrArray *listed; /* pages so far: struct host of the present listing */
+  char *next_page;
+  jb_time next_list;
+  jb_time list_sent; /* of the newest list taken in */
+  bool list_wanted;
+};
+
+/* jb_planner.c */
+bool jb_planner_may_order (const struct jb_planner *planner, jb_time now);
+void jb_planner_begin (struct jb_planner *planner, jb_time now,
+                       struct host *host, enum host_aim aim);
+void jb_planner_drop (struct host *host, jb_time now, jb_time pause);
+
+/* jb_planner_wave.c */
+void jb_planner_load_row (struct jb_planner *planner,
+                          const struct jb_row *row);
+void jb_planner_run_waves (struct jb_planner *planner, jb_time now);
+void jb_planner_maintained (struct jb_planner *planner, jb_time now,
+                            struct host *host);
+void jb_planner_adopt (struct jb_planner *planner, struct wave *wave);
+
+#endif
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -11,6 +11,9 @@
    asked for.  */
 #define CLOSED_PERIOD (2500 * JB_MS)
 
+/* A backend server whose host was taken away is out of its list by then.  */
+#define TAKEN_PERIOD (20 * JB_SECOND)
+
 /* A list that leaves a backend server out is believed when the next does so,
    too: entries lapse while the store is away and return a moment after.  */
 #define UNLISTED_PERIOD (2500 * JB_MS)
@@ -716,6 +719,17 @@
          && backend->acked_end == backend->listed_end;
 }
 
+void
+jb_pool_taken (struct jb_pool *pool, jb_time now, const char *instance)
+{
+  struct jb_backend *backend = g_hash_table_lookup (pool->backends, instance);
+
+  if (backend == NULL)
+    return;
+  backend->closed_until = now + TAKEN_PERIOD;
+  backend->silent = MAX (backend->silent, 1);
+}
+
 void
 jb_pool_load (struct jb_pool *pool, TALLOC_CTX *mem, jb_time now,
               struct jb_msg_load *load)
--- a/packages/jobs/src/jb_pool_look.c
+++ b/packages/jobs/src/jb_pool_look.c
@@ -290,6 +290,7 @@
   backend->acked_end = 0;
   backend->until_ms = 0;
   backend->bad_ends = 0;
+  backend->closed_until = 0;
 }
 
 static void
