Failures of a task are counted by the numbers of their runs

Ruled out: an acknowledgement before the progress was stored (the holder was cut off, nothing was acknowledged). Conclusion: the numbers themselves are kept.

--- a/packages/jobs/include/jb_work.h
+++ b/packages/jobs/include/jb_work.h
@@ -27,7 +27,8 @@
   bool done;
   bool begun; /* a run has been started at some time */
   uint32_t failures;
-  uint32_t failed_run; /* highest run whose failure was counted */
+  uint32_t *failed_runs; /* their numbers: ends may be listed twice, and those
+                            of several backend servers in any order */
   uint32_t run;        /* highest run number given out */
   enum jb_run_state state;
   struct jb_backend *backend; /* of the present run */
@@ -150,6 +151,9 @@
 /* Mark TASK as done.  */
 void jb_task_set_done (struct jb_task *task);
 
+/* Count the failure of RUN.  Return false when it had been counted.  */
+bool jb_task_fail (struct jb_task *task, uint32_t run);
+
 /* What is kept of an accepted job that has not ended.  */
 struct ba_bytes jb_progress_encode (TALLOC_CTX *mem, struct jb_job *job);
 
--- a/packages/jobs/src/jb_pool_look.c
+++ b/packages/jobs/src/jb_pool_look.c
@@ -143,11 +143,8 @@
   struct jb_task *counted
       = jb_task_step (task)->gang ? &task->group->tasks[0] : task;
 
-  if (run <= counted->failed_run)
-    return;
-  counted->failed_run = run;
-  counted->failures++;
-  jb_pool_mark (pool, task->group->job, now);
+  if (jb_task_fail (counted, run))
+    jb_pool_mark (pool, task->group->job, now);
 }
 
 static void
@@ -176,7 +173,7 @@
           jb_num (ended->how), NULL);
   if (ended->how == JB_ENDING_FAILED)
     task->last_backend = backend;
-  if (ended->how == JB_ENDING_FAILED)
+  if (ended->how == JB_ENDING_FAILED && !lasts)
     note_failure (pool, task, ended->run, now);
   if (ended->how == JB_ENDING_DONE && !lasts && job->ended == 0)
     {
--- a/packages/jobs/src/jb_work.c
+++ b/packages/jobs/src/jb_work.c
@@ -4,6 +4,11 @@
 #include <stdio.h>
 #include <string.h>
 
+enum
+{
+  MAX_FAILURES = 100000 /* of one task */
+};
+
 static int
 job_destroy (struct jb_job *job)
 {
@@ -240,6 +245,18 @@
   task->group->job->dirty = true;
 }
 
+bool
+jb_task_fail (struct jb_task *task, uint32_t run)
+{
+  for (uint32_t i = 0; i < task->failures; i++)
+    if (task->failed_runs[i] == run)
+      return false;
+  task->failed_runs = talloc_realloc (task->group, task->failed_runs, uint32_t,
+                                      task->failures + 1);
+  task->failed_runs[task->failures++] = run;
+  return true;
+}
+
 /* ---- progress ---- */
 
 struct saved_task
@@ -247,7 +264,7 @@
   uint32_t index;
   bool done;
   uint32_t failures;
-  uint32_t failed_run;
+  uint32_t *failed_runs;
   char *checkpoint;
 };
 
@@ -272,8 +289,7 @@
 {
   ba_io_u32 (io, &task->index);
   ba_io_bool (io, &task->done);
-  ba_io_u32 (io, &task->failures);
-  ba_io_u32 (io, &task->failed_run);
+  ba_io_array (io, task->failed_runs, task->failures, MAX_FAILURES, ba_io_u32);
   ba_io_str (io, &task->checkpoint);
 }
 
@@ -308,7 +324,7 @@
       if (task->done || task->failures > 0 || task->checkpoint != NULL)
         saved->tasks[saved->count++]
             = (struct saved_task){ i, task->done, task->failures,
-                                   task->failed_run,
+                                   task->failed_runs,
                                    task->done ? NULL : task->checkpoint };
     }
 }
@@ -348,8 +364,8 @@
       if (from->index >= group->count)
         continue;
       task = &group->tasks[from->index];
-      task->failures = from->failures;
-      task->failed_run = from->failed_run;
+      for (uint32_t j = 0; j < from->failures; j++)
+        jb_task_fail (task, from->failed_runs[j]);
       task->begun = true;
       job->begun = true;
       if (from->checkpoint != NULL)
