Upper limits of organisations over all pools

Change: the planner divides each limit among the pools as their holders report use and need; the sum of what pools may believe in never exceeds it. A new planner divides nothing before every pool has spoken, a new holder starts with what it finds running. Ruled out: a fixed division (demand moves from pool to pool, a quarter each would leave most of a limit unused in a turn).

--- a/packages/jobs/include/jb_msg.h
+++ b/packages/jobs/include/jb_msg.h
@@ -10,7 +10,9 @@
    JB_MSG_CATALOG  the configuration, to a host that has an older one
    JB_MSG_CLEAR    the planner asks a pool's holder to empty a host
    JB_MSG_CLEARED  how far that is
-   JB_MSG_LOAD     what a pool's holder tells the planner of its load  */
+   JB_MSG_LOAD     what a pool's holder tells the planner of its load
+   JB_MSG_USAGE    what organisations with a limit use of a pool
+   JB_MSG_SHARES   what they may use of it, from the planner  */
 
 #include "jb_catalog.h"
 #include "jb_desc.h"
@@ -25,6 +27,8 @@
   JB_MSG_CLEAR,
   JB_MSG_CLEARED,
   JB_MSG_LOAD,
+  JB_MSG_USAGE,
+  JB_MSG_SHARES,
   JB_MSG_TYPES
 };
 
@@ -116,6 +120,38 @@
   char **idle; /* instances without any task */
 };
 
+struct jb_msg_use
+{
+  char *org;
+  struct jb_amount used;   /* running, or possibly */
+  struct jb_amount wanted; /* more, now */
+  struct jb_amount limit;  /* the share that is kept to */
+};
+
+struct jb_msg_usage
+{
+  char *pool;
+  uint64_t fence;  /* of the holder */
+  uint64_t serial; /* of the newest shares taken in; 0: none */
+  uint32_t count;
+  struct jb_msg_use *uses;
+};
+
+struct jb_msg_share
+{
+  char *org;
+  struct jb_amount limit;
+};
+
+struct jb_msg_shares
+{
+  char *pool;
+  uint64_t fence;  /* of the pool's holder that these are for */
+  uint64_t serial; /* rises */
+  uint32_t count;
+  struct jb_msg_share *shares;
+};
+
 struct jb_msg
 {
   uint32_t type; /* enum jb_msg_type */
@@ -128,6 +164,8 @@
     struct jb_msg_clear clear;
     struct jb_msg_cleared cleared;
     struct jb_msg_load load;
+    struct jb_msg_usage usage;
+    struct jb_msg_shares shares;
   } u;
 };
 
--- a/packages/jobs/include/jb_pool.h
+++ b/packages/jobs/include/jb_pool.h
@@ -79,6 +79,15 @@
 /* Note the time of day: that of the clock's origin, in microseconds.  */
 void jb_pool_wall (struct jb_pool *pool, jb_time origin);
 
+/* Fill USAGE, its arrays owned by MEM, and return true when it is time to tell
+   the planner.  */
+bool jb_pool_usage (struct jb_pool *pool, TALLOC_CTX *mem, jb_time now,
+                    struct jb_msg_usage *usage);
+
+/* Take in shares of organisations' limits.  */
+void jb_pool_shares (struct jb_pool *pool, jb_time now,
+                     const struct jb_msg_shares *shares);
+
 /* Do what is due, and return when to be called next.  */
 jb_time jb_pool_run (struct jb_pool *pool, jb_time now);
 
--- a/packages/jobs/include/jb_work.h
+++ b/packages/jobs/include/jb_work.h
@@ -29,7 +29,7 @@
   uint32_t failures;
   uint32_t *failed_runs; /* their numbers: ends may be listed twice, and those
                             of several backend servers in any order */
-  uint32_t run;        /* highest run number given out */
+  uint32_t run;          /* highest run number given out */
   enum jb_run_state state;
   struct jb_backend *backend; /* of the present run */
   const struct jb_backend
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -501,6 +501,62 @@
     send_message (host, from, &message);
 }
 
+static void
+give_shares (void *data, jb_time now, const struct jb_msg_shares *shares)
+{
+  struct jb_host *host = data;
+  struct held_pool *held = find_pool (host, shares->pool);
+  const struct jb_member *member;
+  struct jb_msg message = { .type = JB_MSG_SHARES, .u.shares = *shares };
+
+  if (held != NULL && is_held (held))
+    {
+      jb_pool_shares (held->pool, now, shares);
+      return;
+    }
+  member = holder_of (host, now, shares->pool);
+  if (member != NULL)
+    send_message (host, member->incarnation, &message);
+}
+
+static void
+take_shares (struct jb_host *host, jb_time now,
+             const struct jb_msg_shares *shares)
+{
+  struct held_pool *held = find_pool (host, shares->pool);
+
+  if (held != NULL && is_held (held))
+    jb_pool_shares (held->pool, now, shares);
+}
+
+/* Tell the planner what organisations use of the pools held here.  */
+static void
+tell_usage (struct jb_host *host, jb_time now)
+{
+  const struct jb_member *planner
+      = jb_members_holder (host->members, now, JB_PLANNER_PART);
+  bool here = host->planner != NULL && jb_planner_held (host->planner);
+
+  for (guint i = 0; i < host->pools->len; i++)
+    {
+      struct held_pool *held = g_ptr_array_index (host->pools, i);
+      struct jb_msg message = { .type = JB_MSG_USAGE };
+      TALLOC_CTX *scratch;
+
+      if (!is_held (held) || (!here && planner == NULL))
+        continue;
+      scratch = talloc_new (NULL);
+      if (jb_pool_usage (held->pool, scratch, now, &message.u.usage))
+        {
+          if (here)
+            jb_planner_usage (host->planner, now, &message.u.usage);
+          else
+            send_message (host, planner->incarnation, &message);
+        }
+      talloc_free (scratch);
+    }
+}
+
 static void
 planner_changed (void *data)
 {
@@ -519,6 +575,7 @@
           .holder = host->options.name,
           .incarnation = host->options.incarnation,
           .clear = ask_clear,
+          .shares = give_shares,
           .changed = planner_changed,
           .data = host };
 
@@ -759,6 +816,13 @@
       if (host->planner != NULL)
         jb_planner_load (host->planner, now, &message->u.load);
       break;
+    case JB_MSG_USAGE:
+      if (host->planner != NULL)
+        jb_planner_usage (host->planner, now, &message->u.usage);
+      break;
+    case JB_MSG_SHARES:
+      take_shares (host, now, &message->u.shares);
+      break;
     case JB_MSG_TYPES:
       break;
     }
@@ -793,6 +857,7 @@
         next = MIN (next, jb_pool_run (held->pool, now));
     }
   tell_loads (host, now);
+  tell_usage (host, now);
   if (host->planner != NULL)
     next = MIN (next, jb_planner_run (host->planner, now));
   next = MIN (next, jb_entry_run (host->entry, now));
--- a/packages/jobs/src/jb_msg.c
+++ b/packages/jobs/src/jb_msg.c
@@ -4,7 +4,8 @@
 {
   MAX_DUTIES = 1000,
   MAX_MEMBERS = 10000,
-  MAX_IDLE = 100000
+  MAX_IDLE = 100000,
+  MAX_ORGS = 10000
 };
 
 static void
@@ -90,6 +91,40 @@
   ba_io_array (io, load->idle, load->idle_count, MAX_IDLE, ba_io_name);
 }
 
+static void
+use_code (struct ba_io *io, struct jb_msg_use *use)
+{
+  ba_io_name (io, &use->org);
+  jb_amount_code (io, &use->used);
+  jb_amount_code (io, &use->wanted);
+  jb_amount_code (io, &use->limit);
+}
+
+static void
+usage_code (struct ba_io *io, struct jb_msg_usage *usage)
+{
+  ba_io_name (io, &usage->pool);
+  ba_io_u64 (io, &usage->fence);
+  ba_io_u64 (io, &usage->serial);
+  ba_io_array (io, usage->uses, usage->count, MAX_ORGS, use_code);
+}
+
+static void
+share_code (struct ba_io *io, struct jb_msg_share *share)
+{
+  ba_io_name (io, &share->org);
+  jb_amount_code (io, &share->limit);
+}
+
+static void
+shares_code (struct ba_io *io, struct jb_msg_shares *shares)
+{
+  ba_io_name (io, &shares->pool);
+  ba_io_u64 (io, &shares->fence);
+  ba_io_u64 (io, &shares->serial);
+  ba_io_array (io, shares->shares, shares->count, MAX_ORGS, share_code);
+}
+
 void
 jb_msg_code (struct ba_io *io, struct jb_msg *message)
 {
@@ -117,6 +152,12 @@
     case JB_MSG_LOAD:
       load_code (io, &message->u.load);
       break;
+    case JB_MSG_USAGE:
+      usage_code (io, &message->u.usage);
+      break;
+    case JB_MSG_SHARES:
+      shares_code (io, &message->u.shares);
+      break;
     case JB_MSG_TYPES:
       break;
     }
--- a/packages/jobs/src/jb_planner.c
+++ b/packages/jobs/src/jb_planner.c
@@ -62,6 +62,10 @@
   g_hash_table_destroy (planner->saved);
   g_hash_table_destroy (planner->hosts);
   g_hash_table_destroy (planner->loads);
+  g_hash_table_iter_init (&iter, planner->usages);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_hash_table_destroy (((struct pool_usage *)value)->orgs);
+  g_hash_table_destroy (planner->usages);
   return 0;
 }
 
@@ -82,6 +86,7 @@
   planner->duty = jb_duty_new (planner, &duty);
   planner->hosts = g_hash_table_new (g_str_hash, g_str_equal);
   planner->loads = g_hash_table_new (g_str_hash, g_str_equal);
+  planner->usages = g_hash_table_new (g_str_hash, g_str_equal);
   planner->saved = g_hash_table_new (g_int64_hash, g_int64_equal);
   planner->waves = g_ptr_array_new ();
   talloc_set_destructor (planner, planner_destroy);
@@ -530,6 +535,7 @@
   if (now >= planner->confirmed + STANDING)
     jb_duty_verify (planner->duty, now);
   list_hosts (planner, now);
+  jb_planner_run_caps (planner, now);
   jb_planner_run_waves (planner, now);
   g_hash_table_iter_init (&iter, planner->hosts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
--- /dev/null
+++ b/packages/jobs/src/jb_planner_caps.c
@@ -0,0 +1,232 @@
+/* Upper limits of organisations over all pools: the planner divides them, and
+   the holders of pools keep to their shares.  A planner that is new divides
+   nothing before every pool has said what it uses.  */
+
+#include "jb_planner_internal.h"
+
+#include "jb_caps.h"
+
+#include <string.h>
+
+/* A share that changes by less than one part in so many of the limit is not
+   worth a message, unless tasks wait.  */
+#define CHANGE_PART 100
+
+/* Shares that were sent are sent again until they are acknowledged.  */
+#define REPEAT_PERIOD (150 * JB_MS)
+
+static struct pool_usage *
+get_usage (struct jb_planner *planner, const char *name)
+{
+  struct pool_usage *usage = g_hash_table_lookup (planner->usages, name);
+
+  if (usage == NULL)
+    {
+      usage = talloc_zero (planner, struct pool_usage);
+      usage->name = talloc_strdup (usage, name);
+      usage->orgs = g_hash_table_new (g_str_hash, g_str_equal);
+      g_hash_table_insert (planner->usages, usage->name, usage);
+    }
+  return usage;
+}
+
+static struct org_usage *
+get_org (struct pool_usage *usage, const char *org)
+{
+  struct org_usage *entry = g_hash_table_lookup (usage->orgs, org);
+
+  if (entry == NULL)
+    {
+      entry = talloc_zero (usage, struct org_usage);
+      entry->org = talloc_strdup (entry, org);
+      g_hash_table_insert (usage->orgs, entry->org, entry);
+    }
+  return entry;
+}
+
+static void
+raise_to (struct jb_amount *amount, const struct jb_amount *other)
+{
+  amount->cpu = MAX (amount->cpu, other->cpu);
+  amount->memory = MAX (amount->memory, other->memory);
+  amount->accelerators = MAX (amount->accelerators, other->accelerators);
+}
+
+/* Return whether every pool has said what it uses.  */
+static bool
+all_known (const struct jb_planner *planner)
+{
+  const struct jb_catalog *catalog = *planner->options.catalog;
+
+  for (uint32_t i = 0; i < catalog->pool_count; i++)
+    {
+      const struct pool_usage *usage
+          = g_hash_table_lookup (planner->usages, catalog->pools[i].name);
+
+      if (usage == NULL || usage->fence == 0)
+        return false;
+    }
+  return true;
+}
+
+static bool
+differs (int64_t a, int64_t b, int64_t cap)
+{
+  return a != b && (a > b ? a - b : b - a) * CHANGE_PART >= cap;
+}
+
+/* Return whether SHARE is worth telling a pool that has or was sent OLD.  */
+static bool
+is_worth_telling (const struct jb_caps_pool *pool,
+                  const struct org_usage *entry, const struct jb_amount *cap)
+{
+  const struct jb_amount *old = &entry->sent;
+  bool wants = pool->wanted.cpu > 0 || pool->wanted.memory > 0;
+
+  if (memcmp (&pool->share, old, sizeof *old) == 0)
+    return false;
+  return wants || !jb_amount_fits (old, &pool->share)
+         || differs (pool->share.cpu, old->cpu, MAX (cap->cpu, 1))
+         || differs (pool->share.memory, old->memory, MAX (cap->memory, 1));
+}
+
+/* Divide the limit of ORG.  */
+static void
+divide (struct jb_planner *planner, const struct jb_org *org)
+{
+  guint count = g_hash_table_size (planner->usages);
+  struct jb_caps_pool *pools = g_new0 (struct jb_caps_pool, count + 1);
+  struct pool_usage **usages = g_new0 (struct pool_usage *, count + 1);
+  GHashTableIter iter;
+  gpointer value;
+  guint n = 0;
+
+  g_hash_table_iter_init (&iter, planner->usages);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct org_usage *entry = get_org (value, org->name);
+
+      usages[n] = value;
+      pools[n].used = entry->used;
+      pools[n].wanted = entry->wanted;
+      pools[n].limit = entry->limit;
+      pools[n].highest = entry->highest;
+      n++;
+    }
+  jb_caps_divide (&org->cap, pools, n);
+  for (guint i = 0; i < n; i++)
+    {
+      struct org_usage *entry = get_org (usages[i], org->name);
+
+      if (!is_worth_telling (&pools[i], entry, &org->cap))
+        continue;
+      entry->sent = pools[i].share;
+      raise_to (&entry->highest, &entry->sent);
+      usages[i]->changed = true;
+    }
+  g_free (pools);
+  g_free (usages);
+}
+
+static void
+send_shares (struct jb_planner *planner, jb_time now, struct pool_usage *usage)
+{
+  TALLOC_CTX *scratch = talloc_new (NULL);
+  struct jb_msg_shares shares = { .pool = usage->name, .fence = usage->fence };
+  GHashTableIter iter;
+  gpointer value;
+
+  if (usage->changed)
+    usage->serial = ++planner->last_serial;
+  usage->changed = false;
+  usage->sent_at = now;
+  shares.serial = usage->serial;
+  shares.shares = talloc_zero_array (scratch, struct jb_msg_share,
+                                     g_hash_table_size (usage->orgs) + 1);
+  g_hash_table_iter_init (&iter, usage->orgs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct org_usage *entry = value;
+
+      shares.shares[shares.count++]
+          = (struct jb_msg_share){ entry->org, entry->sent };
+    }
+  planner->options.shares (planner->options.data, now, &shares);
+  talloc_free (scratch);
+}
+
+void
+jb_planner_run_caps (struct jb_planner *planner, jb_time now)
+{
+  const struct jb_catalog *catalog = *planner->options.catalog;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (catalog == NULL || !all_known (planner))
+    return;
+  for (uint32_t i = 0; planner->usage_new && i < catalog->org_count; i++)
+    {
+      const struct jb_amount *cap = &catalog->orgs[i].cap;
+
+      if (cap->cpu > 0 || cap->memory > 0 || cap->accelerators > 0)
+        divide (planner, &catalog->orgs[i]);
+    }
+  planner->usage_new = false;
+  g_hash_table_iter_init (&iter, planner->usages);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct pool_usage *usage = value;
+
+      if (usage->changed
+          || (usage->serial > usage->acked
+              && now - usage->sent_at > REPEAT_PERIOD))
+        send_shares (planner, now, usage);
+    }
+}
+
+void
+jb_planner_usage (struct jb_planner *planner, jb_time now,
+                  const struct jb_msg_usage *message)
+{
+  struct pool_usage *usage = get_usage (planner, message->pool);
+  bool settled;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (message->fence < usage->fence)
+    return;
+  if (message->fence > usage->fence)
+    {
+      /* Another holder: it has no shares yet, and what it sees running is all
+         that the former one can have left.  */
+      usage->fence = message->fence;
+      usage->serial = 0;
+      usage->acked = 0;
+      g_hash_table_iter_init (&iter, usage->orgs);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        {
+          struct org_usage *entry = value;
+
+          entry->sent = (struct jb_amount){ 0 };
+          entry->highest = (struct jb_amount){ 0 };
+        }
+    }
+  usage->acked = message->serial;
+  settled = usage->acked == usage->serial && !usage->changed;
+  for (uint32_t i = 0; i < message->count; i++)
+    {
+      const struct jb_msg_use *use = &message->uses[i];
+      struct org_usage *entry = get_org (usage, use->org);
+
+      entry->used = use->used;
+      entry->wanted = use->wanted;
+      entry->limit = use->limit;
+      /* Without shares under way it keeps to the one that it names.  */
+      if (settled)
+        entry->highest = use->limit;
+      raise_to (&entry->highest, &use->used);
+      raise_to (&entry->highest, &use->limit);
+    }
+  planner->usage_new = true;
+  (void)now;
+}
--- a/packages/jobs/src/jb_planner_internal.h
+++ b/packages/jobs/src/jb_planner_internal.h
@@ -64,6 +64,28 @@
   struct jb_msg_load load;
 };
 
+/* What an organisation uses of a pool.  */
+struct org_usage
+{
+  char *org;
+  struct jb_amount used;
+  struct jb_amount wanted;
+  struct jb_amount limit;   /* as the holder last said */
+  struct jb_amount sent;    /* share that it was sent */
+  struct jb_amount highest; /* share that it may have by now */
+};
+
+struct pool_usage
+{
+  char *name;
+  uint64_t fence;  /* of the holder; 0: it has said nothing */
+  uint64_t serial; /* of the newest shares sent */
+  uint64_t acked;
+  bool changed; /* shares are to be sent */
+  jb_time sent_at;
+  GHashTable *orgs; /* name -> struct org_usage */
+};
+
 struct jb_planner
 {
   struct jb_planner_options options;
@@ -74,14 +96,15 @@
   jb_time confirmed;
   GHashTable *hosts; /* name -> struct host */
   GPtrArray *waves;
-  GHashTable *loads; /* pool -> struct pool_load */
-  GHashTable *saved; /* wave number -> GPtrArray of names, of the rows */
+  GHashTable *loads;  /* pool -> struct pool_load */
+  GHashTable *saved;  /* wave number -> GPtrArray of names, of the rows */
+  GHashTable *usages; /* pool -> struct pool_usage */
+  bool usage_new;
+  uint64_t last_serial;
   bool listing;
-  GPtrArray *listed; /* pages so far: struct host of the present listing */
   char *next_page;
   jb_time next_list;
   jb_time list_sent; /* of the newest list taken in */
-  bool list_wanted;
 };
 
 /* jb_planner.c */
@@ -90,6 +113,9 @@
                        struct host *host, enum host_aim aim);
 void jb_planner_drop (struct host *host, jb_time now, jb_time pause);
 
+/* jb_planner_caps.c */
+void jb_planner_run_caps (struct jb_planner *planner, jb_time now);
+
 /* jb_planner_wave.c */
 void jb_planner_load_row (struct jb_planner *planner,
                           const struct jb_row *row);
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -65,6 +65,7 @@
   g_hash_table_destroy (pool->backends);
   g_hash_table_destroy (pool->jobs);
   g_hash_table_destroy (pool->queues);
+  g_hash_table_destroy (pool->uses);
   g_ptr_array_free (pool->active, TRUE);
   g_ptr_array_free (pool->dirty, TRUE);
   g_ptr_array_free (pool->early, TRUE);
@@ -90,6 +91,7 @@
   pool->backends = g_hash_table_new (g_str_hash, g_str_equal);
   pool->jobs = g_hash_table_new (g_str_hash, g_str_equal);
   pool->queues = g_hash_table_new (g_str_hash, g_str_equal);
+  pool->uses = g_hash_table_new (g_str_hash, g_str_equal);
   pool->active = g_ptr_array_new ();
   pool->dirty = g_ptr_array_new ();
   pool->early = g_ptr_array_new ();
@@ -883,6 +885,8 @@
   if (pool->schedule_due)
     due = MIN (due, pool->next_schedule);
   due = MIN (due, pool->next_sweep);
+  if (pool->stage >= JB_STAGE_SCANNING)
+    due = MIN (due, jb_pool_usage_due (pool));
   due = MIN (due, jb_pool_flush_due (pool));
   return MIN (due, jb_pool_look_due (pool));
 }
--- /dev/null
+++ b/packages/jobs/src/jb_pool_caps.c
@@ -0,0 +1,159 @@
+/* What organisations with an upper limit use of this pool, and the share of
+   the limit that the planner gave it.  */
+
+#include "jb_pool_internal.h"
+
+/* What changed is told to the planner at once when a task waits for it, and
+   otherwise within.  */
+#define TELL_BLOCKED (10 * JB_MS)
+#define TELL_PERIOD (100 * JB_MS)
+#define TELL_CALM (500 * JB_MS)
+
+bool
+jb_pool_is_limited (const struct jb_pool *pool, const char *org)
+{
+  const struct jb_catalog *catalog = *pool->options.catalog;
+  const struct jb_org *settings;
+
+  if (org == NULL || catalog == NULL)
+    return false;
+  settings = jb_catalog_org (catalog, org);
+  return settings != NULL
+         && (settings->cap.cpu > 0 || settings->cap.memory > 0
+             || settings->cap.accelerators > 0);
+}
+
+struct jb_pool_use *
+jb_pool_use (struct jb_pool *pool, const char *org)
+{
+  struct jb_pool_use *use = g_hash_table_lookup (pool->uses, org);
+
+  if (use == NULL)
+    {
+      use = talloc_zero (pool, struct jb_pool_use);
+      use->org = talloc_strdup (use, org);
+      g_hash_table_insert (pool->uses, use->org, use);
+    }
+  return use;
+}
+
+bool
+jb_pool_may_use (struct jb_pool *pool, const struct jb_job *job,
+                 const struct jb_amount *amount)
+{
+  struct jb_pool_use *use;
+  struct jb_amount sum;
+
+  if (!jb_pool_is_limited (pool, job->desc->org))
+    return true;
+  use = jb_pool_use (pool, job->desc->org);
+  sum = use->used;
+  jb_amount_add (&sum, amount);
+  if (jb_amount_fits (&sum, &use->limit))
+    return true;
+  pool->cap_blocked = true;
+  return false;
+}
+
+/* Add what the tasks of JOB use or want.  */
+static void
+add_job (struct jb_pool *pool, const struct jb_job *job,
+         struct jb_pool_use *use)
+{
+  for (guint i = 0; i < job->groups->len; i++)
+    {
+      const struct jb_group *group = g_ptr_array_index (job->groups, i);
+      struct jb_amount amount = jb_group_step (group)->amount;
+
+      for (uint32_t j = 0; j < group->count; j++)
+        {
+          const struct jb_task *task = &group->tasks[j];
+
+          if (task->state != JB_RUN_NONE)
+            jb_amount_add (&use->used, &amount);
+          else if (!task->done && job->ended == 0 && job->loaded)
+            jb_amount_add (&use->used, &amount); /* it may run unseen */
+          else if (!task->done && job->ended == 0 && group->open)
+            jb_amount_add (&use->wanted, &amount);
+        }
+    }
+  (void)pool;
+}
+
+void
+jb_pool_count_uses (struct jb_pool *pool)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, pool->uses);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct jb_pool_use *use = value;
+
+      use->used = (struct jb_amount){ 0 };
+      use->wanted = (struct jb_amount){ 0 };
+    }
+  for (guint i = 0; i < pool->active->len; i++)
+    {
+      const struct jb_job *job = g_ptr_array_index (pool->active, i);
+
+      if (job->desc->org != NULL)
+        add_job (pool, job, jb_pool_use (pool, job->desc->org));
+    }
+}
+
+void
+jb_pool_shares (struct jb_pool *pool, jb_time now,
+                const struct jb_msg_shares *shares)
+{
+  if (shares->fence != jb_pool_fence (pool)
+      || shares->serial <= pool->shares_serial)
+    return;
+  pool->shares_serial = shares->serial;
+  for (uint32_t i = 0; i < shares->count; i++)
+    jb_pool_use (pool, shares->shares[i].org)->limit = shares->shares[i].limit;
+  pool->schedule_due = true;
+  pool->next_usage = MIN (pool->next_usage, now);
+}
+
+jb_time
+jb_pool_usage_due (const struct jb_pool *pool)
+{
+  if (pool->cap_blocked)
+    return MIN (pool->next_usage, pool->usage_told + TELL_BLOCKED);
+  return pool->next_usage;
+}
+
+bool
+jb_pool_usage (struct jb_pool *pool, TALLOC_CTX *mem, jb_time now,
+               struct jb_msg_usage *usage)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (pool->stage < JB_STAGE_SCANNING)
+    return false;
+  if (now < jb_pool_usage_due (pool))
+    return false;
+  pool->usage_told = now;
+  pool->cap_blocked = false;
+  jb_pool_count_uses (pool);
+  *usage = (struct jb_msg_usage){ .pool = (char *)pool->options.name,
+                                  .fence = jb_pool_fence (pool),
+                                  .serial = pool->shares_serial };
+  usage->uses = talloc_zero_array (mem, struct jb_msg_use,
+                                   g_hash_table_size (pool->uses) + 1);
+  g_hash_table_iter_init (&iter, pool->uses);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct jb_pool_use *use = value;
+
+      if (jb_pool_is_limited (pool, use->org))
+        usage->uses[usage->count++]
+            = (struct jb_msg_use){ use->org, use->used, use->wanted,
+                                   use->limit };
+    }
+  pool->next_usage = now + (usage->count > 0 ? TELL_PERIOD : TELL_CALM);
+  return true;
+}
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -57,6 +57,15 @@
   double stretch;    /* how long tasks really take, against their estimate */
 };
 
+/* What an organisation uses of this pool.  */
+struct jb_pool_use
+{
+  char *org;
+  struct jb_amount used;
+  struct jb_amount wanted;
+  struct jb_amount limit; /* its share of the organisation's limit */
+};
+
 struct jb_pool
 {
   struct jb_pool_options options;
@@ -84,6 +93,12 @@
   bool schedule_due;
   jb_time next_schedule;
   jb_time next_sweep;
+  /* limits of organisations */
+  GHashTable *uses; /* organisation -> struct jb_pool_use */
+  uint64_t shares_serial;
+  bool cap_blocked; /* a task waits for a larger share */
+  jb_time usage_told;
+  jb_time next_usage;
   /* load */
   int64_t arrived_work; /* since arrived_from */
   jb_time arrived_from;
@@ -137,6 +152,17 @@
 void jb_pool_run_over (struct jb_pool *pool, struct jb_task *task,
                        jb_time now);
 
+/* jb_pool_caps.c */
+bool jb_pool_is_limited (const struct jb_pool *pool, const char *org);
+struct jb_pool_use *jb_pool_use (struct jb_pool *pool, const char *org);
+/* Return whether a task of JOB with AMOUNT keeps its organisation's share.  */
+bool jb_pool_may_use (struct jb_pool *pool, const struct jb_job *job,
+                      const struct jb_amount *amount);
+/* Return when the planner is to be told next.  */
+jb_time jb_pool_usage_due (const struct jb_pool *pool);
+/* Count anew what the organisations use.  */
+void jb_pool_count_uses (struct jb_pool *pool);
+
 /* jb_pool.c */
 struct jb_queue_stats *jb_pool_queue (struct jb_pool *pool, const char *name);
 void jb_pool_add_job (struct jb_pool *pool, struct jb_job *job);
--- a/packages/jobs/src/jb_pool_start.c
+++ b/packages/jobs/src/jb_pool_start.c
@@ -341,8 +341,13 @@
 place_and_start (struct jb_pool *pool, struct jb_task *task,
                  struct jb_backend *backend, uint32_t run, jb_time now)
 {
+  struct jb_job *job = task->group->job;
+
   jb_task_place (task, backend, JB_RUN_STARTING);
   task->run = run;
+  if (job->desc->org != NULL)
+    jb_amount_add (&jb_pool_use (pool, job->desc->org)->used,
+                   &jb_task_step (task)->amount);
   order_start (pool, task, now);
 }
 
@@ -452,6 +457,7 @@
 static uint32_t
 start_group (struct jb_pool *pool, struct jb_group *group, jb_time now)
 {
+  struct jb_amount amount = jb_group_step (group)->amount;
   uint32_t started = 0;
 
   for (uint32_t i = 0; i < group->count; i++)
@@ -461,6 +467,8 @@
 
       if (!is_startable (task))
         continue;
+      if (!jb_pool_may_use (pool, group->job, &amount))
+        break;
       backend = jb_place (task, pool->usable, pool->usable_count,
                           task->last_backend);
       if (backend == NULL)
@@ -475,11 +483,17 @@
 static uint32_t
 start_gang (struct jb_pool *pool, struct jb_group *group, jb_time now)
 {
+  struct jb_amount amount = jb_group_step (group)->amount;
   uint32_t run = 0;
   uint32_t placed = 0;
 
-  if (group->runs > 0)
-    return 0; /* the former run has to end first */
+  amount.cpu *= group->count;
+  amount.memory *= group->count;
+  amount.accelerators *= group->count;
+  if (group->runs > 0) /* the former run has to end first */
+    return 0;
+  if (!jb_pool_may_use (pool, group->job, &amount))
+    return 0;
   while (placed < group->count)
     {
       struct jb_task *task = &group->tasks[placed];
@@ -498,6 +512,8 @@
         jb_task_clear (&group->tasks[placed], now);
       return 0;
     }
+  if (group->job->desc->org != NULL)
+    jb_amount_add (&jb_pool_use (pool, group->job->desc->org)->used, &amount);
   for (uint32_t i = 0; i < group->count; i++)
     {
       group->tasks[i].run = run;
@@ -520,6 +536,7 @@
   collect_usable (pool, now);
   if (pool->usable_count == 0)
     return;
+  jb_pool_count_uses (pool);
   candidates = collect_candidates (pool, now);
   for (guint i = 0; i < candidates->len && started < MAX_STARTS_TURN; i++)
     {
