A roster of backend servers for successors; holders give up only while others are answered

The store was silent for all and entries lapsed. A holder whose peers still believed in the store gave its pool up; the successor saw an empty list, took the pool for idle and started everything again. Change: the backend servers in use are kept in a row before anything starts on them, and a successor looks at all of them; a list that leaves one out is believed after 2.5 s of such lists; hosts say when the store last answered them, and a pool is given up only to one that was answered lately. Ruled out: waiting 2 s after each claim (takeovers are the ordinary case).

--- a/packages/jobs/include/jb_backend.h
+++ b/packages/jobs/include/jb_backend.h
@@ -28,10 +28,12 @@
   struct jb_amount room;
   struct jb_amount used;
   bool draining;
-  jb_time drain_from; /* when it was first seen draining */
-  bool listed;        /* in the list, as far as that is believed */
-  jb_time listed_at;  /* when a list last had it */
-  int64_t born_ms;    /* Unix time of its start; 0: not said */
+  jb_time drain_from;    /* when it was first seen draining */
+  bool listed;           /* in the list, as far as that is believed */
+  jb_time listed_at;     /* when a list last had it */
+  jb_time missing_since; /* the first list without it; 0: the newest has it */
+  bool recorded;         /* a successor will know of it */
+  int64_t born_ms;       /* Unix time of its start; 0: not said */
   /* clock */
   int64_t clock_ms; /* what it said */
   jb_time clock_at; /* when that was received; 0: it has said nothing */
--- a/packages/jobs/include/jb_members.h
+++ b/packages/jobs/include/jb_members.h
@@ -15,6 +15,7 @@
   jb_time heard; /* last beat; 0: never */
   bool stopping;
   bool store_good;
+  jb_time store_heard; /* when the store last answered it; 0: never */
   uint64_t catalog_version;
   uint32_t duty_count;
   struct jb_msg_duty *duties;
@@ -38,6 +39,7 @@
 {
   bool stopping;
   bool store_good;
+  int64_t store_age_ms;
   uint64_t catalog_version;
   const struct jb_msg_duty *duties;
   uint32_t duty_count;
--- a/packages/jobs/include/jb_msg.h
+++ b/packages/jobs/include/jb_msg.h
@@ -51,7 +51,8 @@
   char *address;
   char *zone;
   bool stopping;
-  bool store_good; /* the store answered lately */
+  int64_t store_age_ms; /* since the store last answered; -1: it has not */
+  bool store_good;      /* it answers */
   uint64_t catalog_version;
   uint32_t duty_count;
   struct jb_msg_duty *duties;
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -22,7 +22,14 @@
 
 /* A holder whose writes have failed for so long gives up, if another host
    reaches the store.  */
-#define STORE_PATIENCE (900 * JB_MS)
+#define STORE_PATIENCE (500 * JB_MS)
+
+/* Something is asked of the store more often than this.  */
+#define STORE_SILENCE (2500 * JB_MS)
+
+/* Others have been answered while this host was not for so long: the store is
+   not just back.  */
+#define RETURN_PATIENCE (900 * JB_MS)
 
 /* A member that still has an older configuration so long after this host got
    a newer one is sent it.  */
@@ -62,7 +69,8 @@
   jb_time now;  /* of the event that is being taken in */
   jb_time wall; /* Unix time of the clock's origin */
   bool stopping;
-  bool beat_due; /* something changed that peers should know */
+  jb_time cut_since; /* others reach the store, this host does not; or 0 */
+  bool beat_due;     /* something changed that peers should know */
   /* what operators wrote */
   bool watching;
   uint64_t watched; /* version */
@@ -356,7 +364,8 @@
 {
   jb_time failing = jb_out_store_failing (host->out);
 
-  return failing == 0 || now - failing < STORE_PATIENCE / 2;
+  return (failing == 0 || now - failing < STORE_PATIENCE / 2)
+         && now - jb_out_store_heard (host->out) < STORE_SILENCE;
 }
 
 static void
@@ -398,24 +407,34 @@
   jb_pool_claim (held->pool, now);
 }
 
+/* The latest answer of the store to a member.  */
 static void
-any_good_store (void *data, const struct jb_member *member)
+latest_answer (void *data, const struct jb_member *member)
 {
-  bool *found = data;
+  jb_time *latest = data;
 
-  *found = *found || (member->store_good && !member->stopping);
+  if (member->store_good && !member->stopping)
+    *latest = MAX (*latest, member->store_heard);
 }
 
 /* Give up what this host can't do while another can.  */
 static void
 release_if_cut_off (struct jb_host *host, jb_time now)
 {
-  bool elsewhere = false;
+  jb_time latest = 0;
+  bool elsewhere;
   jb_time failing = jb_out_store_failing (host->out);
 
-  if (failing == 0 || now - failing < STORE_PATIENCE)
-    return;
-  jb_members_each (host->members, now, any_good_store, &elsewhere);
+  jb_members_each (host->members, now, latest_answer, &latest);
+  if (failing == 0 || latest < failing + STORE_PATIENCE)
+    {
+      host->cut_since = 0;
+      return;
+    }
+  /* When the store was away for all, others may hear of its return first.  */
+  if (host->cut_since == 0)
+    host->cut_since = now;
+  elsewhere = now - host->cut_since > RETURN_PATIENCE;
   for (guint i = 0; elsewhere && i < host->pools->len; i++)
     {
       struct held_pool *held = g_ptr_array_index (host->pools, i);
@@ -703,6 +722,8 @@
                                     jb_pool_fence (held->pool) };
     }
   self.duties = duties;
+  if (jb_out_store_heard (host->out) != 0)
+    self.store_age_ms = (now - jb_out_store_heard (host->out)) / JB_MS;
   if (host->beat_due)
     {
       host->beat_due = false;
--- a/packages/jobs/src/jb_members.c
+++ b/packages/jobs/src/jb_members.c
@@ -217,6 +217,8 @@
             member->name, NULL);
   member->heard = now;
   member->stopping = beat->stopping;
+  member->store_heard
+      = beat->store_age_ms >= 0 ? now - beat->store_age_ms * JB_MS : 0;
   member->store_good = beat->store_good;
   member->catalog_version = beat->catalog_version;
   TALLOC_FREE (member->duties);
@@ -248,6 +250,7 @@
   beat->address = (char *)members->options.address;
   beat->zone = (char *)members->options.zone;
   beat->stopping = self->stopping;
+  beat->store_age_ms = self->store_age_ms;
   beat->store_good = self->store_good;
   beat->catalog_version = self->catalog_version;
   beat->duties = (struct jb_msg_duty *)self->duties;
--- a/packages/jobs/src/jb_msg.c
+++ b/packages/jobs/src/jb_msg.c
@@ -29,6 +29,7 @@
   ba_io_name (io, &beat->address);
   ba_io_name (io, &beat->zone);
   ba_io_bool (io, &beat->stopping);
+  ba_io_i64 (io, &beat->store_age_ms);
   ba_io_bool (io, &beat->store_good);
   ba_io_u64 (io, &beat->catalog_version);
   ba_io_array (io, beat->duties, beat->duty_count, MAX_DUTIES, duty_code);
--- a/packages/jobs/src/jb_out.c
+++ b/packages/jobs/src/jb_out.c
@@ -28,6 +28,7 @@
   uint64_t last_number;
   GHashTable *pending;   /* number -> struct pending */
   jb_time store_failing; /* since then; 0: it is not */
+  jb_time store_heard;   /* when it last answered; 0: never */
   struct jb_metrics metrics;
 };
 
@@ -96,7 +97,10 @@
   if (!good && out->store_failing == 0)
     jb_log (out, JB_LEVEL_WARN, "store-lost", "result", jb_num (result), NULL);
   if (good)
-    out->store_failing = 0;
+    {
+      out->store_failing = 0;
+      out->store_heard = now;
+    }
   else if (out->store_failing == 0)
     out->store_failing = now;
 }
@@ -107,6 +111,12 @@
   return out->store_failing;
 }
 
+jb_time
+jb_out_store_heard (const struct jb_out *out)
+{
+  return out->store_heard;
+}
+
 void
 jb_out_reply (struct jb_out *out, jb_time now, uint64_t number,
               const struct jb_reply *reply)
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -14,8 +14,8 @@
 /* A backend server whose host was taken away is out of its list by then.  */
 #define TAKEN_PERIOD (20 * JB_SECOND)
 
-/* A list that leaves a backend server out is believed when the next does so,
-   too: entries lapse while the store is away and return a moment after.  */
+/* Lists that leave a backend server out are believed after so long: entries
+   lapse while the store is away and return a moment after.  */
 #define UNLISTED_PERIOD (2500 * JB_MS)
 
 /* Store writes have failed for so long: new jobs are refused.  */
@@ -599,6 +599,7 @@
       backend = jb_backend_new (pool, entry);
       backend->idle_since = now;
       g_hash_table_insert (pool->backends, backend->instance, backend);
+      pool->roster_dirty = true;
       jb_log (pool->options.out, JB_LEVEL_INFO, "backend-found", "backend",
               entry->instance, "pool", pool->options.name, "rack",
               backend->rack, NULL);
@@ -616,6 +617,7 @@
     }
   jb_backend_update (backend, entry, now);
   backend->listed_at = now;
+  backend->missing_since = 0;
 }
 
 /* A backend server that has left the list, runs nothing and owes nothing is
@@ -652,7 +654,11 @@
     {
       struct jb_backend *backend = value;
 
-      if (backend->listed && now - backend->listed_at > UNLISTED_PERIOD)
+      if (backend->listed_at == now || !backend->listed)
+        continue;
+      if (backend->missing_since == 0)
+        backend->missing_since = now;
+      if (now - backend->missing_since > UNLISTED_PERIOD)
         {
           backend->listed = false;
           jb_log (pool->options.out, JB_LEVEL_WARN, "backend-unlisted",
@@ -660,8 +666,10 @@
                   "runs", jb_num (backend->task_count), NULL);
         }
     }
-  if (pool->flush == NULL)
-    g_hash_table_foreach_remove (pool->backends, is_forgettable, &now);
+  if (pool->flush == NULL
+      && g_hash_table_foreach_remove (pool->backends, is_forgettable, &now)
+             > 0)
+    pool->roster_dirty = true;
   jb_pool_scan_check (pool, now);
 }
 
@@ -880,6 +888,7 @@
   due = jb_duty_run (pool->duty, now);
   sweep (pool, now);
   jb_pool_schedule (pool, now);
+  jb_pool_write_roster (pool, now);
   jb_pool_flush (pool, now);
   jb_pool_look_all (pool, now);
   if (pool->schedule_due)
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -79,6 +79,8 @@
   bool started;       /* a task, since the claim */
   /* backend servers by instance */
   GHashTable *backends;
+  bool roster_dirty; /* a successor does not know all of them yet */
+  bool roster_writing;
   jb_time listed_at;          /* sending time of the newest list taken in */
   struct jb_backend **usable; /* fit for work, made by schedule */
   uint32_t usable_count;
@@ -125,6 +127,12 @@
 void jb_pool_begin_loading (struct jb_pool *pool, jb_time now);
 void jb_pool_scan_check (struct jb_pool *pool, jb_time now);
 
+/* jb_pool_roster.c */
+void jb_pool_read_roster (struct jb_pool *pool, jb_time now, jb_done *done);
+bool jb_pool_load_roster (struct jb_pool *pool, jb_time now,
+                          const struct jb_reply *reply);
+void jb_pool_write_roster (struct jb_pool *pool, jb_time now);
+
 /* jb_pool_store.c */
 void jb_pool_mark (struct jb_pool *pool, struct jb_job *job, jb_time now);
 void jb_pool_flush (struct jb_pool *pool, jb_time now);
--- a/packages/jobs/src/jb_pool_load.c
+++ b/packages/jobs/src/jb_pool_load.c
@@ -152,6 +152,21 @@
   jb_out_submit (pool->options.out, pool->duty, now, &order, page_read, pool);
 }
 
+static void
+roster_read (void *data, jb_time now, jb_time sent,
+             const struct jb_reply *reply)
+{
+  struct jb_pool *pool = data;
+
+  (void)sent;
+  if (pool->stage != JB_STAGE_LOADING)
+    return;
+  if (reply->result == JB_OK && jb_pool_load_roster (pool, now, reply))
+    read_page (pool, now, NULL);
+  else
+    jb_pool_release (pool, now, "its rows can't be read");
+}
+
 void
 jb_pool_begin_loading (struct jb_pool *pool, jb_time now)
 {
@@ -163,7 +178,7 @@
       = now + JB_STANDING
         + JB_LEASE_MS * JB_MS * 100 / (100 - JB_SLOW_CLOCK_PERCENT)
         + JB_LEASE_MARGIN_MS * JB_MS;
-  read_page (pool, now, NULL);
+  jb_pool_read_roster (pool, now, roster_read);
 }
 
 void
--- /dev/null
+++ b/packages/jobs/src/jb_pool_roster.c
@@ -0,0 +1,181 @@
+/* The backend servers that a holder has used, kept in a row.  A successor
+   looks at all of them before it starts anything again: the platform's list
+   may leave out some that run on, when it was away or they don't reach it. */
+
+#include "jb_pool_internal.h"
+
+#define ROSTER_TABLE "roster"
+#define ROSTER_KEY "backends"
+#define STORE_TIMEOUT_MS 1500
+
+enum
+{
+  MAX_BACKENDS = 100000,
+  MAX_LABELS = 100
+};
+
+struct saved_backend
+{
+  char *instance;
+  char *address;
+  char *zone;
+  uint32_t label_count;
+  char **labels;
+  struct jb_amount room;
+  int64_t born_ms;
+};
+
+struct saved_roster
+{
+  uint32_t count;
+  struct saved_backend *backends;
+};
+
+static void
+saved_backend_code (struct ba_io *io, struct saved_backend *backend)
+{
+  ba_io_name (io, &backend->instance);
+  ba_io_name (io, &backend->address);
+  ba_io_name (io, &backend->zone);
+  ba_io_array (io, backend->labels, backend->label_count, MAX_LABELS,
+               ba_io_name);
+  jb_amount_code (io, &backend->room);
+  ba_io_i64 (io, &backend->born_ms);
+}
+
+static void
+saved_roster_code (struct ba_io *io, struct saved_roster *roster)
+{
+  ba_io_array (io, roster->backends, roster->count, MAX_BACKENDS,
+               saved_backend_code);
+}
+
+void
+jb_pool_read_roster (struct jb_pool *pool, jb_time now, jb_done *done)
+{
+  struct jb_order order = { .kind = JB_ORDER_READ,
+                            .timeout_ms = STORE_TIMEOUT_MS,
+                            .u.read = { ROSTER_TABLE, pool->part, NULL } };
+
+  jb_count (pool->options.out, JB_COUNT_READS);
+  jb_out_submit (pool->options.out, pool->duty, now, &order, done, pool);
+}
+
+static void
+load_backend (struct jb_pool *pool, jb_time now,
+              const struct saved_backend *saved)
+{
+  struct jb_backend_entry entry = { .instance = saved->instance,
+                                    .address = saved->address,
+                                    .zone = saved->zone,
+                                    .labels = (const char **)saved->labels,
+                                    .label_count = saved->label_count,
+                                    .room = saved->room,
+                                    .born_ms = saved->born_ms };
+  struct jb_backend *backend;
+
+  if (g_hash_table_lookup (pool->backends, saved->instance) != NULL)
+    return;
+  backend = jb_backend_new (pool, &entry);
+  backend->idle_since = now;
+  backend->listed = true;
+  backend->listed_at = now;
+  backend->recorded = true;
+  g_hash_table_insert (pool->backends, backend->instance, backend);
+}
+
+bool
+jb_pool_load_roster (struct jb_pool *pool, jb_time now,
+                     const struct jb_reply *reply)
+{
+  for (uint32_t i = 0; i < reply->row_count; i++)
+    {
+      struct saved_roster roster = { 0 };
+      TALLOC_CTX *scratch = talloc_new (NULL);
+      struct ba_io io;
+
+      ba_io_reader (&io, scratch, reply->rows[i].value);
+      saved_roster_code (&io, &roster);
+      if (!ba_io_ended (&io))
+        {
+          jb_log (pool->options.out, JB_LEVEL_ERROR, "row-unreadable", "table",
+                  ROSTER_TABLE, "pool", pool->options.name, NULL);
+          talloc_free (scratch);
+          return false;
+        }
+      for (uint32_t j = 0; j < roster.count; j++)
+        load_backend (pool, now, &roster.backends[j]);
+      talloc_free (scratch);
+    }
+  return true;
+}
+
+/* The instances that a transaction under way records.  */
+struct recording
+{
+  struct jb_pool *pool;
+  uint32_t count;
+  char **instances;
+};
+
+static void
+roster_written (void *data, jb_time now)
+{
+  struct recording *recording = data;
+  struct jb_pool *pool = recording->pool;
+
+  (void)now;
+  pool->roster_writing = false;
+  pool->schedule_due = true;
+  for (uint32_t i = 0; i < recording->count; i++)
+    {
+      struct jb_backend *backend
+          = g_hash_table_lookup (pool->backends, recording->instances[i]);
+
+      if (backend != NULL)
+        backend->recorded = true;
+    }
+  talloc_free (recording);
+}
+
+void
+jb_pool_write_roster (struct jb_pool *pool, jb_time now)
+{
+  guint count = g_hash_table_size (pool->backends);
+  struct jb_row row
+      = { .table = ROSTER_TABLE, .part = pool->part, .key = ROSTER_KEY };
+  struct recording *recording;
+  struct saved_roster roster = { 0 };
+  GHashTableIter iter;
+  gpointer value;
+
+  if (!pool->roster_dirty || pool->roster_writing
+      || pool->stage < JB_STAGE_SCANNING
+      || jb_duty_phase (pool->duty) != JB_DUTY_HELD)
+    return;
+  pool->roster_dirty = false;
+  pool->roster_writing = true;
+  recording = talloc_zero (pool->duty, struct recording);
+  recording->pool = pool;
+  recording->instances = talloc_array (recording, char *, count + 1);
+  roster.backends
+      = talloc_zero_array (recording, struct saved_backend, count + 1);
+  g_hash_table_iter_init (&iter, pool->backends);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct jb_backend *backend = value;
+
+      roster.backends[roster.count++]
+          = (struct saved_backend){ .instance = backend->instance,
+                                    .address = backend->address,
+                                    .zone = backend->zone,
+                                    .label_count = backend->label_count,
+                                    .labels = backend->labels,
+                                    .room = backend->room,
+                                    .born_ms = backend->born_ms };
+      recording->instances[recording->count++]
+          = talloc_strdup (recording, backend->instance);
+    }
+  row.value = ba_io_encode (recording, saved_roster_code, &roster);
+  jb_duty_write (pool->duty, now, &row, 1, NULL, 0, roster_written, recording);
+}
--- a/packages/jobs/src/jb_pool_start.c
+++ b/packages/jobs/src/jb_pool_start.c
@@ -35,10 +35,10 @@
                 jb_time now)
 {
   (void)pool;
-  return backend->reached && backend->listed && !backend->draining
-         && backend->silent == 0 && backend->clock_at != 0
-         && now >= backend->ill_until && now >= backend->suspect_until
-         && now >= backend->closed_until
+  return backend->reached && backend->listed && backend->recorded
+         && !backend->draining && backend->silent == 0
+         && backend->clock_at != 0 && now >= backend->ill_until
+         && now >= backend->suspect_until && now >= backend->closed_until
          && backend->starts_out < MAX_STARTS_OUT;
 }
 
