Hosts move to pools in need; turns are forecast; records of backend servers are exact

Change: jb_turns forecasts, jb_moves decides, the planner carries out; a backend server leaves the record when its leases have passed or its host was taken; claims are announced so that the second candidate waits; a planner's successor knows the pools' own hosts and their turns.

--- a/packages/jobs/include/jb_backend.h
+++ b/packages/jobs/include/jb_backend.h
@@ -33,7 +33,8 @@
   jb_time listed_at;     /* when a list last had it */
   jb_time missing_since; /* the first list without it; 0: the newest has it */
   bool recorded;         /* a successor will know of it */
-  int64_t born_ms;       /* Unix time of its start; 0: not said */
+  bool emptied;    /* nothing can run there: it is taken off the record */
+  int64_t born_ms; /* Unix time of its start; 0: not said */
   /* clock */
   int64_t clock_ms; /* what it said */
   jb_time clock_at; /* when that was received; 0: it has said nothing */
--- a/packages/jobs/include/jb_msg.h
+++ b/packages/jobs/include/jb_msg.h
@@ -11,6 +11,7 @@
    JB_MSG_CLEAR    the planner asks a pool's holder to empty a host
    JB_MSG_CLEARED  how far that is
    JB_MSG_LOAD     what a pool's holder tells the planner of its load
+   JB_MSG_COMING   a host is on its way to a pool
    JB_MSG_USAGE    what organisations with a limit use of a pool
    JB_MSG_SHARES   what they may use of it, from the planner  */
 
@@ -27,6 +28,7 @@
   JB_MSG_CLEAR,
   JB_MSG_CLEARED,
   JB_MSG_LOAD,
+  JB_MSG_COMING,
   JB_MSG_USAGE,
   JB_MSG_SHARES,
   JB_MSG_TYPES
@@ -35,7 +37,7 @@
 struct jb_msg_duty
 {
   char *part;
-  uint64_t fence;
+  uint64_t fence; /* 0: it is being claimed */
 };
 
 /* How long ago another member was heard.  */
@@ -112,15 +114,21 @@
 {
   char *pool;
   int64_t room;         /* of its sound backend servers */
+  int64_t host_cpu;     /* of one of them */
   int64_t running;      /* what finite tasks use */
   int64_t waiting;      /* what tasks wait for whose turn has come */
   int64_t steady;       /* what lasting tasks use */
   int64_t waiting_work; /* times milliseconds, of all accepted work */
-  int64_t arriving;     /* work handed in a second, lately */
+  int64_t arriving;     /* cores that the work handed in lately fills */
   uint32_t idle_count;
   char **idle; /* instances without any task */
 };
 
+struct jb_msg_coming
+{
+  char *pool;
+};
+
 struct jb_msg_use
 {
   char *org;
@@ -165,6 +173,7 @@
     struct jb_msg_clear clear;
     struct jb_msg_cleared cleared;
     struct jb_msg_load load;
+    struct jb_msg_coming coming;
     struct jb_msg_usage usage;
     struct jb_msg_shares shares;
   } u;
--- a/packages/jobs/include/jb_planner.h
+++ b/packages/jobs/include/jb_planner.h
@@ -23,6 +23,8 @@
   uint64_t incarnation;
   /* Ask the holder of CLEAR's pool.  */
   void (*clear) (void *data, jb_time now, const struct jb_msg_clear *clear);
+  /* Tell the holder of POOL that a host is on its way to it.  */
+  void (*coming) (void *data, jb_time now, const char *pool);
   /* Tell the holder of SHARES' pool.  */
   void (*shares) (void *data, jb_time now, const struct jb_msg_shares *shares);
   /* The claim succeeded or failed, or the duty was lost.  The planner must
@@ -56,6 +58,9 @@
 void jb_planner_usage (struct jb_planner *planner, jb_time now,
                        const struct jb_msg_usage *usage);
 
+/* Note the time of day: the Unix time of the clock's origin.  */
+void jb_planner_wall (struct jb_planner *planner, jb_time origin);
+
 /* Do what is due, and return when to be called next.  */
 jb_time jb_planner_run (struct jb_planner *planner, jb_time now);
 
--- a/packages/jobs/include/jb_rank.h
+++ b/packages/jobs/include/jb_rank.h
@@ -37,7 +37,8 @@
 {
   uint32_t priority;
   enum jb_rank_class class;
-  double worth; /* for the room it takes; higher goes first */
+  jb_time latest_start; /* to be on time */
+  double worth;         /* for the room it takes; higher goes first */
   jb_time received;
 };
 
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -16,6 +16,10 @@
 #define LIST_PERIOD (1000 * JB_MS)
 #define LIST_TIMEOUT_MS 800
 
+/* While a host is on its way to a pool.  */
+#define LIST_OFTEN (250 * JB_MS)
+#define COMING_PERIOD (3500 * JB_MS)
+
 /* Between two looks at who holds what.  */
 #define ELECT_PERIOD (50 * JB_MS)
 #define CLAIM_PAUSE (300 * JB_MS)
@@ -78,6 +82,7 @@
   /* backend servers */
   bool listing;
   jb_time next_list;
+  jb_time list_often_until;
   jb_time next_elect;
 };
 
@@ -352,7 +357,8 @@
   if (host->listing || now < host->next_list || duty_count (host) == 0)
     return;
   host->listing = true;
-  host->next_list = now + LIST_PERIOD;
+  host->next_list
+      = now + (now < host->list_often_until ? LIST_OFTEN : LIST_PERIOD);
   jb_count (host->out, JB_COUNT_READS);
   jb_out_submit (host->out, host, now, &order, backends_listed, host);
 }
@@ -405,6 +411,7 @@
   held->pool = jb_pool_new (host, &options);
   jb_pool_wall (held->pool, host->wall);
   jb_pool_claim (held->pool, now);
+  host->beat_due = true;
 }
 
 /* The latest answer of the store to a member.  */
@@ -520,6 +527,27 @@
     send_message (host, from, &message);
 }
 
+/* A host is on its way to a pool that is held here: look for it in time.  */
+static void
+take_coming (struct jb_host *host, jb_time now, const char *pool)
+{
+  if (holds (host, pool))
+    host->list_often_until = now + COMING_PERIOD;
+}
+
+static void
+tell_coming (void *data, jb_time now, const char *pool)
+{
+  struct jb_host *host = data;
+  const struct jb_member *member = holder_of (host, now, pool);
+  struct jb_msg message = { .type = JB_MSG_COMING };
+
+  take_coming (host, now, pool);
+  message.u.coming.pool = (char *)pool;
+  if (member != NULL)
+    send_message (host, member->incarnation, &message);
+}
+
 static void
 give_shares (void *data, jb_time now, const struct jb_msg_shares *shares)
 {
@@ -594,11 +622,13 @@
           .holder = host->options.name,
           .incarnation = host->options.incarnation,
           .clear = ask_clear,
+          .coming = tell_coming,
           .shares = give_shares,
           .changed = planner_changed,
           .data = host };
 
   host->planner = jb_planner_new (host, &options);
+  jb_planner_wall (host->planner, host->wall);
   for (guint i = 0; i < host->waves->len; i++)
     {
       struct seen_wave *wave = g_ptr_array_index (host->waves, i);
@@ -606,6 +636,7 @@
       jb_planner_wave (host->planner, wave->seen, &wave->entry);
     }
   jb_planner_claim (host->planner, now);
+  host->beat_due = true;
 }
 
 static void
@@ -708,18 +739,20 @@
   struct jb_msg_duty *duties
       = talloc_array (NULL, struct jb_msg_duty, host->pools->len + 1);
 
-  if (host->planner != NULL && jb_planner_held (host->planner))
-    duties[self.duty_count++]
-        = (struct jb_msg_duty){ JB_PLANNER_PART,
-                                jb_planner_fence (host->planner) };
+  if (host->planner != NULL && !jb_planner_over (host->planner))
+    duties[self.duty_count++] = (struct jb_msg_duty){
+      JB_PLANNER_PART,
+      jb_planner_held (host->planner) ? jb_planner_fence (host->planner) : 0
+    };
   for (guint i = 0; i < host->pools->len; i++)
     {
       struct held_pool *held = g_ptr_array_index (host->pools, i);
 
-      if (is_held (held))
+      if (held->pool != NULL && !jb_pool_over (held->pool))
         duties[self.duty_count++]
             = (struct jb_msg_duty){ (char *)jb_pool_part (held->pool),
-                                    jb_pool_fence (held->pool) };
+                                    is_held (held) ? jb_pool_fence (held->pool)
+                                                   : 0 };
     }
   self.duties = duties;
   if (jb_out_store_heard (host->out) != 0)
@@ -837,6 +870,9 @@
       if (host->planner != NULL)
         jb_planner_load (host->planner, now, &message->u.load);
       break;
+    case JB_MSG_COMING:
+      take_coming (host, now, message->u.coming.pool);
+      break;
     case JB_MSG_USAGE:
       if (host->planner != NULL)
         jb_planner_usage (host->planner, now, &message->u.usage);
--- a/packages/jobs/src/jb_members.c
+++ b/packages/jobs/src/jb_members.c
@@ -14,7 +14,7 @@
 #define HEARD_BY_OTHER_MS 700
 
 /* After the start, before a duty that nobody is known to hold is claimed.  */
-#define SETTLING (1200 * JB_MS)
+#define SETTLING (700 * JB_MS)
 
 /* The next best candidate waits so much longer.  */
 #define CANDIDATE_STEP (400 * JB_MS)
@@ -197,7 +197,7 @@
 {
   struct holding *holding = get_holding (members, duty->part);
 
-  if (duty->fence < holding->fence)
+  if (duty->fence == 0 || duty->fence < holding->fence)
     return;
   holding->holder = holder;
   holding->fence = duty->fence;
@@ -579,13 +579,31 @@
   return rank;
 }
 
+/* Return whether a live member is claiming PART.  */
+static bool
+is_being_claimed (const struct jb_members *members, jb_time now,
+                  const char *part)
+{
+  for (guint i = 0; i < members->all->len; i++)
+    {
+      const struct jb_member *member = g_ptr_array_index (members->all, i);
+
+      for (uint32_t j = 0; j < member->duty_count; j++)
+        if (member->duties[j].fence == 0 && jb_member_lives (member, now)
+            && strcmp (member->duties[j].part, part) == 0)
+          return true;
+    }
+  return false;
+}
+
 /* Return whether PART is held by nobody as far as this host can tell.  */
 static bool
 is_vacant (struct jb_members *members, jb_time now, struct holding *holding)
 {
   const struct jb_member *last;
 
-  if (jb_members_holder (members, now, holding->part) != NULL)
+  if (jb_members_holder (members, now, holding->part) != NULL
+      || is_being_claimed (members, now, holding->part))
     return false;
   last = jb_members_find (members, holding->holder);
   if (last != NULL && jb_member_lives (last, now))
--- /dev/null
+++ b/packages/jobs/src/jb_moves.c
@@ -0,0 +1,152 @@
+#include "jb_moves.h"
+
+#include <glib.h>
+
+/* A host that stood idle for so long is not needed where it is.  */
+#define IDLE_ENOUGH (1000 * JB_MS)
+
+/* A pool whose turn is expected within keeps its hosts.  */
+#define SOON (2500 * JB_MS)
+
+/* Hosts are sent so long before a turn is expected, and a turn that has not
+   come so long after is not waited for.  */
+#define AHEAD (2200 * JB_MS)
+#define OVERDUE (1500 * JB_MS)
+
+/* What arrives counts up to so many times the room: a single large job looks
+   like a turn for a moment.  */
+#define ARRIVING_LIMIT 2
+
+/* A pool grows to at most so many times its own hosts.  */
+#define GROWTH_LIMIT 3
+
+/* A donor keeps so many times what it uses.  */
+#define DONOR_MARGIN 2
+
+/* Return how many more hosts POOL needs: for what waits there, for what keeps
+   arriving, or for the turn that is about to start.  */
+static uint32_t
+missing_hosts (const struct jb_moves_pool *pool, jb_time now)
+{
+  int64_t room = pool->room + (int64_t)pool->coming * pool->host_cpu;
+  int64_t demand = pool->used + pool->waiting;
+  int64_t lack;
+
+  if (!pool->known || pool->standby || pool->host_cpu <= 0)
+    return 0;
+  demand = MAX (demand, MIN (pool->arriving, ARRIVING_LIMIT * pool->room));
+  if (pool->predictable && now > pool->expected - AHEAD
+      && now < pool->expected + OVERDUE)
+    demand = MAX (demand, pool->peak);
+  lack = demand + pool->steady - room;
+  lack = MIN (lack, GROWTH_LIMIT * pool->home * pool->host_cpu - room);
+  if (lack <= 0)
+    return 0;
+  return (uint32_t)((lack + pool->host_cpu / 2) / pool->host_cpu);
+}
+
+/* Return whether a host may leave POOL for one in need.  */
+static bool
+can_give (const struct jb_moves_pool *pool, jb_time now)
+{
+  bool resting = pool->predictable && now > pool->expected - SOON - OVERDUE
+                     ? now > pool->expected + OVERDUE
+                     : pool->predictable;
+
+  if (pool->standby)
+    return true;
+  return pool->known && pool->waiting == 0
+         && (pool->hosts > pool->home || (resting && pool->hosts > 1))
+         && pool->room - pool->host_cpu
+                >= DONOR_MARGIN * pool->used + pool->steady;
+}
+
+/* Return how well HOST of POOL suits as a loan; higher is better.  */
+static int
+donor_rank (const struct jb_moves_pool *pool)
+{
+  if (pool->standby)
+    return 3;
+  return pool->hosts > pool->home ? 2 : 1;
+}
+
+static uint32_t
+choose_donor (const struct jb_moves_pool *pools, uint32_t to,
+              const struct jb_moves_host *hosts, uint32_t host_count,
+              const bool *taken, jb_time now)
+{
+  uint32_t best = host_count;
+
+  for (uint32_t i = 0; i < host_count; i++)
+    {
+      const struct jb_moves_pool *pool = &pools[hosts[i].pool];
+
+      if (taken[i] || !hosts[i].free || !hosts[i].idle || hosts[i].pool == to
+          || !can_give (pool, now))
+        continue;
+      if (best == host_count
+          || donor_rank (pool) > donor_rank (&pools[hosts[best].pool]))
+        best = i;
+    }
+  return best;
+}
+
+static uint32_t
+find_standby (const struct jb_moves_pool *pools, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    if (pools[i].standby)
+      return i;
+  return count;
+}
+
+uint32_t
+jb_moves_decide (const struct jb_moves_pool *given, uint32_t pool_count,
+                 const struct jb_moves_host *hosts, uint32_t host_count,
+                 jb_time now, struct jb_move *moves, uint32_t limit)
+{
+  struct jb_moves_pool *pools = g_memdup2 (given, pool_count * sizeof *given);
+  bool *taken = g_new0 (bool, host_count + 1);
+  uint32_t standby = find_standby (pools, pool_count);
+  uint32_t count = 0;
+  bool need = false;
+
+  for (uint32_t to = 0; to < pool_count; to++)
+    {
+      uint32_t missing = missing_hosts (&pools[to], now);
+
+      need = need || missing > 0;
+      while (missing-- > 0 && count < limit)
+        {
+          uint32_t i = choose_donor (pools, to, hosts, host_count, taken, now);
+          struct jb_moves_pool *from;
+
+          if (i == host_count)
+            break;
+          from = &pools[hosts[i].pool];
+          from->room -= from->host_cpu;
+          from->hosts--;
+          pools[to].coming++;
+          taken[i] = true;
+          moves[count++] = (struct jb_move){ i, to };
+        }
+    }
+  /* Park what nobody needs.  */
+  for (uint32_t i = 0; !need && standby < pool_count && i < host_count; i++)
+    {
+      struct jb_moves_pool *from = &pools[hosts[i].pool];
+
+      if (count == limit)
+        break;
+      if (taken[i] || !hosts[i].free || !hosts[i].idle || from->standby
+          || now - hosts[i].idle_since < IDLE_ENOUGH
+          || from->hosts + from->coming <= from->home || !can_give (from, now))
+        continue;
+      from->room -= from->host_cpu;
+      from->hosts--;
+      moves[count++] = (struct jb_move){ i, standby };
+    }
+  g_free (taken);
+  g_free (pools);
+  return count;
+}
--- a/packages/jobs/src/jb_msg.c
+++ b/packages/jobs/src/jb_msg.c
@@ -84,6 +84,7 @@
 {
   ba_io_name (io, &load->pool);
   ba_io_i64 (io, &load->room);
+  ba_io_i64 (io, &load->host_cpu);
   ba_io_i64 (io, &load->running);
   ba_io_i64 (io, &load->waiting);
   ba_io_i64 (io, &load->steady);
@@ -153,6 +154,9 @@
     case JB_MSG_LOAD:
       load_code (io, &message->u.load);
       break;
+    case JB_MSG_COMING:
+      ba_io_name (io, &message->u.coming.pool);
+      break;
     case JB_MSG_USAGE:
       usage_code (io, &message->u.usage);
       break;
--- a/packages/jobs/src/jb_planner.c
+++ b/packages/jobs/src/jb_planner.c
@@ -6,7 +6,7 @@
 #define STANDING (1800 * JB_MS)
 
 /* Between two lists of hosts: while something is away, and otherwise.  */
-#define LIST_BUSY (400 * JB_MS)
+#define LIST_BUSY (250 * JB_MS)
 #define LIST_CALM (2000 * JB_MS)
 
 #define ASK_PERIOD (200 * JB_MS)
@@ -149,7 +149,10 @@
       return;
     }
   for (uint32_t i = 0; i < reply->row_count; i++)
-    jb_planner_load_row (planner, &reply->rows[i]);
+    if (strcmp (reply->rows[i].key, JB_PLANNER_HOMES) == 0)
+      jb_planner_load_homes (planner, &reply->rows[i]);
+    else
+      jb_planner_load_row (planner, &reply->rows[i]);
   planner->loaded = true;
   for (guint i = 0; i < planner->waves->len; i++)
     jb_planner_adopt (planner, g_ptr_array_index (planner->waves, i));
@@ -381,7 +384,14 @@
   host->step = STEP_AWAY;
   host->since = now;
   set_text (host, &host->old_instance, host->instance);
-  planner->next_list = MIN (planner->next_list, now + LIST_BUSY);
+  planner->next_list
+      = now
+        + (host->aim == AIM_MOVE ? planner->options.bounds->move_ms
+                                 : planner->options.bounds->maintenance_ms)
+              * JB_MS
+        + LIST_BUSY / 4;
+  planner->options.coming (planner->options.data, now,
+                           host->aim == AIM_MOVE ? host->target : host->pool);
   jb_count (planner->options.out,
             host->aim == AIM_MOVE ? JB_COUNT_MOVES : JB_COUNT_MAINTENANCE);
   jb_log (planner->options.out, JB_LEVEL_INFO, "host-taken", "fleet_host",
@@ -502,18 +512,32 @@
     }
 }
 
-void
-jb_planner_load (struct jb_planner *planner, jb_time now,
-                 const struct jb_msg_load *load)
+struct pool_load *
+jb_planner_pool (struct jb_planner *planner, const char *name)
 {
-  struct pool_load *entry = g_hash_table_lookup (planner->loads, load->pool);
+  struct pool_load *entry = g_hash_table_lookup (planner->loads, name);
 
   if (entry == NULL)
     {
       entry = talloc_zero (planner, struct pool_load);
-      entry->name = talloc_strdup (entry, load->pool);
+      entry->name = talloc_strdup (entry, name);
       g_hash_table_insert (planner->loads, entry->name, entry);
     }
+  return entry;
+}
+
+void
+jb_planner_wall (struct jb_planner *planner, jb_time origin)
+{
+  planner->wall = origin;
+}
+
+void
+jb_planner_load (struct jb_planner *planner, jb_time now,
+                 const struct jb_msg_load *load)
+{
+  struct pool_load *entry = jb_planner_pool (planner, load->pool);
+
   entry->at = now;
   talloc_free (entry->load.idle);
   entry->load = *load;
@@ -537,6 +561,7 @@
   list_hosts (planner, now);
   jb_planner_run_caps (planner, now);
   jb_planner_run_waves (planner, now);
+  jb_planner_run_moves (planner, now);
   g_hash_table_iter_init (&iter, planner->hosts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     run_host (planner, now, value);
--- a/packages/jobs/src/jb_planner_internal.h
+++ b/packages/jobs/src/jb_planner_internal.h
@@ -4,6 +4,7 @@
 /* State of the planner, shared by the files jb_planner*.c.  */
 
 #include "jb_planner.h"
+#include "jb_turns.h"
 
 /* What the planner wants with a host.  */
 enum host_aim
@@ -40,6 +41,7 @@
   jb_time empty_at;   /* when an answer that it is empty was asked for */
   jb_time retry_at;   /* not tried before */
   jb_time moved_at;   /* its last move was seen to end */
+  jb_time idle_since; /* 0: it is not idle */
 };
 
 struct wave
@@ -61,6 +63,9 @@
 {
   char *name;
   jb_time at;
+  struct jb_turn turn;
+  uint32_t home;    /* hosts that it had first */
+  int64_t host_cpu; /* of one of them */
   struct jb_msg_load load;
 };
 
@@ -100,6 +105,9 @@
   GHashTable *saved;  /* wave number -> GPtrArray of names, of the rows */
   GHashTable *usages; /* pool -> struct pool_usage */
   bool usage_new;
+  jb_time next_moves;
+  bool homes_dirty; /* what is kept of the pools has changed */
+  jb_time wall;     /* Unix time of the clock's origin */
   uint64_t last_serial;
   bool listing;
   char *next_page;
@@ -108,6 +116,8 @@
 };
 
 /* jb_planner.c */
+struct pool_load *jb_planner_pool (struct jb_planner *planner,
+                                   const char *name);
 bool jb_planner_may_order (const struct jb_planner *planner, jb_time now);
 void jb_planner_begin (struct jb_planner *planner, jb_time now,
                        struct host *host, enum host_aim aim);
@@ -116,6 +126,13 @@
 /* jb_planner_caps.c */
 void jb_planner_run_caps (struct jb_planner *planner, jb_time now);
 
+/* jb_planner_moves.c */
+void jb_planner_run_moves (struct jb_planner *planner, jb_time now);
+void jb_planner_load_homes (struct jb_planner *planner,
+                            const struct jb_row *row);
+
+#define JB_PLANNER_HOMES "homes"
+
 /* jb_planner_wave.c */
 void jb_planner_load_row (struct jb_planner *planner,
                           const struct jb_row *row);
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -2,6 +2,7 @@
 
 #include "jb_admit.h"
 
+#include <math.h>
 #include <string.h>
 
 /* Sweeps look for what nothing else brings up.  */
@@ -27,7 +28,7 @@
 /* Ended jobs are forgotten so long after what was promised.  */
 #define RETIRE_MARGIN_MS 30000
 
-#define LOAD_PERIOD (2 * JB_SECOND)
+#define ARRIVAL_MEMORY (1000 * JB_MS)
 
 enum
 {
@@ -390,7 +391,7 @@
 }
 
 static void
-add_room (const struct jb_pool *pool, struct jb_amount *sum,
+add_room (const struct jb_pool *pool, jb_time now, struct jb_amount *sum,
           struct jb_amount *largest)
 {
   GHashTableIter iter;
@@ -401,7 +402,8 @@
     {
       const struct jb_backend *backend = value;
 
-      if (!backend->listed || backend->silent > 1)
+      if (!backend->listed || backend->silent > 1
+          || now < backend->closed_until)
         continue;
       jb_amount_add (sum, &backend->room);
       largest->cpu = MAX (largest->cpu, backend->room.cpu);
@@ -412,18 +414,37 @@
 }
 
 static struct jb_admit
-admit (struct jb_pool *pool, const struct jb_desc *desc)
+admit (struct jb_pool *pool, jb_time now, const struct jb_desc *desc)
 {
   struct jb_amount room = { 0 };
   struct jb_admit_input input = { .desc = desc,
                                   .waiting_work = waiting_work (pool),
                                   .jobs = pool->active->len };
 
-  add_room (pool, &room, &input.largest);
+  add_room (pool, now, &room, &input.largest);
   input.room = room.cpu;
   return jb_admit (&input);
 }
 
+/* Return the cores that the work handed in lately fills: its rate, where what
+   came ARRIVAL_MEMORY ago counts a third.  */
+static int64_t
+arriving (const struct jb_pool *pool, jb_time now)
+{
+  double age = (double)(now - pool->arrived_at) / ARRIVAL_MEMORY;
+
+  return (int64_t)(pool->arrived * exp (-age) * JB_MS / ARRIVAL_MEMORY);
+}
+
+static void
+note_arrival (struct jb_pool *pool, jb_time now, int64_t work)
+{
+  double age = (double)(now - pool->arrived_at) / ARRIVAL_MEMORY;
+
+  pool->arrived = pool->arrived * exp (-age) + (double)work;
+  pool->arrived_at = now;
+}
+
 static void
 submit (struct jb_pool *pool, jb_time now, uint64_t member,
         const struct jb_msg_request *request)
@@ -451,7 +472,7 @@
              RETRY_UNAVAILABLE_MS);
       return;
     }
-  decision = admit (pool, request->desc);
+  decision = admit (pool, now, request->desc);
   if (!decision.accepted)
     {
       jb_count (pool->options.out, JB_COUNT_REFUSED);
@@ -470,7 +491,7 @@
   stats = jb_pool_queue (pool, desc->queue);
   if (!jb_desc_lasts (desc))
     stats->mean_work = (stats->mean_work * 15 + jb_desc_work (desc)) / 16;
-  pool->arrived_work += jb_desc_work (desc);
+  note_arrival (pool, now, jb_desc_work (desc));
   wait_for (job, member, request);
   jb_pool_mark (pool, job, now);
 }
@@ -738,6 +759,8 @@
     return;
   backend->closed_until = now + TAKEN_PERIOD;
   backend->silent = MAX (backend->silent, 1);
+  if (backend->task_count == 0)
+    jb_pool_off_record (pool, backend);
 }
 
 void
@@ -751,8 +774,9 @@
 
   memset (load, 0, sizeof *load);
   load->pool = (char *)pool->options.name;
-  add_room (pool, &room, &largest);
+  add_room (pool, now, &room, &largest);
   load->room = room.cpu;
+  load->host_cpu = largest.cpu;
   load->idle
       = talloc_array (mem, char *, g_hash_table_size (pool->backends) + 1);
   g_hash_table_iter_init (&iter, pool->backends);
@@ -792,23 +816,11 @@
         }
     }
   load->waiting_work = waiting_work (pool);
-  load->arriving = pool->arriving;
+  load->arriving = arriving (pool, now);
 }
 
 /* ---- time ---- */
 
-static void
-measure_load (struct jb_pool *pool, jb_time now)
-{
-  jb_time span = now - pool->arrived_from;
-
-  if (span < LOAD_PERIOD)
-    return;
-  pool->arriving = pool->arrived_work * 1000 / (span / JB_MS);
-  pool->arrived_work = 0;
-  pool->arrived_from = now;
-}
-
 /* Forget jobs that ended long ago.  */
 static void
 retire_jobs (struct jb_pool *pool, jb_time now)
@@ -853,7 +865,6 @@
     return;
   pool->next_sweep = now + SWEEP_PERIOD;
   pool->schedule_due = true;
-  measure_load (pool, now);
   if (pool->stage < JB_STAGE_SCANNING)
     return;
   jb_pool_scan_check (pool, now);
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -102,9 +102,8 @@
   jb_time usage_told;
   jb_time next_usage;
   /* load */
-  int64_t arrived_work; /* since arrived_from */
-  jb_time arrived_from;
-  int64_t arriving;
+  double arrived; /* work, what is older counts less */
+  jb_time arrived_at;
   GPtrArray *early; /* struct jb_early, that came before the rows were read */
 };
 
@@ -131,6 +130,8 @@
 void jb_pool_read_roster (struct jb_pool *pool, jb_time now, jb_done *done);
 bool jb_pool_load_roster (struct jb_pool *pool, jb_time now,
                           const struct jb_reply *reply);
+/* Nothing can run on BACKEND any more.  */
+void jb_pool_off_record (struct jb_pool *pool, struct jb_backend *backend);
 void jb_pool_write_roster (struct jb_pool *pool, jb_time now);
 
 /* jb_pool_store.c */
--- a/packages/jobs/src/jb_pool_load.c
+++ b/packages/jobs/src/jb_pool_load.c
@@ -192,11 +192,10 @@
     return;
   if (jb_duty_generation (pool->duty) > 1 && now < pool->scan_until)
     {
-      if (pool->listed_at < pool->claimed)
-        return;
       g_hash_table_iter_init (&iter, pool->backends);
       while (g_hash_table_iter_next (&iter, NULL, &value))
-        if (!((struct jb_backend *)value)->reached)
+        if (((struct jb_backend *)value)->recorded
+            && !((struct jb_backend *)value)->reached)
           missing++;
       if (missing > 0)
         return;
--- a/packages/jobs/src/jb_pool_look.c
+++ b/packages/jobs/src/jb_pool_look.c
@@ -305,6 +305,11 @@
   jb_backend_clock (backend, now, reply->clock_ms);
   backend->silent = 0;
   backend->reached = true;
+  if (backend->emptied)
+    {
+      backend->emptied = false;
+      pool->roster_dirty = true;
+    }
   backend->acked_end = MAX (backend->acked_end, look->acked);
   for (uint32_t i = 0; i < reply->running_count; i++)
     take_running (pool, backend, &reply->running[i], now);
@@ -332,6 +337,7 @@
   if (backend->clock_at != 0 && jb_backend_lapsed (backend, now))
     {
       jb_pool_lose_runs (pool, backend, now, "its lease has passed");
+      jb_pool_off_record (pool, backend);
       backend->next_look = now + LAPSED_GAP;
     }
   else if (backend->clock_at == 0)
--- a/packages/jobs/src/jb_pool_roster.c
+++ b/packages/jobs/src/jb_pool_roster.c
@@ -1,6 +1,8 @@
-/* The backend servers that a holder has used, kept in a row.  A successor
-   looks at all of them before it starts anything again: the platform's list
-   may leave out some that run on, when it was away or they don't reach it. */
+/* The backend servers where something may run, kept in a row.  Nothing is
+   started on one that is not in it, and one leaves it when all leases there
+   have passed or its host was taken away.  So a successor looks at these, and
+   needs no other, before it starts anything again; the platform's list may
+   leave out some that run on.  */
 
 #include "jb_pool_internal.h"
 
@@ -72,10 +74,15 @@
                                     .label_count = saved->label_count,
                                     .room = saved->room,
                                     .born_ms = saved->born_ms };
-  struct jb_backend *backend;
+  struct jb_backend *backend
+      = g_hash_table_lookup (pool->backends, saved->instance);
 
-  if (g_hash_table_lookup (pool->backends, saved->instance) != NULL)
-    return;
+  if (backend != NULL)
+    {
+      /* The platform's list was faster.  */
+      backend->recorded = true;
+      return;
+    }
   backend = jb_backend_new (pool, &entry);
   backend->idle_since = now;
   backend->listed = true;
@@ -132,12 +139,22 @@
       struct jb_backend *backend
           = g_hash_table_lookup (pool->backends, recording->instances[i]);
 
-      if (backend != NULL)
+      if (backend != NULL && !backend->emptied)
         backend->recorded = true;
     }
   talloc_free (recording);
 }
 
+void
+jb_pool_off_record (struct jb_pool *pool, struct jb_backend *backend)
+{
+  if (backend->emptied)
+    return;
+  backend->emptied = true;
+  backend->recorded = false;
+  pool->roster_dirty = true;
+}
+
 void
 jb_pool_write_roster (struct jb_pool *pool, jb_time now)
 {
@@ -165,6 +182,8 @@
     {
       struct jb_backend *backend = value;
 
+      if (backend->emptied)
+        continue;
       roster.backends[roster.count++]
           = (struct saved_backend){ .instance = backend->instance,
                                     .address = backend->address,
--- a/packages/jobs/src/jb_rank.c
+++ b/packages/jobs/src/jb_rank.c
@@ -36,6 +36,7 @@
 
   rank.worth = jb_rank_worth (input->work, input->mean_work)
                / pow (room, ROOM_EXPONENT);
+  rank.latest_start = input->objective - input->chain_left_ms * JB_MS;
   if (input->fills)
     rank.class = JB_RANK_FILLING;
   else if (input->lasts)
@@ -59,6 +60,8 @@
     return a->priority < b->priority ? -1 : 1;
   if (a->class != b->class)
     return a->class < b->class ? -1 : 1;
+  if (a->class == JB_RANK_ON_TIME && a->latest_start != b->latest_start)
+    return a->latest_start < b->latest_start ? -1 : 1;
   if (a->worth != b->worth)
     return a->worth > b->worth ? -1 : 1;
   if (a->received != b->received)
