--- a/packages/jobs/include/jb_backend.h
+++ b/packages/jobs/include/jb_backend.h
@@ -40,7 +40,9 @@
   jb_time clock_at; /* when that was received; 0: it has said nothing */
   int64_t until_ms; /* highest lease that was asked for, answered or not */
   /* looks */
-  bool looking; /* a look is under way */
+  uint32_t looks_out;    /* looks without an answer */
+  bool look_urgent;      /* a run is to be settled: one more is worth it */
+  int64_t look_clock_ms; /* its clock at the newest look taken in */
   jb_time next_look;
   jb_time last_lease; /* when the last order with a lease was sent */
   uint32_t silent;    /* orders in a row without an answer */
--- a/packages/jobs/src/jb_moves.c
+++ b/packages/jobs/src/jb_moves.c
@@ -20,6 +20,10 @@
 /* A pool grows to at most so many times its own hosts.  */
 #define GROWTH_LIMIT 3
 
+/* A pool's own host is parked when its next turn is further away: two moves
+   cost as much as two to three seconds of standing there.  */
+#define WORTH_PARKING (6000 * JB_MS)
+
 /* A donor keeps so many times what it uses.  */
 #define DONOR_MARGIN 2
 
@@ -140,7 +144,9 @@
         break;
       if (taken[i] || !hosts[i].free || !hosts[i].idle || from->standby
           || now - hosts[i].idle_since < IDLE_ENOUGH
-          || from->hosts + from->coming <= from->home || !can_give (from, now))
+          || (from->hosts + from->coming <= from->home
+              && !(from->predictable && from->expected - now > WORTH_PARKING))
+          || !can_give (from, now))
         continue;
       from->room -= from->host_cpu;
       from->hosts--;
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -651,7 +651,8 @@
 
   (void)key;
   if (backend->listed || backend->task_count > 0 || backend->starts_out > 0
-      || backend->looking || now - backend->listed_at < 2 * UNLISTED_PERIOD)
+      || backend->looks_out > 0
+      || now - backend->listed_at < 2 * UNLISTED_PERIOD)
     return FALSE;
   talloc_free (backend);
   return TRUE;
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -21,7 +21,7 @@
 #define JB_LEASE_MS 3500
 
 /* An answered look is followed by the next within; it renews the lease.  */
-#define JB_LOOK_WAIT_MS 1000
+#define JB_LOOK_WAIT_MS 500
 
 /* Standing without confirmation.  */
 #define JB_STANDING (1800 * JB_MS)
--- a/packages/jobs/src/jb_pool_look.c
+++ b/packages/jobs/src/jb_pool_look.c
@@ -10,8 +10,9 @@
 
 #include <string.h>
 
-/* An answer takes longer than the wait by at most.  */
-#define LOOK_TIMEOUT_MS 700
+/* An answer takes longer than the wait by at most: some are lost, and until
+   the next look nothing is known of what ended.  */
+#define LOOK_TIMEOUT_MS 250
 
 /* Between two looks, so that ends close to each other come together.  */
 #define LOOK_GAP (25 * JB_MS)
@@ -286,6 +287,7 @@
   backend->stored_end = 0;
   backend->acked_end = 0;
   backend->until_ms = 0;
+  backend->look_clock_ms = 0;
   backend->bad_ends = 0;
   backend->closed_until = 0;
 }
@@ -302,6 +304,10 @@
   if (backend->silent > 1)
     jb_log (pool->options.out, JB_LEVEL_INFO, "backend-regained", "backend",
             backend->instance, "pool", pool->options.name, NULL);
+  /* Two looks may overtake each other: an older picture is worth nothing.  */
+  if (reply->clock_ms < backend->look_clock_ms)
+    return;
+  backend->look_clock_ms = reply->clock_ms;
   jb_backend_clock (backend, now, reply->clock_ms);
   backend->silent = 0;
   backend->reached = true;
@@ -351,7 +357,7 @@
   struct jb_pool *pool = look->pool;
   struct jb_backend *backend = look->backend;
 
-  backend->looking = false;
+  backend->looks_out--;
   if (reply->result == JB_OK)
     look_answered (pool, look, sent, now, reply);
   else if (reply->result == JB_GONE)
@@ -401,12 +407,13 @@
       order.u.hold.until_ms = jb_backend_lease (backend, now, JB_LEASE_MS);
     }
   if (backend->silent == 0 && backend->reached && backend->task_count > 0
-      && backend->listed_end == backend->stored_end)
+      && backend->listed_end == backend->stored_end && !backend->look_urgent)
     {
       order.u.hold.wait_ms = JB_LOOK_WAIT_MS;
       order.timeout_ms += JB_LOOK_WAIT_MS;
     }
-  backend->looking = true;
+  backend->looks_out++;
+  backend->look_urgent = false;
   jb_out_submit (pool->options.out, backend, now, &order, look_done, look);
 }
 
@@ -415,7 +422,8 @@
 {
   jb_time due = backend->next_look;
 
-  if (backend->looking || !is_of_interest (backend))
+  if (backend->looks_out > (backend->look_urgent ? 1U : 0U)
+      || !is_of_interest (backend))
     return JB_NEVER;
   /* The ends that were listed are stored in a moment, and can then be
      acknowledged by the same look.  */
--- a/packages/jobs/src/jb_pool_start.c
+++ b/packages/jobs/src/jb_pool_start.c
@@ -6,8 +6,8 @@
 
 #include <string.h>
 
-#define START_TIMEOUT_MS 800
-#define STOP_TIMEOUT_MS 600
+#define START_TIMEOUT_MS 300
+#define STOP_TIMEOUT_MS 250
 
 /* Before a stop without an answer is sent again.  */
 #define STOP_RETRY (250 * JB_MS)
@@ -84,6 +84,7 @@
     {
       task->settled = now;
       task->state = JB_RUN_STOPPING;
+      backend->look_urgent = true;
       backend->next_look = MIN (backend->next_look, now);
     }
   talloc_free (stop);
