An end of an occurrence that has not come here counts

Change: an occurrence that a backend server knows of is opened. Ruled out: lost progress rows (the end came while no holder was alive).

--- a/packages/jobs/src/jb_pool_look.c
+++ b/packages/jobs/src/jb_pool_look.c
@@ -148,6 +148,17 @@
     jb_pool_mark (pool, task->group->job, now);
 }
 
+/* Return the task of JOB that REF names, or NULL.  An occurrence that has not
+   come here is opened: a former holder, whose clock was ahead, started it.  */
+static struct jb_task *
+find_task (struct jb_job *job, const struct jb_task_ref *ref)
+{
+  while (job->ended == 0 && job->opened <= ref->occurrence
+         && job->opened < job->desc->times)
+    jb_job_open_next (job);
+  return jb_job_task (job, ref);
+}
+
 static void
 take_end (struct jb_pool *pool, struct jb_backend *backend,
           const struct jb_ended *ended, jb_time now)
@@ -161,7 +172,7 @@
   if (!jb_task_ref_parse (ended->task, &ref))
     return;
   job = g_hash_table_lookup (pool->jobs, ref.id);
-  task = job != NULL ? jb_job_task (job, &ref) : NULL;
+  task = job != NULL ? find_task (job, &ref) : NULL;
   if (task == NULL)
     return;
   lasts = jb_task_step (task)->lasts;
@@ -204,7 +215,7 @@
   if (jb_task_ref_parse (running->task, &ref))
     job = g_hash_table_lookup (pool->jobs, ref.id);
   if (job != NULL && job->ended == 0)
-    task = jb_job_task (job, &ref);
+    task = find_task (job, &ref);
   if (task == NULL || task->done)
     {
       /* What is being stopped is listed until it has ended.  */
