Entry hosts with jobs in virtual time: a world, its checks, focused tests, random runs

Change: tests/sim/jobs plays whole entry hosts against a store, backend servers and clients; 18 tests replay the failures found so far, soak_jobs draws loads and faults; mechanisms can be switched off. The planner remembers each share that is under way (reading its code for the tests: with shares always under way the highest one was never forgotten).

--- a/packages/jobs/include/jb_host.h
+++ b/packages/jobs/include/jb_host.h
@@ -55,6 +55,10 @@
 /* Return whether clients may be sent here.  */
 bool jb_host_ready (const struct jb_host *host, jb_time now);
 
+/* Return whether this host holds the pool NAME, or the planner's duty.  */
+bool jb_host_holds (const struct jb_host *host, const char *name);
+bool jb_host_plans (const struct jb_host *host);
+
 const struct jb_metrics *jb_host_metrics (const struct jb_host *host);
 
 #endif
--- a/packages/jobs/include/jb_types.h
+++ b/packages/jobs/include/jb_types.h
@@ -52,6 +52,20 @@
 
 void jb_amount_code (struct ba_io *io, struct jb_amount *amount);
 
+/* Mechanisms that tests switch off to see what breaks without them.  */
+enum jb_off
+{
+  JB_OFF_ROSTER = 1 << 0,      /* successors wait for recorded backends */
+  JB_OFF_FAILED_RUNS = 1 << 1, /* failures are counted by their runs */
+  JB_OFF_OCCURRENCES = 1 << 2, /* unknown occurrences are opened */
+  JB_OFF_SETTLE = 1 << 3,      /* a start without an answer is settled */
+  JB_OFF_STORE_FIRST = 1 << 4, /* ends are stored before they are acked */
+  JB_OFF_SHARES = 1 << 5,      /* holders keep to their shares of limits */
+  JB_OFF_ORDER_LEASE = 1 << 6, /* a new planner waits before it orders */
+  JB_OFF_BUDGET = 1 << 7,      /* lasting tasks move one after the other */
+  JB_OFF_LEASE_END = 1 << 8    /* silent backends are waited for */
+};
+
 /* Durations and limits of the deployment.  */
 struct jb_bounds
 {
@@ -68,6 +82,7 @@
   int64_t status_ms;          /* the state of a job is shown so long */
   double remote_factor;       /* work away from its data takes times longer */
   uint32_t host_orders_per_s; /* of the whole fleet */
+  uint32_t off;               /* enum jb_off; 0 but in tests */
 };
 
 #endif
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -959,6 +959,18 @@
              || jb_members_live (host->members, now) > 0);
 }
 
+bool
+jb_host_holds (const struct jb_host *host, const char *name)
+{
+  return holds ((void *)host, name);
+}
+
+bool
+jb_host_plans (const struct jb_host *host)
+{
+  return host->planner != NULL && jb_planner_held (host->planner);
+}
+
 const struct jb_metrics *
 jb_host_metrics (const struct jb_host *host)
 {
--- a/packages/jobs/src/jb_planner.c
+++ b/packages/jobs/src/jb_planner.c
@@ -182,9 +182,11 @@
 {
   jb_time confirmed
       = MAX (planner->confirmed, jb_duty_confirmed (planner->duty));
-  jb_time wait = jb_duty_generation (planner->duty) > 1
-                     ? planner->options.bounds->order_lease_ms * JB_MS
-                     : 0;
+  jb_time wait
+      = jb_duty_generation (planner->duty) > 1
+                && !(planner->options.bounds->off & JB_OFF_ORDER_LEASE)
+            ? planner->options.bounds->order_lease_ms * JB_MS
+            : 0;
 
   /* Two holders must not take turns in a short time.  */
   return jb_planner_held (planner) && planner->loaded
--- a/packages/jobs/src/jb_planner_caps.c
+++ b/packages/jobs/src/jb_planner_caps.c
@@ -30,6 +30,13 @@
   return usage;
 }
 
+static int
+org_destroy (struct org_usage *entry)
+{
+  g_array_free (entry->under_way, TRUE);
+  return 0;
+}
+
 static struct org_usage *
 get_org (struct pool_usage *usage, const char *org)
 {
@@ -39,6 +46,9 @@
     {
       entry = talloc_zero (usage, struct org_usage);
       entry->org = talloc_strdup (entry, org);
+      entry->under_way
+          = g_array_new (FALSE, FALSE, sizeof (struct sent_share));
+      talloc_set_destructor (entry, org_destroy);
       g_hash_table_insert (usage->orgs, entry->org, entry);
     }
   return entry;
@@ -52,6 +62,27 @@
   amount->accelerators = MAX (amount->accelerators, other->accelerators);
 }
 
+/* Work out the highest share that the pool may have by now: the one that it
+   named, what it uses, or any that is under way.  */
+static void
+set_highest (struct org_usage *entry, uint64_t acked)
+{
+  entry->highest = entry->limit;
+  raise_to (&entry->highest, &entry->used);
+  if (entry->unsent)
+    raise_to (&entry->highest, &entry->sent);
+  for (guint i = entry->under_way->len; i-- > 0;)
+    {
+      const struct sent_share *sent
+          = &g_array_index (entry->under_way, struct sent_share, i);
+
+      if (sent->serial <= acked)
+        g_array_remove_index (entry->under_way, i);
+      else
+        raise_to (&entry->highest, &sent->limit);
+    }
+}
+
 /* Return whether every pool has said what it uses.  */
 static bool
 all_known (const struct jb_planner *planner)
@@ -121,6 +152,7 @@
       if (!is_worth_telling (&pools[i], entry, &org->cap))
         continue;
       entry->sent = pools[i].share;
+      entry->unsent = true;
       raise_to (&entry->highest, &entry->sent);
       usages[i]->changed = true;
     }
@@ -147,9 +179,13 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct org_usage *entry = value;
+      struct sent_share sent = { usage->serial, entry->sent };
 
       shares.shares[shares.count++]
           = (struct jb_msg_share){ entry->org, entry->sent };
+      if (entry->unsent)
+        g_array_append_val (entry->under_way, sent);
+      entry->unsent = false;
     }
   planner->options.shares (planner->options.data, now, &shares);
   talloc_free (scratch);
@@ -189,7 +225,6 @@
                   const struct jb_msg_usage *message)
 {
   struct pool_usage *usage = get_usage (planner, message->pool);
-  bool settled;
   GHashTableIter iter;
   gpointer value;
 
@@ -208,11 +243,11 @@
           struct org_usage *entry = value;
 
           entry->sent = (struct jb_amount){ 0 };
-          entry->highest = (struct jb_amount){ 0 };
+          entry->unsent = false;
+          g_array_set_size (entry->under_way, 0);
         }
     }
   usage->acked = message->serial;
-  settled = usage->acked == usage->serial && !usage->changed;
   for (uint32_t i = 0; i < message->count; i++)
     {
       const struct jb_msg_use *use = &message->uses[i];
@@ -221,12 +256,10 @@
       entry->used = use->used;
       entry->wanted = use->wanted;
       entry->limit = use->limit;
-      /* Without shares under way it keeps to the one that it names.  */
-      if (settled)
-        entry->highest = use->limit;
-      raise_to (&entry->highest, &use->used);
-      raise_to (&entry->highest, &use->limit);
     }
+  g_hash_table_iter_init (&iter, usage->orgs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    set_highest (value, usage->acked);
   planner->usage_new = true;
   (void)now;
 }
--- a/packages/jobs/src/jb_planner_internal.h
+++ b/packages/jobs/src/jb_planner_internal.h
@@ -69,6 +69,12 @@
   struct jb_msg_load load;
 };
 
+struct sent_share
+{
+  uint64_t serial;
+  struct jb_amount limit;
+};
+
 /* What an organisation uses of a pool.  */
 struct org_usage
 {
@@ -76,8 +82,10 @@
   struct jb_amount used;
   struct jb_amount wanted;
   struct jb_amount limit;   /* as the holder last said */
-  struct jb_amount sent;    /* share that it was sent */
+  struct jb_amount sent;    /* share that it was sent last */
   struct jb_amount highest; /* share that it may have by now */
+  bool unsent;              /* `sent' is still to be sent */
+  GArray *under_way;        /* struct sent_share, not acknowledged */
 };
 
 struct pool_usage
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -726,6 +726,7 @@
       if (!step->lasts || task->state != JB_RUN_RUNNING)
         continue;
       if (step->may_miss > 0 && !backend->draining
+          && !jb_pool_is_off (pool, JB_OFF_BUDGET)
           && others_away (task) >= step->may_miss)
         continue;
       jb_pool_stop_run (pool, task, now, reason);
--- a/packages/jobs/src/jb_pool_caps.c
+++ b/packages/jobs/src/jb_pool_caps.c
@@ -44,7 +44,8 @@
   struct jb_pool_use *use;
   struct jb_amount sum;
 
-  if (!jb_pool_is_limited (pool, job->desc->org))
+  if (jb_pool_is_off (pool, JB_OFF_SHARES)
+      || !jb_pool_is_limited (pool, job->desc->org))
     return true;
   use = jb_pool_use (pool, job->desc->org);
   sum = use->used;
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -113,6 +113,12 @@
   return MAX (pool->confirmed, jb_duty_confirmed (pool->duty)) + JB_STANDING;
 }
 
+static inline bool
+jb_pool_is_off (const struct jb_pool *pool, enum jb_off mechanism)
+{
+  return (pool->options.bounds->off & mechanism) != 0;
+}
+
 /* Return whether orders may be given.  */
 static inline bool
 jb_pool_stands (const struct jb_pool *pool, jb_time now)
--- a/packages/jobs/src/jb_pool_load.c
+++ b/packages/jobs/src/jb_pool_load.c
@@ -190,7 +190,8 @@
 
   if (pool->stage != JB_STAGE_SCANNING)
     return;
-  if (jb_duty_generation (pool->duty) > 1 && now < pool->scan_until)
+  if (jb_duty_generation (pool->duty) > 1 && now < pool->scan_until
+      && !jb_pool_is_off (pool, JB_OFF_ROSTER))
     {
       g_hash_table_iter_init (&iter, pool->backends);
       while (g_hash_table_iter_next (&iter, NULL, &value))
--- a/packages/jobs/src/jb_pool_look.c
+++ b/packages/jobs/src/jb_pool_look.c
@@ -144,6 +144,9 @@
   struct jb_task *counted
       = jb_task_step (task)->gang ? &task->group->tasks[0] : task;
 
+  if (jb_pool_is_off (pool, JB_OFF_FAILED_RUNS) && counted->failures > 0
+      && run < counted->failed_runs[counted->failures - 1])
+    return;
   if (jb_task_fail (counted, run))
     jb_pool_mark (pool, task->group->job, now);
 }
@@ -151,10 +154,11 @@
 /* Return the task of JOB that REF names, or NULL.  An occurrence that has not
    come here is opened: a former holder, whose clock was ahead, started it.  */
 static struct jb_task *
-find_task (struct jb_job *job, const struct jb_task_ref *ref)
+find_task (const struct jb_pool *pool, struct jb_job *job,
+           const struct jb_task_ref *ref)
 {
-  while (job->ended == 0 && job->opened <= ref->occurrence
-         && job->opened < job->desc->times)
+  while (!jb_pool_is_off (pool, JB_OFF_OCCURRENCES) && job->ended == 0
+         && job->opened <= ref->occurrence && job->opened < job->desc->times)
     jb_job_open_next (job);
   return jb_job_task (job, ref);
 }
@@ -172,7 +176,7 @@
   if (!jb_task_ref_parse (ended->task, &ref))
     return;
   job = g_hash_table_lookup (pool->jobs, ref.id);
-  task = job != NULL ? find_task (job, &ref) : NULL;
+  task = job != NULL ? find_task (pool, job, &ref) : NULL;
   if (task == NULL)
     return;
   lasts = jb_task_step (task)->lasts;
@@ -215,7 +219,7 @@
   if (jb_task_ref_parse (running->task, &ref))
     job = g_hash_table_lookup (pool->jobs, ref.id);
   if (job != NULL && job->ended == 0)
-    task = find_task (job, &ref);
+    task = find_task (pool, job, &ref);
   if (task == NULL || task->done)
     {
       /* What is being stopped is listed until it has ended.  */
@@ -337,6 +341,8 @@
     backend->listed_end = MAX (backend->listed_end, reply->ended[i].number);
   drop_unlisted (pool, backend, sent, now);
   backend->next_look = sent + LOOK_GAP;
+  if (jb_pool_is_off (pool, JB_OFF_STORE_FIRST))
+    backend->stored_end = backend->listed_end;
   jb_pool_settle_ends (pool, now);
   jb_pool_scan_check (pool, now);
 }
@@ -351,7 +357,9 @@
             jb_num (backend->task_count), "lapses_in_ms",
             jb_num ((jb_backend_lapses_at (backend) - now) / JB_MS), NULL);
   backend->next_look = now + SILENT_GAP;
-  if (backend->clock_at != 0 && jb_backend_lapsed (backend, now))
+  if (backend->clock_at != 0
+      && (jb_backend_lapsed (backend, now)
+          || jb_pool_is_off (pool, JB_OFF_LEASE_END)))
     {
       jb_pool_lose_runs (pool, backend, now, "its lease has passed");
       jb_pool_off_record (pool, backend);
--- a/packages/jobs/src/jb_pool_start.c
+++ b/packages/jobs/src/jb_pool_start.c
@@ -223,6 +223,11 @@
 start_unknown (struct start *start, jb_time now)
 {
   jb_count (start->pool->options.out, JB_COUNT_START_UNKNOWN);
+  if (jb_pool_is_off (start->pool, JB_OFF_SETTLE))
+    {
+      clear_start (start->pool, start->task, now);
+      return;
+    }
   start->task->state = JB_RUN_UNSURE;
   jb_pool_stop_run (start->pool, start->task, now, "its start had no answer");
   start->backend->next_look = MIN (start->backend->next_look, now);
--- /dev/null
+++ b/tests/sim/jobs/jw_check.c
@@ -0,0 +1,180 @@
+/* Promises, checked from what the backend servers and clients see.  */
+
+#include "jw_world.h"
+
+#include "jb_work.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* A task of a cancelled job starts no later after the acknowledgement.  */
+#define CANCEL_TIME (3 * JB_SECOND)
+
+/* An organisation is over its limit by at most a tenth and a task.  */
+#define LIMIT_PERCENT 110
+
+struct jw_task *
+jw_task (struct jw_world *world, const char *name)
+{
+  struct jw_task *task = g_hash_table_lookup (world->tasks, name);
+
+  if (task == NULL)
+    {
+      task = talloc_zero (world, struct jw_task);
+      g_hash_table_insert (world->tasks, talloc_strdup (task, name), task);
+    }
+  return task;
+}
+
+static const struct jb_step *
+step_of (struct jw_world *world, const char *name, struct jw_job **job,
+         struct jb_task_ref *ref)
+{
+  if (!jb_task_ref_parse (name, ref))
+    return NULL;
+  *job = jw_job (world, ref->id);
+  if (*job == NULL || ref->step >= (*job)->desc->step_count)
+    return NULL;
+  return &(*job)->desc->steps[ref->step];
+}
+
+static void
+check_predecessors (struct jw_world *world, const struct jw_job *job,
+                    const struct jb_task_ref *ref)
+{
+  const struct jb_step *step = &job->desc->steps[ref->step];
+
+  for (uint32_t i = 0; i < step->after_count; i++)
+    {
+      uint32_t before = step->after[i];
+
+      for (uint32_t j = 0; j < job->desc->steps[before].count; j++)
+        {
+          char name[64];
+
+          snprintf (name, sizeof name, "%s.%u.%u.%u", ref->id, ref->occurrence,
+                    before, j);
+          if (!jw_task (world, name)->done)
+            jw_break (world, "ORDER", "%s.%u starts before %s", ref->id,
+                      ref->step, name);
+        }
+    }
+}
+
+/* Sum what the organisation of JOB has running.  */
+static int64_t
+org_running (struct jw_world *world, const struct jw_job *job)
+{
+  int64_t sum = 0;
+
+  for (guint i = 0; i < world->backends->len; i++)
+    {
+      const struct jw_backend *backend
+          = g_ptr_array_index (world->backends, i);
+
+      for (guint j = 0; backend->up && j < backend->runs->len; j++)
+        {
+          const struct jw_task_run *run = g_ptr_array_index (backend->runs, j);
+          struct jb_task_ref ref;
+          struct jw_job *other = NULL;
+          const struct jb_step *step
+              = step_of (world, run->task, &other, &ref);
+
+          if (step != NULL && strcmp (other->desc->org, job->desc->org) == 0)
+            sum += step->amount.cpu;
+        }
+    }
+  return sum;
+}
+
+void
+jw_check_start (struct jw_world *world, struct jw_backend *backend,
+                const struct jb_order *order)
+{
+  const char *name = order->u.start.task;
+  struct jw_task *task = jw_task (world, name);
+  struct jb_task_ref ref;
+  struct jw_job *job = NULL;
+  const struct jb_step *step = step_of (world, name, &job, &ref);
+
+  (void)backend;
+  world->starts++;
+  task->runs++;
+  if (step == NULL)
+    {
+      jw_break (world, "UNASKED", "%s", name);
+      return;
+    }
+  job->started = true;
+  if (strcmp (order->u.start.spec, job->desc->spec) != 0)
+    jw_break (world, "UNASKED", "%s: another specification", name);
+  if (job->cancelled != 0 && world->now > job->cancelled + CANCEL_TIME)
+    jw_break (world, "UNASKED", "%s starts after it was cancelled", name);
+  if (task->runs > 1)
+    jw_break (world, "TWICE", "%s runs twice", name);
+  if (task->done_noted && !step->lasts)
+    jw_break (world, "TWICE", "%s starts after it was done", name);
+  if (!step->lasts && task->failures >= 3)
+    jw_break (world, "BUDGET", "%s starts after %u failures", name,
+              task->failures);
+  check_predecessors (world, job, &ref);
+  if (world->options.org_cap > 0
+      && org_running (world, job)
+             > world->options.org_cap * LIMIT_PERCENT / 100)
+    jw_break (world, "QUOTA", "%s", name);
+}
+
+void
+jw_check_end (struct jw_world *world, const struct jw_ended *ended, bool noted)
+{
+  struct jw_task *task = jw_task (world, ended->task);
+  struct jb_task_ref ref;
+  struct jw_job *job = NULL;
+  const struct jb_step *step = step_of (world, ended->task, &job, &ref);
+  uint32_t count = step != NULL && step->gang ? step->count : 1;
+
+  if (ended->how == JB_ENDING_FAILED && noted)
+    task->failures++;
+  if (ended->how != JB_ENDING_DONE)
+    return;
+  /* One end of a gang stands for all.  */
+  for (uint32_t i = 0; i < count; i++)
+    {
+      char name[64];
+
+      snprintf (name, sizeof name, "%s.%u.%u.%u", ref.id, ref.occurrence,
+                ref.step, count > 1 ? i : ref.index);
+      task = jw_task (world, name);
+      task->done = true;
+      task->done_noted = task->done_noted || noted;
+    }
+}
+
+void
+jw_check_order (struct jw_world *world, struct jw_backend *backend,
+                const char *name)
+{
+  struct jb_task_ref ref;
+  struct jw_job *job = NULL;
+  const struct jb_step *step = step_of (world, name, &job, &ref);
+  struct jw_task *task = jw_task (world, name);
+  uint32_t away = 0;
+
+  if (step == NULL || step->may_miss == 0 || job->cancel_sent
+      || backend->draining || task->at_work == 0 || world->now < task->at_work)
+    return;
+  for (uint32_t i = 0; i < step->count; i++)
+    {
+      char other[64];
+      const struct jw_task *t;
+
+      if (i == ref.index)
+        continue;
+      snprintf (other, sizeof other, "%s.%u.%u.%u", ref.id, ref.occurrence,
+                ref.step, i);
+      t = jw_task (world, other);
+      away += t->at_work == 0 || world->now < t->at_work;
+    }
+  if (away >= step->may_miss)
+    jw_break (world, "AVAIL", "%s is stopped, %u others are away", name, away);
+}
--- /dev/null
+++ b/tests/sim/jobs/jw_soak.h
@@ -0,0 +1,23 @@
+#ifndef JW_SOAK_H
+#define JW_SOAK_H
+
+/* Worlds with loads and faults drawn by chance.  */
+
+#include "jw_world.h"
+
+struct jw_soak
+{
+  uint32_t seed;
+  uint32_t off; /* enum jb_off */
+  bool verbose;
+  /* results */
+  uint32_t broken;
+  uint32_t starts;
+  uint32_t jobs;
+  char first[256];
+};
+
+/* Play the world of SOAK's seed and fill in the results.  */
+void jw_soak_run (struct jw_soak *soak);
+
+#endif
--- /dev/null
+++ b/tests/sim/jobs/jw_store.c
@@ -0,0 +1,234 @@
+/* The store: rows with versions, transactions under conditions, and what
+   operators and backend servers have written.  */
+
+#include "jw_world.h"
+
+#include <string.h>
+
+struct jw_row
+{
+  char *table;
+  char *part;
+  char *key;
+  uint64_t version;
+  struct ba_bytes value;
+};
+
+void
+jw_store_init (struct jw_world *world)
+{
+  world->rows = g_ptr_array_new ();
+  world->version = 1;
+  world->catalog_row = ++world->version;
+}
+
+static int
+compare_names (const struct jw_row *a, const struct jb_row *b)
+{
+  int order = strcmp (a->table, b->table);
+
+  if (order == 0)
+    order = strcmp (a->part, b->part);
+  return order != 0 ? order : strcmp (a->key, b->key);
+}
+
+/* Return the place of ROW, and whether it is there.  */
+static bool
+find_row (const struct jw_world *world, const struct jb_row *row, guint *at)
+{
+  guint low = 0;
+  guint high = world->rows->len;
+
+  while (low < high)
+    {
+      guint middle = (low + high) / 2;
+      int order = compare_names (g_ptr_array_index (world->rows, middle), row);
+
+      if (order == 0)
+        {
+          *at = middle;
+          return true;
+        }
+      if (order < 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  *at = low;
+  return false;
+}
+
+static void
+copy_out (struct jb_reply *reply, const struct jw_row *row)
+{
+  reply->rows = talloc_realloc (reply->mem, reply->rows, struct jb_row,
+                                reply->row_count + 1);
+  reply->rows[reply->row_count++]
+      = (struct jb_row){ .table = talloc_strdup (reply->mem, row->table),
+                         .part = talloc_strdup (reply->mem, row->part),
+                         .key = talloc_strdup (reply->mem, row->key),
+                         .version = row->version,
+                         .value = ba_bytes_copy (reply->mem, row->value.data,
+                                                 row->value.len) };
+}
+
+static void
+write_rows (struct jw_world *world, const struct jb_order_write *write,
+            struct jb_reply *reply)
+{
+  guint at;
+
+  for (uint32_t i = 0; i < write->expected_count; i++)
+    {
+      const struct jb_row *row = &write->expected[i];
+      bool found = find_row (world, row, &at);
+      uint64_t version
+          = found ? ((struct jw_row *)g_ptr_array_index (world->rows, at))
+                        ->version
+                  : 0;
+
+      if (version != row->version)
+        reply->result = JB_CONFLICT;
+    }
+  if (reply->result == JB_CONFLICT)
+    {
+      for (uint32_t i = 0; i < write->expected_count; i++)
+        if (find_row (world, &write->expected[i], &at))
+          copy_out (reply, g_ptr_array_index (world->rows, at));
+      return;
+    }
+  reply->version = ++world->version;
+  for (uint32_t i = 0; i < write->set_count; i++)
+    {
+      const struct jb_row *from = &write->set[i];
+      struct jw_row *row;
+
+      if (find_row (world, from, &at))
+        {
+          row = g_ptr_array_index (world->rows, at);
+          talloc_free (row->value.data);
+        }
+      else
+        {
+          row = talloc_zero (world, struct jw_row);
+          row->table = talloc_strdup (row, from->table);
+          row->part = talloc_strdup (row, from->part);
+          row->key = talloc_strdup (row, from->key);
+          g_ptr_array_insert (world->rows, (gint)at, row);
+        }
+      row->value = ba_bytes_copy (row, from->value.data, from->value.len);
+      row->version = reply->version;
+    }
+  for (uint32_t i = 0; i < write->removed_count; i++)
+    if (find_row (world, &write->removed[i], &at))
+      talloc_free (g_ptr_array_remove_index (world->rows, at));
+}
+
+static void
+read_rows (struct jw_world *world, const struct jb_order_read *read,
+           struct jb_reply *reply)
+{
+  for (guint i = 0; i < world->rows->len; i++)
+    {
+      const struct jw_row *row = g_ptr_array_index (world->rows, i);
+
+      if (strcmp (row->table, read->table) != 0
+          || strcmp (row->part, read->part) != 0
+          || (read->from != NULL && strcmp (row->key, read->from) < 0))
+        continue;
+      if (reply->row_count == 50)
+        {
+          reply->more = true;
+          break;
+        }
+      copy_out (reply, row);
+    }
+  reply->version = world->version;
+}
+
+static void
+watch_rows (struct jw_world *world, const struct jb_order_watch *watch,
+            struct jb_reply *reply)
+{
+  reply->version = world->version;
+  if (world->catalog_row > watch->after)
+    {
+      reply->catalog = talloc_zero (reply->mem, struct jb_catalog);
+      ba_io_copy (reply->catalog, jb_catalog_code, world->catalog,
+                  reply->catalog);
+    }
+  if (world->wave_row > watch->after)
+    {
+      reply->waves = &world->wave;
+      reply->wave_count = 1;
+    }
+}
+
+static void
+list_backends (struct jw_world *world, struct jb_reply *reply)
+{
+  reply->backends = talloc_zero_array (reply->mem, struct jb_backend_entry,
+                                       world->backends->len + 1);
+  for (guint i = 0; i < world->backends->len; i++)
+    {
+      const struct jw_backend *backend
+          = g_ptr_array_index (world->backends, i);
+      struct jb_backend_entry *entry = &reply->backends[reply->backend_count];
+
+      if (!backend->up || backend->unlisted)
+        continue;
+      reply->backend_count++;
+      *entry = (struct jb_backend_entry){
+        .instance = backend->instance,
+        .pool = world->catalog->pools[backend->pool].name,
+        .address = backend->address,
+        .zone = "zone",
+        .draining = backend->draining,
+        .room = { world->options.backend_cpu, 100000, 0 },
+        .born_ms = backend->born_ms
+      };
+    }
+}
+
+static void
+report_wave (struct jw_world *world, const struct jb_order_report *report)
+{
+  if (!report->completed)
+    return;
+  world->wave_completed = true;
+  for (guint i = 0; i < world->fleet->len; i += 2)
+    {
+      const struct jw_fleet_host *host = g_ptr_array_index (world->fleet, i);
+
+      if (!host->maintained)
+        jw_break (world, "MIXED", "%s was not maintained", host->name);
+    }
+}
+
+void
+jw_store_order (struct jw_world *world, const struct jb_order *order,
+                struct jb_reply *reply)
+{
+  reply->result = JB_OK;
+  switch (order->kind)
+    {
+    case JB_ORDER_WRITE:
+      write_rows (world, &order->u.write, reply);
+      break;
+    case JB_ORDER_READ:
+      read_rows (world, &order->u.read, reply);
+      break;
+    case JB_ORDER_WATCH:
+      watch_rows (world, &order->u.watch, reply);
+      break;
+    case JB_ORDER_LIST_BACKENDS:
+      list_backends (world, reply);
+      break;
+    case JB_ORDER_REPORT_WAVE:
+      report_wave (world, &order->u.report);
+      break;
+    default:
+      reply->result = JB_INVALID;
+      break;
+    }
+}
--- /dev/null
+++ b/tests/sim/jobs/soak_jobs.c
@@ -0,0 +1,75 @@
+/* Randomised runs of whole entry hosts: soak_jobs --seed 1 --runs 1000.  */
+
+#include "jw_soak.h"
+
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+struct arguments
+{
+  uint32_t seed;
+  uint32_t runs;
+  uint32_t off;
+  bool verbose;
+};
+
+static const struct argp_option options[]
+    = { { "seed", 's', "N", 0, "First seed (1)", 0 },
+        { "runs", 'r', "N", 0, "Number of seeds (100)", 0 },
+        { "off", 'o', "MASK", 0, "Mechanisms to switch off (0)", 0 },
+        { "verbose", 'v', NULL, 0, "Print the hosts' log lines", 0 },
+        { 0 } };
+
+static error_t
+parse (int key, char *value, struct argp_state *state)
+{
+  struct arguments *arguments = state->input;
+
+  switch (key)
+    {
+    case 's':
+      arguments->seed = (uint32_t)strtoul (value, NULL, 10);
+      return 0;
+    case 'r':
+      arguments->runs = (uint32_t)strtoul (value, NULL, 10);
+      return 0;
+    case 'o':
+      arguments->off = (uint32_t)strtoul (value, NULL, 0);
+      return 0;
+    case 'v':
+      arguments->verbose = true;
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct argp argp
+      = { options, parse, NULL, "Randomised runs of entry hosts with jobs." };
+  struct arguments arguments = { .seed = 1, .runs = 100 };
+  uint32_t bad = 0;
+  uint64_t starts = 0;
+
+  argp_parse (&argp, argc, argv, 0, NULL, &arguments);
+  for (uint32_t i = 0; i < arguments.runs; i++)
+    {
+      struct jw_soak soak = { .seed = arguments.seed + i,
+                              .off = arguments.off,
+                              .verbose = arguments.verbose };
+
+      jw_soak_run (&soak);
+      starts += soak.starts;
+      if (soak.broken == 0)
+        continue;
+      bad++;
+      printf ("seed %u: %u broken, first %s\n", soak.seed, soak.broken,
+              soak.first);
+    }
+  printf ("%u runs from seed %u, %lu starts: %u with a broken promise\n",
+          arguments.runs, arguments.seed, (unsigned long)starts, bad);
+  return bad == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/sim/jobs/test_jobs.c
@@ -0,0 +1,466 @@
+/* Whole entry hosts in virtual time, each test a failure that once broke a
+   promise or could.  */
+
+#include "dp_test.h"
+#include "jw_world.h"
+
+#include <stdlib.h>
+
+static const struct jw_options small = {
+  .seed = 1, .hosts = 5, .pools = 2, .backends = 4, .backend_cpu = 8000
+};
+
+static const struct jw_job_options quick
+    = { .pool = 0, .steps = 2, .width = 4, .cpu = 1000, .ms = 600 };
+
+static struct jw_world *
+make (const struct jw_options *options)
+{
+  struct jw_world *world;
+  struct jw_options copy = *options;
+
+  copy.verbose = getenv ("JW_VERBOSE") != NULL;
+  world = jw_world_new (&copy);
+  jw_run (world, 4 * JB_SECOND);
+  return world;
+}
+
+static void
+finish (struct jw_world *world)
+{
+  jw_check_finished (world);
+  if (world->broken > 0)
+    fprintf (stderr, "%u broken, first: %s\n", world->broken, world->first);
+  CU_ASSERT_EQUAL (world->broken, 0);
+  jw_world_free (world);
+}
+
+static void
+submit_many (struct jw_world *world, uint32_t count, jb_time gap)
+{
+  for (uint32_t i = 0; i < count; i++)
+    {
+      struct jw_job_options job = quick;
+
+      job.pool = i % world->options.pools;
+      job.hopeless = i % 10 == 9;
+      jw_submit (world, &job);
+      jw_run (world, gap);
+    }
+}
+
+static void
+test_calm (void)
+{
+  struct jw_world *world = make (&small);
+
+  submit_many (world, 30, 100 * JB_MS);
+  jw_run (world, 8 * JB_SECOND);
+  CU_ASSERT (world->starts >= 30 * 8 * 9 / 10);
+  finish (world);
+}
+
+/* The holder is killed with work running and jobs on their way.  */
+static void
+test_holder_killed (void)
+{
+  struct jw_world *world = make (&small);
+
+  for (int round = 0; round < 4; round++)
+    {
+      int holder;
+
+      submit_many (world, 6, 50 * JB_MS);
+      holder = jw_holder (world, 0);
+      CU_ASSERT_FATAL (holder >= 0);
+      jw_host_kill (world, (uint32_t)holder);
+      submit_many (world, 4, 100 * JB_MS);
+      jw_run (world, 2 * JB_SECOND);
+      jw_host_start (world, (uint32_t)holder);
+      jw_run (world, 2 * JB_SECOND);
+    }
+  jw_run (world, 10 * JB_SECOND);
+  finish (world);
+}
+
+/* A frozen holder wakes after another has taken over.  */
+static void
+test_holder_frozen (void)
+{
+  struct jw_world *world = make (&small);
+  int holder;
+
+  submit_many (world, 10, 50 * JB_MS);
+  holder = jw_holder (world, 0);
+  jw_host_freeze (world, (uint32_t)holder, true);
+  submit_many (world, 10, 200 * JB_MS);
+  jw_run (world, 2 * JB_SECOND);
+  jw_host_freeze (world, (uint32_t)holder, false);
+  submit_many (world, 10, 50 * JB_MS);
+  jw_run (world, 12 * JB_SECOND);
+  finish (world);
+}
+
+/* The store turns the holder away and serves the others.  */
+static void
+test_holder_cut_from_store (void)
+{
+  struct jw_world *world = make (&small);
+  int holder;
+
+  submit_many (world, 6, 50 * JB_MS);
+  holder = jw_holder (world, 0);
+  world->hosts[holder].cut_store = true;
+  submit_many (world, 20, 200 * JB_MS);
+  CU_ASSERT_NOT_EQUAL (jw_holder (world, 0), holder);
+  world->hosts[holder].cut_store = false;
+  jw_run (world, 12 * JB_SECOND);
+  finish (world);
+}
+
+/* The store is away and the entries of all backend servers lapse; they are
+   back a moment after it.  A successor must not take the pool for idle.  */
+static void
+test_entries_lapse (void)
+{
+  struct jw_world *world = make (&small);
+  struct jw_job_options lasting = { .pool = 0,
+                                    .steps = 1,
+                                    .width = 4,
+                                    .cpu = 1000,
+                                    .ms = 500,
+                                    .lasts = true,
+                                    .may_miss = 1 };
+  uint32_t starts;
+
+  jw_submit (world, &lasting);
+  jw_run (world, 3 * JB_SECOND);
+  starts = world->starts;
+  world->store_down = true;
+  for (guint i = 0; i < world->backends->len; i++)
+    ((struct jw_backend *)g_ptr_array_index (world->backends, i))->unlisted
+        = true;
+  jw_run (world, 4500 * JB_MS);
+  world->store_down = false;
+  jw_host_kill (world, (uint32_t)jw_holder (world, 0));
+  jw_run (world, 2 * JB_SECOND);
+  for (guint i = 0; i < world->backends->len; i++)
+    ((struct jw_backend *)g_ptr_array_index (world->backends, i))->unlisted
+        = false;
+  jw_run (world, 6 * JB_SECOND);
+  CU_ASSERT_EQUAL (world->starts, starts);
+  finish (world);
+}
+
+/* A whole outage of the store moves no duty.  */
+static void
+test_store_away (void)
+{
+  struct jw_world *world = make (&small);
+  int holder;
+
+  submit_many (world, 10, 50 * JB_MS);
+  holder = jw_holder (world, 0);
+  world->store_down = true;
+  submit_many (world, 20, 200 * JB_MS);
+  CU_ASSERT_EQUAL (jw_holder (world, 0), holder);
+  world->store_down = false;
+  jw_run (world, 4 * JB_SECOND);
+  CU_ASSERT_EQUAL (jw_holder (world, 0), holder);
+  jw_run (world, 10 * JB_SECOND);
+  finish (world);
+}
+
+/* Failures of one task are listed by several backend servers, and a successor
+   hears of them in any order.  */
+static void
+test_failures_out_of_order (void)
+{
+  for (uint32_t seed = 1; seed <= 12; seed++)
+    {
+      struct jw_options options = small;
+      struct jw_job_options job = quick;
+      struct jw_world *world;
+      int holder;
+
+      options.seed = seed;
+      world = make (&options);
+      job.hopeless = true;
+      job.width = 6;
+      job.ms = 400;
+      jw_submit (world, &job);
+      jw_run (world, (100 + 35 * seed) * JB_MS);
+      holder = jw_holder (world, 0);
+      world->hosts[holder].cut_store = true;
+      jw_run (world, 4 * JB_SECOND);
+      world->hosts[holder].cut_store = false;
+      jw_run (world, 6 * JB_SECOND);
+      finish (world);
+    }
+}
+
+/* All entry hosts die at once, with occurrences running that a successor has
+   not opened when it hears of their ends.  */
+static void
+test_scheduled_over_restart (void)
+{
+  struct jw_world *world = make (&small);
+  struct jw_job_options job = quick;
+
+  job.steps = 1;
+  job.times = 6;
+  job.interval_ms = 1500;
+  jw_submit (world, &job);
+  jw_run (world, 3 * JB_SECOND);
+  for (uint32_t i = 0; i < world->options.hosts; i++)
+    jw_host_kill (world, i);
+  jw_run (world, 1200 * JB_MS);
+  for (uint32_t i = 0; i < world->options.hosts; i++)
+    jw_host_start (world, i);
+  jw_run (world, 20 * JB_SECOND);
+  finish (world);
+}
+
+/* Orders get no answer; some are carried out, some of those late.  */
+static void
+test_orders_lost (void)
+{
+  for (uint32_t seed = 1; seed <= 6; seed++)
+    {
+      struct jw_options options = small;
+      struct jw_world *world;
+
+      options.seed = seed;
+      world = make (&options);
+      world->chances.backend_lost = 120;
+      submit_many (world, 40, 120 * JB_MS);
+      world->chances.backend_lost = 0;
+      jw_run (world, 14 * JB_SECOND);
+      finish (world);
+    }
+}
+
+static void
+test_writes_lost (void)
+{
+  for (uint32_t seed = 1; seed <= 6; seed++)
+    {
+      struct jw_options options = small;
+      struct jw_world *world;
+
+      options.seed = seed;
+      world = make (&options);
+      world->chances.store_lost = 250;
+      submit_many (world, 40, 150 * JB_MS);
+      world->chances.store_lost = 0;
+      jw_run (world, 14 * JB_SECOND);
+      finish (world);
+    }
+}
+
+/* Backend servers go dark with work on them and come back; while they are
+   away the holder dies.  */
+static void
+test_dark_rack (void)
+{
+  struct jw_world *world = make (&small);
+
+  submit_many (world, 8, 40 * JB_MS);
+  for (uint32_t i = 0; i < 2; i++)
+    jw_backend_of (world, 0, i)->dark = true;
+  jw_run (world, 700 * JB_MS);
+  jw_host_kill (world, (uint32_t)jw_holder (world, 0));
+  submit_many (world, 10, 200 * JB_MS);
+  jw_run (world, 4 * JB_SECOND);
+  for (uint32_t i = 0; i < 2; i++)
+    jw_backend_of (world, 0, i)->dark = false;
+  jw_run (world, 12 * JB_SECOND);
+  finish (world);
+}
+
+static void
+test_wave (void)
+{
+  struct jw_world *world = make (&small);
+  struct jw_job_options lasting = { .pool = 0,
+                                    .steps = 1,
+                                    .width = 3,
+                                    .cpu = 1000,
+                                    .ms = 500,
+                                    .lasts = true,
+                                    .may_miss = 1 };
+
+  jw_submit (world, &lasting);
+  jw_run (world, 2 * JB_SECOND);
+  jw_wave (world, 2, 20000);
+  submit_many (world, 40, 200 * JB_MS);
+  jw_run (world, 8 * JB_SECOND);
+  CU_ASSERT (world->wave_completed);
+  finish (world);
+}
+
+/* The planner dies in the middle of a wave.  */
+static void
+test_wave_planner_killed (void)
+{
+  for (uint32_t seed = 1; seed <= 5; seed++)
+    {
+      struct jw_options options = small;
+      struct jw_world *world;
+
+      options.seed = seed;
+      world = make (&options);
+      jw_wave (world, 2, 20000);
+      jw_run (world, (300 + 400 * seed) * JB_MS);
+      for (uint32_t i = 0; i < options.hosts; i++)
+        if (world->hosts[i].host != NULL
+            && jb_host_plans (world->hosts[i].host))
+          {
+            jw_host_kill (world, i);
+            break;
+          }
+      jw_run (world, 25 * JB_SECOND);
+      CU_ASSERT (world->wave_completed);
+      finish (world);
+    }
+}
+
+/* An organisation's demand goes from pool to pool; it keeps to its limit over
+   all of them, also when the planner and the holders die.  */
+static void
+test_org_limit (void)
+{
+  struct jw_options options = small;
+  struct jw_world *world;
+
+  options.org_cap = 6000;
+  world = make (&options);
+  for (uint32_t round = 0; round < 6; round++)
+    {
+      for (uint32_t i = 0; i < 8; i++)
+        {
+          struct jw_job_options job = quick;
+
+          job.pool = round % 2;
+          job.steps = 1;
+          jw_submit (world, &job);
+          jw_run (world, 30 * JB_MS);
+        }
+      if (round == 2)
+        jw_host_kill (world, (uint32_t)jw_holder (world, 0));
+      if (round == 4)
+        for (uint32_t i = 0; i < options.hosts; i++)
+          if (world->hosts[i].host != NULL
+              && jb_host_plans (world->hosts[i].host))
+            jw_host_kill (world, i);
+      jw_run (world, 1500 * JB_MS);
+    }
+  jw_run (world, 20 * JB_SECOND);
+  CU_ASSERT (world->starts >= 6 * 8 * 4);
+  finish (world);
+}
+
+static void
+test_cancel (void)
+{
+  struct jw_world *world = make (&small);
+  const char *ids[12];
+
+  for (uint32_t i = 0; i < 12; i++)
+    {
+      struct jw_job_options job = quick;
+
+      job.ms = 2000;
+      ids[i] = jw_submit (world, &job);
+      jw_run (world, 30 * JB_MS);
+    }
+  for (uint32_t i = 0; i < 12; i++)
+    {
+      jw_cancel (world, ids[i]);
+      if (i == 6)
+        jw_host_kill (world, (uint32_t)jw_holder (world, 0));
+      jw_run (world, 20 * JB_MS);
+    }
+  jw_run (world, 6 * JB_SECOND);
+  for (uint32_t i = 0; i < 12; i++)
+    {
+      CU_ASSERT (jw_job (world, ids[i])->cancelled != 0);
+      CU_ASSERT_EQUAL (jw_running (world, ids[i]), 0);
+    }
+  finish (world);
+}
+
+static void
+test_rolling_stop (void)
+{
+  struct jw_world *world = make (&small);
+
+  for (uint32_t i = 0; i < world->options.hosts; i++)
+    {
+      jw_host_stop (world, i);
+      submit_many (world, 8, 150 * JB_MS);
+      jw_run (world, 2 * JB_SECOND);
+      jw_host_start (world, i);
+      jw_run (world, 500 * JB_MS);
+    }
+  jw_run (world, 10 * JB_SECOND);
+  finish (world);
+}
+
+static void
+test_gangs (void)
+{
+  struct jw_world *world = make (&small);
+
+  for (uint32_t i = 0; i < 12; i++)
+    {
+      struct jw_job_options job = quick;
+
+      job.gang = true;
+      job.steps = 1;
+      jw_submit (world, &job);
+      jw_run (world, 150 * JB_MS);
+    }
+  jw_run (world, 10 * JB_SECOND);
+  finish (world);
+}
+
+/* A backend server that fails all it starts does not fail the jobs.  */
+static void
+test_failing_backend (void)
+{
+  struct jw_world *world = make (&small);
+
+  jw_backend_of (world, 0, 1)->fails_all = true;
+  submit_many (world, 30, 150 * JB_MS);
+  jw_backend_of (world, 0, 1)->fails_all = false;
+  jw_run (world, 10 * JB_SECOND);
+  finish (world);
+}
+
+int
+main (void)
+{
+  static const struct dp_test tests[]
+      = { { "calm", test_calm },
+          { "the holder is killed", test_holder_killed },
+          { "the holder is frozen", test_holder_frozen },
+          { "the holder is cut from the store", test_holder_cut_from_store },
+          { "entries lapse with the store", test_entries_lapse },
+          { "the store is away", test_store_away },
+          { "failures in any order", test_failures_out_of_order },
+          { "schedules over a restart", test_scheduled_over_restart },
+          { "orders are lost", test_orders_lost },
+          { "writes are lost", test_writes_lost },
+          { "a rack goes dark", test_dark_rack },
+          { "a wave", test_wave },
+          { "the planner dies in a wave", test_wave_planner_killed },
+          { "limits over pools", test_org_limit },
+          { "cancelling", test_cancel },
+          { "a rolling stop", test_rolling_stop },
+          { "gangs", test_gangs },
+          { "a backend server that fails all", test_failing_backend },
+          { NULL, NULL } };
+
+  return dp_test_main ("jobs in virtual time", tests);
+}
