--- a/packages/jobs/include/jb_planner.h
+++ b/packages/jobs/include/jb_planner.h
@@ -41,7 +41,9 @@
 bool jb_planner_held (const struct jb_planner *planner);
 bool jb_planner_over (const struct jb_planner *planner);
 uint64_t jb_planner_fence (const struct jb_planner *planner);
-void jb_planner_confirm (struct jb_planner *planner, jb_time confirmed);
+/* As jb_pool_confirm.  */
+void jb_planner_confirm (struct jb_planner *planner, jb_time now,
+                         jb_time heard);
 void jb_planner_release (struct jb_planner *planner, jb_time now,
                          const char *reason);
 
--- a/packages/jobs/include/jb_pool.h
+++ b/packages/jobs/include/jb_pool.h
@@ -54,8 +54,10 @@
 /* Give the pool up: nothing is written or ordered after.  */
 void jb_pool_release (struct jb_pool *pool, jb_time now, const char *reason);
 
-/* Peers confirm this holder until CONFIRMED.  */
-void jb_pool_confirm (struct jb_pool *pool, jb_time confirmed);
+/* A peer heard this holder at HEARD.  That extends its standing while the
+   store does not answer; one that has lapsed comes back from the store only.
+ */
+void jb_pool_confirm (struct jb_pool *pool, jb_time now, jb_time heard);
 
 /* Take in a list of all backend servers.  */
 void jb_pool_backends (struct jb_pool *pool, jb_time now, jb_time listed_at,
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -649,7 +649,7 @@
           != 0)
         jb_planner_release (host->planner, now, "a peer has a higher fence");
       else
-        jb_planner_confirm (host->planner, heard_by);
+        jb_planner_confirm (host->planner, now, heard_by);
     }
   if (host->planner != NULL || host->stopping || now < host->next_plan
       || host->catalog == NULL || !store_is_good (host, now))
@@ -697,7 +697,9 @@
     return;
   host->next_elect = now + ELECT_PERIOD;
   release_if_cut_off (host, now);
-  heard_by = jb_members_heard_by (host->members);
+  heard_by = jb_out_store_failing (host->out) != 0
+                 ? jb_members_heard_by (host->members)
+                 : 0;
   elect_planner (host, now, heard_by);
   for (guint i = 0; i < host->pools->len; i++)
     {
@@ -712,7 +714,7 @@
           if (jb_members_superseded (host->members, now, part,
                                      jb_pool_fence (held->pool))
               == 0)
-            jb_pool_confirm (held->pool, heard_by);
+            jb_pool_confirm (held->pool, now, heard_by);
           else
             jb_pool_release (held->pool, now, "a peer has a higher fence");
         }
--- a/packages/jobs/src/jb_planner.c
+++ b/packages/jobs/src/jb_planner.c
@@ -5,6 +5,9 @@
 /* Standing without confirmation, as of holders of pools.  */
 #define STANDING (1800 * JB_MS)
 
+/* A planner that has not written for so long asks whether it is still that. */
+#define VERIFY_PERIOD (800 * JB_MS)
+
 /* Between two lists of hosts: while something is away, and otherwise.  */
 #define LIST_BUSY (250 * JB_MS)
 #define LIST_CALM (2000 * JB_MS)
@@ -117,10 +120,18 @@
   return jb_duty_fence (planner->duty);
 }
 
+static jb_time
+standing_until (const struct jb_planner *planner)
+{
+  return MAX (planner->confirmed, jb_duty_confirmed (planner->duty))
+         + STANDING;
+}
+
 void
-jb_planner_confirm (struct jb_planner *planner, jb_time confirmed)
+jb_planner_confirm (struct jb_planner *planner, jb_time now, jb_time heard)
 {
-  planner->confirmed = MAX (planner->confirmed, confirmed);
+  if (now < standing_until (planner))
+    planner->confirmed = MAX (planner->confirmed, heard);
 }
 
 void
@@ -180,8 +191,6 @@
 bool
 jb_planner_may_order (const struct jb_planner *planner, jb_time now)
 {
-  jb_time confirmed
-      = MAX (planner->confirmed, jb_duty_confirmed (planner->duty));
   jb_time wait
       = jb_duty_generation (planner->duty) > 1
                 && !(planner->options.bounds->off & JB_OFF_ORDER_LEASE)
@@ -190,7 +199,7 @@
 
   /* Two holders must not take turns in a short time.  */
   return jb_planner_held (planner) && planner->loaded
-         && now >= planner->claimed + wait && now < confirmed + STANDING;
+         && now >= planner->claimed + wait && now < standing_until (planner);
 }
 
 /* ---- the list of hosts ---- */
@@ -558,7 +567,7 @@
   if (!jb_planner_held (planner) || !planner->loaded)
     return JB_NEVER;
   jb_duty_run (planner->duty, now);
-  if (now >= planner->confirmed + STANDING)
+  if (now - jb_duty_confirmed (planner->duty) > VERIFY_PERIOD)
     jb_duty_verify (planner->duty, now);
   list_hosts (planner, now);
   jb_planner_run_caps (planner, now);
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -19,6 +19,9 @@
    lapse while the store is away and return a moment after.  */
 #define UNLISTED_PERIOD (2500 * JB_MS)
 
+/* A holder that has not written for so long asks whether it is still that.  */
+#define VERIFY_PERIOD (800 * JB_MS)
+
 /* Store writes have failed for so long: new jobs are refused.  */
 #define STORE_AWAY (300 * JB_MS)
 
@@ -144,9 +147,10 @@
 }
 
 void
-jb_pool_confirm (struct jb_pool *pool, jb_time confirmed_at)
+jb_pool_confirm (struct jb_pool *pool, jb_time now, jb_time confirmed_at)
 {
-  pool->confirmed = MAX (pool->confirmed, confirmed_at);
+  if (now < jb_pool_standing_until (pool))
+    pool->confirmed = MAX (pool->confirmed, confirmed_at);
 }
 
 void
@@ -871,7 +875,7 @@
     return;
   jb_pool_scan_check (pool, now);
   jb_pool_resend_stops (pool, now);
-  if (!jb_pool_stands (pool, now))
+  if (now - jb_duty_confirmed (pool->duty) > VERIFY_PERIOD)
     jb_duty_verify (pool->duty, now);
   for (guint i = 0; i < pool->active->len; i++)
     {
--- a/packages/jobs/src/jb_pool_load.c
+++ b/packages/jobs/src/jb_pool_load.c
@@ -93,9 +93,23 @@
             JB_JOB_TABLE, "pool", pool->options.name, "key", row->key, NULL);
 }
 
+/* A job whose last end the former holder stored, and no more.  */
+static void
+end_finished (struct jb_pool *pool, jb_time now)
+{
+  for (guint i = pool->active->len; i-- > 0;)
+    {
+      struct jb_job *job = g_ptr_array_index (pool->active, i);
+
+      if (jb_job_done (job))
+        jb_pool_end_job (pool, job, JB_JOB_COMPLETED, now, NULL);
+    }
+}
+
 static void
 loaded (struct jb_pool *pool, jb_time now)
 {
+  end_finished (pool, now);
   pool->stage = JB_STAGE_SCANNING;
   pool->schedule_due = true;
   jb_log (pool->options.out, JB_LEVEL_INFO, "pool-loaded", "pool",
--- a/packages/jobs/src/jb_pool_look.c
+++ b/packages/jobs/src/jb_pool_look.c
@@ -200,10 +200,12 @@
   if (task->state != JB_RUN_NONE && task->backend == backend
       && task->run == ended->run)
     forget_run (pool, task, now);
-  else if (task->done && task->state != JB_RUN_NONE)
-    jb_pool_stop_run (pool, task, now, "another run is done");
   else
-    jb_pool_run_over (pool, task, now);
+    {
+      if (task->done && task->state != JB_RUN_NONE)
+        jb_pool_stop_run (pool, task, now, "another run is done");
+      jb_pool_run_over (pool, task, now);
+    }
 }
 
 /* ---- what runs ---- */
@@ -400,6 +402,7 @@
 is_of_interest (const struct jb_backend *backend)
 {
   return !backend->reached || backend->task_count > 0
+         || (backend->silent > 0 && backend->listed)
          || backend->stored_end > backend->acked_end
          || backend->listed_end > backend->stored_end;
 }
--- a/packages/jobs/src/jb_work.c
+++ b/packages/jobs/src/jb_work.c
@@ -389,6 +389,9 @@
          && saved.done_upto <= saved.opened;
   if (good)
     {
+      for (guint i = 0; i < job->groups->len; i++)
+        talloc_free (g_ptr_array_index (job->groups, i));
+      g_ptr_array_set_size (job->groups, 0);
       job->done_upto = saved.done_upto;
       job->opened = saved.done_upto;
       while (job->opened < saved.opened)
