Shares of a former planner, runs nobody wants, and starts without an answer

Change: shares carry their planner's fence; a new holder speaks to the planner when it knows all that runs; a start without an answer is looked for before it is barred.

--- a/packages/jobs/include/jb_backend.h
+++ b/packages/jobs/include/jb_backend.h
@@ -46,7 +46,10 @@
   jb_time next_look;
   jb_time last_lease; /* when the last order with a lease was sent */
   uint32_t silent;    /* orders in a row without an answer */
-  bool reached;       /* a look was answered under this owner's fence */
+  jb_time foreign_at; /* the newest look listed a run that nobody wants here;
+                         0: it did not */
+  jb_time foreign_ordered; /* when such runs were last told to stop */
+  bool reached;            /* a look was answered under this owner's fence */
   /* ends */
   uint64_t listed_end; /* highest number taken in */
   uint64_t stored_end; /* up to here what they changed is durable */
--- a/packages/jobs/include/jb_msg.h
+++ b/packages/jobs/include/jb_msg.h
@@ -140,8 +140,9 @@
 struct jb_msg_usage
 {
   char *pool;
-  uint64_t fence;  /* of the holder */
-  uint64_t serial; /* of the newest shares taken in; 0: none */
+  uint64_t fence;   /* of the holder */
+  uint64_t planner; /* that the newest shares taken in came from */
+  uint64_t serial;  /* of these; 0: none */
   uint32_t count;
   struct jb_msg_use *uses;
 };
@@ -155,8 +156,9 @@
 struct jb_msg_shares
 {
   char *pool;
-  uint64_t fence;  /* of the pool's holder that these are for */
-  uint64_t serial; /* rises */
+  uint64_t fence;   /* of the pool's holder that these are for */
+  uint64_t planner; /* fence of the planner */
+  uint64_t serial;  /* rises */
   uint32_t count;
   struct jb_msg_share *shares;
 };
--- a/packages/jobs/include/jb_pool.h
+++ b/packages/jobs/include/jb_pool.h
@@ -82,9 +82,10 @@
 void jb_pool_wall (struct jb_pool *pool, jb_time origin);
 
 /* Fill USAGE, its arrays owned by MEM, and return true when it is time to tell
-   the planner.  */
+   the planner, whose fence is PLANNER.  From then on shares of an earlier one
+   count no more.  */
 bool jb_pool_usage (struct jb_pool *pool, TALLOC_CTX *mem, jb_time now,
-                    struct jb_msg_usage *usage);
+                    uint64_t planner, struct jb_msg_usage *usage);
 
 /* Take in shares of organisations' limits.  */
 void jb_pool_shares (struct jb_pool *pool, jb_time now,
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -593,7 +593,11 @@
       if (!is_held (held) || (!here && planner == NULL))
         continue;
       scratch = talloc_new (NULL);
-      if (jb_pool_usage (held->pool, scratch, now, &message.u.usage))
+      if (jb_pool_usage (
+              held->pool, scratch, now,
+              here ? jb_planner_fence (host->planner)
+                   : jb_members_fence (host->members, JB_PLANNER_PART),
+              &message.u.usage))
         {
           if (here)
             jb_planner_usage (host->planner, now, &message.u.usage);
--- a/packages/jobs/src/jb_msg.c
+++ b/packages/jobs/src/jb_msg.c
@@ -107,6 +107,7 @@
 {
   ba_io_name (io, &usage->pool);
   ba_io_u64 (io, &usage->fence);
+  ba_io_u64 (io, &usage->planner);
   ba_io_u64 (io, &usage->serial);
   ba_io_array (io, usage->uses, usage->count, MAX_ORGS, use_code);
 }
@@ -123,6 +124,7 @@
 {
   ba_io_name (io, &shares->pool);
   ba_io_u64 (io, &shares->fence);
+  ba_io_u64 (io, &shares->planner);
   ba_io_u64 (io, &shares->serial);
   ba_io_array (io, shares->shares, shares->count, MAX_ORGS, share_code);
 }
--- a/packages/jobs/src/jb_planner_caps.c
+++ b/packages/jobs/src/jb_planner_caps.c
@@ -172,6 +172,7 @@
     usage->serial = ++planner->last_serial;
   usage->changed = false;
   usage->sent_at = now;
+  shares.planner = jb_planner_fence (planner);
   shares.serial = usage->serial;
   shares.shares = talloc_zero_array (scratch, struct jb_msg_share,
                                      g_hash_table_size (usage->orgs) + 1);
@@ -247,7 +248,9 @@
           g_array_set_size (entry->under_way, 0);
         }
     }
-  usage->acked = message->serial;
+  /* Serials of a former planner say nothing.  */
+  usage->acked
+      = message->planner == jb_planner_fence (planner) ? message->serial : 0;
   for (uint32_t i = 0; i < message->count; i++)
     {
       const struct jb_msg_use *use = &message->uses[i];
--- a/packages/jobs/src/jb_pool_caps.c
+++ b/packages/jobs/src/jb_pool_caps.c
@@ -9,6 +9,9 @@
 #define TELL_PERIOD (100 * JB_MS)
 #define TELL_CALM (500 * JB_MS)
 
+/* Runs that nobody wants are gone when no look has listed one for so long.  */
+#define FOREIGN_SETTLED (600 * JB_MS)
+
 bool
 jb_pool_is_limited (const struct jb_pool *pool, const char *org)
 {
@@ -109,11 +112,23 @@
                 const struct jb_msg_shares *shares)
 {
   if (shares->fence != jb_pool_fence (pool)
-      || shares->serial <= pool->shares_serial)
+      || shares->planner < pool->told_planner
+      || (shares->planner == pool->shares_planner
+          && shares->serial <= pool->shares_serial))
     return;
+  pool->shares_planner = shares->planner;
   pool->shares_serial = shares->serial;
   for (uint32_t i = 0; i < shares->count; i++)
-    jb_pool_use (pool, shares->shares[i].org)->limit = shares->shares[i].limit;
+    {
+      const struct jb_msg_share *share = &shares->shares[i];
+
+      jb_pool_use (pool, share->org)->limit = share->limit;
+      jb_log (pool->options.out, JB_LEVEL_DEBUG, "share-taken", "pool",
+              pool->options.name, "organisation", share->org, "cpu",
+              jb_num (share->limit.cpu), "planner",
+              jb_num ((int64_t)shares->planner), "serial",
+              jb_num ((int64_t)shares->serial), NULL);
+    }
   pool->schedule_due = true;
   pool->next_usage = MIN (pool->next_usage, now);
 }
@@ -128,20 +143,29 @@
 
 bool
 jb_pool_usage (struct jb_pool *pool, TALLOC_CTX *mem, jb_time now,
-               struct jb_msg_usage *usage)
+               uint64_t planner, struct jb_msg_usage *usage)
 {
   GHashTableIter iter;
   gpointer value;
 
   if (pool->stage < JB_STAGE_SCANNING)
     return false;
+  /* What the former holder left running is part of its share until it is
+     known, or gone; the planner keeps that share until the first word.  */
+  if (pool->usage_told == 0
+      && (pool->stage != JB_STAGE_ACTIVE
+          || (pool->foreign_at != 0
+              && now - pool->foreign_at < FOREIGN_SETTLED)))
+    return false;
   if (now < jb_pool_usage_due (pool))
     return false;
   pool->usage_told = now;
+  pool->told_planner = MAX (pool->told_planner, planner);
   pool->cap_blocked = false;
   jb_pool_count_uses (pool);
   *usage = (struct jb_msg_usage){ .pool = (char *)pool->options.name,
                                   .fence = jb_pool_fence (pool),
+                                  .planner = pool->shares_planner,
                                   .serial = pool->shares_serial };
   usage->uses = talloc_zero_array (mem, struct jb_msg_use,
                                    g_hash_table_size (pool->uses) + 1);
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -96,9 +96,12 @@
   jb_time next_schedule;
   jb_time next_sweep;
   /* limits of organisations */
-  GHashTable *uses; /* organisation -> struct jb_pool_use */
+  GHashTable *uses;        /* organisation -> struct jb_pool_use */
+  uint64_t told_planner;   /* fence of the newest planner that was told */
+  uint64_t shares_planner; /* fence of the one whose shares are kept to */
   uint64_t shares_serial;
-  bool cap_blocked; /* a task waits for a larger share */
+  jb_time foreign_at; /* runs that nobody wants were listed last then */
+  bool cap_blocked;   /* a task waits for a larger share */
   jb_time usage_told;
   jb_time next_usage;
   /* load */
--- a/packages/jobs/src/jb_pool_look.c
+++ b/packages/jobs/src/jb_pool_look.c
@@ -273,6 +273,9 @@
       char name[JB_TASK_NAME_SIZE];
 
       next = task->next;
+      if (task->listed_at != now && task->state == JB_RUN_UNSURE
+          && task->settled == 0 && sent >= task->ordered)
+        jb_pool_stop_run (pool, task, now, "its start had no answer");
       if (task->listed_at == now || task->settled == 0 || task->settled > sent)
         continue;
       jb_count (pool->options.out, JB_COUNT_VANISHED);
@@ -334,6 +337,7 @@
       pool->roster_dirty = true;
     }
   backend->acked_end = MAX (backend->acked_end, look->acked);
+  backend->foreign_at = 0;
   for (uint32_t i = 0; i < reply->running_count; i++)
     take_running (pool, backend, &reply->running[i], now);
   for (uint32_t i = 0; i < reply->ended_count; i++)
@@ -403,6 +407,7 @@
 {
   return !backend->reached || backend->task_count > 0
          || (backend->silent > 0 && backend->listed)
+         || backend->foreign_at != 0
          || backend->stored_end > backend->acked_end
          || backend->listed_end > backend->stored_end;
 }
--- a/packages/jobs/src/jb_pool_start.c
+++ b/packages/jobs/src/jb_pool_start.c
@@ -12,6 +12,9 @@
 /* Before a stop without an answer is sent again.  */
 #define STOP_RETRY (250 * JB_MS)
 
+/* A start without an answer is stopped although no look has told of it.  */
+#define UNSURE_PATIENCE (750 * JB_MS)
+
 /* A backend server that turned a start away is not asked again for so long:
    until a look has told what it holds, or until it may have recovered.  */
 #define ROOM_PAUSE (150 * JB_MS)
@@ -114,8 +117,13 @@
 jb_pool_stop_foreign (struct jb_pool *pool, struct jb_backend *backend,
                       const char *task, uint32_t run, jb_time now)
 {
-  if (!jb_pool_stands (pool, now))
+  backend->foreign_at = now;
+  pool->foreign_at = now;
+  if (!jb_pool_stands (pool, now)
+      || (backend->foreign_ordered != now
+          && now - backend->foreign_ordered < STOP_RETRY))
     return;
+  backend->foreign_ordered = now;
   jb_log (pool->options.out, JB_LEVEL_INFO, "run-unwanted", "task", task,
           "run", jb_num (run), "backend", backend->instance, NULL);
   order_stop (pool, backend, task, run, now);
@@ -153,8 +161,11 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     for (struct jb_task *task = ((struct jb_backend *)value)->tasks;
          task != NULL; task = task->next)
-      if ((task->state == JB_RUN_UNSURE || task->state == JB_RUN_STOPPING)
-          && task->settled == 0 && now - task->ordered >= STOP_RETRY)
+      if (task->settled == 0
+          && ((task->state == JB_RUN_STOPPING
+               && now - task->ordered >= STOP_RETRY)
+              || (task->state == JB_RUN_UNSURE
+                  && now - task->ordered >= UNSURE_PATIENCE)))
         jb_pool_stop_run (pool, task, now, "no answer yet");
 }
 
@@ -229,7 +240,9 @@
       return;
     }
   start->task->state = JB_RUN_UNSURE;
-  jb_pool_stop_run (start->pool, start->task, now, "its start had no answer");
+  start->task->ordered = now;
+  /* A look may find it at work; only if it does not, the run is barred.  */
+  start->backend->look_urgent = true;
   start->backend->next_look = MIN (start->backend->next_look, now);
 }
 
--- a/tests/sim/jobs/jw_soak.c
+++ b/tests/sim/jobs/jw_soak.c
@@ -4,7 +4,7 @@
 
 /* Length of the part with faults, and of the one after it.  */
 #define TROUBLED (25 * JB_SECOND)
-#define CALM (45 * JB_SECOND)
+#define CALM (80 * JB_SECOND)
 
 enum
 {
--- a/tests/sim/jobs/jw_world.c
+++ b/tests/sim/jobs/jw_world.c
@@ -178,6 +178,7 @@
   uint64_t number;
   struct jb_order order;
   bool answered; /* its answer reaches the host */
+  bool late;     /* it was held up */
 };
 
 static struct jb_row *
@@ -267,6 +268,7 @@
   if (order->order.kind == JB_ORDER_HOLD && order->answered
       && jw_backend_waits (world, order->host, order->number, &order->order))
     return;
+  world->late = order->late;
   reply.mem = talloc_new (NULL);
   if (is_store_order (order->order.kind))
     {
@@ -319,7 +321,10 @@
     }
   /* Some of what is not answered is carried out late.  */
   if (!order->answered && jw_chance (world, 500))
-    arrival += g_rand_int_range (world->random, 500, 6000) * JB_MS;
+    {
+      arrival += g_rand_int_range (world->random, 500, 6000) * JB_MS;
+      order->late = true;
+    }
   jw_at (world, arrival, order_arrives, order);
 }
 
