A new planner divides no limit while the former one may still do so

Change: it waits until the former planner's standing has lapsed, or a moment when that one was heard to give up. Ruled out: fencing each share by the store (a call for each change).

--- a/packages/jobs/include/jb_members.h
+++ b/packages/jobs/include/jb_members.h
@@ -71,6 +71,10 @@
 const struct jb_member *jb_members_holder (struct jb_members *members,
                                            jb_time now, const char *part);
 
+/* Return whether the last holder of PART lives and has given it up.  */
+bool jb_members_released (struct jb_members *members, jb_time now,
+                          const char *part);
+
 /* Return the fence of the holder of PART as last heard, or 0.  */
 uint64_t jb_members_fence (struct jb_members *members, const char *part);
 
--- a/packages/jobs/include/jb_planner.h
+++ b/packages/jobs/include/jb_planner.h
@@ -21,6 +21,7 @@
   const struct jb_catalog *const *catalog; /* borrowed */
   const char *holder;
   uint64_t incarnation;
+  bool released; /* the former planner is known to have given up */
   /* Ask the holder of CLEAR's pool.  */
   void (*clear) (void *data, jb_time now, const struct jb_msg_clear *clear);
   /* Tell the holder of POOL that a host is on its way to it.  */
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -625,6 +625,8 @@
           .catalog = &host->catalog,
           .holder = host->options.name,
           .incarnation = host->options.incarnation,
+          .released
+          = jb_members_released (host->members, now, JB_PLANNER_PART),
           .clear = ask_clear,
           .coming = tell_coming,
           .shares = give_shares,
--- a/packages/jobs/src/jb_members.c
+++ b/packages/jobs/src/jb_members.c
@@ -617,6 +617,18 @@
   return !is_minority (members, now) || silent_are_quiet (members, now);
 }
 
+bool
+jb_members_released (struct jb_members *members, jb_time now, const char *part)
+{
+  struct holding *holding = get_holding (members, part);
+  const struct jb_member *last = jb_members_find (members, holding->holder);
+
+  if (jb_members_holder (members, now, part) != NULL)
+    return false;
+  return holding->holder == members->options.incarnation
+         || (last != NULL && jb_member_lives (last, now));
+}
+
 bool
 jb_members_should_claim (struct jb_members *members, jb_time now,
                          const char *part, uint32_t load)
--- a/packages/jobs/src/jb_planner_caps.c
+++ b/packages/jobs/src/jb_planner_caps.c
@@ -12,6 +12,11 @@
    worth a message, unless tasks wait.  */
 #define CHANGE_PART 100
 
+/* A former planner that was not heard to give up stands so long after the
+   claim; the last shares of one that was are under way so long.  */
+#define STANDING_WAIT (2100 * JB_MS)
+#define RELEASED_WAIT (150 * JB_MS)
+
 /* Shares that were sent are sent again until they are acknowledged.  */
 #define REPEAT_PERIOD (150 * JB_MS)
 
@@ -83,6 +88,15 @@
     }
 }
 
+/* Return how long after the claim the former planner may still give shares. */
+static jb_time
+former_shares (const struct jb_planner *planner)
+{
+  if (jb_duty_generation (planner->duty) <= 1)
+    return 0;
+  return planner->options.released ? RELEASED_WAIT : STANDING_WAIT;
+}
+
 /* Return whether every pool has said what it uses.  */
 static bool
 all_known (const struct jb_planner *planner)
@@ -199,7 +213,8 @@
   GHashTableIter iter;
   gpointer value;
 
-  if (catalog == NULL || !all_known (planner))
+  if (catalog == NULL || !all_known (planner)
+      || now < planner->claimed + former_shares (planner))
     return;
   for (uint32_t i = 0; planner->usage_new && i < catalog->org_count; i++)
     {
