Pace of filling tasks; advice with tickets

Cause: tasks that fill may push the tails of those that serve above their targets, and queues with a policy start nothing without its tickets. Change: jb_pace decides from the tail against the target, cutting fast and raising slowly; advice is asked once a step and kept while its tickets hold.

--- a/packages/jobs/include/jb_desc.h
+++ b/packages/jobs/include/jb_desc.h
@@ -52,6 +52,7 @@
   uint32_t max_attempts;
   uint32_t stretch_milli;
   int64_t target_ms;
+  bool advised; /* a policy says which backend servers may run a step */
 };
 
 void jb_desc_code (struct ba_io *io, struct jb_desc *desc);
--- a/packages/jobs/include/jb_work.h
+++ b/packages/jobs/include/jb_work.h
@@ -43,11 +43,22 @@
   jb_time listed_at; /* when a look last listed the run */
   uint32_t percent;
   uint32_t pace;      /* share of its work that it was told to do */
+  jb_time paced; /* when that was ordered; 0: never */
   int64_t usage;      /* see struct jb_running */
   jb_time over_since; /* its tail has been above its target; 0: it is not */
   char *checkpoint;   /* or NULL */
 };
 
+/* What a policy said of who may run a step.  */
+struct jb_advice
+{
+  bool asking;
+  jb_time retry_at;
+  jb_time valid_until;
+  GHashTable *tickets; /* instance -> ticket */
+  uint32_t next;       /* rotates over the backend servers */
+};
+
 /* The tasks of one step of one occurrence.  */
 struct jb_group
 {
@@ -59,6 +70,7 @@
   uint32_t done;
   uint32_t runs; /* tasks whose state is not JB_RUN_NONE */
   struct jb_task *tasks;
+  struct jb_advice *advice; /* on who may run it, or NULL */
 };
 
 struct jb_job
@@ -117,6 +129,10 @@
   return jb_group_step (task->group);
 }
 
+/* Return the ticket that lets GROUP run on BACKEND, or NULL.  Borrowed.  */
+const char *jb_group_ticket (const struct jb_group *group,
+                             const struct jb_backend *backend);
+
 enum
 {
   JB_TASK_NAME_SIZE = 64
--- a/packages/jobs/src/jb_desc.c
+++ b/packages/jobs/src/jb_desc.c
@@ -40,6 +40,7 @@
   ba_io_u32 (io, &desc->max_attempts);
   ba_io_u32 (io, &desc->stretch_milli);
   ba_io_i64 (io, &desc->target_ms);
+  ba_io_bool (io, &desc->advised);
 }
 
 bool
--- a/packages/jobs/src/jb_entry.c
+++ b/packages/jobs/src/jb_entry.c
@@ -225,6 +225,7 @@
         desc.max_attempts = queue->max_attempts;
         desc.stretch_milli = queue->stretch_milli;
         desc.target_ms = queue->target_ms;
+        desc.advised = queue->advised;
         ba_io_copy (waiting, jb_desc_code, &desc, request->desc);
         break;
       }
--- a/packages/jobs/src/jb_place.c
+++ b/packages/jobs/src/jb_place.c
@@ -17,6 +17,9 @@
 
   if (!jb_backend_has_label (backend, step->requires))
     return false;
+  if (task->group->job->desc->advised
+      && jb_group_ticket (task->group, backend) == NULL)
+    return false;
   if (step->apart == 0)
     return true;
   for (const struct jb_task *t = backend->tasks; t != NULL; t = t->next)
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -181,6 +181,18 @@
 /* Count anew what the organisations use.  */
 void jb_pool_count_uses (struct jb_pool *pool);
 
+/* jb_pool_pace.c */
+void jb_pool_pace (struct jb_pool *pool, struct jb_backend *backend,
+                   jb_time now);
+
+/* jb_pool_advice.c */
+/* Return whether GROUP may be started as far as advice goes, asking for it
+   when that is missing.  */
+bool jb_pool_has_advice (struct jb_pool *pool, struct jb_group *group,
+                         jb_time now);
+void jb_pool_ticket_refused (struct jb_group *group,
+                             const struct jb_backend *backend);
+
 /* jb_pool.c */
 struct jb_queue_stats *jb_pool_queue (struct jb_pool *pool, const char *name);
 void jb_pool_add_job (struct jb_pool *pool, struct jb_job *job);
--- a/packages/jobs/src/jb_pool_look.c
+++ b/packages/jobs/src/jb_pool_look.c
@@ -346,6 +346,7 @@
   for (uint32_t i = 0; i < reply->ended_count; i++)
     backend->listed_end = MAX (backend->listed_end, reply->ended[i].number);
   drop_unlisted (pool, backend, sent, now);
+  jb_pool_pace (pool, backend, now);
   backend->next_look = sent + LOOK_GAP;
   if (jb_pool_is_off (pool, JB_OFF_STORE_FIRST))
     backend->stored_end = backend->listed_end;
--- /dev/null
+++ b/packages/jobs/src/jb_pool_pace.c
@@ -0,0 +1,78 @@
+/* Filling tasks are paced by the tails of the serving tasks beside them.  */
+
+#include "jb_pool_internal.h"
+
+#include "jb_pace.h"
+
+#define PACE_TIMEOUT_MS 300
+
+static void
+pace_done (void *data, jb_time now, jb_time sent, const struct jb_reply *reply)
+{
+  struct jb_pool *pool = data;
+
+  (void)now;
+  (void)sent;
+  if (reply->result != JB_OK)
+    jb_log (pool->options.out, JB_LEVEL_INFO, "pace-not-set", "pool",
+            pool->options.name, "result", jb_num (reply->result), NULL);
+}
+
+static void
+order_pace (struct jb_pool *pool, struct jb_task *task, uint32_t percent,
+            jb_time now)
+{
+  struct jb_backend *backend = task->backend;
+  char name[JB_TASK_NAME_SIZE];
+  struct jb_order order
+      = { .kind = JB_ORDER_PACE,
+          .timeout_ms = PACE_TIMEOUT_MS,
+          .target = { backend->address, backend->instance,
+                      jb_duty_fence (pool->duty), false },
+          .u.pace = { jb_task_name (task, name), task->run, percent } };
+
+  jb_log (pool->options.out, JB_LEVEL_INFO, "pace-set", "task", name,
+          "backend", backend->instance, "before", jb_num (task->pace),
+          "percent", jb_num (percent), NULL);
+  task->pace = percent;
+  task->paced = now;
+  jb_out_submit (pool->options.out, backend, now, &order, pace_done, pool);
+}
+
+void
+jb_pool_pace (struct jb_pool *pool, struct jb_backend *backend, jb_time now)
+{
+  struct jb_pace_input input = { 0 };
+
+  if (!jb_pool_stands (pool, now))
+    return;
+  for (const struct jb_task *task = backend->tasks; task != NULL;
+       task = task->next)
+    {
+      const struct jb_step *step = jb_task_step (task);
+
+      if (!step->lasts || step->fills || step->target_ms <= 0
+          || task->state != JB_RUN_RUNNING)
+        continue;
+      if (input.target_ms == 0
+          || task->usage * input.target_ms > input.tail_ms * step->target_ms)
+        {
+          input.tail_ms = task->usage;
+          input.target_ms = step->target_ms;
+        }
+    }
+  for (struct jb_task *task = backend->tasks; task != NULL; task = task->next)
+    {
+      uint32_t percent;
+
+      if (!jb_task_step (task)->fills || task->state != JB_RUN_RUNNING)
+        continue;
+      input.percent = task->pace;
+      input.changed = task->paced;
+      percent = jb_pace (&input, now);
+      /* What the backend server does after a takeover is not known here: it
+         is told once.  */
+      if (percent != task->pace)
+        order_pace (pool, task, percent, now);
+    }
+}
--- a/packages/jobs/src/jb_pool_start.c
+++ b/packages/jobs/src/jb_pool_start.c
@@ -217,6 +217,7 @@
       break;
     case JB_REFUSAL_TICKET:
       counter = JB_COUNT_START_TICKET;
+      jb_pool_ticket_refused (start->task->group, backend);
       break;
     default:
       backend->ill_until = now + ILL_PAUSE;
@@ -353,6 +354,7 @@
   order.u.start.spec = task->group->job->desc->spec;
   order.u.start.until_ms = jb_backend_lease (backend, now, JB_LEASE_MS);
   order.u.start.checkpoint = task->checkpoint;
+  order.u.start.ticket = jb_group_ticket (task->group, backend);
   jb_out_submit (pool->options.out, backend, now, &order, start_done, start);
 }
 
@@ -562,6 +564,8 @@
       struct jb_group *group
           = g_array_index (candidates, struct candidate, i).group;
 
+      if (!jb_pool_has_advice (pool, group, now))
+        continue;
       started += jb_group_step (group)->gang ? start_gang (pool, group, now)
                                              : start_group (pool, group, now);
     }
--- a/packages/jobs/src/jb_work.c
+++ b/packages/jobs/src/jb_work.c
@@ -139,6 +139,15 @@
     }
 }
 
+const char *
+jb_group_ticket (const struct jb_group *group,
+                 const struct jb_backend *backend)
+{
+  if (group->advice == NULL)
+    return NULL;
+  return g_hash_table_lookup (group->advice->tickets, backend->instance);
+}
+
 char *
 jb_task_name (const struct jb_task *task, char name[JB_TASK_NAME_SIZE])
 {
@@ -195,6 +204,7 @@
   task->started = 0;
   task->percent = 0;
   task->pace = 100;
+  task->paced = 0;
   task->usage = 0;
   task->over_since = 0;
   task->ordered = 0;
--- a/tests/sim/jobs/jw_backend.c
+++ b/tests/sim/jobs/jw_backend.c
@@ -333,6 +333,12 @@
       return;
     }
   reply->result = JB_CONFLICT;
+  if (world->options.advised && from->ticket == NULL)
+    {
+      reply->refusal = JB_REFUSAL_TICKET;
+      jw_break (world, "TICKET", "%s starts without", from->task);
+      return;
+    }
   if (from->run <= barred)
     {
       reply->refusal = JB_REFUSAL_OLD;
@@ -618,6 +624,24 @@
          talloc_memdup (NULL, &host, sizeof host));
 }
 
+/* The policy lets a step run on every second backend server.  */
+static void
+advise (const struct jb_order_advise *order, struct jb_reply *reply)
+{
+  reply->valid_ms = 3000;
+  reply->tickets = talloc_zero_array (reply->mem, struct jb_ticket,
+                                      order->backend_count + 1);
+  for (uint32_t i = 0; i < order->backend_count; i++)
+    {
+      const char *instance = order->backends[i];
+
+      if ((instance[strlen (instance) - 1] - '0') % 2 == 0)
+        reply->tickets[reply->ticket_count++] = (struct jb_ticket){
+          talloc_strdup (reply->mem, instance), "ticket"
+        };
+    }
+}
+
 void
 jw_fleet_order (struct jw_world *world, const struct jb_order *order,
                 struct jb_reply *reply)
@@ -628,6 +652,8 @@
   else if (order->kind == JB_ORDER_MOVE_HOST
            || order->kind == JB_ORDER_MAINTAIN_HOST)
     order_host (world, order, reply);
+  else if (order->kind == JB_ORDER_ADVISE)
+    advise (&order->u.advise, reply);
   else
     reply->result = JB_INVALID;
 }
--- a/tests/sim/jobs/jw_world.c
+++ b/tests/sim/jobs/jw_world.c
@@ -232,6 +232,18 @@
     case JB_ORDER_STOP:
       order->u.stop.task = talloc_strdup (to, from->u.stop.task);
       break;
+    case JB_ORDER_ADVISE:
+      {
+        const char **names
+            = talloc_array (to, const char *,
+                            from->u.advise.backend_count + 1);
+
+        for (uint32_t i = 0; i < from->u.advise.backend_count; i++)
+          names[i] = talloc_strdup (to, from->u.advise.backends[i]);
+        order->u.advise.backends = names;
+        order->u.advise.step = talloc_strdup (to, from->u.advise.step);
+        break;
+      }
     case JB_ORDER_PACE:
       order->u.pace.task = talloc_strdup (to, from->u.pace.task);
       break;
@@ -807,7 +819,8 @@
         .pool = catalog->pools[i].name,
         .max_attempts = 3,
         .stretch_milli = 1600,
-        .target_ms = 600
+        .target_ms = 600,
+        .advised = world->options.advised
       };
     }
   catalog->org_count = 2;
--- a/tests/sim/jobs/test_jobs.c
+++ b/tests/sim/jobs/test_jobs.c
@@ -438,6 +438,21 @@
   finish (world);
 }
 
+/* A policy says who may run a step: starts carry its tickets.  */
+static void
+test_advice (void)
+{
+  struct jw_options options = small;
+  struct jw_world *world;
+
+  options.advised = true;
+  world = make (&options);
+  submit_many (world, 20, 150 * JB_MS);
+  jw_run (world, 12 * JB_SECOND);
+  CU_ASSERT (world->starts >= 20 * 8 * 9 / 10);
+  finish (world);
+}
+
 int
 main (void)
 {
@@ -460,6 +475,7 @@
           { "a rolling stop", test_rolling_stop },
           { "gangs", test_gangs },
           { "a backend server that fails all", test_failing_backend },
+          { "advice", test_advice },
           { NULL, NULL } };
 
   return dp_test_main ("jobs in virtual time", tests);
