--- a/packages/server/src/sv_jobs.c
+++ b/packages/server/src/sv_jobs.c
@@ -29,6 +29,7 @@
   WATCH_MS = 500,
   MAX_WAIT_MS = 1000,
   SETTINGS_MS = 1000, /* between looks whether the settings have changed */
+  LOG_BUDGET = 200,   /* lines of one event a second */
   EXIT_FAILED_DUTY = 70
 };
 
@@ -62,6 +63,7 @@
 {
   struct sv_jobs_options options;
   struct sv_log *log;
+  GHashTable *budgets; /* event -> struct log_budget; decider only */
   struct ht_server *callers;
   struct ht_server *readiness;
   struct ht_server *admin;
@@ -301,6 +303,22 @@
   return push (jobs, event);
 }
 
+static void
+check_too_large (void *context, const struct ht_call *call)
+{
+  struct sv_jobs *jobs = context;
+
+  answer_plain (jobs->readiness, call->id, 413, "the body is too large\n");
+}
+
+static void
+admin_too_large (void *context, const struct ht_call *call)
+{
+  struct sv_jobs *jobs = context;
+
+  answer_plain (jobs->admin, call->id, 413, "the body is too large\n");
+}
+
 static void
 call_too_large (void *context, const struct ht_call *call)
 {
@@ -338,7 +356,7 @@
 }
 
 static const struct ht_server_handlers check_handlers = {
-  .request = take_check, .too_large = call_too_large, .gone = call_gone
+  .request = take_check, .too_large = check_too_large, .gone = call_gone
 };
 
 static bool
@@ -372,18 +390,61 @@
 }
 
 static const struct ht_server_handlers admin_handlers = {
-  .request = take_admin, .too_large = call_too_large, .gone = call_gone
+  .request = take_admin, .too_large = admin_too_large, .gone = call_gone
 };
 
 /* ---- log ---- */
 
+/* Lines of one event in one second.  */
+struct log_budget
+{
+  jb_time window; /* start of the present second */
+  uint32_t lines;
+  uint32_t dropped;
+};
+
+/* Return whether another line of EVENT is within its budget.  What was dropped
+   is said when the next second begins.  */
+static bool
+within_budget (struct sv_jobs *jobs, const char *event)
+{
+  struct log_budget *budget = g_hash_table_lookup (jobs->budgets, event);
+  jb_time now = ba_clock_now ();
+  char dropped[24];
+
+  if (budget == NULL)
+    {
+      budget = talloc_zero (jobs, struct log_budget);
+      g_hash_table_insert (jobs->budgets, (char *)event, budget);
+    }
+  if (now - budget->window >= JB_SECOND)
+    {
+      if (budget->dropped > 0)
+        {
+          g_snprintf (dropped, sizeof dropped, "%u", budget->dropped);
+          sv_log (jobs->log, CF_LOG_WARN, "log-lines-dropped", "of", event,
+                  "count", dropped, NULL);
+        }
+      *budget = (struct log_budget){ .window = now };
+    }
+  if (budget->lines >= LOG_BUDGET)
+    {
+      budget->dropped++;
+      return false;
+    }
+  budget->lines++;
+  return true;
+}
+
 static void
 do_log (void *context, enum jb_level level, const char *event,
         const struct jb_log_field *fields, uint32_t count)
 {
   struct sv_jobs *jobs = context;
 
-  sv_log_fields (jobs->log, (enum cf_log_level)level, event, fields, count);
+  if (sv_log_wants (jobs->log, (enum cf_log_level)level)
+      && within_budget (jobs, event))
+    sv_log_fields (jobs->log, (enum cf_log_level)level, event, fields, count);
 }
 
 static const struct jb_effects effects = { .submit = do_submit,
@@ -541,6 +602,7 @@
   TALLOC_FREE (jobs->admin);
   TALLOC_FREE (jobs->readiness);
   TALLOC_FREE (jobs->callers);
+  g_hash_table_destroy (jobs->budgets);
   return 0;
 }
 
@@ -621,6 +683,8 @@
   jobs->signals = open_signals ();
   jobs->log
       = sv_log_new (jobs, &options->settings->log, options->settings->name);
+  /* Events are literals, so their names outlive the table.  */
+  jobs->budgets = g_hash_table_new (g_str_hash, g_str_equal);
   jobs->events = ba_ring_new (jobs, EVENT_RING);
   jobs->outside = ht_client_new (jobs, &outside);
   if (!make_host (jobs, error) || !open_servers (jobs, error))
@@ -642,6 +706,8 @@
       = jobs->options.reload (jobs->options.data, &error);
   struct event *event;
 
+  if (settings == NULL && error == NULL)
+    return; /* unchanged */
   if (settings == NULL)
     {
       sv_log (jobs->log, CF_LOG_ERROR, "settings-rejected", "reason",
@@ -690,6 +756,7 @@
   const struct sv_jobs_settings *settings = jobs->options.settings;
   struct pollfd p = { .fd = jobs->signals, .events = POLLIN };
   const char *failed = NULL;
+  jb_time next_settings = 0;
 
   sv_supervisor_start (jobs->supervisor);
   sv_log (jobs->log, CF_LOG_INFO, "started", "listen", settings->listen,
@@ -701,6 +768,11 @@
       poll (&p, 1, WATCH_MS);
       while (read (p.fd, &info, sizeof info) == (ssize_t)sizeof info)
         take_signal (jobs, info.ssi_signo);
+      if (ba_clock_now () >= next_settings)
+        {
+          next_settings = ba_clock_now () + SETTINGS_MS * JB_MS;
+          reload (jobs);
+        }
       failed = sv_supervisor_watch (jobs->supervisor);
     }
   if (failed != NULL)
