A slow store is waited for longer

The store took 0.7 s and more, calls were given up after 0.8 s, written again and found done: 74 clients heard that the holder did not answer. Change: a call is given four times the last answer's time, and twice the time after none, between 0.8 and 2.4 s. Ruled out: a longer time at once (silent connections are common).

--- a/packages/jobs/src/jb_duty.c
+++ b/packages/jobs/src/jb_duty.c
@@ -2,8 +2,12 @@
 
 #include <string.h>
 
-/* Of one call to the store; ten times its usual answer.  */
-#define STORE_TIMEOUT_MS 800
+/* Of one call to the store: so many times its last answer, within bounds.  A
+   connection that has gone silent should not be waited for, and a store that
+   is slow should not be asked again before it has answered.  */
+#define TIMEOUT_FACTOR 4
+#define SHORTEST_TIMEOUT_MS 800
+#define LONGEST_TIMEOUT_MS 2400
 
 /* Before a transaction that failed is sent again.  */
 #define RETRY_PAUSE (60 * JB_MS)
@@ -45,6 +49,7 @@
   jb_time retry_at;
   jb_time failing_since;
   jb_time confirmed;
+  int64_t timeout_ms; /* of the next call */
 };
 
 static void
@@ -74,6 +79,7 @@
   struct jb_duty *duty = talloc_zero (mem, struct jb_duty);
 
   duty->options = *options;
+  duty->timeout_ms = SHORTEST_TIMEOUT_MS;
   duty->options.part = talloc_strdup (duty, options->part);
   duty->options.holder = talloc_strdup (duty, options->holder);
   return duty;
@@ -171,10 +177,20 @@
 submit (struct jb_duty *duty, jb_time now, struct jb_order *order,
         jb_done *done)
 {
-  order->timeout_ms = STORE_TIMEOUT_MS;
+  order->timeout_ms = duty->timeout_ms;
   jb_out_submit (duty->options.out, duty, now, order, done, duty);
 }
 
+/* Note how long the store took to answer, or that it did not.  */
+static void
+learn_timeout (struct jb_duty *duty, jb_time took, enum jb_result result)
+{
+  int64_t wanted = result == JB_UNKNOWN ? 2 * duty->timeout_ms
+                                        : TIMEOUT_FACTOR * took / JB_MS;
+
+  duty->timeout_ms = CLAMP (wanted, SHORTEST_TIMEOUT_MS, LONGEST_TIMEOUT_MS);
+}
+
 static void
 read_owner (struct jb_duty *duty, jb_time now, jb_done *done)
 {
@@ -270,7 +286,7 @@
   const struct jb_row *row;
   struct owner_row owner;
 
-  (void)sent;
+  learn_timeout (duty, now - sent, reply->result);
   if (reply->result != JB_OK)
     {
       talloc_free (scratch);
@@ -346,6 +362,7 @@
   struct jb_duty *duty = data;
 
   duty->sent = false;
+  learn_timeout (duty, now - sent, reply->result);
   if (reply->result == JB_OK || reply->result == JB_CONFLICT)
     duty->confirmed = sent;
   if (reply->result == JB_OK)
