A new holder speaks to the planner when it has looked at what answers

Cause: the holder of a pool spoke to the planner only after its scan, which waits 5 s for silent backend servers; without a share nothing of a limited organisation started. Change: it speaks when every recorded backend server has answered or has been silent twice, and runs nobody wants are gone; silent ones count by the jobs that were loaded. Ruled out: pace, advice, log budgets, times of the store (bisected).

--- a/packages/jobs/src/jb_pool_caps.c
+++ b/packages/jobs/src/jb_pool_caps.c
@@ -12,6 +12,29 @@
 /* Runs that nobody wants are gone when no look has listed one for so long.  */
 #define FOREIGN_SETTLED (600 * JB_MS)
 
+/* Return whether all that runs here is known, as far as backend servers
+   answer, and runs that nobody wants are gone.  What may run on those that are
+   silent counts by the jobs that were loaded.  */
+static bool
+is_surveyed (const struct jb_pool *pool, jb_time now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (pool->foreign_at != 0 && now - pool->foreign_at < FOREIGN_SETTLED)
+    return false;
+  g_hash_table_iter_init (&iter, pool->backends);
+  while (pool->stage != JB_STAGE_ACTIVE
+         && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct jb_backend *backend = value;
+
+      if (backend->recorded && !backend->reached && backend->silent < 2)
+        return false;
+    }
+  return true;
+}
+
 bool
 jb_pool_is_limited (const struct jb_pool *pool, const char *org)
 {
@@ -73,10 +96,10 @@
         {
           const struct jb_task *task = &group->tasks[j];
 
-          if (task->state != JB_RUN_NONE)
+          /* One of a job that was loaded may run unseen.  */
+          if (task->state != JB_RUN_NONE
+              || (!task->done && job->ended == 0 && job->loaded))
             jb_amount_add (&use->used, &amount);
-          else if (!task->done && job->ended == 0 && job->loaded)
-            jb_amount_add (&use->used, &amount); /* it may run unseen */
           else if (!task->done && job->ended == 0 && group->open)
             jb_amount_add (&use->wanted, &amount);
         }
@@ -152,10 +175,7 @@
     return false;
   /* What the former holder left running is part of its share until it is
      known, or gone; the planner keeps that share until the first word.  */
-  if (pool->usage_told == 0
-      && (pool->stage != JB_STAGE_ACTIVE
-          || (pool->foreign_at != 0
-              && now - pool->foreign_at < FOREIGN_SETTLED)))
+  if (pool->usage_told == 0 && !is_surveyed (pool, now))
     return false;
   if (now < jb_pool_usage_due (pool))
     return false;
--- a/tests/sim/jobs/jw_backend.c
+++ b/tests/sim/jobs/jw_backend.c
@@ -18,6 +18,16 @@
 #define MAINTENANCE (2000 * JB_MS)
 #define MOVE (1500 * JB_MS)
 
+/* Return a chunk that holds POINTER, for a happening.  */
+static void *
+keep_pointer (void *pointer)
+{
+  void **chunk = talloc (NULL, void *);
+
+  *chunk = pointer;
+  return chunk;
+}
+
 static int64_t
 clock_of (const struct jw_backend *backend, jb_time now)
 {
@@ -229,7 +239,7 @@
 static void
 lease_ends (struct jw_world *world, void *data)
 {
-  struct jw_backend *backend = *(struct jw_backend **)data;
+  struct jw_backend *backend = *(void **)data;
 
   if (!backend->up || clock_of (backend, world->now) < backend->until_ms)
     return;
@@ -249,7 +259,7 @@
   left = until_ms - clock_of (backend, world->now);
   jw_at (world,
          world->now + (jb_time)((double)left * JB_MS / backend->rate) + JB_MS,
-         lease_ends, talloc_memdup (NULL, &backend, sizeof backend));
+         lease_ends, keep_pointer (backend));
 }
 
 /* ---- orders ---- */
@@ -504,7 +514,7 @@
 static void
 host_returns (struct jw_world *world, void *data)
 {
-  jw_backend_add (world, *(struct jw_fleet_host **)data);
+  jw_backend_add (world, *(void **)data);
 }
 
 void
@@ -522,7 +532,7 @@
       host->state = JB_HOST_DOWN;
       if (!gone)
         jw_at (world, world->now + 3 * JB_SECOND, host_returns,
-               talloc_memdup (NULL, &host, sizeof host));
+               keep_pointer (host));
     }
 }
 
@@ -621,7 +631,7 @@
     if (strcmp (world->catalog->pools[i].name, order->u.host.pool) == 0)
       host->pool = i;
   jw_at (world, world->now + (moves ? MOVE : MAINTENANCE), host_returns,
-         talloc_memdup (NULL, &host, sizeof host));
+         keep_pointer (host));
 }
 
 /* The policy lets a step run on every second backend server.  */
@@ -636,9 +646,9 @@
       const char *instance = order->backends[i];
 
       if ((instance[strlen (instance) - 1] - '0') % 2 == 0)
-        reply->tickets[reply->ticket_count++] = (struct jb_ticket){
-          talloc_strdup (reply->mem, instance), "ticket"
-        };
+        reply->tickets[reply->ticket_count++]
+            = (struct jb_ticket){ talloc_strdup (reply->mem, instance),
+                                  "ticket" };
     }
 }
 
--- a/tests/sim/jobs/jw_world.c
+++ b/tests/sim/jobs/jw_world.c
@@ -234,9 +234,8 @@
       break;
     case JB_ORDER_ADVISE:
       {
-        const char **names
-            = talloc_array (to, const char *,
-                            from->u.advise.backend_count + 1);
+        const char **names = talloc_array (to, const char *,
+                                           from->u.advise.backend_count + 1);
 
         for (uint32_t i = 0; i < from->u.advise.backend_count; i++)
           names[i] = talloc_strdup (to, from->u.advise.backends[i]);
