--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 	git ls-files '*.c' '*.h' | xargs clang-format --dry-run -Werror
 
 lint: build
-	git ls-files 'packages/*.c' 'programs/*.c' 'tests/*.c' 'examples/*.c' 'bench/*.c' \
+	git ls-files 'packages/*.c' 'platform/*.c' 'programs/*.c' 'tests/*.c' 'examples/*.c' 'bench/*.c' \
 	  | xargs -P $(JOBS) -n 4 clang-tidy --quiet -p $(BUILD) 2> /dev/null
 
 test: build
