--- a/packages/http/include/ht_client.h
+++ b/packages/http/include/ht_client.h
@@ -64,7 +64,7 @@
 {
   unsigned ring_capacity;    /* submitted requests not yet taken */
   long max_host_connections; /* to one server; 0: no bound */
-  long kept_connections;     /* idle, for use again; 0: the library's default */
+  long kept_connections;     /* idle, for use again; 0: as the library does */
 };
 
 struct ht_client;
--- a/packages/jobs/include/jb_work.h
+++ b/packages/jobs/include/jb_work.h
@@ -43,7 +43,7 @@
   jb_time listed_at; /* when a look last listed the run */
   uint32_t percent;
   uint32_t pace;      /* share of its work that it was told to do */
-  jb_time paced; /* when that was ordered; 0: never */
+  jb_time paced;      /* when that was ordered; 0: never */
   int64_t usage;      /* see struct jb_running */
   jb_time over_since; /* its tail has been above its target; 0: it is not */
   char *checkpoint;   /* or NULL */
--- a/packages/jobs/src/jb_pool_look.c
+++ b/packages/jobs/src/jb_pool_look.c
@@ -121,6 +121,17 @@
           "it fails one job after the other", NULL);
 }
 
+static const char *
+ending_name (enum jb_ending how)
+{
+  static const char *const names[]
+      = { [JB_ENDING_DONE] = "done",       [JB_ENDING_FAILED] = "failed",
+          [JB_ENDING_STOPPED] = "stopped", [JB_ENDING_LAPSED] = "lapsed",
+          [JB_ENDING_BROKEN] = "broken",   [JB_ENDING_ALONE] = "alone" };
+
+  return names[how];
+}
+
 static void
 count_end (struct jb_pool *pool, enum jb_ending how)
 {
@@ -184,9 +195,10 @@
   task->begun = true;
   note_checkpoint (task, ended->checkpoint);
   judge_backend (pool, backend, task, ended->how, now);
-  jb_log (pool->options.out, JB_LEVEL_DEBUG, "run-ended", "task", ended->task,
-          "run", jb_num (ended->run), "backend", backend->instance, "how",
-          jb_num (ended->how), NULL);
+  jb_log (pool->options.out,
+          ended->how == JB_ENDING_DONE ? JB_LEVEL_DEBUG : JB_LEVEL_INFO,
+          "run-ended", "task", ended->task, "run", jb_num (ended->run),
+          "backend", backend->instance, "how", ending_name (ended->how), NULL);
   if (ended->how == JB_ENDING_FAILED)
     task->last_backend = backend;
   if (ended->how == JB_ENDING_FAILED && !lasts)
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -25,7 +25,7 @@
   int64_t backend_cpu; /* thousandths of a core */
   int64_t org_cap; /* of each organisation, thousandths of cores; 0: none */
   uint32_t off;    /* enum jb_off */
-  bool advised;  /* queues have a policy */
+  bool advised;    /* queues have a policy */
   bool verbose;    /* print the hosts' log lines */
 };
 
