Duties go to the hosts with the greater share of a processor

A host of 0.12 cores held a pool of 85 backend servers; its looks timed out at its own side, it took sound servers for lost, and started finished runs again.

The decider took one time for a whole drain of its ring; it now takes one for each event and does what is due after 64.

--- a/packages/jobs/include/jb_members.h
+++ b/packages/jobs/include/jb_members.h
@@ -12,6 +12,7 @@
   char *name;
   char *address;
   char *zone;
+  uint32_t processor; /* its share of one, in thousandths; 0: not known */
   jb_time heard; /* last beat; 0: never */
   bool stopping;
   bool store_good;
@@ -31,6 +32,7 @@
   const char *name;
   const char *address; /* for peers */
   const char *zone;
+  uint32_t processor; /* as in struct jb_member */
   uint64_t incarnation;
 };
 
--- a/packages/jobs/include/jb_msg.h
+++ b/packages/jobs/include/jb_msg.h
@@ -52,6 +52,7 @@
   char *name;
   char *address;
   char *zone;
+  uint32_t processor; /* its share of one, in thousandths; 0: not known */
   bool stopping;
   int64_t store_age_ms; /* since the store last answered; -1: it has not */
   bool store_good;      /* it answers */
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -793,6 +793,7 @@
   struct jb_members_options members = { .name = options->name,
                                         .address = options->address,
                                         .zone = options->zone,
+                                        .processor = options->processor,
                                         .incarnation = options->incarnation };
   struct jb_entry_options entry = { .incarnation = options->incarnation,
                                     .catalog = &host->catalog,
--- a/packages/jobs/src/jb_members.c
+++ b/packages/jobs/src/jb_members.c
@@ -19,6 +19,10 @@
 /* The next best candidate waits so much longer.  */
 #define CANDIDATE_STEP (400 * JB_MS)
 
+/* Taken for a host's share of a processor, in thousandths, when it does not
+   say.  */
+#define WHOLE_PROCESSOR 1000
+
 /* Between two writings of this host's row, and two readings of all rows.  */
 #define RENEW_PERIOD (1500 * JB_MS)
 #define READ_PERIOD (5000 * JB_MS)
@@ -216,6 +220,7 @@
     jb_log (members->options.out, JB_LEVEL_INFO, "member-heard", "member",
             member->name, NULL);
   member->heard = now;
+  member->processor = beat->processor;
   member->stopping = beat->stopping;
   member->store_heard
       = beat->store_age_ms >= 0 ? now - beat->store_age_ms * JB_MS : 0;
@@ -249,6 +254,7 @@
   beat->name = (char *)members->options.name;
   beat->address = (char *)members->options.address;
   beat->zone = (char *)members->options.zone;
+  beat->processor = members->options.processor;
   beat->stopping = self->stopping;
   beat->store_age_ms = self->store_age_ms;
   beat->store_good = self->store_good;
@@ -554,26 +560,38 @@
   return true;
 }
 
-/* Return how many live candidates come before this host for PART: those with
-   fewer duties, then by a hash that is equal everywhere.  */
+/* Return how much of a processor each duty would have on a host with the share
+   PROCESSOR that takes one more than it has.  */
+static double
+share_per_duty (uint32_t processor, uint32_t duties)
+{
+  return (double)(processor > 0 ? processor : WHOLE_PROCESSOR)
+         / (duties + 1.0);
+}
+
+/* Return how many live candidates come before this host for PART: those where
+   a duty has more of a processor, then by a hash that is equal everywhere.
+   A pool of a hundred backend servers needs more than the least of hosts has,
+   and one that is late with its looks takes sound servers for lost.  */
 static uint32_t
 candidate_rank (const struct jb_members *members, jb_time now,
                 const char *part, uint32_t load)
 {
   uint64_t seed = ba_hash_str (part, 0);
   uint64_t own = ba_hash_str (members->options.name, seed);
+  double own_share = share_per_duty (members->options.processor, load);
   uint32_t rank = 0;
 
   for (guint i = 0; i < members->all->len; i++)
     {
       const struct jb_member *member = g_ptr_array_index (members->all, i);
+      double share = share_per_duty (member->processor, member->duty_count);
 
       if (!jb_member_lives (member, now) || member->stopping
           || !member->store_good)
         continue;
-      if (member->duty_count < load
-          || (member->duty_count == load
-              && ba_hash_str (member->name, seed) < own))
+      if (share > own_share
+          || (!(share < own_share) && ba_hash_str (member->name, seed) < own))
         rank++;
     }
   return rank;
--- a/packages/jobs/src/jb_msg.c
+++ b/packages/jobs/src/jb_msg.c
@@ -28,6 +28,7 @@
   ba_io_name (io, &beat->name);
   ba_io_name (io, &beat->address);
   ba_io_name (io, &beat->zone);
+  ba_io_u32 (io, &beat->processor);
   ba_io_bool (io, &beat->stopping);
   ba_io_i64 (io, &beat->store_age_ms);
   ba_io_bool (io, &beat->store_good);
--- a/packages/server/include/sv_jobs.h
+++ b/packages/server/include/sv_jobs.h
@@ -24,6 +24,7 @@
   const char *secret; /* shared by the entry hosts */
   int64_t grace_ms;   /* after which a planned stop is cut short */
   size_t max_body;    /* bytes of a client's request */
+  uint32_t processor; /* its share of one, in thousandths; 0: not known */
   unsigned max_connections;
   struct jb_bounds bounds;
   struct cf_log_settings log;
--- a/packages/server/src/sv_jobs.c
+++ b/packages/server/src/sv_jobs.c
@@ -21,6 +21,7 @@
 enum
 {
   EVENT_RING = 16384,
+  EVENTS_A_TURN = 64, /* before what is due is done */
   OUTSIDE_RING = 8192,
   MAX_HOST_CONNECTIONS = 6, /* to one backend server, or to the store */
   KEPT_CONNECTIONS = 1024,  /* idle, for use again */
@@ -515,15 +516,26 @@
       jb_time now = ba_clock_now ();
       int64_t wait = CLAMP ((next - now + JB_MS - 1) / JB_MS, 0, MAX_WAIT_MS);
       struct event *event;
+      uint32_t taken = 0;
 
       poll (&p, 1, (int)wait);
       heartbeat (context);
       ba_ring_clear (jobs->events);
       now = ba_clock_now ();
       jb_host_wall (jobs->host, unix_ms () * JB_MS - now);
-      while ((event = ba_ring_pop (jobs->events)) != NULL)
-        take_event (jobs, now, event);
+      /* Events go on arriving meanwhile.  A time before an event's would put
+         a backend server's clock ahead, and its lease would last longer than
+         is thought here.  */
+      while (taken < EVENTS_A_TURN
+             && (event = ba_ring_pop (jobs->events)) != NULL)
+        {
+          take_event (jobs, ba_clock_now (), event);
+          taken++;
+        }
+      now = ba_clock_now ();
       next = jb_host_run (jobs->host, now);
+      if (taken == EVENTS_A_TURN)
+        next = now; /* there may be more, and the ring's signal is cleared */
       publish (jobs, now);
     }
 }
@@ -631,6 +643,7 @@
   const struct sv_jobs_settings *settings = jobs->options.settings;
   struct jb_host_options host = { .name = settings->name,
                                   .zone = settings->zone,
+                                  .processor = settings->processor,
                                   .address = settings->peer,
                                   .bounds = settings->bounds };
   struct pr_link_options link = { .address = settings->peer,
