Sanitizer findings in jobs: an empty sort and a product that overflowed

Cause: qsort was given no array when no group waits, and the change of a share without limit was multiplied by 100, which overflows. The second could hide or invent a share worth telling where a cap has no limit.

Found by `make sanitize` (test_jobs, test_jobs_off, soak_jobs stopped at once); test_jobs now runs whole under it, 85 assertions, none failed. The other two were run without sanitizers: none failed.

--- a/packages/jobs/src/jb_planner_caps.c
+++ b/packages/jobs/src/jb_planner_caps.c
@@ -117,7 +117,10 @@
 static bool
 differs (int64_t a, int64_t b, int64_t cap)
 {
-  return a != b && (a > b ? a - b : b - a) * CHANGE_PART >= cap;
+  /* A share without limit is too large to be multiplied.  */
+  int64_t least = (cap + CHANGE_PART - 1) / CHANGE_PART;
+
+  return a != b && (a > b ? a - b : b - a) >= least;
 }
 
 /* Return whether SHARE is worth telling a pool that has or was sent OLD.  */
--- a/packages/jobs/src/jb_pool_start.c
+++ b/packages/jobs/src/jb_pool_start.c
@@ -453,8 +453,7 @@
           g_array_append_val (candidates, candidate);
         }
     }
-  qsort (candidates->data, candidates->len, sizeof (struct candidate),
-         compare_candidates);
+  g_array_sort (candidates, compare_candidates);
   return candidates;
 }
 
