jb_host: what concerns the planner is a module of its own

Moved, not changed: the claim of the planner's duty and the messages to and from it are in jb_host_plan.c. Two headers were not formatted, which `make check` refuses.

--- a/packages/jobs/include/jb_host.h
+++ b/packages/jobs/include/jb_host.h
@@ -11,7 +11,7 @@
 {
   const char *name;
   const char *zone;
-  uint32_t processor; /* its share of one, in thousandths; 0: not known */
+  uint32_t processor;  /* its share of one, in thousandths; 0: not known */
   const char *address; /* for peers */
   uint64_t incarnation;
   struct jb_bounds bounds;
--- a/packages/jobs/include/jb_members.h
+++ b/packages/jobs/include/jb_members.h
@@ -13,7 +13,7 @@
   char *address;
   char *zone;
   uint32_t processor; /* its share of one, in thousandths; 0: not known */
-  jb_time heard; /* last beat; 0: never */
+  jb_time heard;      /* last beat; 0: never */
   bool stopping;
   bool store_good;
   jb_time store_heard; /* when the store last answered it; 0: never */
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -1,7 +1,4 @@
-#include "jb_host.h"
-
-#include "jb_planner.h"
-#include "jb_pool.h"
+#include "jb_host_internal.h"
 
 #include <string.h>
 
@@ -16,9 +13,8 @@
 #define LIST_PERIOD (1000 * JB_MS)
 #define LIST_TIMEOUT_MS 800
 
-/* While a host is on its way to a pool.  */
+/* Between two lists while a host is on its way to a pool.  */
 #define LIST_OFTEN (250 * JB_MS)
-#define COMING_PERIOD (3500 * JB_MS)
 
 /* Between two looks at who holds what.  */
 #define ELECT_PERIOD (50 * JB_MS)
@@ -39,55 +35,8 @@
    a newer one is sent it.  */
 #define CATALOG_PATIENCE (400 * JB_MS)
 
-/* Between two words on a pool's load to the planner.  */
-#define LOAD_PERIOD (200 * JB_MS)
-
-struct held_pool
-{
-  char *name;
-  struct jb_pool *pool; /* NULL: neither held nor being claimed */
-  jb_time next_claim;
-};
-
-/* A maintenance wave that operators asked for.  */
-struct seen_wave
-{
-  jb_time seen;
-  struct jb_wave_entry entry;
-};
-
-struct jb_host
-{
-  struct jb_host_options options;
-  struct jb_out *out;
-  struct jb_members *members;
-  struct jb_entry *entry;
-  const struct jb_catalog *catalog; /* NULL: none yet */
-  jb_time catalog_since;
-  jb_time catalog_sent;
-  GPtrArray *pools;           /* struct held_pool */
-  struct jb_planner *planner; /* NULL: neither held nor being claimed */
-  jb_time next_plan;          /* claim of that duty */
-  GPtrArray *waves;           /* struct seen_wave */
-  jb_time next_load;
-  jb_time now;  /* of the event that is being taken in */
-  jb_time wall; /* Unix time of the clock's origin */
-  bool stopping;
-  jb_time cut_since; /* others reach the store, this host does not; or 0 */
-  bool beat_due;     /* something changed that peers should know */
-  /* what operators wrote */
-  bool watching;
-  uint64_t watched; /* version */
-  jb_time next_watch;
-  /* backend servers */
-  bool listing;
-  jb_time next_list;
-  jb_time list_often_until;
-  jb_time next_elect;
-};
-
-static struct held_pool *
-find_pool (const struct jb_host *host, const char *name)
+struct held_pool *
+jb_host_find_pool (const struct jb_host *host, const char *name)
 {
   for (guint i = 0; i < host->pools->len; i++)
     {
@@ -99,8 +48,8 @@
   return NULL;
 }
 
-static bool
-is_held (const struct held_pool *held)
+bool
+jb_host_pool_held (const struct held_pool *held)
 {
   return held->pool != NULL && !jb_pool_over (held->pool)
          && jb_pool_phase (held->pool) == JB_DUTY_HELD;
@@ -111,22 +60,22 @@
 static bool
 holds (void *data, const char *name)
 {
-  struct held_pool *held = find_pool (data, name);
+  struct held_pool *held = jb_host_find_pool (data, name);
 
-  return held != NULL && is_held (held);
+  return held != NULL && jb_host_pool_held (held);
 }
 
 static void
 take_request (struct jb_host *host, jb_time now, uint64_t from,
               const struct jb_msg_request *request)
 {
-  struct held_pool *held = find_pool (host, request->pool);
+  struct held_pool *held = jb_host_find_pool (host, request->pool);
   struct jb_msg reply
       = { .type = JB_MSG_REPLY,
           .u.reply = { .call = request->call, .kind = JB_MSG_ELSEWHERE } };
   struct ba_bytes bytes;
 
-  if (held != NULL && is_held (held))
+  if (held != NULL && jb_host_pool_held (held))
     {
       jb_pool_request (held->pool, now, from, request);
       return;
@@ -193,7 +142,7 @@
   host->catalog_since = now;
   host->beat_due = true;
   for (uint32_t i = 0; i < catalog->pool_count; i++)
-    if (find_pool (host, catalog->pools[i].name) == NULL)
+    if (jb_host_find_pool (host, catalog->pools[i].name) == NULL)
       {
         struct held_pool *held = talloc_zero (host, struct held_pool);
 
@@ -337,8 +286,8 @@
     }
 }
 
-static uint32_t
-duty_count (const struct jb_host *host)
+uint32_t
+jb_host_duty_count (const struct jb_host *host)
 {
   uint32_t count = host->planner != NULL ? 1 : 0;
 
@@ -354,7 +303,7 @@
   struct jb_order order
       = { .kind = JB_ORDER_LIST_BACKENDS, .timeout_ms = LIST_TIMEOUT_MS };
 
-  if (host->listing || now < host->next_list || duty_count (host) == 0)
+  if (host->listing || now < host->next_list || jb_host_duty_count (host) == 0)
     return;
   host->listing = true;
   host->next_list
@@ -365,8 +314,8 @@
 
 /* ---- duties ---- */
 
-static bool
-store_is_good (const struct jb_host *host, jb_time now)
+bool
+jb_host_store_good (const struct jb_host *host, jb_time now)
 {
   jb_time failing = jb_out_store_failing (host->out);
 
@@ -446,254 +395,13 @@
     {
       struct held_pool *held = g_ptr_array_index (host->pools, i);
 
-      if (is_held (held))
+      if (jb_host_pool_held (held))
         jb_pool_release (held->pool, now, "the store is out of reach");
     }
   if (elsewhere && host->planner != NULL && jb_planner_held (host->planner))
     jb_planner_release (host->planner, now, "the store is out of reach");
 }
 
-/* ---- the planner ---- */
-
-static const struct jb_member *
-holder_of (struct jb_host *host, jb_time now, const char *pool)
-{
-  char *part = talloc_asprintf (NULL, "pool/%s", pool);
-  const struct jb_member *member
-      = jb_members_holder (host->members, now, part);
-
-  talloc_free (part);
-  return member;
-}
-
-static void
-send_message (struct jb_host *host, uint64_t member,
-              const struct jb_msg *message)
-{
-  struct ba_bytes bytes = jb_msg_encode (NULL, message);
-
-  jb_out_send (host->out, member, bytes);
-  talloc_free (bytes.data);
-}
-
-/* Empty a host of a pool that is held here.  Return whether it is empty.  */
-static bool
-clear_here (struct jb_host *host, jb_time now,
-            const struct jb_msg_clear *clear)
-{
-  struct held_pool *held = find_pool (host, clear->pool);
-
-  if (held == NULL || !is_held (held))
-    return false;
-  if (clear->taken)
-    {
-      jb_pool_taken (held->pool, now, clear->instance);
-      return false;
-    }
-  return jb_pool_clear (held->pool, now, clear->instance);
-}
-
-static void
-ask_clear (void *data, jb_time now, const struct jb_msg_clear *clear)
-{
-  struct jb_host *host = data;
-  const struct jb_member *member;
-  struct jb_msg message = { .type = JB_MSG_CLEAR, .u.clear = *clear };
-  struct jb_msg_cleared cleared
-      = { .pool = clear->pool, .instance = clear->instance };
-
-  if (holds (host, clear->pool))
-    {
-      cleared.empty = clear_here (host, now, clear);
-      if (!clear->taken)
-        jb_planner_cleared (host->planner, now, &cleared);
-      return;
-    }
-  member = holder_of (host, now, clear->pool);
-  if (member != NULL)
-    send_message (host, member->incarnation, &message);
-}
-
-static void
-take_clear (struct jb_host *host, jb_time now, uint64_t from,
-            const struct jb_msg_clear *clear)
-{
-  struct jb_msg message = { .type = JB_MSG_CLEARED };
-
-  message.u.cleared.pool = clear->pool;
-  message.u.cleared.instance = clear->instance;
-  message.u.cleared.empty = clear_here (host, now, clear);
-  if (!clear->taken)
-    send_message (host, from, &message);
-}
-
-/* A host is on its way to a pool that is held here: look for it in time.  */
-static void
-take_coming (struct jb_host *host, jb_time now, const char *pool)
-{
-  if (holds (host, pool))
-    host->list_often_until = now + COMING_PERIOD;
-}
-
-static void
-tell_coming (void *data, jb_time now, const char *pool)
-{
-  struct jb_host *host = data;
-  const struct jb_member *member = holder_of (host, now, pool);
-  struct jb_msg message = { .type = JB_MSG_COMING };
-
-  take_coming (host, now, pool);
-  message.u.coming.pool = (char *)pool;
-  if (member != NULL)
-    send_message (host, member->incarnation, &message);
-}
-
-static void
-give_shares (void *data, jb_time now, const struct jb_msg_shares *shares)
-{
-  struct jb_host *host = data;
-  struct held_pool *held = find_pool (host, shares->pool);
-  const struct jb_member *member;
-  struct jb_msg message = { .type = JB_MSG_SHARES, .u.shares = *shares };
-
-  if (held != NULL && is_held (held))
-    {
-      jb_pool_shares (held->pool, now, shares);
-      return;
-    }
-  member = holder_of (host, now, shares->pool);
-  if (member != NULL)
-    send_message (host, member->incarnation, &message);
-}
-
-static void
-take_shares (struct jb_host *host, jb_time now,
-             const struct jb_msg_shares *shares)
-{
-  struct held_pool *held = find_pool (host, shares->pool);
-
-  if (held != NULL && is_held (held))
-    jb_pool_shares (held->pool, now, shares);
-}
-
-/* Tell the planner what organisations use of the pools held here.  */
-static void
-tell_usage (struct jb_host *host, jb_time now)
-{
-  const struct jb_member *planner
-      = jb_members_holder (host->members, now, JB_PLANNER_PART);
-  bool here = host->planner != NULL && jb_planner_held (host->planner);
-
-  for (guint i = 0; i < host->pools->len; i++)
-    {
-      struct held_pool *held = g_ptr_array_index (host->pools, i);
-      struct jb_msg message = { .type = JB_MSG_USAGE };
-      TALLOC_CTX *scratch;
-
-      if (!is_held (held) || (!here && planner == NULL))
-        continue;
-      scratch = talloc_new (NULL);
-      if (jb_pool_usage (
-              held->pool, scratch, now,
-              here ? jb_planner_fence (host->planner)
-                   : jb_members_fence (host->members, JB_PLANNER_PART),
-              &message.u.usage))
-        {
-          if (here)
-            jb_planner_usage (host->planner, now, &message.u.usage);
-          else
-            send_message (host, planner->incarnation, &message);
-        }
-      talloc_free (scratch);
-    }
-}
-
-static void
-planner_changed (void *data)
-{
-  struct jb_host *host = data;
-
-  host->beat_due = true;
-}
-
-static void
-claim_plan (struct jb_host *host, jb_time now)
-{
-  struct jb_planner_options options
-      = { .out = host->out,
-          .bounds = &host->options.bounds,
-          .catalog = &host->catalog,
-          .holder = host->options.name,
-          .incarnation = host->options.incarnation,
-          .released
-          = jb_members_released (host->members, now, JB_PLANNER_PART),
-          .clear = ask_clear,
-          .coming = tell_coming,
-          .shares = give_shares,
-          .changed = planner_changed,
-          .data = host };
-
-  host->planner = jb_planner_new (host, &options);
-  jb_planner_wall (host->planner, host->wall);
-  for (guint i = 0; i < host->waves->len; i++)
-    {
-      struct seen_wave *wave = g_ptr_array_index (host->waves, i);
-
-      jb_planner_wave (host->planner, wave->seen, &wave->entry);
-    }
-  jb_planner_claim (host->planner, now);
-  host->beat_due = true;
-}
-
-static void
-elect_planner (struct jb_host *host, jb_time now, jb_time heard_by)
-{
-  if (host->planner != NULL && jb_planner_held (host->planner))
-    {
-      if (jb_members_superseded (host->members, now, JB_PLANNER_PART,
-                                 jb_planner_fence (host->planner))
-          != 0)
-        jb_planner_release (host->planner, now, "a peer has a higher fence");
-      else
-        jb_planner_confirm (host->planner, now, heard_by);
-    }
-  if (host->planner != NULL || host->stopping || now < host->next_plan
-      || host->catalog == NULL || !store_is_good (host, now))
-    return;
-  if (jb_members_should_claim (host->members, now, JB_PLANNER_PART,
-                               duty_count (host)))
-    claim_plan (host, now);
-}
-
-/* Tell the planner of the load of the pools held here.  */
-static void
-tell_loads (struct jb_host *host, jb_time now)
-{
-  const struct jb_member *planner;
-  bool here = host->planner != NULL && jb_planner_held (host->planner);
-
-  if (now < host->next_load)
-    return;
-  host->next_load = now + LOAD_PERIOD;
-  planner = jb_members_holder (host->members, now, JB_PLANNER_PART);
-  for (guint i = 0; i < host->pools->len; i++)
-    {
-      struct held_pool *held = g_ptr_array_index (host->pools, i);
-      struct jb_msg message = { .type = JB_MSG_LOAD };
-      TALLOC_CTX *scratch;
-
-      if (!is_held (held) || (!here && planner == NULL))
-        continue;
-      scratch = talloc_new (NULL);
-      jb_pool_load (held->pool, scratch, now, &message.u.load);
-      if (here)
-        jb_planner_load (host->planner, now, &message.u.load);
-      else
-        send_message (host, planner->incarnation, &message);
-      talloc_free (scratch);
-    }
-}
-
 static void
 elect (struct jb_host *host, jb_time now)
 {
@@ -706,14 +414,14 @@
   heard_by = jb_out_store_failing (host->out) != 0
                  ? jb_members_heard_by (host->members)
                  : 0;
-  elect_planner (host, now, heard_by);
+  jb_host_elect_planner (host, now, heard_by);
   for (guint i = 0; i < host->pools->len; i++)
     {
       struct held_pool *held = g_ptr_array_index (host->pools, i);
       const char *part;
       char *text;
 
-      if (is_held (held))
+      if (jb_host_pool_held (held))
         {
           part = jb_pool_part (held->pool);
           jb_pool_wall (held->pool, host->wall);
@@ -725,11 +433,11 @@
             jb_pool_release (held->pool, now, "a peer has a higher fence");
         }
       if (held->pool != NULL || host->stopping || now < held->next_claim
-          || !store_is_good (host, now))
+          || !jb_host_store_good (host, now))
         continue;
       text = talloc_asprintf (NULL, "pool/%s", held->name);
       if (jb_members_should_claim (host->members, now, text,
-                                   duty_count (host)))
+                                   jb_host_duty_count (host)))
         claim (host, now, held);
       talloc_free (text);
     }
@@ -742,7 +450,7 @@
 {
   struct jb_self self
       = { .stopping = host->stopping,
-          .store_good = store_is_good (host, now),
+          .store_good = jb_host_store_good (host, now),
           .catalog_version = host->catalog ? host->catalog->version : 0 };
   struct jb_msg_duty *duties
       = talloc_array (NULL, struct jb_msg_duty, host->pools->len + 1);
@@ -757,10 +465,10 @@
       struct held_pool *held = g_ptr_array_index (host->pools, i);
 
       if (held->pool != NULL && !jb_pool_over (held->pool))
-        duties[self.duty_count++]
-            = (struct jb_msg_duty){ (char *)jb_pool_part (held->pool),
-                                    is_held (held) ? jb_pool_fence (held->pool)
-                                                   : 0 };
+        duties[self.duty_count++] = (struct jb_msg_duty){
+          (char *)jb_pool_part (held->pool),
+          jb_host_pool_held (held) ? jb_pool_fence (held->pool) : 0
+        };
     }
   self.duties = duties;
   if (jb_out_store_heard (host->out) != 0)
@@ -869,7 +577,7 @@
         break;
       }
     case JB_MSG_CLEAR:
-      take_clear (host, now, from, &message->u.clear);
+      jb_host_take_clear (host, now, from, &message->u.clear);
       break;
     case JB_MSG_CLEARED:
       if (host->planner != NULL)
@@ -880,14 +588,14 @@
         jb_planner_load (host->planner, now, &message->u.load);
       break;
     case JB_MSG_COMING:
-      take_coming (host, now, message->u.coming.pool);
+      jb_host_take_coming (host, now, message->u.coming.pool);
       break;
     case JB_MSG_USAGE:
       if (host->planner != NULL)
         jb_planner_usage (host->planner, now, &message->u.usage);
       break;
     case JB_MSG_SHARES:
-      take_shares (host, now, &message->u.shares);
+      jb_host_take_shares (host, now, &message->u.shares);
       break;
     case JB_MSG_TYPES:
       break;
@@ -922,8 +630,8 @@
       if (held->pool != NULL)
         next = MIN (next, jb_pool_run (held->pool, now));
     }
-  tell_loads (host, now);
-  tell_usage (host, now);
+  jb_host_tell_loads (host, now);
+  jb_host_tell_usage (host, now);
   if (host->planner != NULL)
     next = MIN (next, jb_planner_run (host->planner, now));
   next = MIN (next, jb_entry_run (host->entry, now));
@@ -932,7 +640,7 @@
   next = MIN (next, host->next_elect);
   if (!host->watching)
     next = MIN (next, host->next_watch);
-  if (!host->listing && duty_count (host) > 0)
+  if (!host->listing && jb_host_duty_count (host) > 0)
     next = MIN (next, host->next_list);
   return MAX (next, now + JB_MS);
 }
@@ -949,7 +657,7 @@
     {
       struct held_pool *held = g_ptr_array_index (host->pools, i);
 
-      if (is_held (held))
+      if (jb_host_pool_held (held))
         jb_pool_release (held->pool, now, "this host stops");
     }
 }
@@ -964,7 +672,7 @@
 jb_host_ready (const struct jb_host *host, jb_time now)
 {
   return host->catalog != NULL && !host->stopping
-         && (store_is_good (host, now)
+         && (jb_host_store_good (host, now)
              || jb_members_live (host->members, now) > 0);
 }
 
