test_jb_work: no assertion after one that failed

Cause: clang-tidy does not see that a fatal CUnit assertion ends the test, and `make check` refuses the file.

--- a/packages/jobs/tests/test_jb_work.c
+++ b/packages/jobs/tests/test_jb_work.c
@@ -137,6 +137,7 @@
   struct jb_msg message = { .type = JB_MSG_REQUEST };
   struct ba_bytes bytes;
   struct jb_msg *back;
+  struct jb_desc *desc;
 
   message.u.request.call = 7;
   message.u.request.pool = "pool";
@@ -145,8 +146,14 @@
   bytes = jb_msg_encode (mem, &message);
   back = jb_msg_decode (mem, bytes);
   CU_ASSERT_PTR_NOT_NULL_FATAL (back);
-  CU_ASSERT_EQUAL (back->u.request.desc->steps[1].after[0], 0);
-  CU_ASSERT_STRING_EQUAL (back->u.request.desc->spec, "spec");
+  if (back == NULL)
+    return; /* clang-tidy does not know that the assertion ends the test */
+  desc = back->u.request.desc;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (desc);
+  if (desc == NULL)
+    return;
+  CU_ASSERT_EQUAL (desc->steps[1].after[0], 0);
+  CU_ASSERT_STRING_EQUAL (desc->spec, "spec");
   for (size_t len = 0; len < bytes.len; len++)
     {
       struct ba_bytes part = { bytes.data, len };
