ht_client: an answer that has come counts although its time is up

Cause: a pool's holder on a host of 0.12 cores got no processor time for longer than a look's timeout. When it ran again libcurl judged the timeout before it read the sockets, so answers that had come in time were thrown away.

Ruled out: stale times in the decider (mended before, no effect); ends passed by listed_end that were not applied (the look that listed them never got that far: last_answer_ms is that of the look before).

Change: deadlines are the client's own, in a tree; what has no answer at its deadline is read once more before it is given up. Test: the client's thread stands still while the server answers; failed before (HT_TIMEOUT).

--- a/packages/http/src/ht_client.c
+++ b/packages/http/src/ht_client.c
@@ -33,6 +33,7 @@
   const struct ht_handlers *handlers;
   void *context;
   CURL *easy;
+  curl_socket_t socket; /* that libcurl watches for it */
   struct curl_slist *headers;
   char *method;
   char *url;
@@ -43,6 +44,7 @@
   size_t body_sent;
   int64_t start_by;
   int64_t timeout_ms;
+  int64_t deadline; /* ba_clock_now time */
   bool once;
   bool fresh;
   bool headers_seen;
@@ -56,6 +58,7 @@
   int epoll;
   int64_t timer_at;         /* when libcurl wants to be called; -1: never */
   GHashTable *exchanges;    /* serial -> exchange; client's thread only */
+  GTree *deadlines;         /* the same, those that are up first */
   CURL *idle[IDLE_HANDLES]; /* for use again: making one is dear */
   unsigned idle_count;
   _Atomic uint64_t last_serial;
@@ -83,12 +86,17 @@
 }
 
 static int
-socket_changed (CURL *easy G_GNUC_UNUSED, curl_socket_t fd, int what,
-                void *data, void *known)
+socket_changed (CURL *easy, curl_socket_t fd, int what, void *data,
+                void *known)
 {
   struct ht_client *client = data;
   struct epoll_event event = { .data.fd = fd };
+  struct ht_exchange *e = NULL;
 
+  /* Handles of libcurl's own have none.  */
+  curl_easy_getinfo (easy, CURLINFO_PRIVATE, (char **)&e);
+  if (e != NULL)
+    e->socket = what == CURL_POLL_REMOVE ? CURL_SOCKET_BAD : fd;
   if (what == CURL_POLL_REMOVE)
     {
       epoll_ctl (client->epoll, EPOLL_CTL_DEL, fd, NULL);
@@ -108,12 +116,25 @@
   return 0;
 }
 
+static gint
+compare_deadlines (gconstpointer a, gconstpointer b, gpointer data)
+{
+  const struct ht_exchange *one = a;
+  const struct ht_exchange *other = b;
+
+  (void)data;
+  if (one->deadline != other->deadline)
+    return one->deadline < other->deadline ? -1 : 1;
+  return (one->serial > other->serial) - (one->serial < other->serial);
+}
+
 static int
 client_destroy (struct ht_client *client)
 {
   for (unsigned i = 0; i < client->idle_count; i++)
     curl_easy_cleanup (client->idle[i]);
   curl_multi_cleanup (client->multi);
+  g_tree_destroy (client->deadlines);
   g_hash_table_destroy (client->exchanges);
   close (client->epoll);
   return 0;
@@ -131,6 +152,7 @@
   client->epoll = epoll_create1 (EPOLL_CLOEXEC);
   client->timer_at = -1;
   client->exchanges = g_hash_table_new (g_int64_hash, g_int64_equal);
+  client->deadlines = g_tree_new_full (compare_deadlines, NULL, NULL, NULL);
   event.data.fd = ba_ring_fd (client->commands);
   epoll_ctl (client->epoll, EPOLL_CTL_ADD, event.data.fd, &event);
   curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, socket_changed);
@@ -368,6 +390,7 @@
   if (e->easy != NULL)
     curl_multi_remove_handle (client->multi, e->easy);
   g_hash_table_remove (client->exchanges, &e->serial);
+  g_tree_remove (client->deadlines, e);
   e->handlers->done (e, e->context, result, status);
   if (e->easy != NULL)
     put_handle (client, e->easy);
@@ -379,7 +402,10 @@
 begin (struct ht_client *client, struct ht_exchange *e)
 {
   talloc_steal (client, e);
+  e->socket = CURL_SOCKET_BAD;
+  e->deadline = ba_clock_now () + e->timeout_ms * 1000;
   g_hash_table_insert (client->exchanges, &e->serial, e);
+  g_tree_insert (client->deadlines, e, e);
   if (e->start_by != 0 && ba_clock_now () > e->start_by)
     {
       finish (e, HT_NOT_SENT, 0);
@@ -396,7 +422,6 @@
                     (long)CURL_HTTP_VERSION_1_1);
   curl_easy_setopt (e->easy, CURLOPT_PROTOCOLS_STR, "http,https");
   curl_easy_setopt (e->easy, CURLOPT_HTTPHEADER, e->headers);
-  curl_easy_setopt (e->easy, CURLOPT_TIMEOUT_MS, (long)e->timeout_ms);
   curl_easy_setopt (e->easy, CURLOPT_CONNECTTIMEOUT_MS,
                     (long)CONNECT_TIMEOUT_MS);
   curl_easy_setopt (e->easy, CURLOPT_WRITEFUNCTION, take_body);
@@ -432,15 +457,15 @@
     }
 }
 
-/* Work out what is certain about a failed exchange.  */
+/* Work out what is certain about an exchange that ended with CODE.  */
 static enum ht_result
-classify (CURL *easy, CURLcode code)
+classify (const struct ht_exchange *e, CURLcode code)
 {
   long sent = 0;
 
   if (code == CURLE_OK)
     return HT_ANSWERED;
-  curl_easy_getinfo (easy, CURLINFO_REQUEST_SIZE, &sent);
+  curl_easy_getinfo (e->easy, CURLINFO_REQUEST_SIZE, &sent);
   if (sent == 0)
     return HT_NOT_SENT;
   return code == CURLE_OPERATION_TIMEDOUT ? HT_TIMEOUT : HT_BROKEN;
@@ -465,21 +490,56 @@
       curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
       if (code == CURLE_OK)
         report_headers (e);
-      finish (e, classify (easy, code), (unsigned)status);
+      finish (e, classify (e, code), (unsigned)status);
+    }
+}
+
+/* End what has no answer at its deadline.  libcurl's own timeout would come
+   before what it has not read yet, and a thread that got no processor time for
+   a while would throw good answers away: so each is read first.  */
+static void
+expire (struct ht_client *client)
+{
+  GTreeNode *first;
+
+  while ((first = g_tree_node_first (client->deadlines)) != NULL)
+    {
+      struct ht_exchange *e = g_tree_node_value (first);
+      uint64_t serial = e->serial;
+      int running;
+
+      if (e->deadline > ba_clock_now ())
+        return;
+      if (e->socket != CURL_SOCKET_BAD)
+        {
+          curl_multi_socket_action (client->multi, e->socket, CURL_CSELECT_IN,
+                                    &running);
+          take_results (client);
+        }
+      if (!g_hash_table_contains (client->exchanges, &serial))
+        continue;
+      g_snprintf (e->error, sizeof e->error,
+                  "no whole answer within %" G_GINT64_FORMAT " ms",
+                  e->timeout_ms);
+      finish (e, classify (e, CURLE_OPERATION_TIMEDOUT), 0);
     }
 }
 
 static int
 wait_time (const struct ht_client *client)
 {
-  int64_t wait;
+  GTreeNode *first = g_tree_node_first (client->deadlines);
+  int64_t until = ba_clock_now () + LONGEST_WAIT_MS * 1000;
+
+  if (client->timer_at >= 0)
+    until = MIN (until, client->timer_at);
+  if (first != NULL)
+    {
+      const struct ht_exchange *e = g_tree_node_value (first);
 
-  if (client->timer_at < 0)
-    return LONGEST_WAIT_MS;
-  wait = (client->timer_at - ba_clock_now () + 999) / 1000;
-  if (wait < 0)
-    return 0;
-  return wait < LONGEST_WAIT_MS ? (int)wait : LONGEST_WAIT_MS;
+      until = MIN (until, e->deadline);
+    }
+  return (int)MAX ((until - ba_clock_now () + 999) / 1000, 0);
 }
 
 static void
@@ -528,6 +588,7 @@
       heartbeat (context);
       take_sockets (client, events, count > 0 ? count : 0);
       take_results (client);
+      expire (client);
     }
 }
 
--- a/packages/http/tests/test_ht_client.c
+++ b/packages/http/tests/test_ht_client.c
@@ -14,7 +14,8 @@
 
 enum
 {
-  PORT = 39481
+  PORT = 39481,
+  STALL_MS = 2000
 };
 
 static const char url[] = "http://127.0.0.1:39481/x";
@@ -27,12 +28,16 @@
   DEED_ANSWER,
   DEED_CLOSE, /* take the request and close without a byte */
   DEED_CUT,   /* promise ten bytes, send two, close */
-  DEED_SILENT
+  DEED_SILENT,
+  DEED_STALL /* answer while the client's thread stands still, until the time
+                of the request is up */
 };
 
 static enum deed deeds[8];
 static _Atomic int requests; /* taken by the server */
 static _Atomic bool closing;
+static _Atomic bool stalled; /* the client's thread is to stand still */
+static _Atomic bool halted;  /* it does */
 static int listener;
 
 /* Read a request whose body is as long as its Content-Length says.  */
@@ -64,6 +69,21 @@
     }
 }
 
+/* Answer on FD while the client's thread stands still for STALL_MS.  */
+static bool
+answer_in_stall (int fd)
+{
+  bool open;
+
+  atomic_store (&stalled, true);
+  while (!atomic_load (&halted))
+    g_usleep (1000);
+  open = write (fd, small_answer, strlen (small_answer)) > 0;
+  g_usleep (STALL_MS * 1000);
+  atomic_store (&stalled, false);
+  return open;
+}
+
 static gpointer
 connection_main (gpointer data)
 {
@@ -91,6 +111,9 @@
             g_usleep (10000);
           open = false;
           break;
+        case DEED_STALL:
+          open = answer_in_stall (fd);
+          break;
         }
     }
   close (fd);
@@ -113,15 +136,20 @@
 }
 
 static void
-no_beat (void *context)
+stall_beat (void *context)
 {
   (void)context;
+  while (atomic_load (&stalled))
+    {
+      atomic_store (&halted, true);
+      g_usleep (1000);
+    }
 }
 
 static gpointer
 client_main (gpointer data)
 {
-  ht_client_run (data, no_beat, NULL);
+  ht_client_run (data, stall_beat, NULL);
   return NULL;
 }
 
@@ -183,6 +211,7 @@
 
   atomic_store (&requests, 0);
   atomic_store (&closing, false);
+  atomic_store (&halted, false);
   memset (deeds, 0, sizeof deeds);
   listener = socket (AF_INET, SOCK_STREAM, 0);
   setsockopt (listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
@@ -285,6 +314,23 @@
   stop ();
 }
 
+/* A host short of processor time comes to its sockets late.  What was answered
+   in time is there, and counts.  */
+static void
+test_answer_during_stall (void)
+{
+  struct result r;
+
+  start ();
+  deeds[0] = DEED_STALL;
+  r = ask ("POST", "abc", true, url, STALL_MS);
+  CU_ASSERT_EQUAL (r.result, HT_ANSWERED);
+  CU_ASSERT_EQUAL (r.status, 200);
+  CU_ASSERT_STRING_EQUAL (r.body->str, "ok");
+  drop (&r);
+  stop ();
+}
+
 /* Make a connection that is kept, then have the server close it on the next
    request.  Return how often that one was sent.  */
 static int
@@ -337,6 +383,7 @@
           { "nothing listens", test_nothing_listens },
           { "cut body is broken", test_cut_body_is_broken },
           { "timeout after sending", test_timeout_after_sending },
+          { "answer during a stall", test_answer_during_stall },
           { "the library repeats by itself", test_library_repeats_by_itself },
           { "once is sent once", test_once_is_sent_once },
           { NULL, NULL } };
