A host on a later page of the list has not left the fleet

Cause: a new planner drops from a wave the hosts that are not listed, and took the first page of the list for the whole.

Ruled out: the wave's saved row (nothing was saved yet), the operator's list.

Change: list_whole is the first page's time of the newest list that was read to its end; waves and moves go by it.

--- a/packages/jobs/src/jb_planner.c
+++ b/packages/jobs/src/jb_planner.c
@@ -316,7 +316,10 @@
   if (planner->next_page != NULL)
     list_page (planner, now);
   else
-    forget_unlisted (planner, planner->list_sent);
+    {
+      planner->list_whole = planner->list_sent;
+      forget_unlisted (planner, planner->list_sent);
+    }
 }
 
 static void
--- a/packages/jobs/src/jb_planner_internal.h
+++ b/packages/jobs/src/jb_planner_internal.h
@@ -120,7 +120,8 @@
   bool listing;
   char *next_page;
   jb_time next_list;
-  jb_time list_sent; /* of the newest list taken in */
+  jb_time list_sent;  /* the first page of the list that is being read */
+  jb_time list_whole; /* that of the newest list that was read to its end */
 };
 
 /* jb_planner.c */
--- a/packages/jobs/src/jb_planner_moves.c
+++ b/packages/jobs/src/jb_planner_moves.c
@@ -294,7 +294,7 @@
   uint32_t count;
 
   if (catalog == NULL || now < planner->next_moves
-      || planner->list_sent < planner->claimed
+      || planner->list_whole < planner->claimed
       || !jb_planner_may_order (planner, now))
     return;
   planner->next_moves = now + DECIDE_PERIOD;
--- a/packages/jobs/src/jb_planner_wave.c
+++ b/packages/jobs/src/jb_planner_wave.c
@@ -297,7 +297,7 @@
   GHashTableIter iter;
   gpointer name;
 
-  if (planner->list_sent < MAX (wave->seen, planner->claimed))
+  if (planner->list_whole < MAX (wave->seen, planner->claimed))
     return;
   g_hash_table_iter_init (&iter, wave->left);
   while (g_hash_table_iter_next (&iter, &name, NULL))
@@ -320,7 +320,7 @@
   drop_gone (planner, now, wave);
   report_wave (planner, now, wave);
   down = count_down (planner, wave);
-  while (down < wave->at_once && planner->list_sent > planner->claimed)
+  while (down < wave->at_once && planner->list_whole > planner->claimed)
     {
       struct host *host = choose_host (planner, now, wave);
 
--- a/tests/sim/jobs/jw_backend.c
+++ b/tests/sim/jobs/jw_backend.c
@@ -6,8 +6,14 @@
 #include "jb_work.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
+enum
+{
+  HOSTS_OF_PAGE = 3
+};
+
 /* A stopped task ends within.  */
 #define STOP_TIME (60 * JB_MS)
 
@@ -551,12 +557,18 @@
       }
 }
 
+/* Two pages or more: what stands on a later one has not left the fleet.  */
 static void
-list_hosts (struct jw_world *world, struct jb_reply *reply)
+list_hosts (struct jw_world *world, const char *from, struct jb_reply *reply)
 {
+  guint i = from != NULL ? (guint)atoi (from) : 0;
+  guint end = MIN (i + HOSTS_OF_PAGE, world->fleet->len);
+
   reply->hosts = talloc_zero_array (reply->mem, struct jb_host_entry,
-                                    world->fleet->len + 1);
-  for (guint i = 0; i < world->fleet->len; i++)
+                                    HOSTS_OF_PAGE + 1);
+  if (end < world->fleet->len)
+    reply->next_page = talloc_asprintf (reply->mem, "%u", end);
+  for (; i < end; i++)
     {
       const struct jw_fleet_host *host = g_ptr_array_index (world->fleet, i);
 
@@ -658,7 +670,7 @@
 {
   reply->result = JB_OK;
   if (order->kind == JB_ORDER_LIST_HOSTS)
-    list_hosts (world, reply);
+    list_hosts (world, order->u.read.from, reply);
   else if (order->kind == JB_ORDER_MOVE_HOST
            || order->kind == JB_ORDER_MAINTAIN_HOST)
     order_host (world, order, reply);
