--- a/tests/sim/jobs/jw_soak.c
+++ b/tests/sim/jobs/jw_soak.c
@@ -6,6 +6,10 @@
 #define TROUBLED (25 * JB_SECOND)
 #define CALM (80 * JB_SECOND)
 
+/* A host short of processor time stands still, then works, for up to.  */
+#define MOST_STALL_MS 1500
+#define MOST_WORK_MS 400
+
 enum
 {
   MOST_LASTING = 3
@@ -85,6 +89,56 @@
          mend, mending);
 }
 
+/* A host that gets its processor time in pieces.  What it draws is its own, so
+   that a seed's faults are the same with it and without.  */
+struct stutter
+{
+  GRand *random;
+  uint32_t index;
+  bool stands;
+  jb_time until;
+};
+
+static int
+stutter_destroy (struct stutter *stutter)
+{
+  g_rand_free (stutter->random);
+  return 0;
+}
+
+static void
+stutter_on (struct jw_world *world, void *data)
+{
+  struct stutter *stutter = *(struct stutter **)data;
+  struct stutter **next;
+  int most;
+
+  stutter->stands = !stutter->stands && world->now < stutter->until;
+  jw_host_freeze (world, stutter->index, stutter->stands);
+  if (world->now >= stutter->until)
+    return;
+  next = talloc (NULL, struct stutter *);
+  *next = stutter;
+  most = stutter->stands ? MOST_STALL_MS : MOST_WORK_MS;
+  jw_at (world,
+         world->now + g_rand_int_range (stutter->random, 20, most) * JB_MS,
+         stutter_on, next);
+}
+
+static void
+begin_stutter (struct jw_world *world, uint32_t seed, jb_time until)
+{
+  struct stutter *stutter = talloc_zero (world, struct stutter);
+  struct stutter **first = talloc (NULL, struct stutter *);
+
+  stutter->random = g_rand_new_with_seed (seed);
+  stutter->index = seed % world->options.hosts;
+  stutter->until = until;
+  talloc_set_destructor (stutter, stutter_destroy);
+  *first = stutter;
+  jw_at (world, world->now, stutter_on, first);
+}
+
 static uint32_t
 draw (struct jw_world *world, uint32_t below)
 {
@@ -261,6 +315,8 @@
   end = world->now + TROUBLED;
   if (soak->seed % 2 == 0)
     jw_wave (world, 2, 20000);
+  if (soak->stalls)
+    begin_stutter (world, soak->seed, end);
   while (world->now < end)
     {
       uint32_t kind = draw (world, 100);
--- a/tests/sim/jobs/jw_soak.h
+++ b/tests/sim/jobs/jw_soak.h
@@ -9,6 +9,7 @@
 {
   uint32_t seed;
   uint32_t off; /* enum jb_off */
+  bool stalls; /* one host gets its processor time in pieces */
   bool verbose;
   /* results */
   uint32_t broken;
--- a/tests/sim/jobs/soak_jobs.c
+++ b/tests/sim/jobs/soak_jobs.c
@@ -11,6 +11,7 @@
   uint32_t seed;
   uint32_t runs;
   uint32_t off;
+  bool stalls;
   bool verbose;
 };
 
@@ -18,6 +19,7 @@
     = { { "seed", 's', "N", 0, "First seed (1)", 0 },
         { "runs", 'r', "N", 0, "Number of seeds (100)", 0 },
         { "off", 'o', "MASK", 0, "Mechanisms to switch off (0)", 0 },
+        { "stalls", 't', NULL, 0, "One host is short of processor time", 0 },
         { "verbose", 'v', NULL, 0, "Print the hosts' log lines", 0 },
         { 0 } };
 
@@ -37,6 +39,9 @@
     case 'o':
       arguments->off = (uint32_t)strtoul (value, NULL, 0);
       return 0;
+    case 't':
+      arguments->stalls = true;
+      return 0;
     case 'v':
       arguments->verbose = true;
       return 0;
@@ -59,6 +64,7 @@
     {
       struct jw_soak soak = { .seed = arguments.seed + i,
                               .off = arguments.off,
+                              .stalls = arguments.stalls,
                               .verbose = arguments.verbose };
 
       jw_soak_run (&soak);
--- a/tests/sim/jobs/test_jobs_off.c
+++ b/tests/sim/jobs/test_jobs_off.c
@@ -66,6 +66,21 @@
     }
 }
 
+/* One host stands still again and again, as one short of processor time.  */
+static void
+test_stalls (void)
+{
+  for (uint32_t seed = 1; seed <= 12; seed++)
+    {
+      struct jw_soak soak = { .seed = seed, .stalls = true };
+
+      jw_soak_run (&soak);
+      if (soak.broken > 0)
+        fprintf (stderr, "seed %u: %s\n", soak.seed, soak.first);
+      CU_ASSERT_EQUAL (soak.broken, 0);
+    }
+}
+
 int
 main (void)
 {
@@ -73,6 +88,7 @@
       = { { "each mechanism off breaks its promise", test_off },
           { "with it the same worlds hold", test_on },
           { "seeds that once broke one", test_regressions },
+          { "a host stands still again and again", test_stalls },
           { NULL, NULL } };
 
   return dp_test_main ("mechanisms of jobs", tests);
