process_soak: real entry hosts around the emulated world, and a demo of jobs

Change: a world may have its entry hosts outside. Its store, backend servers and list of hosts are then served over HTTP (platform/standin holds the other side of the wire), its clients call over HTTP, and its faults on hosts are signals. Loads, faults and checks are those of soak_jobs.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 JOBS ?= $(shell nproc)
 
 .PHONY: all install-deps build demo demo-stop check test format lint sanitize \
-  thread-check process-test measure soak explore clean
+  thread-check process-test process-soak measure soak explore clean
 
 all: build
 
@@ -19,6 +19,7 @@
 # The main job with real processes.  KEEP=1 leaves them running.
 demo: build
 	KEEP=$(KEEP) BIN=$(BUILD) bash scripts/demo.sh
+	$(BUILD)/soak/process_soak --demo --directory run/jobs
 
 demo-stop:
 	bash scripts/demo.sh stop
@@ -31,7 +32,7 @@
 	git ls-files '*.c' '*.h' | xargs clang-format --dry-run -Werror
 
 lint: build
-	git ls-files 'packages/*.c' 'platform/*.c' 'programs/*.c' 'tests/*.c' 'examples/*.c' 'bench/*.c' \
+	git ls-files 'packages/*.c' 'platform/*.c' 'programs/*.c' 'tests/*.c' 'examples/*.c' 'bench/*.c' 'soak/*.c' \
 	  | xargs -P $(JOBS) -n 4 clang-tidy --quiet -p $(BUILD) 2> /dev/null
 
 test: build
@@ -55,6 +56,13 @@
 # A few focused tests with real processes on loopback.
 process-test: build
 	BIN=$(BUILD) bash tests/process/run.sh
+	$(MAKE) process-soak SEED=1 RUNS=2
+
+# Entry hosts as real processes with faults drawn by chance, two seeds at a
+# time: make process-soak SEED=1 RUNS=50, or MINUTES=5 of further seeds.
+MINUTES ?= 0
+process-soak: build
+	BIN=$(BUILD) SEED=$(SEED) RUNS=$(RUNS) MINUTES=$(MINUTES) bash soak/run.sh
 
 # The measures, each against a baseline in the same run.
 measure: build
--- a/packages/server/src/sv_daemon.c
+++ b/packages/server/src/sv_daemon.c
@@ -10,6 +10,7 @@
 #include "sv_callers.h"
 #include "sv_decider.h"
 #include "sv_log.h"
+#include "sv_signals.h"
 #include "sv_supervisor.h"
 
 #include <errno.h>
@@ -370,21 +371,6 @@
   setrlimit (RLIMIT_NOFILE, &limit);
 }
 
-/* Signals are read from a descriptor.  They are blocked before any thread is
-   made, for threads inherit that.  */
-static int
-open_signals (void)
-{
-  sigset_t set;
-
-  sigemptyset (&set);
-  sigaddset (&set, SIGTERM);
-  sigaddset (&set, SIGINT);
-  pthread_sigmask (SIG_BLOCK, &set, NULL);
-  signal (SIGPIPE, SIG_IGN);
-  return signalfd (-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
-}
-
 /* Stop the HTTP threads before what they call into goes away.  */
 static int
 daemon_destroy (struct sv_daemon *d)
@@ -403,7 +389,7 @@
   d->settings = settings;
   talloc_set_destructor (d, daemon_destroy);
   raise_descriptor_limit ();
-  d->signals = open_signals ();
+  d->signals = sv_signals_open ();
   d->log = sv_log_new (d, &settings->log, settings->name);
   if (read_secrets (d, error) && make_inner_duties (d, error)
       && make_outer_duties (d, error))
@@ -469,7 +455,10 @@
 
       poll (&p, 1, WATCH_MS);
       while (read (p.fd, &info, sizeof info) == (ssize_t)sizeof info)
-        if (!stopping)
+        if (info.ssi_signo == SIGHUP)
+          sv_log (d->log, CF_LOG_INFO, "settings-kept", "reason",
+                  "they are read at the start", NULL);
+        else if (!stopping)
           {
             stopping = true;
             begin_stop (d);
--- a/packages/server/src/sv_jobs.c
+++ b/packages/server/src/sv_jobs.c
@@ -5,6 +5,7 @@
 #include "ht_server.h"
 #include "pr_link.h"
 #include "sv_log.h"
+#include "sv_signals.h"
 #include "sv_supervisor.h"
 
 #include <errno.h>
@@ -575,20 +576,6 @@
 
 /* ---- construction ---- */
 
-static int
-open_signals (void)
-{
-  sigset_t set;
-
-  sigemptyset (&set);
-  sigaddset (&set, SIGTERM);
-  sigaddset (&set, SIGINT);
-  sigaddset (&set, SIGHUP);
-  pthread_sigmask (SIG_BLOCK, &set, NULL);
-  signal (SIGPIPE, SIG_IGN);
-  return signalfd (-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
-}
-
 static struct ht_server *
 open_server (struct sv_jobs *jobs, const char *address,
              unsigned max_connections, size_t max_body,
@@ -693,7 +680,7 @@
   jobs->options = *options;
   g_mutex_init (&jobs->metrics_lock);
   talloc_set_destructor (jobs, jobs_destroy);
-  jobs->signals = open_signals ();
+  jobs->signals = sv_signals_open ();
   jobs->log
       = sv_log_new (jobs, &options->settings->log, options->settings->name);
   /* Events are literals, so their names outlive the table.  */
--- a/programs/dogwoodpulleyd.c
+++ b/programs/dogwoodpulleyd.c
@@ -2,6 +2,7 @@
 
 #include "pf_platform.h"
 #include "sv_daemon.h"
+#include "sv_signals.h"
 
 #include <argp.h>
 #include <stdio.h>
@@ -74,6 +75,7 @@
   TALLOC_CTX *mem;
   int status;
 
+  sv_signals_block ();
   argp_parse (&argp, argc, argv, 0, NULL, &arguments);
   if (arguments.jobs)
     return pf_run ();
--- a/tests/sim/jobs/jw_backend.c
+++ b/tests/sim/jobs/jw_backend.c
@@ -11,7 +11,8 @@
 
 enum
 {
-  HOSTS_OF_PAGE = 3
+  HOSTS_OF_PAGE = 3,
+  ADDRESSES = 250 /* of the network; they are used again */
 };
 
 /* A stopped task ends within.  */
@@ -47,8 +48,10 @@
   struct jw_backend *backend = talloc_zero (world, struct jw_backend);
 
   backend->instance = talloc_asprintf (backend, "b-%u", ++world->last_backend);
-  backend->address
-      = talloc_asprintf (backend, "10.0.0.%u:1", world->last_backend);
+  backend->address = talloc_asprintf (
+      backend, "%s.%u:%u",
+      world->options.network != NULL ? world->options.network : "10.0.0",
+      world->last_backend % ADDRESSES, MAX (world->options.port, 1));
   backend->host = talloc_strdup (backend, host->name);
   backend->pool = host->pool;
   backend->up = true;
--- a/tests/sim/jobs/jw_soak.c
+++ b/tests/sim/jobs/jw_soak.c
@@ -6,6 +6,12 @@
 #define TROUBLED (25 * JB_SECOND)
 #define CALM (80 * JB_SECOND)
 
+/* In real time the faults take less long, and the calm part ends when nothing
+   is left to do; not before all that was switched off is on again.  */
+#define OUTSIDE_TROUBLED (12 * JB_SECOND)
+#define OUTSIDE_CALM (12 * JB_SECOND)
+#define ASK_PERIOD (2 * JB_SECOND)
+
 /* A host short of processor time stands still, then works, for up to.  */
 #define MOST_STALL_MS 1500
 #define MOST_WORK_MS 400
@@ -296,6 +302,24 @@
     }
 }
 
+static void
+calm_down (struct jw_world *world)
+{
+  jb_time end = world->now + CALM;
+
+  if (world->options.outside == NULL)
+    {
+      jw_run (world, CALM);
+      return;
+    }
+  jw_run (world, OUTSIDE_CALM);
+  while (world->now < end && !jw_all_ended (world))
+    {
+      jw_ask_all (world);
+      jw_run (world, ASK_PERIOD);
+    }
+}
+
 void
 jw_soak_run (struct jw_soak *soak)
 {
@@ -306,13 +330,18 @@
                                 .backend_cpu = 12000,
                                 .org_cap = soak->seed % 3 == 0 ? 26000 : 0,
                                 .off = soak->off,
+                                .outside = soak->outside,
+                                .network = soak->network,
+                                .port = soak->port,
                                 .verbose = soak->verbose };
   struct jw_world *world = jw_world_new (&options);
   uint32_t lasting = 0;
   jb_time end;
 
+  if (soak->made != NULL)
+    soak->made (soak->made_for, world);
   jw_run (world, 4 * JB_SECOND);
-  end = world->now + TROUBLED;
+  end = world->now + (soak->outside != NULL ? OUTSIDE_TROUBLED : TROUBLED);
   if (soak->seed % 2 == 0)
     jw_wave (world, 2, 20000);
   if (soak->stalls)
@@ -333,11 +362,13 @@
         jw_configure (world);
       jw_run (world, draw (world, 160) * JB_MS);
     }
-  jw_run (world, CALM);
+  calm_down (world);
   jw_check_finished (world);
   soak->broken = world->broken;
   soak->starts = world->starts;
   soak->jobs = g_hash_table_size (world->jobs);
   g_strlcpy (soak->first, world->first, sizeof soak->first);
+  if (soak->made != NULL)
+    soak->made (soak->made_for, NULL);
   jw_world_free (world);
 }
--- a/tests/sim/jobs/jw_soak.h
+++ b/tests/sim/jobs/jw_soak.h
@@ -9,8 +9,13 @@
 {
   uint32_t seed;
   uint32_t off; /* enum jb_off */
-  bool stalls; /* one host gets its processor time in pieces */
+  bool stalls;  /* one host gets its processor time in pieces */
   bool verbose;
+  const struct jw_outside *outside; /* as in struct jw_options */
+  const char *network;
+  uint32_t port;
+  void (*made) (void *data, struct jw_world *world); /* NULL world: gone */
+  void *made_for;
   /* results */
   uint32_t broken;
   uint32_t starts;
--- a/tests/sim/jobs/jw_world.c
+++ b/tests/sim/jobs/jw_world.c
@@ -1,5 +1,6 @@
 #include "jw_world.h"
 
+#include <signal.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -41,28 +42,48 @@
   g_sequence_insert_sorted (world->events, event, compare_events, NULL);
 }
 
+/* Return when the next event is due.  */
+static jb_time
+next_due (const struct jw_world *world)
+{
+  GSequenceIter *first = g_sequence_get_begin_iter (world->events);
+
+  if (g_sequence_iter_is_end (first))
+    return JB_NEVER;
+  return ((const struct event *)g_sequence_get (first))->when;
+}
+
+static void
+play_next (struct jw_world *world)
+{
+  GSequenceIter *first = g_sequence_get_begin_iter (world->events);
+  struct event *event = g_sequence_get (first);
+
+  g_sequence_remove (first);
+  world->now = MAX (world->now, event->when);
+  event->happening (world, event->data);
+  talloc_free (event->data);
+  g_free (event);
+}
+
 void
 jw_run (struct jw_world *world, jb_time duration)
 {
+  const struct jw_outside *outside = world->options.outside;
   jb_time end = world->now + duration;
 
-  for (;;)
+  while (outside != NULL && world->now < end)
     {
-      GSequenceIter *first = g_sequence_get_begin_iter (world->events);
-      struct event *event;
+      jb_time now
+          = outside->wait (outside->context, MIN (next_due (world), end));
 
-      if (g_sequence_iter_is_end (first))
-        break;
-      event = g_sequence_get (first);
-      if (event->when > end)
-        break;
-      g_sequence_remove (first);
-      world->now = event->when;
-      event->happening (world, event->data);
-      talloc_free (event->data);
-      g_free (event);
+      world->now = MAX (world->now, now);
+      while (next_due (world) <= world->now)
+        play_next (world);
     }
-  world->now = end;
+  while (next_due (world) <= end)
+    play_next (world);
+  world->now = MAX (world->now, end);
 }
 
 void
@@ -139,7 +160,13 @@
 {
   struct reply *reply = data;
   struct jw_host *host = reply->host;
+  const struct jw_outside *outside = world->options.outside;
 
+  if (outside != NULL)
+    {
+      outside->reply (outside->context, reply->number, &reply->reply);
+      return;
+    }
   if (host->host == NULL || host->life != reply->life)
     return;
   if (host->frozen)
@@ -299,6 +326,20 @@
     talloc_free (reply.mem);
 }
 
+/* Outside, who writes to a pool's rows is taken for its holder.  */
+static void
+note_writer (struct jw_host *host, const struct jb_order *order)
+{
+  const char *part = NULL;
+  unsigned pool;
+
+  if (order->kind == JB_ORDER_WRITE && order->u.write.set_count > 0)
+    part = order->u.write.set[0].part;
+  if (part != NULL && sscanf (part, "pool/pool-%u", &pool) == 1
+      && pool < JW_MAX_POOLS)
+    host->world->writers[pool] = (int)host->index;
+}
+
 void
 jw_submit_order (void *context, uint64_t number, const struct jb_order *from)
 {
@@ -315,6 +356,7 @@
   struct jb_reply lost = { .result = JB_UNKNOWN };
   jb_time arrival = world->now + (to_store ? STORE_LATENCY : LATENCY);
 
+  note_writer (host, from);
   order->host = host;
   order->life = host->life;
   order->number = number;
@@ -471,6 +513,7 @@
 static void
 send_call (struct jw_world *world, struct jw_job *job, enum jb_call_kind kind)
 {
+  const struct jw_outside *outside = world->options.outside;
   uint32_t first = g_rand_int_range (world->random, 0, world->options.hosts);
   struct jw_host *host = NULL;
   struct jw_call *call;
@@ -485,7 +528,7 @@
     {
       struct jw_host *h = &world->hosts[(first + i) % world->options.hosts];
 
-      if (h->host != NULL && !h->frozen)
+      if ((h->host != NULL || h->up) && !h->frozen)
         host = h;
     }
   if (host == NULL)
@@ -507,6 +550,11 @@
       message.desc = talloc_zero (call, struct jb_desc);
       ba_io_copy (message.desc, jb_desc_code, job->desc, message.desc);
     }
+  if (outside != NULL)
+    {
+      outside->call (outside->context, call->number, host->index, &message);
+      return;
+    }
   jb_host_call (host->host, world->now, call->number, &message);
   take_turn (host);
 }
@@ -533,11 +581,10 @@
         }
 }
 
-static void
-give_answer (void *context, uint64_t number, const struct jb_answer *answer)
+void
+jw_answer (struct jw_world *world, uint64_t number,
+           const struct jb_answer *answer)
 {
-  struct jw_host *host = context;
-  struct jw_world *world = host->world;
   struct jw_call *call = g_hash_table_lookup (world->calls, &number);
   struct jw_job *job;
 
@@ -583,6 +630,14 @@
   talloc_free (call);
 }
 
+static void
+give_answer (void *context, uint64_t number, const struct jb_answer *answer)
+{
+  const struct jw_host *host = context;
+
+  jw_answer (host->world, number, answer);
+}
+
 static const struct jb_effects effects = { .submit = jw_submit_order,
                                            .send = send_letter,
                                            .members = set_members,
@@ -662,6 +717,24 @@
       send_call (world, value, JB_CALL_QUERY);
 }
 
+bool
+jw_all_ended (struct jw_world *world)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, world->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct jw_job *job = value;
+
+      if (job->accepted && !job->cancel_sent && !jb_desc_lasts (job->desc)
+          && (!job->shown || job->state < JB_JOB_COMPLETED))
+        return false;
+    }
+  return true;
+}
+
 void
 jw_check_finished (struct jw_world *world)
 {
@@ -717,22 +790,39 @@
                                                  .host_orders_per_s = 64,
                                                  .off = world->options.off } };
 
-  if (host->host != NULL)
+  if (host->host != NULL || host->up)
     return;
   host->life++;
   host->frozen = false;
+  if (world->options.outside != NULL)
+    {
+      host->up = true;
+      world->options.outside->start (world->options.outside->context, index);
+      return;
+    }
   host->incarnation = ((uint64_t)index << 32) + host->life + 1;
   options.incarnation = host->incarnation;
   host->host = jb_host_new (world, world->now, &options, &effects, host);
   take_turn (host);
 }
 
+/* Outside, a signal does what is done to hosts in the world.  */
+static void
+send_signal (const struct jw_host *host, int number)
+{
+  const struct jw_outside *outside = host->world->options.outside;
+
+  if (outside != NULL && host->up)
+    outside->signal (outside->context, host->index, number);
+}
+
 void
 jw_host_kill (struct jw_world *world, uint32_t index)
 {
   struct jw_host *host = &world->hosts[index];
 
-  (void)world;
+  send_signal (host, SIGKILL);
+  host->up = false;
   TALLOC_FREE (host->host);
   host->life++;
 }
@@ -758,10 +848,14 @@
   struct jw_host *host = &world->hosts[index];
   struct stopping *stopping;
 
-  if (host->host == NULL || host->frozen)
+  if ((host->host == NULL && !host->up) || host->frozen)
     return;
-  jb_host_stop (host->host, world->now);
-  take_turn (host);
+  send_signal (host, SIGTERM);
+  if (host->host != NULL)
+    {
+      jb_host_stop (host->host, world->now);
+      take_turn (host);
+    }
   stopping = talloc_zero (NULL, struct stopping);
   stopping->host = host;
   stopping->life = host->life;
@@ -773,8 +867,8 @@
 {
   struct jw_host *host = &world->hosts[index];
 
-  (void)world;
   host->frozen = frozen;
+  send_signal (host, frozen ? SIGSTOP : SIGCONT);
   if (!frozen && host->host != NULL)
     take_turn (host);
 }
@@ -784,6 +878,8 @@
 {
   char name[16];
 
+  if (world->options.outside != NULL)
+    return world->writers[pool];
   snprintf (name, sizeof name, "pool-%u", pool);
   for (uint32_t i = 0; i < world->options.hosts; i++)
     if (world->hosts[i].host != NULL
@@ -850,6 +946,10 @@
 
   world->options = *options;
   world->now = 1000 * JB_SECOND;
+  if (options->outside != NULL)
+    world->now = options->outside->wait (options->outside->context, 0);
+  for (uint32_t i = 0; i < JW_MAX_POOLS; i++)
+    world->writers[i] = -1;
   world->events = g_sequence_new (NULL);
   world->random = g_rand_new_with_seed (options->seed);
   world->tasks = g_hash_table_new (g_str_hash, g_str_equal);
@@ -881,7 +981,10 @@
     g_free (g_sequence_get (iter));
   g_sequence_free (world->events);
   for (uint32_t i = 0; i < world->options.hosts; i++)
-    TALLOC_FREE (world->hosts[i].host);
+    {
+      send_signal (&world->hosts[i], SIGKILL);
+      TALLOC_FREE (world->hosts[i].host);
+    }
   for (guint i = 0; i < world->backends->len; i++)
     {
       struct jw_backend *backend = g_ptr_array_index (world->backends, i);
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -16,6 +16,23 @@
   JW_MAX_POOLS = 6
 };
 
+/* Entry hosts that are processes of their own.  The world then goes on in real
+   time, under a lock of whoever made it; only `wait' lets go of it.  */
+struct jw_outside
+{
+  void *context;
+  /* Let time pass until UNTIL or until something has arrived.  Return the
+     time.  */
+  jb_time (*wait) (void *context, jb_time until);
+  void (*start) (void *context, uint32_t index);
+  void (*signal) (void *context, uint32_t index, int number);
+  /* Call entry host INDEX; jw_answer is called with NUMBER.  */
+  void (*call) (void *context, uint64_t number, uint32_t index,
+                const struct jb_call *call);
+  /* The reply to the order NUMBER; its memory may be stolen.  */
+  void (*reply) (void *context, uint64_t number, const struct jb_reply *reply);
+};
+
 struct jw_options
 {
   uint32_t seed;
@@ -27,6 +44,9 @@
   uint32_t off;    /* enum jb_off */
   bool advised;    /* queues have a policy */
   bool verbose;    /* print the hosts' log lines */
+  const struct jw_outside *outside; /* NULL: entry hosts are in the world */
+  const char *network; /* of the backend servers' addresses: "10.0.0" */
+  uint32_t port;       /* of all of them */
 };
 
 struct jw_world;
@@ -39,7 +59,8 @@
   struct jw_world *world;
   uint32_t index;
   char name[16];
-  struct jb_host *host; /* NULL: down */
+  struct jb_host *host; /* NULL: down, or outside */
+  bool up;              /* outside */
   uint64_t incarnation;
   uint32_t life;       /* rises with each start */
   uint64_t run_serial; /* of the next turn */
@@ -158,7 +179,9 @@
   struct jw_host hosts[JW_MAX_HOSTS];
   /* the store */
   bool store_down;
-  GPtrArray *rows; /* struct jw_row, in the order of their names */
+  GPtrArray *rows;           /* struct jw_row, in the order of their names */
+  int writers[JW_MAX_POOLS]; /* hosts that last wrote to a pool's rows, or -1
+                              */
   uint64_t version;
   struct jb_catalog *catalog;
   uint64_t catalog_row;
@@ -220,6 +243,8 @@
 
 /* Ask for the states of all jobs, and note promises that are broken.  */
 void jw_ask_all (struct jw_world *world);
+/* Return whether every accepted job that does not last was shown as ended.  */
+bool jw_all_ended (struct jw_world *world);
 /* Note every accepted job that has not ended as it should.  */
 void jw_check_finished (struct jw_world *world);
 
@@ -241,6 +266,8 @@
 bool jw_chance (struct jw_world *world, uint32_t in_thousand);
 void jw_submit_order (void *context, uint64_t number,
                       const struct jb_order *order);
+void jw_answer (struct jw_world *world, uint64_t number,
+                const struct jb_answer *answer);
 void jw_reply (struct jw_host *host, uint32_t life, uint64_t number,
                jb_time when, struct jb_reply *reply);
 void jw_store_order (struct jw_world *world, const struct jb_order *order,
--- a/tests/standins/standin_http.c
+++ b/tests/standins/standin_http.c
@@ -117,35 +117,52 @@
   *place = NULL;
 }
 
-int
-standin_serve (const char *address, standin_handler *handler)
+/* Stand-ins that listen on all addresses are for this machine only.  */
+static enum MHD_Result
+is_near (void *context, const struct sockaddr *address, socklen_t len)
+{
+  const struct sockaddr_in *in = (const struct sockaddr_in *)address;
+
+  (void)context;
+  (void)len;
+  return ntohl (in->sin_addr.s_addr) >> 24 == IN_LOOPBACKNET ? MHD_YES
+                                                             : MHD_NO;
+}
+
+struct MHD_Daemon *
+standin_start (const char *address, standin_handler *handler)
 {
   struct sockaddr_in in = { .sin_family = AF_INET };
   const char *colon = strrchr (address, ':');
   char host[64] = "";
-  struct MHD_Daemon *daemon;
-  sigset_t set;
-  int signal_number;
 
   serve_request = handler;
   if (colon == NULL || (size_t)(colon - address) >= sizeof host)
-    return EXIT_FAILURE;
+    return NULL;
   memcpy (host, address, (size_t)(colon - address));
   in.sin_port = htons ((unsigned short)strtoul (colon + 1, NULL, 10));
   inet_pton (AF_INET, host, &in.sin_addr);
-  sigemptyset (&set);
-  sigaddset (&set, SIGTERM);
-  sigaddset (&set, SIGINT);
-  pthread_sigmask (SIG_BLOCK, &set, NULL);
   signal (SIGPIPE, SIG_IGN);
-  daemon = MHD_start_daemon (
+  return MHD_start_daemon (
       MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION
           | MHD_USE_POLL,
-      0, NULL, NULL, take, NULL, MHD_OPTION_SOCK_ADDR, &in,
+      0, is_near, NULL, take, NULL, MHD_OPTION_SOCK_ADDR, &in,
       MHD_OPTION_CONNECTION_LIMIT, (unsigned)CONNECTION_LIMIT,
       MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED,
       completed, NULL, MHD_OPTION_END);
-  if (daemon == NULL)
+}
+
+int
+standin_serve (const char *address, standin_handler *handler)
+{
+  sigset_t set;
+  int signal_number;
+
+  sigemptyset (&set);
+  sigaddset (&set, SIGTERM);
+  sigaddset (&set, SIGINT);
+  pthread_sigmask (SIG_BLOCK, &set, NULL);
+  if (standin_start (address, handler) == NULL)
     {
       fprintf (stderr, "can't listen on %s\n", address);
       return EXIT_FAILURE;
--- a/tests/standins/standin_http.h
+++ b/tests/standins/standin_http.h
@@ -29,6 +29,11 @@
 typedef void standin_handler (const struct standin_request *request,
                               struct standin_answer *answer);
 
+/* Serve on ADDRESS, "IP:PORT", callers on this machine.  Return NULL when that
+   is not possible.  */
+struct MHD_Daemon *standin_start (const char *address,
+                                  standin_handler *handler);
+
 /* Serve on ADDRESS, "IP:PORT", until SIGTERM or SIGINT.  Return the exit
    status.  */
 int standin_serve (const char *address, standin_handler *handler);
