Operators ask entry hosts with jobs what they know, and why a job waits

Cause: an engineer on call had only logs and metrics; why a job that was accepted does not start had to be put together from lines of several hosts.

Change: jb_view collects lines on duties, pools, jobs, steps and waves; explain adds why the tasks of a step wait, by the same functions that place them.

Not shown: what other hosts only forward; a job that nobody holds.

--- a/Makefile
+++ b/Makefile
@@ -56,6 +56,7 @@
 # A few focused tests with real processes on loopback.
 process-test: build
 	BIN=$(BUILD) bash tests/process/run.sh
+	BIN=$(BUILD) bash tests/process/jobs.sh
 	$(MAKE) process-soak SEED=1 RUNS=2
 
 # Entry hosts as real processes with faults drawn by chance, two seeds at a
--- /dev/null
+++ b/packages/jobs/include/jb_view.h
@@ -0,0 +1,54 @@
+#ifndef JB_VIEW_H
+#define JB_VIEW_H
+
+/* What operators are shown of a host: lines of names and values.  */
+
+#include "jb_host.h"
+#include "jb_planner.h"
+#include "jb_pool.h"
+
+struct jb_view_line
+{
+  const char *kind; /* "duty", "pool", "job", "step", "reason", "wave" */
+  struct jb_log_field *fields;
+  uint32_t count;
+};
+
+struct jb_view
+{
+  TALLOC_CTX *mem; /* owner of what is below */
+  struct jb_view_line *lines;
+  uint32_t count;
+};
+
+enum jb_view_topic
+{
+  JB_VIEW_OWNERS,  /* duties held here */
+  JB_VIEW_POOLS,   /* pools held here, their room and load */
+  JB_VIEW_JOBS,    /* jobs of these that have not ended */
+  JB_VIEW_JOB,     /* one job and its steps */
+  JB_VIEW_EXPLAIN, /* the same, and why its tasks wait */
+  JB_VIEW_WAVES,   /* maintenance, on the planner's host */
+  JB_VIEW_TOPICS
+};
+
+/* The topics' names, as operators give them.  */
+const char *jb_view_topic_name (enum jb_view_topic topic);
+
+/* Add to VIEW a line of KIND, which is kept, with pairs of names and values,
+   ended by NULL.  A pair whose value is NULL is left out.  */
+void jb_view_add (struct jb_view *view, const char *kind,
+                  ...) G_GNUC_NULL_TERMINATED;
+
+/* Add what HOST knows of TOPIC; ID names the job, or is NULL.  */
+void jb_host_view (const struct jb_host *host, jb_time now,
+                   enum jb_view_topic topic, const char *id,
+                   struct jb_view *view);
+
+/* The same of a pool that is held or being claimed, and of the planner.  */
+void jb_pool_view (struct jb_pool *pool, jb_time now, enum jb_view_topic topic,
+                   const char *id, struct jb_view *view);
+void jb_planner_view (const struct jb_planner *planner, jb_time now,
+                      struct jb_view *view);
+
+#endif
--- /dev/null
+++ b/packages/jobs/src/jb_pool_view.c
@@ -0,0 +1,184 @@
+/* What operators are shown of a pool, and why a job of it waits.  */
+
+#include "jb_pool_internal.h"
+#include "jb_view.h"
+
+#include <string.h>
+
+static const char *
+stage_name (enum jb_pool_stage stage)
+{
+  static const char *const names[] = { [JB_STAGE_IDLE] = "claiming",
+                                       [JB_STAGE_LOADING] = "loading",
+                                       [JB_STAGE_SCANNING] = "scanning",
+                                       [JB_STAGE_ACTIVE] = "active" };
+
+  return names[stage];
+}
+
+static void
+view_pool (struct jb_pool *pool, jb_time now, struct jb_view *view)
+{
+  uint32_t silent = 0;
+  uint32_t usable = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, pool->backends);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct jb_backend *backend = value;
+
+      silent += backend->silent > 1 || !backend->reached;
+      usable += jb_pool_usable (pool, backend, now);
+    }
+  jb_view_add (view, "pool", "pool", pool->options.name, "stage",
+               stage_name (pool->stage), "stands",
+               jb_pool_stands (pool, now) ? "yes" : "no", "backends",
+               jb_num (g_hash_table_size (pool->backends)), "usable",
+               jb_num (usable), "silent", jb_num (silent), "jobs",
+               jb_num (pool->active->len), "to_write",
+               jb_num (pool->dirty->len), NULL);
+}
+
+static void
+view_job (const struct jb_pool *pool, jb_time now, const struct jb_job *job,
+          struct jb_view *view)
+{
+  uint32_t count = 0;
+  uint32_t done = 0;
+
+  for (guint i = 0; i < job->groups->len; i++)
+    {
+      const struct jb_group *group = g_ptr_array_index (job->groups, i);
+
+      count += group->count;
+      done += group->done;
+    }
+  jb_view_add (
+      view, "job", "job", job->desc->id, "pool", pool->options.name, "queue",
+      job->desc->queue, "organisation", job->desc->org, "state",
+      jb_job_state_name (job->ended != 0 ? job->state
+                         : job->begun    ? JB_JOB_RUNNING
+                                         : JB_JOB_PENDING),
+      "tasks", jb_num (count), "done", jb_num (done), "running",
+      jb_num (job->runs), "stored", job->stored ? "yes" : "no", "late_ms",
+      job->objective != JB_NEVER && !jb_desc_lasts (job->desc)
+          ? jb_num ((now - job->objective) / JB_MS)
+          : NULL,
+      NULL);
+}
+
+static void
+view_step (const struct jb_group *group, struct jb_view *view)
+{
+  const struct jb_step *step = jb_group_step (group);
+  uint32_t failures = 0;
+
+  for (uint32_t i = 0; i < group->count; i++)
+    failures += group->tasks[i].failures;
+  jb_view_add (view, "step", "occurrence", jb_num (group->occurrence), "step",
+               jb_num (group->step), "tasks", jb_num (group->count), "done",
+               jb_num (group->done), "running", jb_num (group->runs), "turn",
+               group->open ? "come" : "waits for earlier steps", "failures",
+               jb_num (failures), "cpu", jb_num (step->amount.cpu), NULL);
+}
+
+/* Return what keeps the tasks of GROUP waiting on the backend servers.  */
+static const char *
+explain_room (const struct jb_pool *pool, const struct jb_group *group,
+              jb_time now)
+{
+  const struct jb_task *task = &group->tasks[0];
+  bool usable = false;
+  bool allowed = false;
+  bool fits = false;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, pool->backends);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct jb_backend *backend = value;
+
+      if (!jb_pool_usable (pool, backend, now))
+        continue;
+      usable = true;
+      if (!jb_place_allowed (task, backend))
+        continue;
+      allowed = true;
+      fits = fits || jb_place_fits (task, backend);
+    }
+  if (!usable)
+    return "no backend server is fit for work";
+  if (!allowed)
+    return "no backend server has the label or ticket, or may hold one more";
+  if (!fits)
+    return "no allowed backend server has so much room left";
+  return "others go first, or it starts in a moment";
+}
+
+static void
+explain_group (struct jb_pool *pool, const struct jb_group *group, jb_time now,
+               struct jb_view *view)
+{
+  const struct jb_amount *amount = &jb_group_step (group)->amount;
+  const struct jb_pool_use *use;
+  const char *reason = NULL;
+
+  if (!group->open || group->done + group->runs >= group->count)
+    return;
+  if (!jb_pool_may_use (pool, group->job, amount))
+    {
+      use = jb_pool_use (pool, group->job->desc->org);
+      jb_view_add (view, "reason", "step", jb_num (group->step), "reason",
+                   "the pool's share of its organisation's limit is used",
+                   "used_cpu", jb_num (use->used.cpu), "share_cpu",
+                   jb_num (use->limit.cpu), NULL);
+      return;
+    }
+  reason = explain_room (pool, group, now);
+  jb_view_add (view, "reason", "step", jb_num (group->step), "reason", reason,
+               "cpu", jb_num (amount->cpu), NULL);
+}
+
+static void
+explain_job (struct jb_pool *pool, const struct jb_job *job, jb_time now,
+             struct jb_view *view)
+{
+  const char *reason = NULL;
+
+  if (job->ended != 0)
+    reason = job->end_stored ? "it has ended"
+                             : "it has ended, and that is being stored";
+  else if (!job->stored)
+    reason = "it is not stored yet, so it is not accepted";
+  else if (!jb_pool_stands (pool, now))
+    reason = "neither the store nor a peer confirms this holder: no orders";
+  else if (pool->stage != JB_STAGE_ACTIVE)
+    reason = "a former holder may have started it: backend servers are asked";
+  if (reason != NULL)
+    jb_view_add (view, "reason", "reason", reason, NULL);
+  for (guint i = 0; reason == NULL && i < job->groups->len; i++)
+    explain_group (pool, g_ptr_array_index (job->groups, i), now, view);
+}
+
+void
+jb_pool_view (struct jb_pool *pool, jb_time now, enum jb_view_topic topic,
+              const char *id, struct jb_view *view)
+{
+  struct jb_job *job
+      = id != NULL ? g_hash_table_lookup (pool->jobs, id) : NULL;
+
+  if (topic == JB_VIEW_POOLS)
+    view_pool (pool, now, view);
+  for (guint i = 0; topic == JB_VIEW_JOBS && i < pool->active->len; i++)
+    view_job (pool, now, g_ptr_array_index (pool->active, i), view);
+  if (job == NULL || (topic != JB_VIEW_JOB && topic != JB_VIEW_EXPLAIN))
+    return;
+  view_job (pool, now, job, view);
+  for (guint i = 0; i < job->groups->len; i++)
+    view_step (g_ptr_array_index (job->groups, i), view);
+  if (topic == JB_VIEW_EXPLAIN)
+    explain_job (pool, job, now, view);
+}
--- /dev/null
+++ b/packages/jobs/src/jb_view.c
@@ -0,0 +1,108 @@
+#include "jb_view.h"
+
+#include "jb_host_internal.h"
+#include "jb_planner_internal.h"
+
+#include <stdarg.h>
+
+enum
+{
+  MAX_FIELDS = 16 /* of a line */
+};
+
+const char *
+jb_view_topic_name (enum jb_view_topic topic)
+{
+  static const char *const names[JB_VIEW_TOPICS]
+      = { "owners", "pools", "jobs", "job", "explain", "waves" };
+
+  return names[topic];
+}
+
+void
+jb_view_add (struct jb_view *view, const char *kind, ...)
+{
+  struct jb_view_line *line;
+  const char *name;
+  va_list args;
+
+  view->lines = talloc_realloc (view->mem, view->lines, struct jb_view_line,
+                                view->count + 1);
+  line = &view->lines[view->count++];
+  *line = (struct jb_view_line){ .kind = kind };
+  line->fields = talloc_array (view->lines, struct jb_log_field, MAX_FIELDS);
+  va_start (args, kind);
+  while (line->count < MAX_FIELDS
+         && (name = va_arg (args, const char *)) != NULL)
+    {
+      const char *value = va_arg (args, const char *);
+
+      if (value == NULL)
+        continue;
+      line->fields[line->count].name = name;
+      line->fields[line->count++].value = talloc_strdup (line->fields, value);
+    }
+  va_end (args);
+}
+
+static const char *
+phase_name (enum jb_duty_phase phase)
+{
+  return phase == JB_DUTY_HELD ? "held" : "claiming";
+}
+
+static void
+view_owners (const struct jb_host *host, struct jb_view *view)
+{
+  for (guint i = 0; i < host->pools->len; i++)
+    {
+      const struct held_pool *held = g_ptr_array_index (host->pools, i);
+
+      if (held->pool != NULL)
+        jb_view_add (view, "duty", "duty", jb_pool_part (held->pool), "state",
+                     phase_name (jb_pool_phase (held->pool)), "fence",
+                     jb_num ((int64_t)jb_pool_fence (held->pool)), NULL);
+    }
+  if (host->planner != NULL)
+    jb_view_add (view, "duty", "duty", JB_PLANNER_PART, "state",
+                 phase_name (jb_duty_phase (host->planner->duty)), "fence",
+                 jb_num ((int64_t)jb_duty_fence (host->planner->duty)), NULL);
+}
+
+void
+jb_planner_view (const struct jb_planner *planner, jb_time now,
+                 struct jb_view *view)
+{
+  for (guint i = 0; i < planner->waves->len; i++)
+    {
+      const struct wave *wave = g_ptr_array_index (planner->waves, i);
+
+      jb_view_add (view, "wave", "wave", jb_num ((int64_t)wave->number),
+                   "state",
+                   wave->completed  ? "completed"
+                   : wave->reported ? "running"
+                                    : "found",
+                   "done", jb_num (wave->done->len), "left",
+                   jb_num (g_hash_table_size (wave->left)), "at_once",
+                   jb_num (wave->at_once), "due_in_ms",
+                   jb_num ((wave->due - now) / JB_MS), NULL);
+    }
+}
+
+void
+jb_host_view (const struct jb_host *host, jb_time now,
+              enum jb_view_topic topic, const char *id, struct jb_view *view)
+{
+  if (topic == JB_VIEW_OWNERS)
+    view_owners (host, view);
+  else if (topic == JB_VIEW_WAVES && host->planner != NULL)
+    jb_planner_view (host->planner, now, view);
+  else if (topic != JB_VIEW_WAVES)
+    for (guint i = 0; i < host->pools->len; i++)
+      {
+        const struct held_pool *held = g_ptr_array_index (host->pools, i);
+
+        if (held->pool != NULL)
+          jb_pool_view (held->pool, now, topic, id, view);
+      }
+}
--- a/packages/server/src/sv_jobs.c
+++ b/packages/server/src/sv_jobs.c
@@ -3,12 +3,14 @@
 #include "ba_clock.h"
 #include "ba_ring.h"
 #include "ht_server.h"
+#include "jb_view.h"
 #include "pr_link.h"
 #include "sv_log.h"
 #include "sv_signals.h"
 #include "sv_supervisor.h"
 
 #include <errno.h>
+#include <jansson.h>
 #include <poll.h>
 #include <signal.h>
 #include <stdatomic.h>
@@ -46,6 +48,7 @@
   EVENT_CALL,
   EVENT_REPLY,
   EVENT_MESSAGE,
+  EVENT_VIEW,
   EVENT_STOP,
   EVENT_BOUNDS
 };
@@ -59,6 +62,8 @@
   struct jb_reply reply;
   struct ba_bytes message;
   struct jb_bounds bounds;
+  enum jb_view_topic topic;
+  char *id; /* of the job that is to be shown, or NULL */
 };
 
 struct sv_jobs
@@ -361,6 +366,34 @@
   .request = take_check, .too_large = check_too_large, .gone = call_gone
 };
 
+/* Have the decider answer CALL for "/view/TOPIC" or "/view/TOPIC/ID".  Return
+   false when there is no such topic.  */
+static bool
+take_view (struct sv_jobs *jobs, const struct ht_call *call)
+{
+  gchar **parts = g_strsplit (call->target, "/", 4);
+  struct event *event = NULL;
+
+  for (unsigned topic = 0;
+       g_strv_length (parts) >= 3 && strcmp (parts[1], "view") == 0
+       && topic < JB_VIEW_TOPICS;
+       topic++)
+    if (strcmp (parts[2], jb_view_topic_name (topic)) == 0)
+      {
+        event = talloc_zero (NULL, struct event);
+        event->type = EVENT_VIEW;
+        event->number = call->id;
+        event->topic = topic;
+        event->id = talloc_strdup (event, parts[3]);
+      }
+  g_strfreev (parts);
+  if (event == NULL)
+    return false;
+  if (!push (jobs, event))
+    answer_plain (jobs->admin, call->id, 503, "too busy\n");
+  return true;
+}
+
 static bool
 take_admin (void *context, const struct ht_call *call)
 {
@@ -369,6 +402,11 @@
   struct jb_metrics metrics;
   char *text;
 
+  if (take_view (jobs, call))
+    {
+      talloc_free (scratch);
+      return true;
+    }
   if (strcmp (call->target, "/metrics") != 0)
     {
       answer_plain (jobs->admin, call->id, 404, "no such page\n");
@@ -468,6 +506,40 @@
   jb_host_stop (jobs->host, now);
 }
 
+static json_t *
+line_json (const struct jb_view_line *line)
+{
+  json_t *object = json_pack ("{s:s}", "kind", line->kind);
+
+  for (uint32_t i = 0; i < line->count; i++)
+    json_object_set_new (object, line->fields[i].name,
+                         json_string (line->fields[i].value));
+  return object;
+}
+
+static void
+answer_view (struct sv_jobs *jobs, jb_time now, const struct event *event)
+{
+  static const struct ht_field fields[]
+      = { { "Content-Type", "application/json" } };
+  struct jb_view view = { .mem = talloc_new (NULL) };
+  json_t *lines = json_array ();
+  json_t *root;
+  char *text;
+
+  jb_host_view (jobs->host, now, event->topic, event->id, &view);
+  for (uint32_t i = 0; i < view.count; i++)
+    json_array_append_new (lines, line_json (&view.lines[i]));
+  root = json_pack ("{s:s,s:o}", "host", jobs->options.settings->name, "lines",
+                    lines);
+  text = json_dumps (root, JSON_COMPACT);
+  ht_call_answer (jobs->admin, event->number, 200, fields, 1, text,
+                  strlen (text));
+  free (text);
+  json_decref (root);
+  talloc_free (view.mem);
+}
+
 static void
 take_event (struct sv_jobs *jobs, jb_time now, struct event *event)
 {
@@ -483,6 +555,9 @@
       if (!jb_host_message (jobs->host, now, event->number, event->message))
         sv_log (jobs->log, CF_LOG_WARN, "message-unreadable", NULL);
       break;
+    case EVENT_VIEW:
+      answer_view (jobs, now, event);
+      break;
     case EVENT_STOP:
       begin_stop (jobs, now);
       break;
--- a/programs/cli_command.c
+++ b/programs/cli_command.c
@@ -1,6 +1,7 @@
 #include "cli_command.h"
 
 #include "cf_settings.h"
+#include "cli_jobs.h"
 #include "cli_show.h"
 
 #include <inttypes.h>
@@ -463,13 +464,58 @@
   return CLI_OK;
 }
 
+/* What entry hosts with jobs show; each is asked.  */
+
+static int
+run_jobs (struct cli *cli, char **arguments)
+{
+  (void)arguments;
+  return cli_jobs_show (cli->options, "jobs", NULL);
+}
+
+static int
+run_pools (struct cli *cli, char **arguments)
+{
+  (void)arguments;
+  return cli_jobs_show (cli->options, "pools", NULL);
+}
+
+static int
+run_owners (struct cli *cli, char **arguments)
+{
+  (void)arguments;
+  return cli_jobs_show (cli->options, "owners", NULL);
+}
+
+static int
+run_waves (struct cli *cli, char **arguments)
+{
+  (void)arguments;
+  return cli_jobs_show (cli->options, "waves", NULL);
+}
+
+static int
+run_job (struct cli *cli, char **arguments)
+{
+  return cli_jobs_show (cli->options, "job", arguments[0]);
+}
+
+static int
+run_explain (struct cli *cli, char **arguments)
+{
+  return cli_jobs_show (cli->options, "explain", arguments[0]);
+}
+
 static const struct command commands[] = {
   { "check", 1, false, run_check },      { "diff", 1, true, run_diff },
   { "apply", 1, true, run_apply },       { "status", 0, true, run_status },
   { "hosts", 0, true, run_hosts },       { "move", 2, true, run_move },
   { "drain", 1, true, run_drain },       { "activate", 1, true, run_activate },
   { "maintain", 2, true, run_maintain }, { "key", 2, true, run_key },
-  { "counters", 0, true, run_counters },
+  { "counters", 0, true, run_counters }, { "jobs", 0, false, run_jobs },
+  { "pools", 0, false, run_pools },      { "owners", 0, false, run_owners },
+  { "waves", 0, false, run_waves },      { "job", 1, false, run_job },
+  { "explain", 1, false, run_explain },
 };
 
 static const struct command *
--- a/soak/process_soak.c
+++ b/soak/process_soak.c
@@ -233,8 +233,11 @@
   jw_wave (world, 2, 15000);
   hand_in (world, 20);
   tell (world, "every second host is due for maintenance");
-  jw_host_stop (world, (uint32_t)MAX (jw_holder (world, 1), 0));
-  jw_run (world, 10 * JB_SECOND);
+  holder = MAX (jw_holder (world, 1), 0);
+  jw_host_stop (world, (uint32_t)holder);
+  jw_run (world, 3 * JB_SECOND);
+  jw_host_start (world, (uint32_t)holder);
+  jw_run (world, 7 * JB_SECOND);
   tell (world, "the holder of pool 1 is stopped (SIGTERM)");
   printf ("maintenance wave: %s\n",
           world->wave_completed ? "completed" : "under way");
@@ -282,11 +285,11 @@
   world = jw_world_new (&world_options);
   ps_live_world (live, world);
   tell_story (world);
-  if (arguments->keep)
-    go_on (arguments, world);
   broken = world->broken;
   if (broken > 0)
     printf ("first broken promise: %s\n", world->first);
+  if (arguments->keep)
+    go_on (arguments, world);
   ps_live_world (live, NULL);
   jw_world_free (world);
   ps_live_unlock (live);
--- a/tests/sim/jobs/test_jobs.c
+++ b/tests/sim/jobs/test_jobs.c
@@ -2,9 +2,11 @@
    promise or could.  */
 
 #include "dp_test.h"
+#include "jb_view.h"
 #include "jw_world.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 static const struct jw_options small = {
   .seed = 1, .hosts = 5, .pools = 2, .backends = 4, .backend_cpu = 8000
@@ -380,6 +382,73 @@
     }
 }
 
+/* Return whether VIEW has a line of KIND in which NAME is VALUE.  */
+static bool
+view_has (const struct jb_view *view, const char *kind, const char *name,
+          const char *value)
+{
+  for (uint32_t i = 0; i < view->count; i++)
+    for (uint32_t j = 0; j < view->lines[i].count; j++)
+      if (strcmp (view->lines[i].kind, kind) == 0
+          && strcmp (view->lines[i].fields[j].name, name) == 0
+          && strcmp (view->lines[i].fields[j].value, value) == 0)
+        return true;
+  return false;
+}
+
+static struct jb_view
+view_of (struct jw_world *world, enum jb_view_topic topic, const char *id)
+{
+  struct jb_view view = { .mem = talloc_new (world) };
+
+  for (uint32_t i = 0; i < world->options.hosts; i++)
+    if (world->hosts[i].host != NULL)
+      jb_host_view (world->hosts[i].host, world->now, topic, id, &view);
+  return view;
+}
+
+/* Operators are told why a job waits: for room, for its organisation's limit,
+   for the steps before.  */
+static void
+test_view (void)
+{
+  struct jw_options options = small;
+  struct jw_job_options job = quick;
+  struct jw_world *world;
+  struct jb_view view;
+  const char *id;
+
+  options.backends = 1;
+  options.backend_cpu = 4000;
+  options.org_cap = 3000;
+  world = make (&options);
+  job.width = 4;
+  job.ms = 4000;
+  id = jw_submit (world, &job);
+  jw_run (world, JB_SECOND);
+  view = view_of (world, JB_VIEW_OWNERS, NULL);
+  CU_ASSERT (view_has (&view, "duty", "duty", "plan"));
+  CU_ASSERT (view_has (&view, "duty", "duty", "pool/pool-0"));
+  view = view_of (world, JB_VIEW_EXPLAIN, id);
+  CU_ASSERT (view_has (&view, "job", "running", "3"));
+  CU_ASSERT (view_has (&view, "step", "turn", "waits for earlier steps"));
+  CU_ASSERT (
+      view_has (&view, "reason", "reason",
+                "the pool's share of its organisation's limit is used"));
+  job.key = "key-1";
+  job.cpu = 3000;
+  id = jw_submit (world, &job);
+  jw_run (world, JB_SECOND);
+  view = view_of (world, JB_VIEW_EXPLAIN, id);
+  CU_ASSERT (view_has (&view, "reason", "reason",
+                       "no allowed backend server has so much room left"));
+  view = view_of (world, JB_VIEW_JOBS, NULL);
+  CU_ASSERT_EQUAL (view.count, 2);
+  view = view_of (world, JB_VIEW_JOB, "0000000000000000");
+  CU_ASSERT_EQUAL (view.count, 0);
+  jw_world_free (world);
+}
+
 /* An organisation's demand goes from pool to pool; it keeps to its limit over
    all of them, also when the planner and the holders die.  */
 static void
@@ -523,6 +592,7 @@
           { "orders are lost", test_orders_lost },
           { "writes are lost", test_writes_lost },
           { "a rack goes dark", test_dark_rack },
+          { "what operators are shown", test_view },
           { "a wave", test_wave },
           { "the planner dies in a wave", test_wave_planner_killed },
           { "the holder goes while it moves lasting work", test_mover_killed },
