What was on its way while the store was away is sent again when it answers

Cause: a holder's write that met the store's outage waited for its own timeout, up to 2.4 s, although other calls were answered again. After 4 s without a store a pool started nothing for another 1000 ms when its holder lived, and 280 ms when it had died: the successor was quicker.

Ruled out: clients' retries (they come every 100 to 400 ms), the pause before a retry (60 ms).

Change: jb_out notes when the store first answers after it failed; a duty then sends its transaction again if that was sent over 150 ms before. Each sending is an attempt of its own: the first answer that settles the transaction counts, others are ignored. The owner row's version keeps a late one from being carried out twice.

--- a/packages/jobs/include/jb_out.h
+++ b/packages/jobs/include/jb_out.h
@@ -161,6 +161,9 @@
    made, or 0 when the last one did.  */
 jb_time jb_out_store_failing (const struct jb_out *out);
 
+/* Return when the store first answered after it had last failed, or 0.  */
+jb_time jb_out_store_back (const struct jb_out *out);
+
 /* Return when the store last answered, or 0.  */
 jb_time jb_out_store_heard (const struct jb_out *out);
 
--- a/packages/jobs/src/jb_duty.c
+++ b/packages/jobs/src/jb_duty.c
@@ -12,6 +12,10 @@
 /* Before a transaction that failed is sent again.  */
 #define RETRY_PAUSE (60 * JB_MS)
 
+/* A transaction without an answer is sent again when the store is back, unless
+   it was sent within.  */
+#define FRESH (150 * JB_MS)
+
 /* Content of the owner row.  */
 struct owner_row
 {
@@ -33,6 +37,14 @@
   void *data;
 };
 
+/* One sending of a transaction.  */
+struct attempt
+{
+  struct jb_duty *duty;
+  uint64_t sequence; /* of the transaction */
+  uint32_t number;
+};
+
 struct jb_duty
 {
   struct jb_duty_options options;
@@ -43,8 +55,10 @@
   uint64_t sequence;         /* of the last transaction made */
   struct transaction *first; /* being sent, or to be sent again */
   struct transaction *last;
-  bool sent;     /* the first is under way */
-  bool doubtful; /* the first was sent before, without an answer */
+  bool sent; /* the first is under way */
+  jb_time sent_at;
+  uint32_t attempts; /* sendings of transactions */
+  bool doubtful;     /* the first was sent before, without an answer */
   bool verifying;
   jb_time retry_at;
   jb_time failing_since;
@@ -175,10 +189,10 @@
 
 static void
 submit (struct jb_duty *duty, jb_time now, struct jb_order *order,
-        jb_done *done)
+        jb_done *done, void *data)
 {
   order->timeout_ms = duty->timeout_ms;
-  jb_out_submit (duty->options.out, duty, now, order, done, duty);
+  jb_out_submit (duty->options.out, duty, now, order, done, data);
 }
 
 /* Note how long the store took to answer, or that it did not.  */
@@ -199,7 +213,7 @@
           .u.read = { JB_DUTY_TABLE, duty->options.part, NULL } };
 
   jb_count (duty->options.out, JB_COUNT_READS);
-  submit (duty, now, &order, done);
+  submit (duty, now, &order, done, duty);
 }
 
 static void
@@ -306,7 +320,7 @@
   order.u.write.set = &set;
   order.u.write.set_count = 1;
   jb_count (duty->options.out, JB_COUNT_WRITES);
-  submit (duty, now, &order, claim_written);
+  submit (duty, now, &order, claim_written, duty);
   talloc_free (scratch);
 }
 
@@ -359,8 +373,16 @@
 write_done (void *data, jb_time now, jb_time sent,
             const struct jb_reply *reply)
 {
-  struct jb_duty *duty = data;
+  struct attempt attempt = *(struct attempt *)data;
+  struct jb_duty *duty = attempt.duty;
 
+  talloc_free (data);
+  /* What was sent again may be answered twice, and the first answer that
+     settles it counts.  */
+  if (duty->first == NULL || duty->first->sequence != attempt.sequence
+      || (attempt.number != duty->attempts && reply->result != JB_OK
+          && reply->result != JB_CONFLICT))
+    return;
   duty->sent = false;
   learn_timeout (duty, now - sent, reply->result);
   if (reply->result == JB_OK || reply->result == JB_CONFLICT)
@@ -395,6 +417,7 @@
 send_first (struct jb_duty *duty, jb_time now)
 {
   struct transaction *first = duty->first;
+  struct attempt *attempt = talloc_zero (duty, struct attempt);
   struct jb_row expected = owner_row (duty);
   struct jb_order order
       = { .kind = JB_ORDER_WRITE,
@@ -405,10 +428,14 @@
                        .removed = first->removed,
                        .removed_count = first->removed_count } };
 
+  attempt->duty = duty;
+  attempt->sequence = first->sequence;
+  attempt->number = ++duty->attempts;
   duty->sent = true;
+  duty->sent_at = now;
   duty->retry_at = JB_NEVER;
   jb_count (duty->options.out, JB_COUNT_WRITES);
-  submit (duty, now, &order, write_done);
+  submit (duty, now, &order, write_done, attempt);
 }
 
 static struct jb_row *
@@ -487,7 +514,18 @@
 jb_time
 jb_duty_run (struct jb_duty *duty, jb_time now)
 {
-  if (duty->phase != JB_DUTY_HELD || duty->first == NULL || duty->sent)
+  jb_time back = jb_out_store_back (duty->options.out);
+
+  if (duty->phase != JB_DUTY_HELD || duty->first == NULL)
+    return JB_NEVER;
+  /* What was on its way while the store was away has most likely gone, and its
+     timeout may be far.  */
+  if (duty->sent && back > duty->sent_at + FRESH)
+    {
+      duty->doubtful = true;
+      send_first (duty, now);
+    }
+  if (duty->sent)
     return JB_NEVER;
   if (now >= duty->retry_at)
     {
--- a/packages/jobs/src/jb_out.c
+++ b/packages/jobs/src/jb_out.c
@@ -29,6 +29,7 @@
   GHashTable *pending;   /* number -> struct pending */
   jb_time store_failing; /* since then; 0: it is not */
   jb_time store_heard;   /* when it last answered; 0: never */
+  jb_time store_back;    /* when it answered again after failing; 0: never */
   struct jb_metrics metrics;
 };
 
@@ -92,8 +93,11 @@
   if (pending->kind > JB_ORDER_REPORT_WAVE)
     return;
   if (good && out->store_failing != 0)
-    jb_log (out, JB_LEVEL_INFO, "store-regained", "away_ms",
-            jb_num ((now - out->store_failing) / JB_MS), NULL);
+    {
+      out->store_back = now;
+      jb_log (out, JB_LEVEL_INFO, "store-regained", "away_ms",
+              jb_num ((now - out->store_failing) / JB_MS), NULL);
+    }
   if (!good && out->store_failing == 0)
     jb_log (out, JB_LEVEL_WARN, "store-lost", "result", jb_num (result), NULL);
   if (good)
@@ -111,6 +115,12 @@
   return out->store_failing;
 }
 
+jb_time
+jb_out_store_back (const struct jb_out *out)
+{
+  return out->store_back;
+}
+
 jb_time
 jb_out_store_heard (const struct jb_out *out)
 {
