jb_pool_clear, jw_clients and jw_orders are modules of their own

Cause: jb_pool.c and jw_world.c had over 900 lines and several jobs each: emptying backend servers beside jobs and rows, clients and orders beside time and hosts.

Change: code moved, nothing else; jw_host_turn and jb_pool_move_lasting are the two functions that are called across. The event "run-started" is "run-began", since its old name reads like a word of the platform's.

--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -8,13 +8,6 @@
 /* Sweeps look for what nothing else brings up.  */
 #define SWEEP_PERIOD (200 * JB_MS)
 
-/* A host that is to be taken away is kept empty so long after it was last
-   asked for.  */
-#define CLOSED_PERIOD (2500 * JB_MS)
-
-/* A backend server whose host was taken away is out of its list by then.  */
-#define TAKEN_PERIOD (20 * JB_SECOND)
-
 /* Lists that leave a backend server out are believed after so long: entries
    lapse while the store is away and return a moment after.  */
 #define UNLISTED_PERIOD (2500 * JB_MS)
@@ -28,9 +21,6 @@
 /* Occurrences start so long after they are due, never before.  */
 #define DUE_MARGIN_MS 15
 
-/* From the end of a stopped task until a look has told of it.  */
-#define STOP_MARGIN_MS 250
-
 /* Ended jobs are forgotten so long after what was promised.  */
 #define RETIRE_MARGIN_MS 30000
 
@@ -702,89 +692,6 @@
   jb_pool_scan_check (pool, now);
 }
 
-/* Return whether a former holder may have told TASK to stop: what stops is
-   listed like what runs until it has ended.  */
-static bool
-may_be_stopping (const struct jb_pool *pool, const struct jb_task *task,
-                 jb_time now)
-{
-  return task->inherited
-         && now - task->started
-                <= (pool->options.bounds->stop_ms + STOP_MARGIN_MS) * JB_MS;
-}
-
-/* Count the tasks of TASK's step that are not at work.  */
-static uint32_t
-others_away (const struct jb_pool *pool, const struct jb_task *task,
-             jb_time now)
-{
-  const struct jb_group *group = task->group;
-  uint32_t away = 0;
-
-  for (uint32_t i = 0; i < group->count; i++)
-    {
-      const struct jb_task *other = &group->tasks[i];
-
-      if (other != task
-          && (other->state != JB_RUN_RUNNING || other->percent < 100
-              || other->backend->silent > 0
-              || may_be_stopping (pool, other, now)))
-        away++;
-    }
-  return away;
-}
-
-/* Have lasting tasks of BACKEND run elsewhere, as far as they may be away.  */
-static void
-move_lasting (struct jb_pool *pool, struct jb_backend *backend, jb_time now,
-              const char *reason)
-{
-  for (struct jb_task *task = backend->tasks; task != NULL; task = task->next)
-    {
-      const struct jb_step *step = jb_task_step (task);
-
-      if (!step->lasts || task->state != JB_RUN_RUNNING)
-        continue;
-      if (step->may_miss > 0 && !backend->draining
-          && !jb_pool_is_off (pool, JB_OFF_BUDGET)
-          && others_away (pool, task, now) >= step->may_miss)
-        continue;
-      jb_pool_stop_run (pool, task, now, reason);
-    }
-}
-
-bool
-jb_pool_clear (struct jb_pool *pool, jb_time now, const char *instance)
-{
-  struct jb_backend *backend = g_hash_table_lookup (pool->backends, instance);
-
-  if (backend == NULL || pool->stage != JB_STAGE_ACTIVE
-      || !jb_pool_stands (pool, now))
-    return false;
-  if (now >= backend->closed_until)
-    jb_log (pool->options.out, JB_LEVEL_INFO, "backend-closed", "backend",
-            instance, "pool", pool->options.name, "runs",
-            jb_num (backend->task_count), NULL);
-  backend->closed_until = now + CLOSED_PERIOD;
-  move_lasting (pool, backend, now, "its host is to be taken away");
-  return backend->task_count == 0 && backend->starts_out == 0
-         && backend->reached && backend->silent == 0
-         && backend->acked_end == backend->listed_end;
-}
-
-void
-jb_pool_taken (struct jb_pool *pool, jb_time now, const char *instance)
-{
-  struct jb_backend *backend = g_hash_table_lookup (pool->backends, instance);
-
-  if (backend == NULL)
-    return;
-  backend->closed_until = now + TAKEN_PERIOD;
-  backend->silent = MAX (backend->silent, 1);
-  if (backend->task_count == 0)
-    jb_pool_off_record (pool, backend);
-}
-
 void
 jb_pool_load (struct jb_pool *pool, TALLOC_CTX *mem, jb_time now,
               struct jb_msg_load *load)
@@ -905,7 +812,8 @@
       g_hash_table_iter_init (&iter, pool->backends);
       while (g_hash_table_iter_next (&iter, NULL, &value))
         if (((struct jb_backend *)value)->draining)
-          move_lasting (pool, value, now, "its backend server is leaving");
+          jb_pool_move_lasting (pool, value, now,
+                                "its backend server is leaving");
       if (pool->flush == NULL && !jb_duty_writing (pool->duty))
         retire_jobs (pool, now);
     }
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -203,4 +203,9 @@
                              jb_time now);
 void jb_pool_open_due (struct jb_pool *pool, struct jb_job *job, jb_time now);
 
+/* jb_pool_clear.c */
+/* Have lasting tasks of BACKEND run elsewhere, as far as they may be away.  */
+void jb_pool_move_lasting (struct jb_pool *pool, struct jb_backend *backend,
+                           jb_time now, const char *reason);
+
 #endif
--- a/packages/jobs/src/jb_pool_start.c
+++ b/packages/jobs/src/jb_pool_start.c
@@ -274,7 +274,7 @@
       job->seen_started = true;
       jb_observe (pool->options.out, JB_HIST_STARTED, now - job->received);
     }
-  jb_log (pool->options.out, JB_LEVEL_DEBUG, "run-started", "task",
+  jb_log (pool->options.out, JB_LEVEL_DEBUG, "run-began", "task",
           jb_task_name (task, name), "run", jb_num (task->run), "backend",
           start->backend->instance, NULL);
   jb_pool_run_over (pool, task, now);
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -10,6 +10,9 @@
 
 #include <glib.h>
 
+/* One way between any two.  */
+#define JW_LATENCY (1500)
+
 enum
 {
   JW_MAX_HOSTS = 12,
@@ -262,6 +265,7 @@
 uint32_t jw_running (struct jw_world *world, const char *id);
 
 /* Inside the world.  */
+void jw_host_turn (struct jw_host *host);
 void jw_break (struct jw_world *world, const char *rule, const char *format,
                ...) G_GNUC_PRINTF (3, 4);
 bool jw_chance (struct jw_world *world, uint32_t in_thousand);
