fuzz_decode: messages and rows of jobs, and the platform's words

Cause: what entry hosts with jobs decode from peers, from the store and from the platform was not fuzzed.

--- a/tests/fuzz/fuzz_decode.c
+++ b/tests/fuzz/fuzz_decode.c
@@ -10,6 +10,11 @@
 #include "cf_settings.h"
 #include "co_event.h"
 #include "co_inspect.h"
+#include "jb_msg.h"
+#include "jb_work.h"
+#include "pf_calls.h"
+#include "pf_orders.h"
+#include "pf_platform.h"
 #include "pl_table.h"
 #include "pr_frame.h"
 
@@ -110,9 +115,80 @@
   pl_table_write_result (400, text);
 }
 
+/* A message of jobs that is accepted must encode, and decode again.  */
+static void
+decode_jobs_message (TALLOC_CTX *mem, struct ba_bytes in)
+{
+  struct jb_msg *message = jb_msg_decode (mem, in);
+
+  if (message != NULL
+      && jb_msg_decode (mem, jb_msg_encode (mem, message)) == NULL)
+    abort ();
+}
+
+/* A job's rows: what was handed in, and then how far it is.  The first two
+   bytes are the length of the former.  */
+static void
+decode_job_rows (TALLOC_CTX *mem, struct ba_bytes in)
+{
+  size_t len = in.len > 2 ? in.data[0] * 256U + in.data[1] : 0;
+  struct jb_desc *desc = talloc_zero (mem, struct jb_desc);
+  struct ba_io io;
+
+  if (len > in.len - MIN (in.len, 2))
+    return;
+  ba_io_reader (&io, desc, (struct ba_bytes){ in.data + 2, len });
+  jb_desc_code (&io, desc);
+  if (!ba_io_ended (&io) || jb_desc_check (desc) != NULL)
+    return;
+  jb_progress_apply (jb_job_new (mem, desc),
+                     (struct ba_bytes){ in.data + 2 + len, in.len - 2 - len });
+}
+
+/* Answers of the platform, as those to each kind of order.  */
+static void
+decode_answers (TALLOC_CTX *mem, struct ba_bytes in)
+{
+  for (int kind = 0; kind < JB_ORDER_KINDS; kind++)
+    {
+      struct jb_reply reply = { 0 };
+
+      pf_orders_decode (NULL, mem, (enum jb_order_kind)kind, 200,
+                        (const char *)in.data, in.len, &reply);
+    }
+}
+
+static void
+decode_call (TALLOC_CTX *mem, struct ba_bytes in)
+{
+  struct sv_wire_call wire = { .method = "POST",
+                               .target = "/q/0123456789abcdef",
+                               .body = in.data,
+                               .body_len = in.len };
+  struct jb_call call = { 0 };
+
+  if (!pf_calls_decode (NULL, mem, &wire, &call) || call.desc == NULL)
+    return;
+  /* The entry takes the ID from the path.  */
+  call.desc->id = talloc_strdup (mem, "0123456789abcdef");
+  jb_desc_check (call.desc);
+}
+
+static void
+decode_node (TALLOC_CTX *mem, struct ba_bytes in)
+{
+  GError *error = NULL;
+
+  if (pf_platform_parse (mem, "fuzz", (const char *)in.data, in.len, &error)
+      == NULL)
+    g_clear_error (&error);
+}
+
 static void (*const decoders[]) (TALLOC_CTX *, struct ba_bytes)
-    = { decode_message,  decode_event, decode_view, decode_ledger,
-        decode_settings, decode_fleet, decode_item, decode_frame };
+    = { decode_message,      decode_event,    decode_view,    decode_ledger,
+        decode_settings,     decode_fleet,    decode_item,    decode_frame,
+        decode_jobs_message, decode_job_rows, decode_answers, decode_call,
+        decode_node };
 
 int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
 
