cli_command: one function for all views of jobs

Cause: six functions differed in the name of their topic only, which the command already gives. Change: run_view passes the command's own name on. Measured: tests/process/jobs.sh, 12 of 12.

--- a/programs/cli_command.c
+++ b/programs/cli_command.c
@@ -464,46 +464,12 @@
   return CLI_OK;
 }
 
-/* What entry hosts with jobs show; each is asked.  */
-
-static int
-run_jobs (struct cli *cli, char **arguments)
-{
-  (void)arguments;
-  return cli_jobs_show (cli->options, "jobs", NULL);
-}
-
-static int
-run_pools (struct cli *cli, char **arguments)
-{
-  (void)arguments;
-  return cli_jobs_show (cli->options, "pools", NULL);
-}
-
-static int
-run_owners (struct cli *cli, char **arguments)
-{
-  (void)arguments;
-  return cli_jobs_show (cli->options, "owners", NULL);
-}
-
-static int
-run_waves (struct cli *cli, char **arguments)
-{
-  (void)arguments;
-  return cli_jobs_show (cli->options, "waves", NULL);
-}
-
-static int
-run_job (struct cli *cli, char **arguments)
-{
-  return cli_jobs_show (cli->options, "job", arguments[0]);
-}
-
+/* What entry hosts with jobs show: the command names the topic.  */
 static int
-run_explain (struct cli *cli, char **arguments)
+run_view (struct cli *cli, char **arguments)
 {
-  return cli_jobs_show (cli->options, "explain", arguments[0]);
+  return cli_jobs_show (cli->options, cli->options->argv[0],
+                        cli->options->argc > 1 ? arguments[0] : NULL);
 }
 
 static const struct command commands[] = {
@@ -512,10 +478,10 @@
   { "hosts", 0, true, run_hosts },       { "move", 2, true, run_move },
   { "drain", 1, true, run_drain },       { "activate", 1, true, run_activate },
   { "maintain", 2, true, run_maintain }, { "key", 2, true, run_key },
-  { "counters", 0, true, run_counters }, { "jobs", 0, false, run_jobs },
-  { "pools", 0, false, run_pools },      { "owners", 0, false, run_owners },
-  { "waves", 0, false, run_waves },      { "job", 1, false, run_job },
-  { "explain", 1, false, run_explain },
+  { "counters", 0, true, run_counters }, { "jobs", 0, false, run_view },
+  { "pools", 0, false, run_view },       { "owners", 0, false, run_view },
+  { "waves", 0, false, run_view },       { "job", 1, false, run_view },
+  { "explain", 1, false, run_view },
 };
 
 static const struct command *
