Reverted: a pool lends idle hosts although something waits there

Its pool had lent its third host while the task was between two runs; tasks of the step run one on a host, so it waited for a host of its own that the room of the others could not replace, and nothing asked for one.

Conclusion: room alone does not tell whether a host can be spared.

--- a/packages/jobs/src/jb_moves.c
+++ b/packages/jobs/src/jb_moves.c
@@ -59,12 +59,10 @@
 
   if (pool->standby)
     return true;
-  /* What waits although there is room, for its organisation's limit or for a
-     label, is no reason to keep idle hosts.  */
-  return pool->known
+  return pool->known && pool->waiting == 0
          && (pool->hosts > pool->home || (resting && pool->hosts > 1))
          && pool->room - pool->host_cpu
-                >= DONOR_MARGIN * (pool->used + pool->waiting) + pool->steady;
+                >= DONOR_MARGIN * pool->used + pool->steady;
 }
 
 /* Return how well HOST of POOL suits as a loan; higher is better.  */
@@ -76,16 +74,6 @@
   return pool->hosts > pool->home ? 2 : 1;
 }
 
-/* Return whether A should lend rather than B: of pools of a kind the one whose
-   next turn is further away.  */
-static bool
-is_better_donor (const struct jb_moves_pool *a, const struct jb_moves_pool *b)
-{
-  if (donor_rank (a) != donor_rank (b))
-    return donor_rank (a) > donor_rank (b);
-  return a->predictable && b->predictable && a->expected > b->expected;
-}
-
 static uint32_t
 choose_donor (const struct jb_moves_pool *pools, uint32_t to,
               const struct jb_moves_host *hosts, uint32_t host_count,
@@ -101,7 +89,7 @@
           || !can_give (pool, now))
         continue;
       if (best == host_count
-          || is_better_donor (pool, &pools[hosts[best].pool]))
+          || donor_rank (pool) > donor_rank (&pools[hosts[best].pool]))
         best = i;
     }
   return best;
