Drop writes of an owner that has lost its partition

Up to 64 replies are processed between two calls of jb_host_run, which frees an owner that has lost its partition. The reply to a command to a host that comes after the reply that shows the loss makes the planner store the progress of a wave.

Ruled out: the number of rows of a transaction. All four callers are bounded by constants, at 84, 40, 1 and 1 rows; the assertion on that stays.

Change: the write is dropped, with a log line. It could not have succeeded. A successor commands the host again, which has no effect.

test_jb_ownership: aborted before, passes now.

--- a/packages/jobs/include/jb_ownership.h
+++ b/packages/jobs/include/jb_ownership.h
@@ -70,8 +70,9 @@
    all of this partition, at most JB_OWNERSHIP_MAX_WRITE_ROWS together.
    Transactions are executed in the order of these calls.  The rows are copied.
    COMMITTED, which may be NULL, is called with DATA when the transaction is
-   durable, which may never happen if the ownership is lost.  The state must be
-   JB_OWNERSHIP_HELD.  */
+   durable, which may never happen if the ownership is lost.  Unless the state
+   is JB_OWNERSHIP_HELD, the transaction is dropped: the replies to several
+   commands may be processed between the loss and the end of the owner.  */
 void jb_ownership_write (struct jb_ownership *ownership, jb_time now,
                          const struct jb_row *set, uint32_t set_count,
                          const struct jb_row *removed, uint32_t removed_count,
--- a/packages/jobs/src/jb_ownership.c
+++ b/packages/jobs/src/jb_ownership.c
@@ -490,11 +490,17 @@
                     const struct jb_row *removed, uint32_t removed_count,
                     jb_ownership_commit_callback *committed, void *data)
 {
-  struct transaction *transaction
-      = talloc_zero (ownership, struct transaction);
+  struct transaction *transaction;
 
-  g_assert (ownership->state == JB_OWNERSHIP_HELD
-            && set_count + removed_count <= JB_OWNERSHIP_MAX_WRITE_ROWS);
+  g_assert (set_count + removed_count <= JB_OWNERSHIP_MAX_WRITE_ROWS);
+  if (ownership->state != JB_OWNERSHIP_HELD)
+    {
+      jb_log (ownership->options.driver, JB_LEVEL_INFO, "write-dropped",
+              "duty", ownership->options.partition, "reason",
+              "another host owns it", NULL);
+      return;
+    }
+  transaction = talloc_zero (ownership, struct transaction);
   transaction->sequence = ++ownership->sequence;
   transaction->set = copy_rows (transaction, set, set_count, 1);
   transaction->set[0] = current_owner_row (ownership);
--- /dev/null
+++ b/packages/jobs/tests/test_jb_ownership.c
@@ -0,0 +1,129 @@
+/* Test of writes of a partition's owner.
+
+   Expected load: replies arrive in batches.  The reply that shows that another
+   host has claimed the partition may come just before replies to commands
+   whose results the former owner would store.  */
+
+#include "dp_test.h"
+#include "jb_ownership.h"
+
+#define NOW (60 * JB_SECOND)
+
+struct fixture
+{
+  struct jb_driver *driver;
+  uint64_t last_command; /* number of the newest command */
+  uint32_t writes;       /* number of write commands */
+  uint32_t commits;
+  uint32_t losses;
+};
+
+static void
+record_command (void *context, uint64_t number,
+                const struct jb_command *command)
+{
+  struct fixture *fixture = context;
+
+  fixture->last_command = number;
+  if (command->kind == JB_COMMAND_WRITE)
+    fixture->writes++;
+}
+
+static void
+ignore_log (void *context, enum jb_level level, const char *event,
+            const struct jb_log_field *fields, uint32_t count)
+{
+  (void)context;
+  (void)level;
+  (void)event;
+  (void)fields;
+  (void)count;
+}
+
+static const struct jb_driver_ops driver_ops
+    = { .submit = record_command, .log = ignore_log };
+
+static void
+ignore_claim (void *data, jb_time now, bool held)
+{
+  (void)data;
+  (void)now;
+  (void)held;
+}
+
+static void
+count_loss (void *data, jb_time now)
+{
+  (void)now;
+  ((struct fixture *)data)->losses++;
+}
+
+static void
+count_commit (void *data, jb_time now)
+{
+  (void)now;
+  ((struct fixture *)data)->commits++;
+}
+
+/* Reply to the newest command with RESULT.  */
+static void
+reply (struct fixture *fixture, enum jb_reply_result result)
+{
+  struct jb_reply message = { .result = result, .version = 7 };
+
+  jb_driver_receive_reply (fixture->driver, NOW, fixture->last_command,
+                           &message);
+}
+
+static void
+write_row (struct fixture *fixture, struct jb_ownership *ownership)
+{
+  struct jb_row row = { .table = "t", .partition = "p", .key = "k" };
+
+  jb_ownership_write (ownership, NOW, &row, 1, NULL, 0, count_commit, fixture);
+}
+
+/* What an owner writes after it has lost the partition is dropped.  */
+static void
+test_write_after_loss (void)
+{
+  TALLOC_CTX *mem = talloc_new (NULL);
+  struct fixture fixture = { 0 };
+  struct jb_ownership_options options = { .partition = "p",
+                                          .owner = "host",
+                                          .incarnation = 1,
+                                          .on_claimed = ignore_claim,
+                                          .on_lost = count_loss,
+                                          .data = &fixture };
+  struct jb_ownership *ownership;
+
+  fixture.driver = jb_driver_new (mem, &driver_ops, &fixture);
+  options.driver = fixture.driver;
+  ownership = jb_ownership_new (mem, &options);
+  jb_ownership_claim (ownership, NOW);
+  reply (&fixture, JB_RESULT_OK); /* to the read: there is no row */
+  reply (&fixture, JB_RESULT_OK);
+  CU_ASSERT_EQUAL (jb_ownership_state (ownership), JB_OWNERSHIP_HELD);
+  write_row (&fixture, ownership);
+  reply (&fixture, JB_RESULT_OK);
+  CU_ASSERT_EQUAL (fixture.commits, 1);
+  write_row (&fixture, ownership);
+  reply (&fixture, JB_RESULT_CONFLICT); /* and no row of this owner */
+  CU_ASSERT_EQUAL (fixture.losses, 1);
+  CU_ASSERT_EQUAL (jb_ownership_state (ownership), JB_OWNERSHIP_NONE);
+  fixture.writes = 0;
+  write_row (&fixture, ownership);
+  CU_ASSERT_EQUAL (fixture.writes, 0);
+  CU_ASSERT_EQUAL (fixture.commits, 1);
+  talloc_free (mem);
+}
+
+int
+main (void)
+{
+  static const struct dp_test tests[]
+      = { { "a write after the loss is dropped", test_write_after_loss },
+          { NULL, NULL } };
+
+  return dp_test_main ("ownership of a partition", tests);
+}
