Read the list of backend servers page by page

The platform returns at most 500 rows a read and has 540 backend servers: the owner took the first page for the whole list.

Ruled out: load of the owner, which probed in time, and the wave, which stayed within the disruption budget that the owner knew of.

Change: all reads of rows and lists go on from jb_reply.next_page until the last page: backend servers, members and the planner's rows as well as the pool's rows and the hosts, which did so already. Only a list that was received from its first page to its last shows which backend servers are missing.

The emulator pages lists of backend servers, five an answer: test_jobs failed before and passes now.

--- a/packages/jobs/include/jb_backend.h
+++ b/packages/jobs/include/jb_backend.h
@@ -34,7 +34,8 @@
   /* It is in the platform's list of backend servers, or has been missing from
      it only for a short time.  */
   bool listed;
-  jb_time listed_at; /* when a list that contains it was last received */
+  jb_time listed_at;    /* when a list that contains it was last received */
+  uint64_t list_number; /* pool's number of the last list that contains it */
   /* When a list without it was first received; 0: the newest list contains
      it.  */
   jb_time missing_since;
--- a/packages/jobs/include/jb_command.h
+++ b/packages/jobs/include/jb_command.h
@@ -288,7 +288,9 @@
      the rows whose versions were expected.  */
   struct jb_row *rows;
   uint32_t row_count;
-  bool has_more_rows;
+  /* Where the next page of rows, backend servers or hosts starts, for
+     jb_command_read.first_key; NULL: this is the last page.  */
+  const char *next_page;
   /* Reply to JB_COMMAND_WATCH_CONFIG, _LIST_BACKENDS and _LIST_HOSTS.  */
   struct jb_catalog *catalog; /* or NULL when there is no new one */
   struct jb_wave_entry *waves;
@@ -297,7 +299,6 @@
   uint32_t backend_count;
   struct jb_host_entry *hosts;
   uint32_t host_count;
-  const char *next_page; /* token of the next page of hosts, or NULL */
   /* Reply of a backend server.  */
   enum jb_refusal refusal;
   int64_t backend_clock_ms; /* backend server's clock; leases refer to it */
--- a/packages/jobs/include/jb_pool.h
+++ b/packages/jobs/include/jb_pool.h
@@ -77,12 +77,20 @@
 void jb_pool_confirm_ownership (struct jb_pool *pool, jb_time now,
                                 jb_time heard_at);
 
-/* Process the complete list of the backend servers of all pools: COUNT
-   ENTRIES, borrowed.  The list was requested at LISTED_AT.  */
-void jb_pool_handle_backend_list (struct jb_pool *pool, jb_time now,
-                                  jb_time listed_at,
-                                  const struct jb_backend_entry *entries,
-                                  uint32_t count);
+/* One page of the list of the backend servers of all pools.  */
+struct jb_backend_page
+{
+  jb_time list_requested_at; /* when the first page was requested */
+  bool first;
+  bool last;
+  const struct jb_backend_entry *entries;
+  uint32_t count;
+};
+
+/* Process PAGE, which is borrowed.  Only a list that was received from its
+   first page to its last one shows which backend servers are missing.  */
+void jb_pool_handle_backend_page (struct jb_pool *pool, jb_time now,
+                                  const struct jb_backend_page *page);
 
 /* Process REQUEST, which is borrowed, of the member with incarnation MEMBER.
    The reply is passed to options.reply, at once or when the store has
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -289,23 +289,49 @@
 
 /* ---- backend servers ---- */
 
+static void request_backend_page (struct jb_host *host, jb_time now);
+
 static void
 backends_listed (void *data, jb_time now, jb_time sent_at,
                  const struct jb_reply *reply)
 {
   struct jb_host *host = data;
+  struct jb_backend_page page = { .first = host->next_list_page == NULL,
+                                  .last = reply->next_page == NULL,
+                                  .entries = reply->backends,
+                                  .count = reply->backend_count };
 
   host->list_in_flight = false;
+  TALLOC_FREE (host->next_list_page);
   if (reply->result != JB_RESULT_OK)
     return;
+  if (page.first)
+    host->list_requested_at = sent_at;
+  page.list_requested_at = host->list_requested_at;
   for (guint i = 0; i < host->pools->len; i++)
     {
       struct pool_slot *slot = g_ptr_array_index (host->pools, i);
 
       if (slot->pool != NULL)
-        jb_pool_handle_backend_list (slot->pool, now, sent_at, reply->backends,
-                                     reply->backend_count);
+        jb_pool_handle_backend_page (slot->pool, now, &page);
     }
+  if (page.last)
+    return;
+  host->next_list_page = talloc_strdup (host, reply->next_page);
+  request_backend_page (host, now);
+}
+
+static void
+request_backend_page (struct jb_host *host, jb_time now)
+{
+  struct jb_command command
+      = { .kind = JB_COMMAND_LIST_BACKENDS,
+          .timeout_ms = BACKEND_LIST_TIMEOUT_MS,
+          .u.read = { .first_key = host->next_list_page } };
+
+  host->list_in_flight = true;
+  jb_count_event (host->driver, JB_COUNT_STORE_READS);
+  jb_driver_submit (host->driver, host, now, &command, backends_listed, host);
 }
 
 uint32_t
@@ -322,19 +348,14 @@
 static void
 list_backends (struct jb_host *host, jb_time now)
 {
-  struct jb_command command = { .kind = JB_COMMAND_LIST_BACKENDS,
-                                .timeout_ms = BACKEND_LIST_TIMEOUT_MS };
-
   if (host->list_in_flight || now < host->next_list
       || jb_host_ownership_count (host) == 0)
     return;
-  host->list_in_flight = true;
   host->next_list
       = now
         + (now < host->frequent_lists_until ? BACKEND_LIST_INTERVAL_FREQUENT
                                             : BACKEND_LIST_INTERVAL);
-  jb_count_event (host->driver, JB_COUNT_STORE_READS);
-  jb_driver_submit (host->driver, host, now, &command, backends_listed, host);
+  request_backend_page (host, now);
 }
 
 /* ---- ownership of partitions ---- */
--- a/packages/jobs/src/jb_host_internal.h
+++ b/packages/jobs/src/jb_host_internal.h
@@ -51,6 +51,8 @@
   jb_time next_watch;
   /* List of the backend servers.  */
   bool list_in_flight;
+  jb_time list_requested_at; /* when its first page was requested */
+  char *next_list_page;      /* NULL: the first one */
   jb_time next_list;
   jb_time frequent_lists_until; /* a host is arriving in a pool owned here */
   jb_time next_ownership_check;
--- a/packages/jobs/src/jb_members.c
+++ b/packages/jobs/src/jb_members.c
@@ -380,6 +380,9 @@
   talloc_free (scratch);
 }
 
+static void read_rows (struct jb_members *members, jb_time now,
+                       const char *first_key);
+
 static void
 rows_read (void *data, jb_time now, jb_time sent_at,
            const struct jb_reply *reply)
@@ -390,17 +393,22 @@
   members->read_in_flight = false;
   if (reply->result != JB_RESULT_OK)
     return;
-  members->last_read_at = now;
   for (uint32_t i = 0; i < reply->row_count; i++)
     process_row (members, now, &reply->rows[i]);
+  if (reply->next_page != NULL)
+    read_rows (members, now, reply->next_page);
+  else
+    members->last_read_at = now;
 }
 
+/* Read the rows of all hosts from FIRST_KEY on, or all of them if it is
+   NULL.  */
 static void
-read_rows (struct jb_members *members, jb_time now)
+read_rows (struct jb_members *members, jb_time now, const char *first_key)
 {
   struct jb_command command = { .kind = JB_COMMAND_READ,
                                 .timeout_ms = STORE_TIMEOUT_MS,
-                                .u.read = { MEMBER_TABLE, "", NULL } };
+                                .u.read = { MEMBER_TABLE, "", first_key } };
 
   members->read_in_flight = true;
   jb_count_event (members->options.driver, JB_COUNT_STORE_READS);
@@ -452,7 +460,7 @@
             + (is_minority (members, now) || members->all_members->len == 0
                    ? READ_INTERVAL_MINORITY
                    : READ_INTERVAL);
-      read_rows (members, now);
+      read_rows (members, now, NULL);
     }
   return MIN (members->next_heartbeat,
               MIN (members->next_renewal, members->next_read));
--- a/packages/jobs/src/jb_planner.c
+++ b/packages/jobs/src/jb_planner.c
@@ -164,6 +164,9 @@
 
 /* ---- takeover ---- */
 
+static void read_rows (struct jb_planner *planner, jb_time now,
+                       const char *first_key);
+
 static void
 rows_read (void *data, jb_time now, jb_time sent_at,
            const struct jb_reply *reply)
@@ -181,28 +184,39 @@
       jb_planner_load_pool_row (planner, &reply->rows[i]);
     else
       jb_planner_load_wave_row (planner, &reply->rows[i]);
+  if (reply->next_page != NULL)
+    {
+      read_rows (planner, now, reply->next_page);
+      return;
+    }
   planner->rows_loaded = true;
   for (guint i = 0; i < planner->waves->len; i++)
     jb_planner_restore_wave (planner, g_ptr_array_index (planner->waves, i));
 }
 
+/* Read the planner's rows from FIRST_KEY on, or all of them if it is NULL.  */
 static void
-handle_claim_result (void *data, jb_time now, bool held)
+read_rows (struct jb_planner *planner, jb_time now, const char *first_key)
 {
-  struct jb_planner *planner = data;
   struct jb_command command
       = { .kind = JB_COMMAND_READ,
           .timeout_ms = STORE_TIMEOUT_MS,
-          .u.read = { JB_PLANNER_TABLE, JB_PLANNER_PARTITION, NULL } };
+          .u.read = { JB_PLANNER_TABLE, JB_PLANNER_PARTITION, first_key } };
+
+  jb_count_event (planner->options.driver, JB_COUNT_STORE_READS);
+  jb_driver_submit (planner->options.driver, planner->ownership, now, &command,
+                    rows_read, planner);
+}
+
+static void
+handle_claim_result (void *data, jb_time now, bool held)
+{
+  struct jb_planner *planner = data;
 
   planner->has_ended = !held;
   planner->claimed_at = now;
   if (held)
-    {
-      jb_count_event (planner->options.driver, JB_COUNT_STORE_READS);
-      jb_driver_submit (planner->options.driver, planner->ownership, now,
-                        &command, rows_read, planner);
-    }
+    read_rows (planner, now, NULL);
   planner->options.state_changed (planner->options.data);
 }
 
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -683,6 +683,7 @@
     }
   jb_backend_update (backend, entry, now);
   backend->listed_at = now;
+  backend->list_number = pool->list_number;
   backend->missing_since = 0;
 }
 
@@ -704,27 +705,20 @@
   return TRUE;
 }
 
-void
-jb_pool_handle_backend_list (struct jb_pool *pool, jb_time now,
-                             jb_time listed_at,
-                             const struct jb_backend_entry *entries,
-                             uint32_t count)
+/* Unlist the backend servers that complete lists have not contained for a
+   while, the newest of them just received, and free those that are gone.  */
+static void
+unlist_missing_backends (struct jb_pool *pool, jb_time now)
 {
   GHashTableIter iter;
   gpointer value;
 
-  if (pool->stage == JB_STAGE_NOT_OWNED)
-    return;
-  pool->listed_at = listed_at;
-  for (uint32_t i = 0; i < count; i++)
-    if (strcmp (entries[i].pool, pool->options.name) == 0)
-      update_backend (pool, now, &entries[i]);
   g_hash_table_iter_init (&iter, pool->backends);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct jb_backend *backend = value;
 
-      if (backend->listed_at == now || !backend->listed)
+      if (backend->list_number == pool->list_number || !backend->listed)
         continue;
       if (backend->missing_since == 0)
         backend->missing_since = now;
@@ -739,6 +733,25 @@
   if (pool->write_batch == NULL
       && g_hash_table_foreach_remove (pool->backends, free_if_gone, &now) > 0)
     pool->roster_dirty = true;
+}
+
+void
+jb_pool_handle_backend_page (struct jb_pool *pool, jb_time now,
+                             const struct jb_backend_page *page)
+{
+  if (pool->stage == JB_STAGE_NOT_OWNED)
+    return;
+  if (page->first)
+    {
+      pool->list_number++;
+      pool->list_requested_at = page->list_requested_at;
+    }
+  for (uint32_t i = 0; i < page->count; i++)
+    if (strcmp (page->entries[i].pool, pool->options.name) == 0)
+      update_backend (pool, now, &page->entries[i]);
+  if (page->last && pool->list_number > 0
+      && pool->list_requested_at == page->list_requested_at)
+    unlist_missing_backends (pool, now);
   jb_pool_finish_scan_if_complete (pool, now);
 }
 
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -94,7 +94,8 @@
   GHashTable *backends; /* instance -> struct jb_backend */
   bool roster_dirty;    /* the stored roster is out of date */
   bool roster_write_in_flight;
-  jb_time listed_at; /* when the newest processed list was requested */
+  uint64_t list_number; /* number of lists of which the first page came */
+  jb_time list_requested_at; /* when the newest of them was requested */
   struct jb_backend **usable_backends; /* rebuilt in each scheduling cycle */
   uint32_t usable_count;
   /* Jobs.  */
--- a/packages/jobs/src/jb_pool_takeover.c
+++ b/packages/jobs/src/jb_pool_takeover.c
@@ -137,7 +137,6 @@
              const struct jb_reply *reply)
 {
   struct jb_pool *pool = data;
-  char *first_key;
 
   (void)sent_at;
   if (pool->stage != JB_STAGE_LOADING)
@@ -151,17 +150,10 @@
     }
   for (uint32_t i = 0; i < reply->row_count; i++)
     load_row (pool, now, &reply->rows[i]);
-  if (!reply->has_more_rows || reply->row_count == 0)
-    {
-      finish_loading (pool, now);
-      return;
-    }
-  /* `!' sorts before the characters of a key, so this is less than any key
-     that follows the last one.  */
-  first_key
-      = talloc_asprintf (NULL, "%s!", reply->rows[reply->row_count - 1].key);
-  read_page (pool, now, first_key);
-  talloc_free (first_key);
+  if (reply->next_page != NULL)
+    read_page (pool, now, reply->next_page);
+  else
+    finish_loading (pool, now);
 }
 
 /* Read the next page of the pool's job rows, from FIRST_KEY on, or from the
--- a/tests/sim/jobs/jw_store.c
+++ b/tests/sim/jobs/jw_store.c
@@ -8,7 +8,8 @@
 
 enum
 {
-  MAX_ROWS_PER_READ = 50
+  MAX_ROWS_PER_READ = 50,
+  BACKENDS_PER_PAGE = 5 /* few, so that all lists have several pages */
 };
 
 struct jw_row
@@ -148,7 +149,8 @@
         continue;
       if (reply->row_count == MAX_ROWS_PER_READ)
         {
-          reply->has_more_rows = true;
+          reply->next_page = talloc_asprintf (
+              reply->mem, "%s!", reply->rows[reply->row_count - 1].key);
           break;
         }
       append_row (reply, row);
@@ -175,21 +177,37 @@
     }
 }
 
+static int
+compare_instances (const void *a, const void *b)
+{
+  return strcmp ((*(struct jw_backend *const *)a)->instance,
+                 (*(struct jw_backend *const *)b)->instance);
+}
+
+/* Fill in REPLY with the page of the list of backend servers that begins at
+   the instance FIRST_KEY, or with the first one.  */
 static void
-list_backends (struct jw_world *world, struct jb_reply *reply)
+list_backends (struct jw_world *world, const char *first_key,
+               struct jb_reply *reply)
 {
-  reply->backends = talloc_zero_array (reply->mem, struct jb_backend_entry,
-                                       world->backends->len + 1);
+  GPtrArray *sorted = g_ptr_array_new ();
+
   for (guint i = 0; i < world->backends->len; i++)
     {
-      const struct jw_backend *backend
-          = g_ptr_array_index (world->backends, i);
-      struct jb_backend_entry *entry = &reply->backends[reply->backend_count];
+      struct jw_backend *backend = g_ptr_array_index (world->backends, i);
 
-      if (!backend->up || backend->unlisted)
-        continue;
-      reply->backend_count++;
-      *entry = (struct jb_backend_entry){
+      if (backend->up && !backend->unlisted
+          && (first_key == NULL || strcmp (backend->instance, first_key) >= 0))
+        g_ptr_array_add (sorted, backend);
+    }
+  g_ptr_array_sort (sorted, compare_instances);
+  reply->backends = talloc_zero_array (reply->mem, struct jb_backend_entry,
+                                       BACKENDS_PER_PAGE);
+  for (guint i = 0; i < MIN (sorted->len, BACKENDS_PER_PAGE); i++)
+    {
+      const struct jw_backend *backend = g_ptr_array_index (sorted, i);
+
+      reply->backends[reply->backend_count++] = (struct jb_backend_entry){
         .instance = backend->instance,
         .pool = world->catalog->pools[backend->pool].name,
         .address = backend->address,
@@ -199,6 +217,10 @@
         .started_unix_ms = backend->started_unix_ms
       };
     }
+  if (sorted->len > BACKENDS_PER_PAGE)
+    reply->next_page = talloc_asprintf (
+        reply->mem, "%s!", reply->backends[reply->backend_count - 1].instance);
+  g_ptr_array_free (sorted, TRUE);
 }
 
 /* Check that a wave reported as completed covers its hosts: every second one
@@ -239,7 +261,7 @@
       watch_rows (world, &command->u.watch_config, reply);
       break;
     case JB_COMMAND_LIST_BACKENDS:
-      list_backends (world, reply);
+      list_backends (world, command->u.read.first_key, reply);
       break;
     case JB_COMMAND_REPORT_WAVE:
       report_wave (world, &command->u.report_wave);
