Heartbeats of the whole fleet only to and from nine coordinators

Cause: each host told all others of all others five times a second, so bytes grew with the square of the hosts.

Change: nine coordinators, chosen alike by all hosts that hear the same, exchange heartbeats with every host; owners send to all; ordinary hosts exchange with coordinators only, every second time. Heartbeats list only coordinators and owners. Only coordinators claim. Hosts that hear nobody, or have just started, send to all known members. Up to nine hosts nothing changes.

What still grows with the hosts: connections of all to all, the rows that a host reads in its first two seconds, and what coordinators exchange.

--- a/packages/jobs/include/jb_host.h
+++ b/packages/jobs/include/jb_host.h
@@ -73,6 +73,10 @@
 /* Return whether this host owns the pool NAME.  */
 bool jb_host_owns_pool (const struct jb_host *host, const char *name);
 
+/* Return whether this host is a coordinator: it exchanges heartbeats with all
+   entry hosts, and may claim partitions.  */
+bool jb_host_is_coordinator (const struct jb_host *host);
+
 /* Return whether this host owns the planner's partition.  */
 bool jb_host_is_planner (const struct jb_host *host);
 
--- a/packages/jobs/include/jb_members.h
+++ b/packages/jobs/include/jb_members.h
@@ -27,7 +27,10 @@
   uint32_t ownership_count;
   struct jb_msg_ownership *ownerships;
   uint32_t peer_count;
-  struct jb_msg_heartbeat_age *peers; /* live members that it hears */
+  /* Live coordinators and owners that it hears.  */
+  struct jb_msg_heartbeat_age *peers;
+  bool is_coordinator; /* as far as this host can tell */
+  uint64_t name_hash;
   /* Its row in the store.  */
   uint64_t row_version;
   jb_time row_changed_at; /* when this version was first read; 0: never */
@@ -68,8 +71,9 @@
                                    uint64_t from,
                                    const struct jb_msg_heartbeat *heartbeat);
 
-/* Send this host's heartbeat with STATUS to all members now, even if it is not
-   due yet, so that they learn of a change at once.  */
+/* Send this host's heartbeat with STATUS now, even if it is not due yet, so
+   that all members that get heartbeats of this host learn of a change at
+   once.  */
 void jb_members_send_heartbeat (struct jb_members *members, jb_time now,
                                 const struct jb_self_status *status);
 
@@ -110,6 +114,9 @@
                                               const struct jb_member *member),
                                void *data);
 
+/* Return whether this host is a coordinator.  */
+bool jb_members_is_coordinator (const struct jb_members *members);
+
 /* Return the number of live members, not counting this host.  */
 uint32_t jb_members_count_alive (const struct jb_members *members,
                                  jb_time now);
--- a/packages/jobs/include/jb_msg.h
+++ b/packages/jobs/include/jb_msg.h
@@ -5,8 +5,9 @@
    Requests are therefore idempotent and repeated until they are answered;
    reports are repeated at intervals.
 
-   JB_MSG_HEARTBEAT        state of a host, to all members several times a
-                           second
+   JB_MSG_HEARTBEAT        state of a host, several times a second: of
+                           coordinators and owners to all members, of the
+                           others to the coordinators (see jb_members.c)
    JB_MSG_REQUEST          a client's call, to the owner of the pool
    JB_MSG_REPLY            the reply to a JB_MSG_REQUEST
    JB_MSG_CATALOG          the configuration, to a host that has an older one
@@ -67,7 +68,8 @@
   uint32_t ownership_count;
   struct jb_msg_ownership *ownerships;
   uint32_t peer_count;
-  struct jb_msg_heartbeat_age *peers; /* live members that the sender hears */
+  /* Live coordinators and owners that the sender hears.  */
+  struct jb_msg_heartbeat_age *peers;
 };
 
 enum jb_request_kind
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -742,6 +742,12 @@
   return owns_pool ((void *)host, name);
 }
 
+bool
+jb_host_is_coordinator (const struct jb_host *host)
+{
+  return jb_members_is_coordinator (host->members);
+}
+
 bool
 jb_host_is_planner (const struct jb_host *host)
 {
--- a/packages/jobs/src/jb_members.c
+++ b/packages/jobs/src/jb_members.c
@@ -1,6 +1,20 @@
 /* Membership: heartbeats between the entry hosts, their rows in the store, and
    the choice of the host that claims a partition without an owner.  The rows
-   let hosts find each other, and show which silent hosts still run.  */
+   let hosts find each other, and show which silent hosts still run.
+
+   The COORDINATOR_COUNT hosts that come first in an order which all hosts
+   compute alike are coordinators.  They exchange heartbeats with every host,
+   so they know which hosts are alive, and only they claim partitions.  Owners
+   send their heartbeats to every host too.  All other hosts exchange
+   heartbeats with the coordinators only, so what an ordinary host sends and
+   receives does not grow with the fleet.
+
+   Each host orders the hosts that it hears.  An ordinary host doesn't hear the
+   hosts that could replace a lost coordinator, so it relies on the others: the
+   heartbeats of coordinators list those that they count among the
+   coordinators, and a host that is listed acts as one.  A host that hears
+   nobody sends its heartbeats to all known members, so that hosts which have
+   lost all coordinators at once find each other and choose new ones.  */
 
 #include "jb_members.h"
 
@@ -12,9 +26,15 @@
    which is five heartbeat intervals.  */
 #define MAX_HEARTBEAT_AGE (1000 * JB_MS)
 
-/* Time between two heartbeats.  */
+/* Time between two heartbeats.  Those from and to an ordinary host are only
+   sent every second time.  */
 #define HEARTBEAT_INTERVAL (200 * JB_MS)
 
+enum
+{
+  COORDINATOR_COUNT = 9
+};
+
 /* A partition whose last owner this host does not hear is not vacant while a
    peer has received that owner's heartbeat within this time.  */
 #define MAX_PEER_HEARTBEAT_AGE_MS 700
@@ -23,6 +43,11 @@
    know, so that it has heard the heartbeats of the others.  */
 #define STARTUP_CLAIM_DELAY (700 * JB_MS)
 
+/* For this time after its start a host reads the rows often and sends its
+   heartbeats to all known members, because hosts that start together don't
+   know each other yet.  */
+#define STARTUP_PERIOD (2000 * JB_MS)
+
 /* The first candidate claims a vacant partition at once, and each further one
    this much later than the one before it.  */
 #define CLAIM_DELAY_PER_RANK (400 * JB_MS)
@@ -34,16 +59,21 @@
 /* Time between two writes of this host's row in the store.  */
 #define RENEW_INTERVAL (1500 * JB_MS)
 
-/* Time between two reads of the rows of all hosts: normally, and while at most
-   half of the known hosts are alive or no other host is known.  */
+/* Time between two reads of the rows of all hosts: after the start, normally,
+   and while at most half of the known hosts are alive or no other host is
+   known.  */
+#define READ_INTERVAL_STARTUP (300 * JB_MS)
 #define READ_INTERVAL (5000 * JB_MS)
 #define READ_INTERVAL_MINORITY (1000 * JB_MS)
+/* The same on an ordinary host, which only needs the addresses in case that it
+   loses all coordinators.  */
+#define READ_INTERVAL_ORDINARY (20 * JB_SECOND)
 
 /* A host whose row has not changed for this long does not reach the store.  */
 #define MAX_ROW_AGE (4000 * JB_MS)
 
-/* A member is removed if it has sent no heartbeat and not renewed its row for
-   this long.  */
+/* A member is removed if, at the last read of the rows, it had sent no
+   heartbeat and not renewed its row for this long.  */
 #define REMOVE_SILENT_AFTER (20 * JB_SECOND)
 
 #define STORE_TIMEOUT_MS 800 /* of a call to the store */
@@ -65,6 +95,8 @@
   jb_time started_at;
   GPtrArray *all_members; /* struct jb_member */
   GHashTable *partitions; /* partition -> struct partition_state */
+  bool is_coordinator;
+  uint32_t heartbeats_sent;
   jb_time next_heartbeat;
   jb_time next_renewal;
   jb_time next_read;
@@ -186,6 +218,7 @@
   member = talloc_zero (members, struct jb_member);
   member->incarnation = incarnation;
   member->name = talloc_strdup (member, name);
+  member->name_hash = ba_hash_str (name, 0);
   member->address = talloc_strdup (member, address);
   member->zone = talloc_strdup (member, zone);
   g_ptr_array_add (members->all_members, member);
@@ -265,14 +298,116 @@
                        heartbeat->peer_count * sizeof *heartbeat->peers);
 }
 
+/* ---- coordinators ---- */
+
+/* A host in the order of coordinators.  */
+struct coordinator_rank
+{
+  struct jb_member *member; /* NULL: this host */
+  bool usable;              /* it reaches the store and is not stopping */
+  uint32_t cpu_share_milli;
+  uint64_t name_hash;
+};
+
+/* Hosts that can claim partitions come first, then those with the larger share
+   of a processor, since heartbeats of the whole fleet take processor time.  */
+static int
+compare_coordinators (const void *a, const void *b)
+{
+  const struct coordinator_rank *x = a;
+  const struct coordinator_rank *y = b;
+
+  if (x->usable != y->usable)
+    return x->usable ? -1 : 1;
+  if (x->cpu_share_milli != y->cpu_share_milli)
+    return x->cpu_share_milli > y->cpu_share_milli ? -1 : 1;
+  return x->name_hash < y->name_hash ? -1 : x->name_hash > y->name_hash;
+}
+
+/* Return whether the last heartbeat of MEMBER lists the member with
+   INCARNATION.  */
+static bool
+lists_peer (const struct jb_member *member, uint64_t incarnation)
+{
+  for (uint32_t i = 0; i < member->peer_count; i++)
+    if (member->peers[i].incarnation == incarnation)
+      return true;
+  return false;
+}
+
+/* Determine which of the live hosts are coordinators.  This host, whose state
+   is STATUS, is one if it is among the first of those that it hears, and
+   another coordinator lists it.  That is not needed if it hears no other
+   coordinator, or if the fleet is so small that all hosts are coordinators. */
 static void
-send_heartbeat (struct jb_members *members, jb_time now,
-                const struct jb_self_status *status)
+choose_coordinators (struct jb_members *members, jb_time now,
+                     const struct jb_self_status *status)
+{
+  struct coordinator_rank *ranks = talloc_array (
+      NULL, struct coordinator_rank, members->all_members->len + 1);
+  uint32_t count = 1;
+  bool is_first = false;
+  bool is_listed = members->all_members->len < COORDINATOR_COUNT;
+  bool has_other = false;
+
+  ranks[0] = (struct coordinator_rank){
+    NULL, status->store_reachable && !status->stopping,
+    members->options.cpu_share_milli, ba_hash_str (members->options.name, 0)
+  };
+  for (guint i = 0; i < members->all_members->len; i++)
+    {
+      struct jb_member *member = g_ptr_array_index (members->all_members, i);
+
+      member->is_coordinator = false;
+      if (jb_member_is_alive (member, now))
+        ranks[count++] = (struct coordinator_rank){
+          member, member->store_reachable && !member->stopping,
+          member->cpu_share_milli, member->name_hash
+        };
+    }
+  qsort (ranks, count, sizeof *ranks, compare_coordinators);
+  for (uint32_t i = 0; i < MIN (count, COORDINATOR_COUNT); i++)
+    {
+      struct jb_member *member = ranks[i].member;
+
+      if (member == NULL)
+        {
+          is_first = true;
+          continue;
+        }
+      member->is_coordinator = true;
+      has_other = true;
+      is_listed
+          = is_listed || lists_peer (member, members->options.incarnation);
+    }
+  talloc_free (ranks);
+  if (members->is_coordinator != (is_first && (is_listed || !has_other)))
+    {
+      members->is_coordinator = !members->is_coordinator;
+      jb_log (members->options.driver, JB_LEVEL_INFO, "coordinator-changed",
+              "coordinator", members->is_coordinator ? "yes" : "no", "alive",
+              jb_itoa (count - 1), "known",
+              jb_itoa (members->all_members->len), NULL);
+    }
+}
+
+/* ---- heartbeats ---- */
+
+/* Return whether heartbeats report when MEMBER was last heard: others rely on
+   that for coordinators and for owners.  */
+static bool
+is_reported (const struct jb_member *member, jb_time now)
+{
+  return jb_member_is_alive (member, now)
+         && (member->is_coordinator || member->ownership_count > 0);
+}
+
+static struct ba_bytes
+encode_heartbeat (struct jb_members *members, TALLOC_CTX *mem, jb_time now,
+                  const struct jb_self_status *status)
 {
-  TALLOC_CTX *scratch = talloc_new (NULL);
   struct jb_msg message = { .type = JB_MSG_HEARTBEAT };
   struct jb_msg_heartbeat *heartbeat = &message.u.heartbeat;
-  struct ba_bytes bytes;
 
   heartbeat->name = (char *)members->options.name;
   heartbeat->address = (char *)members->options.address;
@@ -284,24 +419,50 @@
   heartbeat->catalog_version = status->catalog_version;
   heartbeat->ownerships = (struct jb_msg_ownership *)status->ownerships;
   heartbeat->ownership_count = status->ownership_count;
-  heartbeat->peers = talloc_array (scratch, struct jb_msg_heartbeat_age,
+  heartbeat->peers = talloc_array (mem, struct jb_msg_heartbeat_age,
                                    members->all_members->len + 1);
   for (guint i = 0; i < members->all_members->len; i++)
     {
       struct jb_member *member = g_ptr_array_index (members->all_members, i);
 
-      if (jb_member_is_alive (member, now))
+      if (is_reported (member, now))
         heartbeat->peers[heartbeat->peer_count++]
             = (struct jb_msg_heartbeat_age){
                 member->incarnation, (now - member->last_heartbeat_at) / JB_MS
               };
     }
-  bytes = jb_msg_encode (scratch, &message);
+  return jb_msg_encode (mem, &message);
+}
+
+/* Return whether this host, whose state is STATUS, sends its heartbeats to the
+   coordinators only.  */
+static bool
+is_ordinary (const struct jb_members *members, jb_time now,
+             const struct jb_self_status *status)
+{
+  return !members->is_coordinator && status->ownership_count == 0
+         && now - members->started_at >= STARTUP_PERIOD
+         && jb_members_count_alive (members, now) > 0;
+}
+
+/* Send this host's heartbeat: to the coordinators if it is an ordinary host,
+   else to coordinators and owners, and to all others too if TO_ALL.  */
+static void
+send_heartbeat (struct jb_members *members, jb_time now,
+                const struct jb_self_status *status, bool to_all)
+{
+  TALLOC_CTX *scratch = talloc_new (NULL);
+  bool to_coordinators_only = is_ordinary (members, now, status);
+  struct ba_bytes bytes = encode_heartbeat (members, scratch, now, status);
+
   for (guint i = 0; i < members->all_members->len; i++)
     {
       struct jb_member *member = g_ptr_array_index (members->all_members, i);
 
-      jb_driver_send (members->options.driver, member->incarnation, bytes);
+      if (member->is_coordinator
+          || (!to_coordinators_only
+              && (to_all || member->ownership_count > 0)))
+        jb_driver_send (members->options.driver, member->incarnation, bytes);
     }
   talloc_free (scratch);
   for (uint32_t i = 0; i < status->ownership_count; i++)
@@ -313,7 +474,9 @@
 jb_members_send_heartbeat (struct jb_members *members, jb_time now,
                            const struct jb_self_status *status)
 {
-  send_heartbeat (members, now, status);
+  choose_coordinators (members, now, status);
+  send_heartbeat (members, now, status, true);
+  members->heartbeats_sent = 0;
   members->next_heartbeat = now + HEARTBEAT_INTERVAL;
 }
 
@@ -380,6 +543,20 @@
   talloc_free (scratch);
 }
 
+static void
+remove_silent_members (struct jb_members *members)
+{
+  for (guint i = members->all_members->len; i-- > 0;)
+    {
+      struct jb_member *member = g_ptr_array_index (members->all_members, i);
+      jb_time last_seen
+          = MAX (member->last_heartbeat_at, member->row_changed_at);
+
+      if (members->last_read_at - last_seen > REMOVE_SILENT_AFTER)
+        remove_member (members, member, "silent, and its row is not renewed");
+    }
+}
+
 static void read_rows (struct jb_members *members, jb_time now,
                        const char *first_key);
 
@@ -398,7 +575,10 @@
   if (reply->next_page != NULL)
     read_rows (members, now, reply->next_page);
   else
-    members->last_read_at = now;
+    {
+      members->last_read_at = now;
+      remove_silent_members (members);
+    }
 }
 
 /* Read the rows of all hosts from FIRST_KEY on, or all of them if it is
@@ -423,22 +603,21 @@
 static bool
 is_minority (const struct jb_members *members, jb_time now)
 {
+  /* An ordinary host hears only the coordinators.  */
+  if (!members->is_coordinator && jb_members_count_alive (members, now) > 0)
+    return false;
   return 2 * (jb_members_count_alive (members, now) + 1)
          <= members->all_members->len + 1;
 }
 
-static void
-remove_silent_members (struct jb_members *members, jb_time now)
+static jb_time
+read_interval (const struct jb_members *members, jb_time now)
 {
-  for (guint i = members->all_members->len; i-- > 0;)
-    {
-      struct jb_member *member = g_ptr_array_index (members->all_members, i);
-      jb_time last_seen
-          = MAX (member->last_heartbeat_at, member->row_changed_at);
-
-      if (now - last_seen > REMOVE_SILENT_AFTER)
-        remove_member (members, member, "silent, and its row is not renewed");
-    }
+  if (now - members->started_at < STARTUP_PERIOD)
+    return READ_INTERVAL_STARTUP;
+  if (is_minority (members, now) || members->all_members->len == 0)
+    return READ_INTERVAL_MINORITY;
+  return members->is_coordinator ? READ_INTERVAL : READ_INTERVAL_ORDINARY;
 }
 
 jb_time
@@ -447,19 +626,20 @@
 {
   if (now >= members->next_heartbeat)
     {
-      remove_silent_members (members, now);
-      jb_members_send_heartbeat (members, now, status);
+      choose_coordinators (members, now, status);
+      send_heartbeat (members, now, status,
+                      ++members->heartbeats_sent % 2 == 0);
+      members->next_heartbeat
+          = now
+            + (is_ordinary (members, now, status) ? 2 * HEARTBEAT_INTERVAL
+                                                  : HEARTBEAT_INTERVAL);
     }
   if (!members->renewal_in_flight && !status->stopping
       && now >= members->next_renewal)
     renew_row (members, now);
   if (!members->read_in_flight && now >= members->next_read)
     {
-      members->next_read
-          = now
-            + (is_minority (members, now) || members->all_members->len == 0
-                   ? READ_INTERVAL_MINORITY
-                   : READ_INTERVAL);
+      members->next_read = now + read_interval (members, now);
       read_rows (members, now, NULL);
     }
   return MIN (members->next_heartbeat,
@@ -483,6 +663,12 @@
     }
 }
 
+bool
+jb_members_is_coordinator (const struct jb_members *members)
+{
+  return members->is_coordinator;
+}
+
 static void
 count_member (void *data, const struct jb_member *member)
 {
@@ -629,7 +815,8 @@
 }
 
 /* Return how many hosts come before this one as candidates for PARTITION.
-   Candidates are alive, not stopping, and reach the store.  Hosts that would
+   Candidates are coordinators that are alive, not stopping, and reach the
+   store.  Hosts that would
    have a larger share of a processor for each partition come first; among
    equals, the order is that of a hash that all hosts compute alike.  The share
    matters because managing a pool of a hundred backend servers needs more
@@ -652,8 +839,8 @@
       double share = cpu_share_per_ownership (member->cpu_share_milli,
                                               member->ownership_count);
 
-      if (!jb_member_is_alive (member, now) || member->stopping
-          || !member->store_reachable)
+      if (!jb_member_is_alive (member, now) || !member->is_coordinator
+          || member->stopping || !member->store_reachable)
         continue;
       if (share > own_share
           || (!(share < own_share)
@@ -729,7 +916,7 @@
   struct partition_state *partition_state
       = get_or_add_partition (members, partition);
 
-  if (!is_vacant (members, now, partition_state))
+  if (!members->is_coordinator || !is_vacant (members, now, partition_state))
     {
       partition_state->vacant_since = 0;
       return false;
--- a/tests/sim/jobs/jw_world.c
+++ b/tests/sim/jobs/jw_world.c
@@ -226,6 +226,7 @@
   if (message->to->host == NULL || message->to->epoch != message->epoch
       || message->to->frozen || message->to->peers_unreachable)
     return;
+  message->to->received_bytes += message->body.len;
   if (!jb_host_receive_message (message->to->host, world->now, message->from,
                                 message->body))
     jw_report_violation (world, "MESSAGE", "a message can't be decoded");
@@ -238,6 +239,8 @@
   struct jw_host *host = context;
   struct jw_world *world = host->world;
 
+  host->sent_messages++;
+  host->sent_bytes += body.len;
   for (uint32_t i = 0; i < world->options.hosts; i++)
     {
       struct jw_host *to = &world->hosts[i];
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -19,7 +19,7 @@
 
 enum
 {
-  JW_MAX_HOST_COUNT = 12,
+  JW_MAX_HOST_COUNT = 64,
   JW_MAX_POOL_COUNT = 6,
   JW_MAX_ATTEMPTS = 3 /* failed runs after which a task has failed */
 };
@@ -87,6 +87,10 @@
   bool store_unreachable;
   bool peers_unreachable;
   bool backends_unreachable;
+  /* Messages between entry hosts.  */
+  uint64_t sent_messages;
+  uint64_t sent_bytes;
+  uint64_t received_bytes;
 };
 
 /* Chances in a thousand that a command to the store or to a backend server is
