Choose the hosts of a wave in one pass

Commands timed out meanwhile, and hosts that were being maintained were given up (host-evacuation-failed, 44).

Change: jb_wave_choose, a policy of plain tables, sorts the candidates once; idle backend servers are a hash set; moves go before maintenance, since a surge needs the hosts of the standby pool. A command without an answer is sent again also when the host is listed as not up.

Tests: test_wave in test_jb_policies.

--- a/packages/jobs/src/jb_planner.c
+++ b/packages/jobs/src/jb_planner.c
@@ -75,6 +75,9 @@
   g_ptr_array_free (planner->waves, TRUE);
   g_hash_table_destroy (planner->saved_waves);
   g_hash_table_destroy (planner->hosts);
+  g_hash_table_iter_init (&iter, planner->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_hash_table_destroy (((struct planner_pool *)value)->idle_instances);
   g_hash_table_destroy (planner->pools);
   g_hash_table_iter_init (&iter, planner->quotas);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -248,8 +251,8 @@
   *field = talloc_strdup (mem, value);
 }
 
-static bool
-is_standby (const struct jb_planner *planner, const char *pool)
+bool
+jb_planner_is_standby (const struct jb_planner *planner, const char *pool)
 {
   const struct jb_catalog *catalog = *planner->options.catalog;
   const struct jb_pool_settings *settings
@@ -264,7 +267,7 @@
 is_off (const struct jb_planner *planner, const struct fleet_host *host)
 {
   return host->instance == NULL && host->state == JB_HOST_UP
-         && is_standby (planner, host->pool);
+         && jb_planner_is_standby (planner, host->pool);
 }
 
 /* End the move or maintenance of HOST if it has returned: it is up, and its
@@ -277,7 +280,8 @@
     return;
   /* A host that was switched off when it was commanded, and is in a standby
      pool, has no backend server to wait for.  */
-  if (host->instance_at_command != NULL || !is_standby (planner, host->pool))
+  if (host->instance_at_command != NULL
+      || !jb_planner_is_standby (planner, host->pool))
     if (host->instance == NULL
         || g_strcmp0 (host->instance, host->instance_at_command) == 0)
       return;
@@ -422,6 +426,7 @@
   host->purpose = purpose;
   host->phase = PHASE_EVACUATING;
   host->phase_started_at = now;
+  host->command_unanswered = false;
   host->evacuation_requested_at = 0;
   host->empty_as_of = 0;
   jb_log (planner->options.driver, JB_LEVEL_INFO, "host-evacuation-started",
@@ -498,9 +503,12 @@
       && reply->refusal == JB_REFUSAL_FENCED)
     jb_ownership_verify (planner->ownership, now);
   if (reply->result == JB_RESULT_UNKNOWN)
-    /* The command may have been executed.  Send it again, unchanged, to find
-       out.  */
-    host->phase = PHASE_EVACUATING;
+    {
+      /* The command may have been executed.  Send it again, unchanged, to find
+         out.  */
+      host->phase = PHASE_EVACUATING;
+      host->command_unanswered = true;
+    }
   else
     jb_planner_abandon_host (host, now, COMMAND_RETRY_DELAY);
 }
@@ -558,7 +566,10 @@
     jb_planner_abandon_host (host, now, EVACUATION_RETRY_DELAY);
   if (host->phase != PHASE_EVACUATING)
     return;
-  if (is_off (planner, host))
+  /* Nothing runs on a host that is off, or that is not up after a command to
+     it was not answered, so there is nothing to evacuate.  */
+  if (is_off (planner, host)
+      || (host->command_unanswered && host->state != JB_HOST_UP))
     {
       if (jb_planner_may_command (planner, now))
         send_host_command (planner, now, host);
@@ -600,6 +611,8 @@
     {
       pool = talloc_zero (planner, struct planner_pool);
       pool->name = talloc_strdup (pool, name);
+      pool->idle_instances
+          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
       g_hash_table_insert (planner->pools, pool->name, pool);
     }
   return pool;
@@ -618,14 +631,24 @@
   struct planner_pool *pool = jb_planner_get_or_add_pool (planner, load->pool);
 
   pool->load_received_at = now;
-  talloc_free (pool->load.idle_instances);
   pool->load = *load;
   pool->load.pool = pool->name;
-  pool->load.idle_instances
-      = talloc_array (pool, char *, load->idle_instance_count + 1);
+  pool->load.idle_instances = NULL;
+  g_hash_table_remove_all (pool->idle_instances);
   for (uint32_t i = 0; i < load->idle_instance_count; i++)
-    pool->load.idle_instances[i]
-        = talloc_strdup (pool->load.idle_instances, load->idle_instances[i]);
+    g_hash_table_add (pool->idle_instances,
+                      g_strdup (load->idle_instances[i]));
+}
+
+bool
+jb_planner_is_idle (const struct jb_planner *planner,
+                    const struct fleet_host *host)
+{
+  const struct planner_pool *pool
+      = g_hash_table_lookup (planner->pools, host->pool);
+
+  return pool != NULL && host->instance != NULL
+         && g_hash_table_contains (pool->idle_instances, host->instance);
 }
 
 jb_time
@@ -642,8 +665,9 @@
     jb_ownership_verify (planner->ownership, now);
   list_hosts (planner, now);
   jb_planner_run_quotas (planner, now);
-  jb_planner_run_waves (planner, now);
+  /* Moves first: the hosts that a surge needs must not be maintained now.  */
   jb_planner_run_rebalance (planner, now);
+  jb_planner_run_waves (planner, now);
   g_hash_table_iter_init (&iter, planner->hosts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     run_host (planner, now, value);
--- a/packages/jobs/src/jb_planner_internal.h
+++ b/packages/jobs/src/jb_planner_internal.h
@@ -41,6 +41,7 @@
   struct wave *wave;         /* for maintenance, else NULL */
   char *instance_at_command; /* `instance' when the command was executed */
   jb_time phase_started_at;
+  bool command_unanswered; /* it may have been executed; send it again */
   jb_time evacuation_requested_at; /* last request to the pool's owner */
   jb_time empty_as_of; /* when the request was sent to which the pool's owner
                           replied that the host is empty; 0: no such reply */
@@ -73,7 +74,8 @@
   struct jb_forecast_pool history; /* of its demand */
   uint32_t home_hosts;     /* number of its own hosts; others are borrowed */
   int64_t host_cpu_milli;  /* last known capacity of one host; 0: unknown */
-  struct jb_msg_load load; /* last reported */
+  struct jb_msg_load load; /* last reported, without `idle_instances' */
+  GHashTable *idle_instances; /* set of the last reported ones */
 };
 
 /* A quota share that was sent and not acknowledged.  */
@@ -147,6 +149,15 @@
    command has passed since its claim.  */
 bool jb_planner_may_command (const struct jb_planner *planner, jb_time now);
 
+/* Return whether POOL is a standby pool, whose hosts are switched off.  */
+bool jb_planner_is_standby (const struct jb_planner *planner,
+                            const char *pool);
+
+/* Return whether the last load report of HOST's pool lists HOST's backend
+   server as idle.  */
+bool jb_planner_is_idle (const struct jb_planner *planner,
+                         const struct fleet_host *host);
+
 /* Start evacuating HOST for PURPOSE.  The caller has set the host's
    `target_pool' for a move, its `wave' for maintenance.  */
 void jb_planner_begin_evacuation (struct jb_planner *planner, jb_time now,
--- a/packages/jobs/src/jb_planner_rebalance.c
+++ b/packages/jobs/src/jb_planner_rebalance.c
@@ -156,19 +156,6 @@
   return i;
 }
 
-/* Return whether the last load report of HOST's pool, POOL_INFO, lists HOST's
-   backend server as idle.  POOL_INFO is NULL if there was no report.  */
-static bool
-is_idle (const struct planner_pool *pool_info, const struct fleet_host *host)
-{
-  if (pool_info == NULL || host->instance == NULL)
-    return false;
-  for (uint32_t i = 0; i < pool_info->load.idle_instance_count; i++)
-    if (strcmp (pool_info->load.idle_instances[i], host->instance) == 0)
-      return true;
-  return false;
-}
-
 /* Add the pools of the catalog with their last reported loads.  */
 static void
 add_pools (struct jb_planner *planner, jb_time now,
@@ -228,9 +215,7 @@
     pool->hosts++;
   is_off = pool->standby && host->instance == NULL;
   idle = host->state == JB_HOST_UP
-         && (is_off
-             || is_idle (g_hash_table_lookup (planner->pools, host->pool),
-                         host));
+         && (is_off || jb_planner_is_idle (planner, host));
   if (!idle)
     host->idle_since = 0;
   else if (host->idle_since == 0)
--- a/packages/jobs/src/jb_planner_wave.c
+++ b/packages/jobs/src/jb_planner_wave.c
@@ -1,30 +1,19 @@
-/* Maintenance waves.  The hosts of a wave in the pools with the lowest load
-   are maintained first.  At any time no more hosts are away than the operator
-   allows, and no more than a share of each pool.  The names of the maintained
-   hosts are stored in a row for each wave, so a successor can continue.  */
+/* Maintenance waves: collects the input of jb_wave_choose, starts the
+   evacuation of the hosts that it returns, and reports to operators.  At any
+   time no more hosts are away than the operator allows.  The names of the
+   maintained hosts are stored in a row for each wave, so a successor can
+   continue.  */
 
 #include "jb_planner_internal.h"
 
-#include <string.h>
+#include "jb_wave.h"
 
-/* At most 1 / POOL_SHARE_DIVISOR of a pool's hosts, but at least one, may be
-   away at once.  */
-#define POOL_SHARE_DIVISOR 4
+#include <string.h>
 
 /* Time before a wave is reported again, for example after a failure.  */
 #define REPORT_RETRY_DELAY (300 * JB_MS)
 #define REPORT_TIMEOUT_MS 1000
 
-/* A host is not taken out of a pool whose utilisation is above this, except in
-   the last 1 / LATE_FRACTION_DIVISOR of the time in which the wave has to be
-   completed.  */
-#define MAX_UTILISATION 0.7
-#define LATE_FRACTION_DIVISOR 3
-
-/* Added to the utilisation of the pool of a host on which tasks run, so that
-   idle hosts are preferred.  */
-#define BUSY_HOST_PENALTY 0.2
-
 enum
 {
   MAX_SAVED_HOST_COUNT = 100000 /* of a wave, in a decoded row */
@@ -198,6 +187,13 @@
 
 /* ---- choice of hosts ---- */
 
+/* The pools of all hosts of the fleet, as input of jb_wave_choose.  */
+struct pool_table
+{
+  GHashTable *indices; /* name -> index + 1 */
+  GArray *pools;       /* struct jb_wave_pool */
+};
+
 /* Return the fraction of POOL's CPU capacity that its running finite tasks and
    its waiting tasks need; it is above 1 if not all of them fit.  Running
    long-running tasks and all best-effort tasks don't count.  */
@@ -214,116 +210,110 @@
          / (double)pool_info->load.capacity_cpu_milli;
 }
 
-/* Return the number of hosts in POOL.  If ONLY_UNAVAILABLE, count only hosts
-   that are not up or are being taken out of the pool.  */
+/* Return the index in TABLE of the pool NAME, which is added if it is new.  */
 static uint32_t
-count_pool_hosts (const struct jb_planner *planner, const char *pool,
-                  bool only_unavailable)
+get_or_add_pool_index (const struct jb_planner *planner,
+                       struct pool_table *table, const char *name)
 {
-  GHashTableIter iter;
-  gpointer value;
-  uint32_t count = 0;
+  guint index = GPOINTER_TO_UINT (g_hash_table_lookup (table->indices, name));
 
-  g_hash_table_iter_init (&iter, planner->hosts);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  if (index == 0)
     {
-      const struct fleet_host *host = value;
-
-      if (g_strcmp0 (host->pool, pool) == 0
-          && (!only_unavailable || host->phase != PHASE_NONE
-              || host->state != JB_HOST_UP))
-        count++;
+      struct jb_wave_pool pool
+          = { .utilisation = pool_utilisation (planner, name),
+              .standby = jb_planner_is_standby (planner, name) };
+
+      g_array_append_val (table->pools, pool);
+      index = table->pools->len;
+      g_hash_table_insert (table->indices, (gpointer)name,
+                           GUINT_TO_POINTER (index));
     }
-  return count;
+  return index - 1;
 }
 
-/* Return the number of hosts that are being maintained for WAVE, or soon will
-   be, or are in maintenance for another reason.  */
-static uint32_t
-count_hosts_down (const struct jb_planner *planner, const struct wave *wave)
+/* Fill TABLE from the hosts of the fleet.  */
+static void
+collect_pools (const struct jb_planner *planner, struct pool_table *table)
 {
   GHashTableIter iter;
   gpointer value;
-  uint32_t count = 0;
 
+  table->indices = g_hash_table_new (g_str_hash, g_str_equal);
+  table->pools = g_array_new (FALSE, FALSE, sizeof (struct jb_wave_pool));
   g_hash_table_iter_init (&iter, planner->hosts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct fleet_host *host = value;
+      uint32_t index = get_or_add_pool_index (planner, table, host->pool);
+      struct jb_wave_pool *pool
+          = &g_array_index (table->pools, struct jb_wave_pool, index);
 
-      if (host->wave == wave || host->state == JB_HOST_MAINTENANCE)
-        count++;
+      pool->hosts++;
+      if (host->phase != PHASE_NONE || host->state != JB_HOST_UP)
+        pool->unavailable++;
     }
-  return count;
 }
 
-/* Return whether one more host of POOL may be taken out.  A standby pool can
-   spare all of its hosts.  */
-static bool
-pool_can_spare_host (const struct jb_planner *planner, const char *pool)
-{
-  const struct jb_catalog *catalog = *planner->options.catalog;
-  const struct jb_pool_settings *settings
-      = catalog != NULL ? jb_catalog_find_pool (catalog, pool) : NULL;
-  uint32_t host_count = count_pool_hosts (planner, pool, false);
-
-  if (settings != NULL && settings->standby)
-    return true;
-  return count_pool_hosts (planner, pool, true)
-         < MAX (host_count / POOL_SHARE_DIVISOR, 1);
-}
-
-/* Return whether no task runs on HOST: it has no backend server, or the last
-   load report of its pool lists its backend server as idle.  */
-static bool
-has_no_tasks (const struct jb_planner *planner, const struct fleet_host *host)
-{
-  const struct planner_pool *pool_info
-      = g_hash_table_lookup (planner->pools, host->pool);
-
-  if (host->instance == NULL)
-    return true;
-  for (uint32_t i = 0;
-       pool_info != NULL && i < pool_info->load.idle_instance_count; i++)
-    if (strcmp (pool_info->load.idle_instances[i], host->instance) == 0)
-      return true;
-  return false;
-}
-
-/* Return the host of WAVE to maintain next, or NULL if none can be taken out
-   now.  */
-static struct fleet_host *
-choose_host (struct jb_planner *planner, jb_time now, struct wave *wave)
+/* Start evacuating up to LIMIT hosts of WAVE.  TABLE is updated.  */
+static void
+begin_maintenance (struct jb_planner *planner, jb_time now, struct wave *wave,
+                   struct pool_table *table, uint32_t limit)
 {
-  bool is_late
-      = now > wave->due - (wave->due - wave->seen_at) / LATE_FRACTION_DIVISOR;
+  guint remaining = g_hash_table_size (wave->remaining_hosts);
+  struct jb_wave_host *hosts = g_new (struct jb_wave_host, remaining + 1);
+  struct fleet_host **fleet_hosts = g_new (struct fleet_host *, remaining + 1);
+  uint32_t *chosen = g_new (uint32_t, limit + 1);
+  struct jb_wave_time time = { wave->seen_at, wave->due };
+  uint32_t count = 0;
   GHashTableIter iter;
   gpointer name;
-  struct fleet_host *best = NULL;
-  double best_score = 0;
 
   g_hash_table_iter_init (&iter, wave->remaining_hosts);
   while (g_hash_table_iter_next (&iter, &name, NULL))
     {
       struct fleet_host *host = g_hash_table_lookup (planner->hosts, name);
-      double score;
 
       if (host == NULL || host->phase != PHASE_NONE
-          || host->state != JB_HOST_UP || now < host->retry_at
-          || !pool_can_spare_host (planner, host->pool))
+          || host->state != JB_HOST_UP || now < host->retry_at)
         continue;
-      score = pool_utilisation (planner, host->pool);
-      if (!is_late && score > MAX_UTILISATION)
-        continue;
-      if (!has_no_tasks (planner, host))
-        score += BUSY_HOST_PENALTY;
-      if (best == NULL || score < best_score)
-        {
-          best = host;
-          best_score = score;
-        }
+      fleet_hosts[count] = host;
+      hosts[count++] = (struct jb_wave_host){
+        get_or_add_pool_index (planner, table, host->pool),
+        host->instance == NULL || jb_planner_is_idle (planner, host)
+      };
+    }
+  count = jb_wave_choose ((struct jb_wave_pool *)(void *)table->pools->data,
+                          hosts, count, &time, now, chosen, limit);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      struct fleet_host *host = fleet_hosts[chosen[i]];
+
+      host->wave = wave;
+      jb_planner_begin_evacuation (planner, now, host, PURPOSE_MAINTENANCE);
+    }
+  g_free (hosts);
+  g_free (fleet_hosts);
+  g_free (chosen);
+}
+
+/* Return the number of hosts that are being maintained for WAVE, or soon will
+   be, or are in maintenance for another reason.  */
+static uint32_t
+count_hosts_down (const struct jb_planner *planner, const struct wave *wave)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t count = 0;
+
+  g_hash_table_iter_init (&iter, planner->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct fleet_host *host = value;
+
+      if (host->wave == wave || host->state == JB_HOST_MAINTENANCE)
+        count++;
     }
-  return best;
+  return count;
 }
 
 /* Remove from WAVE the hosts that have left the fleet: a complete list of the
@@ -352,7 +342,8 @@
 }
 
 static void
-run_wave (struct jb_planner *planner, jb_time now, struct wave *wave)
+run_wave (struct jb_planner *planner, jb_time now, struct wave *wave,
+          struct pool_table *table)
 {
   uint32_t down;
 
@@ -360,23 +351,25 @@
     return;
   remove_departed_hosts (planner, now, wave);
   report_wave (planner, now, wave);
+  if (planner->complete_list_started_at <= planner->claimed_at)
+    return;
   down = count_hosts_down (planner, wave);
-  while (down < wave->max_hosts_at_once
-         && planner->complete_list_started_at > planner->claimed_at)
-    {
-      struct fleet_host *host = choose_host (planner, now, wave);
-
-      if (host == NULL)
-        break;
-      host->wave = wave;
-      jb_planner_begin_evacuation (planner, now, host, PURPOSE_MAINTENANCE);
-      down++;
-    }
+  if (down < wave->max_hosts_at_once)
+    begin_maintenance (planner, now, wave, table,
+                       MIN (wave->max_hosts_at_once - down,
+                            g_hash_table_size (wave->remaining_hosts)));
 }
 
 void
 jb_planner_run_waves (struct jb_planner *planner, jb_time now)
 {
+  struct pool_table table;
+
+  if (planner->waves->len == 0)
+    return;
+  collect_pools (planner, &table);
   for (guint i = 0; i < planner->waves->len; i++)
-    run_wave (planner, now, g_ptr_array_index (planner->waves, i));
+    run_wave (planner, now, g_ptr_array_index (planner->waves, i), &table);
+  g_hash_table_destroy (table.indices);
+  g_array_free (table.pools, TRUE);
 }
--- a/packages/jobs/tests/test_jb_policies.c
+++ b/packages/jobs/tests/test_jb_policies.c
@@ -9,6 +9,7 @@
 #include "jb_place.h"
 #include "jb_rank.h"
 #include "jb_forecast.h"
+#include "jb_wave.h"
 
 #include <string.h>
 
@@ -306,6 +307,45 @@
   talloc_free (mem);
 }
 
+/* A wave of hosts in a pool in a surge, a calm one and a standby pool: idle
+   hosts of the calm pools come first, a calm pool spares a quarter of its
+   hosts and a standby pool half, and the surge keeps its hosts until the time
+   runs out.  */
+static void
+test_wave (void)
+{
+  static const struct jb_wave_pool initial_pools[]
+      = { { .hosts = 8, .utilisation = 0.9 },
+          { .hosts = 8, .utilisation = 0.1 },
+          { .hosts = 4, .standby = true } };
+  static const struct jb_wave_host hosts[]
+      = { { 0, true }, { 0, true }, { 0, true }, { 1, false }, { 1, false },
+          { 1, true }, { 2, true }, { 2, true }, { 2, true } };
+  static const struct jb_wave_time wave = { 0, 30 * JB_SECOND };
+  struct jb_wave_pool pools[G_N_ELEMENTS (initial_pools)];
+  uint32_t chosen[G_N_ELEMENTS (hosts)];
+
+  memcpy (pools, initial_pools, sizeof pools);
+  CU_ASSERT_EQUAL (jb_wave_choose (pools, hosts, G_N_ELEMENTS (hosts), &wave,
+                                   10 * JB_SECOND, chosen,
+                                   G_N_ELEMENTS (chosen)),
+                   4);
+  CU_ASSERT_EQUAL (chosen[0], 6);
+  CU_ASSERT_EQUAL (chosen[1], 7);
+  CU_ASSERT_EQUAL (chosen[2], 5);
+  CU_ASSERT_EQUAL (chosen[3], 3);
+  memcpy (pools, initial_pools, sizeof pools);
+  CU_ASSERT_EQUAL (jb_wave_choose (pools, hosts, G_N_ELEMENTS (hosts), &wave,
+                                   25 * JB_SECOND, chosen,
+                                   G_N_ELEMENTS (chosen)),
+                   6);
+  CU_ASSERT_EQUAL (pools[0].unavailable, 2);
+  memcpy (pools, initial_pools, sizeof pools);
+  CU_ASSERT_EQUAL (jb_wave_choose (pools, hosts, G_N_ELEMENTS (hosts), &wave,
+                                   10 * JB_SECOND, chosen, 3),
+                   3);
+}
+
 int
 main (void)
 {
@@ -318,6 +358,7 @@
           { "hosts move to a pool in need", test_rebalance },
           { "no host moves away while tasks wait", test_rebalance_waiting },
           { "hosts move ahead of a surge", test_rebalance_ahead },
+          { "idle hosts of calm pools are maintained first", test_wave },
           { "best-effort tasks slow down for services", test_throttle },
           { "placement by size, rack, label and limit", test_place },
           { NULL, NULL } };
