Park idle hosts also while another pool needs hosts

Cause: while any pool was short of a single host, no idle host was parked anywhere. On the large deployment some pool always is: 520 to 540 hosts stood in pools from second 4 to 34, of about 185 that the demand needed.

Ruled out: a lack of idle hosts; 40 to 150 were idle in the pools whose surge was over.

Change: hosts are parked after 1 s idle, or after 2 s while a pool is in need. A parked host is as soon in another pool as one that isn't. A standby pool spares a quarter of its hosts for a wave, like other pools.

--- a/packages/jobs/include/jb_wave.h
+++ b/packages/jobs/include/jb_wave.h
@@ -17,7 +17,6 @@
   /* Fraction of the pool's CPU capacity that its finite tasks use or wait
      for.  */
   double utilisation;
-  bool standby;
 };
 
 /* A host that the wave has yet to maintain and that could be taken out.  */
--- a/packages/jobs/src/jb_planner_wave.c
+++ b/packages/jobs/src/jb_planner_wave.c
@@ -220,8 +220,7 @@
   if (index == 0)
     {
       struct jb_wave_pool pool
-          = { .utilisation = pool_utilisation (planner, name),
-              .standby = jb_planner_is_standby (planner, name) };
+          = { .utilisation = pool_utilisation (planner, name) };
 
       g_array_append_val (table->pools, pool);
       index = table->pools->len;
--- a/packages/jobs/src/jb_rebalance.c
+++ b/packages/jobs/src/jb_rebalance.c
@@ -2,8 +2,11 @@
 
 #include <glib.h>
 
-/* A host may be parked when it has been idle for this long.  */
+/* A host may be parked when it has been idle for this long, or for the second
+   time while a pool needs more hosts: its need may still grow.  A parked host
+   is as soon in another pool as one that is not, except while it moves.  */
 #define MIN_IDLE_TO_PARK (1000 * JB_MS)
+#define MIN_IDLE_TO_PARK_IN_NEED (2000 * JB_MS)
 
 /* A pool keeps its home hosts if its next surge is expected within this time,
    plus SURGE_OVERDUE_AFTER, or if no surge is predicted.  */
@@ -138,6 +141,7 @@
   uint32_t standby = find_standby_pool (planned_pools, pool_count);
   uint32_t count = 0;
   bool any_missing = false;
+  jb_time min_idle;
 
   for (uint32_t to = 0; to < pool_count; to++)
     {
@@ -160,16 +164,16 @@
           moves[count++] = (struct jb_host_move){ i, to };
         }
     }
-  /* If no pool needs hosts, park those that are not needed.  */
-  for (uint32_t i = 0; !any_missing && standby < pool_count && i < host_count;
-       i++)
+  /* Park hosts that are not needed.  */
+  min_idle = any_missing ? MIN_IDLE_TO_PARK_IN_NEED : MIN_IDLE_TO_PARK;
+  for (uint32_t i = 0; standby < pool_count && i < host_count; i++)
     {
       struct jb_rebalance_pool *from = &planned_pools[hosts[i].pool];
 
       if (count == limit)
         break;
       if (chosen[i] || !hosts[i].available || !hosts[i].idle || from->standby
-          || now - hosts[i].idle_since < MIN_IDLE_TO_PARK
+          || now - hosts[i].idle_since < min_idle
           || (from->hosts + from->incoming_hosts <= from->home_hosts
               && !(from->surge_predicted
                    && from->next_surge - now > MIN_SURGE_DISTANCE_TO_PARK))
--- a/packages/jobs/src/jb_wave.c
+++ b/packages/jobs/src/jb_wave.c
@@ -4,10 +4,9 @@
 #include <stdlib.h>
 
 /* At most 1 / POOL_SHARE_DIVISOR of a pool's hosts, but at least one, may be
-   away at once; of a standby pool 1 / STANDBY_SHARE_DIVISOR, since the others
-   are needed when a surge starts.  */
+   away at once.  That holds for a standby pool as well: its hosts are needed
+   when a surge starts.  */
 #define POOL_SHARE_DIVISOR 4
-#define STANDBY_SHARE_DIVISOR 2
 
 /* A host is not taken out of a pool whose utilisation is above this, except in
    the last 1 / LATE_FRACTION_DIVISOR of the time in which the wave has to be
@@ -40,10 +39,7 @@
 static bool
 can_spare_host (const struct jb_wave_pool *pool)
 {
-  uint32_t divisor
-      = pool->standby ? STANDBY_SHARE_DIVISOR : POOL_SHARE_DIVISOR;
-
-  return pool->unavailable < MAX (pool->hosts / divisor, 1);
+  return pool->unavailable < MAX (pool->hosts / POOL_SHARE_DIVISOR, 1);
 }
 
 uint32_t
