Services of different steps share backend servers

Cause: each long-running task was put on a backend server without a service, so three jobs of 24 tasks held 72 of about 110 hosts of each pool of the large deployment: those can be neither lent nor parked.

Ruled out: packing as tried before (docs/jobs.md), which put the tasks of one step together: here each step stays spread over racks.

Change: a backend server with a service is preferred to one without, after the rack. A wave may take half of a pool when its time runs out.

--- a/packages/jobs/src/jb_place.c
+++ b/packages/jobs/src/jb_place.c
@@ -13,8 +13,12 @@
 /* For a best-effort task, per service on the backend server.  */
 #define PENALTY_BESIDE_SERVICE 1e2
 /* For a best-effort task, per other such task on the backend server; for a
-   long-running task, per service and best-effort task there.  */
+   long-running task, per best-effort task there.  */
 #define PENALTY_PER_NEIGHBOUR 10
+/* For a long-running task, on a backend server without services.  A backend
+   server with a service can't be moved to another pool or switched off, so
+   services of different steps share few of them.  */
+#define PENALTY_NO_SERVICE 5
 
 bool
 jb_place_is_allowed (const struct jb_task *task,
@@ -112,7 +116,8 @@
                  / (double)(backend->capacity.cpu_milli + 1);
   if (step->long_running)
     return result + PENALTY_SAME_RACK * count_in_rack (task, backend)
-           + PENALTY_PER_NEIGHBOUR * (services + best_effort_tasks)
+           + PENALTY_PER_NEIGHBOUR * best_effort_tasks
+           + (services == 0 ? PENALTY_NO_SERVICE : 0)
            - (double)available.cpu_milli
                  / (double)(backend->capacity.cpu_milli + 1);
   return result
--- a/packages/jobs/src/jb_wave.c
+++ b/packages/jobs/src/jb_wave.c
@@ -4,9 +4,11 @@
 #include <stdlib.h>
 
 /* At most 1 / POOL_SHARE_DIVISOR of a pool's hosts, but at least one, may be
-   away at once.  That holds for a standby pool as well: its hosts are needed
-   when a surge starts.  */
+   away at once, and 1 / LATE_POOL_SHARE_DIVISOR when time runs out.  That
+   holds for a standby pool as well: its hosts are needed when a surge
+   starts.  */
 #define POOL_SHARE_DIVISOR 4
+#define LATE_POOL_SHARE_DIVISOR 2
 
 /* A host is not taken out of a pool whose utilisation is above this, except in
    the last 1 / LATE_FRACTION_DIVISOR of the time in which the wave has to be
@@ -37,9 +39,11 @@
 
 /* Return whether one more host of POOL may be taken out.  */
 static bool
-can_spare_host (const struct jb_wave_pool *pool)
+can_spare_host (const struct jb_wave_pool *pool, bool is_late)
 {
-  return pool->unavailable < MAX (pool->hosts / POOL_SHARE_DIVISOR, 1);
+  uint32_t divisor = is_late ? LATE_POOL_SHARE_DIVISOR : POOL_SHARE_DIVISOR;
+
+  return pool->unavailable < MAX (pool->hosts / divisor, 1);
 }
 
 uint32_t
@@ -67,7 +71,7 @@
     {
       struct jb_wave_pool *pool = &pools[hosts[candidates[i].host].pool];
 
-      if (!can_spare_host (pool))
+      if (!can_spare_host (pool, is_late))
         continue;
       pool->unavailable++;
       chosen[count++] = candidates[i].host;
