Test: a planner that is cut off from its peers and still reaches the store

Operators of similar systems saw orders twice around a hand-over. 40 seeds: the former planner commands hosts until the store tells it, and no host gets commands of both within the lease.

--- a/tests/sim/jobs/test_jobs.c
+++ b/tests/sim/jobs/test_jobs.c
@@ -321,6 +321,17 @@
   check_and_free (world);
 }
 
+/* Return the index of the entry host that is the planner, or -1.  */
+static int
+find_planner (const struct jw_world *world)
+{
+  for (uint32_t i = 0; i < world->options.hosts; i++)
+    if (world->hosts[i].host != NULL
+        && jb_host_is_planner (world->hosts[i].host))
+      return (int)i;
+  return -1;
+}
+
 /* The planner is killed in the middle of a maintenance wave.  */
 static void
 test_wave_planner_killed (void)
@@ -329,24 +340,50 @@
     {
       struct jw_options options = small_fleet;
       struct jw_world *world;
+      int planner;
 
       options.seed = seed;
       world = create_world (&options);
       jw_start_wave (world, 2, 20000);
       jw_advance (world, (300 + 400 * seed) * JB_MS);
-      for (uint32_t i = 0; i < options.hosts; i++)
-        if (world->hosts[i].host != NULL
-            && jb_host_is_planner (world->hosts[i].host))
-          {
-            jw_host_kill (world, i);
-            break;
-          }
+      planner = find_planner (world);
+      CU_ASSERT_FATAL (planner >= 0);
+      jw_host_kill (world, (uint32_t)planner);
       jw_advance (world, 25 * JB_SECOND);
       CU_ASSERT (world->wave_completed);
       check_and_free (world);
     }
 }
 
+/* The planner is cut off from the other entry hosts in a maintenance wave, but
+   still reaches the store and commands hosts until it learns that another one
+   has taken over.  The other one must not command a host within the lease of
+   its last command.  */
+static void
+test_wave_planner_cut_off (void)
+{
+  for (uint32_t seed = 1; seed <= 40; seed++)
+    {
+      struct jw_options options = small_fleet;
+      struct jw_world *world;
+      int planner;
+
+      options.seed = seed;
+      options.backends = 8;
+      world = create_world (&options);
+      jw_start_wave (world, 2, 20000);
+      jw_advance (world, (200 + 37 * seed) * JB_MS);
+      planner = find_planner (world);
+      CU_ASSERT_FATAL (planner >= 0);
+      world->hosts[planner].peers_unreachable = true;
+      submit_many (world, 40, 150 * JB_MS);
+      world->hosts[planner].peers_unreachable = false;
+      jw_advance (world, 20 * JB_SECOND);
+      CU_ASSERT (world->wave_completed);
+      check_and_free (world);
+    }
+}
+
 static bool
 is_any_task_stopping (const struct jw_world *world)
 {
@@ -624,6 +661,8 @@
     { "views for operators", test_operators_views },
     { "maintenance wave", test_wave },
     { "the planner is killed in a wave", test_wave_planner_killed },
+    { "the planner is cut off from its peers in a wave",
+      test_wave_planner_cut_off },
     { "the owner stops while it moves long-running tasks",
       test_owner_stopped_during_moves },
     { "organisation limits over all pools", test_org_limit },
