List the hosts when the first of those away should be back

Cause: every executed command put off the next list of the hosts to when that host should return. On a large fleet commands follow each other without a pause, so hosts were listed every 5 to 12 s: hosts that had been maintained for 2 s counted as away for up to 12.5 s, moved ones too, and the wave stood still.

Ruled out: the number of commands a second that the platform takes (310), and the disruption budgets: no evacuation was under way from second 13 to 24.

Change: the list is due when the first host that is away should have returned, at most four times a second. The disruption budget counts a task as unavailable also when no probe has reported it for 1.2 s or its backend server is not listed, and a long-running task whose start was not answered is not stopped before a probe shows where it is.

--- a/packages/jobs/src/jb_planner.c
+++ b/packages/jobs/src/jb_planner.c
@@ -13,11 +13,14 @@
    store to confirm it.  */
 #define OWNERSHIP_VERIFY_AFTER (800 * JB_MS)
 
-/* Time between two lists of the hosts: while a host is away or its command is
-   in flight, and otherwise.  */
+/* Time between two lists of the hosts: while a host is expected to return, and
+   otherwise.  */
 #define HOST_LIST_INTERVAL_AWAY (250 * JB_MS)
 #define HOST_LIST_INTERVAL (2000 * JB_MS)
 
+/* A host is listed as having returned this long after it should have.  */
+#define RETURN_MARGIN (60 * JB_MS)
+
 /* Time between two requests to a pool's owner to evacuate a host.  */
 #define EVACUATION_REQUEST_INTERVAL (200 * JB_MS)
 
@@ -382,28 +385,45 @@
                     hosts_listed, planner);
 }
 
-/* Return whether a host is away or its command is in flight.  */
-static bool
-is_any_host_away (const struct jb_planner *planner)
+/* Return when HOST, whose command is in flight or executed, is expected to be
+   listed as having returned.  */
+static jb_time
+expected_return (const struct jb_planner *planner,
+                 const struct fleet_host *host)
+{
+  const struct jb_bounds *bounds = planner->options.bounds;
+
+  return host->phase_started_at
+         + (host->purpose == PURPOSE_MOVE ? bounds->host_move_ms
+                                          : bounds->maintenance_ms)
+               * JB_MS
+         + RETURN_MARGIN;
+}
+
+/* Return when the next list of the hosts is due.  */
+static jb_time
+host_list_due_at (const struct jb_planner *planner)
 {
+  jb_time earliest = planner->list_requested_at + HOST_LIST_INTERVAL_AWAY;
+  jb_time due = planner->list_requested_at + HOST_LIST_INTERVAL;
   GHashTableIter iter;
   gpointer value;
 
+  if (planner->list_requested_at == 0)
+    return 0;
   g_hash_table_iter_init (&iter, planner->hosts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (((struct fleet_host *)value)->phase >= PHASE_COMMANDED)
-      return true;
-  return false;
+      due = MIN (due, MAX (earliest, expected_return (planner, value)));
+  return due;
 }
 
 static void
 list_hosts (struct jb_planner *planner, jb_time now)
 {
-  if (planner->list_in_flight || now < planner->next_list)
+  if (planner->list_in_flight || now < host_list_due_at (planner))
     return;
-  planner->next_list = now
-                       + (is_any_host_away (planner) ? HOST_LIST_INTERVAL_AWAY
-                                                     : HOST_LIST_INTERVAL);
+  planner->list_requested_at = now;
   list_page (planner, now);
 }
 
@@ -456,13 +476,6 @@
   host->phase = PHASE_AWAY;
   host->phase_started_at = now;
   replace_string (host, &host->instance_at_command, host->instance);
-  /* List the hosts shortly after HOST is expected back.  */
-  planner->next_list = now
-                       + (host->purpose == PURPOSE_MOVE
-                              ? planner->options.bounds->host_move_ms
-                              : planner->options.bounds->maintenance_ms)
-                             * JB_MS
-                       + HOST_LIST_INTERVAL_AWAY / 4;
   planner->options.notify_arrival (
       planner->options.data, now,
       host->purpose == PURPOSE_MOVE ? host->target_pool : host->pool);
--- a/packages/jobs/src/jb_planner_internal.h
+++ b/packages/jobs/src/jb_planner_internal.h
@@ -133,7 +133,7 @@
   /* List of the hosts of the fleet, read page by page.  */
   bool list_in_flight;
   char *next_page; /* token of the next page; NULL: the first one */
-  jb_time next_list;
+  jb_time list_requested_at; /* when the newest one was requested; 0: none */
   jb_time list_started_at;          /* when its first page was requested */
   jb_time complete_list_started_at; /* same of the last complete list */
 };
--- a/packages/jobs/src/jb_pool_evacuate.c
+++ b/packages/jobs/src/jb_pool_evacuate.c
@@ -13,6 +13,10 @@
    time it has left the list of backend servers.  */
 #define REMOVED_HOST_CORDON_PERIOD (20 * JB_SECOND)
 
+/* A task counts as available for this long after a probe has reported that it
+   is ready.  A backend server with runs is probed twice a second.  */
+#define MAX_REPORT_AGE (1200 * JB_MS)
+
 /* Time that a probe may take to report the end of a stopped run.  */
 #define STOP_REPORT_MARGIN_MS 250
 
@@ -29,6 +33,18 @@
                        * JB_MS;
 }
 
+/* Return whether TASK may be unavailable, now or soon: it is not known to be
+   ready, may be stopping, or its lease is not being extended.  */
+static bool
+may_be_unavailable (const struct jb_pool *pool, const struct jb_task *task,
+                    jb_time now)
+{
+  return task->state != JB_RUN_RUNNING || task->ready_percent < 100
+         || now - task->reported_at > MAX_REPORT_AGE
+         || task->backend->unanswered_probes > 0 || !task->backend->listed
+         || may_be_stopping (pool, task, now);
+}
+
 /* Return how many other tasks of TASK's group are unavailable, or may be.  */
 static uint32_t
 count_others_unavailable (const struct jb_pool *pool,
@@ -41,10 +57,7 @@
     {
       const struct jb_task *other = &group->tasks[i];
 
-      if (other != task
-          && (other->state != JB_RUN_RUNNING || other->ready_percent < 100
-              || other->backend->unanswered_probes > 0
-              || may_be_stopping (pool, other, now)))
+      if (other != task && may_be_unavailable (pool, other, now))
         unavailable++;
     }
   return unavailable;
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -218,7 +218,8 @@
                                 struct jb_backend *backend, const char *task,
                                 uint32_t run, jb_time now);
 /* Send stops that were not answered in time again, and stop runs whose start
-   was not answered.  */
+   was not answered.  Long-running tasks are not stopped like that: they may be
+   ready by now, and then only the disruption budget allows to stop them.  */
 void jb_pool_resend_stops (struct jb_pool *pool, jb_time now);
 /* Return whether tasks may be started on BACKEND.  */
 bool jb_pool_backend_is_usable (const struct jb_pool *pool,
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -177,6 +177,7 @@
           && ((task->state == JB_RUN_STOPPING
                && now - task->last_attempt_at >= STOP_RETRY_DELAY)
               || (task->state == JB_RUN_UNCONFIRMED
+                  && !jb_task_step (task)->long_running
                   && now - task->last_attempt_at >= UNCONFIRMED_STOP_DELAY)))
         jb_pool_stop_run (pool, task, now, "no answer yet");
 }
