--- a/packages/jobs/src/jb_rebalance.c
+++ b/packages/jobs/src/jb_rebalance.c
@@ -84,13 +84,14 @@
                        + pool->long_running_cpu_milli;
 }
 
-/* Return how suitable a host of POOL is for a move; higher is better.  */
+/* Return how suitable a host of POOL is for a move; higher is better.  A
+   borrowed host that idles costs more than one in a standby pool.  */
 static int
 donor_preference (const struct jb_rebalance_pool *pool)
 {
   if (pool->standby)
-    return 3;
-  return pool->hosts > pool->home_hosts ? 2 : 1;
+    return 2;
+  return pool->hosts > pool->home_hosts ? 3 : 1;
 }
 
 /* Return the index of the host to move to the pool with index TO, or
