--- a/packages/jobs/include/jb_rebalance.h
+++ b/packages/jobs/include/jb_rebalance.h
@@ -27,9 +27,9 @@
   uint32_t incoming_hosts;        /* number that are moving to it */
   int64_t host_cpu_milli;         /* capacity of one host; 0: unknown */
   bool surge_predicted;           /* not in a surge, and next_surge is known */
-  jb_time next_surge; /* when it is expected to start; JB_NEVER: not known */
-  int64_t surge_peak_cpu_milli; /* highest demand in its last surge */
-  int64_t arriving_cpu_milli;   /* see struct jb_msg_load */
+  jb_time next_surge;             /* when it is expected to start */
+  int64_t surge_peak_cpu_milli;   /* highest demand in its last surge */
+  int64_t arriving_cpu_milli;     /* see struct jb_msg_load */
 };
 
 struct jb_rebalance_host
--- a/packages/jobs/src/jb_rebalance.c
+++ b/packages/jobs/src/jb_rebalance.c
@@ -9,7 +9,7 @@
 #define MIN_IDLE_TO_PARK_IN_NEED (2000 * JB_MS)
 
 /* A pool keeps its home hosts if its next surge is expected within this time,
-   plus SURGE_OVERDUE_AFTER.  */
+   plus SURGE_OVERDUE_AFTER, or if no surge is predicted.  */
 #define KEEP_BEFORE_SURGE (2500 * JB_MS)
 
 /* Hosts are moved to a pool this long before its next surge is expected.  */
@@ -31,14 +31,6 @@
    pool for two to three seconds.  */
 #define MIN_SURGE_DISTANCE_TO_PARK (6000 * JB_MS)
 
-/* A pool whose next surge is not known keeps this fraction of its home hosts,
-   so that it can wait for more when the surge starts.  */
-#define UNKNOWN_SURGE_DIVISOR 2
-
-/* A pool with fewer hosts than its home hosts gets enough of them back for
-   this multiple of its demand: surges grow fast.  */
-#define GROWTH_RESERVE_FACTOR 2
-
 /* A pool from which a host is taken keeps the capacity for its long-running
    tasks and for this multiple of what its finite tasks use.  */
 #define DONOR_RESERVE_FACTOR 2
@@ -62,9 +54,6 @@
   if (pool->surge_predicted && now > pool->next_surge - MOVE_AHEAD_OF_SURGE
       && now < pool->next_surge + SURGE_OVERDUE_AFTER)
     demand = MAX (demand, pool->surge_peak_cpu_milli);
-  demand = MAX (demand, MIN (GROWTH_RESERVE_FACTOR * demand,
-                             pool->home_hosts * pool->host_cpu_milli
-                                 - pool->long_running_cpu_milli));
   missing = demand + pool->long_running_cpu_milli - capacity;
   missing = MIN (missing,
                  GROWTH_LIMIT_FACTOR * pool->home_hosts * pool->host_cpu_milli
@@ -75,31 +64,21 @@
                     / pool->host_cpu_milli);
 }
 
-/* Return how many hosts POOL keeps at NOW although they may be idle.
-   MIN_DISTANCE is how far away its next surge must be for it to keep only
-   one.  */
-static uint32_t
-count_kept_hosts (const struct jb_rebalance_pool *pool, jb_time now,
-                  jb_time min_distance)
-{
-  if (pool->standby)
-    return 0;
-  if (pool->next_surge == JB_NEVER)
-    return MAX (pool->home_hosts / UNKNOWN_SURGE_DIVISOR, 1);
-  if (pool->surge_predicted
-      && (now > pool->next_surge + SURGE_OVERDUE_AFTER
-          || pool->next_surge - now > min_distance))
-    return 1;
-  return pool->home_hosts;
-}
-
-/* Return whether a host may leave POOL, which keeps KEPT hosts.  */
+/* Return whether a host may leave POOL.  */
 static bool
-can_donate_host (const struct jb_rebalance_pool *pool, uint32_t kept)
+can_donate_host (const struct jb_rebalance_pool *pool, jb_time now)
 {
+  bool surge_is_distant = pool->surge_predicted
+                                  && now > pool->next_surge - KEEP_BEFORE_SURGE
+                                               - SURGE_OVERDUE_AFTER
+                              ? now > pool->next_surge + SURGE_OVERDUE_AFTER
+                              : pool->surge_predicted;
+
   if (pool->standby)
     return true;
-  return pool->known && pool->waiting_cpu_milli == 0 && pool->hosts > kept
+  return pool->known && pool->waiting_cpu_milli == 0
+         && (pool->hosts > pool->home_hosts
+             || (surge_is_distant && pool->hosts > 1))
          && pool->capacity_cpu_milli - pool->host_cpu_milli
                 >= DONOR_RESERVE_FACTOR * pool->finite_cpu_milli
                        + pool->long_running_cpu_milli;
@@ -130,10 +109,7 @@
       const struct jb_rebalance_pool *pool = &pools[hosts[i].pool];
 
       if (chosen[i] || !hosts[i].available || !hosts[i].idle
-          || hosts[i].pool == to
-          || !can_donate_host (
-              pool, count_kept_hosts (
-                        pool, now, KEEP_BEFORE_SURGE + SURGE_OVERDUE_AFTER)))
+          || hosts[i].pool == to || !can_donate_host (pool, now))
         continue;
       if (best == host_count
           || donor_preference (pool)
@@ -194,14 +170,15 @@
   for (uint32_t i = 0; standby < pool_count && i < host_count; i++)
     {
       struct jb_rebalance_pool *from = &planned_pools[hosts[i].pool];
-      uint32_t kept = count_kept_hosts (from, now, MIN_SURGE_DISTANCE_TO_PARK);
 
       if (count == limit)
         break;
       if (chosen[i] || !hosts[i].available || !hosts[i].idle || from->standby
           || now - hosts[i].idle_since < min_idle
-          || from->hosts + from->incoming_hosts <= kept
-          || !can_donate_host (from, kept))
+          || (from->hosts + from->incoming_hosts <= from->home_hosts
+              && !(from->surge_predicted
+                   && from->next_surge - now > MIN_SURGE_DISTANCE_TO_PARK))
+          || !can_donate_host (from, now))
         continue;
       from->capacity_cpu_milli -= from->host_cpu_milli;
       from->hosts--;
