A takeover waits only for backend servers that the predecessor left

The new owner found entries of backend servers whose hosts had been taken out, wrote them into its own roster, and then waited for leases there that nobody had granted.

Ruled out: dark racks; of the silent ones looked up, all had been evacuated before.

Change: only what the predecessor's roster lists is waited for, and a backend server enters the roster after its first answer.

--- a/packages/jobs/include/jb_backend.h
+++ b/packages/jobs/include/jb_backend.h
@@ -41,6 +41,9 @@
   jb_time missing_since;
   /* It is in the stored roster, so a new owner will know of it.  */
   bool in_roster;
+  /* It is in the roster that the previous owner left, so that owner may have
+     started tasks there.  */
+  bool inherited;
   /* Nothing can run there, so it is left out of the roster.  */
   bool excluded_from_roster;
   int64_t started_unix_ms; /* Unix time of its start; 0: not reported */
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -665,7 +665,6 @@
       backend = jb_backend_new (pool, entry);
       backend->idle_since = now;
       g_hash_table_insert (pool->backends, backend->instance, backend);
-      pool->roster_dirty = true;
       jb_log (pool->options.driver, JB_LEVEL_INFO, "backend-found", "backend",
               entry->instance, "pool", pool->options.name, "rack",
               backend->rack, NULL);
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -382,6 +382,8 @@
   backend->probe_clock_ms = reply->backend_clock_ms;
   jb_backend_record_clock (backend, now, reply->backend_clock_ms);
   backend->unanswered_probes = 0;
+  if (!backend->probed && !backend->in_roster)
+    pool->roster_dirty = true;
   backend->probed = true;
   if (backend->excluded_from_roster)
     {
--- a/packages/jobs/src/jb_pool_quota.c
+++ b/packages/jobs/src/jb_pool_quota.c
@@ -31,7 +31,7 @@
     {
       const struct jb_backend *backend = value;
 
-      if (backend->in_roster && !backend->probed
+      if (backend->inherited && !backend->probed
           && backend->unanswered_probes < JB_SILENT_AFTER_PROBES)
         return false;
     }
--- a/packages/jobs/src/jb_pool_roster.c
+++ b/packages/jobs/src/jb_pool_roster.c
@@ -1,7 +1,8 @@
 /* The roster: a stored row that lists the backend servers where tasks may run.
-   Nothing is started on a backend server that is not in the roster, and a
-   backend server leaves it when nothing can run there any more, since all
-   leases there have expired or its host was removed.  So a new owner only
+   Nothing is started on a backend server that is not in the roster.  A backend
+   server enters it after its first answer to a probe, and leaves it when
+   nothing can run there any more, since all leases there have expired or its
+   host was removed.  So a new owner only
    needs to probe the backend servers in the roster before it starts any task
    again.  The platform's list is no substitute: it may lack backend servers
    that still run tasks.  */
@@ -88,6 +89,7 @@
     {
       /* The platform's list, which contains it, arrived before the roster.  */
       backend->in_roster = true;
+      backend->inherited = true;
       return;
     }
   backend = jb_backend_new (pool, &entry);
@@ -95,6 +97,7 @@
   backend->listed = true;
   backend->listed_at = now;
   backend->in_roster = true;
+  backend->inherited = true;
   g_hash_table_insert (pool->backends, backend->instance, backend);
 }
 
@@ -191,7 +194,8 @@
     {
       struct jb_backend *backend = value;
 
-      if (backend->excluded_from_roster)
+      if (backend->excluded_from_roster
+          || (!backend->in_roster && !backend->probed))
         continue;
       roster.backends[roster.count++]
           = (struct saved_backend){ .instance = backend->instance,
--- a/packages/jobs/src/jb_pool_takeover.c
+++ b/packages/jobs/src/jb_pool_takeover.c
@@ -215,7 +215,7 @@
     {
       g_hash_table_iter_init (&iter, pool->backends);
       while (g_hash_table_iter_next (&iter, NULL, &value))
-        if (((struct jb_backend *)value)->in_roster
+        if (((struct jb_backend *)value)->inherited
             && !((struct jb_backend *)value)->probed)
           unprobed++;
       if (unprobed > 0)
--- a/tests/sim/jobs/jw_backend.c
+++ b/tests/sim/jobs/jw_backend.c
@@ -565,6 +565,7 @@
   while (backend->runs->len > 0)
     remove_run (world, backend, g_ptr_array_index (backend->runs, 0));
   backend->up = false;
+  backend->ended_at = world->now;
 }
 
 /* The host is up again, with a new backend server.  */
--- a/tests/sim/jobs/jw_store.c
+++ b/tests/sim/jobs/jw_store.c
@@ -12,6 +12,9 @@
   BACKENDS_PER_PAGE = 5 /* few, so that all lists have several pages */
 };
 
+/* How long the entry of a backend server remains after its end.  */
+#define ENTRY_LIFETIME (4500 * JB_MS)
+
 struct jw_row
 {
   char *table;
@@ -196,7 +199,8 @@
     {
       struct jw_backend *backend = g_ptr_array_index (world->backends, i);
 
-      if (backend->up && !backend->unlisted
+      if ((backend->up || world->now < backend->ended_at + ENTRY_LIFETIME)
+          && !backend->unlisted
           && (first_key == NULL || strcmp (backend->instance, first_key) >= 0))
         g_ptr_array_add (sorted, backend);
     }
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -127,6 +127,7 @@
   char *host; /* name of its host in the fleet */
   uint32_t pool;
   bool up;
+  jb_time ended_at; /* when it went down */
   bool unreachable; /* although it is up */
   bool unlisted;    /* its entry in the store has expired */
   bool draining;
--- a/tests/sim/jobs/test_jobs.c
+++ b/tests/sim/jobs/test_jobs.c
@@ -355,6 +355,60 @@
     }
 }
 
+/* Return whether the host of a backend server of POOL is in maintenance.  */
+static bool
+is_any_host_maintained (const struct jw_world *world, uint32_t pool)
+{
+  for (guint i = 0; i < world->fleet->len; i++)
+    {
+      const struct jw_fleet_host *host = g_ptr_array_index (world->fleet, i);
+
+      if (host->pool == pool && host->state == JB_HOST_MAINTENANCE)
+        return true;
+    }
+  return false;
+}
+
+/* The owner of a pool is killed while a host of the pool is maintained.  The
+   host's backend server has left the roster but is still listed, and the new
+   owner must not wait for the expiry of leases there.  */
+static void
+test_owner_killed_in_wave (void)
+{
+  for (uint32_t seed = 1; seed <= 5; seed++)
+    {
+      struct jw_job_options job = short_job;
+      struct jw_options options = small_fleet;
+      struct jw_world *world;
+      int owner;
+
+      options.seed = seed;
+      world = create_world (&options);
+      jw_start_wave (world, 2, 20000);
+      while (!is_any_host_maintained (world, 0))
+        jw_advance (world, 50 * JB_MS);
+      job.step_count = 4;
+      jw_submit_job (world, &job);
+      jw_advance (world, 300 * JB_MS);
+      owner = jw_pool_owner (world, 0);
+      CU_ASSERT_FATAL (owner >= 0);
+      jw_host_kill (world, (uint32_t)owner);
+      /* Some probes are lost, so the new owner has read the list of backend
+         servers before it has probed all that answer.  */
+      world->loss_permille.backend_commands = 300;
+      jw_advance (world, 1500 * JB_MS);
+      world->loss_permille.backend_commands = 0;
+      /* The takeover takes 1.1 s and some lost probes, and the job at most
+         2.4 s more.  */
+      jw_advance (world, 3 * JB_SECOND);
+      jw_query_all_jobs (world);
+      jw_advance (world, 500 * JB_MS);
+      CU_ASSERT (jw_have_all_jobs_ended (world));
+      jw_advance (world, 12 * JB_SECOND);
+      check_and_free (world);
+    }
+}
+
 /* The planner is cut off from the other entry hosts in a maintenance wave, but
    still reaches the store and commands hosts until it learns that another one
    has taken over.  The other one must not command a host within the lease of
@@ -661,6 +715,7 @@
     { "views for operators", test_operators_views },
     { "maintenance wave", test_wave },
     { "the planner is killed in a wave", test_wave_planner_killed },
+    { "the owner is killed in a wave", test_owner_killed_in_wave },
     { "the planner is cut off from its peers in a wave",
       test_wave_planner_cut_off },
     { "the owner stops while it moves long-running tasks",
