Split the roster over rows, and bound batches by their bytes

Cause, found by reading: a pool's roster is one row of at most 64 KB, so some 600 backend servers would make each write fail for ever, and with it all further writes of the pool. A batch of 28 jobs may exceed the 1 MB of a transaction.

Change: 200 backend servers a row, all in one transaction; no further job after 500,000 bytes. The emulator refuses rows and transactions that are too large.

--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -94,6 +94,7 @@
   GHashTable *backends; /* instance -> struct jb_backend */
   bool roster_dirty;    /* the stored roster is out of date */
   bool roster_write_in_flight;
+  uint32_t roster_row_count; /* number of rows of the stored roster */
   uint64_t list_number; /* number of lists of which the first page came */
   jb_time list_requested_at; /* when the newest of them was requested */
   struct jb_backend **usable_backends; /* rebuilt in each scheduling cycle */
--- a/packages/jobs/src/jb_pool_roster.c
+++ b/packages/jobs/src/jb_pool_roster.c
@@ -1,4 +1,6 @@
-/* The roster: a stored row that lists the backend servers where tasks may run.
+/* The roster: stored rows that list the backend servers where tasks may run.
+   A row is limited in size, so each holds some of them, and all are written in
+   one transaction.
    Nothing is started on a backend server that is not in the roster.  A backend
    server enters it after its first answer to a probe, and leaves it when
    nothing can run there any more, since all leases there have expired or its
@@ -10,12 +12,18 @@
 #include "jb_pool_internal.h"
 
 #define ROSTER_TABLE "roster"
+/* Key of the first row; the others are this, a dot and the number of the
+   row.  */
 #define ROSTER_KEY "backends"
 #define STORE_READ_TIMEOUT_MS 1500
 
 enum
 {
   MAX_ROSTER_BACKENDS = 100000,
+  /* Small enough for the row with about 250 bytes for each.  */
+  ROSTER_BACKENDS_PER_ROW = 200,
+  /* A pool that needs more has too many backend servers for one owner.  */
+  MAX_ROSTER_ROWS = JB_OWNERSHIP_MAX_WRITE_ROWS / 2,
   MAX_LABELS_PER_BACKEND = 100
 };
 
@@ -105,6 +113,7 @@
 jb_pool_load_roster (struct jb_pool *pool, jb_time now,
                      const struct jb_reply *reply)
 {
+  pool->roster_row_count = reply->row_count;
   for (uint32_t i = 0; i < reply->row_count; i++)
     {
       struct saved_roster roster = { 0 };
@@ -166,15 +175,64 @@
   pool->roster_dirty = true;
 }
 
+/* Return whether BACKEND belongs in the roster.  */
+static bool
+belongs_in_roster (const struct jb_backend *backend)
+{
+  return !backend->excluded_from_roster
+         && (backend->in_roster || backend->probed);
+}
+
+static char *
+roster_key (TALLOC_CTX *mem, uint32_t row)
+{
+  return row == 0 ? talloc_strdup (mem, ROSTER_KEY)
+                  : talloc_asprintf (mem, ROSTER_KEY ".%u", row);
+}
+
+/* Write the COUNT BACKENDS as the roster, and delete the rows that the last
+   roster had in addition.  The rows are encoded in memory of MEM.  */
+static void
+write_roster_rows (struct jb_pool *pool, TALLOC_CTX *mem, jb_time now,
+                   struct saved_backend *backends, uint32_t count,
+                   struct roster_write *roster_write)
+{
+  struct jb_row set[MAX_ROSTER_ROWS];
+  struct jb_row removed[MAX_ROSTER_ROWS];
+  uint32_t set_count = 0;
+  uint32_t removed_count = 0;
+
+  for (uint32_t first = 0; first == 0 || first < count;
+       first += ROSTER_BACKENDS_PER_ROW)
+    {
+      struct saved_roster saved
+          = { MIN (count - first, ROSTER_BACKENDS_PER_ROW), &backends[first] };
+
+      set[set_count] = (struct jb_row){
+        .table = ROSTER_TABLE,
+        .partition = pool->partition,
+        .key = roster_key (mem, set_count),
+        .value = ba_codec_encode (mem, serialize_saved_roster, &saved)
+      };
+      set_count++;
+    }
+  for (uint32_t i = set_count; i < pool->roster_row_count; i++)
+    removed[removed_count++] = (struct jb_row){ .table = ROSTER_TABLE,
+                                                .partition = pool->partition,
+                                                .key = roster_key (mem, i) };
+  pool->roster_row_count = set_count;
+  jb_ownership_write (pool->ownership, now, set, set_count, removed,
+                      removed_count, handle_roster_written, roster_write);
+}
+
 void
 jb_pool_write_roster (struct jb_pool *pool, jb_time now)
 {
-  guint count = g_hash_table_size (pool->backends);
-  struct jb_row row = { .table = ROSTER_TABLE,
-                        .partition = pool->partition,
-                        .key = ROSTER_KEY };
+  guint limit = MIN (g_hash_table_size (pool->backends),
+                     MAX_ROSTER_ROWS * ROSTER_BACKENDS_PER_ROW);
   struct roster_write *roster_write;
-  struct saved_roster roster = { 0 };
+  struct saved_backend *backends;
+  uint32_t count = 0;
   GHashTableIter iter;
   gpointer value;
 
@@ -186,30 +244,31 @@
   pool->roster_write_in_flight = true;
   roster_write = talloc_zero (pool->ownership, struct roster_write);
   roster_write->pool = pool;
-  roster_write->instances = talloc_array (roster_write, char *, count + 1);
-  roster.backends
-      = talloc_zero_array (roster_write, struct saved_backend, count + 1);
-  g_hash_table_iter_init (&iter, pool->backends);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  roster_write->instances = talloc_array (roster_write, char *, limit + 1);
+  backends = talloc_zero_array (roster_write, struct saved_backend, limit + 1);
+  /* Those that are in the roster already first: tasks may run there.  */
+  for (int in_roster = 1; in_roster >= 0; in_roster--)
     {
-      struct jb_backend *backend = value;
-
-      if (backend->excluded_from_roster
-          || (!backend->in_roster && !backend->probed))
-        continue;
-      roster.backends[roster.count++]
-          = (struct saved_backend){ .instance = backend->instance,
-                                    .address = backend->address,
-                                    .zone = backend->zone,
-                                    .label_count = backend->label_count,
-                                    .labels = backend->labels,
-                                    .capacity = backend->capacity,
-                                    .started_unix_ms
-                                    = backend->started_unix_ms };
-      roster_write->instances[roster_write->count++]
-          = talloc_strdup (roster_write, backend->instance);
+      g_hash_table_iter_init (&iter, pool->backends);
+      while (count < limit && g_hash_table_iter_next (&iter, NULL, &value))
+        {
+          struct jb_backend *backend = value;
+
+          if (!belongs_in_roster (backend)
+              || backend->in_roster != (in_roster == 1))
+            continue;
+          backends[count++]
+              = (struct saved_backend){ .instance = backend->instance,
+                                        .address = backend->address,
+                                        .zone = backend->zone,
+                                        .label_count = backend->label_count,
+                                        .labels = backend->labels,
+                                        .capacity = backend->capacity,
+                                        .started_unix_ms
+                                        = backend->started_unix_ms };
+          roster_write->instances[roster_write->count++]
+              = talloc_strdup (roster_write, backend->instance);
+        }
     }
-  row.value = ba_codec_encode (roster_write, serialize_saved_roster, &roster);
-  jb_ownership_write (pool->ownership, now, &row, 1, NULL, 0,
-                      handle_roster_written, roster_write);
+  write_roster_rows (pool, roster_write, now, backends, count, roster_write);
 }
--- a/packages/jobs/src/jb_pool_store.c
+++ b/packages/jobs/src/jb_pool_store.c
@@ -11,7 +11,10 @@
 {
   /* With at most three rows each, a batch stays below
      JB_OWNERSHIP_MAX_WRITE_ROWS.  */
-  MAX_JOBS_PER_BATCH = 28
+  MAX_JOBS_PER_BATCH = 28,
+  /* A batch with more bytes than this gets no further job.  A transaction may
+     have 1 MB, as text that is a third longer than its content.  */
+  MAX_BATCH_BYTES = 500000
 };
 
 /* Unit of work in the log: a core for one second.  */
@@ -187,6 +190,7 @@
   struct jb_row removed[2 * MAX_JOBS_PER_BATCH];
   uint32_t set_count = 0;
   uint32_t removed_count = 0;
+  size_t bytes = 0;
   struct ba_bytes no_value = { NULL, 0 };
   struct jb_write_batch *batch;
 
@@ -196,7 +200,8 @@
   batch = talloc_zero (pool->ownership, struct jb_write_batch);
   batch->pool = pool;
   batch->created_at = now;
-  while (pool->dirty_jobs->len > 0 && batch->job_count < MAX_JOBS_PER_BATCH)
+  while (pool->dirty_jobs->len > 0 && batch->job_count < MAX_JOBS_PER_BATCH
+         && bytes < MAX_BATCH_BYTES)
     {
       struct jb_job *job = g_ptr_array_index (pool->dirty_jobs, 0);
       struct written_job *written = &batch->jobs[batch->job_count++];
@@ -227,6 +232,7 @@
           add_row (pool, batch, set, &set_count, job, JB_KEY_SUFFIX_PROGRESS,
                    jb_job_encode_progress (batch, job));
         }
+      bytes += set[set_count - 1].value.len;
     }
   if (pool->dirty_jobs->len == 0)
     {
--- a/tests/sim/jobs/jw_store.c
+++ b/tests/sim/jobs/jw_store.c
@@ -9,7 +9,10 @@
 enum
 {
   MAX_ROWS_PER_READ = 50,
-  BACKENDS_PER_PAGE = 5 /* few, so that all lists have several pages */
+  BACKENDS_PER_PAGE = 5, /* few, so that all lists have several pages */
+  MAX_ROW_BYTES = 65536,
+  MAX_TRANSACTION_BYTES = 750000, /* 1 MB as base64 */
+  MAX_TRANSACTION_ROWS = 100
 };
 
 /* How long the entry of a backend server remains after its end.  */
@@ -85,12 +88,36 @@
 
 /* Carry out the write if all rows have the expected versions.  Otherwise the
    result is JB_RESULT_CONFLICT, with the current versions of these rows.  */
+/* Return whether WRITE keeps the store's limits on the size of a row, and on
+   the number of rows and bytes of a transaction.  */
+static bool
+keeps_limits (const struct jb_command_write *write)
+{
+  size_t bytes = 0;
+
+  for (uint32_t i = 0; i < write->set_count; i++)
+    {
+      if (write->set_rows[i].value.len > MAX_ROW_BYTES)
+        return false;
+      bytes += write->set_rows[i].value.len;
+    }
+  return bytes <= MAX_TRANSACTION_BYTES
+         && write->expected_count + write->set_count + write->removed_count
+                <= MAX_TRANSACTION_ROWS;
+}
+
 static void
 write_rows (struct jw_world *world, const struct jb_command_write *write,
             struct jb_reply *reply)
 {
   guint at;
 
+  if (!keeps_limits (write))
+    {
+      jw_report_violation (world, "SIZE", "a transaction is too large");
+      reply->result = JB_RESULT_INVALID;
+      return;
+    }
   for (uint32_t i = 0; i < write->expected_count; i++)
     {
       const struct jb_row *row = &write->expected_rows[i];
--- a/tests/sim/jobs/test_large_fleet.c
+++ b/tests/sim/jobs/test_large_fleet.c
@@ -199,6 +199,31 @@
     }
 }
 
+/* A pool has so many backend servers that their roster does not fit into one
+   row of the store.  A new owner takes it over with the tasks that run.  */
+static void
+test_large_roster (void)
+{
+  struct jw_options options = { .seed = 1,
+                                .hosts = 3,
+                                .pools = 1,
+                                .backends = 1500,
+                                .backend_cpu_milli = 2000,
+                                .verbose = getenv ("JW_VERBOSE") != NULL };
+  struct jw_world *world = jw_world_new (&options);
+  int owner;
+
+  jw_advance (world, 6 * JB_SECOND);
+  submit_many (world, 30, 20 * JB_MS);
+  owner = jw_pool_owner (world, 0);
+  CU_ASSERT_FATAL (owner >= 0);
+  jw_host_kill (world, (uint32_t)owner);
+  submit_many (world, 30, 100 * JB_MS);
+  jw_advance (world, 8 * JB_SECOND);
+  CU_ASSERT (world->task_starts >= 60 * 8);
+  check_and_free (world);
+}
+
 int
 main (void)
 {
@@ -207,6 +232,7 @@
           { "all coordinators are killed", test_coordinators_killed },
           { "all coordinators lose the store",
             test_coordinators_cut_off_from_store },
+          { "a roster that fills several rows", test_large_roster },
           { "most hosts are killed", test_most_hosts_killed },
           { NULL, NULL } };
 
