--- a/tests/sim/jobs/jw_store.c
+++ b/tests/sim/jobs/jw_store.c
@@ -10,7 +10,7 @@
 {
   MAX_ROWS_PER_READ = 50,
   BACKENDS_PER_PAGE = 5, /* few, so that all lists have several pages */
-  MAX_ROW_BYTES = 16384, /* a quarter of the platform's limit */
+  MAX_ROW_BYTES = 8192, /* an eighth of the limit of the platform */
   MAX_TRANSACTION_BYTES = 750000, /* 1 MB as base64 */
   MAX_TRANSACTION_ROWS = 100
 };
--- a/tests/sim/jobs/test_large_fleet.c
+++ b/tests/sim/jobs/test_large_fleet.c
@@ -207,7 +207,7 @@
   struct jw_options options = { .seed = 1,
                                 .hosts = 3,
                                 .pools = 1,
-                                .backends = 500,
+                                .backends = 250,
                                 .backend_cpu_milli = 2000,
                                 .verbose = getenv ("JW_VERBOSE") != NULL };
   struct jw_world *world = jw_world_new (&options);
