Give hosts back to tasks that fit on none of those left

Cause: a pool gets hosts by the CPU that it lacks, but a task may wait for memory or for a host without others of its step. A pool that had given its hosts away kept such tasks waiting with CPU free.

Change: a pool below its home hosts whose tasks have waited for 0.6 s gets hosts for what waits.

Test: test_rebalance_unplaceable.

--- a/packages/jobs/include/jb_rebalance.h
+++ b/packages/jobs/include/jb_rebalance.h
@@ -22,14 +22,15 @@
   int64_t finite_cpu_milli;       /* used by tasks that end by themselves */
   int64_t long_running_cpu_milli; /* used by tasks that run until cancelled */
   int64_t waiting_cpu_milli;      /* wanted by tasks that are ready to start */
-  uint32_t hosts;                 /* number of hosts that are up in it */
-  uint32_t home_hosts;            /* number when it was first listed */
-  uint32_t incoming_hosts;        /* number that are moving to it */
-  int64_t host_cpu_milli;         /* capacity of one host; 0: unknown */
-  bool surge_predicted;           /* not in a surge, and next_surge is known */
-  jb_time next_surge;             /* when it is expected to start */
-  int64_t surge_peak_cpu_milli;   /* highest demand in its last surge */
-  int64_t arriving_cpu_milli;     /* see struct jb_msg_load */
+  jb_time waiting_since; /* since when any task has been waiting; 0: none is */
+  uint32_t hosts;        /* number of hosts that are up in it */
+  uint32_t home_hosts;   /* number when it was first listed */
+  uint32_t incoming_hosts;      /* number that are moving to it */
+  int64_t host_cpu_milli;       /* capacity of one host; 0: unknown */
+  bool surge_predicted;         /* not in a surge, and next_surge is known */
+  jb_time next_surge;           /* when it is expected to start */
+  int64_t surge_peak_cpu_milli; /* highest demand in its last surge */
+  int64_t arriving_cpu_milli;   /* see struct jb_msg_load */
 };
 
 struct jb_rebalance_host
--- a/packages/jobs/src/jb_planner.c
+++ b/packages/jobs/src/jb_planner.c
@@ -643,6 +643,10 @@
 {
   struct planner_pool *pool = jb_planner_get_or_add_pool (planner, load->pool);
 
+  if (load->waiting_cpu_milli == 0)
+    pool->waiting_since = 0;
+  else if (pool->waiting_since == 0)
+    pool->waiting_since = now;
   pool->load_received_at = now;
   pool->load = *load;
   pool->load.pool = pool->name;
--- a/packages/jobs/src/jb_planner_internal.h
+++ b/packages/jobs/src/jb_planner_internal.h
@@ -71,6 +71,7 @@
 {
   char *name;
   jb_time load_received_at;        /* 0: never */
+  jb_time waiting_since; /* since when all reports have had waiting tasks */
   struct jb_forecast_pool history; /* of its demand */
   uint32_t home_hosts;     /* number of its own hosts; others are borrowed */
   int64_t host_cpu_milli;  /* last known capacity of one host; 0: unknown */
--- a/packages/jobs/src/jb_planner_rebalance.c
+++ b/packages/jobs/src/jb_planner_rebalance.c
@@ -176,6 +176,7 @@
       pool->finite_cpu_milli = pool_info->load.finite_cpu_milli;
       pool->long_running_cpu_milli = pool_info->load.long_running_cpu_milli;
       pool->waiting_cpu_milli = pool_info->load.waiting_cpu_milli;
+      pool->waiting_since = pool_info->waiting_since;
       pool->arriving_cpu_milli = pool_info->load.arriving_cpu_milli;
     }
 }
--- a/packages/jobs/src/jb_rebalance.c
+++ b/packages/jobs/src/jb_rebalance.c
@@ -26,6 +26,10 @@
 /* A pool grows to at most this multiple of the capacity of its home hosts.  */
 #define GROWTH_LIMIT_FACTOR 3
 
+/* A pool with fewer hosts than its home hosts gets more of them back when
+   tasks have waited for this long although enough CPU is free.  */
+#define MAX_WAIT_WITH_FREE_CPU (600 * JB_MS)
+
 /* A home host is parked only if its pool's next surge is further away than
    this, because moving it away and back costs as much as keeping it in the
    pool for two to three seconds.  */
@@ -58,6 +62,13 @@
   missing = MIN (missing,
                  GROWTH_LIMIT_FACTOR * pool->home_hosts * pool->host_cpu_milli
                      - capacity);
+  /* Tasks that wait although enough CPU is free fit on no host that the pool
+     has left, because of their memory or of other tasks there.  */
+  if (missing <= 0 && pool->waiting_since != 0
+      && now - pool->waiting_since > MAX_WAIT_WITH_FREE_CPU
+      && pool->hosts + pool->incoming_hosts < pool->home_hosts)
+    return MIN ((uint32_t)(pool->waiting_cpu_milli / pool->host_cpu_milli) + 1,
+                pool->home_hosts - pool->hosts - pool->incoming_hosts);
   if (missing <= 0)
     return 0;
   return (uint32_t)((missing + pool->host_cpu_milli / 2)
--- a/packages/jobs/tests/test_jb_policies.c
+++ b/packages/jobs/tests/test_jb_policies.c
@@ -169,6 +169,33 @@
   CU_ASSERT_EQUAL (count, 4);
 }
 
+/* A pool with fewer hosts than its home hosts, where enough CPU is free for
+   the tasks that wait, gets hosts back if they go on waiting: they may need
+   more memory than the hosts have left, or hosts without other tasks of their
+   step.  */
+static void
+test_rebalance_unplaceable (void)
+{
+  struct jb_rebalance_pool pools[2]
+      = { idle_pool,
+          { .standby = true, .hosts = 2, .host_cpu_milli = 10000 } };
+  struct jb_rebalance_host hosts[2]
+      = { { .pool = 1, .idle = true, .available = true },
+          { .pool = 1, .idle = true, .available = true } };
+  struct jb_host_move moves[4];
+
+  pools[0].home_hosts = pools[0].hosts + 2;
+  pools[0].waiting_cpu_milli = 2000;
+  pools[0].waiting_since = 9800 * JB_MS;
+  CU_ASSERT_EQUAL (
+      jb_rebalance_decide (pools, 2, hosts, 2, 10 * JB_SECOND, moves, 4), 0);
+  CU_ASSERT_EQUAL (
+      jb_rebalance_decide (pools, 2, hosts, 2, 11 * JB_SECOND, moves, 4), 1);
+  pools[0].incoming_hosts = 2;
+  CU_ASSERT_EQUAL (
+      jb_rebalance_decide (pools, 2, hosts, 2, 11 * JB_SECOND, moves, 4), 0);
+}
+
 /* A pool with waiting tasks must not give hosts away, however much capacity it
    has free: a long-running task may be waiting for a further host in this
    pool.  */
@@ -357,6 +384,8 @@
           { "recurring surges are forecast", test_forecast },
           { "hosts move to a pool in need", test_rebalance },
           { "no host moves away while tasks wait", test_rebalance_waiting },
+          { "tasks that fit on no host left get hosts back",
+            test_rebalance_unplaceable },
           { "hosts move ahead of a surge", test_rebalance_ahead },
           { "idle hosts of calm pools are maintained first", test_wave },
           { "best-effort tasks slow down for services", test_throttle },
