A host leaves the stored roster before it is taken out of its pool

Change: the owner says that a host is empty only when the stored roster lacks it, and tells the planner at once when that is so. When the command doesn't come, the backend server returns to the roster. One whose address is answered by another instance is not waited for.

--- a/packages/jobs/include/jb_backend.h
+++ b/packages/jobs/include/jb_backend.h
@@ -46,6 +46,7 @@
   bool inherited;
   /* Nothing can run there, so it is left out of the roster.  */
   bool excluded_from_roster;
+  uint64_t exclusion; /* pool's number of this exclusion, if it is excluded */
   int64_t started_unix_ms; /* Unix time of its start; 0: not reported */
   /* Its own clock.  */
   int64_t clock_ms; /* time that it last reported */
--- a/packages/jobs/include/jb_msg.h
+++ b/packages/jobs/include/jb_msg.h
@@ -12,7 +12,8 @@
    JB_MSG_REPLY            the reply to a JB_MSG_REQUEST
    JB_MSG_CATALOG          the configuration, to a host that has an older one
    JB_MSG_EVACUATE         the planner asks a pool's owner to evacuate a host
-   JB_MSG_EVACUATE_STATUS  the reply: whether the host is empty
+   JB_MSG_EVACUATE_STATUS  the reply: whether the host is empty; sent again
+                           when it has become empty
    JB_MSG_POOL_LOAD        load of a pool, from its owner to the planner
    JB_MSG_HOST_ARRIVING    a host is moving to a pool, from the planner to the
                            pool's owner
--- a/packages/jobs/include/jb_pool.h
+++ b/packages/jobs/include/jb_pool.h
@@ -33,6 +33,10 @@
   /* Called when the claim succeeded or failed, or the ownership was lost or
      released.  It must not free POOL.  */
   void (*state_changed) (void *data, struct jb_pool *pool);
+  /* Called when jb_pool_evacuate_backend would newly return true for the
+     backend server INSTANCE.  */
+  void (*evacuated) (void *data, jb_time now, struct jb_pool *pool,
+                     const char *instance);
   void *data;
 };
 
@@ -103,8 +107,8 @@
 
 /* Evacuate the backend server INSTANCE so that its host can be removed: move
    its long-running tasks away, and start nothing there for a while.  A further
-   call prolongs that.  Return whether nothing runs there and all ends of runs
-   have been acknowledged.  */
+   call prolongs that.  Return whether nothing runs there, all ends of runs have
+   been acknowledged, and no successor will expect runs there.  */
 bool jb_pool_evacuate_backend (struct jb_pool *pool, jb_time now,
                                const char *instance);
 
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -403,6 +403,7 @@
                                      .incarnation = host->options.incarnation,
                                      .reply = send_reply,
                                      .state_changed = pool_state_changed,
+                                     .evacuated = jb_host_report_evacuated,
                                      .data = host };
 
   slot->pool = jb_pool_new (host, &options);
--- a/packages/jobs/src/jb_host_internal.h
+++ b/packages/jobs/src/jb_host_internal.h
@@ -95,6 +95,11 @@
 void jb_host_handle_evacuate (struct jb_host *host, jb_time now, uint64_t from,
                               const struct jb_msg_evacuate *evacuate);
 
+/* Tell the planner that the backend server INSTANCE of POOL is evacuated.
+   DATA is this host.  */
+void jb_host_report_evacuated (void *data, jb_time now, struct jb_pool *pool,
+                               const char *instance);
+
 /* Process the planner's message that a host is moving to POOL: if this entry
    host owns the pool, list the backend servers frequently until the moving
    host has arrived.  */
--- a/packages/jobs/src/jb_host_planner.c
+++ b/packages/jobs/src/jb_host_planner.c
@@ -89,6 +89,29 @@
     send_message (host, from, &message);
 }
 
+void
+jb_host_report_evacuated (void *data, jb_time now, struct jb_pool *pool,
+                          const char *instance)
+{
+  struct jb_host *host = data;
+  struct jb_msg message
+      = { .type = JB_MSG_EVACUATE_STATUS,
+          .u.evacuate_status = { .pool = (char *)jb_pool_name (pool),
+                                 .instance = (char *)instance,
+                                 .empty = true } };
+  const struct jb_member *planner;
+
+  if (host->planner != NULL && jb_planner_is_owner (host->planner))
+    {
+      jb_planner_handle_evacuate_status (host->planner, now,
+                                         &message.u.evacuate_status);
+      return;
+    }
+  planner = jb_members_find_owner (host->members, now, JB_PLANNER_PARTITION);
+  if (planner != NULL)
+    send_message (host, planner->incarnation, &message);
+}
+
 void
 jb_host_handle_arrival (struct jb_host *host, jb_time now, const char *pool)
 {
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -868,6 +868,7 @@
     return;
   jb_pool_finish_scan_if_complete (pool, now);
   jb_pool_resend_stops (pool, now);
+  jb_pool_end_cordons (pool, now);
   if (now - jb_ownership_confirmed_at (pool->ownership)
       > OWNERSHIP_VERIFY_AFTER)
     jb_ownership_verify (pool->ownership, now);
--- a/packages/jobs/src/jb_pool_evacuate.c
+++ b/packages/jobs/src/jb_pool_evacuate.c
@@ -99,9 +99,35 @@
   backend->cordoned_until = now + CORDON_PERIOD;
   jb_pool_move_long_running (pool, backend, now,
                              "its host is being evacuated");
-  return backend->task_count == 0 && backend->starts_in_flight == 0
-         && backend->probed && backend->unanswered_probes == 0
-         && backend->acked_end == backend->processed_end;
+  if (backend->task_count > 0 || backend->starts_in_flight > 0
+      || !backend->probed || backend->unanswered_probes > 0
+      || backend->acked_end != backend->processed_end)
+    return false;
+  /* A successor would wait for the leases of a backend server in the roster
+     that has gone with its host.  */
+  jb_pool_remove_from_roster (pool, backend);
+  return jb_pool_is_out_of_roster (pool, backend);
+}
+
+void
+jb_pool_end_cordons (struct jb_pool *pool, jb_time now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, pool->backends);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct jb_backend *backend = value;
+
+      if (backend->excluded_from_roster && backend->cordoned_until != 0
+          && now >= backend->cordoned_until)
+        {
+          backend->cordoned_until = 0;
+          if (backend->listed && backend->unanswered_probes == 0)
+            jb_pool_return_to_roster (pool, backend);
+        }
+    }
 }
 
 void
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -95,6 +95,10 @@
   bool roster_dirty;    /* the stored roster is out of date */
   bool roster_write_in_flight;
   uint32_t roster_row_count; /* number of rows of the stored roster */
+  /* Number of backend servers that were excluded from the roster, and of those
+     that the stored roster lacks.  */
+  uint64_t exclusions;
+  uint64_t stored_exclusions;
   uint64_t list_number; /* number of lists of which the first page came */
   jb_time list_requested_at; /* when the newest of them was requested */
   struct jb_backend **usable_backends; /* rebuilt in each scheduling cycle */
@@ -177,6 +181,13 @@
 /* Remove BACKEND, where nothing can run any more, from the roster.  */
 void jb_pool_remove_from_roster (struct jb_pool *pool,
                                  struct jb_backend *backend);
+/* Return whether the stored roster lacks BACKEND, so that a successor won't
+   expect any runs there.  */
+bool jb_pool_is_out_of_roster (const struct jb_pool *pool,
+                               const struct jb_backend *backend);
+/* Put BACKEND, which was removed but is still there, into the roster again.  */
+void jb_pool_return_to_roster (struct jb_pool *pool,
+                               struct jb_backend *backend);
 /* Write the roster if it is out of date.  */
 void jb_pool_write_roster (struct jb_pool *pool, jb_time now);
 
@@ -290,6 +301,10 @@
 
 /* ---- jb_pool_evacuate.c ---- */
 
+/* Let tasks start again on backend servers that were evacuated for a command
+   to their host that has not come.  */
+void jb_pool_end_cordons (struct jb_pool *pool, jb_time now);
+
 /* Stop the long-running tasks of BACKEND so that they start elsewhere, as far
    as their disruption budgets allow.  On a draining backend server the
    budgets don't apply.  REASON is logged.  */
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -385,11 +385,8 @@
   if (!backend->probed && !backend->in_roster)
     pool->roster_dirty = true;
   backend->probed = true;
-  if (backend->excluded_from_roster)
-    {
-      backend->excluded_from_roster = false;
-      pool->roster_dirty = true;
-    }
+  if (backend->excluded_from_roster && now >= backend->cordoned_until)
+    jb_pool_return_to_roster (pool, backend);
   backend->acked_end = MAX (backend->acked_end, probe->acked_end);
   backend->orphan_seen_at = 0;
   for (uint32_t i = 0; i < reply->active_run_count; i++)
@@ -448,9 +445,11 @@
     {
       jb_pool_clear_lost_runs (pool, backend, now,
                                "another instance answers at its address");
+      jb_pool_remove_from_roster (pool, backend);
       backend->next_probe = now + EXPIRED_RETRY_INTERVAL;
       backend->unanswered_probes
           = MAX (backend->unanswered_probes, JB_SILENT_AFTER_PROBES);
+      jb_pool_finish_scan_if_complete (pool, now);
     }
   else if (reply->result == JB_RESULT_CONFLICT)
     {
--- a/packages/jobs/src/jb_pool_roster.c
+++ b/packages/jobs/src/jb_pool_roster.c
@@ -143,16 +143,39 @@
   struct jb_pool *pool;
   uint32_t count;
   char **instances;
+  uint64_t exclusions; /* that it takes into account */
 };
 
+/* Report the cordoned backend servers that the roster lacks now.  */
+static void
+report_evacuated_backends (struct jb_pool *pool, jb_time now,
+                           uint64_t exclusions_before)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, pool->backends);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct jb_backend *backend = value;
+
+      if (now < backend->cordoned_until
+          && backend->exclusion > exclusions_before
+          && jb_pool_is_out_of_roster (pool, backend))
+        pool->options.evacuated (pool->options.data, now, pool,
+                                 backend->instance);
+    }
+}
+
 static void
 handle_roster_written (void *data, jb_time now)
 {
   struct roster_write *roster_write = data;
   struct jb_pool *pool = roster_write->pool;
+  uint64_t exclusions_before = pool->stored_exclusions;
 
-  (void)now;
   pool->roster_write_in_flight = false;
+  pool->stored_exclusions = roster_write->exclusions;
   pool->schedule_due = true;
   for (uint32_t i = 0; i < roster_write->count; i++)
     {
@@ -163,6 +186,23 @@
         backend->in_roster = true;
     }
   talloc_free (roster_write);
+  if (pool->stored_exclusions > exclusions_before)
+    report_evacuated_backends (pool, now, exclusions_before);
+}
+
+bool
+jb_pool_is_out_of_roster (const struct jb_pool *pool,
+                          const struct jb_backend *backend)
+{
+  return backend->excluded_from_roster
+         && backend->exclusion <= pool->stored_exclusions;
+}
+
+void
+jb_pool_return_to_roster (struct jb_pool *pool, struct jb_backend *backend)
+{
+  backend->excluded_from_roster = false;
+  pool->roster_dirty = true;
 }
 
 void
@@ -171,6 +211,7 @@
   if (backend->excluded_from_roster)
     return;
   backend->excluded_from_roster = true;
+  backend->exclusion = ++pool->exclusions;
   backend->in_roster = false;
   pool->roster_dirty = true;
 }
@@ -244,6 +285,7 @@
   pool->roster_write_in_flight = true;
   roster_write = talloc_zero (pool->ownership, struct roster_write);
   roster_write->pool = pool;
+  roster_write->exclusions = pool->exclusions;
   roster_write->instances = talloc_array (roster_write, char *, limit + 1);
   backends = talloc_zero_array (roster_write, struct saved_backend, limit + 1);
   /* Those that are in the roster already first: tasks may run there.  */
--- a/packages/jobs/src/jb_pool_takeover.c
+++ b/packages/jobs/src/jb_pool_takeover.c
@@ -215,9 +215,13 @@
     {
       g_hash_table_iter_init (&iter, pool->backends);
       while (g_hash_table_iter_next (&iter, NULL, &value))
-        if (((struct jb_backend *)value)->inherited
-            && !((struct jb_backend *)value)->probed)
-          unprobed++;
+        {
+          const struct jb_backend *backend = value;
+
+          if (backend->inherited && !backend->probed
+              && !backend->excluded_from_roster)
+            unprobed++;
+        }
       if (unprobed > 0)
         return;
     }
--- a/tests/sim/jobs/jw_backend.c
+++ b/tests/sim/jobs/jw_backend.c
@@ -691,6 +691,11 @@
                          "a host is taken down for maintenance although %u "
                          "are down already",
                          down_count);
+  if (host->backend != NULL
+      && jw_is_in_roster (world, host->backend->instance))
+    jw_report_violation (world, "ROSTER",
+                         "%s is taken down although %s is in the roster",
+                         host->name, host->backend->instance);
   while (host->backend != NULL && host->backend->runs->len > 0)
     {
       struct jw_task_run *run = g_ptr_array_index (host->backend->runs, 0);
--- a/tests/sim/jobs/jw_store.c
+++ b/tests/sim/jobs/jw_store.c
@@ -10,9 +10,10 @@
 {
   MAX_ROWS_PER_READ = 50,
   BACKENDS_PER_PAGE = 5, /* few, so that all lists have several pages */
-  MAX_ROW_BYTES = 8192, /* an eighth of the limit of the platform */
+  MAX_ROW_BYTES = 8192,  /* an eighth of the limit of the platform */
   MAX_TRANSACTION_BYTES = 750000, /* 1 MB as base64 */
-  MAX_TRANSACTION_ROWS = 100
+  MAX_TRANSACTION_ROWS = 100,
+  MSGPACK_FIXSTR = 0xa0 /* type of a short string; its length is added */
 };
 
 /* How long the entry of a backend server remains after its end.  */
@@ -254,6 +255,34 @@
   g_ptr_array_free (sorted, TRUE);
 }
 
+/* Return whether TEXT, shorter than 32 bytes, is a string in the encoded
+   VALUE.  */
+static bool
+contains_string (struct ba_bytes value, const char *text)
+{
+  size_t len = strlen (text);
+
+  for (size_t i = 1; i + len <= value.len; i++)
+    if (value.data[i - 1] == (MSGPACK_FIXSTR | len)
+        && memcmp (&value.data[i], text, len) == 0)
+      return true;
+  return false;
+}
+
+bool
+jw_is_in_roster (const struct jw_world *world, const char *instance)
+{
+  for (guint i = 0; i < world->rows->len; i++)
+    {
+      const struct jw_row *row = g_ptr_array_index (world->rows, i);
+
+      if (strcmp (row->table, "roster") == 0
+          && contains_string (row->value, instance))
+        return true;
+    }
+  return false;
+}
+
 /* Check that a wave reported as completed covers its hosts: every second one
    of the fleet (jw_start_wave).  */
 static void
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -254,6 +254,11 @@
    hosts, it is the one that last wrote rows of POOL.  */
 int jw_pool_owner (struct jw_world *world, uint32_t pool);
 
+/* ---- the store ---- */
+
+/* Return whether the stored roster of any pool lists INSTANCE.  */
+bool jw_is_in_roster (const struct jw_world *world, const char *instance);
+
 /* ---- clients ---- */
 
 struct jw_job_options
