Expect no surge when none has come anywhere for long

Change: forecasts end when no surge has started for twice the longest known interval between two.

Test: test_forecast.

--- a/packages/jobs/include/jb_forecast.h
+++ b/packages/jobs/include/jb_forecast.h
@@ -9,7 +9,8 @@
    between them.  After a single surge, the next one is expected when every
    other pool has had its turn: after as many mean intervals between the known
    surges of all pools as there are pools.  A pool that has had no surge has no
-   forecast.  */
+   forecast, and none has one when no surge has started anywhere for much
+   longer than between the known ones.  */
 
 #include "jb_types.h"
 
@@ -35,9 +36,9 @@
                          int64_t demand_cpu_milli, int64_t capacity_cpu_milli);
 
 /* Return when the next surge of POOLS[INDEX] is expected to start, which may
-   be in the past, or JB_NEVER if there is no forecast.  COUNT is the number of
+   be before NOW, or JB_NEVER if there is no forecast.  COUNT is the number of
    POOLS.  */
 jb_time jb_forecast_next_surge (const struct jb_forecast_pool *pools,
-                                uint32_t count, uint32_t index);
+                                uint32_t count, uint32_t index, jb_time now);
 
 #endif
--- a/packages/jobs/src/jb_forecast.c
+++ b/packages/jobs/src/jb_forecast.c
@@ -8,6 +8,10 @@
 #define SURGE_START_PERCENT 60
 #define SURGE_END_PERCENT 25
 
+/* Surges are no longer expected when none has started for this multiple of the
+   longest interval between two known ones.  */
+#define PATTERN_END_FACTOR 2
+
 void
 jb_forecast_record (struct jb_forecast_pool *pool, jb_time now,
                     int64_t demand_cpu_milli, int64_t capacity_cpu_milli)
@@ -41,11 +45,20 @@
   return x < y ? -1 : x > y;
 }
 
-/* Return the mean time between the starts of two consecutive surges, of the
-   same pool or of different ones, or 0 if fewer than two surges are known.  */
-static jb_time
-mean_surge_interval (const struct jb_forecast_pool *pools, uint32_t count)
+/* The known surges of all pools together.  */
+struct surge_pattern
+{
+  jb_time mean_interval;    /* between the starts of two consecutive ones, of
+                               the same pool or of different ones; 0 if fewer
+                               than two surges are known */
+  jb_time longest_interval; /* as above */
+  jb_time last_start;       /* of the newest one */
+};
+
+static struct surge_pattern
+find_pattern (const struct jb_forecast_pool *pools, uint32_t count)
 {
+  struct surge_pattern pattern = { 0 };
   jb_time starts[2 * JB_FORECAST_MAX_POOLS];
   uint32_t n = 0;
 
@@ -57,23 +70,32 @@
         starts[n++] = pools[i].previous_surge_start;
     }
   if (n < 2)
-    return 0;
+    return pattern;
   qsort (starts, n, sizeof starts[0], compare_times);
-  return (starts[n - 1] - starts[0]) / (n - 1);
+  pattern.mean_interval = (starts[n - 1] - starts[0]) / (n - 1);
+  pattern.last_start = starts[n - 1];
+  for (uint32_t i = 1; i < n; i++)
+    pattern.longest_interval
+        = MAX (pattern.longest_interval, starts[i] - starts[i - 1]);
+  return pattern;
 }
 
 jb_time
 jb_forecast_next_surge (const struct jb_forecast_pool *pools, uint32_t count,
-                        uint32_t index)
+                        uint32_t index, jb_time now)
 {
   const struct jb_forecast_pool *pool = &pools[index];
-  jb_time interval;
+  struct surge_pattern pattern;
 
   if (pool->surge_start == 0)
     return JB_NEVER;
+  pattern = find_pattern (pools, count);
+  if (pattern.mean_interval == 0
+      || now - pattern.last_start
+             > PATTERN_END_FACTOR * pattern.longest_interval)
+    return JB_NEVER;
   if (pool->previous_surge_start != 0)
     return pool->surge_start
            + (pool->surge_start - pool->previous_surge_start);
-  interval = mean_surge_interval (pools, count);
-  return interval > 0 ? pool->surge_start + interval * count : JB_NEVER;
+  return pool->surge_start + pattern.mean_interval * count;
 }
--- a/packages/jobs/src/jb_planner_rebalance.c
+++ b/packages/jobs/src/jb_planner_rebalance.c
@@ -291,7 +291,7 @@
     {
       struct jb_rebalance_pool *pool = &input->pools[pool_numbers[i]];
 
-      pool->next_surge = jb_forecast_next_surge (histories, count, i);
+      pool->next_surge = jb_forecast_next_surge (histories, count, i, now);
       pool->surge_predicted
           = pool->next_surge != JB_NEVER && !histories[i].in_surge;
       pool->surge_peak_cpu_milli = histories[i].peak_cpu_milli;
--- a/packages/jobs/tests/test_jb_policies.c
+++ b/packages/jobs/tests/test_jb_policies.c
@@ -126,10 +126,18 @@
     for (int i = 0; i < 3; i++)
       jb_forecast_record (&pools[i], second * JB_SECOND,
                           second % 15 / 5 == i ? 900 : 40, 1000);
-  CU_ASSERT_EQUAL (jb_forecast_next_surge (pools, 3, 0), 45 * JB_SECOND);
-  CU_ASSERT_EQUAL (jb_forecast_next_surge (pools, 3, 1), 35 * JB_SECOND);
+  CU_ASSERT_EQUAL (jb_forecast_next_surge (pools, 3, 0, 33 * JB_SECOND),
+                   45 * JB_SECOND);
+  CU_ASSERT_EQUAL (jb_forecast_next_surge (pools, 3, 1, 33 * JB_SECOND),
+                   35 * JB_SECOND);
+  /* The last surge started at 30 s, 5 s after the one before.  */
+  CU_ASSERT_EQUAL (jb_forecast_next_surge (pools, 3, 0, 40 * JB_SECOND),
+                   45 * JB_SECOND);
+  CU_ASSERT_EQUAL (jb_forecast_next_surge (pools, 3, 0, 41 * JB_SECOND),
+                   JB_NEVER);
   memset (pools, 0, sizeof pools);
-  CU_ASSERT_EQUAL (jb_forecast_next_surge (pools, 3, 1), JB_NEVER);
+  CU_ASSERT_EQUAL (jb_forecast_next_surge (pools, 3, 1, 33 * JB_SECOND),
+                   JB_NEVER);
 }
 
 static const struct jb_rebalance_pool idle_pool
