--- a/packages/jobs/include/jb_rank.h
+++ b/packages/jobs/include/jb_rank.h
@@ -5,9 +5,8 @@
 
    Expected load: a pool is asked for more than its capacity for some seconds,
    and for almost nothing afterwards.  Not all jobs can be on time.  Among jobs
-   of the same priority, those that still can go first, those of organisations
-   within their fair share before others, ordered by their latest start
-   time.  Late jobs follow, ordered by their value relative to the work
+   of the same priority, those that still can go first, ordered by their latest
+   start time.  Late jobs follow, ordered by their value relative to the work
    that remains, so that a job that has begun moves forward.  Jobs that are too
    late to be of value run when demand is low.  */
 
@@ -32,7 +31,6 @@
   int64_t remaining_work;   /* of the tasks that are not done; same unit */
   int64_t queue_mean_work;  /* mean total_work of the jobs of its queue */
   int64_t critical_path_ms; /* from the step that waits to the job's end */
-  bool org_over_share;      /* its organisation uses more than its fair share */
   jb_time received_at;
   jb_time due_at;
 };
@@ -41,7 +39,6 @@
 {
   uint32_t priority;
   enum jb_rank_class class;
-  bool org_over_share;
   jb_time latest_start; /* a later start makes the job late */
   double value_density; /* value per remaining work; higher goes first */
   jb_time received_at;
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -74,7 +74,6 @@
   struct jb_resources used;   /* by tasks that run or may run */
   struct jb_resources wanted; /* by tasks that are ready to start */
   struct jb_resources share; /* the pool's share of the organisation's quota */
-  bool over_share; /* uses more of the pool than its weight entitles it to */
 };
 
 struct jb_pool
@@ -260,11 +259,6 @@
 jb_time jb_pool_usage_report_due_at (const struct jb_pool *pool);
 /* Recompute what the organisations use and want, from the active jobs.  */
 void jb_pool_recount_usage (struct jb_pool *pool);
-/* Determine, after a recount, which organisations use more of the pool's
-   CAPACITY_CPU_MILLI than their weight entitles them to, among those that use
-   or want any of it.  */
-void jb_pool_find_orgs_over_share (struct jb_pool *pool,
-                                   int64_t capacity_cpu_milli);
 
 /* ---- jb_pool_throttle.c ---- */
 
--- a/packages/jobs/src/jb_pool_quota.c
+++ b/packages/jobs/src/jb_pool_quota.c
@@ -136,42 +136,6 @@
     }
 }
 
-static uint32_t
-org_weight (const struct jb_pool *pool, const char *org)
-{
-  const struct jb_catalog *catalog = *pool->options.catalog;
-  const struct jb_org *settings
-      = catalog != NULL ? jb_catalog_find_org (catalog, org) : NULL;
-
-  return settings != NULL ? MAX (settings->weight, 1) : 1;
-}
-
-void
-jb_pool_find_orgs_over_share (struct jb_pool *pool, int64_t capacity_cpu_milli)
-{
-  GHashTableIter iter;
-  gpointer value;
-  int64_t weights = 0;
-
-  g_hash_table_iter_init (&iter, pool->org_usages);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct jb_pool_org_usage *usage = value;
-
-      if (usage->used.cpu_milli > 0 || usage->wanted.cpu_milli > 0)
-        weights += org_weight (pool, usage->org);
-    }
-  g_hash_table_iter_init (&iter, pool->org_usages);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct jb_pool_org_usage *usage = value;
-
-      usage->over_share
-          = usage->used.cpu_milli * weights
-            > capacity_cpu_milli * (int64_t)org_weight (pool, usage->org);
-    }
-}
-
 void
 jb_pool_handle_shares (struct jb_pool *pool, jb_time now,
                        const struct jb_msg_shares *shares)
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -447,9 +447,6 @@
       if (other->occurrence == group->occurrence)
         input.remaining_work += group_remaining_work (other);
     }
-  if (job->desc->org != NULL)
-    input.org_over_share
-        = jb_pool_get_org_usage (pool, job->desc->org)->over_share;
   input.critical_path_ms
       = (int64_t)((double)jb_job_desc_critical_path_from_step_ms (job->desc,
                                                                   group->step)
@@ -585,17 +582,6 @@
   return group->task_count;
 }
 
-/* Return the CPU capacity of the usable backend servers.  */
-static int64_t
-usable_cpu_milli (const struct jb_pool *pool)
-{
-  int64_t sum = 0;
-
-  for (uint32_t i = 0; i < pool->usable_count; i++)
-    sum += pool->usable_backends[i]->capacity.cpu_milli;
-  return sum;
-}
-
 void
 jb_pool_schedule (struct jb_pool *pool, jb_time now)
 {
@@ -611,7 +597,6 @@
   if (pool->usable_count == 0)
     return;
   jb_pool_recount_usage (pool);
-  jb_pool_find_orgs_over_share (pool, usable_cpu_milli (pool));
   candidates = collect_candidates (pool, now);
   for (guint i = 0; i < candidates->len && started < MAX_STARTS_PER_CYCLE; i++)
     {
--- a/packages/jobs/src/jb_rank.c
+++ b/packages/jobs/src/jb_rank.c
@@ -29,9 +29,8 @@
 struct jb_rank
 jb_rank_compute (const struct jb_rank_input *input, jb_time now)
 {
-  struct jb_rank rank = { .priority = input->priority,
-                          .org_over_share = input->org_over_share,
-                          .received_at = input->received_at };
+  struct jb_rank rank
+      = { .priority = input->priority, .received_at = input->received_at };
   double remaining_work = (double)MAX (input->remaining_work, 1);
   jb_time expected_end = now + input->critical_path_ms * JB_MS;
   jb_time worthless_at
@@ -66,8 +65,6 @@
     return a->priority < b->priority ? -1 : 1;
   if (a->class != b->class)
     return a->class < b->class ? -1 : 1;
-  if (a->class == JB_RANK_ON_TIME && a->org_over_share != b->org_over_share)
-    return a->org_over_share ? 1 : -1;
   if (a->class == JB_RANK_ON_TIME && a->latest_start != b->latest_start)
     return a->latest_start < b->latest_start ? -1 : 1;
   if (a->value_density != b->value_density)
