--- a/packages/jobs/include/jb_pool.h
+++ b/packages/jobs/include/jb_pool.h
@@ -107,8 +107,8 @@
 
 /* Evacuate the backend server INSTANCE so that its host can be removed: move
    its long-running tasks away, and start nothing there for a while.  A further
-   call prolongs that.  Return whether nothing runs there, all ends of runs have
-   been acknowledged, and no successor will expect runs there.  */
+   call prolongs that.  Return whether nothing runs there, all ends of runs
+   have been acknowledged, and no successor will expect runs there.  */
 bool jb_pool_evacuate_backend (struct jb_pool *pool, jb_time now,
                                const char *instance);
 
--- a/packages/jobs/src/jb_planner_internal.h
+++ b/packages/jobs/src/jb_planner_internal.h
@@ -70,8 +70,8 @@
 struct planner_pool
 {
   char *name;
-  jb_time load_received_at;        /* 0: never */
-  jb_time waiting_since; /* since when all reports have had waiting tasks */
+  jb_time load_received_at; /* 0: never */
+  jb_time waiting_since;    /* since when all reports have had waiting tasks */
   struct jb_forecast_pool history; /* of its demand */
   uint32_t home_hosts;     /* number of its own hosts; others are borrowed */
   int64_t host_cpu_milli;  /* last known capacity of one host; 0: unknown */
@@ -133,9 +133,9 @@
   uint64_t last_serial; /* of the shares sent to any pool */
   /* List of the hosts of the fleet, read page by page.  */
   bool list_in_flight;
-  char *next_page; /* token of the next page; NULL: the first one */
+  char *next_page;           /* token of the next page; NULL: the first one */
   jb_time list_requested_at; /* when the newest one was requested; 0: none */
-  jb_time list_started_at;          /* when its first page was requested */
+  jb_time list_started_at;   /* when its first page was requested */
   jb_time complete_list_started_at; /* same of the last complete list */
 };
 
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -99,7 +99,7 @@
      that the stored roster lacks.  */
   uint64_t exclusions;
   uint64_t stored_exclusions;
-  uint64_t list_number; /* number of lists of which the first page came */
+  uint64_t list_number;      /* number of lists of which the first page came */
   jb_time list_requested_at; /* when the newest of them was requested */
   struct jb_backend **usable_backends; /* rebuilt in each scheduling cycle */
   uint32_t usable_count;
@@ -185,7 +185,7 @@
    expect any runs there.  */
 bool jb_pool_is_out_of_roster (const struct jb_pool *pool,
                                const struct jb_backend *backend);
-/* Put BACKEND, which was removed but is still there, into the roster again.  */
+/* Put BACKEND, which was removed but is still there, into the roster again. */
 void jb_pool_return_to_roster (struct jb_pool *pool,
                                struct jb_backend *backend);
 /* Write the roster if it is out of date.  */
--- a/tests/sim/jobs/jw_soak.h
+++ b/tests/sim/jobs/jw_soak.h
@@ -11,7 +11,7 @@
   uint32_t disabled_safeguards; /* enum jb_safeguard */
   bool stall_one_host;          /* again and again, as if it were short of
                                    processor time */
-  uint32_t more_hosts; /* entry hosts beyond the usual 3 to 6 */
+  uint32_t more_hosts;          /* entry hosts beyond the usual 3 to 6 */
   bool verbose;
   /* These three as in struct jw_options.  */
   const struct jw_external_hosts *external_hosts;
