--- a/packages/jobs/src/jb_members.c
+++ b/packages/jobs/src/jb_members.c
@@ -816,12 +816,11 @@
 
 /* Return how many hosts come before this one as candidates for PARTITION.
    Candidates are coordinators that are alive, not stopping, and reach the
-   store.  Hosts that would
-   have a larger share of a processor for each partition come first; among
-   equals, the order is that of a hash that all hosts compute alike.  The share
-   matters because managing a pool of a hundred backend servers needs more
-   processor time than the smallest hosts have, and an owner whose status
-   probes are late considers healthy servers lost.  */
+   store.  Hosts that would have a larger share of a processor for each
+   partition come first; among equals, the order is that of a hash that all
+   hosts compute alike.  The share matters because managing a pool of a hundred
+   backend servers needs more processor time than the smallest hosts have, and
+   an owner whose status probes are late considers healthy servers lost.  */
 static uint32_t
 claim_rank (const struct jb_members *members, jb_time now,
             const char *partition, uint32_t own_count)
