Fill transactions by rows, not by 28 jobs

Ruled out: a change of ownership (none from second 20 to 37), and the store turning hosts away (store-not-answering on one to four of 97 hosts).

Change: a job counts with the rows that it needs. A new job needs one of the 90, not three, so three times as many are accepted.

--- a/packages/jobs/src/jb_pool_store.c
+++ b/packages/jobs/src/jb_pool_store.c
@@ -9,9 +9,7 @@
 
 enum
 {
-  /* With at most three rows each, a batch stays below
-     JB_OWNERSHIP_MAX_WRITE_ROWS.  */
-  MAX_JOBS_PER_BATCH = 28,
+  MAX_ROWS_PER_JOB = 3, /* an ended job: one to write, two to delete */
   /* A batch with more bytes than this gets no further job.  A transaction may
      have 1 MB, as text that is a third longer than its content.  */
   MAX_BATCH_BYTES = 500000
@@ -48,7 +46,7 @@
   struct jb_pool *pool;
   jb_time created_at;
   uint32_t job_count;
-  struct written_job jobs[MAX_JOBS_PER_BATCH];
+  struct written_job jobs[JB_OWNERSHIP_MAX_WRITE_ROWS];
   uint32_t end_count;
   struct covered_end *ends;
 };
@@ -186,8 +184,8 @@
 void
 jb_pool_write_dirty_jobs (struct jb_pool *pool, jb_time now)
 {
-  struct jb_row set[MAX_JOBS_PER_BATCH];
-  struct jb_row removed[2 * MAX_JOBS_PER_BATCH];
+  struct jb_row set[JB_OWNERSHIP_MAX_WRITE_ROWS];
+  struct jb_row removed[JB_OWNERSHIP_MAX_WRITE_ROWS];
   uint32_t set_count = 0;
   uint32_t removed_count = 0;
   size_t bytes = 0;
@@ -200,7 +198,9 @@
   batch = talloc_zero (pool->ownership, struct jb_write_batch);
   batch->pool = pool;
   batch->created_at = now;
-  while (pool->dirty_jobs->len > 0 && batch->job_count < MAX_JOBS_PER_BATCH
+  while (pool->dirty_jobs->len > 0
+         && set_count + removed_count + MAX_ROWS_PER_JOB
+                <= JB_OWNERSHIP_MAX_WRITE_ROWS
          && bytes < MAX_BATCH_BYTES)
     {
       struct jb_job *job = g_ptr_array_index (pool->dirty_jobs, 0);
--- a/tests/sim/jobs/test_large_fleet.c
+++ b/tests/sim/jobs/test_large_fleet.c
@@ -224,6 +224,32 @@
   check_and_free (world);
 }
 
+/* Many jobs that arrive together are stored in few transactions.  When the
+   store is slow, a pool accepts no more jobs than fit into its transactions,
+   which follow each other.  */
+static void
+test_batches_of_jobs (void)
+{
+  enum
+  {
+    JOB_COUNT = 250
+  };
+  struct jw_job_options job = {
+    .step_count = 1, .tasks_per_step = 1, .cpu_milli = 1000, .duration_ms = 400
+  };
+  struct jw_world *world = create_world (3, 1);
+  uint64_t version = world->version;
+
+  for (uint32_t i = 0; i < JOB_COUNT; i++)
+    jw_submit_job (world, &job);
+  jw_advance (world, 250 * JB_MS);
+  /* Three for the jobs; in the same time, each of the three hosts may renew
+     its row.  */
+  CU_ASSERT (world->version - version <= 3 + 3);
+  jw_advance (world, 30 * JB_SECOND);
+  check_and_free (world);
+}
+
 int
 main (void)
 {
@@ -233,6 +259,7 @@
           { "all coordinators lose the store",
             test_coordinators_cut_off_from_store },
           { "a roster that fills several rows", test_large_roster },
+          { "jobs that arrive together", test_batches_of_jobs },
           { "most hosts are killed", test_most_hosts_killed },
           { NULL, NULL } };
 
