Failing test: a large configuration over slow links

The emulator now has small hosts, with 0.12 of a processor and a link of 10 Mbit/s, over which messages between entry hosts and the store's answers with a configuration take time, one after the other.

--- a/packages/jobs/include/jb_host.h
+++ b/packages/jobs/include/jb_host.h
@@ -70,6 +70,9 @@
    configuration, is not stopping, and reaches the store or a peer.  */
 bool jb_host_is_ready (const struct jb_host *host, jb_time now);
 
+/* Return the version of the configuration in force, or 0 if there is none.  */
+uint64_t jb_host_catalog_version (const struct jb_host *host);
+
 /* Return whether this host owns the pool NAME.  */
 bool jb_host_owns_pool (const struct jb_host *host, const char *name);
 
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -748,6 +748,12 @@
              || jb_members_count_alive (host->members, now) > 0);
 }
 
+uint64_t
+jb_host_catalog_version (const struct jb_host *host)
+{
+  return host->catalog != NULL ? host->catalog->version : 0;
+}
+
 bool
 jb_host_owns_pool (const struct jb_host *host, const char *name)
 {
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -24,6 +24,13 @@
   JW_MAX_ATTEMPTS = 3 /* failed runs after which a task has failed */
 };
 
+/* Share of a processor, in thousandths, and bandwidth of the link of a large
+   and of a small entry host (jw_options.small_hosts).  */
+#define JW_LARGE_CPU_SHARE_MILLI (500)
+#define JW_LARGE_LINK_BYTES_PER_S (25000000)
+#define JW_SMALL_CPU_SHARE_MILLI (120)
+#define JW_SMALL_LINK_BYTES_PER_S (1250000)
+
 /* Operations on entry hosts that run as separate processes.  The simulation
    then advances in real time, under a lock held by its creator; only
    wait_until releases that lock.  */
@@ -48,7 +55,10 @@
 struct jw_options
 {
   uint32_t seed;
-  uint32_t hosts;            /* number of entry hosts */
+  uint32_t hosts; /* number of entry hosts */
+  /* The last of the hosts are small and the others large.  0: all have an
+     unknown share of a processor and links without a limit.  */
+  uint32_t small_hosts;
   uint32_t pools;            /* with one queue each; a standby pool is added */
   uint32_t backends;         /* in each pool */
   int64_t backend_cpu_milli; /* thousandths of a core */
@@ -87,6 +97,12 @@
   bool store_unreachable;
   bool peers_unreachable;
   bool backends_unreachable;
+  /* Bandwidth of its link in each direction; 0: unlimited.  Only messages
+     between entry hosts and the store's answers with a configuration take time
+     on it, one after the other.  */
+  int64_t link_bytes_per_s;
+  jb_time link_in_free_at;
+  jb_time link_out_free_at;
   /* Messages between entry hosts.  */
   uint64_t sent_messages;
   uint64_t sent_bytes;
@@ -307,6 +323,10 @@
 /* Publish the same catalog as a new version.  */
 void jw_bump_catalog_version (struct jw_world *world);
 
+/* Publish a new version of the catalog with COUNT more queues of the first
+   pool.  */
+void jw_add_queues (struct jw_world *world, uint32_t count);
+
 /* ---- backend servers ---- */
 
 /* Return backend server INDEX of those in POOL that are up, or NULL.  */
@@ -352,6 +372,12 @@
 /* Return true with a chance of PERMILLE in a thousand.  */
 bool jw_random_permille (struct jw_world *world, uint32_t permille);
 
+/* Reserve HOST's link, in the direction whose next free time is FREE_AT, for
+   BYTES that arrive there at WHEN.  Return when the last of them has passed,
+   or JB_NEVER if that is after GIVE_UP_AT, at which the transfer ends.  */
+jb_time jw_reserve_link (const struct jw_host *host, jb_time *free_at,
+                         jb_time when, size_t bytes, jb_time give_up_at);
+
 /* Send a command of an entry host, the struct jw_host CONTEXT.  COMMAND is
    copied.  */
 void jw_submit_command (void *context, uint64_t number,
