A read may take as long as its answer keeps arriving

Cause: the timeout of a read covers the transfer of the answer, whose size depends on the deployment. 4,450 queues are 1.2 MB, a second over 10 Mbit/s. The first read was given up after 0.5 s, a watch 0.5 s after its wait, and each began anew. The same holds for every read of the store and for the list of hosts: a page has up to 1 MB and had 0.8 to 1.5 s.

Ruled out: a slow store, slow decoding (processors 0 to 10% busy).

Change: once the body of the answer to a read has begun, the read goes on while parts arrive, each within 0.8 s of the last; the timeout bounds the time until then, as before. Writes, starts, stops and probes keep their timeouts.

--- a/packages/http/include/ht_client.h
+++ b/packages/http/include/ht_client.h
@@ -70,6 +70,9 @@
                               checked again while the request waits for a
                               connection.  */
   int64_t timeout_ms;      /* for the exchange as a whole */
+  int64_t idle_timeout_ms; /* if not 0, the exchange goes on after timeout_ms
+                              while parts of the response's body arrive, the
+                              next one at most this long after the last */
   bool no_retry;           /* send at most once: libcurl must not repeat the
                               request when a reused connection fails */
   bool new_connection;     /* don't reuse an idle connection */
--- a/packages/http/src/ht_client.c
+++ b/packages/http/src/ht_client.c
@@ -45,7 +45,8 @@
   size_t body_sent; /* bytes that libcurl has read so far */
   int64_t start_before_us;
   int64_t timeout_ms;
-  int64_t deadline_us; /* ba_clock_now_us time */
+  int64_t idle_timeout_ms; /* 0: none */
+  int64_t deadline_us;     /* ba_clock_now_us time */
   bool no_retry;
   bool new_connection;
   bool headers_reported;
@@ -215,6 +216,7 @@
   e->body_len = request->body_len;
   e->start_before_us = request->start_before_us;
   e->timeout_ms = request->timeout_ms;
+  e->idle_timeout_ms = request->idle_timeout_ms;
   e->no_retry = request->no_retry;
   e->new_connection = request->new_connection;
   talloc_set_destructor (e, exchange_destructor);
@@ -332,6 +334,20 @@
     e->handlers->headers (e, e->context, (unsigned)status, length);
 }
 
+/* Let E go on for its idle timeout, if it has one, although its timeout may
+   expire before.  */
+static void
+extend_deadline (struct ht_exchange *e)
+{
+  int64_t deadline_us = ba_clock_now_us () + e->idle_timeout_ms * 1000;
+
+  if (e->idle_timeout_ms == 0 || deadline_us <= e->deadline_us)
+    return;
+  g_tree_remove (e->client->deadlines, e);
+  e->deadline_us = deadline_us;
+  g_tree_insert (e->client->deadlines, e, e);
+}
+
 /* CURLOPT_WRITEFUNCTION.  */
 static size_t
 receive_body (char *data, size_t size, size_t count, void *context)
@@ -339,6 +355,7 @@
   struct ht_exchange *e = context;
 
   report_headers (e);
+  extend_deadline (e);
   if (!e->handlers->body (e, e->context, data, size * count))
     return CURL_WRITEFUNC_PAUSE;
   return size * count;
@@ -536,9 +553,10 @@
     {
       struct ht_exchange *e = g_tree_node_value (first);
       uint64_t id = e->id;
+      int64_t deadline_us = e->deadline_us;
       int running;
 
-      if (e->deadline_us > ba_clock_now_us ())
+      if (deadline_us > ba_clock_now_us ())
         return;
       if (e->socket != CURL_SOCKET_BAD)
         {
@@ -546,7 +564,8 @@
                                     &running);
           process_completed (client);
         }
-      if (!g_hash_table_contains (client->exchanges, &id))
+      if (!g_hash_table_contains (client->exchanges, &id)
+          || e->deadline_us != deadline_us)
         continue;
       g_snprintf (e->error, sizeof e->error,
                   "no complete response within %" G_GINT64_FORMAT " ms",
--- a/packages/jobs/include/jb_command.h
+++ b/packages/jobs/include/jb_command.h
@@ -141,6 +141,8 @@
 struct jb_command
 {
   enum jb_command_kind kind;
+  /* Time for the complete reply; for a read (jb_command_is_read), time until
+     the first part of the reply.  */
   int64_t timeout_ms;
   struct jb_backend_target backend; /* for commands to backend servers */
   union
@@ -158,6 +160,23 @@
   } u;
 };
 
+enum
+{
+  /* The reply to a read is given up when no further part has arrived for this
+     long.  The time that the whole of it takes depends on its size and on the
+     host's link.  */
+  JB_READ_IDLE_TIMEOUT_MS = 800
+};
+
+/* Return whether a command of KIND only reads, so that its reply may be
+   large.  */
+static inline bool
+jb_command_is_read (enum jb_command_kind kind)
+{
+  return kind == JB_COMMAND_READ || kind == JB_COMMAND_WATCH_CONFIG
+         || kind == JB_COMMAND_LIST_BACKENDS || kind == JB_COMMAND_LIST_HOSTS;
+}
+
 /* The result of a command.  */
 enum jb_reply_result
 {
