A host asks one other for a newer configuration

Cause: every host with a new version sent a copy to every host that it heard and that had an older one, again every 0.4 s, whether or not the last one had arrived. A receiver got copies from all senders at once. They queued at its link, delayed heartbeats and the store's answers, and so the message that would have ended it; what waited at a sender was bounded at 32 MB a connection.

Evidence: in the incident six large hosts sent 2.4 to 3.8 MB/s and 26 small ones received all that 10 Mbit/s carry, for more than 20 s after each large version; memory of the senders grew from 94 to 200 MB; all small hosts got versions 19 and 22 from peers. Ruled out: the store (large hosts had its answer in 0.3 s), and the processors (0 to 10% busy).

Change: the receiver decides. A host that has been behind a peer for 0.4 s asks one peer, which sends one copy; the next request follows after 1, 2, 4 and then 8 s, and goes to another peer.

Not mended here: the bound of what waits for all connections together.

--- a/packages/jobs/include/jb_msg.h
+++ b/packages/jobs/include/jb_msg.h
@@ -10,7 +10,7 @@
                            others to the coordinators (see jb_members.c)
    JB_MSG_REQUEST          a client's call, to the owner of the pool
    JB_MSG_REPLY            the reply to a JB_MSG_REQUEST
-   JB_MSG_CATALOG          the configuration, to a host that has an older one
+   JB_MSG_CATALOG          the configuration, to a host that has requested it
    JB_MSG_EVACUATE         the planner asks a pool's owner to evacuate a host
    JB_MSG_EVACUATE_STATUS  the reply: whether the host is empty; sent again
                            when it has become empty
@@ -20,7 +20,9 @@
    JB_MSG_QUOTA_USAGE      what the organisations with a quota use of a pool,
                            from its owner to the planner
    JB_MSG_QUOTA_SHARES     the organisations' shares of a pool, from the
-                           planner to the pool's owner  */
+                           planner to the pool's owner
+   JB_MSG_CATALOG_REQUEST  asks for a newer configuration (see
+                           jb_catalog_fetch.h)  */
 
 #include "jb_catalog.h"
 #include "jb_job_desc.h"
@@ -38,6 +40,7 @@
   JB_MSG_HOST_ARRIVING,
   JB_MSG_QUOTA_USAGE,
   JB_MSG_QUOTA_SHARES,
+  JB_MSG_CATALOG_REQUEST,
   JB_MSG_TYPE_COUNT
 };
 
@@ -189,6 +192,11 @@
   struct jb_msg_org_share *shares;
 };
 
+struct jb_msg_catalog_request
+{
+  uint64_t own_version; /* of the sender; 0: it has no configuration */
+};
+
 struct jb_msg
 {
   uint32_t type; /* enum jb_msg_type */
@@ -204,6 +212,7 @@
     struct jb_msg_host_arriving host_arriving;
     struct jb_msg_usage usage;
     struct jb_msg_shares shares;
+    struct jb_msg_catalog_request catalog_request;
   } u;
 };
 
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -43,11 +43,6 @@
    of the store for all hosts, another host may just be answered first.  */
 #define STORE_RECOVERY_GRACE (900 * JB_MS)
 
-/* How long members have time to read a new configuration from the store before
-   this host sends it to those with an older one, and the time between two such
-   messages.  */
-#define CATALOG_SEND_INTERVAL (400 * JB_MS)
-
 struct pool_slot *
 jb_host_find_slot (const struct jb_host *host, const char *name)
 {
@@ -141,7 +136,7 @@
 /* Apply CATALOG, and take ownership of it, if it is newer than the current
    one.  FROM says for the log where it came from.  */
 static void
-apply_catalog (struct jb_host *host, jb_time now, struct jb_catalog *catalog,
+apply_catalog (struct jb_host *host, struct jb_catalog *catalog,
                const char *from)
 {
   if (host->catalog != NULL && catalog->version <= host->catalog->version)
@@ -154,7 +149,7 @@
   jb_catalog_index_keys (catalog);
   talloc_free ((void *)host->catalog);
   host->catalog = talloc_steal (host, catalog);
-  host->catalog_applied_at = now;
+  host->catalog_fetch = (struct jb_catalog_fetch){ 0 };
   host->heartbeat_due = true;
   for (uint32_t i = 0; i < catalog->pool_count; i++)
     if (jb_host_find_slot (host, catalog->pools[i].name) == NULL)
@@ -216,7 +211,7 @@
     }
   host->watched_version = reply->version;
   if (reply->catalog != NULL)
-    apply_catalog (host, now, reply->catalog, "store");
+    apply_catalog (host, reply->catalog, "store");
   for (uint32_t i = 0; i < reply->wave_count; i++)
     add_wave (host, now, &reply->waves[i]);
 }
@@ -240,62 +235,51 @@
   jb_driver_submit (host->driver, host, now, &command, watch_replied, host);
 }
 
-/* Context of the two passes of send_catalog_to_outdated over the members.  The
-   first pass counts the members that need the message; in the second pass,
-   `bytes' is the encoded message.  */
-struct catalog_recipients
-{
-  struct jb_host *host;
-  struct ba_bytes bytes;
-  uint32_t count;
-};
-
+/* Ask a peer for a newer configuration if it is time to.  */
 static void
-send_catalog_if_outdated (void *data, const struct jb_member *member)
-{
-  struct catalog_recipients *recipients = data;
-  struct jb_host *host = recipients->host;
+request_catalog (struct jb_host *host, jb_time now)
+{
+  uint64_t own_version = jb_host_catalog_version (host);
+  const struct jb_member *member
+      = jb_catalog_fetch_choose (&host->catalog_fetch, now, host->members,
+                                 host->options.incarnation, own_version);
+  struct jb_msg message
+      = { .type = JB_MSG_CATALOG_REQUEST,
+          .u.catalog_request = { .own_version = own_version } };
+  struct ba_bytes bytes;
 
-  if (member->catalog_version >= host->catalog->version)
+  if (member == NULL)
     return;
-  jb_count_event (host->driver, JB_COUNT_CATALOGS_SENT);
-  jb_driver_send (host->driver, member->incarnation, recipients->bytes);
-}
-
-static void
-count_outdated (void *data, const struct jb_member *member)
-{
-  struct catalog_recipients *recipients = data;
-
-  if (member->catalog_version < recipients->host->catalog->version)
-    recipients->count++;
+  jb_log (host->driver, JB_LEVEL_INFO, "configuration-requested", "member",
+          member->name, "version", jb_itoa ((int64_t)member->catalog_version),
+          "before", jb_itoa ((int64_t)own_version), "outdated_ms",
+          jb_itoa ((now - host->catalog_fetch.outdated_since) / JB_MS), NULL);
+  bytes = jb_msg_encode (NULL, &message);
+  jb_driver_send (host->driver, member->incarnation, bytes);
+  talloc_free (bytes.data);
 }
 
-/* Send the configuration to the members that have an older one, because the
-   store may not answer them.  */
+/* Send the configuration to the member with incarnation FROM, which has the
+   version OWN_VERSION, if this host has a newer one.  */
 static void
-send_catalog_to_outdated (struct jb_host *host, jb_time now)
+handle_catalog_request (struct jb_host *host, uint64_t from,
+                        uint64_t own_version)
 {
-  struct catalog_recipients recipients = { .host = host };
+  const struct jb_member *member = jb_members_find (host->members, from);
   struct jb_msg message = { .type = JB_MSG_CATALOG };
+  struct ba_bytes bytes;
 
-  if (host->catalog == NULL
-      || now - host->catalog_applied_at < CATALOG_SEND_INTERVAL
-      || now - host->catalog_sent_at < CATALOG_SEND_INTERVAL)
-    return;
-  jb_members_foreach_alive (host->members, now, count_outdated, &recipients);
-  if (recipients.count == 0)
+  if (jb_host_catalog_version (host) <= own_version)
     return;
-  host->catalog_sent_at = now;
   message.u.catalog = *host->catalog;
-  recipients.bytes = jb_msg_encode (NULL, &message);
+  bytes = jb_msg_encode (NULL, &message);
+  jb_count_event (host->driver, JB_COUNT_CATALOGS_SENT);
   jb_log (host->driver, JB_LEVEL_INFO, "configuration-sent", "version",
-          jb_itoa ((int64_t)host->catalog->version), "members",
-          jb_itoa (recipients.count), "bytes",
-          jb_itoa ((int64_t)recipients.bytes.len), NULL);
-  jb_members_foreach_alive (host->members, now, send_catalog_if_outdated,
-                            &recipients);
-  talloc_free (recipients.bytes.data);
+          jb_itoa ((int64_t)host->catalog->version), "member",
+          member != NULL ? member->name : NULL, "bytes",
+          jb_itoa ((int64_t)bytes.len), NULL);
+  jb_driver_send (host->driver, from, bytes);
+  talloc_free (bytes.data);
 }
 
 /* ---- backend servers ---- */
@@ -642,7 +626,7 @@
 
         ba_codec_deep_copy (catalog, jb_catalog_serialize, &message->u.catalog,
                             catalog);
-        apply_catalog (host, now, catalog, "peer");
+        apply_catalog (host, catalog, "peer");
         if (host->catalog != catalog)
           talloc_free (catalog);
         break;
@@ -669,6 +653,10 @@
     case JB_MSG_QUOTA_SHARES:
       jb_host_handle_shares (host, now, &message->u.shares);
       break;
+    case JB_MSG_CATALOG_REQUEST:
+      handle_catalog_request (host, from,
+                              message->u.catalog_request.own_version);
+      break;
     case JB_MSG_TYPE_COUNT:
       break;
     }
@@ -694,7 +682,7 @@
   check_ownerships (host, now);
   watch_configuration (host, now);
   list_backends (host, now);
-  send_catalog_to_outdated (host, now);
+  request_catalog (host, now);
   for (guint i = 0; i < host->pools->len; i++)
     {
       struct pool_slot *slot = g_ptr_array_index (host->pools, i);
--- a/packages/jobs/src/jb_host_internal.h
+++ b/packages/jobs/src/jb_host_internal.h
@@ -3,6 +3,7 @@
 
 /* State of a host, shared by jb_host*.c and jb_view.c only.  */
 
+#include "jb_catalog_fetch.h"
 #include "jb_host.h"
 #include "jb_planner.h"
 #include "jb_pool.h"
@@ -31,8 +32,7 @@
   struct jb_members *members;
   struct jb_frontend *frontend;
   const struct jb_catalog *catalog; /* NULL: none yet */
-  jb_time catalog_applied_at;
-  jb_time catalog_sent_at;    /* when last sent to members with an older one */
+  struct jb_catalog_fetch catalog_fetch;
   GPtrArray *pools;           /* struct pool_slot */
   struct jb_planner *planner; /* NULL: neither owned nor being claimed */
   jb_time next_planner_claim; /* earliest time to claim its partition */
--- a/packages/jobs/src/jb_msg.c
+++ b/packages/jobs/src/jb_msg.c
@@ -174,6 +174,9 @@
     case JB_MSG_QUOTA_SHARES:
       serialize_shares (io, &message->u.shares);
       break;
+    case JB_MSG_CATALOG_REQUEST:
+      ba_codec_u64 (io, &message->u.catalog_request.own_version);
+      break;
     case JB_MSG_TYPE_COUNT:
       break;
     }
--- a/tests/sim/jobs/test_large_configuration.c
+++ b/tests/sim/jobs/test_large_configuration.c
@@ -54,6 +54,18 @@
   return count;
 }
 
+/* Return how many copies of a configuration the hosts have sent.  */
+static uint64_t
+count_copies (const struct jw_world *world)
+{
+  uint64_t count = 0;
+
+  for (uint32_t i = 0; i < world->options.hosts; i++)
+    count += jb_host_metrics (world->hosts[i].host)
+                 ->counters[JB_COUNT_CATALOGS_SENT];
+  return count;
+}
+
 static void
 check_and_free (struct jw_world *world)
 {
@@ -82,6 +94,8 @@
       jw_bump_catalog_version (world);
       jw_advance (world, APPLY_TIME);
       CU_ASSERT_EQUAL (count_outdated (world), 0);
+      /* No host gets more than one copy of each of the three versions.  */
+      CU_ASSERT (count_copies (world) <= (uint64_t)3 * HOST_COUNT);
       check_and_free (world);
     }
 }
