Bound what waits for all other entry hosts together

Cause: the bound of what waits for a slow receiver was 32 MB for each connection, and a host has one to each other host. 33 connections may hold a gigabyte.

Change: 4 MB for each connection, unless its buffer is empty, and 32 MB for all together, which messages up to 64 KB may exceed: heartbeats to a healthy host don't depend on what waits for a slow one. The sum is a new metric.

Test: "memory exhausted by slow peers", 23 peers that don't read: fails with the old bounds, passes now. test_pr_peers passes.

--- a/packages/peer/include/pr_link.h
+++ b/packages/peer/include/pr_link.h
@@ -10,7 +10,8 @@
    that only processes that know the shared secret are accepted.
 
    A message that can't be sent is dropped.  The protocols that use the link
-   recover from lost messages.
+   recover from lost messages.  What waits for connections is bounded for each
+   connection, and, but for small messages, for all of them together.
 
    Calls from other threads are queued for the link's thread.  When the queue,
    which has room for 8191 calls, is full, a call of any kind is dropped and
@@ -73,7 +74,7 @@
 
 /* Send MESSAGE, which is borrowed for the call, to the member with the
    incarnation TO.  MESSAGE is dropped and counted when there is no established
-   connection to TO, or too much data is buffered for it.  Any thread.  */
+   connection to TO, or too much data is buffered.  Any thread.  */
 void pr_link_send (struct pr_link *link, uint64_t to, struct ba_bytes message);
 
 /* Keep connections to the COUNT MEMBERS, which are borrowed for the call, and
@@ -97,4 +98,7 @@
 /* Return the counters, PR_COUNTER_COUNT of them.  Borrowed.  */
 struct ba_counter *pr_link_counters (struct pr_link *link);
 
+/* Return how many bytes wait for connections.  Any thread.  */
+size_t pr_link_buffered_bytes (struct pr_link *link);
+
 #endif
--- a/packages/peer/src/pr_link.c
+++ b/packages/peer/src/pr_link.c
@@ -16,9 +16,14 @@
 enum
 {
   COMMAND_RING_CAPACITY = 8192,
-  /* Messages for a connection are dropped while its send buffer is larger.
-     The part that was already sent counts, until the buffer is empty.  */
-  MAX_SEND_BUFFER_BYTES = 32 * 1024 * 1024,
+  /* A message is dropped if it would make a send buffer that is not empty
+     larger than this.  The part that was already sent counts, until the buffer
+     is empty.  */
+  MAX_SEND_BUFFER_BYTES = 4 * 1024 * 1024,
+  /* The same for the send buffers of all connections together.  Messages up to
+     the second size are not held back by what waits for others.  */
+  MAX_BUFFERED_BYTES = 32 * 1024 * 1024,
+  SMALL_MESSAGE_BYTES = 64 * 1024,
   READ_CHUNK_BYTES = 64 * 1024,
   RECONNECT_DELAY_MS = 200,
   UNACKED_TIMEOUT_MS = 1000, /* a connection is closed if sent data is not
@@ -87,6 +92,7 @@
   struct out_connection *out_connections;
   int listener;
   bool stopping;
+  _Atomic size_t buffered_bytes; /* in the send buffers of all connections */
   struct ba_counter counters[PR_COUNTER_COUNT];
 };
 
@@ -158,6 +164,24 @@
   out_connect (out);
 }
 
+static void
+clear_send_buffer (struct out_connection *out)
+{
+  atomic_fetch_sub (&out->link->buffered_bytes, out->send_buffer->len);
+  g_byte_array_set_size (out->send_buffer, 0);
+  out->sent_bytes = 0;
+}
+
+static void
+append_frame (struct out_connection *out, struct ba_bytes body)
+{
+  guint old_len = out->send_buffer->len;
+
+  pr_frame_append (out->send_buffer, body);
+  atomic_fetch_add (&out->link->buffered_bytes,
+                    out->send_buffer->len - old_len);
+}
+
 /* Close the connection, drop its unsent data, and connect again after
    RECONNECT_DELAY_MS.  */
 static void
@@ -169,8 +193,7 @@
   out->fd = -1;
   out->hello_queued = false;
   g_byte_array_set_size (out->received, 0);
-  g_byte_array_set_size (out->send_buffer, 0);
-  out->sent_bytes = 0;
+  clear_send_buffer (out);
   if (out->reconnect_timer == NULL)
     out->reconnect_timer = tevent_add_timer (
         out->link->events, out,
@@ -202,8 +225,7 @@
     }
   if (out->sent_bytes == out->send_buffer->len)
     {
-      g_byte_array_set_size (out->send_buffer, 0);
-      out->sent_bytes = 0;
+      clear_send_buffer (out);
       TEVENT_FD_NOT_WRITEABLE (out->event);
     }
   else
@@ -233,8 +255,7 @@
           hello.digest
               = pr_compute_digest (scratch, out->link->options.secret,
                                    challenge.nonce, hello.incarnation);
-          pr_frame_append (out->send_buffer,
-                           pr_hello_encode (scratch, &hello));
+          append_frame (out, pr_hello_encode (scratch, &hello));
           out->hello_queued = true;
         }
       else
@@ -305,6 +326,7 @@
   TALLOC_FREE (out->event);
   if (out->fd >= 0)
     close (out->fd);
+  clear_send_buffer (out);
   g_byte_array_free (out->received, TRUE);
   g_byte_array_free (out->send_buffer, TRUE);
   return 0;
@@ -375,18 +397,30 @@
       out_add (link, &command->members[i]);
 }
 
+/* Return whether a message of LEN bytes may wait for OUT.  */
+static bool
+has_room (const struct out_connection *out, size_t len)
+{
+  size_t own = out->send_buffer->len;
+
+  if (own > 0 && own + len > MAX_SEND_BUFFER_BYTES)
+    return false;
+  return len <= SMALL_MESSAGE_BYTES
+         || atomic_load (&out->link->buffered_bytes) + len
+                <= MAX_BUFFERED_BYTES;
+}
+
 static void
 handle_send (struct pr_link *link, const struct command *command)
 {
   struct out_connection *out = out_find (link, command->incarnation);
 
-  if (out == NULL || !out->hello_queued
-      || out->send_buffer->len > MAX_SEND_BUFFER_BYTES)
+  if (out == NULL || !out->hello_queued || !has_room (out, command->body.len))
     {
       add_to_counter (link, PR_COUNTER_DROPPED, 1);
       return;
     }
-  pr_frame_append (out->send_buffer, command->body);
+  append_frame (out, command->body);
   add_to_counter (link, PR_COUNTER_SENT, 1);
   add_to_counter (link, PR_COUNTER_SENT_BYTES,
                   command->body.len + PR_FRAME_HEADER_BYTES);
@@ -691,6 +725,12 @@
   return link->counters;
 }
 
+size_t
+pr_link_buffered_bytes (struct pr_link *link)
+{
+  return atomic_load (&link->buffered_bytes);
+}
+
 static int
 link_destroy (struct pr_link *link)
 {
--- a/packages/server/src/sv_job_server.c
+++ b/packages/server/src/sv_job_server.c
@@ -454,9 +454,12 @@
       "# TYPE dogwoodpulley_log_lost_total counter\n"
       "dogwoodpulley_log_lost_total %" G_GUINT64_FORMAT "\n"
       "# TYPE dogwoodpulley_events_dropped_total counter\n"
-      "dogwoodpulley_events_dropped_total %" G_GUINT64_FORMAT "\n",
+      "dogwoodpulley_events_dropped_total %" G_GUINT64_FORMAT "\n"
+      "# TYPE dogwoodpulley_peer_buffered_bytes gauge\n"
+      "dogwoodpulley_peer_buffered_bytes %" G_GSIZE_FORMAT "\n",
       sv_log_lost_count (server->log),
-      atomic_load (&server->dropped_event_count));
+      atomic_load (&server->dropped_event_count),
+      pr_link_buffered_bytes (server->peer_link));
   text = talloc_strdup_append_buffer (
       text, ba_counter_format (scratch, pr_link_counters (server->peer_link),
                                PR_COUNTER_COUNT));
