Log each run that is lost with its backend server

runs-lost names the backend server and the number of runs, so the log can't tell which task several crashed backend servers had in common. New log event run-lost (task, run, backend), within the budget for each event. No logic changes.

--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -60,8 +60,14 @@
 
   while (backend->tasks != NULL)
     {
+      struct jb_task *task = backend->tasks;
+      char name[JB_TASK_NAME_SIZE];
+
       jb_count_event (pool->options.driver, JB_COUNT_END_VANISHED);
-      clear_run (pool, backend->tasks, now);
+      jb_log (pool->options.driver, JB_LEVEL_INFO, "run-lost", "task",
+              jb_task_name (task, name), "run", jb_itoa (task->run), "backend",
+              backend->instance, NULL);
+      clear_run (pool, task, now);
     }
   if (count > 0)
     jb_log (pool->options.driver, JB_LEVEL_WARN, "runs-lost", "backend",
