Failing test: tasks that crash backend servers

The emulator has jobs whose first task crashes its backend server 10 ms after the start; the next one has its address after 3 s. It checks the operators' rule: such a task is started less than three times after three crashes, and a job may be given up only if two backend servers have crashed under a task of it.

--- a/tests/sim/jobs/jw_backend.c
+++ b/tests/sim/jobs/jw_backend.c
@@ -23,6 +23,9 @@
 /* How long after its start a task is ready.  */
 #define READY_DELAY (300 * JB_MS)
 
+/* How long after its start a task crashes its backend server.  */
+#define CRASH_DELAY (10 * JB_MS)
+
 /* How long a host is down.  */
 #define MAINTENANCE_TIME (2000 * JB_MS)
 #define HOST_MOVE_TIME (1500 * JB_MS)
@@ -65,6 +68,9 @@
                                           : "10.0.0",
                                       world->last_backend % ADDRESS_COUNT,
                                       MAX (world->options.backend_port, 1));
+  if (host->kept_address != NULL)
+    backend->address = talloc_steal (backend, host->kept_address);
+  host->kept_address = NULL;
   backend->host = talloc_strdup (backend, host->name);
   backend->pool = host->pool;
   backend->up = true;
@@ -366,6 +372,31 @@
                     JB_OUTCOME_GANG_INCOMPLETE);
 }
 
+static void
+crash_under_task (struct jw_world *world, void *data)
+{
+  struct jw_backend *backend = *(void **)data;
+
+  if (!backend->up)
+    return;
+  for (guint i = 0; i < world->fleet->len; i++)
+    {
+      struct jw_fleet_host *host = g_ptr_array_index (world->fleet, i);
+
+      if (host->backend == backend)
+        host->kept_address = talloc_strdup (host, backend->address);
+    }
+  jw_backend_crash (world, backend, false);
+}
+
+static bool
+is_first_task (const char *name)
+{
+  struct jb_task_ref ref;
+
+  return jb_task_ref_parse (name, &ref) && ref.step == 0 && ref.index == 0;
+}
+
 /* The specification of a task, written by jw_submit_job, is its duration in
    milliseconds and its behaviour.  */
 static void
@@ -377,7 +408,9 @@
   uint32_t highest_closed_run = GPOINTER_TO_UINT (
       g_hash_table_lookup (backend->closed_runs, from->task));
   int duration_ms = 0;
-  int behaviour = 0; /* 0: completes, 1: fails, -1: runs until stopped */
+  /* 0: completes, 1: fails, 2: the first task crashes its backend server,
+     -1: runs until stopped.  */
+  int behaviour = 0;
 
   reply->backend_clock_ms = read_clock_ms (backend, world->now);
   if (run != NULL && run->run == from->run)
@@ -423,12 +456,15 @@
   g_ptr_array_add (backend->runs, run);
   jw_get_task (world, from->task)->ready_at = world->now + READY_DELAY;
   extend_lease (world, backend, from->lease_until_ms);
-  if (is_gang_task (world, from->task))
+  if (behaviour == 2 && is_first_task (from->task))
+    jw_schedule (world, world->now + CRASH_DELAY, crash_under_task,
+                 box_pointer (backend));
+  else if (is_gang_task (world, from->task))
     schedule_gang_ends (world, from->task, from->run, duration_ms);
   else if (behaviour == 1 || backend->fails_all_runs)
     schedule_end (world, backend, run, duration_ms * JB_MS / 4,
                   JB_OUTCOME_FAILED);
-  else if (behaviour == 0 && !backend->hangs)
+  else if (behaviour != -1 && !backend->hangs)
     schedule_end (world, backend, run,
                   duration_ms * JB_MS
                       * g_rand_int_range (world->random, 70, 130) / 100,
@@ -579,6 +615,12 @@
 jw_backend_crash (struct jw_world *world, struct jw_backend *backend,
                   bool permanently)
 {
+  for (guint i = 0; i < backend->runs->len; i++)
+    {
+      const struct jw_task_run *run = g_ptr_array_index (backend->runs, i);
+
+      jw_get_task (world, run->task)->crashes++;
+    }
   drop_all_runs (world, backend);
   for (guint i = 0; i < world->fleet->len; i++)
     {
--- a/tests/sim/jobs/jw_check.c
+++ b/tests/sim/jobs/jw_check.c
@@ -142,6 +142,12 @@
   if (!step->long_running && task->acked_failures >= JW_MAX_ATTEMPTS)
     jw_report_violation (world, "BUDGET", "%s starts after %u failures", name,
                          task->acked_failures);
+  if (job->crashes_backends && ref.step == 0 && ref.index == 0
+      && task->crashes >= JW_MAX_CRASHES
+      && ++task->starts_after_crashes >= JW_MAX_STARTS_AFTER_CRASHES)
+    jw_report_violation (world, "BUDGET",
+                         "%s starts again after %u crashed backend servers",
+                         name, task->crashes);
   check_predecessors (world, job, &ref);
   if (world->options.org_cpu_limit_milli > 0
       && sum_org_running_cpu_milli (world, job)
@@ -151,6 +157,22 @@
                          "%s starts above its organisation's limit", name);
 }
 
+bool
+jw_may_give_up_job (struct jw_world *world, const struct jw_job *job)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, world->tasks);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    if (g_str_has_prefix (key, job->desc->id)
+        && ((const struct jw_task *)value)->crashes
+               >= JW_MIN_CRASHES_TO_GIVE_UP)
+      return true;
+  return false;
+}
+
 void
 jw_check_run_end (struct jw_world *world, const struct jw_ended_run *ended,
                   bool acked)
--- a/tests/sim/jobs/jw_clients.c
+++ b/tests/sim/jobs/jw_clients.c
@@ -138,7 +138,7 @@
   job->state_known = true;
   job->state = answer->state;
   if (answer->state == JB_JOB_FAILED && !job->always_fails
-      && !world->backends_fail_runs)
+      && !world->backends_fail_runs && !jw_may_give_up_job (world, job))
     jw_report_violation (world, "LOST",
                          "job %s is reported as failed, but its tasks don't "
                          "fail",
@@ -221,6 +221,7 @@
   job->pool = options->pool;
   job->only_refused = true;
   job->always_fails = options->always_fails;
+  job->crashes_backends = options->crashes_backends;
   desc->id = talloc_asprintf (desc, "%08x%08x", g_rand_int (world->random),
                               g_rand_int (world->random));
   desc->queue = talloc_asprintf (desc, "queue-%u", options->pool);
@@ -228,9 +229,10 @@
   desc->org
       = talloc_strdup (desc, options->api_key ? options->api_key : "key-0");
   desc->spec = talloc_asprintf (desc, "%d %d", (int)options->duration_ms,
-                                options->long_running   ? -1
-                                : options->always_fails ? 1
-                                                        : 0);
+                                options->long_running       ? -1
+                                : options->crashes_backends ? 2
+                                : options->always_fails     ? 1
+                                                            : 0);
   desc->step_count = options->step_count;
   desc->steps = talloc_zero_array (desc, struct jb_step, options->step_count);
   for (uint32_t i = 0; i < options->step_count; i++)
@@ -331,6 +333,8 @@
                              job->desc->id);
       else if (!long_running && job->state != JB_JOB_COMPLETED
                && !job->always_fails
+               && !(job->state == JB_JOB_FAILED
+                    && jw_may_give_up_job (world, job))
                && !(world->backends_fail_runs && job->state == JB_JOB_FAILED))
         jw_report_violation (world, "LOST",
                              "job %s is %s instead of completed",
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -21,7 +21,13 @@
 {
   JW_MAX_HOST_COUNT = 64,
   JW_MAX_POOL_COUNT = 6,
-  JW_MAX_ATTEMPTS = 3 /* failed runs after which a task has failed */
+  JW_MAX_ATTEMPTS = 3, /* failed runs after which a task has failed */
+  /* A task may be given up after this number of crashes of backend servers
+     where it was running.  */
+  JW_MIN_CRASHES_TO_GIVE_UP = 2,
+  /* After this number of them it may be started less than this often.  */
+  JW_MAX_CRASHES = 3,
+  JW_MAX_STARTS_AFTER_CRASHES = 3
 };
 
 /* Share of a processor, in thousandths, and bandwidth of the link of a large
@@ -171,10 +177,12 @@
 /* State of a task as the checks see it.  */
 struct jw_task
 {
-  uint32_t active_runs;      /* on backend servers that are up */
-  bool done;                 /* a run completed it */
-  bool done_acked;           /* and a pool owner acknowledged its end */
-  uint32_t acked_failures;   /* failed runs that a pool owner acknowledged */
+  uint32_t active_runs;    /* on backend servers that are up */
+  bool done;               /* a run completed it */
+  bool done_acked;         /* and a pool owner acknowledged its end */
+  uint32_t acked_failures; /* failed runs that a pool owner acknowledged */
+  uint32_t crashes;        /* of backend servers where it was running */
+  uint32_t starts_after_crashes; /* since JW_MAX_CRASHES of them */
   jb_time ready_at;          /* time from which its run is ready; 0: no run */
   jb_time unready_since;     /* end of its last run */
   jb_time last_ready_at;     /* end of its last run that was ready and not told
@@ -192,6 +200,7 @@
   bool cancel_sent;
   jb_time cancelled_at;    /* when an entry host acknowledged it; 0: not yet */
   bool always_fails;       /* its tasks always fail */
+  bool crashes_backends;   /* its first task crashes its backend servers */
   bool started;            /* a backend server has started one of its tasks */
   uint32_t retries;        /* of the submission or of the cancellation */
   jb_time answered_at;     /* last answer of an entry host to its client */
@@ -206,6 +215,9 @@
   uint32_t pool;
   enum jb_host_state state;
   struct jw_backend *backend;
+  /* Address of a backend server that crashed here, which the next one has as
+     well; NULL: the next one has a new address.  */
+  char *kept_address;
   uint64_t last_fencing_token; /* of the last command on this host */
   char *last_planner;          /* planner that sent the command */
   jb_time last_command_at;
@@ -288,6 +300,8 @@
   int64_t cpu_milli;   /* of each task, thousandths of a core */
   int64_t duration_ms; /* of each task */
   bool always_fails;
+  bool crashes_backends; /* the first task crashes each backend server that
+                            starts it */
   bool long_running;
   uint32_t max_unavailable;
   bool gang;
@@ -336,6 +350,9 @@
 struct jw_backend *jw_find_backend (struct jw_world *world, uint32_t pool,
                                     uint32_t index);
 
+/* Return whether JOB may be given up because of crashed backend servers.  */
+bool jw_may_give_up_job (struct jw_world *world, const struct jw_job *job);
+
 /* Crash BACKEND.  Unless PERMANENTLY, its host returns after 3 s with a new
    one.  */
 void jw_backend_crash (struct jw_world *world, struct jw_backend *backend,
@@ -357,7 +374,9 @@
    REFUSED  a task of a job starts whose submission was refused
    TWICE    a task has two runs at once, or starts again after it was done
    ORDER    a task starts before the preceding steps are done
-   BUDGET   a task starts again after JW_MAX_ATTEMPTS failures
+   BUDGET   a task starts again after JW_MAX_ATTEMPTS failures, or
+            JW_MAX_STARTS_AFTER_CRASHES times after JW_MAX_CRASHES backend
+            servers have crashed under it
    QUOTA    a task starts above its organisation's limit
    TICKET   a task starts without the ticket that it needs
    AVAIL    too many tasks of a step are unavailable at once
