Give up tasks that crash backend servers

Cause: only ends that a backend server reports as failed count as attempts. A crash leaves no report; the run was cleared as lost and started elsewhere, for ever. Hypothesis 2, a count lost with the owner, fell away: there was none.

Change: a backend server that stops answering has crashed when another instance answers at its address or it has a later start time. The crash counts for all runs there, stored with the progress of their jobs, which end as failed after two early crashes or four of any kind. So that jobs beside them don't fail: a task with an early crash starts apart from other new runs, and tasks lost in the crashes of a guilty one are cleared. Not counted: silence, which may be a cut, and backend servers that leave as planned.

In test_jb_policies jb_place_choose has a further argument, the time; the checks are the same.

--- a/packages/jobs/include/jb_driver.h
+++ b/packages/jobs/include/jb_driver.h
@@ -125,6 +125,8 @@
   /* Status probes of backend servers.  */
   JB_COUNT_PROBES_ANSWERED,
   JB_COUNT_PROBES_UNANSWERED,
+  /* Backend servers that are known to have crashed while they had runs.  */
+  JB_COUNT_BACKENDS_CRASHED,
   /* Calls to the store.  */
   JB_COUNT_STORE_WRITES,         /* writes that were sent, answered or not */
   JB_COUNT_STORE_WRITES_UNKNOWN, /* writes that were not answered */
--- a/packages/jobs/include/jb_job.h
+++ b/packages/jobs/include/jb_job.h
@@ -34,6 +34,11 @@
      server may report an end twice, and different backend servers report ends
      in any order.  */
   uint32_t *failed_runs;
+  /* Backend servers that crashed while a run was or may have been there, and
+     those of them that crashed early in the run and not because of another
+     task (jb_crash.h).  */
+  uint32_t crashes;
+  uint32_t early_crashes;
   uint32_t run; /* highest run number used so far */
   enum jb_run_state state;
   struct jb_backend *backend; /* of the current run, or NULL */
@@ -47,6 +52,7 @@
   /* When the start of the current run was confirmed, or a probe first listed
      the run.  */
   jb_time started_at;
+  bool run_proven;  /* the current run has lasted for JB_CRASH_EARLY_MS */
   bool inherited;   /* a previous owner started the current run */
   jb_time ended_at; /* when the last run ended; 0: there was none */
   /* When a stop was last sent, or the start timed out.  */
--- a/packages/jobs/include/jb_place.h
+++ b/packages/jobs/include/jb_place.h
@@ -17,13 +17,15 @@
 bool jb_place_is_allowed (const struct jb_task *task,
                           const struct jb_backend *backend);
 
-/* Return the best of the COUNT usable BACKENDS for TASK, or NULL when it may
-   not run on any of them or fits on none.  AVOID, which may be NULL, is only
-   chosen when there is no other.  */
+/* Return the best of the COUNT usable BACKENDS to start TASK on at NOW, or
+   NULL when it may not run on any of them, fits on none, or must wait for one
+   where a crash could be blamed on it (jb_crash.h).  AVOID, which may be NULL,
+   is only chosen when there is no other.  */
 struct jb_backend *jb_place_choose (const struct jb_task *task,
                                     struct jb_backend *const *backends,
                                     uint32_t count,
-                                    const struct jb_backend *avoid);
+                                    const struct jb_backend *avoid,
+                                    jb_time now);
 
 /* Return whether TASK fits into the free capacity of BACKEND.  */
 bool jb_place_fits (const struct jb_task *task,
--- /dev/null
+++ b/packages/jobs/src/jb_crash.c
@@ -0,0 +1,85 @@
+#include "jb_crash.h"
+
+enum
+{
+  /* A task is given up after this number of early crashes of which no other
+     task was found guilty, or of crashes of any kind.  The latter is higher,
+     since most tasks that were lost in a crash did not cause it.  */
+  MAX_EARLY_CRASHES = 2,
+  MAX_CRASHES = 4,
+  /* Of a long-running task only early crashes in a row count, since it
+     outlives many backend servers.  */
+  MAX_EARLY_CRASHES_LONG_RUNNING = 3
+};
+
+/* How long a suspect waits for a backend server without unproven runs.  */
+#define MAX_WAIT_FOR_TRIAL (1500 * JB_MS)
+
+enum jb_crash_phase
+jb_crash_phase_of (const struct jb_task *task)
+{
+  if (task->state == JB_RUN_STARTING || task->state == JB_RUN_UNCONFIRMED)
+    return JB_CRASH_UNCONFIRMED;
+  if (jb_task_step (task)->long_running)
+    return task->ready_percent < 100 ? JB_CRASH_EARLY : JB_CRASH_LATE;
+  return task->run_proven ? JB_CRASH_LATE : JB_CRASH_EARLY;
+}
+
+void
+jb_crash_record (struct jb_task *task, enum jb_crash_phase phase)
+{
+  task->crashes++;
+  if (phase == JB_CRASH_EARLY)
+    task->early_crashes++;
+}
+
+void
+jb_crash_retract (struct jb_task *task, enum jb_crash_phase phase)
+{
+  if (phase == JB_CRASH_EARLY && task->early_crashes > 0)
+    task->early_crashes--;
+}
+
+bool
+jb_crash_clear (struct jb_task *task)
+{
+  bool had_crashes = task->crashes > 0;
+
+  task->crashes = 0;
+  task->early_crashes = 0;
+  return had_crashes;
+}
+
+bool
+jb_crash_gives_up (const struct jb_task *task)
+{
+  if (jb_task_step (task)->long_running)
+    return task->early_crashes >= MAX_EARLY_CRASHES_LONG_RUNNING;
+  return task->crashes >= MAX_CRASHES
+         || task->early_crashes >= MAX_EARLY_CRASHES;
+}
+
+bool
+jb_crash_is_on_trial (const struct jb_backend *backend)
+{
+  for (const struct jb_task *t = backend->tasks; t != NULL;
+       t = t->next_on_backend)
+    if (t->early_crashes > 0 && !t->run_proven)
+      return true;
+  return false;
+}
+
+bool
+jb_crash_keeps_apart (const struct jb_task *task,
+                      const struct jb_backend *backend, jb_time now)
+{
+  if (jb_crash_is_on_trial (backend))
+    return true;
+  if (task->early_crashes == 0 || now - task->ended_at > MAX_WAIT_FOR_TRIAL)
+    return false;
+  for (const struct jb_task *t = backend->tasks; t != NULL;
+       t = t->next_on_backend)
+    if (!t->run_proven)
+      return true;
+  return false;
+}
--- a/packages/jobs/src/jb_driver.c
+++ b/packages/jobs/src/jb_driver.c
@@ -275,6 +275,7 @@
   [JB_COUNT_END_VANISHED] = { "runs_ended", "how=\"vanished\"" },
   [JB_COUNT_PROBES_ANSWERED] = { "looks", "outcome=\"answered\"" },
   [JB_COUNT_PROBES_UNANSWERED] = { "looks", "outcome=\"lost\"" },
+  [JB_COUNT_BACKENDS_CRASHED] = { "backends_crashed", NULL },
   [JB_COUNT_STORE_WRITES] = { "store_writes", "outcome=\"done\"" },
   [JB_COUNT_STORE_WRITES_UNKNOWN] = { "store_writes", "outcome=\"unknown\"" },
   [JB_COUNT_STORE_READS] = { "store_reads", NULL },
--- a/packages/jobs/src/jb_job.c
+++ b/packages/jobs/src/jb_job.c
@@ -6,7 +6,9 @@
 
 enum
 {
-  MAX_FAILURES_PER_TASK = 100000 /* bound when decoding stored progress */
+  /* Bounds when decoding stored progress.  */
+  MAX_FAILURES_PER_TASK = 100000,
+  MAX_SAVED_CRASHES = 1000000
 };
 
 static int
@@ -213,6 +215,7 @@
   task->confirmed_at = 0;
   task->started_at = 0;
   task->inherited = false;
+  task->run_proven = false;
   task->ready_percent = 0;
   task->speed_percent = 100;
   task->speed_set_at = 0;
@@ -300,12 +303,24 @@
   struct saved_task *tasks;
 };
 
+/* A task under which backend servers have crashed.  */
+struct saved_crashes
+{
+  uint32_t occurrence;
+  uint32_t step;
+  uint32_t index;
+  uint32_t crashes;
+  uint32_t early_crashes;
+};
+
 struct saved_job
 {
   uint32_t dropped_occurrences;
   uint32_t opened_occurrences;
   uint32_t group_count;
   struct saved_group *groups;
+  uint32_t crashes_count;
+  struct saved_crashes *crashes;
 };
 
 static void
@@ -327,6 +342,16 @@
                   serialize_saved_task);
 }
 
+static void
+serialize_saved_crashes (struct ba_codec *io, struct saved_crashes *saved)
+{
+  ba_codec_u32 (io, &saved->occurrence);
+  ba_codec_u32 (io, &saved->step);
+  ba_codec_u32 (io, &saved->index);
+  ba_codec_u32 (io, &saved->crashes);
+  ba_codec_u32 (io, &saved->early_crashes);
+}
+
 static void
 serialize_saved_job (struct ba_codec *io, struct saved_job *job)
 {
@@ -334,6 +359,26 @@
   ba_codec_u32 (io, &job->opened_occurrences);
   ba_codec_array (io, job->groups, job->group_count, JB_MAX_OCCURRENCES,
                   serialize_saved_group);
+  /* Left out if empty, so that hosts of older versions can read the rest.  */
+  if (io->reading ? io->offset < io->in.len : job->crashes_count > 0)
+    ba_codec_array (io, job->crashes, job->crashes_count, MAX_SAVED_CRASHES,
+                    serialize_saved_crashes);
+}
+
+/* Append the tasks of GROUP under which backend servers have crashed to
+   SAVED, whose array has room for them.  */
+static void
+save_crashes (const struct jb_task_group *group, struct saved_job *saved)
+{
+  for (uint32_t i = 0; i < group->task_count; i++)
+    {
+      const struct jb_task *task = &group->tasks[i];
+
+      if (task->crashes > 0 && !task->done)
+        saved->crashes[saved->crashes_count++]
+            = (struct saved_crashes){ group->occurrence, group->step, i,
+                                      task->crashes, task->early_crashes };
+    }
 }
 
 /* Fill SAVED with the tasks of GROUP that have any progress.  Its array is
@@ -364,11 +409,17 @@
   struct saved_job saved = { .dropped_occurrences = job->dropped_occurrences,
                              .opened_occurrences = job->opened_occurrences };
   struct ba_bytes bytes;
+  size_t task_count = 0;
 
   saved.groups
       = talloc_zero_array (scratch, struct saved_group, job->groups->len + 1);
+  for (guint i = 0; i < job->groups->len; i++)
+    task_count += ((struct jb_task_group *)g_ptr_array_index (job->groups, i))
+                      ->task_count;
+  saved.crashes = talloc_array (scratch, struct saved_crashes, task_count + 1);
   for (guint i = 0; i < job->groups->len; i++)
     {
+      save_crashes (g_ptr_array_index (job->groups, i), &saved);
       save_group (scratch, g_ptr_array_index (job->groups, i),
                   &saved.groups[saved.group_count]);
       if (saved.groups[saved.group_count].task_count > 0)
@@ -404,6 +455,20 @@
     }
 }
 
+static void
+restore_crashes (struct jb_job *job, const struct saved_crashes *saved)
+{
+  struct jb_task_group *group
+      = jb_job_find_group (job, saved->occurrence, saved->step);
+
+  if (group == NULL || saved->index >= group->task_count)
+    return;
+  group->tasks[saved->index].crashes = saved->crashes;
+  group->tasks[saved->index].early_crashes = saved->early_crashes;
+  group->tasks[saved->index].ever_started = true;
+  job->ever_started = true;
+}
+
 bool
 jb_job_apply_progress (struct jb_job *job, struct ba_bytes progress)
 {
@@ -428,6 +493,8 @@
         jb_job_open_next_occurrence (job);
       for (uint32_t i = 0; i < saved.group_count; i++)
         restore_group (job, &saved.groups[i]);
+      for (uint32_t i = 0; i < saved.crashes_count; i++)
+        restore_crashes (job, &saved.crashes[i]);
       for (uint32_t k = job->dropped_occurrences; k < job->opened_occurrences;
            k++)
         jb_job_update_ready_groups (job, k);
--- a/packages/jobs/src/jb_place.c
+++ b/packages/jobs/src/jb_place.c
@@ -1,5 +1,7 @@
 #include "jb_place.h"
 
+#include "jb_crash.h"
+
 #include <string.h>
 
 /* Penalties of running a task on a backend server, in decreasing order: each
@@ -128,7 +130,7 @@
 struct jb_backend *
 jb_place_choose (const struct jb_task *task,
                  struct jb_backend *const *backends, uint32_t count,
-                 const struct jb_backend *avoid)
+                 const struct jb_backend *avoid, jb_time now)
 {
   struct jb_backend *best = NULL;
   double best_penalty = 0;
@@ -139,7 +141,8 @@
       double candidate_penalty;
 
       if (!jb_place_fits (task, backend)
-          || !jb_place_is_allowed (task, backend))
+          || !jb_place_is_allowed (task, backend)
+          || jb_crash_keeps_apart (task, backend, now))
         continue;
       candidate_penalty = penalty (task, backend)
                           + (backend == avoid ? PENALTY_AVOIDED_BACKEND : 0);
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -5,6 +5,7 @@
 #include "jb_pool_internal.h"
 
 #include "jb_admission.h"
+#include "jb_crash.h"
 
 #include <math.h>
 #include <string.h>
@@ -83,6 +84,7 @@
   g_ptr_array_free (pool->active_jobs, TRUE);
   g_ptr_array_free (pool->dirty_jobs, TRUE);
   g_ptr_array_free (pool->deferred_requests, TRUE);
+  g_ptr_array_free (pool->losses, TRUE);
   return 0;
 }
 
@@ -110,6 +112,7 @@
   pool->active_jobs = g_ptr_array_new ();
   pool->dirty_jobs = g_ptr_array_new ();
   pool->deferred_requests = g_ptr_array_new ();
+  pool->losses = g_ptr_array_new ();
   talloc_set_destructor (pool, pool_destroy);
   return pool;
 }
@@ -377,8 +380,15 @@
       deactivate_ended_job (pool, job);
       return;
     }
-  if (!step->long_running && job->desc->max_attempts > 0
-      && failure_counter->failures >= job->desc->max_attempts && !task->done)
+  if (jb_crash_gives_up (task) && !task->done)
+    {
+      jb_pool_blame_task (pool, task, now);
+      jb_pool_end_job (pool, job, JB_JOB_FAILED, now,
+                       "too many backend servers have crashed under a task");
+    }
+  else if (!step->long_running && job->desc->max_attempts > 0
+           && failure_counter->failures >= job->desc->max_attempts
+           && !task->done)
     jb_pool_end_job (pool, job, JB_JOB_FAILED, now,
                      "a task has failed too often");
   else if (jb_job_is_done (job))
@@ -669,6 +679,7 @@
               entry->instance, "pool", pool->options.name, "rack",
               backend->rack, NULL);
       pool->schedule_due = true;
+      jb_pool_confirm_losses (pool, entry->address, now);
     }
   if (!backend->draining && entry->draining)
     jb_log (pool->options.driver, JB_LEVEL_INFO, "backend-draining", "backend",
@@ -869,6 +880,7 @@
   jb_pool_finish_scan_if_complete (pool, now);
   jb_pool_resend_stops (pool, now);
   jb_pool_end_cordons (pool, now);
+  jb_pool_expire_losses (pool, now);
   if (now - jb_ownership_confirmed_at (pool->ownership)
       > OWNERSHIP_VERIFY_AFTER)
     jb_ownership_verify (pool->ownership, now);
--- /dev/null
+++ b/packages/jobs/src/jb_pool_crash.c
@@ -0,0 +1,240 @@
+/* Runs that were lost with their backend server.
+
+   When a backend server does not answer until its leases have expired, it may
+   have crashed or be cut off.  A crash shows when another instance answers at
+   its address, or the same one after a restart, which may be later.  */
+
+#include "jb_crash.h"
+#include "jb_pool_internal.h"
+
+#include <string.h>
+
+/* How long a crash of a silent backend server may take to show, and how long
+   the runs of one that has crashed are remembered.  */
+#define LOSS_LIFETIME (15 * JB_SECOND)
+#define CRASH_LIFETIME (30 * JB_SECOND)
+
+/* A run that was lost with its backend server.  */
+struct lost_run
+{
+  struct jb_task_ref ref;
+  enum jb_crash_phase phase;
+};
+
+/* The runs that were lost with a backend server that may have crashed, or has
+   crashed.  */
+struct jb_loss
+{
+  char *instance;
+  char *address;
+  jb_time lost_at;
+  bool is_crash;
+  uint32_t count;
+  struct lost_run *runs;
+};
+
+static const char *
+cause_text (enum jb_loss_cause cause)
+{
+  static const char *const texts[]
+      = { [JB_LOSS_LEASE_EXPIRED] = "its lease has expired",
+          [JB_LOSS_REPLACED] = "another instance answers at its address",
+          [JB_LOSS_RESTARTED] = "the backend server has restarted" };
+
+  return texts[cause];
+}
+
+static struct jb_task *
+find_task (const struct jb_pool *pool, const struct lost_run *run)
+{
+  struct jb_job *job = g_hash_table_lookup (pool->jobs, run->ref.id);
+
+  return job != NULL && job->ended_at == 0 ? jb_job_find_task (job, &run->ref)
+                                           : NULL;
+}
+
+static void
+remove_loss (struct jb_pool *pool, guint index)
+{
+  talloc_free (g_ptr_array_remove_index (pool->losses, index));
+}
+
+/* Remember the runs on BACKEND.  */
+static void
+add_loss (struct jb_pool *pool, const struct jb_backend *backend, jb_time now)
+{
+  struct jb_loss *loss = talloc_zero (pool, struct jb_loss);
+
+  loss->instance = talloc_strdup (loss, backend->instance);
+  loss->address = talloc_strdup (loss, backend->address);
+  loss->lost_at = now;
+  loss->runs = talloc_array (loss, struct lost_run, backend->task_count);
+  for (const struct jb_task *task = backend->tasks; task != NULL;
+       task = task->next_on_backend)
+    {
+      struct lost_run *run = &loss->runs[loss->count];
+      char name[JB_TASK_NAME_SIZE];
+
+      run->phase = jb_crash_phase_of (task);
+      if (jb_task_ref_parse (jb_task_name (task, name), &run->ref))
+        loss->count++;
+    }
+  g_ptr_array_add (pool->losses, loss);
+}
+
+/* The backend server of LOSS has crashed: count that for its runs.  */
+static void
+record_crash (struct jb_pool *pool, struct jb_loss *loss, jb_time now)
+{
+  loss->is_crash = true;
+  jb_count_event (pool->options.driver, JB_COUNT_BACKENDS_CRASHED);
+  jb_log (pool->options.driver, JB_LEVEL_WARN, "backend-crashed", "backend",
+          loss->instance, "pool", pool->options.name, "runs",
+          jb_itoa (loss->count), "lost_ms",
+          jb_itoa ((now - loss->lost_at) / JB_MS), NULL);
+  for (uint32_t i = 0; i < loss->count; i++)
+    {
+      struct jb_task *task = find_task (pool, &loss->runs[i]);
+
+      if (task == NULL || task->done)
+        continue;
+      jb_crash_record (task, loss->runs[i].phase);
+      jb_pool_mark_dirty (pool, task->group->job, now);
+    }
+}
+
+/* Return whether one of the runs of LOSS was one of TASK.  */
+static bool
+contains_task (const struct jb_pool *pool, const struct jb_loss *loss,
+               const struct jb_task *task)
+{
+  for (uint32_t i = 0; i < loss->count; i++)
+    if (find_task (pool, &loss->runs[i]) == task)
+      return true;
+  return false;
+}
+
+void
+jb_pool_blame_task (struct jb_pool *pool, const struct jb_task *task,
+                    jb_time now)
+{
+  for (guint i = pool->losses->len; i-- > 0;)
+    {
+      struct jb_loss *loss = g_ptr_array_index (pool->losses, i);
+
+      if (!loss->is_crash || !contains_task (pool, loss, task))
+        continue;
+      for (uint32_t j = 0; j < loss->count; j++)
+        {
+          struct jb_task *other = find_task (pool, &loss->runs[j]);
+
+          if (other == NULL || other == task)
+            continue;
+          jb_crash_retract (other, loss->runs[j].phase);
+          jb_pool_mark_dirty (pool, other->group->job, now);
+        }
+      remove_loss (pool, i);
+    }
+}
+
+/* Give up the tasks of the crash LOSS that are to blame, those with the most
+   crashes first: they may clear others.  */
+static void
+give_up_tasks (struct jb_pool *pool, const struct jb_loss *loss, jb_time now)
+{
+  struct jb_task **tasks = talloc_array (NULL, struct jb_task *, loss->count);
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < loss->count; i++)
+    {
+      struct jb_task *task = find_task (pool, &loss->runs[i]);
+
+      if (task != NULL && jb_crash_gives_up (task))
+        tasks[count++] = task;
+    }
+  for (uint32_t i = 0; i < count; i++)
+    for (uint32_t j = i + 1; j < count; j++)
+      if (tasks[j]->crashes > tasks[i]->crashes)
+        {
+          struct jb_task *swapped = tasks[i];
+
+          tasks[i] = tasks[j];
+          tasks[j] = swapped;
+        }
+  for (uint32_t i = 0; i < count; i++)
+    jb_pool_handle_run_update (pool, tasks[i], now);
+  talloc_free (tasks);
+}
+
+void
+jb_pool_confirm_losses (struct jb_pool *pool, const char *address, jb_time now)
+{
+  for (guint i = pool->losses->len; i-- > 0;)
+    {
+      struct jb_loss *loss = g_ptr_array_index (pool->losses, i);
+
+      if (loss->is_crash || strcmp (loss->address, address) != 0)
+        continue;
+      record_crash (pool, loss, now);
+      give_up_tasks (pool, loss, now);
+      /* Blaming tasks may have removed this loss and others.  */
+      i = MIN (i, pool->losses->len);
+    }
+}
+
+void
+jb_pool_dismiss_losses (struct jb_pool *pool, const char *instance)
+{
+  for (guint i = pool->losses->len; i-- > 0;)
+    {
+      const struct jb_loss *loss = g_ptr_array_index (pool->losses, i);
+
+      if (!loss->is_crash && strcmp (loss->instance, instance) == 0)
+        remove_loss (pool, i);
+    }
+}
+
+void
+jb_pool_expire_losses (struct jb_pool *pool, jb_time now)
+{
+  for (guint i = pool->losses->len; i-- > 0;)
+    {
+      const struct jb_loss *loss = g_ptr_array_index (pool->losses, i);
+
+      if (now - loss->lost_at
+          > (loss->is_crash ? CRASH_LIFETIME : LOSS_LIFETIME))
+        remove_loss (pool, i);
+    }
+}
+
+void
+jb_pool_clear_lost_runs (struct jb_pool *pool, struct jb_backend *backend,
+                         jb_time now, enum jb_loss_cause cause)
+{
+  uint32_t count = backend->task_count;
+  /* A backend server that leaves ends the runs that it still has.  */
+  bool is_planned = backend->draining || now < backend->cordoned_until;
+
+  if (count > 0 && !is_planned)
+    add_loss (pool, backend, now);
+  while (backend->tasks != NULL)
+    {
+      struct jb_task *task = backend->tasks;
+      char name[JB_TASK_NAME_SIZE];
+
+      jb_count_event (pool->options.driver, JB_COUNT_END_VANISHED);
+      jb_log (pool->options.driver, JB_LEVEL_INFO, "run-lost", "task",
+              jb_task_name (task, name), "run", jb_itoa (task->run), "backend",
+              backend->instance, "crashes", jb_itoa (task->crashes), NULL);
+      jb_task_unassign (task, now);
+      pool->schedule_due = true;
+      jb_pool_handle_run_update (pool, task, now);
+    }
+  if (count > 0)
+    jb_log (pool->options.driver, JB_LEVEL_WARN, "runs-lost", "backend",
+            backend->instance, "pool", pool->options.name, "runs",
+            jb_itoa (count), "reason", cause_text (cause), "last_answer_ms",
+            jb_itoa ((now - backend->clock_received_at) / JB_MS), NULL);
+  if (cause != JB_LOSS_LEASE_EXPIRED)
+    jb_pool_confirm_losses (pool, backend->address, now);
+}
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -76,6 +76,14 @@
   struct jb_resources share; /* the pool's share of the organisation's quota */
 };
 
+/* Why the runs on a backend server were lost.  */
+enum jb_loss_cause
+{
+  JB_LOSS_LEASE_EXPIRED, /* it does not answer */
+  JB_LOSS_REPLACED,      /* another instance answers at its address */
+  JB_LOSS_RESTARTED
+};
+
 struct jb_pool
 {
   struct jb_pool_options options;
@@ -92,6 +100,7 @@
   bool first_start_observed; /* the time to the first start was measured */
   /* Backend servers.  */
   GHashTable *backends; /* instance -> struct jb_backend */
+  GPtrArray *losses;    /* struct jb_loss: those that crashed or may have */
   bool roster_dirty;    /* the stored roster is out of date */
   bool roster_write_in_flight;
   uint32_t roster_row_count; /* number of rows of the stored roster */
@@ -211,10 +220,26 @@
 void jb_pool_send_probes (struct jb_pool *pool, jb_time now);
 /* Return when the next probe of a backend server is due, or JB_NEVER.  */
 jb_time jb_pool_probe_due_at (const struct jb_pool *pool);
-/* Clear all runs on BACKEND, which have ended there without a report.  REASON
-   is logged.  */
+
+/* ---- jb_pool_crash.c ---- */
+
+/* Clear all runs on BACKEND, which have ended there without a report.  Count a
+   crash for each of them, at once or when it shows, unless BACKEND was leaving
+   as planned.  */
 void jb_pool_clear_lost_runs (struct jb_pool *pool, struct jb_backend *backend,
-                              jb_time now, const char *reason);
+                              jb_time now, enum jb_loss_cause cause);
+/* A backend server that was silent at ADDRESS has crashed: another one is
+   there.  */
+void jb_pool_confirm_losses (struct jb_pool *pool, const char *address,
+                             jb_time now);
+/* TASK is to blame for the crashes in which its runs were lost: clear the
+   other tasks of them.  */
+void jb_pool_blame_task (struct jb_pool *pool, const struct jb_task *task,
+                         jb_time now);
+/* The backend server INSTANCE answers and has not crashed.  */
+void jb_pool_dismiss_losses (struct jb_pool *pool, const char *instance);
+/* Forget silent backend servers for which no crash has shown in time.  */
+void jb_pool_expire_losses (struct jb_pool *pool, jb_time now);
 
 /* ---- jb_pool_schedule.c ---- */
 
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -6,6 +6,7 @@
    is not probed.  One that does not answer gets no further lease: once its
    last lease has certainly expired, its tasks may be started elsewhere.  */
 
+#include "jb_crash.h"
 #include "jb_pool_internal.h"
 
 #include <string.h>
@@ -52,30 +53,6 @@
   jb_pool_handle_run_update (pool, task, now);
 }
 
-void
-jb_pool_clear_lost_runs (struct jb_pool *pool, struct jb_backend *backend,
-                         jb_time now, const char *reason)
-{
-  uint32_t count = backend->task_count;
-
-  while (backend->tasks != NULL)
-    {
-      struct jb_task *task = backend->tasks;
-      char name[JB_TASK_NAME_SIZE];
-
-      jb_count_event (pool->options.driver, JB_COUNT_END_VANISHED);
-      jb_log (pool->options.driver, JB_LEVEL_INFO, "run-lost", "task",
-              jb_task_name (task, name), "run", jb_itoa (task->run), "backend",
-              backend->instance, NULL);
-      clear_run (pool, task, now);
-    }
-  if (count > 0)
-    jb_log (pool->options.driver, JB_LEVEL_WARN, "runs-lost", "backend",
-            backend->instance, "pool", pool->options.name, "runs",
-            jb_itoa (count), "reason", reason, "last_answer_ms",
-            jb_itoa ((now - backend->clock_received_at) / JB_MS), NULL);
-}
-
 /* ---- ended runs ---- */
 
 /* Record CHECKPOINT as the newest one of TASK, unless it is NULL or empty.  */
@@ -307,7 +284,13 @@
       task->confirmed_at = now;
     }
   update_checkpoint (task, active_run->checkpoint);
+  if (task->started_at != 0
+      && now - task->started_at >= JB_CRASH_EARLY_MS * JB_MS)
+    task->run_proven = true;
   task->ready_percent = active_run->ready_percent;
+  if (jb_task_step (task)->long_running && task->ready_percent >= 100
+      && jb_crash_clear (task))
+    jb_pool_mark_dirty (pool, job, now);
   task->usage = active_run->usage;
   task->reported_at = now;
 }
@@ -357,8 +340,7 @@
 reset_incarnation (struct jb_pool *pool, struct jb_backend *backend,
                    int64_t started_unix_ms, jb_time now)
 {
-  jb_pool_clear_lost_runs (pool, backend, now,
-                           "the backend server has restarted");
+  jb_pool_clear_lost_runs (pool, backend, now, JB_LOSS_RESTARTED);
   backend->started_unix_ms = started_unix_ms;
   backend->processed_end = 0;
   backend->stored_end = 0;
@@ -378,6 +360,8 @@
   jb_count_event (pool->options.driver, JB_COUNT_PROBES_ANSWERED);
   if (jb_backend_has_restarted (backend, reply->started_unix_ms))
     reset_incarnation (pool, backend, reply->started_unix_ms, now);
+  else if (pool->losses->len > 0)
+    jb_pool_dismiss_losses (pool, backend->instance);
   if (backend->unanswered_probes >= JB_SILENT_AFTER_PROBES)
     jb_log (pool->options.driver, JB_LEVEL_INFO, "backend-answers-again",
             "backend", backend->instance, "pool", pool->options.name, NULL);
@@ -428,7 +412,7 @@
       && (jb_backend_leases_have_expired (backend, now)
           || jb_pool_has_disabled (pool, JB_SAFEGUARD_LEASE_EXPIRY)))
     {
-      jb_pool_clear_lost_runs (pool, backend, now, "its lease has expired");
+      jb_pool_clear_lost_runs (pool, backend, now, JB_LOSS_LEASE_EXPIRED);
       jb_pool_remove_from_roster (pool, backend);
       backend->next_probe = now + EXPIRED_RETRY_INTERVAL;
     }
@@ -449,8 +433,7 @@
     handle_probe_ok (pool, probe, sent_at, now, reply);
   else if (reply->result == JB_RESULT_GONE)
     {
-      jb_pool_clear_lost_runs (pool, backend, now,
-                               "another instance answers at its address");
+      jb_pool_clear_lost_runs (pool, backend, now, JB_LOSS_REPLACED);
       jb_pool_remove_from_roster (pool, backend);
       backend->next_probe = now + EXPIRED_RETRY_INTERVAL;
       backend->unanswered_probes
@@ -508,8 +491,10 @@
       && backend->processed_end == backend->stored_end
       && !backend->probe_urgent)
     {
-      command.u.probe.wait_ms = JB_PROBE_WAIT_MS;
-      command.timeout_ms += JB_PROBE_WAIT_MS;
+      command.u.probe.wait_ms = jb_crash_is_on_trial (backend)
+                                    ? JB_CRASH_EARLY_MS
+                                    : JB_PROBE_WAIT_MS;
+      command.timeout_ms += command.u.probe.wait_ms;
     }
   backend->probes_in_flight++;
   backend->probe_urgent = false;
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -86,8 +86,7 @@
 
   (void)sent_at;
   if (reply->result == JB_RESULT_GONE)
-    jb_pool_clear_lost_runs (stop->pool, backend, now,
-                             "another instance answers at its address");
+    jb_pool_clear_lost_runs (stop->pool, backend, now, JB_LOSS_REPLACED);
   else if (reply->result == JB_RESULT_CONFLICT
            && reply->refusal == JB_REFUSAL_FENCED)
     jb_ownership_verify (stop->pool->ownership, now);
@@ -325,8 +324,7 @@
         handle_start_ok (start, now, sent_at, reply);
       break;
     case JB_RESULT_GONE:
-      jb_pool_clear_lost_runs (pool, backend, now,
-                               "another instance answers at its address");
+      jb_pool_clear_lost_runs (pool, backend, now, JB_LOSS_REPLACED);
       backend->unhealthy_until = now + UNHEALTHY_BACKOFF;
       break;
     case JB_RESULT_UNKNOWN:
@@ -525,7 +523,7 @@
         break;
       backend
           = jb_place_choose (task, pool->usable_backends, pool->usable_count,
-                             task->last_failed_backend);
+                             task->last_failed_backend, now);
       if (backend == NULL)
         break; /* the remaining tasks have the same size */
       assign_and_start (pool, task, backend, next_run_number (pool, task),
@@ -556,7 +554,7 @@
       struct jb_task *task = &group->tasks[placed];
       struct jb_backend *backend
           = jb_place_choose (task, pool->usable_backends, pool->usable_count,
-                             task->last_failed_backend);
+                             task->last_failed_backend, now);
 
       if (backend == NULL)
         break;
--- a/packages/jobs/tests/test_jb_job.c
+++ b/packages/jobs/tests/test_jb_job.c
@@ -78,6 +78,8 @@
   CU_ASSERT_TRUE (jb_task_record_failure (task, 7));
   CU_ASSERT_TRUE (jb_task_record_failure (task, 3));
   CU_ASSERT_FALSE (jb_task_record_failure (task, 7));
+  jb_job_find_group (job, 1, 0)->tasks[1].crashes = 3;
+  jb_job_find_group (job, 1, 0)->tasks[1].early_crashes = 1;
   CU_ASSERT_TRUE (
       jb_job_apply_progress (copy, jb_job_encode_progress (mem, job)));
   CU_ASSERT_EQUAL (copy->opened_occurrences, 2);
@@ -88,6 +90,10 @@
   CU_ASSERT_EQUAL (task->failures, 2);
   CU_ASSERT_STRING_EQUAL (task->checkpoint, "saved");
   CU_ASSERT_FALSE (jb_task_record_failure (task, 3));
+  CU_ASSERT_EQUAL (task->crashes, 0);
+  task = &jb_job_find_group (copy, 1, 0)->tasks[1];
+  CU_ASSERT_EQUAL (task->crashes, 3);
+  CU_ASSERT_EQUAL (task->early_crashes, 1);
   finish_step (copy, 0, 1);
   jb_job_drop_done_occurrences (copy);
   CU_ASSERT_EQUAL (copy->dropped_occurrences, 1);
--- a/packages/jobs/tests/test_jb_policies.c
+++ b/packages/jobs/tests/test_jb_policies.c
@@ -324,21 +324,21 @@
   struct jb_job *job = make_job (mem, &step);
   struct jb_task *tasks = jb_job_find_group (job, 0, 0)->tasks;
 
-  CU_ASSERT_PTR_EQUAL (jb_place_choose (&tasks[0], all, 2, NULL), small);
-  CU_ASSERT_PTR_EQUAL (jb_place_choose (&tasks[0], all, 2, small), large);
+  CU_ASSERT_PTR_EQUAL (jb_place_choose (&tasks[0], all, 2, NULL, 0), small);
+  CU_ASSERT_PTR_EQUAL (jb_place_choose (&tasks[0], all, 2, small, 0), large);
   step.required_label = "r1";
   job = make_job (mem, &step);
   tasks = jb_job_find_group (job, 0, 0)->tasks;
-  CU_ASSERT_PTR_EQUAL (jb_place_choose (&tasks[0], all, 2, NULL), large);
+  CU_ASSERT_PTR_EQUAL (jb_place_choose (&tasks[0], all, 2, NULL, 0), large);
   step.required_label = NULL;
   step.long_running = true;
   step.max_per_backend = 1;
   job = make_job (mem, &step);
   tasks = jb_job_find_group (job, 0, 0)->tasks;
   jb_task_assign (&tasks[0], large, JB_RUN_RUNNING);
-  CU_ASSERT_PTR_EQUAL (jb_place_choose (&tasks[1], all, 2, NULL), small);
+  CU_ASSERT_PTR_EQUAL (jb_place_choose (&tasks[1], all, 2, NULL, 0), small);
   jb_task_assign (&tasks[1], small, JB_RUN_RUNNING);
-  CU_ASSERT_PTR_NULL (jb_place_choose (&tasks[2], all, 2, NULL));
+  CU_ASSERT_PTR_NULL (jb_place_choose (&tasks[2], all, 2, NULL, 0));
   talloc_free (mem);
 }
 
