Failing test: a start beside orphaned runs exceeds the capacity

The emulator can change the capacity of backend servers while they run, and has backend servers that start what does not fit (soak_jobs --no-guard); it checks the operators' rule that no start exceeds the capacity, with 4.5 s for one that has become smaller.

--- a/tests/sim/jobs/jw_backend.c
+++ b/tests/sim/jobs/jw_backend.c
@@ -74,6 +74,8 @@
   backend->host = talloc_strdup (backend, host->name);
   backend->pool = host->pool;
   backend->up = true;
+  backend->cpu_milli = world->options.backend_cpu_milli;
+  backend->former_cpu_milli = backend->cpu_milli;
   backend->started_unix_ms = world->now / JB_MS + world->last_backend;
   backend->clock_rate
       = 0.985 + 0.001 * g_rand_int_range (world->random, 0, 20);
@@ -438,8 +440,8 @@
       return;
     }
   if (run != NULL
-      || (int64_t)(backend->runs->len + 1) * 1000
-             > world->options.backend_cpu_milli)
+      || (!world->options.no_overload_guard
+          && (int64_t)(backend->runs->len + 1) * 1000 > backend->cpu_milli))
     {
       reply->refusal = JB_REFUSAL_NO_CAPACITY;
       extend_lease (world, backend, from->lease_until_ms);
@@ -611,6 +613,15 @@
   jw_backend_add (world, *(void **)data);
 }
 
+void
+jw_backend_set_capacity (struct jw_world *world, struct jw_backend *backend,
+                         int64_t cpu_milli)
+{
+  backend->former_cpu_milli = backend->cpu_milli;
+  backend->cpu_milli = cpu_milli;
+  backend->capacity_changed_at = world->now;
+}
+
 void
 jw_backend_crash (struct jw_world *world, struct jw_backend *backend,
                   bool permanently)
--- a/tests/sim/jobs/jw_check.c
+++ b/tests/sim/jobs/jw_check.c
@@ -16,6 +16,9 @@
    any reason.  */
 #define UNAVAILABLE_AFTER_TIME (4500 * JB_MS)
 
+/* How long a backend server's former, larger capacity counts.  */
+#define CAPACITY_GRACE (4500 * JB_MS)
+
 /* An organisation may exceed its limit by a tenth, and by the task that
    starts.  */
 #define MAX_ORG_USAGE_PERCENT 110
@@ -108,6 +111,21 @@
   return sum;
 }
 
+static void
+check_capacity (struct jw_world *world, const struct jw_backend *backend,
+                const char *name)
+{
+  int64_t limit = backend->cpu_milli;
+  int64_t used = 1000;
+
+  if (world->now - backend->capacity_changed_at < CAPACITY_GRACE)
+    limit = MAX (limit, backend->former_cpu_milli);
+  used += (int64_t)backend->runs->len * 1000;
+  if (used > limit)
+    jw_report_violation (world, "LIMIT", "%s starts on %s: %d of %d", name,
+                         backend->instance, (int)used, (int)limit);
+}
+
 void
 jw_check_task_start (struct jw_world *world, struct jw_backend *backend,
                      const struct jb_command *command)
@@ -118,7 +136,7 @@
   struct jw_job *job = NULL;
   const struct jb_step *step = find_step (world, name, &job, &ref);
 
-  (void)backend;
+  check_capacity (world, backend, name);
   world->task_starts++;
   task->active_runs++;
   if (step == NULL)
--- a/tests/sim/jobs/jw_soak.c
+++ b/tests/sim/jobs/jw_soak.c
@@ -340,6 +340,7 @@
           .pools = 2,
           .backends = 4,
           .backend_cpu_milli = 12000,
+          .no_overload_guard = soak->no_overload_guard,
           .org_cpu_limit_milli = soak->seed % 3 == 0 ? 26000 : 0,
           .disabled_safeguards = soak->disabled_safeguards,
           .external_hosts = soak->external_hosts,
--- a/tests/sim/jobs/jw_soak.h
+++ b/tests/sim/jobs/jw_soak.h
@@ -9,6 +9,7 @@
 {
   uint32_t seed;
   uint32_t disabled_safeguards; /* enum jb_safeguard */
+  bool no_overload_guard;       /* backend servers start what doesn't fit */
   bool stall_one_host;          /* again and again, as if it were short of
                                    processor time */
   uint32_t more_hosts;          /* entry hosts beyond the usual 3 to 6 */
--- a/tests/sim/jobs/jw_store.c
+++ b/tests/sim/jobs/jw_store.c
@@ -245,7 +245,7 @@
         .address = backend->address,
         .zone = "zone",
         .draining = backend->draining,
-        .capacity = { world->options.backend_cpu_milli, 100000, 0 },
+        .capacity = { backend->cpu_milli, 100000, 0 },
         .started_unix_ms = backend->started_unix_ms
       };
     }
--- a/tests/sim/jobs/jw_world.c
+++ b/tests/sim/jobs/jw_world.c
@@ -472,7 +472,7 @@
   for (uint32_t i = 0; i <= pools; i++)
     {
       catalog->pools[i].name = talloc_asprintf (catalog, "pool-%u", i);
-      catalog->pools[i].rejects_overload = true;
+      catalog->pools[i].rejects_overload = !world->options.no_overload_guard;
       catalog->pools[i].standby = i == pools;
       if (i == pools)
         continue;
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -70,6 +70,7 @@
   int64_t backend_cpu_milli; /* thousandths of a core */
   int64_t org_cpu_limit_milli;  /* of each organisation; 0: no limit */
   uint32_t disabled_safeguards; /* enum jb_safeguard */
+  bool no_overload_guard;       /* backend servers start what doesn't fit */
   bool needs_advice;            /* task starts need tickets from a policy */
   bool reorder_messages;        /* between entry hosts */
   bool verbose;                 /* print the log lines of entry hosts */
@@ -170,8 +171,11 @@
   GPtrArray *ended_runs;   /* struct jw_ended_run, not acknowledged */
   GHashTable *closed_runs; /* task -> highest run that ended or was stopped */
   GPtrArray *waiting_probes; /* answered when a run ends */
-  int64_t used_cpu_milli;    /* not read, and not added to at a start */
-  jb_time ready_at;          /* unused */
+  int64_t cpu_milli;         /* capacity, thousandths of a core */
+  int64_t former_cpu_milli;  /* before the last change of the capacity */
+  jb_time capacity_changed_at;
+  int64_t used_cpu_milli; /* not read, and not added to at a start */
+  jb_time ready_at;       /* unused */
 };
 
 /* State of a task as the checks see it.  */
@@ -358,6 +362,10 @@
 void jw_backend_crash (struct jw_world *world, struct jw_backend *backend,
                        bool permanently);
 
+/* Change the capacity of BACKEND to CPU_MILLI thousandths of a core.  */
+void jw_backend_set_capacity (struct jw_world *world,
+                              struct jw_backend *backend, int64_t cpu_milli);
+
 /* Return the number of tasks of job ID that run on backend servers.  */
 uint32_t jw_count_running_tasks (struct jw_world *world, const char *id);
 
@@ -385,7 +393,9 @@
    MIXED    a job or a wave is reported as completed before it is
    ONE      a host gets a command of a planner too soon after one of another
             planner, or with a stale fencing token
-   LIMIT    too many hosts are in maintenance at once
+   LIMIT    too many hosts are in maintenance at once, or a task starts on a
+            backend server without room, except for a while after its capacity
+            has become smaller
    MESSAGE  a message between entry hosts can't be decoded
    ANSWER   a client gets an answer of an unexpected kind  */
 void jw_report_violation (struct jw_world *world, const char *rule,
--- a/tests/sim/jobs/soak_jobs.c
+++ b/tests/sim/jobs/soak_jobs.c
@@ -15,6 +15,7 @@
   uint32_t runs;
   uint32_t disabled_safeguards;
   bool stalls;
+  bool no_guard;
   uint32_t more_hosts;
   bool verbose;
 };
@@ -24,6 +25,8 @@
   { "runs", 'r', "N", 0, "Number of seeds (100)", 0 },
   { "off", 'o', "MASK", 0, "Safeguards to switch off (enum jb_safeguard)", 0 },
   { "stalls", 't', NULL, 0, "Let one entry host stall again and again", 0 },
+  { "no-guard", 'g', NULL, 0, "Let backend servers start what does not fit",
+    0 },
   { "more-hosts", 'm', "N", 0, "Entry hosts beyond the usual 3 to 6 (0)", 0 },
   { "verbose", 'v', NULL, 0, "Print the log lines of the entry hosts", 0 },
   { 0 }
@@ -48,6 +51,9 @@
     case 't':
       arguments->stalls = true;
       return 0;
+    case 'g':
+      arguments->no_guard = true;
+      return 0;
     case 'm':
       arguments->more_hosts
           = MIN ((uint32_t)strtoul (value, NULL, 10), JW_MAX_HOST_COUNT - 6);
@@ -77,6 +83,7 @@
           = { .seed = arguments.seed + i,
               .disabled_safeguards = arguments.disabled_safeguards,
               .stall_one_host = arguments.stalls,
+              .no_overload_guard = arguments.no_guard,
               .more_hosts = arguments.more_hosts,
               .verbose = arguments.verbose };
 
