Start nothing beside runs of unknown size where overload is not refused

Cause: after a takeover a backend server may list runs that no job of the new owner needs. They are stopped, but until they end their room counts, and the owner, which does not know their size, had reserved none for them.

Change: such a backend server is not used while it lists such a run, unless its pool refuses what does not fit, which costs nothing there.

--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -39,15 +39,28 @@
 /* Minimum time between two scheduling cycles.  */
 #define SCHEDULE_MIN_INTERVAL (4 * JB_MS)
 
+/* Return whether runs on BACKEND that no job needs leave an unknown part of
+   its capacity, and it does not refuse a task for which there is no room.  */
+static bool
+has_unknown_room (const struct jb_pool *pool, const struct jb_backend *backend)
+{
+  const struct jb_pool_settings *settings;
+
+  if (backend->orphan_seen_at == 0)
+    return false;
+  settings = jb_catalog_find_pool (*pool->options.catalog, pool->options.name);
+  return settings == NULL || !settings->rejects_overload;
+}
+
 bool
 jb_pool_backend_is_usable (const struct jb_pool *pool,
                            const struct jb_backend *backend, jb_time now)
 {
-  (void)pool;
-  return backend->probed && backend->listed && backend->in_roster
-         && !backend->draining && backend->unanswered_probes == 0
-         && backend->clock_received_at != 0 && now >= backend->unhealthy_until
-         && now >= backend->suspect_until && now >= backend->cordoned_until
+  return !has_unknown_room (pool, backend) && backend->probed
+         && backend->listed && backend->in_roster && !backend->draining
+         && backend->unanswered_probes == 0 && backend->clock_received_at != 0
+         && now >= backend->unhealthy_until && now >= backend->suspect_until
+         && now >= backend->cordoned_until
          && backend->starts_in_flight < MAX_STARTS_IN_FLIGHT;
 }
 
