Reads of the table service and the object store may take long as well

A page of rows may have 1 MB and an object 64 MB; on a slow link such a read fails each time and is begun anew. Not seen by callers.

Change: a read goes on while parts of its answer arrive, each within the timeout of the last. Writes keep the timeout for the whole operation.

test_pl_aws, "a large page given up": failed before, passes now.

--- a/packages/config/include/cf_settings.h
+++ b/packages/config/include/cf_settings.h
@@ -15,7 +15,8 @@
   char *access_key;
   char *secret_key_file;
   int64_t timeout_ms; /* of one operation on the table service, object store or
-                         host list */
+                         host list; a read goes on while parts of its answer
+                         arrive, each within this time of the last */
 };
 
 struct cf_log_settings
--- a/packages/services/src/pl_aws.c
+++ b/packages/services/src/pl_aws.c
@@ -119,6 +119,14 @@
 static const struct ht_client_handlers exchange_handlers
     = { .body = append_response, .done = exchange_done };
 
+static bool
+is_read (enum operation_step step)
+{
+  return step == STEP_READ_ROWS || step == STEP_POLL_VIEW
+         || step == STEP_POLL_LOG || step == STEP_READ_OBJECT
+         || step == STEP_LIST_HOSTS;
+}
+
 /* Submit REQUEST for OPERATION.  If the HTTP client's queue is full, OPERATION
    continues as after a request that could not be sent.  */
 static void
@@ -128,6 +136,8 @@
 
   g_byte_array_set_size (operation->response, 0);
   request->timeout_ms = aws->options.settings->timeout_ms;
+  if (is_read (operation->step))
+    request->idle_timeout_ms = request->timeout_ms;
   if (!ht_client_submit (aws->client, request, &exchange_handlers, operation))
     exchange_done (NULL, operation, HT_RESULT_NOT_SENT, 0);
 }
