--- a/packages/jobs/tests/test_jb_catalog_fetch.c
+++ b/packages/jobs/tests/test_jb_catalog_fetch.c
@@ -4,6 +4,7 @@
    copies that take seconds over the receiver's link.  */
 
 #include "dp_test.h"
+#include "ignoring_driver.h"
 #include "jb_catalog_fetch.h"
 
 #define NOW (60 * JB_SECOND)
@@ -14,35 +15,6 @@
   FIRST_MEMBER = 2 /* incarnation of the first other member */
 };
 
-static void
-ignore_command (void *context, uint64_t number,
-                const struct jb_command *command)
-{
-  (void)context;
-  (void)number;
-  (void)command;
-}
-
-static void
-ignore_members (void *context, const struct jb_member_address *members,
-                uint32_t count)
-{
-  (void)context;
-  (void)members;
-  (void)count;
-}
-
-static void
-ignore_log (void *context, enum jb_level level, const char *event,
-            const struct jb_log_field *fields, uint32_t count)
-{
-  (void)context;
-  (void)level;
-  (void)event;
-  (void)fields;
-  (void)count;
-}
-
 static const struct jb_driver_ops driver_ops = { .submit = ignore_command,
                                                  .set_members = ignore_members,
                                                  .log = ignore_log };
--- a/packages/jobs/tests/test_jb_members.c
+++ b/packages/jobs/tests/test_jb_members.c
@@ -7,38 +7,11 @@
    considers healthy backend servers lost.  */
 
 #include "dp_test.h"
+#include "ignoring_driver.h"
 #include "jb_members.h"
 
 #define NOW (60 * JB_SECOND)
 
-static void
-ignore_message (void *context, uint64_t member, struct ba_bytes message)
-{
-  (void)context;
-  (void)member;
-  (void)message;
-}
-
-static void
-ignore_members (void *context, const struct jb_member_address *members,
-                uint32_t count)
-{
-  (void)context;
-  (void)members;
-  (void)count;
-}
-
-static void
-ignore_log (void *context, enum jb_level level, const char *event,
-            const struct jb_log_field *fields, uint32_t count)
-{
-  (void)context;
-  (void)level;
-  (void)event;
-  (void)fields;
-  (void)count;
-}
-
 /* Record the number of the newest command.  The test later replies to all of
    them that the store has no rows.  */
 static void
--- a/packages/jobs/tests/test_jb_ownership.c
+++ b/packages/jobs/tests/test_jb_ownership.c
@@ -5,6 +5,7 @@
    whose results the former owner would store.  */
 
 #include "dp_test.h"
+#include "ignoring_driver.h"
 #include "jb_ownership.h"
 
 #define NOW (60 * JB_SECOND)
@@ -29,17 +30,6 @@
     fixture->writes++;
 }
 
-static void
-ignore_log (void *context, enum jb_level level, const char *event,
-            const struct jb_log_field *fields, uint32_t count)
-{
-  (void)context;
-  (void)level;
-  (void)event;
-  (void)fields;
-  (void)count;
-}
-
 static const struct jb_driver_ops driver_ops
     = { .submit = record_command, .log = ignore_log };
 
--- a/packages/jobs/tests/test_jb_planner.c
+++ b/packages/jobs/tests/test_jb_planner.c
@@ -5,6 +5,7 @@
    list shows it.  */
 
 #include "dp_test.h"
+#include "ignoring_driver.h"
 #include "jb_planner.h"
 
 enum
@@ -46,17 +47,6 @@
   fixture->last_command = number;
 }
 
-static void
-ignore_log (void *context, enum jb_level level, const char *event,
-            const struct jb_log_field *fields, uint32_t count)
-{
-  (void)context;
-  (void)level;
-  (void)event;
-  (void)fields;
-  (void)count;
-}
-
 static const struct jb_driver_ops driver_ops
     = { .submit = record_command, .log = ignore_log };
 
--- a/tests/sim/jobs/test_changing_capacity.c
+++ b/tests/sim/jobs/test_changing_capacity.c
@@ -4,8 +4,7 @@
    Expected load: a pool that is busy all the time; half of its backend servers
    lose most of their capacity for some seconds.  */
 
-#include "dp_test.h"
-#include "jw_soak.h"
+#include "jw_test.h"
 
 #include <stdlib.h>
 
@@ -75,12 +74,7 @@
       set_capacities (world, FULL_CPU_MILLI);
     }
   jw_advance (world, 30 * JB_SECOND);
-  jw_check_final_states (world);
-  if (world->violations > 0)
-    fprintf (stderr, "%u violations, first: %s\n", world->violations,
-             world->first_violation);
-  CU_ASSERT_EQUAL (world->violations, 0);
-  jw_world_free (world);
+  jw_check_and_free (world);
 }
 
 static void
@@ -109,10 +103,7 @@
     {
       struct jw_soak soak = { .seed = seeds[i], .no_overload_guard = true };
 
-      jw_soak_run (&soak);
-      if (soak.violations > 0)
-        fprintf (stderr, "seed %u: %s\n", soak.seed, soak.first_violation);
-      CU_ASSERT_EQUAL (soak.violations, 0);
+      jw_assert_soak (&soak);
     }
 }
 
--- a/tests/sim/jobs/test_crashing_tasks.c
+++ b/tests/sim/jobs/test_crashing_tasks.c
@@ -4,8 +4,7 @@
    Expected load: a tenth of the jobs of a pool have such a task for ten
    seconds.  */
 
-#include "dp_test.h"
-#include "jw_world.h"
+#include "jw_test.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -80,11 +79,7 @@
   jw_advance (world, 40 * JB_SECOND);
   jw_check_final_states (world);
   outcome = count_failed_jobs (world);
-  if (world->violations > 0)
-    fprintf (stderr, "%u violations, first: %s\n", world->violations,
-             world->first_violation);
-  CU_ASSERT_EQUAL (world->violations, 0);
-  jw_world_free (world);
+  jw_assert_and_free (world);
   return outcome;
 }
 
--- a/tests/sim/jobs/test_jobs.c
+++ b/tests/sim/jobs/test_jobs.c
@@ -2,9 +2,8 @@
    violated a guarantee in the past, or could do so.  Set JW_VERBOSE to see the
    log lines of the entry hosts.  */
 
-#include "dp_test.h"
 #include "jb_view.h"
-#include "jw_world.h"
+#include "jw_test.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -33,17 +32,6 @@
   return world;
 }
 
-static void
-check_and_free (struct jw_world *world)
-{
-  jw_check_final_states (world);
-  if (world->violations > 0)
-    fprintf (stderr, "%u violations, first: %s\n", world->violations,
-             world->first_violation);
-  CU_ASSERT_EQUAL (world->violations, 0);
-  jw_world_free (world);
-}
-
 /* Submit COUNT short jobs, GAP apart, to all pools in turn.  Every tenth one
    fails.  */
 static void
@@ -71,7 +59,7 @@
   submit_many (world, 30, 100 * JB_MS);
   jw_advance (world, 8 * JB_SECOND);
   CU_ASSERT (world->task_starts >= 30 * 8 * 9 / 10);
-  check_and_free (world);
+  jw_check_and_free (world);
 }
 
 /* The owner of a pool is killed while tasks run and jobs are being
@@ -95,7 +83,7 @@
       jw_advance (world, 2 * JB_SECOND);
     }
   jw_advance (world, 10 * JB_SECOND);
-  check_and_free (world);
+  jw_check_and_free (world);
 }
 
 /* A frozen owner resumes after another host has taken over its pool.  */
@@ -113,7 +101,7 @@
   jw_host_set_frozen (world, (uint32_t)owner, false);
   submit_many (world, 10, 50 * JB_MS);
   jw_advance (world, 12 * JB_SECOND);
-  check_and_free (world);
+  jw_check_and_free (world);
 }
 
 /* The owner can't reach the store while the other hosts can.  */
@@ -130,7 +118,7 @@
   CU_ASSERT_NOT_EQUAL (jw_pool_owner (world, 0), owner);
   world->hosts[owner].store_unreachable = false;
   jw_advance (world, 12 * JB_SECOND);
-  check_and_free (world);
+  jw_check_and_free (world);
 }
 
 /* During a store outage the entries of all backend servers expire, and backend
@@ -165,7 +153,7 @@
         = false;
   jw_advance (world, 6 * JB_SECOND);
   CU_ASSERT_EQUAL (world->task_starts, starts);
-  check_and_free (world);
+  jw_check_and_free (world);
 }
 
 /* While no entry host reaches the store, pools must keep their owners, also
@@ -185,7 +173,7 @@
   jw_advance (world, 4 * JB_SECOND);
   CU_ASSERT_EQUAL (jw_pool_owner (world, 0), owner);
   jw_advance (world, 10 * JB_SECOND);
-  check_and_free (world);
+  jw_check_and_free (world);
 }
 
 /* Several backend servers list failed runs of one task, and a new owner reads
@@ -212,7 +200,7 @@
       jw_advance (world, 4 * JB_SECOND);
       world->hosts[owner].store_unreachable = false;
       jw_advance (world, 6 * JB_SECOND);
-      check_and_free (world);
+      jw_check_and_free (world);
     }
 }
 
@@ -236,7 +224,7 @@
   for (uint32_t i = 0; i < world->options.hosts; i++)
     jw_host_start (world, i);
   jw_advance (world, 20 * JB_SECOND);
-  check_and_free (world);
+  jw_check_and_free (world);
 }
 
 /* Some commands to backend servers get no reply.  Half of these are carried
@@ -255,7 +243,7 @@
       submit_many (world, 40, 120 * JB_MS);
       world->loss_permille.backend_commands = 0;
       jw_advance (world, 14 * JB_SECOND);
-      check_and_free (world);
+      jw_check_and_free (world);
     }
 }
 
@@ -274,7 +262,7 @@
       submit_many (world, 40, 150 * JB_MS);
       world->loss_permille.store_commands = 0;
       jw_advance (world, 14 * JB_SECOND);
-      check_and_free (world);
+      jw_check_and_free (world);
     }
 }
 
@@ -295,7 +283,7 @@
   for (uint32_t i = 0; i < 2; i++)
     jw_find_backend (world, 0, i)->unreachable = false;
   jw_advance (world, 12 * JB_SECOND);
-  check_and_free (world);
+  jw_check_and_free (world);
 }
 
 /* A maintenance wave completes in time while jobs run, and the long-running
@@ -318,7 +306,7 @@
   submit_many (world, 40, 200 * JB_MS);
   jw_advance (world, 8 * JB_SECOND);
   CU_ASSERT (world->wave_completed);
-  check_and_free (world);
+  jw_check_and_free (world);
 }
 
 /* Return the index of the entry host that is the planner, or -1.  */
@@ -351,7 +339,7 @@
       jw_host_kill (world, (uint32_t)planner);
       jw_advance (world, 25 * JB_SECOND);
       CU_ASSERT (world->wave_completed);
-      check_and_free (world);
+      jw_check_and_free (world);
     }
 }
 
@@ -405,7 +393,7 @@
       jw_advance (world, 500 * JB_MS);
       CU_ASSERT (jw_have_all_jobs_ended (world));
       jw_advance (world, 12 * JB_SECOND);
-      check_and_free (world);
+      jw_check_and_free (world);
     }
 }
 
@@ -434,7 +422,7 @@
       world->hosts[planner].peers_unreachable = false;
       jw_advance (world, 20 * JB_SECOND);
       CU_ASSERT (world->wave_completed);
-      check_and_free (world);
+      jw_check_and_free (world);
     }
 }
 
@@ -491,7 +479,7 @@
       jw_host_stop (world, (uint32_t)owner);
       jw_advance (world, 20 * JB_SECOND);
       CU_ASSERT (world->wave_completed);
-      check_and_free (world);
+      jw_check_and_free (world);
     }
 }
 
@@ -595,7 +583,7 @@
     }
   jw_advance (world, 20 * JB_SECOND);
   CU_ASSERT (world->task_starts >= 6 * 8 * 4);
-  check_and_free (world);
+  jw_check_and_free (world);
 }
 
 /* Cancelled jobs must end, also when the owner of their pool is killed.  */
@@ -626,7 +614,7 @@
       CU_ASSERT (jw_find_job (world, ids[i])->cancelled_at != 0);
       CU_ASSERT_EQUAL (jw_count_running_tasks (world, ids[i]), 0);
     }
-  check_and_free (world);
+  jw_check_and_free (world);
 }
 
 /* The entry hosts are stopped gracefully and restarted one after another,
@@ -645,7 +633,7 @@
       jw_advance (world, 500 * JB_MS);
     }
   jw_advance (world, 10 * JB_SECOND);
-  check_and_free (world);
+  jw_check_and_free (world);
 }
 
 /* Steps whose tasks must all run at the same time complete, also when many of
@@ -665,7 +653,7 @@
       jw_advance (world, 150 * JB_MS);
     }
   jw_advance (world, 10 * JB_SECOND);
-  check_and_free (world);
+  jw_check_and_free (world);
 }
 
 /* A backend server on which every task fails must not fail the jobs.  */
@@ -678,7 +666,7 @@
   submit_many (world, 30, 150 * JB_MS);
   jw_find_backend (world, 0, 1)->fails_all_runs = false;
   jw_advance (world, 10 * JB_SECOND);
-  check_and_free (world);
+  jw_check_and_free (world);
 }
 
 /* A policy decides which backend servers may run a step, and starts must carry
@@ -694,7 +682,7 @@
   submit_many (world, 20, 150 * JB_MS);
   jw_advance (world, 12 * JB_SECOND);
   CU_ASSERT (world->task_starts >= 20 * 8 * 9 / 10);
-  check_and_free (world);
+  jw_check_and_free (world);
 }
 
 int
--- a/tests/sim/jobs/test_jobs_off.c
+++ b/tests/sim/jobs/test_jobs_off.c
@@ -1,8 +1,7 @@
 /* Each safeguard is needed: without it, a simulation violates the guarantee
    that it protects; with it, the same seed has no violation.  */
 
-#include "dp_test.h"
-#include "jw_soak.h"
+#include "jw_test.h"
 
 #include <string.h>
 
@@ -68,10 +67,7 @@
     {
       struct jw_soak soak = { .seed = regressions[i] };
 
-      jw_soak_run (&soak);
-      if (soak.violations > 0)
-        fprintf (stderr, "seed %u: %s\n", soak.seed, soak.first_violation);
-      CU_ASSERT_EQUAL (soak.violations, 0);
+      jw_assert_soak (&soak);
     }
 }
 
@@ -83,10 +79,7 @@
     {
       struct jw_soak soak = { .seed = seed, .stall_one_host = true };
 
-      jw_soak_run (&soak);
-      if (soak.violations > 0)
-        fprintf (stderr, "seed %u: %s\n", soak.seed, soak.first_violation);
-      CU_ASSERT_EQUAL (soak.violations, 0);
+      jw_assert_soak (&soak);
     }
 }
 
--- a/tests/sim/jobs/test_large_configuration.c
+++ b/tests/sim/jobs/test_large_configuration.c
@@ -3,8 +3,7 @@
    Expected load: entry hosts of which most have a link of 10 Mbit/s, and a
    configuration that takes a second over such a link.  */
 
-#include "dp_test.h"
-#include "jw_world.h"
+#include "jw_test.h"
 
 #include <stdlib.h>
 
@@ -66,16 +65,6 @@
   return count;
 }
 
-static void
-check_and_free (struct jw_world *world)
-{
-  if (world->violations > 0)
-    fprintf (stderr, "%u violations, first: %s\n", world->violations,
-             world->first_violation);
-  CU_ASSERT_EQUAL (world->violations, 0);
-  jw_world_free (world);
-}
-
 /* Many queues are added, and another version follows at once.  */
 static void
 test_configuration_late_over_slow_links (void)
@@ -96,7 +85,7 @@
       CU_ASSERT_EQUAL (count_outdated (world), 0);
       /* No host gets more than one copy of each of the three versions.  */
       CU_ASSERT (count_copies (world) <= (uint64_t)3 * HOST_COUNT);
-      check_and_free (world);
+      jw_assert_and_free (world);
     }
 }
 
@@ -118,7 +107,7 @@
   CU_ASSERT_EQUAL (count_outdated (world), 0);
   for (uint32_t i = 0; i < world->options.pools; i++)
     CU_ASSERT (jw_pool_owner (world, i) >= 0);
-  check_and_free (world);
+  jw_assert_and_free (world);
 }
 
 /* Some small hosts get the configuration from the others only.  */
@@ -135,7 +124,7 @@
   jw_add_queues (world, QUEUES_ADDED);
   jw_advance (world, APPLY_TIME);
   CU_ASSERT_EQUAL (count_outdated (world), 0);
-  check_and_free (world);
+  jw_assert_and_free (world);
 }
 
 int
--- a/tests/sim/jobs/test_large_fleet.c
+++ b/tests/sim/jobs/test_large_fleet.c
@@ -4,8 +4,7 @@
    What an ordinary host pays for knowing the others must not grow with their
    number, and the loss of any hosts at once must be survived.  */
 
-#include "dp_test.h"
-#include "jw_world.h"
+#include "jw_test.h"
 
 #include <stdlib.h>
 
@@ -44,17 +43,6 @@
     }
 }
 
-static void
-check_and_free (struct jw_world *world)
-{
-  jw_check_final_states (world);
-  if (world->violations > 0)
-    fprintf (stderr, "%u violations, first: %s\n", world->violations,
-             world->first_violation);
-  CU_ASSERT_EQUAL (world->violations, 0);
-  jw_world_free (world);
-}
-
 static bool
 is_coordinator (const struct jw_world *world, uint32_t index)
 {
@@ -112,7 +100,7 @@
     if (is_ordinary (world, i))
       largest = MAX (largest, world->hosts[i].sent_bytes
                                   + world->hosts[i].received_bytes);
-  check_and_free (world);
+  jw_check_and_free (world);
   return largest / (uint64_t)SECONDS;
 }
 
@@ -153,7 +141,7 @@
       CU_ASSERT (count_coordinators (world) >= 5);
       submit_many (world, 12, 50 * JB_MS);
       jw_advance (world, 12 * JB_SECOND);
-      check_and_free (world);
+      jw_check_and_free (world);
     }
 }
 
@@ -173,7 +161,7 @@
   for (uint32_t i = 0; i < world->options.hosts; i++)
     world->hosts[i].store_unreachable = false;
   jw_advance (world, 12 * JB_SECOND);
-  check_and_free (world);
+  jw_check_and_free (world);
 }
 
 /* Three of four hosts are killed at once, and started again later.  */
@@ -195,7 +183,7 @@
       submit_many (world, 12, 250 * JB_MS);
       CU_ASSERT_EQUAL (count_owned_pools (world), world->options.pools);
       jw_advance (world, 12 * JB_SECOND);
-      check_and_free (world);
+      jw_check_and_free (world);
     }
 }
 
@@ -221,7 +209,7 @@
   submit_many (world, 30, 100 * JB_MS);
   jw_advance (world, 8 * JB_SECOND);
   CU_ASSERT (world->task_starts >= 60 * 8);
-  check_and_free (world);
+  jw_check_and_free (world);
 }
 
 /* Many jobs that arrive together are stored in few transactions.  When the
@@ -247,7 +235,7 @@
      its row.  */
   CU_ASSERT (world->version - version <= 3 + 3);
   jw_advance (world, 30 * JB_SECOND);
-  check_and_free (world);
+  jw_check_and_free (world);
 }
 
 int
