--- a/packages/jobs/include/jb_crash.h
+++ b/packages/jobs/include/jb_crash.h
@@ -1,15 +1,15 @@
 #ifndef JB_CRASH_H
 #define JB_CRASH_H
 
-/* Which tasks are to blame for crashed backend servers, and when to give up.
+/* Which tasks cause crashes of backend servers, and when to give up.
 
    A crash takes all runs of a backend server with it, and nothing tells which
    of them caused it.  A task that crashes each backend server that starts it
    usually does so soon, so a run that has lasted for a while is less
    suspicious.  A task whose run was lost early in a crash is a suspect: its
-   next run is started apart from others that have just started, so that a
-   second crash can be blamed on it.  Once a task is found guilty, the others
-   that were lost in the same crashes are cleared of them.
+   next run is isolated from others that have just started, so that a second
+   crash can be attributed to it.  Then the crashes no longer count against the
+   other tasks that were lost in them.
 
    Expected load: a tenth of the jobs of a pool have such a task, and each
    crash takes a dozen runs of other jobs with it.  The jobs of the latter must
@@ -52,13 +52,14 @@
    servers have crashed under it.  */
 bool jb_crash_gives_up (const struct jb_task *task);
 
-/* Return whether a run of a suspect on BACKEND is not proven yet.  */
-bool jb_crash_is_on_trial (const struct jb_backend *backend);
+/* Return whether BACKEND has a run of a suspect that is not proven yet.  */
+bool jb_crash_has_probation (const struct jb_backend *backend);
 
 /* Return whether TASK must not be started on BACKEND at NOW, so that a crash
-   there can be blamed on one task: a suspect is on trial there, or TASK is one
-   and other runs are not proven.  The latter ends some time after the last run
-   of TASK, since a busy pool may have no other backend server.  */
+   there can be attributed to one task: an unproven run of a suspect is there,
+   or TASK is a suspect and other runs are unproven.  The latter ends some time
+   after the last run of TASK, since a busy pool may have no other backend
+   server.  */
 bool jb_crash_keeps_apart (const struct jb_task *task,
                            const struct jb_backend *backend, jb_time now);
 
--- a/packages/jobs/include/jb_place.h
+++ b/packages/jobs/include/jb_place.h
@@ -19,8 +19,8 @@
 
 /* Return the best of the COUNT usable BACKENDS to start TASK on at NOW, or
    NULL when it may not run on any of them, fits on none, or must wait for one
-   where a crash could be blamed on it (jb_crash.h).  AVOID, which may be NULL,
-   is only chosen when there is no other.  */
+   where a crash could be attributed to it (jb_crash.h).  AVOID, which may be
+   NULL, is only chosen when there is no other.  */
 struct jb_backend *jb_place_choose (const struct jb_task *task,
                                     struct jb_backend *const *backends,
                                     uint32_t count,
--- a/packages/jobs/src/jb_crash.c
+++ b/packages/jobs/src/jb_crash.c
@@ -2,9 +2,9 @@
 
 enum
 {
-  /* A task is given up after this number of early crashes of which no other
-     task was found guilty, or of crashes of any kind.  The latter is higher,
-     since most tasks that were lost in a crash did not cause it.  */
+  /* A task is given up after this number of early crashes that were not
+     attributed to another task, or of crashes of any kind.  The latter is
+     higher, since most tasks that were lost in a crash did not cause it.  */
   MAX_EARLY_CRASHES = 2,
   MAX_CRASHES = 4,
   /* Of a long-running task only early crashes in a row count, since it
@@ -13,7 +13,7 @@
 };
 
 /* How long a suspect waits for a backend server without unproven runs.  */
-#define MAX_WAIT_FOR_TRIAL (1500 * JB_MS)
+#define MAX_ISOLATION_WAIT (1500 * JB_MS)
 
 enum jb_crash_phase
 jb_crash_phase_of (const struct jb_task *task)
@@ -60,7 +60,7 @@
 }
 
 bool
-jb_crash_is_on_trial (const struct jb_backend *backend)
+jb_crash_has_probation (const struct jb_backend *backend)
 {
   for (const struct jb_task *t = backend->tasks; t != NULL;
        t = t->next_on_backend)
@@ -73,9 +73,9 @@
 jb_crash_keeps_apart (const struct jb_task *task,
                       const struct jb_backend *backend, jb_time now)
 {
-  if (jb_crash_is_on_trial (backend))
+  if (jb_crash_has_probation (backend))
     return true;
-  if (task->early_crashes == 0 || now - task->ended_at > MAX_WAIT_FOR_TRIAL)
+  if (task->early_crashes == 0 || now - task->ended_at > MAX_ISOLATION_WAIT)
     return false;
   for (const struct jb_task *t = backend->tasks; t != NULL;
        t = t->next_on_backend)
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -382,7 +382,7 @@
     }
   if (jb_crash_gives_up (task) && !task->done)
     {
-      jb_pool_blame_task (pool, task, now);
+      jb_pool_attribute_crashes (pool, task, now);
       jb_pool_end_job (pool, job, JB_JOB_FAILED, now,
                        "too many backend servers have crashed under a task");
     }
--- a/packages/jobs/src/jb_pool_crash.c
+++ b/packages/jobs/src/jb_pool_crash.c
@@ -115,8 +115,8 @@
 }
 
 void
-jb_pool_blame_task (struct jb_pool *pool, const struct jb_task *task,
-                    jb_time now)
+jb_pool_attribute_crashes (struct jb_pool *pool, const struct jb_task *task,
+                           jb_time now)
 {
   for (guint i = pool->losses->len; i-- > 0;)
     {
@@ -137,8 +137,8 @@
     }
 }
 
-/* Give up the tasks of the crash LOSS that are to blame, those with the most
-   crashes first: they may clear others.  */
+/* Give up the tasks of the crash LOSS that have too many crashes, those with
+   the most first: the others may then have fewer.  */
 static void
 give_up_tasks (struct jb_pool *pool, const struct jb_loss *loss, jb_time now)
 {
@@ -177,7 +177,7 @@
         continue;
       record_crash (pool, loss, now);
       give_up_tasks (pool, loss, now);
-      /* Blaming tasks may have removed this loss and others.  */
+      /* This may have removed LOSS and others.  */
       i = MIN (i, pool->losses->len);
     }
 }
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -232,10 +232,10 @@
    there.  */
 void jb_pool_confirm_losses (struct jb_pool *pool, const char *address,
                              jb_time now);
-/* TASK is to blame for the crashes in which its runs were lost: clear the
-   other tasks of them.  */
-void jb_pool_blame_task (struct jb_pool *pool, const struct jb_task *task,
-                         jb_time now);
+/* Attribute the crashes in which runs of TASK were lost to TASK: they no
+   longer count against the other tasks that were lost in them.  */
+void jb_pool_attribute_crashes (struct jb_pool *pool,
+                                const struct jb_task *task, jb_time now);
 /* The backend server INSTANCE answers and has not crashed.  */
 void jb_pool_dismiss_losses (struct jb_pool *pool, const char *instance);
 /* Forget silent backend servers for which no crash has shown in time.  */
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -491,7 +491,7 @@
       && backend->processed_end == backend->stored_end
       && !backend->probe_urgent)
     {
-      command.u.probe.wait_ms = jb_crash_is_on_trial (backend)
+      command.u.probe.wait_ms = jb_crash_has_probation (backend)
                                     ? JB_CRASH_EARLY_MS
                                     : JB_PROBE_WAIT_MS;
       command.timeout_ms += command.u.probe.wait_ms;
--- a/packages/jobs/tests/test_jb_crash.c
+++ b/packages/jobs/tests/test_jb_crash.c
@@ -1,4 +1,4 @@
-/* Test of which tasks are to blame for crashed backend servers.
+/* Test of which tasks cause crashes of backend servers.
 
    Expected load: tasks that crash each backend server that starts them, beside
    a dozen others.  */
@@ -124,11 +124,11 @@
   fresh->run_proven = true;
   CU_ASSERT_FALSE (jb_crash_keeps_apart (suspect, backend, NOW));
   jb_task_assign (suspect, backend, JB_RUN_STARTING);
-  CU_ASSERT (jb_crash_is_on_trial (backend));
+  CU_ASSERT (jb_crash_has_probation (backend));
   CU_ASSERT (
       jb_crash_keeps_apart (get_task (job, 2), backend, NOW + 10 * JB_SECOND));
   suspect->run_proven = true;
-  CU_ASSERT_FALSE (jb_crash_is_on_trial (backend));
+  CU_ASSERT_FALSE (jb_crash_has_probation (backend));
   CU_ASSERT_FALSE (jb_crash_keeps_apart (get_task (job, 2), backend, NOW));
   talloc_free (mem);
 }
@@ -139,8 +139,8 @@
   static const struct dp_test tests[]
       = { { "when a task is given up", test_giving_up },
           { "long-running tasks", test_long_running },
-          { "suspects are kept apart", test_keeping_apart },
+          { "suspects are isolated", test_keeping_apart },
           { NULL, NULL } };
 
-  return dp_test_main ("tasks to blame for crashes", tests);
+  return dp_test_main ("tasks that cause crashes", tests);
 }
