Call one function where a run is cleared, and share the tests' worlds

Found by reading the change once more: - clearing a run was written a third time in jb_pool_crash.c, beside its twins of jb_pool_probe.c and jb_pool_schedule.c; all call jb_pool_clear_run now; - a sort by hand, where g_ptr_array_sort serves; - the heartbeat derived the configuration's version itself, beside the new jb_host_catalog_version; - five tests created their simulation in the same way: jw_create_world; - the emulator let the answer to any command take long that it models; it asks jb_command_is_read now, as the server does.

Tasks with equally many crashes may be given up in another order.

--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -501,7 +501,7 @@
   struct jb_self_status status
       = { .stopping = host->stopping,
           .store_reachable = jb_host_can_reach_store (host, now),
-          .catalog_version = host->catalog ? host->catalog->version : 0 };
+          .catalog_version = jb_host_catalog_version (host) };
   struct jb_msg_ownership *ownerships
       = talloc_array (NULL, struct jb_msg_ownership, host->pools->len + 1);
 
--- a/packages/jobs/src/jb_pool_crash.c
+++ b/packages/jobs/src/jb_pool_crash.c
@@ -137,33 +137,34 @@
     }
 }
 
+/* Order tasks by descending number of crashes.  */
+static int
+compare_crashes (const void *a, const void *b)
+{
+  const struct jb_task *x = *(struct jb_task *const *)a;
+  const struct jb_task *y = *(struct jb_task *const *)b;
+
+  return (x->crashes < y->crashes) - (x->crashes > y->crashes);
+}
+
 /* Give up the tasks of the crash LOSS that have too many crashes, those with
    the most first: the others may then have fewer.  */
 static void
 give_up_tasks (struct jb_pool *pool, const struct jb_loss *loss, jb_time now)
 {
-  struct jb_task **tasks = talloc_array (NULL, struct jb_task *, loss->count);
-  uint32_t count = 0;
+  GPtrArray *tasks = g_ptr_array_new ();
 
   for (uint32_t i = 0; i < loss->count; i++)
     {
       struct jb_task *task = find_task (pool, &loss->runs[i]);
 
       if (task != NULL && jb_crash_gives_up (task))
-        tasks[count++] = task;
+        g_ptr_array_add (tasks, task);
     }
-  for (uint32_t i = 0; i < count; i++)
-    for (uint32_t j = i + 1; j < count; j++)
-      if (tasks[j]->crashes > tasks[i]->crashes)
-        {
-          struct jb_task *swapped = tasks[i];
-
-          tasks[i] = tasks[j];
-          tasks[j] = swapped;
-        }
-  for (uint32_t i = 0; i < count; i++)
-    jb_pool_handle_run_update (pool, tasks[i], now);
-  talloc_free (tasks);
+  g_ptr_array_sort (tasks, compare_crashes);
+  for (guint i = 0; i < tasks->len; i++)
+    jb_pool_handle_run_update (pool, g_ptr_array_index (tasks, i), now);
+  g_ptr_array_free (tasks, TRUE);
 }
 
 void
@@ -226,9 +227,7 @@
       jb_log (pool->options.driver, JB_LEVEL_INFO, "run-lost", "task",
               jb_task_name (task, name), "run", jb_itoa (task->run), "backend",
               backend->instance, "crashes", jb_itoa (task->crashes), NULL);
-      jb_task_unassign (task, now);
-      pool->schedule_due = true;
-      jb_pool_handle_run_update (pool, task, now);
+      jb_pool_clear_run (pool, task, now);
     }
   if (count > 0)
     jb_log (pool->options.driver, JB_LEVEL_WARN, "runs-lost", "backend",
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -261,6 +261,10 @@
 /* Return whether tasks may be started on BACKEND.  */
 bool jb_pool_backend_is_usable (const struct jb_pool *pool,
                                 const struct jb_backend *backend, jb_time now);
+/* Remove the current run of TASK, which has ended or will never start, and
+   update its job.  */
+void jb_pool_clear_run (struct jb_pool *pool, struct jb_task *task,
+                        jb_time now);
 /* Update the job of TASK after a start of TASK was answered or a run of it
    ended: end the job if it is done or has failed too often, and stop the run
    if the job has ended already.  */
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -44,15 +44,6 @@
 #define MIN_DURATION_RATIO 0.1
 #define MAX_DURATION_RATIO 10
 
-/* Remove the current run of TASK, which has ended, and update its job.  */
-static void
-clear_run (struct jb_pool *pool, struct jb_task *task, jb_time now)
-{
-  jb_task_unassign (task, now);
-  pool->schedule_due = true;
-  jb_pool_handle_run_update (pool, task, now);
-}
-
 /* ---- ended runs ---- */
 
 /* Record CHECKPOINT as the newest one of TASK, unless it is NULL or empty.  */
@@ -223,7 +214,7 @@
     }
   if (task->state != JB_RUN_NONE && task->backend == backend
       && task->run == ended_run->run)
-    clear_run (pool, task, now);
+    jb_pool_clear_run (pool, task, now);
   else
     {
       if (task->done && task->state != JB_RUN_NONE)
@@ -320,7 +311,7 @@
       jb_log (pool->options.driver, JB_LEVEL_WARN, "run-vanished", "task",
               jb_task_name (task, name), "run", jb_itoa (task->run), "backend",
               backend->instance, NULL);
-      clear_run (pool, task, now);
+      jb_pool_clear_run (pool, task, now);
     }
 }
 
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -194,6 +194,14 @@
         jb_pool_stop_run (pool, task, now, "no answer yet");
 }
 
+void
+jb_pool_clear_run (struct jb_pool *pool, struct jb_task *task, jb_time now)
+{
+  jb_task_unassign (task, now);
+  pool->schedule_due = true;
+  jb_pool_handle_run_update (pool, task, now);
+}
+
 /* ---- starting ---- */
 
 /* A start in flight.  */
@@ -206,16 +214,6 @@
   uint32_t run;
 };
 
-/* Remove the current run of TASK, which has ended or will never start, and
-   update its job.  */
-static void
-clear_run (struct jb_pool *pool, struct jb_task *task, jb_time now)
-{
-  jb_task_unassign (task, now);
-  pool->schedule_due = true;
-  jb_pool_handle_run_update (pool, task, now);
-}
-
 static void
 handle_start_refused (struct start_request *start, jb_time now,
                       const struct jb_reply *reply)
@@ -267,7 +265,7 @@
   jb_count_event (start->pool->options.driver, JB_COUNT_START_UNKNOWN);
   if (jb_pool_has_disabled (start->pool, JB_SAFEGUARD_UNCONFIRMED_STARTS))
     {
-      clear_run (start->pool, start->task, now);
+      jb_pool_clear_run (start->pool, start->task, now);
       return;
     }
   start->task->state = JB_RUN_UNCONFIRMED;
@@ -350,7 +348,7 @@
           handle_start_refused (start, now, reply);
           if (reply->backend_clock_ms > 0)
             jb_backend_record_clock (backend, now, reply->backend_clock_ms);
-          clear_run (pool, task, now);
+          jb_pool_clear_run (pool, task, now);
         }
       break;
     }
--- a/tests/sim/jobs/jw_commands.c
+++ b/tests/sim/jobs/jw_commands.c
@@ -37,7 +37,8 @@
   if (host->link_in_free_at
       > in_flight->sent_at + in_flight->command.timeout_ms * JB_MS)
     return JB_NEVER;
-  host->arriving_reply = in_flight->number;
+  if (jb_command_is_read (in_flight->command.kind))
+    host->arriving_reply = in_flight->number;
   return jw_reserve_link (host, &host->link_in_free_at, when,
                           (size_t)reply->catalog->queue_count
                               * STORE_BYTES_PER_QUEUE);
--- a/tests/sim/jobs/jw_test.h
+++ b/tests/sim/jobs/jw_test.h
@@ -7,6 +7,22 @@
 #include "jw_soak.h"
 #include "jw_world.h"
 
+#include <stdlib.h>
+
+/* Return a new simulation, after time for the entry hosts to claim all pools.
+   It prints the log lines of the entry hosts if JW_VERBOSE is set.  */
+static inline struct jw_world *
+jw_create_world (const struct jw_options *options)
+{
+  struct jw_options copy = *options;
+  struct jw_world *world;
+
+  copy.verbose = getenv ("JW_VERBOSE") != NULL;
+  world = jw_world_new (&copy);
+  jw_advance (world, 4 * JB_SECOND);
+  return world;
+}
+
 /* Assert that WORLD has seen no violation, and free it.  */
 static inline void
 jw_assert_and_free (struct jw_world *world)
--- a/tests/sim/jobs/test_changing_capacity.c
+++ b/tests/sim/jobs/test_changing_capacity.c
@@ -52,11 +52,9 @@
                                 .pools = 1,
                                 .backends = BACKEND_COUNT,
                                 .backend_cpu_milli = FULL_CPU_MILLI,
-                                .no_overload_guard = true,
-                                .verbose = getenv ("JW_VERBOSE") != NULL };
-  struct jw_world *world = jw_world_new (&options);
+                                .no_overload_guard = true };
+  struct jw_world *world = jw_create_world (&options);
 
-  jw_advance (world, 4 * JB_SECOND);
   for (int round = 0; round < ROUNDS; round++)
     {
       submit_for (world, 3 * JB_SECOND);
--- a/tests/sim/jobs/test_crashing_tasks.c
+++ b/tests/sim/jobs/test_crashing_tasks.c
@@ -55,12 +55,10 @@
                                 .hosts = 5,
                                 .pools = 1,
                                 .backends = 9,
-                                .backend_cpu_milli = 16000,
-                                .verbose = getenv ("JW_VERBOSE") != NULL };
-  struct jw_world *world = jw_world_new (&options);
+                                .backend_cpu_milli = 16000 };
+  struct jw_world *world = jw_create_world (&options);
   struct outcome outcome;
 
-  jw_advance (world, 4 * JB_SECOND);
   for (uint32_t i = 0; i < JOB_COUNT; i++)
     {
       struct jw_job_options job
--- a/tests/sim/jobs/test_jobs.c
+++ b/tests/sim/jobs/test_jobs.c
@@ -18,20 +18,6 @@
                                                  .cpu_milli = 1000,
                                                  .duration_ms = 600 };
 
-/* Return a new simulation, after time for the entry hosts to claim all pools.
- */
-static struct jw_world *
-create_world (const struct jw_options *options)
-{
-  struct jw_world *world;
-  struct jw_options copy = *options;
-
-  copy.verbose = getenv ("JW_VERBOSE") != NULL;
-  world = jw_world_new (&copy);
-  jw_advance (world, 4 * JB_SECOND);
-  return world;
-}
-
 /* Submit COUNT short jobs, GAP apart, to all pools in turn.  Every tenth one
    fails.  */
 static void
@@ -54,7 +40,7 @@
 static void
 test_no_faults (void)
 {
-  struct jw_world *world = create_world (&small_fleet);
+  struct jw_world *world = jw_create_world (&small_fleet);
 
   submit_many (world, 30, 100 * JB_MS);
   jw_advance (world, 8 * JB_SECOND);
@@ -67,7 +53,7 @@
 static void
 test_owner_killed (void)
 {
-  struct jw_world *world = create_world (&small_fleet);
+  struct jw_world *world = jw_create_world (&small_fleet);
 
   for (int round = 0; round < 4; round++)
     {
@@ -90,7 +76,7 @@
 static void
 test_owner_frozen (void)
 {
-  struct jw_world *world = create_world (&small_fleet);
+  struct jw_world *world = jw_create_world (&small_fleet);
   int owner;
 
   submit_many (world, 10, 50 * JB_MS);
@@ -108,7 +94,7 @@
 static void
 test_owner_cut_off_from_store (void)
 {
-  struct jw_world *world = create_world (&small_fleet);
+  struct jw_world *world = jw_create_world (&small_fleet);
   int owner;
 
   submit_many (world, 6, 50 * JB_MS);
@@ -127,7 +113,7 @@
 static void
 test_registrations_expire (void)
 {
-  struct jw_world *world = create_world (&small_fleet);
+  struct jw_world *world = jw_create_world (&small_fleet);
   struct jw_job_options long_running_job = { .pool = 0,
                                              .step_count = 1,
                                              .tasks_per_step = 4,
@@ -161,7 +147,7 @@
 static void
 test_store_outage (void)
 {
-  struct jw_world *world = create_world (&small_fleet);
+  struct jw_world *world = jw_create_world (&small_fleet);
   int owner;
 
   submit_many (world, 10, 50 * JB_MS);
@@ -189,7 +175,7 @@
       int owner;
 
       options.seed = seed;
-      world = create_world (&options);
+      world = jw_create_world (&options);
       job.always_fails = true;
       job.tasks_per_step = 6;
       job.duration_ms = 400;
@@ -210,7 +196,7 @@
 static void
 test_schedule_across_restart (void)
 {
-  struct jw_world *world = create_world (&small_fleet);
+  struct jw_world *world = jw_create_world (&small_fleet);
   struct jw_job_options job = short_job;
 
   job.step_count = 1;
@@ -238,7 +224,7 @@
       struct jw_world *world;
 
       options.seed = seed;
-      world = create_world (&options);
+      world = jw_create_world (&options);
       world->loss_permille.backend_commands = 120;
       submit_many (world, 40, 120 * JB_MS);
       world->loss_permille.backend_commands = 0;
@@ -257,7 +243,7 @@
       struct jw_world *world;
 
       options.seed = seed;
-      world = create_world (&options);
+      world = jw_create_world (&options);
       world->loss_permille.store_commands = 250;
       submit_many (world, 40, 150 * JB_MS);
       world->loss_permille.store_commands = 0;
@@ -271,7 +257,7 @@
 static void
 test_backends_unreachable (void)
 {
-  struct jw_world *world = create_world (&small_fleet);
+  struct jw_world *world = jw_create_world (&small_fleet);
 
   submit_many (world, 8, 40 * JB_MS);
   for (uint32_t i = 0; i < 2; i++)
@@ -291,7 +277,7 @@
 static void
 test_wave (void)
 {
-  struct jw_world *world = create_world (&small_fleet);
+  struct jw_world *world = jw_create_world (&small_fleet);
   struct jw_job_options long_running_job = { .pool = 0,
                                              .step_count = 1,
                                              .tasks_per_step = 3,
@@ -331,7 +317,7 @@
       int planner;
 
       options.seed = seed;
-      world = create_world (&options);
+      world = jw_create_world (&options);
       jw_start_wave (world, 2, 20000);
       jw_advance (world, (300 + 400 * seed) * JB_MS);
       planner = find_planner (world);
@@ -371,7 +357,7 @@
       int owner;
 
       options.seed = seed;
-      world = create_world (&options);
+      world = jw_create_world (&options);
       jw_start_wave (world, 2, 20000);
       while (!is_any_host_maintained (world, 0))
         jw_advance (world, 50 * JB_MS);
@@ -412,7 +398,7 @@
 
       options.seed = seed;
       options.backends = 8;
-      world = create_world (&options);
+      world = jw_create_world (&options);
       jw_start_wave (world, 2, 20000);
       jw_advance (world, (200 + 37 * seed) * JB_MS);
       planner = find_planner (world);
@@ -467,7 +453,7 @@
       options.backends = 8;
       options.reorder_messages = true;
       options.pools = 1;
-      world = create_world (&options);
+      world = jw_create_world (&options);
       jw_submit_job (world, &long_running_job);
       jw_advance (world, 2 * JB_SECOND);
       jw_start_wave (world, 4, 25000);
@@ -523,7 +509,7 @@
   options.backends = 1;
   options.backend_cpu_milli = 4000;
   options.org_cpu_limit_milli = 3000;
-  world = create_world (&options);
+  world = jw_create_world (&options);
   job.tasks_per_step = 4;
   job.duration_ms = 4000;
   id = jw_submit_job (world, &job);
@@ -560,7 +546,7 @@
   struct jw_world *world;
 
   options.org_cpu_limit_milli = 6000;
-  world = create_world (&options);
+  world = jw_create_world (&options);
   for (uint32_t round = 0; round < 6; round++)
     {
       for (uint32_t i = 0; i < 8; i++)
@@ -590,7 +576,7 @@
 static void
 test_cancel (void)
 {
-  struct jw_world *world = create_world (&small_fleet);
+  struct jw_world *world = jw_create_world (&small_fleet);
   const char *ids[12];
 
   for (uint32_t i = 0; i < 12; i++)
@@ -622,7 +608,7 @@
 static void
 test_rolling_restart (void)
 {
-  struct jw_world *world = create_world (&small_fleet);
+  struct jw_world *world = jw_create_world (&small_fleet);
 
   for (uint32_t i = 0; i < world->options.hosts; i++)
     {
@@ -641,7 +627,7 @@
 static void
 test_gangs (void)
 {
-  struct jw_world *world = create_world (&small_fleet);
+  struct jw_world *world = jw_create_world (&small_fleet);
 
   for (uint32_t i = 0; i < 12; i++)
     {
@@ -660,7 +646,7 @@
 static void
 test_failing_backend (void)
 {
-  struct jw_world *world = create_world (&small_fleet);
+  struct jw_world *world = jw_create_world (&small_fleet);
 
   jw_find_backend (world, 0, 1)->fails_all_runs = true;
   submit_many (world, 30, 150 * JB_MS);
@@ -678,7 +664,7 @@
   struct jw_world *world;
 
   options.needs_advice = true;
-  world = create_world (&options);
+  world = jw_create_world (&options);
   submit_many (world, 20, 150 * JB_MS);
   jw_advance (world, 12 * JB_SECOND);
   CU_ASSERT (world->task_starts >= 20 * 8 * 9 / 10);
--- a/tests/sim/jobs/test_large_configuration.c
+++ b/tests/sim/jobs/test_large_configuration.c
@@ -32,12 +32,9 @@
                                 .small_hosts = small_hosts,
                                 .pools = 4,
                                 .backends = 3,
-                                .backend_cpu_milli = 8000,
-                                .verbose = getenv ("JW_VERBOSE") != NULL };
-  struct jw_world *world = jw_world_new (&options);
+                                .backend_cpu_milli = 8000 };
 
-  jw_advance (world, 4 * JB_SECOND);
-  return world;
+  return jw_create_world (&options);
 }
 
 /* Return how many hosts do not have the newest configuration.  */
--- a/tests/sim/jobs/test_large_fleet.c
+++ b/tests/sim/jobs/test_large_fleet.c
@@ -19,12 +19,9 @@
                                 .hosts = hosts,
                                 .pools = 4,
                                 .backends = 3,
-                                .backend_cpu_milli = 8000,
-                                .verbose = getenv ("JW_VERBOSE") != NULL };
-  struct jw_world *world = jw_world_new (&options);
+                                .backend_cpu_milli = 8000 };
 
-  jw_advance (world, 4 * JB_SECOND);
-  return world;
+  return jw_create_world (&options);
 }
 
 static void
