Log unanswered probes and starts, and late iterations of the event loop

The log of a pool's owner could not tell an answer that never came from one that came after its request had been given up, nor how late the owner's own threads were. A probe or start without an answer now logs how long after the command its request was sent, and how long its answer was awaited; an iteration of the event loop that takes more than 250 ms is logged and counted. Nothing of the logic has changed.

--- a/packages/http/include/ht_client.h
+++ b/packages/http/include/ht_client.h
@@ -27,6 +27,13 @@
 /* One request and its response.  */
 struct ht_exchange;
 
+/* When the steps of an exchange took place, in ba_clock_now_us time.  */
+struct ht_exchange_times
+{
+  int64_t submitted_us;
+  int64_t sent_us; /* when libcurl began to send the request; 0: it did not */
+};
+
 struct ht_client_handlers
 {
   /* Called once, when the status line and all response headers were received:
@@ -112,6 +119,10 @@
 /* Return the ID of EXCHANGE, unique within its client.  */
 uint64_t ht_exchange_id (const struct ht_exchange *exchange);
 
+/* Return the times of EXCHANGE, borrowed from it.  */
+const struct ht_exchange_times *
+ht_exchange_times (const struct ht_exchange *exchange);
+
 /* Return the end-to-end headers of the response, one "NAME: VALUE" line each,
    owned by MEM.  Called only from the `headers' handler.  */
 char *ht_exchange_response_headers (struct ht_exchange *exchange,
--- a/packages/http/src/ht_client.c
+++ b/packages/http/src/ht_client.c
@@ -47,6 +47,7 @@
   int64_t timeout_ms;
   int64_t idle_timeout_ms; /* 0: none */
   int64_t deadline_us;     /* ba_clock_now_us time */
+  struct ht_exchange_times times;
   bool no_retry;
   bool new_connection;
   bool headers_reported;
@@ -214,6 +215,7 @@
   e->credentials = talloc_strdup (e, request->credentials);
   e->body = talloc_memdup (e, request->body, request->body_len);
   e->body_len = request->body_len;
+  e->times.submitted_us = ba_clock_now_us ();
   e->start_before_us = request->start_before_us;
   e->timeout_ms = request->timeout_ms;
   e->idle_timeout_ms = request->idle_timeout_ms;
@@ -244,6 +246,12 @@
     g_usleep (100);
 }
 
+const struct ht_exchange_times *
+ht_exchange_times (const struct ht_exchange *exchange)
+{
+  return &exchange->times;
+}
+
 uint64_t
 ht_exchange_id (const struct ht_exchange *exchange)
 {
@@ -289,6 +297,19 @@
   return text;
 }
 
+/* CURLOPT_PREREQFUNCTION: called once there is a connection, just before the
+   request is sent.  */
+static int
+record_sending (void *data, char *peer_ip G_GNUC_UNUSED,
+                char *own_ip G_GNUC_UNUSED, int peer_port G_GNUC_UNUSED,
+                int own_port G_GNUC_UNUSED)
+{
+  struct ht_exchange *e = data;
+
+  e->times.sent_us = ba_clock_now_us ();
+  return CURL_PREREQFUNC_OK;
+}
+
 /* CURLOPT_READFUNCTION.  */
 static size_t
 read_request_body (char *buffer, size_t size, size_t count, void *data)
@@ -467,6 +488,8 @@
   curl_easy_setopt (e->easy, CURLOPT_HTTPHEADER, e->request_headers);
   curl_easy_setopt (e->easy, CURLOPT_CONNECTTIMEOUT_MS,
                     (long)CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (e->easy, CURLOPT_PREREQFUNCTION, record_sending);
+  curl_easy_setopt (e->easy, CURLOPT_PREREQDATA, e);
   curl_easy_setopt (e->easy, CURLOPT_WRITEFUNCTION, receive_body);
   curl_easy_setopt (e->easy, CURLOPT_WRITEDATA, e);
   if (e->sigv4 != NULL)
--- a/packages/jobs/include/jb_command.h
+++ b/packages/jobs/include/jb_command.h
@@ -301,6 +301,11 @@
 {
   TALLOC_CTX *mem; /* owner of everything below */
   enum jb_reply_result result;
+  /* Of a command without an answer: milliseconds from the command to the
+     sending of its request, or -1 if it was not sent, and from then until no
+     answer was expected any more.  */
+  int64_t sent_after_ms;
+  int64_t awaited_ms;
   /* Reply to a command to the store.  */
   uint64_t version; /* of the store, after the command */
   /* Rows that were read, or, after JB_RESULT_CONFLICT, the current state of
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -389,8 +389,17 @@
 
 static void
 handle_probe_failure (struct jb_pool *pool, struct jb_backend *backend,
-                      jb_time now)
+                      jb_time now, jb_time sent_at,
+                      const struct jb_reply *reply)
 {
+  jb_log (pool->options.driver, JB_LEVEL_INFO, "probe-unanswered", "backend",
+          backend->instance, "runs", jb_itoa (backend->task_count),
+          "unanswered", jb_itoa (backend->unanswered_probes + 1), "age_ms",
+          jb_itoa ((now - sent_at) / JB_MS), "sent_after_ms",
+          jb_itoa (reply->sent_after_ms), "awaited_ms",
+          jb_itoa (reply->awaited_ms), "lease_expires_in_ms",
+          jb_itoa ((jb_backend_leases_expire_at (backend) - now) / JB_MS),
+          NULL);
   jb_count_event (pool->options.driver, JB_COUNT_PROBES_UNANSWERED);
   if (++backend->unanswered_probes == JB_SILENT_AFTER_PROBES)
     jb_log (pool->options.driver, JB_LEVEL_WARN, "backend-silent", "backend",
@@ -437,7 +446,7 @@
       backend->next_probe = now + UNANSWERED_RETRY_INTERVAL;
     }
   else
-    handle_probe_failure (pool, backend, now);
+    handle_probe_failure (pool, backend, now, sent_at, reply);
   talloc_free (probe);
 }
 
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -260,8 +260,16 @@
 /* Handle a start without an answer: it may be carried out at any time until
    its lease has expired.  */
 static void
-handle_start_unknown (struct start_request *start, jb_time now)
+handle_start_unknown (struct start_request *start, jb_time now,
+                      const struct jb_reply *reply)
 {
+  char name[JB_TASK_NAME_SIZE];
+
+  jb_log (start->pool->options.driver, JB_LEVEL_INFO, "start-unanswered",
+          "task", jb_task_name (start->task, name), "run",
+          jb_itoa (start->run), "backend", start->backend->instance,
+          "sent_after_ms", jb_itoa (reply->sent_after_ms), "awaited_ms",
+          jb_itoa (reply->awaited_ms), NULL);
   jb_count_event (start->pool->options.driver, JB_COUNT_START_UNKNOWN);
   if (jb_pool_has_disabled (start->pool, JB_SAFEGUARD_UNCONFIRMED_STARTS))
     {
@@ -340,7 +348,7 @@
       break;
     case JB_RESULT_UNKNOWN:
       if (task->state == JB_RUN_STARTING)
-        handle_start_unknown (start, now);
+        handle_start_unknown (start, now, reply);
       break;
     default:
       if (task->state == JB_RUN_STARTING)
--- a/packages/server/src/sv_job_server.c
+++ b/packages/server/src/sv_job_server.c
@@ -47,6 +47,10 @@
    reach their clients.  */
 #define RESPONSE_FLUSH_US (250 * JB_MS)
 
+/* An iteration of the event loop that takes longer is late: meanwhile no
+   answer is read, and no lease is extended.  */
+#define LATE_ITERATION_TIME (250 * JB_MS)
+
 enum event_type
 {
   EVENT_CLIENT_CALL,
@@ -96,6 +100,8 @@
   struct jb_metrics metrics; /* copy of the decision code's; under the lock */
   /* Events dropped because the ring was full.  */
   _Atomic uint64_t dropped_event_count;
+  /* Iterations of the event loop longer than LATE_ITERATION_TIME.  */
+  _Atomic uint64_t late_iteration_count;
 };
 
 /* Queue EVENT for the event loop.  Return false, having freed it, when the
@@ -142,6 +148,19 @@
   return true;
 }
 
+/* Set the times of REPLY, which says that EXCHANGE got no answer.  */
+static void
+set_reply_times (struct jb_reply *reply, const struct ht_exchange *exchange)
+{
+  const struct ht_exchange_times *times = ht_exchange_times (exchange);
+
+  reply->sent_after_ms = -1;
+  if (times->sent_us == 0)
+    return;
+  reply->sent_after_ms = (times->sent_us - times->submitted_us) / JB_MS;
+  reply->awaited_ms = (ba_clock_now_us () - times->sent_us) / JB_MS;
+}
+
 static void
 complete_command (struct ht_exchange *exchange, void *context,
                   enum ht_result result, unsigned status)
@@ -150,7 +169,6 @@
   struct sv_job_server *server = pending->server;
   struct event *event = talloc_zero (NULL, struct event);
 
-  (void)exchange;
   event->type = EVENT_COMMAND_REPLY;
   event->number = pending->number;
   event->reply.mem = event;
@@ -159,8 +177,11 @@
         server->options.platform, event, pending->kind, status,
         (const char *)pending->body->data, pending->body->len, &event->reply);
   else
-    event->reply.result
-        = result == HT_RESULT_NOT_SENT ? JB_RESULT_REFUSED : JB_RESULT_UNKNOWN;
+    {
+      event->reply.result = result == HT_RESULT_NOT_SENT ? JB_RESULT_REFUSED
+                                                         : JB_RESULT_UNKNOWN;
+      set_reply_times (&event->reply, exchange);
+    }
   push_event (server, event);
   g_byte_array_free (pending->body, TRUE);
   talloc_free (pending);
@@ -180,6 +201,7 @@
   event->number = number;
   event->reply.mem = event;
   event->reply.result = result;
+  event->reply.sent_after_ms = -1;
   push_event (server, event);
 }
 
@@ -455,10 +477,13 @@
       "dogwoodpulley_log_lost_total %" G_GUINT64_FORMAT "\n"
       "# TYPE dogwoodpulley_events_dropped_total counter\n"
       "dogwoodpulley_events_dropped_total %" G_GUINT64_FORMAT "\n"
+      "# TYPE dogwoodpulley_late_iterations_total counter\n"
+      "dogwoodpulley_late_iterations_total %" G_GUINT64_FORMAT "\n"
       "# TYPE dogwoodpulley_peer_buffered_bytes gauge\n"
       "dogwoodpulley_peer_buffered_bytes %" G_GSIZE_FORMAT "\n",
       sv_log_lost_count (server->log),
       atomic_load (&server->dropped_event_count),
+      atomic_load (&server->late_iteration_count),
       pr_link_buffered_bytes (server->peer_link));
   text = talloc_strdup_append_buffer (
       text, ba_counter_format (scratch, pr_link_counters (server->peer_link),
@@ -630,6 +655,25 @@
   g_mutex_unlock (&server->metrics_lock);
 }
 
+/* Count and log an iteration of the event loop that began at START, processed
+   EVENT_COUNT events until PROCESSED_AT, and is late.  */
+static void
+report_late_iteration (struct sv_job_server *server, jb_time start,
+                       jb_time processed_at, uint32_t event_count)
+{
+  jb_time now = ba_clock_now_us ();
+  const struct jb_log_field fields[]
+      = { { "ms", jb_itoa ((now - start) / JB_MS) },
+          { "events", jb_itoa (event_count) },
+          { "events_ms", jb_itoa ((processed_at - start) / JB_MS) } };
+
+  if (now - start < LATE_ITERATION_TIME)
+    return;
+  atomic_fetch_add (&server->late_iteration_count, 1);
+  log_event (server, JB_LEVEL_WARN, "event-loop-late", fields,
+             G_N_ELEMENTS (fields));
+}
+
 static void
 run_event_loop (void *data, void (*heartbeat) (void *), void *context)
 {
@@ -645,11 +689,13 @@
           = CLAMP ((wakeup - now + JB_MS - 1) / JB_MS, 0, MAX_EVENT_WAIT_MS);
       struct event *event;
       uint32_t processed = 0;
+      jb_time start;
 
       poll (&p, 1, (int)wait_ms);
       heartbeat (context);
       ba_ring_reset_fd (server->event_ring);
-      now = ba_clock_now_us ();
+      start = ba_clock_now_us ();
+      now = start;
       jb_host_set_unix_origin (server->host, unix_time_ms () * JB_MS - now);
       /* Take a new time for each event, because events arrive while others are
          processed.  If the time of a reply was before its arrival, the clock
@@ -667,6 +713,7 @@
         wakeup = now; /* don't wait: the ring may hold more events, and its
                          descriptor was reset */
       publish_state (server, now);
+      report_late_iteration (server, start, now, processed);
     }
 }
 
