--- a/packages/http/tests/test_ht_client.c
+++ b/packages/http/tests/test_ht_client.c
@@ -22,6 +22,10 @@
   PART_COUNT = 10,
   PART_INTERVAL_MS = 60,
   SHORT_TIMEOUT_MS = 200,
+  /* A late thread takes longer for an iteration than a request's timeout, and
+     the server responds soon after it has received the request.  */
+  LATE_ITERATION_MS = 400,
+  RESPONSE_DELAY_MS = 50,
   IDLE_TIMEOUT_MS = 2000
 };
 
@@ -33,12 +37,13 @@
 enum server_action
 {
   ACTION_RESPOND,
-  ACTION_CLOSE,       /* read the request and close without sending a byte */
-  ACTION_TRUNCATE,    /* announce a body of ten bytes, send two, close */
-  ACTION_SLOW_BODY,   /* send the body in PART_COUNT parts of one byte */
-  ACTION_BODY_STOPS,  /* announce a body of ten bytes, send two, keep the
-                         connection open */
-  ACTION_NO_RESPONSE, /* keep the connection open without sending a byte */
+  ACTION_RESPOND_LATER, /* after RESPONSE_DELAY_MS */
+  ACTION_CLOSE,         /* read the request and close without sending a byte */
+  ACTION_TRUNCATE,      /* announce a body of ten bytes, send two, close */
+  ACTION_SLOW_BODY,     /* send the body in PART_COUNT parts of one byte */
+  ACTION_BODY_STOPS,    /* announce a body of ten bytes, send two, keep the
+                           connection open */
+  ACTION_NO_RESPONSE,   /* keep the connection open without sending a byte */
   ACTION_RESPOND_DURING_STALL /* stall the client's thread until the timeout of
                                  the request has expired, and respond while
                                  it is stalled */
@@ -46,10 +51,11 @@
 
 /* The action for each request, in order, over all connections.  */
 static enum server_action server_actions[8];
-static _Atomic int request_count;    /* received by the server */
-static _Atomic bool closing;         /* ends ACTION_NO_RESPONSE */
-static _Atomic bool stall_requested; /* the client's thread has to stall */
-static _Atomic bool stall_reached;   /* the client's thread is stalled */
+static _Atomic int request_count;      /* received by the server */
+static _Atomic bool closing;           /* ends ACTION_NO_RESPONSE */
+static _Atomic bool stall_requested;   /* the client's thread has to stall */
+static _Atomic bool stall_reached;     /* the client's thread is stalled */
+static _Atomic int iteration_delay_ms; /* of each iteration of the client */
 static int listening_fd;
 
 /* Read a request with the body length given by its Content-Length.  Return
@@ -130,6 +136,10 @@
         case ACTION_RESPOND:
           open = write (fd, small_response, strlen (small_response)) > 0;
           break;
+        case ACTION_RESPOND_LATER:
+          g_usleep (RESPONSE_DELAY_MS * 1000);
+          open = write (fd, small_response, strlen (small_response)) > 0;
+          break;
         case ACTION_TRUNCATE:
           open = write (fd, truncated_response, strlen (truncated_response))
                  < 0;
@@ -175,12 +185,13 @@
     }
 }
 
-/* Called in each iteration of the client's event loop.  Stalls its thread
-   while stall_requested is set.  */
+/* Called in each iteration of the client's event loop.  Delays it, and stalls
+   its thread while stall_requested is set.  */
 static void
 stall_iteration (void *context)
 {
   (void)context;
+  g_usleep ((gulong)atomic_load (&iteration_delay_ms) * 1000);
   while (atomic_load (&stall_requested))
     {
       atomic_store (&stall_reached, true);
@@ -255,6 +266,7 @@
   atomic_store (&request_count, 0);
   atomic_store (&closing, false);
   atomic_store (&stall_reached, false);
+  atomic_store (&iteration_delay_ms, 0);
   memset (server_actions, 0, sizeof server_actions);
   listening_fd = socket (AF_INET, SOCK_STREAM, 0);
   setsockopt (listening_fd, SOL_SOCKET, SO_REUSEADDR, &enable, sizeof enable);
@@ -426,6 +438,31 @@
   tear_down ();
 }
 
+/* A client that gets little CPU time sends a request when its timeout has
+   passed already.  It must not give the request up at once: the server
+   executes it, and its response would be lost.  */
+static void
+test_request_given_up_when_sent (void)
+{
+  struct ht_request request = { .method = "POST",
+                                .url = url,
+                                .body = "abc",
+                                .body_len = 3,
+                                .timeout_ms = SHORT_TIMEOUT_MS,
+                                .timeout_from_sending = true,
+                                .new_connection = true };
+  struct result r;
+
+  set_up ();
+  server_actions[0] = ACTION_RESPOND_LATER;
+  atomic_store (&iteration_delay_ms, LATE_ITERATION_MS);
+  r = execute_request (&request);
+  CU_ASSERT_EQUAL (r.result, HT_RESULT_COMPLETE);
+  CU_ASSERT_EQUAL (r.status, 200);
+  free_result (&r);
+  tear_down ();
+}
+
 /* Send a request whose connection is kept open, then a second one on the same
    connection, which the server closes without a response.  Return how often
    the server received the second request, and its result in RESULT.  */
@@ -489,6 +526,8 @@
           { "response stops within the body", test_response_stops_in_body },
           { "response during a stall is not lost",
             test_response_during_stall },
+          { "request given up as soon as it was sent",
+            test_request_given_up_when_sent },
           { "libcurl repeats a request", test_libcurl_repeats_request },
           { "request with no_retry is sent once", test_no_retry },
           { NULL, NULL } };
