Let timeouts of commands count from the sending of their request

Cause: the timeout counted from when the client's thread took the request. With all of the processor share in use, that thread sends 1.1 to 1.8 s later, notices that the timeout has passed, and gives the request up 1 to 129 ms after it was sent. The backend server executes it and lists the ends of runs; that answer is not read. After the lease has expired, by the same lateness, its runs are given up, and their tasks start elsewhere.

Ruled out: late orders that acknowledge ends (the ends are listed when the backend server answers again); leases that last longer (the other runs there had lapsed).

The answer is now awaited for the whole timeout from when libcurl begins to send, however late that is; requests of callers keep their absolute timeout. test_request_given_up_when_sent failed before and passes, three of three runs.

--- a/packages/http/src/ht_client.c
+++ b/packages/http/src/ht_client.c
@@ -46,7 +46,8 @@
   int64_t start_before_us;
   int64_t timeout_ms;
   int64_t idle_timeout_ms; /* 0: none */
-  int64_t deadline_us;     /* ba_clock_now_us time */
+  bool timeout_from_sending;
+  int64_t deadline_us; /* ba_clock_now_us time */
   struct ht_exchange_times times;
   bool no_retry;
   bool new_connection;
@@ -219,6 +220,7 @@
   e->start_before_us = request->start_before_us;
   e->timeout_ms = request->timeout_ms;
   e->idle_timeout_ms = request->idle_timeout_ms;
+  e->timeout_from_sending = request->timeout_from_sending;
   e->no_retry = request->no_retry;
   e->new_connection = request->new_connection;
   talloc_set_destructor (e, exchange_destructor);
@@ -297,6 +299,17 @@
   return text;
 }
 
+/* Set the deadline of E to DEADLINE_US if that is later.  */
+static void
+extend_deadline (struct ht_exchange *e, int64_t deadline_us)
+{
+  if (deadline_us <= e->deadline_us)
+    return;
+  g_tree_remove (e->client->deadlines, e);
+  e->deadline_us = deadline_us;
+  g_tree_insert (e->client->deadlines, e, e);
+}
+
 /* CURLOPT_PREREQFUNCTION: called once there is a connection, just before the
    request is sent.  */
 static int
@@ -307,6 +320,8 @@
   struct ht_exchange *e = data;
 
   e->times.sent_us = ba_clock_now_us ();
+  if (e->timeout_from_sending)
+    extend_deadline (e, e->times.sent_us + e->timeout_ms * 1000);
   return CURL_PREREQFUNC_OK;
 }
 
@@ -355,20 +370,6 @@
     e->handlers->headers (e, e->context, (unsigned)status, length);
 }
 
-/* Let E go on for its idle timeout, if it has one, although its timeout may
-   expire before.  */
-static void
-extend_deadline (struct ht_exchange *e)
-{
-  int64_t deadline_us = ba_clock_now_us () + e->idle_timeout_ms * 1000;
-
-  if (e->idle_timeout_ms == 0 || deadline_us <= e->deadline_us)
-    return;
-  g_tree_remove (e->client->deadlines, e);
-  e->deadline_us = deadline_us;
-  g_tree_insert (e->client->deadlines, e, e);
-}
-
 /* CURLOPT_WRITEFUNCTION.  */
 static size_t
 receive_body (char *data, size_t size, size_t count, void *context)
@@ -376,7 +377,8 @@
   struct ht_exchange *e = context;
 
   report_headers (e);
-  extend_deadline (e);
+  if (e->idle_timeout_ms != 0)
+    extend_deadline (e, ba_clock_now_us () + e->idle_timeout_ms * 1000);
   if (!e->handlers->body (e, e->context, data, size * count))
     return CURL_WRITEFUNC_PAUSE;
   return size * count;
--- a/packages/server/src/sv_job_server.c
+++ b/packages/server/src/sv_job_server.c
@@ -217,6 +217,7 @@
   struct pending_command *pending;
   struct ht_request request
       = { .timeout_ms = command->timeout_ms,
+          .timeout_from_sending = true,
           .idle_timeout_ms
           = jb_command_is_read (command->kind) ? JB_READ_IDLE_TIMEOUT_MS : 0,
           .new_connection = command->backend.new_connection };
