Failing test: done tasks are started again by a busy owner

The emulator gets entry hosts that are too busy to send commands in time, with a result of its own, JB_RESULT_NOT_SENT, which nothing treats differently yet; and counts starts of tasks that were done whether or not the owner knew it.

--- a/packages/jobs/include/jb_command.h
+++ b/packages/jobs/include/jb_command.h
@@ -184,6 +184,9 @@
   JB_RESULT_CONFLICT, /* a precondition did not hold; nothing was done */
   /* Nothing was done: overloaded, unhealthy or unreachable.  */
   JB_RESULT_REFUSED,
+  /* This host was too busy to send the command in time.  That says nothing
+     about the other side.  */
+  JB_RESULT_NOT_SENT,
   /* Another instance answers at the address, or the store no longer has the
      changes that were asked for.  */
   JB_RESULT_GONE,
--- a/tests/sim/jobs/jw_check.c
+++ b/tests/sim/jobs/jw_check.c
@@ -155,6 +155,8 @@
                          "%s starts after its job was cancelled", name);
   if (task->active_runs > 1)
     jw_report_violation (world, "TWICE", "%s runs twice", name);
+  if (task->done && !step->long_running)
+    world->starts_after_done++;
   if (task->done_acked && !step->long_running)
     jw_report_violation (world, "TWICE", "%s starts after it was done", name);
   if (!step->long_running && task->acked_failures >= JW_MAX_ATTEMPTS)
--- a/tests/sim/jobs/jw_commands.c
+++ b/tests/sim/jobs/jw_commands.c
@@ -214,6 +214,15 @@
   in_flight->epoch = host->epoch;
   in_flight->number = number;
   in_flight->sent_at = world->now;
+  if (host->too_busy && is_backend_command (command->kind))
+    {
+      timed_out.mem = talloc_new (NULL);
+      timed_out.result = JB_RESULT_NOT_SENT;
+      jw_schedule_reply (host, host->epoch, number,
+                         world->now + command->timeout_ms * JB_MS, &timed_out);
+      talloc_free (in_flight);
+      return;
+    }
   in_flight->gets_reply
       = !unreachable && !jw_random_permille (world, loss_permille);
   copy_command (in_flight, command);
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -104,6 +104,9 @@
   bool store_unreachable;
   bool peers_unreachable;
   bool backends_unreachable;
+  /* It is too busy to send commands to backend servers before their timeout
+     has passed.  */
+  bool too_busy;
   /* Bandwidth of its link in each direction; 0: unlimited.  Only messages
      between entry hosts and the store's answers with a configuration take time
      on it, one after the other.  */
@@ -256,6 +259,8 @@
   uint64_t last_call;    /* number of the last call sent */
   uint32_t last_backend; /* number of the last backend server added */
   uint32_t task_starts;
+  uint32_t starts_after_done; /* of tasks that a run had completed, whether an
+                                 entry host knew it or not */
   bool delivering_delayed_command;
   /* Backend servers have failed tasks that would otherwise complete, so jobs
      may be reported as failed.  */
--- /dev/null
+++ b/tests/sim/jobs/test_late_owner.c
@@ -0,0 +1,68 @@
+/* Tests of an owner that gets too little CPU time, in virtual time.
+
+   Expected load: the owner can't send its commands for somewhat longer than
+   the lease of the runs, while the backend servers go on.  */
+
+#include "jw_test.h"
+
+enum
+{
+  SEED_COUNT = 10,
+  JOB_COUNT = 30
+};
+
+#define JOB_INTERVAL (100 * JB_MS)
+#define BUSY_TIME (5 * JB_SECOND)
+
+/* Submit jobs, let the owner of the pool be too busy, and return the number of
+   starts of tasks that were done.  */
+static uint32_t
+run_with_busy_owner (uint32_t seed)
+{
+  struct jw_options options = { .seed = seed,
+                                .hosts = 5,
+                                .pools = 1,
+                                .backends = 9,
+                                .backend_cpu_milli = 16000 };
+  struct jw_world *world = jw_create_world (&options);
+  struct jw_job_options job = { .step_count = 1,
+                                .tasks_per_step = 6,
+                                .cpu_milli = 1000,
+                                .duration_ms = 1000 };
+  int owner = jw_pool_owner (world, 0);
+  uint32_t count;
+
+  CU_ASSERT_FATAL (owner >= 0);
+  for (uint32_t i = 0; i < JOB_COUNT; i++)
+    {
+      jw_submit_job (world, &job);
+      jw_advance (world, JOB_INTERVAL);
+    }
+  world->hosts[owner].too_busy = true;
+  jw_advance (world, BUSY_TIME);
+  world->hosts[owner].too_busy = false;
+  jw_advance (world, 15 * JB_SECOND);
+  count = world->starts_after_done;
+  jw_check_and_free (world);
+  return count;
+}
+
+/* Backend servers were not asked whether their runs had ended, but taken for
+   silent.  */
+static void
+test_done_tasks_started_again (void)
+{
+  for (uint32_t seed = 1; seed <= SEED_COUNT; seed++)
+    CU_ASSERT_EQUAL (run_with_busy_owner (seed), 0);
+}
+
+int
+main (void)
+{
+  static const struct dp_test tests[]
+      = { { "done tasks started again by a busy owner",
+            test_done_tasks_started_again },
+          { NULL, NULL } };
+
+  return dp_test_main ("late owner", tests);
+}
