--- a/tests/sim/jobs/jw_backend.c
+++ b/tests/sim/jobs/jw_backend.c
@@ -233,10 +233,11 @@
   ended->task = talloc_strdup (ended, run->task);
   ended->run = run->run;
   ended->outcome = outcome;
+  ended->ended_at = world->now;
   g_ptr_array_add (backend->ended_runs, ended);
   close_run (backend, run->task, run->run);
   remove_run (world, backend, run);
-  jw_check_run_end (world, ended, false);
+  jw_check_run_end (world, backend, ended, false);
   answer_waiting_probes (world, backend);
 }
 
@@ -284,6 +285,7 @@
   if (!backend->up
       || read_clock_ms (backend, world->now) < backend->lease_until_ms)
     return;
+  backend->lapsed_at = world->now;
   while (backend->runs->len > 0)
     end_run (world, backend, g_ptr_array_index (backend->runs, 0),
              JB_OUTCOME_LEASE_EXPIRED);
@@ -507,7 +509,7 @@
 
       if (first->number > command->u.probe.acked_end)
         break;
-      jw_check_run_end (world, first, true);
+      jw_check_run_end (world, backend, first, true);
       g_ptr_array_remove_index (backend->ended_runs, 0);
     }
 }
--- a/tests/sim/jobs/jw_check.c
+++ b/tests/sim/jobs/jw_check.c
@@ -138,6 +138,7 @@
 
   check_capacity (world, backend, name);
   world->task_starts++;
+  task->last_started_at = world->now;
   task->active_runs++;
   if (step == NULL)
     {
@@ -194,8 +195,8 @@
 }
 
 void
-jw_check_run_end (struct jw_world *world, const struct jw_ended_run *ended,
-                  bool acked)
+jw_check_run_end (struct jw_world *world, const struct jw_backend *backend,
+                  const struct jw_ended_run *ended, bool acked)
 {
   struct jw_task *task = jw_get_task (world, ended->task);
   struct jb_task_ref ref;
@@ -207,6 +208,13 @@
     task->acked_failures++;
   if (ended->outcome != JB_OUTCOME_DONE)
     return;
+  if (acked && step != NULL && !step->long_running
+      && task->last_started_at > ended->ended_at
+      && backend->lapsed_at < ended->ended_at)
+    jw_report_violation (world, "TWICE",
+                         "%s started after it was done on %s, whose lease has "
+                         "not expired",
+                         ended->task, backend->instance);
   /* A gang completes as a whole: when one member is done, all of them are.  */
   for (uint32_t i = 0; i < count; i++)
     {
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -147,6 +147,7 @@
   char *task;
   uint32_t run;
   enum jb_run_outcome outcome;
+  jb_time ended_at;
 };
 
 struct jw_backend
@@ -168,6 +169,7 @@
   uint64_t fencing_token;
   int64_t lease_until_ms; /* on its own clock */
   uint64_t lease_serial;  /* unused */
+  jb_time lapsed_at;      /* when the lease last expired; 0: never */
   uint64_t last_end_number;
   uint64_t acked;          /* unused */
   GPtrArray *runs;         /* struct jw_task_run */
@@ -188,7 +190,8 @@
   bool done;               /* a run completed it */
   bool done_acked;         /* and a pool owner acknowledged its end */
   uint32_t acked_failures; /* failed runs that a pool owner acknowledged */
-  uint32_t crashes;        /* of backend servers where it was running */
+  jb_time last_started_at;
+  uint32_t crashes;              /* of backend servers where it was running */
   uint32_t starts_after_crashes; /* since JW_MAX_CRASHES of them */
   jb_time ready_at;          /* time from which its run is ready; 0: no run */
   jb_time unready_since;     /* end of its last run */
@@ -385,7 +388,9 @@
    UNASKED  a task starts that no job has, with a specification other than its
             job's, or after its job was cancelled
    REFUSED  a task of a job starts whose submission was refused
-   TWICE    a task has two runs at once, or starts again after it was done
+   TWICE    a task has two runs at once, or starts again after it was done and
+            that end is acknowledged, before the start or later, without the
+            lease having expired in between
    ORDER    a task starts before the preceding steps are done
    BUDGET   a task starts again after JW_MAX_ATTEMPTS failures, or
             JW_MAX_STARTS_AFTER_CRASHES times after JW_MAX_CRASHES backend
@@ -460,9 +465,10 @@
 void jw_check_task_start (struct jw_world *world, struct jw_backend *backend,
                           const struct jb_command *command);
 
-/* Record the end of a run, when it ends and again with ACKED when a pool owner
-   has acknowledged it.  */
+/* Record the end of a run on BACKEND, when it ends and again with ACKED when a
+   pool owner has acknowledged it.  */
 void jw_check_run_end (struct jw_world *world,
+                       const struct jw_backend *backend,
                        const struct jw_ended_run *ended, bool acked);
 bool jw_task_is_long_running (struct jw_world *world, const char *name);
 
