--- a/packages/http/tests/test_ht_client.c
+++ b/packages/http/tests/test_ht_client.c
@@ -439,6 +439,23 @@
   tear_down ();
 }
 
+/* The same on a connection that was used before.  */
+static void
+test_response_during_stall_on_reused_connection (void)
+{
+  struct result r;
+
+  set_up ();
+  server_actions[1] = ACTION_RESPOND_DURING_STALL;
+  r = send_request ("POST", "first", true, url, STALL_MS);
+  free_result (&r);
+  r = send_request ("POST", "abc", true, url, STALL_MS);
+  CU_ASSERT_EQUAL (r.result, HT_RESULT_COMPLETE);
+  CU_ASSERT_EQUAL (r.status, 200);
+  free_result (&r);
+  tear_down ();
+}
+
 /* A client that gets little CPU time sends a request when its timeout has
    passed already.  It must not give the request up at once: the server
    executes it, and its response would be lost.  */
@@ -562,6 +579,8 @@
           { "response stops within the body", test_response_stops_in_body },
           { "response during a stall is not lost",
             test_response_during_stall },
+          { "response during a stall on a reused connection is not lost",
+            test_response_during_stall_on_reused_connection },
           { "request given up as soon as it was sent",
             test_request_given_up_when_sent },
           { "many requests given up as soon as they were sent",
--- a/packages/services/src/pl_aws.c
+++ b/packages/services/src/pl_aws.c
@@ -136,6 +136,7 @@
 
   g_byte_array_set_size (operation->response, 0);
   request->timeout_ms = aws->options.settings->timeout_ms;
+  request->timeout_per_step = true;
   if (is_read (operation->step))
     request->idle_timeout_ms = request->timeout_ms;
   if (!ht_client_submit (aws->client, request, &exchange_handlers, operation))
