Benchmark of the owner of a pool with a long queue

bench_pool runs a pool with a simulated store and full backend servers in virtual time, and measures the processor time of its operations for 50, 200 and 600 waiting jobs and 20, 80 and 300 backend servers.

--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -1,7 +1,7 @@
 #!/bin/bash
-# Run all measurements.  The scheduling policies and the decision core are
-# measured first, in virtual time: the figures of the policies are the same on
-# every run.  The request path follows, with real processes on loopback:
+# Run all measurements.  The scheduling policies, the decision core and the
+# owner of a pool are measured first, in virtual time: the figures of the
+# policies are the same on every run.  The request path follows, with real processes on loopback:
 # compare only ratios within a run, since times depend on the machine and its
 # load.  With PATH_ONLY set, only the request path is measured.
 set -u
@@ -13,6 +13,8 @@
 echo
 [ -n "${PATH_ONLY:-}" ] || "$BIN/bench/bench_core"
 echo
+[ -n "${PATH_ONLY:-}" ] || "$BIN/bench/bench_pool"
+echo
 site_start run/measure bench/measure.yaml 51 1 0
 trap site_stop EXIT
 site_wait_admin
