Search no place for tasks that fit nowhere as earlier ones show

A scheduling cycle of a pool with a long queue searched all backend servers for each waiting task group, although they were full. Within a cycle free capacity does not grow, so a group that requires as much as one for which no room was found, with the same label, fits nowhere either: a cycle remembers up to 16 such requirements. Only a lack of room counts, not limits per backend server, tickets or suspects kept apart, and a gang's attempt leaves nothing behind but what its first task has found.

--- a/packages/jobs/include/jb_place.h
+++ b/packages/jobs/include/jb_place.h
@@ -31,4 +31,36 @@
 bool jb_place_fits (const struct jb_task *task,
                     const struct jb_backend *backend);
 
+enum
+{
+  JB_PLACE_MAX_MISSES = 16
+};
+
+/* What a task required that fitted on no backend server with the label.  */
+struct jb_place_miss
+{
+  struct jb_resources required;
+  const char *label; /* borrowed from the step; NULL: any backend server */
+};
+
+/* The misses since the free capacity of any of the backend servers last grew:
+   where a task found no room, none that requires as much or more does.  With a
+   long queue most tasks are found to fit nowhere without a search.  */
+struct jb_place_misses
+{
+  uint32_t count;
+  struct jb_place_miss entries[JB_PLACE_MAX_MISSES];
+};
+
+/* Return whether MISSES show that TASK fits on no backend server that it may
+   run on, so that jb_place_choose would return NULL.  */
+bool jb_place_is_hopeless (const struct jb_place_misses *misses,
+                           const struct jb_task *task);
+
+/* Add TASK, for which jb_place_choose has returned NULL, to MISSES if it fits
+   on none of the COUNT BACKENDS that have its label.  */
+void jb_place_add_miss (struct jb_place_misses *misses,
+                        const struct jb_task *task,
+                        struct jb_backend *const *backends, uint32_t count);
+
 #endif
--- a/packages/jobs/src/jb_place.c
+++ b/packages/jobs/src/jb_place.c
@@ -43,14 +43,23 @@
   return same_step < step->max_per_backend;
 }
 
-bool
-jb_place_fits (const struct jb_task *task, const struct jb_backend *backend)
+/* Return what TASK requires to be free: no CPU if it is best-effort.  */
+static struct jb_resources
+required_resources (const struct jb_task *task)
 {
   struct jb_resources required = jb_task_step (task)->resources;
-  struct jb_resources available = jb_backend_available (backend);
 
   if (jb_task_step (task)->best_effort)
     required.cpu_milli = 0;
+  return required;
+}
+
+bool
+jb_place_fits (const struct jb_task *task, const struct jb_backend *backend)
+{
+  struct jb_resources required = required_resources (task);
+  struct jb_resources available = jb_backend_available (backend);
+
   return jb_resources_fit (&required, &available);
 }
 
@@ -154,3 +163,51 @@
     }
   return best;
 }
+
+/* ---- misses ---- */
+
+/* Return whether MISS implies that what requires REQUIRED and LABEL fits
+   nowhere either.  */
+static bool
+covers (const struct jb_place_miss *miss, const struct jb_resources *required,
+        const char *label)
+{
+  return jb_resources_fit (&miss->required, required)
+         && (miss->label == NULL
+             || (label != NULL && strcmp (miss->label, label) == 0));
+}
+
+bool
+jb_place_is_hopeless (const struct jb_place_misses *misses,
+                      const struct jb_task *task)
+{
+  struct jb_resources required = required_resources (task);
+  const char *label = jb_task_step (task)->required_label;
+
+  for (uint32_t i = 0; i < misses->count; i++)
+    if (covers (&misses->entries[i], &required, label))
+      return true;
+  return false;
+}
+
+void
+jb_place_add_miss (struct jb_place_misses *misses, const struct jb_task *task,
+                   struct jb_backend *const *backends, uint32_t count)
+{
+  struct jb_place_miss miss
+      = { required_resources (task), jb_task_step (task)->required_label };
+  uint32_t kept = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    if (jb_place_fits (task, backends[i])
+        && jb_backend_has_label (backends[i], miss.label))
+      return;
+  /* The new miss makes those superfluous that it covers.  */
+  for (uint32_t i = 0; i < misses->count; i++)
+    if (!covers (&miss, &misses->entries[i].required,
+                 misses->entries[i].label))
+      misses->entries[kept++] = misses->entries[i];
+  misses->count = kept;
+  if (misses->count < JB_PLACE_MAX_MISSES)
+    misses->entries[misses->count++] = miss;
+}
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -523,10 +523,29 @@
       pool->usable_backends[pool->usable_count++] = value;
 }
 
+/* Return the backend server to start TASK on, or NULL when there is none.
+   MISSES are those of this cycle, in which free capacity does not grow.  */
+static struct jb_backend *
+choose_backend (struct jb_pool *pool, const struct jb_task *task,
+                struct jb_place_misses *misses, jb_time now)
+{
+  struct jb_backend *backend;
+
+  if (jb_place_is_hopeless (misses, task))
+    return NULL;
+  backend = jb_place_choose (task, pool->usable_backends, pool->usable_count,
+                             task->last_failed_backend, now);
+  if (backend == NULL)
+    jb_place_add_miss (misses, task, pool->usable_backends,
+                       pool->usable_count);
+  return backend;
+}
+
 /* Start the tasks of GROUP that fit somewhere.  Return the number of started
-   tasks.  */
+   tasks.  MISSES are those of this cycle.  */
 static uint32_t
-start_group (struct jb_pool *pool, struct jb_task_group *group, jb_time now)
+start_group (struct jb_pool *pool, struct jb_task_group *group,
+             struct jb_place_misses *misses, jb_time now)
 {
   struct jb_resources resources = jb_task_group_step (group)->resources;
   uint32_t started = 0;
@@ -540,9 +559,7 @@
         continue;
       if (!jb_pool_check_share (pool, group->job, &resources))
         break;
-      backend
-          = jb_place_choose (task, pool->usable_backends, pool->usable_count,
-                             task->last_failed_backend, now);
+      backend = choose_backend (pool, task, misses, now);
       if (backend == NULL)
         break; /* the remaining tasks have the same size */
       assign_and_start (pool, task, backend, next_run_number (pool, task),
@@ -553,10 +570,14 @@
 }
 
 /* Start all tasks of the gang GROUP if all fit at the same time, else none.
-   Return the number of started tasks.  */
+   Return the number of started tasks.  MISSES are those of this cycle.  */
 static uint32_t
-start_gang (struct jb_pool *pool, struct jb_task_group *group, jb_time now)
+start_gang (struct jb_pool *pool, struct jb_task_group *group,
+            struct jb_place_misses *misses, jb_time now)
 {
+  /* What finds no room beside other tasks of the gang may find some after they
+     were given up, so only the miss of the first one counts for others.  */
+  struct jb_place_misses misses_of_gang;
   struct jb_resources resources = jb_task_group_step (group)->resources;
   uint32_t run = 0;
   uint32_t placed = 0;
@@ -571,12 +592,13 @@
   while (placed < group->task_count)
     {
       struct jb_task *task = &group->tasks[placed];
-      struct jb_backend *backend
-          = jb_place_choose (task, pool->usable_backends, pool->usable_count,
-                             task->last_failed_backend, now);
+      struct jb_backend *backend = choose_backend (
+          pool, task, placed == 0 ? misses : &misses_of_gang, now);
 
       if (backend == NULL)
         break;
+      if (placed == 0)
+        misses_of_gang = *misses;
       run = MAX (run, next_run_number (pool, task));
       jb_task_assign (task, backend, JB_RUN_STARTING);
       placed++;
@@ -602,6 +624,7 @@
 void
 jb_pool_schedule (struct jb_pool *pool, jb_time now)
 {
+  struct jb_place_misses misses = { .count = 0 };
   GArray *candidates;
   uint32_t started = 0;
 
@@ -623,8 +646,8 @@
       if (!jb_pool_ensure_advice (pool, group, now))
         continue;
       started += jb_task_group_step (group)->gang
-                     ? start_gang (pool, group, now)
-                     : start_group (pool, group, now);
+                     ? start_gang (pool, group, &misses, now)
+                     : start_group (pool, group, &misses, now);
     }
   if (started >= MAX_STARTS_PER_CYCLE)
     pool->schedule_due = true;
--- a/packages/jobs/tests/test_jb_policies.c
+++ b/packages/jobs/tests/test_jb_policies.c
@@ -381,6 +381,56 @@
                    3);
 }
 
+/* What fits nowhere shows that others fit nowhere either, but only those that
+   require as much of everything, and have the same label if it has one.  */
+static void
+test_place_misses (void)
+{
+  TALLOC_CTX *mem = talloc_new (NULL);
+  struct jb_backend *large = make_backend (mem, "r1", 8000);
+  struct jb_backend *small = make_backend (mem, "r2", 2000);
+  struct jb_backend *all[] = { large, small };
+  struct jb_place_misses misses = { .count = 0 };
+  struct jb_step step = one_step;
+  struct jb_job *job = make_job (mem, &step);
+  struct jb_task *task = jb_job_find_group (job, 0, 0)->tasks;
+  /* The copy of the step in the job.  */
+  struct jb_step *used = job->desc->steps;
+  struct jb_resources required = step.resources;
+
+  /* A task that fits somewhere is no miss, whatever keeps it away.  */
+  jb_place_add_miss (&misses, task, all, 2);
+  CU_ASSERT_EQUAL (misses.count, 0);
+  /* A miss with a label counts for the same label only.  */
+  used->resources.cpu_milli = 4000;
+  used->required_label = "r2";
+  jb_place_add_miss (&misses, task, all, 2);
+  CU_ASSERT_EQUAL (misses.count, 1);
+  CU_ASSERT_TRUE (jb_place_is_hopeless (&misses, task));
+  used->required_label = "r1";
+  CU_ASSERT_FALSE (jb_place_is_hopeless (&misses, task));
+  used->required_label = NULL;
+  CU_ASSERT_FALSE (jb_place_is_hopeless (&misses, task));
+  /* A miss without a label replaces those that require more.  */
+  used->resources.cpu_milli = 9000;
+  jb_place_add_miss (&misses, task, all, 2);
+  CU_ASSERT_EQUAL (misses.count, 2);
+  used->resources.cpu_milli = 8500;
+  CU_ASSERT_FALSE (jb_place_is_hopeless (&misses, task));
+  jb_place_add_miss (&misses, task, all, 2);
+  CU_ASSERT_EQUAL (misses.count, 2);
+  used->required_label = "r1";
+  CU_ASSERT_TRUE (jb_place_is_hopeless (&misses, task));
+  /* Less of one resource may fit.  */
+  used->resources.cpu_milli = required.cpu_milli;
+  CU_ASSERT_FALSE (jb_place_is_hopeless (&misses, task));
+  /* A best-effort task requires no CPU.  */
+  used->resources.cpu_milli = 9000;
+  used->best_effort = true;
+  CU_ASSERT_FALSE (jb_place_is_hopeless (&misses, task));
+  talloc_free (mem);
+}
+
 int
 main (void)
 {
@@ -398,6 +448,8 @@
           { "idle hosts of calm pools are maintained first", test_wave },
           { "best-effort tasks slow down for services", test_throttle },
           { "placement by size, rack, label and limit", test_place },
+          { "tasks that fit nowhere, as earlier ones show",
+            test_place_misses },
           { NULL, NULL } };
 
   return dp_test_main ("policies of jobs", tests);
