Count the use of organisations by task groups instead of tasks

Each scheduling cycle and each report to the planner went through all tasks of all active jobs, of which a group's numbers of done and of active tasks say the same. Only the tasks of a group that has both are looked at, for those that are done and still have a run.

--- a/packages/jobs/src/jb_pool_quota.c
+++ b/packages/jobs/src/jb_pool_quota.c
@@ -86,30 +86,54 @@
   return false;
 }
 
+/* Add COUNT times AMOUNT to SUM.  */
+static void
+add_multiple (struct jb_resources *sum, const struct jb_resources *amount,
+              int64_t count)
+{
+  sum->cpu_milli += count * amount->cpu_milli;
+  sum->memory_mb += count * amount->memory_mb;
+  sum->accelerators += count * amount->accelerators;
+}
+
+/* Return how many tasks of GROUP are done and still have a run.  Such a run is
+   about to be stopped.  */
+static uint32_t
+count_done_with_run (const struct jb_task_group *group)
+{
+  uint32_t count = 0;
+
+  if (group->active_runs == 0 || group->done_count == 0)
+    return 0;
+  for (uint32_t i = 0; i < group->task_count; i++)
+    if (group->tasks[i].done && group->tasks[i].state != JB_RUN_NONE)
+      count++;
+  return count;
+}
+
 /* Add what the tasks of JOB use and want to ORG_USAGE.  */
 static void
-add_job_usage (struct jb_pool *pool, const struct jb_job *job,
-               struct jb_pool_org_usage *org_usage)
+add_job_usage (const struct jb_job *job, struct jb_pool_org_usage *org_usage)
 {
   for (guint i = 0; i < job->groups->len; i++)
     {
       const struct jb_task_group *group = g_ptr_array_index (job->groups, i);
-      struct jb_resources resources = jb_task_group_step (group)->resources;
-
-      for (uint32_t j = 0; j < group->task_count; j++)
-        {
-          const struct jb_task *task = &group->tasks[j];
-
-          /* A task of a job that was loaded from the store may have a run that
-             is not known yet.  */
-          if (task->state != JB_RUN_NONE
-              || (!task->done && job->ended_at == 0 && job->loaded_from_store))
-            jb_resources_add (&org_usage->used, &resources);
-          else if (!task->done && job->ended_at == 0 && group->ready)
-            jb_resources_add (&org_usage->wanted, &resources);
-        }
+      const struct jb_resources *resources
+          = &jb_task_group_step (group)->resources;
+      /* Tasks that are neither done nor have a run.  */
+      int64_t waiting = (int64_t)group->task_count - group->done_count
+                        - group->active_runs + count_done_with_run (group);
+
+      add_multiple (&org_usage->used, resources, group->active_runs);
+      if (job->ended_at != 0)
+        continue;
+      /* A task of a job that was loaded from the store may have a run that is
+         not known yet.  */
+      if (job->loaded_from_store)
+        add_multiple (&org_usage->used, resources, waiting);
+      else if (group->ready)
+        add_multiple (&org_usage->wanted, resources, waiting);
     }
-  (void)pool;
 }
 
 void
@@ -131,8 +155,7 @@
       const struct jb_job *job = g_ptr_array_index (pool->active_jobs, i);
 
       if (job->desc->org != NULL)
-        add_job_usage (pool, job,
-                       jb_pool_get_org_usage (pool, job->desc->org));
+        add_job_usage (job, jb_pool_get_org_usage (pool, job->desc->org));
     }
 }
 
