Look up once what a waiting job's rank and share depend on

For each waiting group a scheduling cycle looked up the statistics of the queue and the usage of the organisation by name, searched the catalog for the organisation's quota, worked out the work of the job and the critical path from the description, and went through the groups of all occurrences. The job and the group keep what does not change, and the usage keeps whether there is a quota in the catalog's version.

--- a/packages/jobs/include/jb_job.h
+++ b/packages/jobs/include/jb_job.h
@@ -94,8 +94,14 @@
   uint32_t active_runs; /* tasks whose state is not JB_RUN_NONE */
   struct jb_task *tasks;
   struct jb_advice *advice; /* NULL until advice is needed */
+  /* jb_job_desc_critical_path_from_step_ms of its step; JB_NEVER: not worked
+     out yet.  */
+  int64_t critical_path_ms;
 };
 
+struct jb_queue_stats;
+struct jb_pool_org_usage;
+
 struct jb_job
 {
   struct jb_job_desc *desc;
@@ -120,7 +126,12 @@
   /* Task groups of the opened occurrences that were not dropped, ordered by
      occurrence and step.  */
   GPtrArray *groups;
-  uint32_t active_runs;      /* of all its groups */
+  uint32_t active_runs; /* of all its groups */
+  int64_t total_work;   /* jb_job_desc_work of its description */
+  /* Statistics of its queue, and the usage of its organisation, borrowed from
+     the pool.  NULL until they are needed.  */
+  struct jb_queue_stats *queue_stats;
+  struct jb_pool_org_usage *org_usage;
   struct jb_waiter *waiters; /* clients that wait for a write to the store */
 };
 
@@ -134,6 +145,10 @@
 /* Open the next occurrence of JOB: create its task groups.  */
 void jb_job_open_next_occurrence (struct jb_job *job);
 
+/* Return the longest chain of steps that begins with GROUP's, in milliseconds
+   of estimated run time.  */
+int64_t jb_task_group_critical_path_ms (struct jb_task_group *group);
+
 /* Return the group of STEP in OCCURRENCE, borrowed from JOB, or NULL when
    there is no such step, or the occurrence has not been opened or was
    dropped.  */
--- a/packages/jobs/src/jb_job.c
+++ b/packages/jobs/src/jb_job.c
@@ -26,6 +26,7 @@
   job->desc = talloc_steal (job, desc);
   job->groups = g_ptr_array_new ();
   job->due_at = JB_NEVER;
+  job->total_work = jb_job_desc_work (job->desc);
   talloc_set_destructor (job, job_destroy);
   return job;
 }
@@ -48,6 +49,7 @@
       group->job = job;
       group->occurrence = occurrence;
       group->step = i;
+      group->critical_path_ms = JB_NEVER;
       group->task_count = job->desc->steps[i].task_count;
       group->tasks
           = talloc_zero_array (group, struct jb_task, group->task_count);
@@ -62,6 +64,15 @@
   jb_job_update_ready_groups (job, occurrence);
 }
 
+int64_t
+jb_task_group_critical_path_ms (struct jb_task_group *group)
+{
+  if (group->critical_path_ms == JB_NEVER)
+    group->critical_path_ms = jb_job_desc_critical_path_from_step_ms (
+        group->job->desc, group->step);
+  return group->critical_path_ms;
+}
+
 struct jb_task_group *
 jb_job_find_group (const struct jb_job *job, uint32_t occurrence,
                    uint32_t step)
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -74,6 +74,10 @@
   struct jb_resources used;   /* by tasks that run or may run */
   struct jb_resources wanted; /* by tasks that are ready to start */
   struct jb_resources share; /* the pool's share of the organisation's quota */
+  /* Whether it has a quota in the version of the catalog `quota_version'; 0:
+     not looked up yet.  */
+  bool has_quota;
+  uint64_t quota_version;
 };
 
 /* Why the runs on a backend server were lost.  */
@@ -279,10 +283,14 @@
    use.  */
 struct jb_pool_org_usage *jb_pool_get_org_usage (struct jb_pool *pool,
                                                  const char *org);
+/* Return the usage of JOB's organisation, which must not be NULL, borrowed
+   from POOL.  */
+struct jb_pool_org_usage *jb_pool_get_job_usage (struct jb_pool *pool,
+                                                 struct jb_job *job);
 /* Return whether JOB may use RESOURCES in addition, that is whether its
    organisation then stays within the pool's share of the organisation's quota.
    If not, the next report to the planner is sent sooner.  */
-bool jb_pool_check_share (struct jb_pool *pool, const struct jb_job *job,
+bool jb_pool_check_share (struct jb_pool *pool, struct jb_job *job,
                           const struct jb_resources *resources);
 /* Return when the next report to the planner is due.  */
 jb_time jb_pool_usage_report_due_at (const struct jb_pool *pool);
--- a/packages/jobs/src/jb_pool_quota.c
+++ b/packages/jobs/src/jb_pool_quota.c
@@ -67,17 +67,45 @@
   return org_usage;
 }
 
+struct jb_pool_org_usage *
+jb_pool_get_job_usage (struct jb_pool *pool, struct jb_job *job)
+{
+  if (job->org_usage == NULL)
+    job->org_usage = jb_pool_get_org_usage (pool, job->desc->org);
+  return job->org_usage;
+}
+
+/* Return whether the organisation of ORG_USAGE has a quota.  The catalog is
+   searched once for each version of it.  */
+static bool
+has_quota (const struct jb_pool *pool, struct jb_pool_org_usage *org_usage)
+{
+  const struct jb_catalog *catalog = *pool->options.catalog;
+
+  if (catalog == NULL)
+    return false;
+  if (org_usage->quota_version == 0
+      || org_usage->quota_version != catalog->version)
+    {
+      org_usage->has_quota = jb_pool_org_has_quota (pool, org_usage->org);
+      org_usage->quota_version = catalog->version;
+    }
+  return org_usage->has_quota;
+}
+
 bool
-jb_pool_check_share (struct jb_pool *pool, const struct jb_job *job,
+jb_pool_check_share (struct jb_pool *pool, struct jb_job *job,
                      const struct jb_resources *resources)
 {
   struct jb_pool_org_usage *org_usage;
   struct jb_resources sum;
 
   if (jb_pool_has_disabled (pool, JB_SAFEGUARD_QUOTA_SHARES)
-      || !jb_pool_org_has_quota (pool, job->desc->org))
+      || job->desc->org == NULL)
+    return true;
+  org_usage = jb_pool_get_job_usage (pool, job);
+  if (!has_quota (pool, org_usage))
     return true;
-  org_usage = jb_pool_get_org_usage (pool, job->desc->org);
   sum = org_usage->used;
   jb_resources_add (&sum, resources);
   if (jb_resources_fit (&sum, &org_usage->share))
@@ -152,10 +180,10 @@
     }
   for (guint i = 0; i < pool->active_jobs->len; i++)
     {
-      const struct jb_job *job = g_ptr_array_index (pool->active_jobs, i);
+      struct jb_job *job = g_ptr_array_index (pool->active_jobs, i);
 
       if (job->desc->org != NULL)
-        add_job_usage (job, jb_pool_get_org_usage (pool, job->desc->org));
+        add_job_usage (job, jb_pool_get_job_usage (pool, job));
     }
 }
 
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -412,7 +412,7 @@
   jb_task_assign (task, backend, JB_RUN_STARTING);
   task->run = run;
   if (job->desc->org != NULL)
-    jb_resources_add (&jb_pool_get_org_usage (pool, job->desc->org)->used,
+    jb_resources_add (&jb_pool_get_job_usage (pool, job)->used,
                       &jb_task_step (task)->resources);
   send_start (pool, task, now);
 }
@@ -442,32 +442,26 @@
 }
 
 static struct jb_rank
-rank_group (struct jb_pool *pool, const struct jb_task_group *group,
-            jb_time now)
+rank_group (struct jb_pool *pool, struct jb_task_group *group, jb_time now)
 {
-  const struct jb_job *job = group->job;
+  struct jb_job *job = group->job;
   const struct jb_step *step = jb_task_group_step (group);
-  const struct jb_queue_stats *stats
-      = jb_pool_get_queue_stats (pool, job->desc->queue);
   struct jb_rank_input input = { .long_running = step->long_running,
                                  .best_effort = step->best_effort,
                                  .priority = job->desc->priority,
-                                 .total_work = jb_job_desc_work (job->desc),
-                                 .queue_mean_work = stats->mean_work,
+                                 .total_work = job->total_work,
                                  .received_at = job->received_at,
                                  .due_at = job->due_at };
 
-  for (guint i = 0; i < job->groups->len; i++)
-    {
-      const struct jb_task_group *other = g_ptr_array_index (job->groups, i);
-
-      if (other->occurrence == group->occurrence)
-        input.remaining_work += group_remaining_work (other);
-    }
+  if (job->queue_stats == NULL)
+    job->queue_stats = jb_pool_get_queue_stats (pool, job->desc->queue);
+  input.queue_mean_work = job->queue_stats->mean_work;
+  for (uint32_t i = 0; i < job->desc->step_count; i++)
+    input.remaining_work += group_remaining_work (
+        jb_job_find_group (job, group->occurrence, i));
   input.critical_path_ms
-      = (int64_t)((double)jb_job_desc_critical_path_from_step_ms (job->desc,
-                                                                  group->step)
-                  * stats->duration_ratio);
+      = (int64_t)((double)jb_task_group_critical_path_ms (group)
+                  * job->queue_stats->duration_ratio);
   return jb_rank_compute (&input, now);
 }
 
@@ -610,9 +604,8 @@
       return 0;
     }
   if (group->job->desc->org != NULL)
-    jb_resources_add (
-        &jb_pool_get_org_usage (pool, group->job->desc->org)->used,
-        &resources);
+    jb_resources_add (&jb_pool_get_job_usage (pool, group->job)->used,
+                      &resources);
   for (uint32_t i = 0; i < group->task_count; i++)
     {
       group->tasks[i].run = run;
