Rank only the waiting tasks that have room, or that must be ranked

A scheduling cycle ranked and sorted all waiting task groups and then found no room for most of them. What fits nowhere at the start of a cycle fits nowhere until its end, so such a group is left out before, unless it needs advice, whose requests go in the order of the ranks, or unless the cycle might notice that its organisation's share is used up, which brings the next report forward. The latter can't happen while the share covers the use and all that is ready to start.

--- a/packages/jobs/include/jb_place.h
+++ b/packages/jobs/include/jb_place.h
@@ -43,24 +43,25 @@
   const char *label; /* borrowed from the step; NULL: any backend server */
 };
 
-/* The misses since the free capacity of any of the backend servers last grew:
-   where a task found no room, none that requires as much or more does.  With a
-   long queue most tasks are found to fit nowhere without a search.  */
-struct jb_place_misses
+/* What is known of the room on a number of backend servers, as long as their
+   free capacity does not grow: where a task found none, none that requires as
+   much or more does.  With a long queue most tasks are found to fit nowhere
+   without a search.  Initially all zero.  */
+struct jb_place_room
 {
-  uint32_t count;
-  struct jb_place_miss entries[JB_PLACE_MAX_MISSES];
+  uint32_t hint; /* index of a backend server that has had room */
+  uint32_t miss_count;
+  struct jb_place_miss misses[JB_PLACE_MAX_MISSES];
 };
 
-/* Return whether MISSES show that TASK fits on no backend server that it may
+/* Return whether ROOM shows that TASK fits on no backend server that it may
    run on, so that jb_place_choose would return NULL.  */
-bool jb_place_is_hopeless (const struct jb_place_misses *misses,
+bool jb_place_is_hopeless (const struct jb_place_room *room,
                            const struct jb_task *task);
 
-/* Add TASK, for which jb_place_choose has returned NULL, to MISSES if it fits
-   on none of the COUNT BACKENDS that have its label.  */
-void jb_place_add_miss (struct jb_place_misses *misses,
-                        const struct jb_task *task,
+/* Return whether TASK fits on one of the COUNT BACKENDS that has its label,
+   and update ROOM.  */
+bool jb_place_has_room (struct jb_place_room *room, const struct jb_task *task,
                         struct jb_backend *const *backends, uint32_t count);
 
 #endif
--- a/packages/jobs/src/jb_place.c
+++ b/packages/jobs/src/jb_place.c
@@ -164,7 +164,7 @@
   return best;
 }
 
-/* ---- misses ---- */
+/* ---- room ---- */
 
 /* Return whether MISS implies that what requires REQUIRED and LABEL fits
    nowhere either.  */
@@ -178,36 +178,57 @@
 }
 
 bool
-jb_place_is_hopeless (const struct jb_place_misses *misses,
+jb_place_is_hopeless (const struct jb_place_room *room,
                       const struct jb_task *task)
 {
   struct jb_resources required = required_resources (task);
   const char *label = jb_task_step (task)->required_label;
 
-  for (uint32_t i = 0; i < misses->count; i++)
-    if (covers (&misses->entries[i], &required, label))
+  for (uint32_t i = 0; i < room->miss_count; i++)
+    if (covers (&room->misses[i], &required, label))
       return true;
   return false;
 }
 
-void
-jb_place_add_miss (struct jb_place_misses *misses, const struct jb_task *task,
-                   struct jb_backend *const *backends, uint32_t count)
+/* Add to ROOM that TASK fits nowhere.  */
+static void
+add_miss (struct jb_place_room *room, const struct jb_task *task)
 {
   struct jb_place_miss miss
       = { required_resources (task), jb_task_step (task)->required_label };
   uint32_t kept = 0;
 
-  for (uint32_t i = 0; i < count; i++)
-    if (jb_place_fits (task, backends[i])
-        && jb_backend_has_label (backends[i], miss.label))
-      return;
   /* The new miss makes those superfluous that it covers.  */
-  for (uint32_t i = 0; i < misses->count; i++)
-    if (!covers (&miss, &misses->entries[i].required,
-                 misses->entries[i].label))
-      misses->entries[kept++] = misses->entries[i];
-  misses->count = kept;
-  if (misses->count < JB_PLACE_MAX_MISSES)
-    misses->entries[misses->count++] = miss;
+  for (uint32_t i = 0; i < room->miss_count; i++)
+    if (!covers (&miss, &room->misses[i].required, room->misses[i].label))
+      room->misses[kept++] = room->misses[i];
+  room->miss_count = kept;
+  if (room->miss_count < JB_PLACE_MAX_MISSES)
+    room->misses[room->miss_count++] = miss;
+}
+
+static bool
+has_room_on (const struct jb_task *task, const struct jb_backend *backend)
+{
+  return jb_place_fits (task, backend)
+         && jb_backend_has_label (backend,
+                                  jb_task_step (task)->required_label);
+}
+
+bool
+jb_place_has_room (struct jb_place_room *room, const struct jb_task *task,
+                   struct jb_backend *const *backends, uint32_t count)
+{
+  if (jb_place_is_hopeless (room, task))
+    return false;
+  if (room->hint < count && has_room_on (task, backends[room->hint]))
+    return true;
+  for (uint32_t i = 0; i < count; i++)
+    if (has_room_on (task, backends[i]))
+      {
+        room->hint = i;
+        return true;
+      }
+  add_miss (room, task);
+  return false;
 }
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -292,6 +292,10 @@
    If not, the next report to the planner is sent sooner.  */
 bool jb_pool_check_share (struct jb_pool *pool, struct jb_job *job,
                           const struct jb_resources *resources);
+/* Return whether JOB's organisation, which must not be NULL, stays within the
+   pool's share of its quota even if all of its tasks that are ready start. The
+   usage must have been recounted just before.  */
+bool jb_pool_covers_demand (struct jb_pool *pool, struct jb_job *job);
 /* Return when the next report to the planner is due.  */
 jb_time jb_pool_usage_report_due_at (const struct jb_pool *pool);
 /* Recompute what the organisations use and want, from the active jobs.  */
--- a/packages/jobs/src/jb_pool_quota.c
+++ b/packages/jobs/src/jb_pool_quota.c
@@ -114,6 +114,18 @@
   return false;
 }
 
+bool
+jb_pool_covers_demand (struct jb_pool *pool, struct jb_job *job)
+{
+  struct jb_pool_org_usage *org_usage = jb_pool_get_job_usage (pool, job);
+  struct jb_resources sum = org_usage->used;
+
+  jb_resources_add (&sum, &org_usage->wanted);
+  return jb_pool_has_disabled (pool, JB_SAFEGUARD_QUOTA_SHARES)
+         || !has_quota (pool, org_usage)
+         || jb_resources_fit (&sum, &org_usage->share);
+}
+
 /* Add COUNT times AMOUNT to SUM.  */
 static void
 add_multiple (struct jb_resources *sum, const struct jb_resources *amount,
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -472,10 +472,29 @@
                           &((const struct candidate *)b)->rank);
 }
 
-/* Return the task groups with tasks to start, ordered by rank.  The caller
-   frees the array.  */
+/* Return whether GROUP, whose tasks fit nowhere, must be ranked with the
+   others because it needs advice, or because it may be noticed that its
+   organisation's share is used up.  Until all tasks that want to start have
+   started, the use does not exceed the sum of both.  */
+static bool
+matters_without_room (struct jb_pool *pool, const struct jb_task_group *group)
+{
+  struct jb_job *job = group->job;
+
+  if (job->desc->needs_advice)
+    return true;
+  if (pool->quota_blocked || job->desc->org == NULL)
+    return false;
+  return jb_task_group_step (group)->gang
+         || !jb_pool_covers_demand (pool, job);
+}
+
+/* Return the task groups with tasks to start, ordered by rank.  Those for
+   which it makes no difference are left out: with a long queue, most of them
+   fit nowhere.  The caller frees the array.  */
 static GArray *
-collect_candidates (struct jb_pool *pool, jb_time now)
+collect_candidates (struct jb_pool *pool, struct jb_place_room *room,
+                    jb_time now)
 {
   GArray *candidates = g_array_new (FALSE, FALSE, sizeof (struct candidate));
 
@@ -493,6 +512,10 @@
           if (!group->ready
               || group->done_count + group->active_runs >= group->task_count)
             continue;
+          if (!jb_place_has_room (room, &group->tasks[0],
+                                  pool->usable_backends, pool->usable_count)
+              && !matters_without_room (pool, group))
+            continue;
           candidate.rank = rank_group (pool, group, now);
           g_array_append_val (candidates, candidate);
         }
@@ -518,28 +541,27 @@
 }
 
 /* Return the backend server to start TASK on, or NULL when there is none.
-   MISSES are those of this cycle, in which free capacity does not grow.  */
+   ROOM is that of this cycle, in which free capacity does not grow.  */
 static struct jb_backend *
 choose_backend (struct jb_pool *pool, const struct jb_task *task,
-                struct jb_place_misses *misses, jb_time now)
+                struct jb_place_room *room, jb_time now)
 {
   struct jb_backend *backend;
 
-  if (jb_place_is_hopeless (misses, task))
+  if (jb_place_is_hopeless (room, task))
     return NULL;
   backend = jb_place_choose (task, pool->usable_backends, pool->usable_count,
                              task->last_failed_backend, now);
   if (backend == NULL)
-    jb_place_add_miss (misses, task, pool->usable_backends,
-                       pool->usable_count);
+    jb_place_has_room (room, task, pool->usable_backends, pool->usable_count);
   return backend;
 }
 
 /* Start the tasks of GROUP that fit somewhere.  Return the number of started
-   tasks.  MISSES are those of this cycle.  */
+   tasks.  ROOM is that of this cycle.  */
 static uint32_t
 start_group (struct jb_pool *pool, struct jb_task_group *group,
-             struct jb_place_misses *misses, jb_time now)
+             struct jb_place_room *room, jb_time now)
 {
   struct jb_resources resources = jb_task_group_step (group)->resources;
   uint32_t started = 0;
@@ -553,7 +575,7 @@
         continue;
       if (!jb_pool_check_share (pool, group->job, &resources))
         break;
-      backend = choose_backend (pool, task, misses, now);
+      backend = choose_backend (pool, task, room, now);
       if (backend == NULL)
         break; /* the remaining tasks have the same size */
       assign_and_start (pool, task, backend, next_run_number (pool, task),
@@ -564,14 +586,14 @@
 }
 
 /* Start all tasks of the gang GROUP if all fit at the same time, else none.
-   Return the number of started tasks.  MISSES are those of this cycle.  */
+   Return the number of started tasks.  ROOM is that of this cycle.  */
 static uint32_t
 start_gang (struct jb_pool *pool, struct jb_task_group *group,
-            struct jb_place_misses *misses, jb_time now)
+            struct jb_place_room *room, jb_time now)
 {
   /* What finds no room beside other tasks of the gang may find some after they
-     were given up, so only the miss of the first one counts for others.  */
-  struct jb_place_misses misses_of_gang;
+     were given up, so only what the first one finds counts for others.  */
+  struct jb_place_room room_of_gang;
   struct jb_resources resources = jb_task_group_step (group)->resources;
   uint32_t run = 0;
   uint32_t placed = 0;
@@ -587,12 +609,12 @@
     {
       struct jb_task *task = &group->tasks[placed];
       struct jb_backend *backend = choose_backend (
-          pool, task, placed == 0 ? misses : &misses_of_gang, now);
+          pool, task, placed == 0 ? room : &room_of_gang, now);
 
       if (backend == NULL)
         break;
       if (placed == 0)
-        misses_of_gang = *misses;
+        room_of_gang = *room;
       run = MAX (run, next_run_number (pool, task));
       jb_task_assign (task, backend, JB_RUN_STARTING);
       placed++;
@@ -617,7 +639,7 @@
 void
 jb_pool_schedule (struct jb_pool *pool, jb_time now)
 {
-  struct jb_place_misses misses = { .count = 0 };
+  struct jb_place_room room = { 0 };
   GArray *candidates;
   uint32_t started = 0;
 
@@ -630,7 +652,7 @@
   if (pool->usable_count == 0)
     return;
   jb_pool_recount_usage (pool);
-  candidates = collect_candidates (pool, now);
+  candidates = collect_candidates (pool, &room, now);
   for (guint i = 0; i < candidates->len && started < MAX_STARTS_PER_CYCLE; i++)
     {
       struct jb_task_group *group
@@ -639,8 +661,8 @@
       if (!jb_pool_ensure_advice (pool, group, now))
         continue;
       started += jb_task_group_step (group)->gang
-                     ? start_gang (pool, group, &misses, now)
-                     : start_group (pool, group, &misses, now);
+                     ? start_gang (pool, group, &room, now)
+                     : start_group (pool, group, &room, now);
     }
   if (started >= MAX_STARTS_PER_CYCLE)
     pool->schedule_due = true;
--- a/packages/jobs/tests/test_jb_policies.c
+++ b/packages/jobs/tests/test_jb_policies.c
@@ -390,7 +390,7 @@
   struct jb_backend *large = make_backend (mem, "r1", 8000);
   struct jb_backend *small = make_backend (mem, "r2", 2000);
   struct jb_backend *all[] = { large, small };
-  struct jb_place_misses misses = { .count = 0 };
+  struct jb_place_room room = { 0 };
   struct jb_step step = one_step;
   struct jb_job *job = make_job (mem, &step);
   struct jb_task *task = jb_job_find_group (job, 0, 0)->tasks;
@@ -399,35 +399,35 @@
   struct jb_resources required = step.resources;
 
   /* A task that fits somewhere is no miss, whatever keeps it away.  */
-  jb_place_add_miss (&misses, task, all, 2);
-  CU_ASSERT_EQUAL (misses.count, 0);
+  CU_ASSERT_TRUE (jb_place_has_room (&room, task, all, 2));
+  CU_ASSERT_EQUAL (room.miss_count, 0);
   /* A miss with a label counts for the same label only.  */
   used->resources.cpu_milli = 4000;
   used->required_label = "r2";
-  jb_place_add_miss (&misses, task, all, 2);
-  CU_ASSERT_EQUAL (misses.count, 1);
-  CU_ASSERT_TRUE (jb_place_is_hopeless (&misses, task));
+  CU_ASSERT_FALSE (jb_place_has_room (&room, task, all, 2));
+  CU_ASSERT_EQUAL (room.miss_count, 1);
+  CU_ASSERT_TRUE (jb_place_is_hopeless (&room, task));
   used->required_label = "r1";
-  CU_ASSERT_FALSE (jb_place_is_hopeless (&misses, task));
+  CU_ASSERT_FALSE (jb_place_is_hopeless (&room, task));
   used->required_label = NULL;
-  CU_ASSERT_FALSE (jb_place_is_hopeless (&misses, task));
+  CU_ASSERT_FALSE (jb_place_is_hopeless (&room, task));
   /* A miss without a label replaces those that require more.  */
   used->resources.cpu_milli = 9000;
-  jb_place_add_miss (&misses, task, all, 2);
-  CU_ASSERT_EQUAL (misses.count, 2);
+  CU_ASSERT_FALSE (jb_place_has_room (&room, task, all, 2));
+  CU_ASSERT_EQUAL (room.miss_count, 2);
   used->resources.cpu_milli = 8500;
-  CU_ASSERT_FALSE (jb_place_is_hopeless (&misses, task));
-  jb_place_add_miss (&misses, task, all, 2);
-  CU_ASSERT_EQUAL (misses.count, 2);
+  CU_ASSERT_FALSE (jb_place_is_hopeless (&room, task));
+  CU_ASSERT_FALSE (jb_place_has_room (&room, task, all, 2));
+  CU_ASSERT_EQUAL (room.miss_count, 2);
   used->required_label = "r1";
-  CU_ASSERT_TRUE (jb_place_is_hopeless (&misses, task));
+  CU_ASSERT_TRUE (jb_place_is_hopeless (&room, task));
   /* Less of one resource may fit.  */
   used->resources.cpu_milli = required.cpu_milli;
-  CU_ASSERT_FALSE (jb_place_is_hopeless (&misses, task));
+  CU_ASSERT_FALSE (jb_place_is_hopeless (&room, task));
   /* A best-effort task requires no CPU.  */
   used->resources.cpu_milli = 9000;
   used->best_effort = true;
-  CU_ASSERT_FALSE (jb_place_is_hopeless (&misses, task));
+  CU_ASSERT_FALSE (jb_place_is_hopeless (&room, task));
   talloc_free (mem);
 }
 
