--- a/packages/jobs/include/jb_place.h
+++ b/packages/jobs/include/jb_place.h
@@ -31,4 +31,37 @@
 bool jb_place_fits (const struct jb_task *task,
                     const struct jb_backend *backend);
 
+enum
+{
+  JB_PLACE_MAX_MISSES = 16
+};
+
+/* What a task required that fitted on no backend server with the label.  */
+struct jb_place_miss
+{
+  struct jb_resources required;
+  const char *label; /* borrowed from the step; NULL: any backend server */
+};
+
+/* What is known of the room on a number of backend servers, as long as their
+   free capacity does not grow: where a task found none, none that requires as
+   much or more does.  With a long queue most tasks are found to fit nowhere
+   without a search.  Initially all zero.  */
+struct jb_place_room
+{
+  uint32_t hint; /* index of a backend server that has had room */
+  uint32_t miss_count;
+  struct jb_place_miss misses[JB_PLACE_MAX_MISSES];
+};
+
+/* Return whether ROOM shows that TASK fits on no backend server that it may
+   run on, so that jb_place_choose would return NULL.  */
+bool jb_place_is_hopeless (const struct jb_place_room *room,
+                           const struct jb_task *task);
+
+/* Return whether TASK fits on one of the COUNT BACKENDS that has its label,
+   and update ROOM.  */
+bool jb_place_has_room (struct jb_place_room *room, const struct jb_task *task,
+                        struct jb_backend *const *backends, uint32_t count);
+
 #endif
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -435,7 +435,7 @@
   jb_task_assign (task, backend, JB_RUN_STARTING);
   task->run = run;
   if (job->desc->org != NULL)
-    jb_resources_add (&jb_pool_get_org_usage (pool, job->desc->org)->used,
+    jb_resources_add (&jb_pool_get_job_usage (pool, job)->used,
                       &jb_task_step (task)->resources);
   send_start (pool, task, now);
 }
@@ -465,32 +465,26 @@
 }
 
 static struct jb_rank
-rank_group (struct jb_pool *pool, const struct jb_task_group *group,
-            jb_time now)
+rank_group (struct jb_pool *pool, struct jb_task_group *group, jb_time now)
 {
-  const struct jb_job *job = group->job;
+  struct jb_job *job = group->job;
   const struct jb_step *step = jb_task_group_step (group);
-  const struct jb_queue_stats *stats
-      = jb_pool_get_queue_stats (pool, job->desc->queue);
   struct jb_rank_input input = { .long_running = step->long_running,
                                  .best_effort = step->best_effort,
                                  .priority = job->desc->priority,
-                                 .total_work = jb_job_desc_work (job->desc),
-                                 .queue_mean_work = stats->mean_work,
+                                 .total_work = job->total_work,
                                  .received_at = job->received_at,
                                  .due_at = job->due_at };
 
-  for (guint i = 0; i < job->groups->len; i++)
-    {
-      const struct jb_task_group *other = g_ptr_array_index (job->groups, i);
-
-      if (other->occurrence == group->occurrence)
-        input.remaining_work += group_remaining_work (other);
-    }
+  if (job->queue_stats == NULL)
+    job->queue_stats = jb_pool_get_queue_stats (pool, job->desc->queue);
+  input.queue_mean_work = job->queue_stats->mean_work;
+  for (uint32_t i = 0; i < job->desc->step_count; i++)
+    input.remaining_work += group_remaining_work (
+        jb_job_find_group (job, group->occurrence, i));
   input.critical_path_ms
-      = (int64_t)((double)jb_job_desc_critical_path_from_step_ms (job->desc,
-                                                                  group->step)
-                  * stats->duration_ratio);
+      = (int64_t)((double)jb_task_group_critical_path_ms (group)
+                  * job->queue_stats->duration_ratio);
   return jb_rank_compute (&input, now);
 }
 
@@ -501,10 +495,29 @@
                           &((const struct candidate *)b)->rank);
 }
 
-/* Return the task groups with tasks to start, ordered by rank.  The caller
-   frees the array.  */
+/* Return whether GROUP, whose tasks fit nowhere, must be ranked with the
+   others because it needs advice, or because it may be noticed that its
+   organisation's share is used up.  Until all tasks that want to start have
+   started, the use does not exceed the sum of both.  */
+static bool
+matters_without_room (struct jb_pool *pool, const struct jb_task_group *group)
+{
+  struct jb_job *job = group->job;
+
+  if (job->desc->needs_advice)
+    return true;
+  if (pool->quota_blocked || job->desc->org == NULL)
+    return false;
+  return jb_task_group_step (group)->gang
+         || !jb_pool_covers_demand (pool, job);
+}
+
+/* Return the task groups with tasks to start, ordered by rank.  Those for
+   which it makes no difference are left out: with a long queue, most of them
+   fit nowhere.  The caller frees the array.  */
 static GArray *
-collect_candidates (struct jb_pool *pool, jb_time now)
+collect_candidates (struct jb_pool *pool, struct jb_place_room *room,
+                    jb_time now)
 {
   GArray *candidates = g_array_new (FALSE, FALSE, sizeof (struct candidate));
 
@@ -522,6 +535,10 @@
           if (!group->ready
               || group->done_count + group->active_runs >= group->task_count)
             continue;
+          if (!jb_place_has_room (room, &group->tasks[0],
+                                  pool->usable_backends, pool->usable_count)
+              && !matters_without_room (pool, group))
+            continue;
           candidate.rank = rank_group (pool, group, now);
           g_array_append_val (candidates, candidate);
         }
@@ -546,10 +563,28 @@
       pool->usable_backends[pool->usable_count++] = value;
 }
 
+/* Return the backend server to start TASK on, or NULL when there is none.
+   ROOM is that of this cycle, in which free capacity does not grow.  */
+static struct jb_backend *
+choose_backend (struct jb_pool *pool, const struct jb_task *task,
+                struct jb_place_room *room, jb_time now)
+{
+  struct jb_backend *backend;
+
+  if (jb_place_is_hopeless (room, task))
+    return NULL;
+  backend = jb_place_choose (task, pool->usable_backends, pool->usable_count,
+                             task->last_failed_backend, now);
+  if (backend == NULL)
+    jb_place_has_room (room, task, pool->usable_backends, pool->usable_count);
+  return backend;
+}
+
 /* Start the tasks of GROUP that fit somewhere.  Return the number of started
-   tasks.  */
+   tasks.  ROOM is that of this cycle.  */
 static uint32_t
-start_group (struct jb_pool *pool, struct jb_task_group *group, jb_time now)
+start_group (struct jb_pool *pool, struct jb_task_group *group,
+             struct jb_place_room *room, jb_time now)
 {
   struct jb_resources resources = jb_task_group_step (group)->resources;
   uint32_t started = 0;
@@ -563,9 +598,7 @@
         continue;
       if (!jb_pool_check_share (pool, group->job, &resources))
         break;
-      backend
-          = jb_place_choose (task, pool->usable_backends, pool->usable_count,
-                             task->last_failed_backend, now);
+      backend = choose_backend (pool, task, room, now);
       if (backend == NULL)
         break; /* the remaining tasks have the same size */
       assign_and_start (pool, task, backend, next_run_number (pool, task),
@@ -576,10 +609,14 @@
 }
 
 /* Start all tasks of the gang GROUP if all fit at the same time, else none.
-   Return the number of started tasks.  */
+   Return the number of started tasks.  ROOM is that of this cycle.  */
 static uint32_t
-start_gang (struct jb_pool *pool, struct jb_task_group *group, jb_time now)
+start_gang (struct jb_pool *pool, struct jb_task_group *group,
+            struct jb_place_room *room, jb_time now)
 {
+  /* What finds no room beside other tasks of the gang may find some after they
+     were given up, so only what the first one finds counts for others.  */
+  struct jb_place_room room_of_gang;
   struct jb_resources resources = jb_task_group_step (group)->resources;
   uint32_t run = 0;
   uint32_t placed = 0;
@@ -594,12 +631,13 @@
   while (placed < group->task_count)
     {
       struct jb_task *task = &group->tasks[placed];
-      struct jb_backend *backend
-          = jb_place_choose (task, pool->usable_backends, pool->usable_count,
-                             task->last_failed_backend, now);
+      struct jb_backend *backend = choose_backend (
+          pool, task, placed == 0 ? room : &room_of_gang, now);
 
       if (backend == NULL)
         break;
+      if (placed == 0)
+        room_of_gang = *room;
       run = MAX (run, next_run_number (pool, task));
       jb_task_assign (task, backend, JB_RUN_STARTING);
       placed++;
@@ -611,9 +649,8 @@
       return 0;
     }
   if (group->job->desc->org != NULL)
-    jb_resources_add (
-        &jb_pool_get_org_usage (pool, group->job->desc->org)->used,
-        &resources);
+    jb_resources_add (&jb_pool_get_job_usage (pool, group->job)->used,
+                      &resources);
   for (uint32_t i = 0; i < group->task_count; i++)
     {
       group->tasks[i].run = run;
@@ -625,6 +662,7 @@
 void
 jb_pool_schedule (struct jb_pool *pool, jb_time now)
 {
+  struct jb_place_room room = { 0 };
   GArray *candidates;
   uint32_t started = 0;
 
@@ -637,7 +675,7 @@
   if (pool->usable_count == 0)
     return;
   jb_pool_recount_usage (pool);
-  candidates = collect_candidates (pool, now);
+  candidates = collect_candidates (pool, &room, now);
   for (guint i = 0; i < candidates->len && started < MAX_STARTS_PER_CYCLE; i++)
     {
       struct jb_task_group *group
@@ -646,8 +684,8 @@
       if (!jb_pool_ensure_advice (pool, group, now))
         continue;
       started += jb_task_group_step (group)->gang
-                     ? start_gang (pool, group, now)
-                     : start_group (pool, group, now);
+                     ? start_gang (pool, group, &room, now)
+                     : start_group (pool, group, &room, now);
     }
   if (started >= MAX_STARTS_PER_CYCLE)
     pool->schedule_due = true;
