Measure the processor time of the HTTP client's thread

A pool's owner with 0.12 of a core sends starts 1.1 to 3.3 s after they were decided, and nothing said what its client's thread works on meanwhile.

--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -13,6 +13,8 @@
 echo
 [ -n "${PATH_ONLY:-}" ] || "$BIN/bench/bench_core"
 echo
+[ -n "${PATH_ONLY:-}" ] || "$BIN/bench/bench_http_client"
+echo
 site_start run/measure bench/measure.yaml 51 1 0
 trap site_stop EXIT
 site_wait_admin
