Let requests wait for a connection in queues of our own

Cause, of those that were measured: an exchange costs the client's thread the more, the more requests wait inside libcurl for a connection. 30 % of the samples of bench_http_client with 64 requests at once to each of 80 servers were in curl_multi_remove_handle, which walks the list of the waiting ones. Ruled out: submission, with its allocations (2 to 4 us).

Now libcurl gets a request only when there is a connection to its server; until then it waits in a queue for this server, in order of arrival. So the cost no longer depends on how many wait. 1024 may wait for a server; further ones end as not sent. 512 instead of 64 easy handles are kept for reuse, as many as are in use at a time.

test_too_many_waiting_requests failed before, since there was no bound. The other three new tests passed before, too: they describe what must stay.

--- a/packages/http/include/ht_client.h
+++ b/packages/http/include/ht_client.h
@@ -33,8 +33,9 @@
   int64_t submitted_us;
   int64_t sent_us; /* when libcurl began to send the request; 0: it did not */
   /* The time was over before the client began to connect, because its thread
-     was late or all connections to the server were in use.  So the result,
-     HT_RESULT_NOT_SENT, says nothing about the server.  */
+     was late or all connections to the server were in use, or too many
+     requests waited for one.  So the result, HT_RESULT_NOT_SENT, says nothing
+     about the server.  */
   bool expired_in_queue;
 };
 
@@ -100,7 +101,10 @@
 {
   unsigned ring_capacity; /* capacity of the queue of submitted requests; a
                              power of two */
-  long max_connections_per_server; /* 0: unlimited */
+  long max_connections_per_server; /* 0: unlimited; further requests wait */
+  /* Requests that may wait for a connection to a server; further ones end
+     with HT_RESULT_NOT_SENT.  0: unlimited.  */
+  unsigned max_waiting_per_server;
   long max_idle_connections; /* kept open for reuse; 0: libcurl's default */
 };
 
--- a/packages/http/src/ht_client.c
+++ b/packages/http/src/ht_client.c
@@ -15,7 +15,7 @@
 {
   MAX_EPOLL_EVENTS = 64,
   MAX_EPOLL_WAIT_MS = 200,
-  MAX_IDLE_HANDLE_COUNT = 64,
+  MAX_IDLE_HANDLE_COUNT = 512,
   CONNECT_TIMEOUT_MS = 1000
 };
 
@@ -26,10 +26,24 @@
   uint64_t exchange_id;         /* exchange to resume if EXCHANGE is NULL */
 };
 
+/* A server with requests that are in libcurl's hands or wait for a connection.
+   libcurl could make them wait itself, but the time that it takes for each
+   exchange grows with the number of its waiting handles, since it walks the
+   list of them at the end of each exchange.  */
+struct server
+{
+  char *authority;    /* host and port; owned */
+  unsigned in_flight; /* exchanges that libcurl has */
+  GQueue waiting;     /* exchanges, in order of arrival */
+};
+
 struct ht_exchange
 {
   uint64_t id;
   struct ht_client *client;
+  struct server *server; /* NULL: connections are not limited */
+  GList waiting_link;    /* in the server's queue while it waits */
+  bool is_waiting;
   const struct ht_client_handlers *handlers;
   void *context;
   CURL *easy;
@@ -63,6 +77,9 @@
   int64_t timer_due_us;  /* when libcurl's timer expires; -1: not armed */
   GHashTable *exchanges; /* ID -> exchange; used only by the client's thread */
   GTree *deadlines;      /* the same exchanges, ordered by deadline */
+  GHashTable *servers;   /* authority -> server */
+  unsigned max_connections_per_server; /* 0: unlimited */
+  unsigned max_waiting_per_server;     /* 0: unlimited */
   /* Easy handles kept for reuse, because creating one is expensive.  */
   CURL *idle_handles[MAX_IDLE_HANDLE_COUNT];
   unsigned idle_handle_count;
@@ -166,6 +183,7 @@
   for (unsigned i = 0; i < client->idle_handle_count; i++)
     curl_easy_cleanup (client->idle_handles[i]);
   curl_multi_cleanup (client->multi);
+  g_hash_table_destroy (client->servers);
   g_tree_destroy (client->deadlines);
   g_hash_table_destroy (client->exchanges);
   close (client->epoll_fd);
@@ -185,6 +203,10 @@
   client->timer_due_us = -1;
   client->exchanges = g_hash_table_new (g_int64_hash, g_int64_equal);
   client->deadlines = g_tree_new_full (compare_deadlines, NULL, NULL, NULL);
+  client->servers = g_hash_table_new (g_str_hash, g_str_equal);
+  client->max_connections_per_server
+      = (unsigned)options->max_connections_per_server;
+  client->max_waiting_per_server = options->max_waiting_per_server;
   event.data.fd = ba_ring_fd (client->commands);
   epoll_ctl (client->epoll_fd, EPOLL_CTL_ADD, event.data.fd, &event);
   curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, socket_changed);
@@ -459,6 +481,112 @@
   client->idle_handles[client->idle_handle_count++] = easy;
 }
 
+/* Hand E to libcurl, which starts it in its next iteration.  */
+static void
+add_to_libcurl (struct ht_exchange *e)
+{
+  struct ht_client *client = e->client;
+
+  e->easy = acquire_handle (client);
+  curl_easy_setopt (e->easy, CURLOPT_URL, e->url);
+  curl_easy_setopt (e->easy, CURLOPT_PRIVATE, e);
+  curl_easy_setopt (e->easy, CURLOPT_ERRORBUFFER, e->error);
+  curl_easy_setopt (e->easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (e->easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (e->easy, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt (e->easy, CURLOPT_HTTP_VERSION,
+                    (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (e->easy, CURLOPT_PROTOCOLS_STR, "http,https");
+  curl_easy_setopt (e->easy, CURLOPT_HTTPHEADER, e->request_headers);
+  curl_easy_setopt (e->easy, CURLOPT_CONNECTTIMEOUT_MS,
+                    (long)CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (e->easy, CURLOPT_PREREQFUNCTION, record_sending);
+  curl_easy_setopt (e->easy, CURLOPT_PREREQDATA, e);
+  curl_easy_setopt (e->easy, CURLOPT_WRITEFUNCTION, receive_body);
+  curl_easy_setopt (e->easy, CURLOPT_WRITEDATA, e);
+  if (e->sigv4 != NULL)
+    {
+      curl_easy_setopt (e->easy, CURLOPT_AWS_SIGV4, e->sigv4);
+      curl_easy_setopt (e->easy, CURLOPT_USERPWD, e->credentials);
+    }
+  set_method_and_body (e);
+  curl_multi_add_handle (client->multi, e->easy);
+}
+
+/* ---- waiting for a connection ---- */
+
+/* Return the host and port in URL, owned by MEM.  */
+static char *
+url_authority (TALLOC_CTX *mem, const char *url)
+{
+  const char *scheme_end = strstr (url, "://");
+  const char *authority = scheme_end != NULL ? scheme_end + 3 : url;
+
+  return talloc_strndup (mem, authority, strcspn (authority, "/?#"));
+}
+
+/* Return the server that E is sent to, new if there is none.  */
+static struct server *
+find_server (struct ht_client *client, const struct ht_exchange *e)
+{
+  char *authority = url_authority (NULL, e->url);
+  struct server *server = g_hash_table_lookup (client->servers, authority);
+
+  if (server != NULL)
+    {
+      talloc_free (authority);
+      return server;
+    }
+  server = talloc_zero (client, struct server);
+  server->authority = talloc_steal (server, authority);
+  g_hash_table_insert (client->servers, server->authority, server);
+  return server;
+}
+
+/* Free SERVER if it has no requests.  */
+static void
+forget_idle_server (struct ht_client *client, struct server *server)
+{
+  if (server->in_flight > 0 || !g_queue_is_empty (&server->waiting))
+    return;
+  g_hash_table_remove (client->servers, server->authority);
+  talloc_free (server);
+}
+
+/* Hand the waiting requests of SERVER to libcurl for which there is a
+   connection, in order of arrival.  */
+static void
+send_waiting (struct ht_client *client, struct server *server)
+{
+  while (!g_queue_is_empty (&server->waiting)
+         && server->in_flight < client->max_connections_per_server)
+    {
+      struct ht_exchange *e = g_queue_pop_head_link (&server->waiting)->data;
+
+      e->is_waiting = false;
+      server->in_flight++;
+      add_to_libcurl (e);
+    }
+}
+
+/* Take E, which ends, off its server's queue, or let the next request have its
+   connection.  */
+static void
+leave_server (struct ht_exchange *e)
+{
+  struct server *server = e->server;
+
+  if (server == NULL)
+    return;
+  e->server = NULL;
+  if (e->is_waiting)
+    g_queue_unlink (&server->waiting, &e->waiting_link);
+  else
+    server->in_flight--;
+  send_waiting (e->client, server);
+  forget_idle_server (e->client, server);
+}
+
 /* End exchange E: call its `done' handler and free it.  */
 static void
 finish_exchange (struct ht_exchange *e, enum ht_result result, unsigned status)
@@ -467,6 +595,7 @@
 
   if (e->easy != NULL)
     curl_multi_remove_handle (client->multi, e->easy);
+  leave_server (e);
   g_hash_table_remove (client->exchanges, &e->id);
   g_tree_remove (client->deadlines, e);
   e->handlers->done (e, e->context, result, status);
@@ -476,6 +605,28 @@
   talloc_free (e);
 }
 
+/* Have E sent as soon as there is a connection to its server.  */
+static void
+send_or_wait (struct ht_client *client, struct ht_exchange *e)
+{
+  struct server *server = find_server (client, e);
+
+  if (client->max_waiting_per_server > 0
+      && server->waiting.length >= client->max_waiting_per_server)
+    {
+      g_strlcpy (e->error, "too many requests wait for a connection",
+                 sizeof e->error);
+      e->times.expired_in_queue = true;
+      finish_exchange (e, HT_RESULT_NOT_SENT, 0);
+      return;
+    }
+  e->server = server;
+  e->is_waiting = true;
+  e->waiting_link.data = e;
+  g_queue_push_tail_link (&server->waiting, &e->waiting_link);
+  send_waiting (client, server);
+}
+
 /* Start exchange E, which becomes owned by CLIENT.  */
 static void
 start_exchange (struct ht_client *client, struct ht_exchange *e)
@@ -489,32 +640,11 @@
     {
       e->times.expired_in_queue = true;
       finish_exchange (e, HT_RESULT_NOT_SENT, 0);
-      return;
-    }
-  e->easy = acquire_handle (client);
-  curl_easy_setopt (e->easy, CURLOPT_URL, e->url);
-  curl_easy_setopt (e->easy, CURLOPT_PRIVATE, e);
-  curl_easy_setopt (e->easy, CURLOPT_ERRORBUFFER, e->error);
-  curl_easy_setopt (e->easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (e->easy, CURLOPT_PROXY, "");
-  curl_easy_setopt (e->easy, CURLOPT_PATH_AS_IS, 1L);
-  curl_easy_setopt (e->easy, CURLOPT_HTTP_VERSION,
-                    (long)CURL_HTTP_VERSION_1_1);
-  curl_easy_setopt (e->easy, CURLOPT_PROTOCOLS_STR, "http,https");
-  curl_easy_setopt (e->easy, CURLOPT_HTTPHEADER, e->request_headers);
-  curl_easy_setopt (e->easy, CURLOPT_CONNECTTIMEOUT_MS,
-                    (long)CONNECT_TIMEOUT_MS);
-  curl_easy_setopt (e->easy, CURLOPT_PREREQFUNCTION, record_sending);
-  curl_easy_setopt (e->easy, CURLOPT_PREREQDATA, e);
-  curl_easy_setopt (e->easy, CURLOPT_WRITEFUNCTION, receive_body);
-  curl_easy_setopt (e->easy, CURLOPT_WRITEDATA, e);
-  if (e->sigv4 != NULL)
-    {
-      curl_easy_setopt (e->easy, CURLOPT_AWS_SIGV4, e->sigv4);
-      curl_easy_setopt (e->easy, CURLOPT_USERPWD, e->credentials);
     }
-  set_method_and_body (e);
-  curl_multi_add_handle (client->multi, e->easy);
+  else if (client->max_connections_per_server > 0)
+    send_or_wait (client, e);
+  else
+    add_to_libcurl (e);
 }
 
 static void
@@ -532,7 +662,7 @@
           struct ht_exchange *e
               = g_hash_table_lookup (client->exchanges, &command->exchange_id);
 
-          if (e != NULL)
+          if (e != NULL && e->easy != NULL)
             curl_easy_pause (e->easy, CURLPAUSE_CONT);
         }
       talloc_free (command);
@@ -545,6 +675,8 @@
 {
   long bytes_sent = 0;
 
+  if (e->easy == NULL)
+    return HT_RESULT_NOT_SENT;
   if (code == CURLE_OK)
     return HT_RESULT_COMPLETE;
   curl_easy_getinfo (e->easy, CURLINFO_REQUEST_SIZE, &bytes_sent);
@@ -609,7 +741,8 @@
       e->times.expired_in_queue
           = e->socket == CURL_SOCKET_BAD && e->times.sent_us == 0;
       g_snprintf (e->error, sizeof e->error,
-                  "no complete response within %" G_GINT64_FORMAT " ms",
+                  "no %s within %" G_GINT64_FORMAT " ms",
+                  e->is_waiting ? "free connection" : "complete response",
                   e->timeout_ms);
       finish_exchange (e, exchange_result (e, CURLE_OPERATION_TIMEDOUT), 0);
     }
--- a/packages/http/tests/test_ht_client.c
+++ b/packages/http/tests/test_ht_client.c
@@ -27,7 +27,9 @@
   LATE_ITERATION_MS = 400,
   RESPONSE_DELAY_MS = 50,
   MANY_REQUESTS = 200, /* more than the client handles in one iteration */
-  IDLE_TIMEOUT_MS = 2000
+  IDLE_TIMEOUT_MS = 2000,
+  SENDING_TIMEOUT_MS = 2000, /* long enough to send a request */
+  LONG_TIMEOUT_MS = 60000    /* never expires in these tests */
 };
 
 static const char url[] = "http://127.0.0.1:39481/x";
@@ -45,6 +47,7 @@
   ACTION_BODY_STOPS,    /* announce a body of ten bytes, send two, keep the
                            connection open */
   ACTION_NO_RESPONSE,   /* keep the connection open without sending a byte */
+  ACTION_RESPOND_WHEN_RELEASED, /* as soon as the test sets `released' */
   ACTION_RESPOND_DURING_STALL /* stall the client's thread until the timeout of
                                  the request has expired, and respond while
                                  it is stalled */
@@ -54,6 +57,7 @@
 static enum server_action server_actions[MANY_REQUESTS];
 static _Atomic int request_count;      /* received by the server */
 static _Atomic bool closing;           /* ends ACTION_NO_RESPONSE */
+static _Atomic bool released;          /* ends ACTION_RESPOND_WHEN_RELEASED */
 static _Atomic bool stall_requested;   /* the client's thread has to stall */
 static _Atomic bool stall_reached;     /* the client's thread is stalled */
 static _Atomic int iteration_delay_ms; /* of each iteration of the client */
@@ -131,8 +135,9 @@
     {
       static const char truncated_response[]
           = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nab";
+      int position = atomic_fetch_add (&request_count, 1);
 
-      switch (server_actions[atomic_fetch_add (&request_count, 1)])
+      switch (server_actions[position])
         {
         case ACTION_RESPOND:
           open = write (fd, small_response, strlen (small_response)) > 0;
@@ -162,6 +167,11 @@
             g_usleep (10000);
           open = false;
           break;
+        case ACTION_RESPOND_WHEN_RELEASED:
+          while (!atomic_load (&released) && !atomic_load (&closing))
+            g_usleep (1000);
+          open = write (fd, small_response, strlen (small_response)) > 0;
+          break;
         case ACTION_RESPOND_DURING_STALL:
           open = respond_during_stall (fd);
           break;
@@ -257,13 +267,13 @@
 static GThread *server_thread;
 
 static void
-set_up (void)
+set_up_with (const struct ht_client_options *options)
 {
   struct sockaddr_in address
       = { .sin_family = AF_INET, .sin_port = htons (PORT) };
-  struct ht_client_options options = { .ring_capacity = 512 };
   int enable = 1;
 
+  atomic_store (&released, false);
   atomic_store (&request_count, 0);
   atomic_store (&closing, false);
   atomic_store (&stall_reached, false);
@@ -276,10 +286,18 @@
       bind (listening_fd, (struct sockaddr *)&address, sizeof address), 0);
   listen (listening_fd, MANY_REQUESTS);
   server_thread = g_thread_new ("server", server_main, NULL);
-  client = ht_client_new (NULL, &options);
+  client = ht_client_new (NULL, options);
   client_thread = g_thread_new ("client", client_main, client);
 }
 
+static void
+set_up (void)
+{
+  struct ht_client_options options = { .ring_capacity = 512 };
+
+  set_up_with (&options);
+}
+
 static void
 tear_down (void)
 {
@@ -550,25 +568,171 @@
   CU_ASSERT_EQUAL (result, HT_RESULT_INCOMPLETE);
 }
 
+/* ---- more requests than connections ---- */
+
+/* Submit a POST without waiting for its result, R.  */
+static void
+submit_post (struct result *r, int64_t timeout_ms)
+{
+  struct ht_request request = { .method = "POST",
+                                .url = url,
+                                .body = "abc",
+                                .body_len = 3,
+                                .timeout_ms = timeout_ms };
+
+  r->body = g_string_new (NULL);
+  CU_ASSERT_TRUE (ht_client_submit (client, &request, &handlers, r));
+}
+
+static void
+await_result (struct result *r)
+{
+  while (!atomic_load (&r->ended))
+    g_usleep (1000);
+}
+
+/* Wait until the server has received COUNT requests.  */
+static void
+await_requests (int count)
+{
+  while (atomic_load (&request_count) < count)
+    g_usleep (1000);
+}
+
+/* Have the server respond to the first COUNT requests when it is released.  */
+static void
+hold_responses (int count)
+{
+  for (int i = 0; i < count; i++)
+    server_actions[i] = ACTION_RESPOND_WHEN_RELEASED;
+}
+
+/* Requests for which there is no connection are sent one after another as the
+   connections become free.  */
+static void
+test_requests_wait_for_connections (void)
+{
+  struct ht_client_options options
+      = { .ring_capacity = 64, .max_connections_per_server = 2 };
+  struct result results[6] = { 0 };
+
+  set_up_with (&options);
+  hold_responses (2);
+  for (int i = 0; i < 6; i++)
+    submit_post (&results[i], LONG_TIMEOUT_MS);
+  await_requests (2);
+  g_usleep (RESPONSE_DELAY_MS * 1000);
+  CU_ASSERT_EQUAL (atomic_load (&request_count), 2);
+  atomic_store (&released, true);
+  for (int i = 0; i < 6; i++)
+    {
+      await_result (&results[i]);
+      CU_ASSERT_EQUAL (results[i].result, HT_RESULT_COMPLETE);
+      free_result (&results[i]);
+    }
+  CU_ASSERT_EQUAL (atomic_load (&request_count), 6);
+  tear_down ();
+}
+
+/* A request whose timeout expires while it waits was not sent, and must not
+   keep a later one from being sent.  */
+static void
+test_timeout_of_waiting_request (void)
+{
+  struct ht_client_options options
+      = { .ring_capacity = 64, .max_connections_per_server = 1 };
+  struct result results[3] = { 0 };
+
+  set_up_with (&options);
+  hold_responses (1);
+  submit_post (&results[0], LONG_TIMEOUT_MS);
+  await_requests (1);
+  submit_post (&results[1], SHORT_TIMEOUT_MS);
+  submit_post (&results[2], LONG_TIMEOUT_MS);
+  await_result (&results[1]);
+  CU_ASSERT_EQUAL (results[1].result, HT_RESULT_NOT_SENT);
+  atomic_store (&released, true);
+  await_result (&results[0]);
+  CU_ASSERT_EQUAL (results[0].result, HT_RESULT_COMPLETE);
+  await_result (&results[2]);
+  CU_ASSERT_EQUAL (results[2].result, HT_RESULT_COMPLETE);
+  CU_ASSERT_EQUAL (atomic_load (&request_count), 2);
+  for (int i = 0; i < 3; i++)
+    free_result (&results[i]);
+  tear_down ();
+}
+
+/* A connection whose request was given up is free for the next one.  */
+static void
+test_waiting_behind_timeout (void)
+{
+  struct ht_client_options options
+      = { .ring_capacity = 64, .max_connections_per_server = 1 };
+  struct result results[2] = { 0 };
+
+  set_up_with (&options);
+  server_actions[0] = ACTION_NO_RESPONSE;
+  submit_post (&results[0], SENDING_TIMEOUT_MS);
+  submit_post (&results[1], LONG_TIMEOUT_MS);
+  await_result (&results[0]);
+  CU_ASSERT_EQUAL (results[0].result, HT_RESULT_TIMEOUT);
+  await_result (&results[1]);
+  CU_ASSERT_EQUAL (results[1].result, HT_RESULT_COMPLETE);
+  for (int i = 0; i < 2; i++)
+    free_result (&results[i]);
+  tear_down ();
+}
+
+/* The queue for a server that answers slowly must not grow without bound.  */
+static void
+test_too_many_waiting_requests (void)
+{
+  struct ht_client_options options = { .ring_capacity = 64,
+                                       .max_connections_per_server = 1,
+                                       .max_waiting_per_server = 1 };
+  struct result results[3] = { 0 };
+
+  set_up_with (&options);
+  hold_responses (1);
+  submit_post (&results[0], LONG_TIMEOUT_MS);
+  await_requests (1);
+  submit_post (&results[1], LONG_TIMEOUT_MS);
+  submit_post (&results[2], LONG_TIMEOUT_MS);
+  await_result (&results[2]);
+  CU_ASSERT_EQUAL (results[2].result, HT_RESULT_NOT_SENT);
+  CU_ASSERT_FALSE (atomic_load (&results[1].ended));
+  atomic_store (&released, true);
+  await_result (&results[0]);
+  await_result (&results[1]);
+  CU_ASSERT_EQUAL (results[1].result, HT_RESULT_COMPLETE);
+  for (int i = 0; i < 3; i++)
+    free_result (&results[i]);
+  tear_down ();
+}
+
 int
 main (void)
 {
-  static const struct dp_test tests[]
-      = { { "complete response", test_complete_response },
-          { "connection refused", test_connection_refused },
-          { "connection closed within the body", test_truncated_body },
-          { "timeout after sending", test_timeout_after_sending },
-          { "large response given up", test_large_response_given_up },
-          { "response stops within the body", test_response_stops_in_body },
-          { "response during a stall is not lost",
-            test_response_during_stall },
-          { "request given up as soon as it was sent",
-            test_request_given_up_when_sent },
-          { "many requests given up as soon as they were sent",
-            test_many_requests_given_up_when_sent },
-          { "libcurl repeats a request", test_libcurl_repeats_request },
-          { "request with no_retry is sent once", test_no_retry },
-          { NULL, NULL } };
+  static const struct dp_test tests[] = {
+    { "complete response", test_complete_response },
+    { "connection refused", test_connection_refused },
+    { "connection closed within the body", test_truncated_body },
+    { "timeout after sending", test_timeout_after_sending },
+    { "large response given up", test_large_response_given_up },
+    { "response stops within the body", test_response_stops_in_body },
+    { "response during a stall is not lost", test_response_during_stall },
+    { "request given up as soon as it was sent",
+      test_request_given_up_when_sent },
+    { "many requests given up as soon as they were sent",
+      test_many_requests_given_up_when_sent },
+    { "libcurl repeats a request", test_libcurl_repeats_request },
+    { "request with no_retry is sent once", test_no_retry },
+    { "requests wait for connections", test_requests_wait_for_connections },
+    { "timeout of a waiting request", test_timeout_of_waiting_request },
+    { "request waits behind one that times out", test_waiting_behind_timeout },
+    { "too many waiting requests", test_too_many_waiting_requests },
+    { NULL, NULL }
+  };
 
   return dp_test_main ("ht_client", tests);
 }
--- a/packages/server/src/sv_job_server.c
+++ b/packages/server/src/sv_job_server.c
@@ -27,6 +27,7 @@
   MAX_EVENTS_PER_ITERATION = 64, /* between two calls of jb_host_run */
   HTTP_CLIENT_RING_CAPACITY = 8192,
   MAX_CONNECTIONS_PER_SERVER = 6,  /* to one backend server or the store */
+  MAX_WAITING_PER_SERVER = 1024,   /* requests that wait for a connection */
   MAX_IDLE_CONNECTIONS = 1024,     /* kept open for reuse */
   HEADER_MEMORY_BYTES = 32 * 1024, /* for each connection */
   MAX_CONTROL_CONNECTIONS = 32,    /* to the readiness and the admin server
@@ -866,6 +867,7 @@
   struct ht_client_options client
       = { .ring_capacity = HTTP_CLIENT_RING_CAPACITY,
           .max_connections_per_server = MAX_CONNECTIONS_PER_SERVER,
+          .max_waiting_per_server = MAX_WAITING_PER_SERVER,
           .max_idle_connections = MAX_IDLE_CONNECTIONS };
 
   server->options = *options;
