Send probes and stops before starts that wait for a connection

Callers saw leases expire of runs on sound backend servers, and their tasks start again, because an owner short of processor time did not send the probes that renew leases ("sent_after_ms":"-1").

Cause: a probe waited behind up to 64 starts for one of the six connections to its backend server, and its timeout of 250 ms passed meanwhile.

Two remedies were weighed. With a place ahead in the queue alone, a probe still waits until one of the six starts in flight is answered, which a server that is slow or cut off may not do within the 250 ms. With a connection left free alone, a stop waits behind starts while a long poll holds it. Both are cheap, so there are both: five connections for starts and changes of speed, the sixth only for the rest. There are no more connections than before, as each new one has its price. Commands to the store and to other services that share no server with starts count as urgent: they would leave a connection unused otherwise, and their order does not change.

--- a/packages/http/include/ht_client.h
+++ b/packages/http/include/ht_client.h
@@ -82,6 +82,9 @@
                               checked again while the request waits for a
                               connection.  */
   int64_t timeout_ms;      /* for the exchange as a whole */
+  bool high_priority;      /* sent before the requests that wait for a
+                              connection to its server without this, and may
+                              use the reserved connections */
   bool timeout_per_step;   /* the timeout starts anew when the client begins to
                               connect and whenever it sends or receives a part,
                               so that the server has timeout_ms for each step,
@@ -102,8 +105,11 @@
   unsigned ring_capacity; /* capacity of the queue of submitted requests; a
                              power of two */
   long max_connections_per_server; /* 0: unlimited; further requests wait */
-  /* Requests that may wait for a connection to a server; further ones end
-     with HT_RESULT_NOT_SENT.  0: unlimited.  */
+  /* Of these, those that only requests of high priority may use; at least one
+     remains for the others.  */
+  unsigned reserved_connections_per_server;
+  /* Requests of each priority that may wait for a connection to a server;
+     further ones end with HT_RESULT_NOT_SENT.  0: unlimited.  */
   unsigned max_waiting_per_server;
   long max_idle_connections; /* kept open for reuse; 0: libcurl's default */
 };
--- a/packages/http/src/ht_client.c
+++ b/packages/http/src/ht_client.c
@@ -34,7 +34,7 @@
 {
   char *authority;    /* host and port; owned */
   unsigned in_flight; /* exchanges that libcurl has */
-  GQueue waiting;     /* exchanges, in order of arrival */
+  GQueue waiting[2];  /* exchanges, by high_priority, in order of arrival */
 };
 
 struct ht_exchange
@@ -44,6 +44,7 @@
   struct server *server; /* NULL: connections are not limited */
   GList waiting_link;    /* in the server's queue while it waits */
   bool is_waiting;
+  bool high_priority;
   const struct ht_client_handlers *handlers;
   void *context;
   CURL *easy;
@@ -79,7 +80,9 @@
   GTree *deadlines;      /* the same exchanges, ordered by deadline */
   GHashTable *servers;   /* authority -> server */
   unsigned max_connections_per_server; /* 0: unlimited */
-  unsigned max_waiting_per_server;     /* 0: unlimited */
+  /* Of these, those that only requests of high priority may use.  */
+  unsigned reserved_connections_per_server;
+  unsigned max_waiting_per_server; /* of each priority; 0: unlimited */
   /* Easy handles kept for reuse, because creating one is expensive.  */
   CURL *idle_handles[MAX_IDLE_HANDLE_COUNT];
   unsigned idle_handle_count;
@@ -206,6 +209,8 @@
   client->servers = g_hash_table_new (g_str_hash, g_str_equal);
   client->max_connections_per_server
       = (unsigned)options->max_connections_per_server;
+  client->reserved_connections_per_server
+      = options->reserved_connections_per_server;
   client->max_waiting_per_server = options->max_waiting_per_server;
   event.data.fd = ba_ring_fd (client->commands);
   epoll_ctl (client->epoll_fd, EPOLL_CTL_ADD, event.data.fd, &event);
@@ -266,6 +271,7 @@
   e->timeout_ms = request->timeout_ms;
   e->idle_timeout_ms = request->idle_timeout_ms;
   e->timeout_per_step = request->timeout_per_step;
+  e->high_priority = request->high_priority;
   e->no_retry = request->no_retry;
   e->new_connection = request->new_connection;
   talloc_set_destructor (e, exchange_destructor);
@@ -547,25 +553,45 @@
 static void
 forget_idle_server (struct ht_client *client, struct server *server)
 {
-  if (server->in_flight > 0 || !g_queue_is_empty (&server->waiting))
+  if (server->in_flight > 0 || !g_queue_is_empty (&server->waiting[false])
+      || !g_queue_is_empty (&server->waiting[true]))
     return;
   g_hash_table_remove (client->servers, server->authority);
   talloc_free (server);
 }
 
+/* Return whether a request to SERVER may be sent now.  A request of high
+   priority may use all connections.  The others leave the reserved ones free,
+   but may use at least one.  */
+static bool
+has_free_connection (const struct ht_client *client,
+                     const struct server *server, bool high_priority)
+{
+  unsigned max = client->max_connections_per_server;
+  unsigned reserved = MIN (client->reserved_connections_per_server, max - 1);
+
+  return server->in_flight < (high_priority ? max : max - reserved);
+}
+
 /* Hand the waiting requests of SERVER to libcurl for which there is a
-   connection, in order of arrival.  */
+   connection: those of high priority first, each priority in order of
+   arrival.  */
 static void
 send_waiting (struct ht_client *client, struct server *server)
 {
-  while (!g_queue_is_empty (&server->waiting)
-         && server->in_flight < client->max_connections_per_server)
+  for (int high_priority = 1; high_priority >= 0; high_priority--)
     {
-      struct ht_exchange *e = g_queue_pop_head_link (&server->waiting)->data;
+      GQueue *waiting = &server->waiting[high_priority];
 
-      e->is_waiting = false;
-      server->in_flight++;
-      add_to_libcurl (e);
+      while (!g_queue_is_empty (waiting)
+             && has_free_connection (client, server, high_priority))
+        {
+          struct ht_exchange *e = g_queue_pop_head_link (waiting)->data;
+
+          e->is_waiting = false;
+          server->in_flight++;
+          add_to_libcurl (e);
+        }
     }
 }
 
@@ -580,7 +606,7 @@
     return;
   e->server = NULL;
   if (e->is_waiting)
-    g_queue_unlink (&server->waiting, &e->waiting_link);
+    g_queue_unlink (&server->waiting[e->high_priority], &e->waiting_link);
   else
     server->in_flight--;
   send_waiting (e->client, server);
@@ -610,9 +636,10 @@
 send_or_wait (struct ht_client *client, struct ht_exchange *e)
 {
   struct server *server = find_server (client, e);
+  GQueue *waiting = &server->waiting[e->high_priority];
 
   if (client->max_waiting_per_server > 0
-      && server->waiting.length >= client->max_waiting_per_server)
+      && waiting->length >= client->max_waiting_per_server)
     {
       g_strlcpy (e->error, "too many requests wait for a connection",
                  sizeof e->error);
@@ -623,7 +650,7 @@
   e->server = server;
   e->is_waiting = true;
   e->waiting_link.data = e;
-  g_queue_push_tail_link (&server->waiting, &e->waiting_link);
+  g_queue_push_tail_link (waiting, &e->waiting_link);
   send_waiting (client, server);
 }
 
--- a/packages/http/tests/test_ht_client.c
+++ b/packages/http/tests/test_ht_client.c
@@ -55,18 +55,22 @@
 
 /* The action for each request, in order, over all connections.  */
 static enum server_action server_actions[MANY_REQUESTS];
-static _Atomic int request_count;      /* received by the server */
-static _Atomic bool closing;           /* ends ACTION_NO_RESPONSE */
-static _Atomic bool released;          /* ends ACTION_RESPOND_WHEN_RELEASED */
+static _Atomic int request_count; /* received by the server */
+static _Atomic bool closing;      /* ends ACTION_NO_RESPONSE */
+static _Atomic bool released;     /* ends ACTION_RESPOND_WHEN_RELEASED */
+/* Number of the probe among the requests that the server has received; -1:
+   none.  */
+static _Atomic int probe_position;
 static _Atomic bool stall_requested;   /* the client's thread has to stall */
 static _Atomic bool stall_reached;     /* the client's thread is stalled */
 static _Atomic int iteration_delay_ms; /* of each iteration of the client */
 static int listening_fd;
 
-/* Read a request with the body length given by its Content-Length.  Return
-   false when the client closed the connection.  */
+/* Read a request with the body length given by its Content-Length.  Set
+   IS_PROBE if its path is "/probe".  Return false when the client closed the
+   connection.  */
 static bool
-read_request (int fd)
+read_request (int fd, bool *is_probe)
 {
   char buffer[4096];
   size_t buffered = 0;
@@ -86,6 +90,7 @@
       end = strstr (buffer, "\r\n\r\n");
       if (end == NULL)
         continue;
+      *is_probe = g_str_has_prefix (buffer, "POST /probe ");
       length = strstr (buffer, "Content-Length: ");
       if (length != NULL && length < end)
         body = (size_t)atoi (length + strlen ("Content-Length: "));
@@ -130,13 +135,16 @@
 {
   int fd = GPOINTER_TO_INT (data);
   bool open = true;
+  bool is_probe;
 
-  while (open && read_request (fd))
+  while (open && read_request (fd, &is_probe))
     {
       static const char truncated_response[]
           = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nab";
       int position = atomic_fetch_add (&request_count, 1);
 
+      if (is_probe)
+        atomic_store (&probe_position, position);
       switch (server_actions[position])
         {
         case ACTION_RESPOND:
@@ -274,6 +282,7 @@
   int enable = 1;
 
   atomic_store (&released, false);
+  atomic_store (&probe_position, -1);
   atomic_store (&request_count, 0);
   atomic_store (&closing, false);
   atomic_store (&stall_reached, false);
@@ -570,18 +579,22 @@
 
 /* ---- more requests than connections ---- */
 
-/* Submit a POST without waiting for its result, R.  */
+/* Submit a POST to PATH without waiting for its result, R.  */
 static void
-submit_post (struct result *r, int64_t timeout_ms)
+submit_post (struct result *r, const char *path, int64_t timeout_ms,
+             bool high_priority)
 {
+  char *target_url = g_strdup_printf ("http://127.0.0.1:%d%s", PORT, path);
   struct ht_request request = { .method = "POST",
-                                .url = url,
+                                .url = target_url,
                                 .body = "abc",
                                 .body_len = 3,
-                                .timeout_ms = timeout_ms };
+                                .timeout_ms = timeout_ms,
+                                .high_priority = high_priority };
 
   r->body = g_string_new (NULL);
   CU_ASSERT_TRUE (ht_client_submit (client, &request, &handlers, r));
+  g_free (target_url);
 }
 
 static void
@@ -619,7 +632,7 @@
   set_up_with (&options);
   hold_responses (2);
   for (int i = 0; i < 6; i++)
-    submit_post (&results[i], LONG_TIMEOUT_MS);
+    submit_post (&results[i], "/start", LONG_TIMEOUT_MS, false);
   await_requests (2);
   g_usleep (RESPONSE_DELAY_MS * 1000);
   CU_ASSERT_EQUAL (atomic_load (&request_count), 2);
@@ -645,10 +658,10 @@
 
   set_up_with (&options);
   hold_responses (1);
-  submit_post (&results[0], LONG_TIMEOUT_MS);
+  submit_post (&results[0], "/start", LONG_TIMEOUT_MS, false);
   await_requests (1);
-  submit_post (&results[1], SHORT_TIMEOUT_MS);
-  submit_post (&results[2], LONG_TIMEOUT_MS);
+  submit_post (&results[1], "/start", SHORT_TIMEOUT_MS, false);
+  submit_post (&results[2], "/start", LONG_TIMEOUT_MS, false);
   await_result (&results[1]);
   CU_ASSERT_EQUAL (results[1].result, HT_RESULT_NOT_SENT);
   atomic_store (&released, true);
@@ -672,8 +685,8 @@
 
   set_up_with (&options);
   server_actions[0] = ACTION_NO_RESPONSE;
-  submit_post (&results[0], SENDING_TIMEOUT_MS);
-  submit_post (&results[1], LONG_TIMEOUT_MS);
+  submit_post (&results[0], "/start", SENDING_TIMEOUT_MS, false);
+  submit_post (&results[1], "/start", LONG_TIMEOUT_MS, false);
   await_result (&results[0]);
   CU_ASSERT_EQUAL (results[0].result, HT_RESULT_TIMEOUT);
   await_result (&results[1]);
@@ -694,10 +707,10 @@
 
   set_up_with (&options);
   hold_responses (1);
-  submit_post (&results[0], LONG_TIMEOUT_MS);
+  submit_post (&results[0], "/start", LONG_TIMEOUT_MS, false);
   await_requests (1);
-  submit_post (&results[1], LONG_TIMEOUT_MS);
-  submit_post (&results[2], LONG_TIMEOUT_MS);
+  submit_post (&results[1], "/start", LONG_TIMEOUT_MS, false);
+  submit_post (&results[2], "/start", LONG_TIMEOUT_MS, false);
   await_result (&results[2]);
   CU_ASSERT_EQUAL (results[2].result, HT_RESULT_NOT_SENT);
   CU_ASSERT_FALSE (atomic_load (&results[1].ended));
@@ -710,6 +723,80 @@
   tear_down ();
 }
 
+/* Wait until the client's thread has started to handle all requests that were
+   submitted.  It does so in order, and nothing listens on this port.  */
+static void
+await_client (void)
+{
+  struct result r = send_request ("POST", "abc", true,
+                                  "http://127.0.0.1:39482/", LONG_TIMEOUT_MS);
+
+  CU_ASSERT_EQUAL (r.result, HT_RESULT_NOT_SENT);
+  free_result (&r);
+}
+
+/* A probe, which renews leases, must not wait behind starts, of which there
+   may be hundreds.  */
+static void
+test_probe_waits_behind_starts (void)
+{
+  struct ht_client_options options
+      = { .ring_capacity = 64, .max_connections_per_server = 2 };
+  struct result starts[5] = { 0 };
+  struct result probe = { 0 };
+
+  set_up_with (&options);
+  hold_responses (2);
+  for (int i = 0; i < 5; i++)
+    submit_post (&starts[i], "/start", LONG_TIMEOUT_MS, false);
+  await_requests (2);
+  submit_post (&probe, "/probe", LONG_TIMEOUT_MS, true);
+  await_client ();
+  atomic_store (&released, true);
+  await_result (&probe);
+  CU_ASSERT_EQUAL (probe.result, HT_RESULT_COMPLETE);
+  free_result (&probe);
+  for (int i = 0; i < 5; i++)
+    {
+      await_result (&starts[i]);
+      CU_ASSERT_EQUAL (starts[i].result, HT_RESULT_COMPLETE);
+      free_result (&starts[i]);
+    }
+  /* The first two had all connections, and two are used at the same time.  */
+  CU_ASSERT_TRUE (atomic_load (&probe_position) <= 3);
+  tear_down ();
+}
+
+/* A probe must not wait for the response to a start either.  */
+static void
+test_probe_waits_for_response_to_start (void)
+{
+  struct ht_client_options options = { .ring_capacity = 64,
+                                       .max_connections_per_server = 3,
+                                       .reserved_connections_per_server = 1 };
+  struct result starts[5] = { 0 };
+  struct result probe = { 0 };
+
+  set_up_with (&options);
+  hold_responses (2);
+  for (int i = 0; i < 5; i++)
+    submit_post (&starts[i], "/start", LONG_TIMEOUT_MS, false);
+  await_requests (2);
+  submit_post (&probe, "/probe", LONG_TIMEOUT_MS, true);
+  await_result (&probe);
+  CU_ASSERT_EQUAL (probe.result, HT_RESULT_COMPLETE);
+  CU_ASSERT_EQUAL (atomic_load (&probe_position), 2);
+  free_result (&probe);
+  atomic_store (&released, true);
+  for (int i = 0; i < 5; i++)
+    {
+      await_result (&starts[i]);
+      CU_ASSERT_EQUAL (starts[i].result, HT_RESULT_COMPLETE);
+      free_result (&starts[i]);
+    }
+  tear_down ();
+}
+
 int
 main (void)
 {
@@ -731,6 +818,9 @@
     { "timeout of a waiting request", test_timeout_of_waiting_request },
     { "request waits behind one that times out", test_waiting_behind_timeout },
     { "too many waiting requests", test_too_many_waiting_requests },
+    { "probe waits behind starts", test_probe_waits_behind_starts },
+    { "probe waits for the response to a start",
+      test_probe_waits_for_response_to_start },
     { NULL, NULL }
   };
 
--- a/packages/server/src/sv_job_server.c
+++ b/packages/server/src/sv_job_server.c
@@ -26,7 +26,9 @@
   EVENT_RING_CAPACITY = 16384,
   MAX_EVENTS_PER_ITERATION = 64, /* between two calls of jb_host_run */
   HTTP_CLIENT_RING_CAPACITY = 8192,
-  MAX_CONNECTIONS_PER_SERVER = 6,  /* to one backend server or the store */
+  MAX_CONNECTIONS_PER_SERVER = 6, /* to one backend server or the store */
+  /* Of these, those that starts leave free for what is urgent.  */
+  RESERVED_CONNECTIONS_PER_SERVER = 1,
   MAX_WAITING_PER_SERVER = 1024,   /* requests that wait for a connection */
   MAX_IDLE_CONNECTIONS = 1024,     /* kept open for reuse */
   HEADER_MEMORY_BYTES = 32 * 1024, /* for each connection */
@@ -209,6 +211,17 @@
   push_event (server, event);
 }
 
+/* Return whether a command of KIND goes before starts to the same backend
+   server, of which there may be hundreds: it must not be late, as probes renew
+   leases and stops free what others need.  Commands that share no server with
+   starts are equal among themselves; if they were not urgent, they would leave
+   a connection unused.  */
+static bool
+is_urgent (enum jb_command_kind kind)
+{
+  return kind != JB_COMMAND_START_TASK && kind != JB_COMMAND_SET_SPEED;
+}
+
 static void
 submit_command (void *context, uint64_t number,
                 const struct jb_command *command)
@@ -221,6 +234,7 @@
   struct pending_command *pending;
   struct ht_request request
       = { .timeout_ms = command->timeout_ms,
+          .high_priority = is_urgent (command->kind),
           .timeout_per_step = true,
           .start_before_us = ba_clock_now_us () + command->timeout_ms * JB_MS,
           .idle_timeout_ms
@@ -867,6 +881,7 @@
   struct ht_client_options client
       = { .ring_capacity = HTTP_CLIENT_RING_CAPACITY,
           .max_connections_per_server = MAX_CONNECTIONS_PER_SERVER,
+          .reserved_connections_per_server = RESERVED_CONNECTIONS_PER_SERVER,
           .max_waiting_per_server = MAX_WAITING_PER_SERVER,
           .max_idle_connections = MAX_IDLE_CONNECTIONS };
 
