Hold back only the backend server to which a start was not sent

A start that is not sent because all connections to one backend server are in use, as with orders that get no answer, delayed the scheduling of the whole pool by 100 ms. Now nothing is started on that backend server for 100 ms.

--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -30,8 +30,8 @@
    numbers rise from owner to owner without being stored.  */
 #define RUN_NUMBERS_PER_OWNER 10000
 
-/* Delay of the next scheduling cycle after a start that this host was too busy
-   to send.  */
+/* How long nothing is started on a backend server to which this host was too
+   busy to send a start, or has no free connection.  */
 #define NOT_SENT_BACKOFF (100 * JB_MS)
 
 enum
@@ -299,8 +299,9 @@
   jb_log (pool->options.driver, JB_LEVEL_INFO, "start-not-sent", "task",
           jb_task_name (start->task, name), "run", jb_itoa (start->run),
           "backend", start->backend->instance, NULL);
+  start->backend->unhealthy_until
+      = MAX (start->backend->unhealthy_until, now + NOT_SENT_BACKOFF);
   jb_pool_clear_run (pool, start->task, now);
-  pool->next_schedule = MAX (pool->next_schedule, now + NOT_SENT_BACKOFF);
 }
 
 static void
