Simulate backend servers that restart under their instance names

The protocol allows a worker to start again under the id it had: it holds and knows nothing of before, its clock, its highest fence and the numbers of its ends start anew, and a call without an answer may be carried out seconds later.

jw_backend_restart restarts a backend server in place. A test can have the next command of a kind carried out after a delay (delayed_command).

--- a/tests/sim/jobs/jw_backend.c
+++ b/tests/sim/jobs/jw_backend.c
@@ -34,6 +34,10 @@
 /* How long the members of a gang wait for the last one to start.  */
 #define GANG_TIMEOUT (3 * JB_SECOND)
 
+/* Longest lease on a backend server's clock: max_lease_ms of the entry hosts
+   (jw_host_start).  */
+#define MAX_LEASE_MS 6000
+
 /* Shortest time between commands of two planners to a host: command_lease_ms
    of the entry hosts (jw_host_start).  */
 #define COMMAND_LEASE (3 * JB_SECOND)
@@ -289,14 +293,16 @@
              JB_OUTCOME_LEASE_EXPIRED);
 }
 
-/* Extend the lease to UNTIL_MS on the clock of BACKEND, unless it is longer
-   already.  */
+/* Extend the lease to UNTIL_MS on the clock of BACKEND, but to MAX_LEASE_MS
+   from now at most, unless it is longer already.  */
 static void
 extend_lease (struct jw_world *world, struct jw_backend *backend,
               int64_t until_ms)
 {
   int64_t left;
 
+  until_ms
+      = MIN (until_ms, read_clock_ms (backend, world->now) + MAX_LEASE_MS);
   if (until_ms <= backend->lease_until_ms)
     return;
   backend->lease_until_ms = until_ms;
@@ -310,8 +316,8 @@
 
 /* ---- commands ---- */
 
-static struct jw_backend *
-find_backend (struct jw_world *world, const struct jb_backend_target *target)
+struct jw_backend *
+jw_find_target (struct jw_world *world, const struct jb_backend_target *target)
 {
   for (guint i = world->backends->len; i-- > 0;)
     {
@@ -547,7 +553,7 @@
 jw_backend_execute (struct jw_world *world, const struct jb_command *command,
                     struct jb_reply *reply)
 {
-  struct jw_backend *backend = find_backend (world, &command->backend);
+  struct jw_backend *backend = jw_find_target (world, &command->backend);
 
   reply->result = JB_RESULT_OK;
   if (!admit_command (backend, command, reply))
@@ -574,7 +580,7 @@
 jw_backend_defer_probe (struct jw_world *world, struct jw_host *host,
                         uint64_t number, const struct jb_command *command)
 {
-  struct jw_backend *backend = find_backend (world, &command->backend);
+  struct jw_backend *backend = jw_find_target (world, &command->backend);
   struct jb_reply reply = { 0 };
   struct waiting_probe *probe;
 
@@ -622,9 +628,9 @@
   backend->capacity_changed_at = world->now;
 }
 
-void
-jw_backend_crash (struct jw_world *world, struct jw_backend *backend,
-                  bool permanently)
+/* Count a crash for all tasks that run on BACKEND.  */
+static void
+count_crashes (struct jw_world *world, const struct jw_backend *backend)
 {
   for (guint i = 0; i < backend->runs->len; i++)
     {
@@ -632,6 +638,37 @@
 
       jw_get_task (world, run->task)->crashes++;
     }
+}
+
+void
+jw_backend_restart (struct jw_world *world, struct jw_backend *backend)
+{
+  if (!backend->up)
+    return;
+  count_crashes (world, backend);
+  drop_all_runs (world, backend);
+  backend->up = true;
+  backend->ended_at = 0;
+  for (guint i = 0; i < backend->waiting_probes->len; i++)
+    ((struct waiting_probe *)g_ptr_array_index (backend->waiting_probes, i))
+        ->answered
+        = true;
+  g_ptr_array_set_size (backend->waiting_probes, 0);
+  g_ptr_array_set_size (backend->ended_runs, 0);
+  g_hash_table_remove_all (backend->closed_runs);
+  backend->started_unix_ms
+      = MAX (backend->started_unix_ms + 1, world->now / JB_MS);
+  backend->clock_origin = world->now;
+  backend->fencing_token = 0;
+  backend->lease_until_ms = 0;
+  backend->last_end_number = 0;
+}
+
+void
+jw_backend_crash (struct jw_world *world, struct jw_backend *backend,
+                  bool permanently)
+{
+  count_crashes (world, backend);
   drop_all_runs (world, backend);
   for (guint i = 0; i < world->fleet->len; i++)
     {
--- a/tests/sim/jobs/jw_commands.c
+++ b/tests/sim/jobs/jw_commands.c
@@ -8,6 +8,10 @@
 /* Latency of a command to the store, and of its reply.  */
 #define STORE_LATENCY (4 * JB_MS)
 
+/* Delay of a command that is carried out late.  */
+#define MIN_DELAY_MS 500
+#define DEFAULT_MAX_DELAY_MS 6000
+
 enum
 {
   STORE_BYTES_PER_QUEUE = 270 /* in the store's answer with a configuration */
@@ -189,6 +193,24 @@
     host->world->last_writers[pool] = (int)host->index;
 }
 
+/* Delay IN_FLIGHT, which would arrive at ARRIVAL, if it is the command that a
+   test delays.  Return whether it was.  */
+static bool
+delay_for_test (struct jw_world *world, struct in_flight_command *in_flight,
+                jb_time arrival)
+{
+  struct jw_delayed_command *delayed = &world->delayed_command;
+
+  if (delayed->delay == 0 || in_flight->command.kind != delayed->kind)
+    return false;
+  in_flight->gets_reply = false;
+  in_flight->delayed = true;
+  jw_schedule (world, arrival + delayed->delay, deliver_command, in_flight);
+  delayed->backend = jw_find_target (world, &in_flight->command.backend);
+  delayed->delay = 0;
+  return true;
+}
+
 void
 jw_submit_command (void *context, uint64_t number,
                    const struct jb_command *command)
@@ -222,6 +244,8 @@
   timed_out.mem = talloc_new (NULL);
   jw_schedule_reply (host, host->epoch, number,
                      world->now + command->timeout_ms * JB_MS, &timed_out);
+  if (delay_for_test (world, in_flight, arrival))
+    return;
   /* Commands to an unreachable destination are lost.  So are half of the other
      commands without a reply; half of the rest is carried out late.  */
   if (!in_flight->gets_reply
@@ -232,7 +256,13 @@
     }
   if (!in_flight->gets_reply && jw_random_permille (world, 500))
     {
-      arrival += g_rand_int_range (world->random, 500, 6000) * JB_MS;
+      int64_t max_delay_ms = world->options.max_delay_ms > 0
+                                 ? world->options.max_delay_ms
+                                 : DEFAULT_MAX_DELAY_MS;
+
+      arrival += g_rand_int_range (world->random, MIN_DELAY_MS,
+                                   (gint32)max_delay_ms)
+                 * JB_MS;
       in_flight->delayed = true;
     }
   jw_schedule (world, arrival, deliver_command, in_flight);
--- a/tests/sim/jobs/jw_soak.c
+++ b/tests/sim/jobs/jw_soak.c
@@ -21,6 +21,15 @@
 #define MAX_STALL_MS 1500
 #define MAX_RUNNABLE_MS 400
 
+/* While backend servers restart under their names, this share of the commands
+   to them is not answered, and half of the commands that are carried out
+   arrive up to MAX_DELAY_MS late.  A backend server is cut off before it
+   restarts, for up to MAX_CUT_MS in all.  */
+#define RESTART_LOSS_PERMILLE 100
+#define RESTART_MAX_DELAY_MS 12000
+#define MAX_RESTART_GAP_MS 1500
+#define MAX_CUT_MS 5000
+
 enum
 {
   MAX_LONG_RUNNING_JOBS = 3
@@ -152,6 +161,89 @@
   jw_schedule (world, world->now, next_stall_phase, first);
 }
 
+/* Backend servers that restart again and again until UNTIL, with a random
+   generator of its own, as above.  */
+struct restart_cycle
+{
+  GRand *random;
+  jb_time until;
+};
+
+static int
+restart_cycle_destroy (struct restart_cycle *cycle)
+{
+  g_rand_free (cycle->random);
+  return 0;
+}
+
+static void
+restart_backend (struct jw_world *world, void *data)
+{
+  jw_backend_restart (world, *(struct jw_backend **)data);
+}
+
+static void
+schedule_restart_step (struct jw_world *world, jb_time delay,
+                       jw_event_handler *handler, void *pointer)
+{
+  void **chunk = talloc (NULL, void *);
+
+  *chunk = pointer;
+  jw_schedule (world, world->now + delay, handler, chunk);
+}
+
+static void
+end_cut (struct jw_world *world, void *data)
+{
+  (void)world;
+  (*(struct jw_backend **)data)->unreachable = false;
+}
+
+/* Restart a backend server, in half of the cases behind a cut.  */
+static void
+next_restart (struct jw_world *world, void *data)
+{
+  struct restart_cycle *cycle = *(struct restart_cycle **)data;
+  struct jw_backend *backend;
+  jb_time cut;
+
+  if (world->now >= cycle->until)
+    {
+      world->loss_permille.backend_commands = 0;
+      return;
+    }
+  world->loss_permille.backend_commands = RESTART_LOSS_PERMILLE;
+  backend = jw_find_backend (
+      world,
+      (uint32_t)g_rand_int_range (cycle->random, 0,
+                                  (gint32)world->options.pools),
+      (uint32_t)g_rand_int_range (cycle->random, 0,
+                                  (gint32)world->options.backends));
+  cut = g_rand_int_range (cycle->random, 100, MAX_CUT_MS) * JB_MS;
+  if (backend != NULL && g_rand_boolean (cycle->random))
+    {
+      backend->unreachable = true;
+      schedule_restart_step (world, cut / 2, restart_backend, backend);
+      schedule_restart_step (world, cut, end_cut, backend);
+    }
+  else if (backend != NULL)
+    jw_backend_restart (world, backend);
+  schedule_restart_step (
+      world, g_rand_int_range (cycle->random, 50, MAX_RESTART_GAP_MS) * JB_MS,
+      next_restart, cycle);
+}
+
+static void
+begin_restart_cycle (struct jw_world *world, uint32_t seed, jb_time until)
+{
+  struct restart_cycle *cycle = talloc_zero (world, struct restart_cycle);
+
+  cycle->random = g_rand_new_with_seed (seed);
+  cycle->until = until;
+  talloc_set_destructor (cycle, restart_cycle_destroy);
+  schedule_restart_step (world, 0, next_restart, cycle);
+}
+
 static uint32_t
 random_below (struct jw_world *world, uint32_t limit)
 {
@@ -343,6 +435,7 @@
           .no_overload_guard = soak->no_overload_guard,
           .org_cpu_limit_milli = soak->seed % 3 == 0 ? 26000 : 0,
           .disabled_safeguards = soak->disabled_safeguards,
+          .max_delay_ms = soak->restart_backends ? RESTART_MAX_DELAY_MS : 0,
           .external_hosts = soak->external_hosts,
           .network_prefix = soak->network_prefix,
           .backend_port = soak->backend_port,
@@ -360,6 +453,8 @@
     jw_start_wave (world, 2, 20000);
   if (soak->stall_one_host)
     begin_stall_cycle (world, soak->seed, end);
+  if (soak->restart_backends)
+    begin_restart_cycle (world, soak->seed, end);
   while (world->now < end)
     {
       uint32_t kind = random_below (world, 100);
--- a/tests/sim/jobs/jw_soak.h
+++ b/tests/sim/jobs/jw_soak.h
@@ -12,6 +12,8 @@
   bool no_overload_guard;       /* backend servers start what doesn't fit */
   bool stall_one_host;          /* again and again, as if it were short of
                                    processor time */
+  bool restart_backends;        /* under their names, while commands to them
+                                   are carried out late */
   uint32_t more_hosts;          /* entry hosts beyond the usual 3 to 6 */
   bool verbose;
   /* These three as in struct jw_options.  */
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -73,7 +73,8 @@
   bool no_overload_guard;       /* backend servers start what doesn't fit */
   bool needs_advice;            /* task starts need tickets from a policy */
   bool reorder_messages;        /* between entry hosts */
-  bool verbose;                 /* print the log lines of entry hosts */
+  int64_t max_delay_ms; /* of a command that is carried out late; 0: 6000 */
+  bool verbose;         /* print the log lines of entry hosts */
   /* NULL: entry hosts are part of the simulation.  */
   const struct jw_external_hosts *external_hosts;
   /* First three bytes of backend server addresses, such as "10.0.0".  */
@@ -128,6 +129,14 @@
   uint32_t backend_commands;
 };
 
+/* A command to a backend server that a test delays.  */
+struct jw_delayed_command
+{
+  enum jb_command_kind kind;
+  jb_time delay;              /* 0: none is delayed */
+  struct jw_backend *backend; /* of the last one that was delayed, or NULL */
+};
+
 struct jw_task_run
 {
   char *task;
@@ -257,6 +266,9 @@
   uint32_t last_backend; /* number of the last backend server added */
   uint32_t task_starts;
   bool delivering_delayed_command;
+  /* The next command to a backend server of this kind is not answered, and is
+     carried out after this delay.  */
+  struct jw_delayed_command delayed_command;
   /* Backend servers have failed tasks that would otherwise complete, so jobs
      may be reported as failed.  */
   bool backends_fail_runs;
@@ -362,6 +374,11 @@
 void jw_backend_crash (struct jw_world *world, struct jw_backend *backend,
                        bool permanently);
 
+/* Restart BACKEND under its instance name, at the same address: its runs and
+   all that it knew are gone, and its clock and the numbers of its ends start
+   anew.  */
+void jw_backend_restart (struct jw_world *world, struct jw_backend *backend);
+
 /* Change the capacity of BACKEND to CPU_MILLI thousandths of a core.  */
 void jw_backend_set_capacity (struct jw_world *world,
                               struct jw_backend *backend, int64_t cpu_milli);
@@ -434,6 +451,9 @@
 void jw_backend_execute (struct jw_world *world,
                          const struct jb_command *command,
                          struct jb_reply *reply);
+/* Return the backend server that TARGET's address leads to, or NULL.  */
+struct jw_backend *jw_find_target (struct jw_world *world,
+                                   const struct jb_backend_target *target);
 void jw_fleet_execute (struct jw_world *world,
                        const struct jb_command *command,
                        struct jb_reply *reply);
--- a/tests/sim/jobs/soak_jobs.c
+++ b/tests/sim/jobs/soak_jobs.c
@@ -16,6 +16,7 @@
   uint32_t disabled_safeguards;
   bool stalls;
   bool no_guard;
+  bool restarts;
   uint32_t more_hosts;
   bool verbose;
 };
@@ -27,6 +28,8 @@
   { "stalls", 't', NULL, 0, "Let one entry host stall again and again", 0 },
   { "no-guard", 'g', NULL, 0, "Let backend servers start what does not fit",
     0 },
+  { "restarts", 'b', NULL, 0,
+    "Restart backend servers under their names, with late commands", 0 },
   { "more-hosts", 'm', "N", 0, "Entry hosts beyond the usual 3 to 6 (0)", 0 },
   { "verbose", 'v', NULL, 0, "Print the log lines of the entry hosts", 0 },
   { 0 }
@@ -54,6 +57,9 @@
     case 'g':
       arguments->no_guard = true;
       return 0;
+    case 'b':
+      arguments->restarts = true;
+      return 0;
     case 'm':
       arguments->more_hosts
           = MIN ((uint32_t)strtoul (value, NULL, 10), JW_MAX_HOST_COUNT - 6);
@@ -84,6 +90,7 @@
               .disabled_safeguards = arguments.disabled_safeguards,
               .stall_one_host = arguments.stalls,
               .no_overload_guard = arguments.no_guard,
+              .restart_backends = arguments.restarts,
               .more_hosts = arguments.more_hosts,
               .verbose = arguments.verbose };
 
