Failing tests of backend servers that restart under their names

Orders that were sent to a former life of a backend server, and numbers and clocks that were recorded in it, act on its next life.

One suspicion was met by chance: after a restart that the owner doesn't know, the answer to a start shows the young clock, while the lease is still the one on the former clock, so the runs there are awaited for 1,028 s when the backend server falls silent.

--- /dev/null
+++ b/tests/sim/jobs/test_late_starts_after_silence.c
@@ -0,0 +1,71 @@
+/* Tests of starts that were not answered and are carried out late, by a
+   backend server that was silent and has restarted under its instance name
+   meanwhile, in virtual time.  */
+
+#include "jw_test.h"
+
+enum
+{
+  SEEDS = 6
+};
+
+/* A backend server restarts and is cut off, for longer than a lease lasts,
+   until just before the start is carried out.  */
+static void
+test_late_start_after_silence (void)
+{
+  for (uint32_t seed = 1; seed <= SEEDS; seed++)
+    {
+      struct jw_options options = { .seed = seed,
+                                    .hosts = 3,
+                                    .pools = 1,
+                                    .backends = 6,
+                                    .backend_cpu_milli = 8000 };
+      struct jw_world *world = jw_create_world (&options);
+      struct jw_job_options job = { .step_count = 1,
+                                    .tasks_per_step = 1,
+                                    .cpu_milli = 1000,
+                                    .duration_ms = 9000 };
+      struct jw_backend *backend;
+
+      world->delayed_command
+          = (struct jw_delayed_command){ .kind = JB_COMMAND_START_TASK,
+                                         .delay = 5 * JB_SECOND };
+      jw_submit_job (world, &job);
+      jw_advance (world, 150 * JB_MS);
+      backend = world->delayed_command.backend;
+      CU_ASSERT_PTR_NOT_NULL_FATAL (backend);
+      backend->unreachable = true;
+      jw_advance (world, JB_SECOND);
+      jw_backend_restart (world, backend);
+      jw_advance (world, 3800 * JB_MS);
+      backend->unreachable = false;
+      jw_advance (world, 20 * JB_SECOND);
+      jw_check_and_free (world);
+    }
+}
+
+/* Random faults and late commands.  */
+static void
+test_restarts_under_random_faults (void)
+{
+  for (uint32_t seed = 1; seed <= 12; seed++)
+    {
+      struct jw_soak soak = { .seed = seed, .restart_backends = true };
+
+      jw_assert_soak (&soak);
+    }
+}
+
+int
+main (void)
+{
+  static const struct dp_test tests[]
+      = { { "a late start is carried out after a silence",
+            test_late_start_after_silence },
+          { "restarts under random faults",
+            test_restarts_under_random_faults },
+          { NULL, NULL } };
+
+  return dp_test_main ("late starts after a silence", tests);
+}
