Don't use numbers of ends of a backend server's former life

Callers saw: a task that was done started again (TWICE) after its backend server had restarted under its name; ends that were never acknowledged.

Cause: the numbers of ends start anew with each life, but two places kept one across the restart. A write batch in flight made the number of the former life the stored number of the next one, so the next probe acknowledged ends that nobody had seen. The answer that shows the restart recorded as acknowledged what its probe had named, so lower numbers of the next life were not acknowledged any more.

The owner now numbers the lives of the pool's backend servers. A batch, a probe, a start and a stop carry the number; what comes back for another life than the present one is not used.

--- a/packages/jobs/include/jb_backend.h
+++ b/packages/jobs/include/jb_backend.h
@@ -48,6 +48,9 @@
   bool excluded_from_roster;
   uint64_t exclusion; /* pool's number of this exclusion, if it is excluded */
   int64_t started_unix_ms; /* Unix time of its start; 0: not reported */
+  /* Pool's number of its life.  It may restart under its instance name; the
+     number rises when the owner learns of that.  */
+  uint32_t life;
   /* Its own clock.  */
   int64_t clock_ms; /* time that it last reported */
   /* When that report was received; 0: there was none.  */
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -673,6 +673,7 @@
   if (backend == NULL)
     {
       backend = jb_backend_new (pool, entry);
+      backend->life = pool->last_life;
       backend->idle_since = now;
       g_hash_table_insert (pool->backends, backend->instance, backend);
       jb_log (pool->options.driver, JB_LEVEL_INFO, "backend-found", "backend",
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -100,6 +100,7 @@
   bool first_start_observed; /* the time to the first start was measured */
   /* Backend servers.  */
   GHashTable *backends; /* instance -> struct jb_backend */
+  uint32_t last_life;   /* highest number of a life of a backend server */
   GPtrArray *losses;    /* struct jb_loss: those that crashed or may have */
   bool roster_dirty;    /* the stored roster is out of date */
   bool roster_write_in_flight;
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -322,6 +322,7 @@
 {
   struct jb_pool *pool;
   struct jb_backend *backend;
+  uint32_t life;      /* of the backend server, as known when it was sent */
   uint64_t acked_end; /* number of the last end that it acknowledges */
   bool extends_lease;
 };
@@ -332,6 +333,7 @@
                    int64_t started_unix_ms, jb_time now)
 {
   jb_pool_clear_lost_runs (pool, backend, now, JB_LOSS_RESTARTED);
+  backend->life = ++pool->last_life;
   backend->started_unix_ms = started_unix_ms;
   backend->processed_end = 0;
   backend->stored_end = 0;
@@ -368,7 +370,8 @@
   backend->probed = true;
   if (backend->excluded_from_roster && now >= backend->cordoned_until)
     jb_pool_return_to_roster (pool, backend);
-  backend->acked_end = MAX (backend->acked_end, probe->acked_end);
+  if (probe->life == backend->life)
+    backend->acked_end = MAX (backend->acked_end, probe->acked_end);
   backend->orphan_seen_at = 0;
   for (uint32_t i = 0; i < reply->active_run_count; i++)
     process_active_run (pool, backend, &reply->active_runs[i], now);
@@ -429,7 +432,9 @@
   struct jb_backend *backend = probe->backend;
 
   backend->probes_in_flight--;
-  if (reply->result == JB_RESULT_OK)
+  if (probe->life != backend->life)
+    ; /* It doesn't concern the present life.  */
+  else if (reply->result == JB_RESULT_OK)
     handle_probe_ok (pool, probe, sent_at, now, reply);
   else if (reply->result == JB_RESULT_GONE)
     {
@@ -476,6 +481,7 @@
 
   probe->pool = pool;
   probe->backend = backend;
+  probe->life = backend->life;
   probe->acked_end = backend->stored_end;
   command.u.probe.acked_end = probe->acked_end;
   /* Extend the lease only if the backend server answers and is listed.  */
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -71,6 +71,7 @@
 {
   struct jb_pool *pool;
   struct jb_backend *backend;
+  uint32_t life; /* of the backend server, as known when it was sent */
   struct jb_task_ref ref;
   uint32_t run;
 };
@@ -98,7 +99,9 @@
   struct jb_task *task = find_run (stop->pool, &stop->ref, backend, stop->run);
 
   (void)sent_at;
-  if (reply->result == JB_RESULT_GONE)
+  if (stop->life != backend->life)
+    ; /* It doesn't concern the present life.  */
+  else if (reply->result == JB_RESULT_GONE)
     jb_pool_clear_lost_runs (stop->pool, backend, now, JB_LOSS_REPLACED);
   else if (reply->result == JB_RESULT_CONFLICT
            && reply->refusal == JB_REFUSAL_FENCED)
@@ -130,6 +133,7 @@
 
   stop->pool = pool;
   stop->backend = backend;
+  stop->life = backend->life;
   stop->run = run;
   if (!jb_task_ref_parse (name, &stop->ref))
     memset (&stop->ref, 0, sizeof stop->ref);
@@ -210,6 +214,7 @@
   struct jb_pool *pool;
   struct jb_task *task; /* set when the reply is processed */
   struct jb_backend *backend;
+  uint32_t life; /* of the backend server, as known when it was sent */
   struct jb_task_ref ref;
   uint32_t run;
 };
@@ -330,9 +335,10 @@
 
   backend->starts_in_flight--;
   start->task = task;
-  if (task == NULL)
+  if (task == NULL || start->life != backend->life)
     {
-      /* The run ended before its start was answered.  */
+      /* The run ended before its start was answered, or in which life of the
+         backend server the start was carried out isn't known.  */
       talloc_free (start);
       return;
     }
@@ -388,6 +394,7 @@
 
   start->pool = pool;
   start->backend = backend;
+  start->life = backend->life;
   start->run = task->run;
   backend->starts_in_flight++;
   command.u.start_task.task = jb_task_name (task, name);
--- a/packages/jobs/src/jb_pool_store.c
+++ b/packages/jobs/src/jb_pool_store.c
@@ -32,11 +32,12 @@
   enum written_kind kind;
 };
 
-/* The ends of runs on `backend' up to number `end_number' are durable once the
-   batch is written.  */
+/* The ends of runs in one life of `backend' up to number `end_number' are
+   durable once the batch is written.  */
 struct covered_end
 {
   struct jb_backend *backend;
+  uint32_t life;
   uint64_t end_number;
 };
 
@@ -105,7 +106,8 @@
 
       if (backend->processed_end > backend->stored_end)
         batch->ends[batch->end_count++]
-            = (struct covered_end){ backend, backend->processed_end };
+            = (struct covered_end){ backend, backend->life,
+                                    backend->processed_end };
     }
 }
 
@@ -153,6 +155,8 @@
     {
       struct jb_backend *backend = batch->ends[i].backend;
 
+      if (batch->ends[i].life != backend->life)
+        continue;
       backend->stored_end
           = MAX (backend->stored_end, batch->ends[i].end_number);
       backend->next_probe = MIN (backend->next_probe, now);
