Notice a restart of a backend server by the clock in the answer to a start

Callers saw nothing yet; found by a test. Tasks that were started on a backend server that had just restarted under its name waited for more than 1,000 s when it then fell silent.

Cause: only answers to probes say when the backend server was started. The answer to a start recorded the young clock of a life that the owner didn't know, while the longest lease was still a time on the former clock, so it seemed to last for the difference of the two. The backend server itself had shortened that lease to max_lease_ms.

An answer to a start whose clock is behind the known one, by more than the allowed drift, is from another life. The clock is not recorded; the backend server is probed at once, gets no starts before, and is assumed to have granted the longest lease that there is.

--- a/packages/jobs/include/jb_backend.h
+++ b/packages/jobs/include/jb_backend.h
@@ -112,6 +112,11 @@
 void jb_backend_record_clock (struct jb_backend *backend, jb_time now,
                               int64_t clock_ms);
 
+/* Return whether CLOCK_MS, the clock in the answer to a command that was sent
+   at SENT_AT, can't be the clock that is known: BACKEND has restarted.  */
+bool jb_backend_is_other_clock (const struct jb_backend *backend,
+                                jb_time sent_at, int64_t clock_ms);
+
 /* Return whether STARTED_UNIX_MS is known and differs from the known start
    time of BACKEND.  */
 bool jb_backend_has_restarted (const struct jb_backend *backend,
--- a/packages/jobs/src/jb_backend.c
+++ b/packages/jobs/src/jb_backend.c
@@ -46,6 +46,19 @@
   backend->clock_received_at = now;
 }
 
+bool
+jb_backend_is_other_clock (const struct jb_backend *backend, jb_time sent_at,
+                           int64_t clock_ms)
+{
+  int64_t elapsed_ms = (sent_at - backend->clock_received_at) / JB_MS;
+
+  /* The answer was given after the command was sent.  */
+  if (elapsed_ms > 0)
+    elapsed_ms = elapsed_ms * (100 - JB_MAX_CLOCK_DRIFT_PERCENT) / 100;
+  return backend->clock_received_at != 0
+         && clock_ms < backend->clock_ms + elapsed_ms - JB_LEASE_MARGIN_MS;
+}
+
 bool
 jb_backend_has_restarted (const struct jb_backend *backend,
                           int64_t started_unix_ms)
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -288,6 +288,19 @@
   start->backend->next_probe = MIN (start->backend->next_probe, now);
 }
 
+/* Record the clock in the answer to START, unless it is the clock of another
+   life.  */
+static void
+record_clock (struct start_request *start, jb_time now, jb_time sent_at,
+              const struct jb_reply *reply)
+{
+  if (jb_backend_is_other_clock (start->backend, sent_at,
+                                 reply->backend_clock_ms))
+    jb_pool_suspect_restart (start->pool, start->backend, now);
+  else
+    jb_backend_record_clock (start->backend, now, reply->backend_clock_ms);
+}
+
 static void
 handle_start_ok (struct start_request *start, jb_time now, jb_time sent_at,
                  const struct jb_reply *reply)
@@ -303,7 +316,7 @@
     task->started_at = now;
   task->confirmed_at = now;
   task->state = JB_RUN_RUNNING;
-  jb_backend_record_clock (start->backend, now, reply->backend_clock_ms);
+  record_clock (start, now, sent_at, reply);
   start->backend->next_probe = MIN (start->backend->next_probe, now);
   if (!pool->first_start_observed)
     {
@@ -360,7 +373,7 @@
         {
           handle_start_refused (start, now, reply);
           if (reply->backend_clock_ms > 0)
-            jb_backend_record_clock (backend, now, reply->backend_clock_ms);
+            record_clock (start, now, sent_at, reply);
           jb_pool_clear_run (pool, task, now);
         }
       break;
