Acknowledge nothing to a backend server that has not answered

Callers saw: a task that was done started again (TWICE), or one more time than allowed after failures (BUDGET).

Cause: a backend server restarts under its name, a run ends there, and the owner, which doesn't know of the restart, sends a probe with the number of the last stored end of the former life. The new life forgets its own ends up to this number; nobody has seen them.

A probe to a backend server whose last probe was not answered, or that is suspected to have restarted, acknowledges nothing; the next one does.

What remains possible: the number in a probe that the new life carries out late, before it has seen the raised fencing token, or that is sent after an answer of the former life and before anything shows the restart.

--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -523,7 +523,11 @@
   probe->pool = pool;
   probe->backend = backend;
   probe->life = backend->life;
-  probe->acked_end = backend->stored_end;
+  /* A backend server that has not answered may have restarted: then the
+     number would acknowledge ends of its next life, which nobody has seen.  */
+  probe->acked_end = backend->probed && backend->unanswered_probes == 0
+                         ? backend->stored_end
+                         : 0;
   command.u.probe.acked_end = probe->acked_end;
   /* Extend the lease only if the backend server answers and is listed.  */
   if (backend->clock_received_at != 0 && backend->unanswered_probes == 0
--- a/tests/sim/jobs/test_restarted_backends.c
+++ b/tests/sim/jobs/test_restarted_backends.c
@@ -158,6 +158,28 @@
   jw_check_and_free (world);
 }
 
+/* A task ends in the next life, before the owner knows of the restart and
+   while the backend server is cut off.  The first probe after that must not
+   acknowledge this end with a number of the former life.  */
+static void
+test_acknowledgement_after_silence (void)
+{
+  struct jw_world *world = jw_create_world (&one_backend);
+  struct jw_backend *backend = jw_find_backend (world, 0, 0);
+  struct jw_task *task;
+
+  jw_submit_job (world, &first_job);
+  jw_advance (world, 2 * JB_SECOND);
+  jw_backend_restart (world, backend);
+  task = first_task (world, jw_submit_job (world, &long_job));
+  wait_for_run (world, task);
+  backend->unreachable = true;
+  wait_until_done (world, task);
+  backend->unreachable = false;
+  jw_advance (world, 10 * JB_SECOND);
+  jw_check_and_free (world);
+}
+
 /* A restarted backend server leaves the list for so long that it is forgotten,
    and returns: it must not refuse the commands of the same owner.  */
 static void
@@ -240,6 +262,8 @@
           { "numbers stored across a restart",
             test_numbers_stored_across_restart },
           { "a late acknowledgement", test_late_acknowledgement },
+          { "an acknowledgement after a silence",
+            test_acknowledgement_after_silence },
           { "a restarted backend server leaves and returns",
             test_return_after_restart },
           { "ends of the next life are acknowledged",
