--- a/packages/jobs/include/jb_backend.h
+++ b/packages/jobs/include/jb_backend.h
@@ -48,6 +48,12 @@
   bool excluded_from_roster;
   uint64_t exclusion; /* pool's number of this exclusion, if it is excluded */
   int64_t started_unix_ms; /* Unix time of its start; 0: not reported */
+  /* Pool's number of its life.  It may restart under its instance name; the
+     number rises when the owner learns of that.  */
+  uint32_t life;
+  /* It has restarted, and no answer has shown yet that it refuses the commands
+     of its former life.  */
+  bool may_get_former_commands;
   /* Its own clock.  */
   int64_t clock_ms; /* time that it last reported */
   /* When that report was received; 0: there was none.  */
@@ -106,11 +112,21 @@
 void jb_backend_record_clock (struct jb_backend *backend, jb_time now,
                               int64_t clock_ms);
 
+/* Return whether CLOCK_MS, the clock in the answer to a command that was sent
+   at SENT_AT, can't be the clock that is known: BACKEND has restarted.  */
+bool jb_backend_is_other_clock (const struct jb_backend *backend,
+                                jb_time sent_at, int64_t clock_ms);
+
 /* Return whether STARTED_UNIX_MS is known and differs from the known start
    time of BACKEND.  */
 bool jb_backend_has_restarted (const struct jb_backend *backend,
                                int64_t started_unix_ms);
 
+/* Record that BACKEND may have been granted a lease of LEASE_MS from now, by
+   its own clock, which must be known.  Return the end of that lease.  */
+int64_t jb_backend_expect_lease (struct jb_backend *backend, jb_time now,
+                                 int64_t lease_ms);
+
 /* Return the end of a lease of LEASE_MS from now, by the backend server's
    clock, and record that this lease is being requested.  The clock must be
    known.  */
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -75,6 +75,7 @@
 {
   struct jb_pool *pool;
   struct jb_backend *backend;
+  uint32_t life; /* of the backend server, as known when it was sent */
   struct jb_task_ref ref;
   uint32_t run;
 };
@@ -102,7 +103,9 @@
   struct jb_task *task = find_run (stop->pool, &stop->ref, backend, stop->run);
 
   (void)sent_at;
-  if (reply->result == JB_RESULT_GONE)
+  if (stop->life != backend->life)
+    ; /* It doesn't concern the present life.  */
+  else if (reply->result == JB_RESULT_GONE)
     jb_pool_clear_lost_runs (stop->pool, backend, now, JB_LOSS_REPLACED);
   else if (reply->result == JB_RESULT_CONFLICT
            && reply->refusal == JB_REFUSAL_FENCED)
@@ -127,13 +130,13 @@
   struct jb_command command
       = { .kind = JB_COMMAND_STOP_TASK,
           .timeout_ms = STOP_TIMEOUT_MS,
-          .backend = { backend->address, backend->instance,
-                       jb_ownership_fence (pool->ownership),
-                       backend->unanswered_probes > 0 },
+          .backend
+          = jb_pool_target (pool, backend, backend->unanswered_probes > 0),
           .u.stop_task = { name, run } };
 
   stop->pool = pool;
   stop->backend = backend;
+  stop->life = backend->life;
   stop->run = run;
   if (!jb_task_ref_parse (name, &stop->ref))
     memset (&stop->ref, 0, sizeof stop->ref);
@@ -214,6 +217,7 @@
   struct jb_pool *pool;
   struct jb_task *task; /* set when the reply is processed */
   struct jb_backend *backend;
+  uint32_t life; /* of the backend server, as known when it was sent */
   struct jb_task_ref ref;
   uint32_t run;
 };
@@ -304,6 +308,19 @@
   jb_pool_clear_run (pool, start->task, now);
 }
 
+/* Record the clock in the answer to START, unless it is the clock of another
+   life.  */
+static void
+record_clock (struct start_request *start, jb_time now, jb_time sent_at,
+              const struct jb_reply *reply)
+{
+  if (jb_backend_is_other_clock (start->backend, sent_at,
+                                 reply->backend_clock_ms))
+    jb_pool_suspect_restart (start->pool, start->backend, now);
+  else
+    jb_backend_record_clock (start->backend, now, reply->backend_clock_ms);
+}
+
 static void
 handle_start_ok (struct start_request *start, jb_time now, jb_time sent_at,
                  const struct jb_reply *reply)
@@ -319,7 +336,7 @@
     task->started_at = now;
   task->confirmed_at = now;
   task->state = JB_RUN_RUNNING;
-  jb_backend_record_clock (start->backend, now, reply->backend_clock_ms);
+  record_clock (start, now, sent_at, reply);
   start->backend->next_probe = MIN (start->backend->next_probe, now);
   if (!pool->first_start_observed)
     {
@@ -350,9 +367,10 @@
 
   backend->starts_in_flight--;
   start->task = task;
-  if (task == NULL)
+  if (task == NULL || start->life != backend->life)
     {
-      /* The run ended before its start was answered.  */
+      /* The run ended before its start was answered, or in which life of the
+         backend server the start was carried out isn't known.  */
       talloc_free (start);
       return;
     }
@@ -379,7 +397,7 @@
         {
           handle_start_refused (start, now, reply);
           if (reply->backend_clock_ms > 0)
-            jb_backend_record_clock (backend, now, reply->backend_clock_ms);
+            record_clock (start, now, sent_at, reply);
           jb_pool_clear_run (pool, task, now);
         }
       break;
@@ -407,13 +425,14 @@
   struct jb_command command
       = { .kind = JB_COMMAND_START_TASK,
           .timeout_ms = START_TIMEOUT_MS,
-          .backend = { backend->address, backend->instance,
-                       jb_ownership_fence (pool->ownership), false } };
+          .backend = jb_pool_target (pool, backend, false) };
 
   start->pool = pool;
   start->backend = backend;
+  start->life = backend->life;
   start->run = task->run;
   backend->starts_in_flight++;
+  task->start_sent_at = now;
   command.u.start_task.task = jb_task_name (task, name);
   jb_task_ref_parse (name, &start->ref);
   command.u.start_task.run = task->run;
