--- a/packages/jobs/include/jb_job.h
+++ b/packages/jobs/include/jb_job.h
@@ -56,10 +56,9 @@
   /* When the start of the current run was confirmed, or a probe first listed
      the run.  */
   jb_time started_at;
-  bool run_proven;       /* the current run has lasted for JB_CRASH_EARLY_MS */
-  bool inherited;        /* a previous owner started the current run */
-  jb_time ended_at;      /* when the last run ended; 0: there was none */
-  jb_time start_sent_at; /* when the current run was told to start */
+  bool run_proven;  /* the current run has lasted for JB_CRASH_EARLY_MS */
+  bool inherited;   /* a previous owner started the current run */
+  jb_time ended_at; /* when the last run ended; 0: there was none */
   /* When a stop was last sent, or the start timed out.  */
   jb_time last_attempt_at;
   jb_time reported_at;    /* when a probe last listed the current run */
--- a/packages/jobs/src/jb_pool_crash.c
+++ b/packages/jobs/src/jb_pool_crash.c
@@ -14,11 +14,6 @@
 #define LOSS_LIFETIME (15 * JB_SECOND)
 #define CRASH_LIFETIME (30 * JB_SECOND)
 
-/* How long after it was sent a start that is not answered may still be carried
-   out: the protocol says seconds, without a bound.  It includes the time for
-   the answer to a probe that is sent then.  */
-#define MAX_START_DELAY (6250 * JB_MS)
-
 /* A run that was lost with its backend server.  */
 struct lost_run
 {
@@ -64,25 +59,12 @@
   talloc_free (g_ptr_array_remove_index (pool->losses, index));
 }
 
-/* Return whether the run of TASK is lost by CAUSE.  After a restart, these are
-   all but those that the answer processed at NOW lists.  When the lease has
-   expired, a start that was not answered may yet be carried out: if the
-   backend server has restarted, by its young clock the lease has not
-   expired.  */
+/* Return whether the run of TASK is lost by CAUSE: after a restart, all but
+   those that the answer processed at NOW lists.  */
 static bool
 is_lost (const struct jb_task *task, enum jb_loss_cause cause, jb_time now)
 {
-  switch (cause)
-    {
-    case JB_LOSS_RESTARTED:
-      return task->reported_at != now;
-    case JB_LOSS_LEASE_EXPIRED:
-      return (task->state != JB_RUN_STARTING
-              && task->state != JB_RUN_UNCONFIRMED)
-             || now - task->start_sent_at >= MAX_START_DELAY;
-    default:
-      return true;
-    }
+  return cause != JB_LOSS_RESTARTED || task->reported_at != now;
 }
 
 /* Remember the runs on BACKEND that are lost by CAUSE.  */
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -257,8 +257,7 @@
 /* ---- jb_pool_crash.c ---- */
 
 /* Clear all runs on BACKEND, which have ended there without a report; after a
-   restart, those that its answer processed at NOW doesn't list; when its lease
-   has expired, those whose start can't be carried out any more.  Count a crash
+   restart, those that its answer processed at NOW doesn't list.  Count a crash
    for each of them, at once or when it shows, unless BACKEND was leaving as
    planned.  */
 void jb_pool_clear_lost_runs (struct jb_pool *pool, struct jb_backend *backend,
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -462,8 +462,7 @@
           || jb_pool_has_disabled (pool, JB_SAFEGUARD_LEASE_EXPIRY)))
     {
       jb_pool_clear_lost_runs (pool, backend, now, JB_LOSS_LEASE_EXPIRED);
-      if (backend->task_count == 0)
-        jb_pool_remove_from_roster (pool, backend);
+      jb_pool_remove_from_roster (pool, backend);
       backend->next_probe = now + EXPIRED_RETRY_INTERVAL;
     }
   else if (backend->clock_received_at == 0)
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -432,7 +432,6 @@
   start->life = backend->life;
   start->run = task->run;
   backend->starts_in_flight++;
-  task->start_sent_at = now;
   command.u.start_task.task = jb_task_name (task, name);
   jb_task_ref_parse (name, &start->ref);
   command.u.start_task.run = task->run;
