Hand a pool over to an entry host with much more processor time

What callers saw: after most entry hosts lost power at once, a pool with 77 backend servers was claimed by a host with 0.12 of a core, 0.3 s before the hosts with 0.5 were back.

Cause: the share of a processor counts only when a partition is claimed; nothing reconsiders who owns it.

An owner now releases a pool, as it does at SIGTERM, for a coordinator with at least twice its share of a processor and 1.25 times the share for each partition, which claims it since it comes first among the candidates. jb_handover decides that from plain tables and the time. The other host reaches the store, has the configuration and has been alive for 4 s; interruptions of less than 3 s don't count, since a late owner hears others late. One pool every 3 s, none while a host is claiming a partition, the pool is being taken over, a backend server in its roster is silent, or an evacuated host is about to be taken out.

Why it works: the share of a process is fixed and a pool only moves to a multiple of it, so no pool comes back and the moves end. Hosts with the same or an unknown share hand over nothing; the planner's partition doesn't move.

Ruled out: by the lateness of the owner's event loop. It shows when runs have lapsed already, and equal hosts that are late for a while would give their pools away. Not measured.

The test had counted 4 moves; the standby pool is a fifth, so it now asserts exactly 5. With the check of silent backend servers removed, its new case fails.

--- a/packages/jobs/include/jb_members.h
+++ b/packages/jobs/include/jb_members.h
@@ -20,6 +20,7 @@
   /* Content of its last heartbeat, and when that was received.  */
   uint32_t cpu_share_milli;  /* of one processor, in thousandths; 0: unknown */
   jb_time last_heartbeat_at; /* 0: never */
+  jb_time alive_since;       /* see jb_members_find_successor */
   bool stopping;
   bool store_reachable;
   jb_time store_answered_at; /* when the store last answered it; 0: never */
@@ -133,6 +134,17 @@
 bool jb_members_should_claim (struct jb_members *members, jb_time now,
                               const char *partition, uint32_t own_count);
 
+/* Return the name of the host to which this host, whose state is SELF, should
+   hand over one of its pools now, borrowed, or NULL if there is none: see
+   jb_handover_choose.  It last handed one over at LAST_HANDOVER_AT, 0 for
+   never.  An interruption of a member's heartbeats of up to 3 s does not
+   count, since a host that is short of processor time receives heartbeats
+   late.  */
+const char *jb_members_find_successor (const struct jb_members *members,
+                                       jb_time now,
+                                       const struct jb_self_status *self,
+                                       jb_time last_handover_at);
+
 /* Return a fence above FENCE that a live member reports for PARTITION, or 0 if
    there is none.  */
 uint64_t jb_members_superseding_fence (const struct jb_members *members,
--- a/packages/jobs/include/jb_pool.h
+++ b/packages/jobs/include/jb_pool.h
@@ -68,6 +68,12 @@
    last one did not fail.  */
 jb_time jb_pool_store_failing_since (const struct jb_pool *pool);
 
+/* Return whether a successor could start tasks soon after this host has
+   released POOL: no takeover is under way, a successor would not have to wait
+   for a backend server that is silent, and no host is about to be removed that
+   it would put into the roster again.  */
+bool jb_pool_can_be_handed_over (const struct jb_pool *pool, jb_time now);
+
 /* Release the ownership of POOL, and log REASON.  No commands are sent to
    backend servers afterwards; rows may still be written until POOL is freed.
    Requests that wait for a write are answered with JB_MSG_NOT_OWNER; those
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -4,6 +4,8 @@
 
 #include "jb_host_internal.h"
 
+#include "ba_hash.h"
+
 #include <string.h>
 
 /* How long a watch of the configuration waits for a change.  This is shorter
@@ -25,6 +27,8 @@
 
 /* Time between two checks of which partitions to claim or release.  */
 #define OWNERSHIP_CHECK_INTERVAL (50 * JB_MS)
+/* Time between two checks of whether to hand over a pool.  */
+#define HANDOVER_CHECK_INTERVAL (500 * JB_MS)
 /* Delay before a partition is claimed again after this host lost or released
    it, or failed to claim it.  */
 #define CLAIM_RETRY_DELAY (300 * JB_MS)
@@ -493,17 +497,17 @@
 
 /* ---- membership ---- */
 
-/* Do what is due for the membership, such as sending this host's heartbeat.
-   Lower NEXT to the time of the next call if that is earlier.  */
-static void
-run_members (struct jb_host *host, jb_time now, jb_time *next)
+/* Return what this host reports about itself.  Its ownerships are owned by
+   MEM.  */
+static struct jb_self_status
+get_status (const struct jb_host *host, TALLOC_CTX *mem, jb_time now)
 {
   struct jb_self_status status
       = { .stopping = host->stopping,
           .store_reachable = jb_host_can_reach_store (host, now),
           .catalog_version = jb_host_catalog_version (host) };
   struct jb_msg_ownership *ownerships
-      = talloc_array (NULL, struct jb_msg_ownership, host->pools->len + 1);
+      = talloc_array (mem, struct jb_msg_ownership, host->pools->len + 1);
 
   if (host->planner != NULL && !jb_planner_has_ended (host->planner))
     ownerships[status.ownership_count++]
@@ -525,13 +529,72 @@
   if (jb_driver_store_answered_at (host->driver) != 0)
     status.store_answer_age_ms
         = (now - jb_driver_store_answered_at (host->driver)) / JB_MS;
+  return status;
+}
+
+/* Do what is due for the membership, such as sending this host's heartbeat.
+   Lower NEXT to the time of the next call if that is earlier.  */
+static void
+run_members (struct jb_host *host, jb_time now, jb_time *next)
+{
+  TALLOC_CTX *scratch = talloc_new (NULL);
+  struct jb_self_status status = get_status (host, scratch, now);
+
   if (host->heartbeat_due)
     {
       host->heartbeat_due = false;
       jb_members_send_heartbeat (host->members, now, &status);
     }
   *next = MIN (*next, jb_members_run (host->members, now, &status));
-  talloc_free (ownerships);
+  talloc_free (scratch);
+}
+
+/* ---- handing pools over ---- */
+
+/* Return a pool that a successor could soon go on with, or NULL.  */
+static struct jb_pool *
+find_pool_to_hand_over (const struct jb_host *host, jb_time now)
+{
+  for (guint i = 0; i < host->pools->len; i++)
+    {
+      struct pool_slot *slot = g_ptr_array_index (host->pools, i);
+
+      if (jb_host_slot_is_owned (slot)
+          && jb_pool_can_be_handed_over (slot->pool, now))
+        return slot->pool;
+    }
+  return NULL;
+}
+
+/* Release a pool if another host should get it.  That host claims it, since it
+   comes first among those that could.  */
+static void
+hand_over_pool (struct jb_host *host, jb_time now)
+{
+  TALLOC_CTX *scratch;
+  struct jb_self_status status;
+  struct jb_pool *pool;
+  const char *successor;
+
+  if (now < host->next_handover_check)
+    return;
+  host->next_handover_check = now + HANDOVER_CHECK_INTERVAL;
+  pool = find_pool_to_hand_over (host, now);
+  if (pool == NULL)
+    return;
+  scratch = talloc_new (NULL);
+  status = get_status (host, scratch, now);
+  successor = jb_members_find_successor (host->members, now, &status,
+                                         host->last_handover_at);
+  if (successor != NULL)
+    {
+      host->last_handover_at = now;
+      jb_pool_release (pool, now,
+                       talloc_asprintf (scratch,
+                                        "%s has a larger share of a processor",
+                                        successor));
+    }
+  talloc_free (scratch);
 }
 
 /* ---- functions that the driver calls ---- */
@@ -567,6 +630,11 @@
   host->options.zone = talloc_strdup (host, options->zone);
   host->options.address = talloc_strdup (host, options->address);
   host->now = now;
+  /* Owners check at different moments, so that each learns what the one before
+     it has handed over.  */
+  host->next_handover_check = now
+                              + (jb_time)(ba_hash_str (options->name, 0)
+                                          % (uint64_t)HANDOVER_CHECK_INTERVAL);
   host->pools = g_ptr_array_new ();
   host->waves = g_ptr_array_new ();
   host->driver = jb_driver_new (host, ops, context);
@@ -680,6 +748,7 @@
   host->now = now;
   free_ended_ownerships (host, now);
   check_ownerships (host, now);
+  hand_over_pool (host, now);
   watch_configuration (host, now);
   list_backends (host, now);
   request_catalog (host, now);
--- a/packages/jobs/src/jb_host_internal.h
+++ b/packages/jobs/src/jb_host_internal.h
@@ -56,6 +56,8 @@
   jb_time next_list;
   jb_time frequent_lists_until; /* a host is arriving in a pool owned here */
   jb_time next_ownership_check;
+  jb_time next_handover_check;
+  jb_time last_handover_at; /* of a pool to a larger host; 0: never */
 };
 
 /* ---- jb_host.c ---- */
--- a/packages/jobs/src/jb_members.c
+++ b/packages/jobs/src/jb_members.c
@@ -19,6 +19,7 @@
 #include "jb_members.h"
 
 #include "ba_hash.h"
+#include "jb_handover.h"
 
 #include <string.h>
 
@@ -26,6 +27,11 @@
    which is five heartbeat intervals.  */
 #define MAX_HEARTBEAT_AGE (1000 * JB_MS)
 
+/* A member has been alive since the end of its last silence that was longer
+   than this.  An overloaded host, whose event loop may be 2 s late, must not
+   take its own lateness for the silence of others.  */
+#define MAX_INTERRUPTION (3000 * JB_MS)
+
 /* Time between two heartbeats.  Those from and to an ordinary host are only
    sent every second time.  */
 #define HEARTBEAT_INTERVAL (200 * JB_MS)
@@ -271,6 +277,9 @@
   if (!jb_member_is_alive (member, now))
     jb_log (members->options.driver, JB_LEVEL_INFO, "member-alive", "member",
             member->name, NULL);
+  if (member->last_heartbeat_at == 0
+      || now - member->last_heartbeat_at > MAX_INTERRUPTION)
+    member->alive_since = now;
   member->last_heartbeat_at = now;
   member->cpu_share_milli = heartbeat->cpu_share_milli;
   member->stopping = heartbeat->stopping;
@@ -926,3 +935,56 @@
          >= claim_rank (members, now, partition, own_count)
                 * CLAIM_DELAY_PER_RANK;
 }
+
+/* ---- handing a pool over ---- */
+
+/* Return whether one of the COUNT OWNERSHIPS is only being claimed.  */
+static bool
+has_claim (const struct jb_msg_ownership *ownerships, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    if (ownerships[i].fence == 0)
+      return true;
+  return false;
+}
+
+const char *
+jb_members_find_successor (const struct jb_members *members, jb_time now,
+                           const struct jb_self_status *self,
+                           jb_time last_handover_at)
+{
+  struct jb_handover_host own
+      = { .name = members->options.name,
+          .cpu_share_milli = members->options.cpu_share_milli,
+          .ownership_count = self->ownership_count,
+          .is_claiming = has_claim (self->ownerships, self->ownership_count),
+          .may_claim = self->store_reachable && !self->stopping };
+  struct jb_handover_host *hosts = talloc_array (
+      NULL, struct jb_handover_host, members->all_members->len + 1);
+  const struct jb_handover_host *successor;
+  const char *name;
+  uint32_t count = 0;
+
+  for (guint i = 0; i < members->all_members->len; i++)
+    {
+      const struct jb_member *member
+          = g_ptr_array_index (members->all_members, i);
+
+      if (!jb_member_is_alive (member, now))
+        continue;
+      hosts[count++] = (struct jb_handover_host){
+        .name = member->name,
+        .cpu_share_milli = member->cpu_share_milli,
+        .ownership_count = member->ownership_count,
+        .is_claiming = has_claim (member->ownerships, member->ownership_count),
+        .may_claim = member->is_coordinator && member->store_reachable
+                     && !member->stopping
+                     && member->catalog_version >= self->catalog_version,
+        .alive_since = member->alive_since
+      };
+    }
+  successor = jb_handover_choose (&own, hosts, count, last_handover_at, now);
+  name = successor != NULL ? successor->name : NULL;
+  talloc_free (hosts);
+  return name;
+}
--- a/packages/jobs/src/jb_pool_takeover.c
+++ b/packages/jobs/src/jb_pool_takeover.c
@@ -238,3 +238,28 @@
           jb_itoa ((now - pool->loading_since) / JB_MS), "unprobed",
           jb_itoa (unprobed), NULL);
 }
+
+bool
+jb_pool_can_be_handed_over (const struct jb_pool *pool, jb_time now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (pool->stage != JB_STAGE_ACTIVE || !jb_pool_may_command (pool, now))
+    return false;
+  g_hash_table_iter_init (&iter, pool->backends);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct jb_backend *backend = value;
+      bool is_silent = backend->unanswered_probes >= JB_SILENT_AFTER_PROBES;
+      bool is_evacuated = backend->excluded_from_roster
+                          && now < backend->cordoned_until
+                          && backend->unanswered_probes == 0;
+
+      if (is_evacuated
+          || (is_silent && backend->in_roster
+              && !backend->excluded_from_roster))
+        return false;
+    }
+  return true;
+}
--- a/packages/jobs/tests/test_jb_members.c
+++ b/packages/jobs/tests/test_jb_members.c
@@ -1,4 +1,5 @@
-/* Test of which host claims a partition that has no owner.
+/* Test of which host claims a partition that has no owner, and of which one
+   gets a pool from its owner.
 
    Expected load: the shares of a processor that hosts have differ by a factor
    of four, and managing a pool of a hundred backend servers needs more than
@@ -70,6 +71,55 @@
   return claim;
 }
 
+/* Return whether this host, which owns a pool, hands it over at NOW to the
+   only other host, a larger one that has sent a heartbeat every 200 ms for 5 s
+   except in the SILENCE that ended 1 s before.  */
+static bool
+hands_over_after (jb_time silence)
+{
+  TALLOC_CTX *mem = talloc_new (NULL);
+  uint64_t last = 0;
+  struct jb_driver *driver = jb_driver_new (mem, &driver_ops, &last);
+  struct jb_members_options options = { .driver = driver,
+                                        .name = "own",
+                                        .address = "10.0.0.1:1",
+                                        .zone = "a",
+                                        .cpu_share_milli = 120,
+                                        .incarnation = 1 };
+  struct jb_members *members = jb_members_new (mem, 0, &options);
+  struct jb_msg_heartbeat heartbeat = { .name = "other",
+                                        .address = "10.0.0.2:1",
+                                        .zone = "b",
+                                        .cpu_share_milli = 500,
+                                        .store_reachable = true,
+                                        .catalog_version = 7 };
+  struct jb_msg_ownership held = { "x", 1 };
+  struct jb_self_status self = { .store_reachable = true,
+                                 .catalog_version = 7,
+                                 .ownerships = &held,
+                                 .ownership_count = 1 };
+  jb_time silence_end = NOW - JB_SECOND;
+  bool result;
+
+  for (jb_time when = NOW - 5 * JB_SECOND; when <= NOW; when += 200 * JB_MS)
+    if (when >= silence_end || when <= silence_end - silence)
+      jb_members_receive_heartbeat (members, when, 2, &heartbeat);
+  (void)jb_members_run (members, NOW, &self);
+  result = jb_members_find_successor (members, NOW, &self, 0) != NULL;
+  talloc_free (mem);
+  return result;
+}
+
+/* A host that is short of processor time receives heartbeats late, and does
+   not take that for a silence of their sender.  */
+static void
+test_silence_before_handover (void)
+{
+  CU_ASSERT (hands_over_after (0));
+  CU_ASSERT (hands_over_after (2 * JB_SECOND));
+  CU_ASSERT_FALSE (hands_over_after (3200 * JB_MS));
+}
+
 /* The host with the larger share of a processor claims, whichever comes first
    in the order of the hashed names.  */
 static void
@@ -106,6 +156,7 @@
             test_share_per_partition },
           { "a host without a reported CPU share counts as one processor",
             test_unreported_share },
+          { "a late host hands its pool over", test_silence_before_handover },
           { NULL, NULL } };
 
   return dp_test_main ("choice of the claiming host", tests);
--- a/packages/jobs/tests/test_jb_policies.c
+++ b/packages/jobs/tests/test_jb_policies.c
@@ -1,8 +1,9 @@
 /* The decision functions: ranking, admission, quotas, forecasts, host moves,
-   throttling and placement.  */
+   hand-overs, throttling and placement.  */
 
 #include "dp_test.h"
 #include "jb_admission.h"
+#include "jb_handover.h"
 #include "jb_quota.h"
 #include "jb_rebalance.h"
 #include "jb_throttle.h"
@@ -274,6 +275,106 @@
   CU_ASSERT_EQUAL (jb_throttle_decide (&input, now), 100);
 }
 
+/* Return the name of the host that gets a pool of OWNER, or "" if it stays. */
+static const char *
+successor (const struct jb_handover_host *owner,
+           const struct jb_handover_host *hosts, uint32_t count,
+           jb_time last_handover_at)
+{
+  const struct jb_handover_host *chosen = jb_handover_choose (
+      owner, hosts, count, last_handover_at, 60 * JB_SECOND);
+
+  return chosen != NULL ? chosen->name : "";
+}
+
+/* A pool moves to the host with the most processor time left, if that is much
+   more than the owner has.  */
+static void
+test_handover (void)
+{
+  static const struct jb_handover_host owner
+      = { .cpu_share_milli = 120, .ownership_count = 1, .may_claim = true };
+  struct jb_handover_host hosts[]
+      = { { .name = "small", .cpu_share_milli = 120, .may_claim = true },
+          { .name = "busy",
+            .cpu_share_milli = 500,
+            .ownership_count = 1,
+            .may_claim = true },
+          { .name = "idle", .cpu_share_milli = 500, .may_claim = true } };
+
+  CU_ASSERT_STRING_EQUAL (successor (&owner, hosts, 3, 0), "idle");
+  CU_ASSERT_STRING_EQUAL (successor (&owner, hosts, 2, 0), "busy");
+  CU_ASSERT_STRING_EQUAL (successor (&owner, hosts, 1, 0), "");
+  /* A third of 500 is a gain, a quarter is not.  */
+  hosts[1].ownership_count = 2;
+  CU_ASSERT_STRING_EQUAL (successor (&owner, hosts, 2, 0), "busy");
+  hosts[1].ownership_count = 3;
+  CU_ASSERT_STRING_EQUAL (successor (&owner, hosts, 2, 0), "");
+}
+
+/* A host gets no pool before it has been alive for long, nor while it could
+   not claim one.  */
+static void
+test_handover_to_unready_host (void)
+{
+  static const struct jb_handover_host owner
+      = { .cpu_share_milli = 120, .ownership_count = 1, .may_claim = true };
+  struct jb_handover_host host
+      = { .name = "large", .cpu_share_milli = 500, .may_claim = true };
+
+  host.alive_since = 56001 * JB_MS;
+  CU_ASSERT_STRING_EQUAL (successor (&owner, &host, 1, 0), "");
+  host.alive_since = 56000 * JB_MS;
+  CU_ASSERT_STRING_EQUAL (successor (&owner, &host, 1, 0), "large");
+  host.may_claim = false;
+  CU_ASSERT_STRING_EQUAL (successor (&owner, &host, 1, 0), "");
+}
+
+/* An owner hands pools over one after the other.  */
+static void
+test_handover_interval (void)
+{
+  struct jb_handover_host owner
+      = { .cpu_share_milli = 120, .ownership_count = 2, .may_claim = true };
+  struct jb_handover_host hosts[]
+      = { { .name = "large", .cpu_share_milli = 500, .may_claim = true },
+          { .name = "other", .cpu_share_milli = 120, .may_claim = true } };
+
+  CU_ASSERT_STRING_EQUAL (successor (&owner, hosts, 2, 57001 * JB_MS), "");
+  CU_ASSERT_STRING_EQUAL (successor (&owner, hosts, 2, 57000 * JB_MS),
+                          "large");
+  hosts[1].is_claiming = true;
+  CU_ASSERT_STRING_EQUAL (successor (&owner, hosts, 2, 0), "");
+  hosts[1].is_claiming = false;
+  owner.is_claiming = true;
+  CU_ASSERT_STRING_EQUAL (successor (&owner, hosts, 2, 0), "");
+  owner.is_claiming = false;
+  owner.may_claim = false;
+  CU_ASSERT_STRING_EQUAL (successor (&owner, hosts, 2, 0), "");
+}
+
+/* Hosts with nearly the same share, or an unknown one, keep their pools
+   however many they have.  */
+static void
+test_handover_between_equals (void)
+{
+  struct jb_handover_host owner
+      = { .cpu_share_milli = 500, .ownership_count = 20, .may_claim = true };
+  struct jb_handover_host host
+      = { .name = "other", .cpu_share_milli = 500, .may_claim = true };
+
+  CU_ASSERT_STRING_EQUAL (successor (&owner, &host, 1, 0), "");
+  host.cpu_share_milli = 999;
+  CU_ASSERT_STRING_EQUAL (successor (&owner, &host, 1, 0), "");
+  host.cpu_share_milli = 1000;
+  CU_ASSERT_STRING_EQUAL (successor (&owner, &host, 1, 0), "other");
+  host.cpu_share_milli = 0;
+  CU_ASSERT_STRING_EQUAL (successor (&owner, &host, 1, 0), "");
+  host.cpu_share_milli = 1000;
+  owner.cpu_share_milli = 0;
+  CU_ASSERT_STRING_EQUAL (successor (&owner, &host, 1, 0), "");
+}
+
 /* Return a backend server in RACK, which is also its instance, with CPU in
    thousandths of a core.  */
 static struct jb_backend *
@@ -397,6 +498,12 @@
           { "hosts move ahead of a surge", test_rebalance_ahead },
           { "idle hosts of calm pools are maintained first", test_wave },
           { "best-effort tasks slow down for services", test_throttle },
+          { "pools move to hosts with more processor time", test_handover },
+          { "pools don't move to hosts that can't claim them",
+            test_handover_to_unready_host },
+          { "pools move one after the other", test_handover_interval },
+          { "pools don't move between equal hosts",
+            test_handover_between_equals },
           { "placement by size, rack, label and limit", test_place },
           { NULL, NULL } };
 
--- a/tests/sim/jobs/jw_soak.c
+++ b/tests/sim/jobs/jw_soak.c
@@ -337,6 +337,7 @@
   struct jw_options options
       = { .seed = soak->seed,
           .hosts = 3 + soak->seed % 4 + soak->more_hosts,
+          .small_hosts = soak->small_hosts,
           .pools = 2,
           .backends = 4,
           .backend_cpu_milli = 12000,
--- a/tests/sim/jobs/jw_soak.h
+++ b/tests/sim/jobs/jw_soak.h
@@ -13,6 +13,7 @@
   bool stall_one_host;          /* again and again, as if it were short of
                                    processor time */
   uint32_t more_hosts;          /* entry hosts beyond the usual 3 to 6 */
+  uint32_t small_hosts;         /* as in struct jw_options */
   bool verbose;
   /* These three as in struct jw_options.  */
   const struct jw_external_hosts *external_hosts;
--- a/tests/sim/jobs/measure_takeover.c
+++ b/tests/sim/jobs/measure_takeover.c
@@ -1,5 +1,6 @@
 /* Measures in virtual time how long a pool starts no task after its owner
-   failed and after a store outage ended: measure_takeover --seeds 100
+   failed, after a store outage ended, and after its owner, a small host,
+   handed it over: measure_takeover --seeds 100
 
    Exit status 0 if no median exceeds its goal.  */
 
@@ -13,6 +14,8 @@
    outage, to the start of the next task.  */
 #define OWNER_FAILURE_GOAL_MS 1500
 #define STORE_RETURN_GOAL_MS 1000
+/* The same from the moment at which the owner has released the pool.  */
+#define HANDOVER_GOAL_MS 300
 /* Always met, since no measured time exceeds MAX_WAIT.  */
 #define NO_GOAL_MS (MAX_WAIT / JB_MS)
 
@@ -32,6 +35,7 @@
   FAULT_OWNER_CUT_OFF,           /* the owner no longer reaches the store */
   FAULT_STORE_DOWN,              /* for 4 s */
   FAULT_STORE_DOWN_OWNER_KILLED, /* the owner is killed during the outage */
+  FAULT_SMALL_OWNER,             /* it hands the pool over */
   FAULT_KIND_COUNT
 };
 
@@ -45,7 +49,8 @@
         [FAULT_OWNER_CUT_OFF] = { "owner cut off from the store", NO_GOAL_MS },
         [FAULT_STORE_DOWN] = { "store returned", STORE_RETURN_GOAL_MS },
         [FAULT_STORE_DOWN_OWNER_KILLED]
-        = { "store returned, owner dead", STORE_RETURN_GOAL_MS } };
+        = { "store returned, owner dead", STORE_RETURN_GOAL_MS },
+        [FAULT_SMALL_OWNER] = { "handed over", HANDOVER_GOAL_MS } };
 
 static const struct jw_job_options load = { .pool = 0,
                                             .step_count = 1,
@@ -82,6 +87,26 @@
   return world->now - begun;
 }
 
+/* Let a small host claim the pool while the only large one is down, and wait
+   until it hands the pool over.  */
+static void
+wait_for_handover (struct jw_world *world)
+{
+  jb_time end;
+
+  jw_host_kill (world, 0);
+  submit_for (world, 3 * JB_SECOND);
+  jw_host_start (world, 0);
+  end = world->now + MAX_WAIT;
+  for (uint32_t ms = 0; jw_pool_owner (world, 0) >= 0 && world->now < end;
+       ms++)
+    {
+      if (ms % (SUBMIT_INTERVAL / JB_MS) == 0)
+        jw_submit_job (world, &load);
+      jw_advance (world, JB_MS);
+    }
+}
+
 static void
 inject_fault (struct jw_world *world, enum fault_kind kind)
 {
@@ -98,6 +123,9 @@
     case FAULT_OWNER_CUT_OFF:
       world->hosts[owner].store_unreachable = true;
       break;
+    case FAULT_SMALL_OWNER:
+      wait_for_handover (world);
+      break;
     default:
       world->store_down = true;
       submit_for (world, JB_SECOND);
@@ -115,11 +143,13 @@
 static jb_time
 measure_wait (enum fault_kind kind, uint32_t seed)
 {
-  struct jw_options options = { .seed = seed,
-                                .hosts = 5,
-                                .pools = 2,
-                                .backends = 6,
-                                .backend_cpu_milli = 16000 };
+  struct jw_options options
+      = { .seed = seed,
+          .hosts = 5,
+          .small_hosts = kind == FAULT_SMALL_OWNER ? 4 : 0,
+          .pools = 2,
+          .backends = 6,
+          .backend_cpu_milli = 16000 };
   struct jw_world *world = jw_world_new (&options);
   jb_time result;
 
--- a/tests/sim/jobs/soak_jobs.c
+++ b/tests/sim/jobs/soak_jobs.c
@@ -17,6 +17,7 @@
   bool stalls;
   bool no_guard;
   uint32_t more_hosts;
+  uint32_t small_hosts;
   bool verbose;
 };
 
@@ -28,6 +29,10 @@
   { "no-guard", 'g', NULL, 0, "Let backend servers start what does not fit",
     0 },
   { "more-hosts", 'm', "N", 0, "Entry hosts beyond the usual 3 to 6 (0)", 0 },
+  { "small-hosts", 'l', "N", 0,
+    "Entry hosts with a small share of a processor, the others have a large "
+    "one (0: all unknown)",
+    0 },
   { "verbose", 'v', NULL, 0, "Print the log lines of the entry hosts", 0 },
   { 0 }
 };
@@ -58,6 +63,9 @@
       arguments->more_hosts
           = MIN ((uint32_t)strtoul (value, NULL, 10), JW_MAX_HOST_COUNT - 6);
       return 0;
+    case 'l':
+      arguments->small_hosts = MIN ((uint32_t)strtoul (value, NULL, 10), 3);
+      return 0;
     case 'v':
       arguments->verbose = true;
       return 0;
@@ -85,6 +93,7 @@
               .stall_one_host = arguments.stalls,
               .no_overload_guard = arguments.no_guard,
               .more_hosts = arguments.more_hosts,
+              .small_hosts = arguments.small_hosts,
               .verbose = arguments.verbose };
 
       jw_soak_run (&soak);
--- a/tests/sim/jobs/test_small_owner.c
+++ b/tests/sim/jobs/test_small_owner.c
@@ -11,7 +11,7 @@
   HOST_COUNT = 12,
   SMALL_HOST_COUNT = 8,
   LARGE_HOST_COUNT = HOST_COUNT - SMALL_HOST_COUNT,
-  POOL_COUNT = 4,
+  POOL_COUNT = 4, /* without the standby pool */
   SEEDS = 5
 };
 
@@ -114,7 +114,7 @@
 }
 
 /* Hosts with four times the share of a processor are alive and own nothing.
-   Each pool moves once.  */
+   Each pool moves once, and the standby pool too.  */
 static void
 test_pool_stays_on_small_host (void)
 {
@@ -129,7 +129,7 @@
       CU_ASSERT_EQUAL (count_pools_of_large_hosts (world), POOL_COUNT);
       submit_for (world, 10 * JB_SECOND);
       CU_ASSERT_EQUAL (count_pools_of_large_hosts (world), POOL_COUNT);
-      CU_ASSERT_EQUAL (count_releases (world), POOL_COUNT);
+      CU_ASSERT_EQUAL (count_releases (world), POOL_COUNT + 1);
       jw_advance (world, 10 * JB_SECOND);
       jw_check_and_free (world);
     }
@@ -204,6 +204,36 @@
   jw_check_and_free (world);
 }
 
+/* A successor would wait for the leases of a backend server that does not
+   answer, so the pool moves when it has left the roster.  */
+static void
+test_successor_waits_for_silent_backend (void)
+{
+  struct jw_world *world = create_world (SMALL_HOST_COUNT, 1);
+  struct jw_backend *backend;
+  jb_time end;
+
+  let_small_hosts_claim (world);
+  start_hosts (world, 0, LARGE_HOST_COUNT);
+  submit_for (world, JB_SECOND);
+  backend = jw_find_backend (world, 0, 0);
+  CU_ASSERT_FATAL (backend != NULL);
+  if (backend == NULL)
+    return; /* for the static analysis */
+  CU_ASSERT (jw_is_in_roster (world, backend->instance));
+  backend->unreachable = true;
+  end = world->now + MOVE_TIME;
+  while (jw_pool_owner (world, 0) >= LARGE_HOST_COUNT && world->now < end)
+    submit_for (world, 50 * JB_MS);
+  CU_ASSERT_FALSE (jw_is_in_roster (world, backend->instance));
+  submit_for (world, JB_SECOND);
+  CU_ASSERT (jw_pool_owner (world, 0) >= 0);
+  CU_ASSERT (jw_pool_owner (world, 0) < LARGE_HOST_COUNT);
+  backend->unreachable = false;
+  jw_advance (world, 10 * JB_SECOND);
+  jw_check_and_free (world);
+}
+
 /* Hosts that are alike hand nothing over, however unevenly the pools are
    spread: all small, or with unknown shares.  */
 static void
@@ -240,6 +270,8 @@
             test_pools_move_to_restarting_hosts },
           { "pools are released while the store is down",
             test_pools_released_without_store },
+          { "a successor waits for a silent backend server",
+            test_successor_waits_for_silent_backend },
           { "pools move between equal hosts",
             test_pools_move_between_equal_hosts },
           { NULL, NULL } };
