--- a/tests/sim/jobs/jw_soak.h
+++ b/tests/sim/jobs/jw_soak.h
@@ -15,6 +15,7 @@
   bool restart_backends;        /* under their names, while commands to them
                                    are carried out late */
   uint32_t more_hosts;          /* entry hosts beyond the usual 3 to 6 */
+  uint32_t small_hosts;         /* as in struct jw_options */
   bool verbose;
   /* These three as in struct jw_options.  */
   const struct jw_external_hosts *external_hosts;
--- a/tests/sim/jobs/soak_jobs.c
+++ b/tests/sim/jobs/soak_jobs.c
@@ -18,6 +18,7 @@
   bool no_guard;
   bool restarts;
   uint32_t more_hosts;
+  uint32_t small_hosts;
   bool verbose;
 };
 
@@ -31,6 +32,10 @@
   { "restarts", 'b', NULL, 0,
     "Restart backend servers under their names, with late commands", 0 },
   { "more-hosts", 'm', "N", 0, "Entry hosts beyond the usual 3 to 6 (0)", 0 },
+  { "small-hosts", 'l', "N", 0,
+    "Entry hosts with a small share of a processor, the others have a large "
+    "one (0: all unknown)",
+    0 },
   { "verbose", 'v', NULL, 0, "Print the log lines of the entry hosts", 0 },
   { 0 }
 };
@@ -64,6 +69,9 @@
       arguments->more_hosts
           = MIN ((uint32_t)strtoul (value, NULL, 10), JW_MAX_HOST_COUNT - 6);
       return 0;
+    case 'l':
+      arguments->small_hosts = MIN ((uint32_t)strtoul (value, NULL, 10), 3);
+      return 0;
     case 'v':
       arguments->verbose = true;
       return 0;
@@ -92,6 +100,7 @@
               .no_overload_guard = arguments.no_guard,
               .restart_backends = arguments.restarts,
               .more_hosts = arguments.more_hosts,
+              .small_hosts = arguments.small_hosts,
               .verbose = arguments.verbose };
 
       jw_soak_run (&soak);
