Look for due probes once per iteration

An iteration went through all backend servers to send the probes that are due, and again for the time of the next one. Both is one loop now.

--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -916,12 +916,11 @@
   jb_pool_schedule (pool, now);
   jb_pool_write_roster (pool, now);
   jb_pool_write_dirty_jobs (pool, now);
-  jb_pool_send_probes (pool, now);
+  due = MIN (due, jb_pool_send_probes (pool, now));
   if (pool->schedule_due)
     due = MIN (due, pool->next_schedule);
   due = MIN (due, pool->next_sweep);
   if (pool->stage >= JB_STAGE_SCANNING)
     due = MIN (due, jb_pool_usage_report_due_at (pool));
-  due = MIN (due, jb_pool_write_due_at (pool));
-  return MIN (due, jb_pool_probe_due_at (pool));
+  return MIN (due, jb_pool_write_due_at (pool));
 }
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -220,10 +220,9 @@
 
 /* ---- jb_pool_probe.c ---- */
 
-/* Send the probes that are due.  */
-void jb_pool_send_probes (struct jb_pool *pool, jb_time now);
-/* Return when the next probe of a backend server is due, or JB_NEVER.  */
-jb_time jb_pool_probe_due_at (const struct jb_pool *pool);
+/* Send the probes that are due.  Return when the next probe of a backend
+   server is due, or JB_NEVER.  */
+jb_time jb_pool_send_probes (struct jb_pool *pool, jb_time now);
 
 /* ---- jb_pool_crash.c ---- */
 
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -519,29 +519,11 @@
   return due;
 }
 
-void
-jb_pool_send_probes (struct jb_pool *pool, jb_time now)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  if (pool->stage < JB_STAGE_SCANNING
-      || jb_ownership_state (pool->ownership) != JB_OWNERSHIP_HELD)
-    return;
-  g_hash_table_iter_init (&iter, pool->backends);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct jb_backend *backend = value;
-
-      if (now >= probe_due_at (backend))
-        send_probe (pool, backend, now);
-    }
-}
-
 jb_time
-jb_pool_probe_due_at (const struct jb_pool *pool)
+jb_pool_send_probes (struct jb_pool *pool, jb_time now)
 {
-  jb_time due = JB_NEVER;
+  bool may_send = jb_ownership_state (pool->ownership) == JB_OWNERSHIP_HELD;
+  jb_time next = JB_NEVER;
   GHashTableIter iter;
   gpointer value;
 
@@ -549,6 +531,15 @@
     return JB_NEVER;
   g_hash_table_iter_init (&iter, pool->backends);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    due = MIN (due, probe_due_at (value));
-  return due;
+    {
+      jb_time due = probe_due_at (value);
+
+      if (may_send && now >= due)
+        {
+          send_probe (pool, value, now);
+          due = probe_due_at (value);
+        }
+      next = MIN (next, due);
+    }
+  return next;
 }
