Compute the divisor of a rank only when the remaining work has changed

Most of the time of a rank was pow. A group keeps the result with the remaining work that it is for. The room for a group is first looked for where the last one found some.

--- a/packages/jobs/include/jb_job.h
+++ b/packages/jobs/include/jb_job.h
@@ -97,6 +97,10 @@
   /* jb_job_desc_critical_path_from_step_ms of its step; JB_NEVER: not worked
      out yet.  */
   int64_t critical_path_ms;
+  /* jb_rank_work_divisor of the work that remained when it was last ranked; 0:
+     never.  */
+  int64_t ranked_work;
+  double work_divisor;
 };
 
 struct jb_queue_stats;
--- a/packages/jobs/include/jb_rank.h
+++ b/packages/jobs/include/jb_rank.h
@@ -27,8 +27,9 @@
   bool long_running;
   bool best_effort;
   uint32_t priority;
-  int64_t total_work;       /* of the job; thousandths of a core * ms */
-  int64_t remaining_work;   /* of the tasks that are not done; same unit */
+  int64_t total_work; /* of the job; thousandths of a core * ms */
+  /* jb_rank_work_divisor of the work of the tasks that are not done.  */
+  double work_divisor;
   int64_t queue_mean_work;  /* mean total_work of the jobs of its queue */
   int64_t critical_path_ms; /* from the step that waits to the job's end */
   jb_time received_at;
@@ -44,6 +45,11 @@
   jb_time received_at;
 };
 
+/* Return what the value of a job with REMAINING_WORK, in thousandths of a core
+   * ms, is divided by.  It takes much longer to compute than the rest of a
+   rank.  */
+double jb_rank_work_divisor (int64_t remaining_work);
+
 /* Return the rank of the waiting job that INPUT describes.  */
 struct jb_rank jb_rank_compute (const struct jb_rank_input *input,
                                 jb_time now);
--- a/packages/jobs/src/jb_place.c
+++ b/packages/jobs/src/jb_place.c
@@ -219,10 +219,10 @@
 jb_place_has_room (struct jb_place_room *room, const struct jb_task *task,
                    struct jb_backend *const *backends, uint32_t count)
 {
-  if (jb_place_is_hopeless (room, task))
-    return false;
   if (room->hint < count && has_room_on (task, backends[room->hint]))
     return true;
+  if (jb_place_is_hopeless (room, task))
+    return false;
   for (uint32_t i = 0; i < count; i++)
     if (has_room_on (task, backends[i]))
       {
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -452,13 +452,20 @@
                                  .total_work = job->total_work,
                                  .received_at = job->received_at,
                                  .due_at = job->due_at };
+  int64_t remaining_work = 0;
 
   if (job->queue_stats == NULL)
     job->queue_stats = jb_pool_get_queue_stats (pool, job->desc->queue);
   input.queue_mean_work = job->queue_stats->mean_work;
   for (uint32_t i = 0; i < job->desc->step_count; i++)
-    input.remaining_work += group_remaining_work (
+    remaining_work += group_remaining_work (
         jb_job_find_group (job, group->occurrence, i));
+  if (group->work_divisor == 0 || group->ranked_work != remaining_work)
+    {
+      group->ranked_work = remaining_work;
+      group->work_divisor = jb_rank_work_divisor (remaining_work);
+    }
+  input.work_divisor = group->work_divisor;
   input.critical_path_ms
       = (int64_t)((double)jb_task_group_critical_path_ms (group)
                   * job->queue_stats->duration_ratio);
--- a/packages/jobs/src/jb_rank.c
+++ b/packages/jobs/src/jb_rank.c
@@ -26,12 +26,17 @@
   return MIN (VALUE_BASE + VALUE_PER_RELATIVE_WORK * relative_work, MAX_VALUE);
 }
 
+double
+jb_rank_work_divisor (int64_t remaining_work)
+{
+  return pow ((double)MAX (remaining_work, 1), REMAINING_WORK_EXPONENT);
+}
+
 struct jb_rank
 jb_rank_compute (const struct jb_rank_input *input, jb_time now)
 {
   struct jb_rank rank
       = { .priority = input->priority, .received_at = input->received_at };
-  double remaining_work = (double)MAX (input->remaining_work, 1);
   jb_time expected_end = now + input->critical_path_ms * JB_MS;
   jb_time worthless_at
       = input->received_at
@@ -39,7 +44,7 @@
 
   rank.value_density
       = jb_rank_value (input->total_work, input->queue_mean_work)
-        / pow (remaining_work, REMAINING_WORK_EXPONENT);
+        / input->work_divisor;
   rank.latest_start = input->due_at - input->critical_path_ms * JB_MS;
   if (input->best_effort)
     rank.class = JB_RANK_BEST_EFFORT;
--- a/packages/jobs/tests/test_jb_policies.c
+++ b/packages/jobs/tests/test_jb_policies.c
@@ -19,7 +19,7 @@
 rank_of (int64_t work, int64_t critical_path_ms, jb_time due_at, jb_time now)
 {
   struct jb_rank_input input = { .total_work = work,
-                                 .remaining_work = work,
+                                 .work_divisor = jb_rank_work_divisor (work),
                                  .queue_mean_work = 1000000,
                                  .critical_path_ms = critical_path_ms,
                                  .due_at = due_at };
