--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -245,14 +245,13 @@
 
 /* ---- jb_pool_probe.c ---- */
 
-/* Send the probes that are due.  */
-void jb_pool_send_probes (struct jb_pool *pool, jb_time now);
+/* Send the probes that are due.  Return when the next probe of a backend
+   server is due, or JB_NEVER.  */
+jb_time jb_pool_send_probes (struct jb_pool *pool, jb_time now);
 /* BACKEND may have restarted: probe it at once, and start nothing there
    before.  */
 void jb_pool_suspect_restart (struct jb_pool *pool, struct jb_backend *backend,
                               jb_time now);
-/* Return when the next probe of a backend server is due, or JB_NEVER.  */
-jb_time jb_pool_probe_due_at (const struct jb_pool *pool);
 
 /* ---- jb_pool_crash.c ---- */
 
