Don't take a backend server for crashed because its predecessor was replaced

Cause: the answer to a probe for an instance that crashed, "another instance is at this address", counted as the crash of every silent one there, also of the one that gave the answer after a cut. Its tasks got one crash more than they had, and two are enough to fail a job.

Now this answer only shows the crash of the instance that was asked for; a new entry in the list shows those of all others at its address.

--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -680,7 +680,7 @@
               entry->instance, "pool", pool->options.name, "rack",
               backend->rack, NULL);
       pool->schedule_due = true;
-      jb_pool_confirm_losses (pool, entry->address, now);
+      jb_pool_confirm_losses (pool, entry->address, entry->instance, now);
     }
   if (!backend->draining && entry->draining)
     jb_log (pool->options.driver, JB_LEVEL_INFO, "backend-draining", "backend",
--- a/packages/jobs/src/jb_pool_crash.c
+++ b/packages/jobs/src/jb_pool_crash.c
@@ -178,14 +178,18 @@
   g_ptr_array_free (tasks, TRUE);
 }
 
-void
-jb_pool_confirm_losses (struct jb_pool *pool, const char *address, jb_time now)
+/* Count the crashes of silent backend servers at ADDRESS: if SAME, of
+   INSTANCE, else of all others.  */
+static void
+confirm_losses (struct jb_pool *pool, const char *address,
+                const char *instance, bool same, jb_time now)
 {
   for (guint i = pool->losses->len; i-- > 0;)
     {
       struct jb_loss *loss = g_ptr_array_index (pool->losses, i);
 
-      if (loss->is_crash || strcmp (loss->address, address) != 0)
+      if (loss->is_crash || strcmp (loss->address, address) != 0
+          || (strcmp (loss->instance, instance) == 0) != same)
         continue;
       record_crash (pool, loss, now);
       give_up_tasks (pool, loss, now);
@@ -194,6 +198,13 @@
     }
 }
 
+void
+jb_pool_confirm_losses (struct jb_pool *pool, const char *address,
+                        const char *instance, jb_time now)
+{
+  confirm_losses (pool, address, instance, false, now);
+}
+
 void
 jb_pool_dismiss_losses (struct jb_pool *pool, const char *instance)
 {
@@ -252,5 +263,8 @@
             jb_itoa (count), "reason", cause_text (cause), "last_answer_ms",
             jb_itoa ((now - backend->clock_received_at) / JB_MS), NULL);
   if (cause != JB_LOSS_LEASE_EXPIRED)
-    jb_pool_confirm_losses (pool, backend->address, now);
+    confirm_losses (pool, backend->address, backend->instance, true, now);
+  /* If it was replaced, nothing tells by which of the others.  */
+  if (cause == JB_LOSS_RESTARTED)
+    confirm_losses (pool, backend->address, backend->instance, false, now);
 }
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -261,10 +261,10 @@
    planned.  */
 void jb_pool_clear_lost_runs (struct jb_pool *pool, struct jb_backend *backend,
                               jb_time now, enum jb_loss_cause cause);
-/* A backend server that was silent at ADDRESS has crashed: another one is
-   there.  */
+/* The backend server INSTANCE is at ADDRESS: any other one that was silent
+   there has crashed.  */
 void jb_pool_confirm_losses (struct jb_pool *pool, const char *address,
-                             jb_time now);
+                             const char *instance, jb_time now);
 /* Attribute the crashes in which runs of TASK were lost to TASK: they no
    longer count against the other tasks that were lost in them.  */
 void jb_pool_attribute_crashes (struct jb_pool *pool,
--- a/tests/sim/jobs/test_crash_of_predecessor.c
+++ b/tests/sim/jobs/test_crash_of_predecessor.c
@@ -8,10 +8,9 @@
   SEED_COUNT = 10
 };
 
-/* A backend server returns at the address of one that crashed, whose entry is
-   still listed, and is cut off for longer than a lease.  Return the number of
-   crashes that the owner counts: there were no runs on the one that
-   crashed.  */
+/* A backend server crashes, and the next one at its address is cut off for
+   longer than a lease while the first one is still listed.  Return the number
+   of crashes that the owner counts.  */
 static uint64_t
 count_crashes (uint32_t seed)
 {
@@ -22,13 +21,15 @@
                                 .backend_cpu_milli = 16000 };
   struct jw_world *world = jw_create_world (&options);
   struct jw_job_options job = { .step_count = 1,
-                                .tasks_per_step = 30,
+                                .tasks_per_step = 20,
                                 .cpu_milli = 1000,
-                                .duration_ms = 4000 };
+                                .duration_ms = 12000 };
   struct jw_fleet_host *host = g_ptr_array_index (world->fleet, 0);
   struct jw_backend *crashed = host->backend;
   uint64_t count;
 
+  jw_submit_job (world, &job);
+  jw_advance (world, JB_SECOND);
   host->kept_address = talloc_strdup (host, crashed->address);
   jw_backend_crash (world, crashed, false);
   crashed->ended_at = world->now + 30 * JB_SECOND;
@@ -38,7 +39,7 @@
   host->backend->unreachable = true;
   jw_advance (world, 5 * JB_SECOND);
   host->backend->unreachable = false;
-  jw_advance (world, 10 * JB_SECOND);
+  jw_advance (world, 25 * JB_SECOND);
   count = jb_host_metrics (world->hosts[0].host)
               ->counters[JB_COUNT_BACKENDS_CRASHED];
   jw_check_and_free (world);
@@ -49,7 +50,7 @@
 test_cut_counts_as_crash (void)
 {
   for (uint32_t seed = 1; seed <= SEED_COUNT; seed++)
-    CU_ASSERT_EQUAL (count_crashes (seed), 0);
+    CU_ASSERT_EQUAL (count_crashes (seed), 1);
 }
 
 int
