Don't suspect tasks when several backend servers crash at once

A task that crashes its backend server takes one down, not five, but each crash was judged by itself.

Crashes of three backend servers or more of a pool that were last heard within 0.1 s are now a wave: an early run there counts to the limit of four crashes only, one that is proven doesn't count. A proven run also ends the suspicion of earlier early crashes. A task that crashes each backend server that starts it never has a proven run, so the limits, which are unchanged, still end it.

--- a/packages/jobs/include/jb_job.h
+++ b/packages/jobs/include/jb_job.h
@@ -34,9 +34,10 @@
      server may report an end twice, and different backend servers report ends
      in any order.  */
   uint32_t *failed_runs;
-  /* Backend servers that crashed while a run was or may have been there, and
-     those of them that crashed early in the run and not because of another
-     task (jb_crash.h).  */
+  /* Backend servers that crashed while a run was or may have been there,
+     except those that crashed in a wave late in the run; and those of them
+     that crashed early in a run since the last proven one, neither in a wave
+     nor because of another task (jb_crash.h).  */
   uint32_t crashes;
   uint32_t early_crashes;
   uint32_t run; /* highest run number used so far */
--- a/packages/jobs/src/jb_crash.c
+++ b/packages/jobs/src/jb_crash.c
@@ -25,21 +25,46 @@
   return task->run_proven ? JB_CRASH_LATE : JB_CRASH_EARLY;
 }
 
+bool
+jb_crash_is_wave (jb_time heard_at, const jb_time *others, uint32_t count)
+{
+  uint32_t size = 1;
+
+  for (uint32_t i = 0; i < count; i++)
+    size += ABS (others[i] - heard_at) <= JB_CRASH_WAVE_MS * JB_MS;
+  return size >= JB_CRASH_WAVE_SIZE;
+}
+
 void
-jb_crash_record (struct jb_task *task, enum jb_crash_phase phase)
+jb_crash_record (struct jb_task *task, enum jb_crash_phase phase, bool in_wave)
 {
+  if (in_wave && phase == JB_CRASH_LATE)
+    return;
   task->crashes++;
-  if (phase == JB_CRASH_EARLY)
+  if (phase == JB_CRASH_EARLY && !in_wave)
     task->early_crashes++;
 }
 
 void
-jb_crash_retract (struct jb_task *task, enum jb_crash_phase phase)
+jb_crash_retract (struct jb_task *task, enum jb_crash_phase phase,
+                  bool in_wave)
 {
-  if (phase == JB_CRASH_EARLY && task->early_crashes > 0)
+  if (phase == JB_CRASH_EARLY && !in_wave && task->early_crashes > 0)
     task->early_crashes--;
 }
 
+bool
+jb_crash_prove (struct jb_task *task)
+{
+  bool was_suspect = task->early_crashes > 0;
+
+  task->run_proven = true;
+  if (!was_suspect || jb_task_step (task)->long_running)
+    return false;
+  task->early_crashes = 0;
+  return true;
+}
+
 bool
 jb_crash_clear (struct jb_task *task)
 {
--- a/packages/jobs/src/jb_pool_crash.c
+++ b/packages/jobs/src/jb_pool_crash.c
@@ -27,8 +27,10 @@
 {
   char *instance;
   char *address;
+  jb_time heard_at; /* last answer */
   jb_time lost_at;
   bool is_crash;
+  bool in_wave; /* of crashes */
   uint32_t count;
   struct lost_run *runs;
 };
@@ -67,6 +69,7 @@
 
   loss->instance = talloc_strdup (loss, backend->instance);
   loss->address = talloc_strdup (loss, backend->address);
+  loss->heard_at = backend->clock_received_at;
   loss->lost_at = now;
   loss->runs = talloc_array (loss, struct lost_run, backend->task_count);
   for (const struct jb_task *task = backend->tasks; task != NULL;
@@ -82,23 +85,59 @@
   g_ptr_array_add (pool->losses, loss);
 }
 
+/* Return whether LOSS belongs to a wave.  The others may not be known to have
+   crashed yet: they are silent, or were so until their leases expired.  */
+static bool
+is_in_wave (const struct jb_pool *pool, const struct jb_loss *loss)
+{
+  jb_time *others = talloc_array (
+      NULL, jb_time, pool->losses->len + g_hash_table_size (pool->backends));
+  uint32_t count = 0;
+  GHashTableIter iter;
+  gpointer value;
+  bool result;
+
+  for (guint i = 0; i < pool->losses->len; i++)
+    {
+      const struct jb_loss *other = g_ptr_array_index (pool->losses, i);
+
+      if (other != loss)
+        others[count++] = other->heard_at;
+    }
+  /* One whose runs are lost has no tasks.  */
+  g_hash_table_iter_init (&iter, pool->backends);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct jb_backend *backend = value;
+
+      if (backend->unanswered_probes >= JB_SILENT_AFTER_PROBES
+          && backend->task_count > 0)
+        others[count++] = backend->clock_received_at;
+    }
+  result = jb_crash_is_wave (loss->heard_at, others, count);
+  talloc_free (others);
+  return result;
+}
+
 /* The backend server of LOSS has crashed: count that for its runs.  */
 static void
 record_crash (struct jb_pool *pool, struct jb_loss *loss, jb_time now)
 {
   loss->is_crash = true;
+  loss->in_wave = is_in_wave (pool, loss);
   jb_count_event (pool->options.driver, JB_COUNT_BACKENDS_CRASHED);
   jb_log (pool->options.driver, JB_LEVEL_WARN, "backend-crashed", "backend",
           loss->instance, "pool", pool->options.name, "runs",
           jb_itoa (loss->count), "lost_ms",
-          jb_itoa ((now - loss->lost_at) / JB_MS), NULL);
+          jb_itoa ((now - loss->lost_at) / JB_MS), "wave",
+          loss->in_wave ? "yes" : "no", NULL);
   for (uint32_t i = 0; i < loss->count; i++)
     {
       struct jb_task *task = find_task (pool, &loss->runs[i]);
 
       if (task == NULL || task->done)
         continue;
-      jb_crash_record (task, loss->runs[i].phase);
+      jb_crash_record (task, loss->runs[i].phase, loss->in_wave);
       jb_pool_mark_dirty (pool, task->group->job, now);
     }
 }
@@ -130,7 +169,7 @@
 
           if (other == NULL || other == task)
             continue;
-          jb_crash_retract (other, loss->runs[j].phase);
+          jb_crash_retract (other, loss->runs[j].phase, loss->in_wave);
           jb_pool_mark_dirty (pool, other->group->job, now);
         }
       remove_loss (pool, i);
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -276,8 +276,9 @@
     }
   update_checkpoint (task, active_run->checkpoint);
   if (task->started_at != 0
-      && now - task->started_at >= JB_CRASH_EARLY_MS * JB_MS)
-    task->run_proven = true;
+      && now - task->started_at >= JB_CRASH_EARLY_MS * JB_MS
+      && jb_crash_prove (task))
+    jb_pool_mark_dirty (pool, job, now);
   task->ready_percent = active_run->ready_percent;
   if (jb_task_step (task)->long_running && task->ready_percent >= 100
       && jb_crash_clear (task))
--- a/packages/jobs/tests/test_jb_crash.c
+++ b/packages/jobs/tests/test_jb_crash.c
@@ -41,7 +41,7 @@
 {
   jb_task_assign (task, backend, state);
   task->run_proven = proven;
-  jb_crash_record (task, jb_crash_phase_of (task));
+  jb_crash_record (task, jb_crash_phase_of (task), false);
   jb_task_unassign (task, NOW);
 }
 
@@ -70,12 +70,62 @@
   crash (late, backend, JB_RUN_RUNNING, true);
   CU_ASSERT (jb_crash_gives_up (late));
   crash (cleared, backend, JB_RUN_RUNNING, false);
-  jb_crash_retract (cleared, JB_CRASH_EARLY);
+  jb_crash_retract (cleared, JB_CRASH_EARLY, false);
   crash (cleared, backend, JB_RUN_RUNNING, false);
   CU_ASSERT_FALSE (jb_crash_gives_up (cleared));
   talloc_free (mem);
 }
 
+/* Backend servers that were last heard at about the same time crashed at
+   once, whether the others were heard before or after.  */
+static void
+test_recognising_waves (void)
+{
+  const jb_time window = JB_CRASH_WAVE_MS * JB_MS;
+  const jb_time others[] = { NOW - window, NOW + window, NOW + window + 1 };
+
+  CU_ASSERT_FALSE (jb_crash_is_wave (NOW, NULL, 0));
+  CU_ASSERT_FALSE (jb_crash_is_wave (NOW, others, JB_CRASH_WAVE_SIZE - 2));
+  CU_ASSERT (jb_crash_is_wave (NOW, others, JB_CRASH_WAVE_SIZE - 1));
+  CU_ASSERT_FALSE (jb_crash_is_wave (NOW, &others[1], 2));
+}
+
+/* Crashes in waves raise no suspicion, and a proven run ends it; a task that
+   may have crashed its backend server each time is given up all the same,
+   within the same number of crashes.  */
+static void
+test_waves (void)
+{
+  TALLOC_CTX *mem = talloc_new (NULL);
+  struct jb_job *job = make_job (mem, 3, false);
+  struct jb_task *early = get_task (job, 0);
+  struct jb_task *late = get_task (job, 1);
+  struct jb_task *proven = get_task (job, 2);
+
+  for (int i = 0; i < 3; i++)
+    {
+      jb_crash_record (early, JB_CRASH_EARLY, true);
+      CU_ASSERT_EQUAL (early->early_crashes, 0);
+      CU_ASSERT_FALSE (jb_crash_gives_up (early));
+    }
+  jb_crash_record (early, JB_CRASH_UNCONFIRMED, true);
+  CU_ASSERT (jb_crash_gives_up (early));
+  for (int i = 0; i < 10; i++)
+    jb_crash_record (late, JB_CRASH_LATE, true);
+  CU_ASSERT_FALSE (jb_crash_gives_up (late));
+  jb_crash_record (late, JB_CRASH_EARLY, false);
+  jb_crash_retract (late, JB_CRASH_EARLY, true);
+  CU_ASSERT_EQUAL (late->early_crashes, 1);
+  jb_crash_record (proven, JB_CRASH_EARLY, false);
+  CU_ASSERT (jb_crash_prove (proven));
+  CU_ASSERT (proven->run_proven);
+  CU_ASSERT_FALSE (jb_crash_prove (proven));
+  jb_crash_record (proven, JB_CRASH_EARLY, false);
+  CU_ASSERT_FALSE (jb_crash_gives_up (proven));
+  CU_ASSERT_EQUAL (proven->crashes, 2);
+  talloc_free (mem);
+}
+
 /* A long-running task outlives many backend servers.  */
 static void
 test_long_running (void)
@@ -88,7 +138,7 @@
     {
       jb_task_assign (task, backend, JB_RUN_RUNNING);
       task->ready_percent = 100;
-      jb_crash_record (task, jb_crash_phase_of (task));
+      jb_crash_record (task, jb_crash_phase_of (task), false);
       jb_task_unassign (task, NOW);
     }
   CU_ASSERT_FALSE (jb_crash_gives_up (task));
@@ -97,6 +147,8 @@
   crash (task, backend, JB_RUN_RUNNING, true);
   crash (task, backend, JB_RUN_RUNNING, true);
   CU_ASSERT_FALSE (jb_crash_gives_up (task));
+  /* It is not ready yet.  */
+  CU_ASSERT_FALSE (jb_crash_prove (task));
   crash (task, backend, JB_RUN_RUNNING, true);
   CU_ASSERT (jb_crash_gives_up (task));
   talloc_free (mem);
@@ -138,6 +190,8 @@
 {
   static const struct dp_test tests[]
       = { { "when a task is given up", test_giving_up },
+          { "waves are recognised", test_recognising_waves },
+          { "crashes in waves", test_waves },
           { "long-running tasks", test_long_running },
           { "suspects are isolated", test_keeping_apart },
           { NULL, NULL } };
--- a/tests/sim/jobs/jw_backend.c
+++ b/tests/sim/jobs/jw_backend.c
@@ -377,18 +377,7 @@
 static void
 crash_under_task (struct jw_world *world, void *data)
 {
-  struct jw_backend *backend = *(void **)data;
-
-  if (!backend->up)
-    return;
-  for (guint i = 0; i < world->fleet->len; i++)
-    {
-      struct jw_fleet_host *host = g_ptr_array_index (world->fleet, i);
-
-      if (host->backend == backend)
-        host->kept_address = talloc_strdup (host, backend->address);
-    }
-  jw_backend_crash (world, backend, false);
+  jw_backend_crash_in_place (world, *(void **)data);
 }
 
 static bool
@@ -647,6 +636,21 @@
     }
 }
 
+void
+jw_backend_crash_in_place (struct jw_world *world, struct jw_backend *backend)
+{
+  if (!backend->up)
+    return;
+  for (guint i = 0; i < world->fleet->len; i++)
+    {
+      struct jw_fleet_host *host = g_ptr_array_index (world->fleet, i);
+
+      if (host->backend == backend)
+        host->kept_address = talloc_strdup (host, backend->address);
+    }
+  jw_backend_crash (world, backend, false);
+}
+
 void
 jw_fleet_init (struct jw_world *world)
 {
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -362,6 +362,11 @@
 void jw_backend_crash (struct jw_world *world, struct jw_backend *backend,
                        bool permanently);
 
+/* Crash BACKEND if it is up.  Its host returns after 3 s with a new one at the
+   same address.  */
+void jw_backend_crash_in_place (struct jw_world *world,
+                                struct jw_backend *backend);
+
 /* Change the capacity of BACKEND to CPU_MILLI thousandths of a core.  */
 void jw_backend_set_capacity (struct jw_world *world,
                               struct jw_backend *backend, int64_t cpu_milli);
