Don't keep the members of a gang apart after a crash

Callers saw: an accepted job stays running for ever (LOST).

Cause: a task whose run was lost soon after its start is a suspect, and starts only where no unproven run of another suspect is. When a whole gang was lost early, all its members are suspects, so it needed as many backend servers as it has members; a smaller pool never has them.

Members of one gang don't count as each other's strangers: they start and are lost together, so nothing can be learned from keeping them apart.

--- a/packages/jobs/include/jb_crash.h
+++ b/packages/jobs/include/jb_crash.h
@@ -59,7 +59,7 @@
    there can be attributed to one task: an unproven run of a suspect is there,
    or TASK is a suspect and other runs are unproven.  The latter ends some time
    after the last run of TASK, since a busy pool may have no other backend
-   server.  */
+   server.  The members of a gang are not kept apart from each other.  */
 bool jb_crash_keeps_apart (const struct jb_task *task,
                            const struct jb_backend *backend, jb_time now);
 
--- a/packages/jobs/src/jb_crash.c
+++ b/packages/jobs/src/jb_crash.c
@@ -59,6 +59,16 @@
          || task->early_crashes >= MAX_EARLY_CRASHES;
 }
 
+/* Return whether the run of OTHER must be proven before TASK may start beside
+   it.  The members of a gang are started and lost together, so nothing is
+   learned from starting them apart.  */
+static bool
+is_unproven_stranger (const struct jb_task *other, const struct jb_task *task)
+{
+  return !other->run_proven
+         && !(other->group == task->group && jb_task_step (task)->gang);
+}
+
 bool
 jb_crash_has_probation (const struct jb_backend *backend)
 {
@@ -73,13 +83,12 @@
 jb_crash_keeps_apart (const struct jb_task *task,
                       const struct jb_backend *backend, jb_time now)
 {
-  if (jb_crash_has_probation (backend))
-    return true;
-  if (task->early_crashes == 0 || now - task->ended_at > MAX_ISOLATION_WAIT)
-    return false;
+  bool is_suspect
+      = task->early_crashes > 0 && now - task->ended_at <= MAX_ISOLATION_WAIT;
+
   for (const struct jb_task *t = backend->tasks; t != NULL;
        t = t->next_on_backend)
-    if (!t->run_proven)
+    if ((t->early_crashes > 0 || is_suspect) && is_unproven_stranger (t, task))
       return true;
   return false;
 }
