Do not repeat a hand-over that no larger entry host completed

If large hosts lose the store at the moment when they should claim what was handed over, a small host claims it again, and it or the next one releases the pool 3 s later: each time the pool has no owner for up to 1.8 s in the emulator.

A pool that this host handed over, or that a live host released or lost, now stays for 15 s. After a loss of power nothing changes, since the former owner isn't alive when a small host claims.

Evidence: the new case of test_small_owner, large hosts without the store for 1 s after each release.

--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -29,6 +29,10 @@
 #define OWNERSHIP_CHECK_INTERVAL (50 * JB_MS)
 /* Time between two checks of whether to hand over a pool.  */
 #define HANDOVER_CHECK_INTERVAL (500 * JB_MS)
+/* A pool that was released, by this host or by another one that is alive, and
+   that no larger host has claimed, is not handed over again before this
+   time.  */
+#define HANDOVER_RETRY_DELAY (15 * JB_SECOND)
 /* Delay before a partition is claimed again after this host lost or released
    it, or failed to claim it.  */
 #define CLAIM_RETRY_DELAY (300 * JB_MS)
@@ -406,6 +410,9 @@
                                      .data = host };
 
   slot->pool = jb_pool_new (host, &options);
+  if (jb_members_has_owner_released (host->members, now,
+                                     jb_pool_partition (slot->pool)))
+    slot->next_handover = now + HANDOVER_RETRY_DELAY;
   jb_pool_set_unix_origin (slot->pool, host->unix_origin);
   jb_pool_claim (slot->pool, now);
   host->heartbeat_due = true;
@@ -551,17 +558,18 @@
 
 /* ---- handing pools over ---- */
 
-/* Return a pool that a successor could soon go on with, or NULL.  */
-static struct jb_pool *
+/* Return the slot of a pool that a successor could soon go on with, or
+   NULL.  */
+static struct pool_slot *
 find_pool_to_hand_over (const struct jb_host *host, jb_time now)
 {
   for (guint i = 0; i < host->pools->len; i++)
     {
       struct pool_slot *slot = g_ptr_array_index (host->pools, i);
 
-      if (jb_host_slot_is_owned (slot)
+      if (jb_host_slot_is_owned (slot) && now >= slot->next_handover
           && jb_pool_can_be_handed_over (slot->pool, now))
-        return slot->pool;
+        return slot;
     }
   return NULL;
 }
@@ -573,14 +581,14 @@
 {
   TALLOC_CTX *scratch;
   struct jb_self_status status;
-  struct jb_pool *pool;
+  struct pool_slot *slot;
   const char *successor;
 
   if (now < host->next_handover_check)
     return;
   host->next_handover_check = now + HANDOVER_CHECK_INTERVAL;
-  pool = find_pool_to_hand_over (host, now);
-  if (pool == NULL)
+  slot = find_pool_to_hand_over (host, now);
+  if (slot == NULL)
     return;
   scratch = talloc_new (NULL);
   status = get_status (host, scratch, now);
@@ -589,7 +597,8 @@
   if (successor != NULL)
     {
       host->last_handover_at = now;
-      jb_pool_release (pool, now,
+      slot->next_handover = now + HANDOVER_RETRY_DELAY;
+      jb_pool_release (slot->pool, now,
                        talloc_asprintf (scratch,
                                         "%s has a larger share of a processor",
                                         successor));
--- a/packages/jobs/src/jb_host_internal.h
+++ b/packages/jobs/src/jb_host_internal.h
@@ -13,8 +13,9 @@
 struct pool_slot
 {
   char *name;
-  struct jb_pool *pool; /* NULL: neither owned nor being claimed */
-  jb_time next_claim;   /* earliest time to claim it */
+  struct jb_pool *pool;  /* NULL: neither owned nor being claimed */
+  jb_time next_claim;    /* earliest time to claim it */
+  jb_time next_handover; /* earliest time to hand it over */
 };
 
 /* A maintenance wave that operators requested.  Every host keeps them, because
--- a/tests/sim/jobs/test_small_owner.c
+++ b/tests/sim/jobs/test_small_owner.c
@@ -204,6 +204,38 @@
   jw_check_and_free (world);
 }
 
+/* The large hosts lose the store just when they should claim what was handed
+   over, so small hosts claim it.  They don't try again at once.  */
+static void
+test_failed_handover_is_repeated_at_once (void)
+{
+  struct jw_world *world = create_world (SMALL_HOST_COUNT, 1);
+  uint64_t releases;
+  jb_time end;
+
+  let_small_hosts_claim (world);
+  start_hosts (world, 0, LARGE_HOST_COUNT);
+  end = world->now + MOVE_TIME;
+  while (world->now < end)
+    {
+      releases = count_releases (world);
+      jw_advance (world, 5 * JB_MS);
+      if (count_releases (world) == releases)
+        continue;
+      for (uint32_t i = 0; i < LARGE_HOST_COUNT; i++)
+        world->hosts[i].store_unreachable = true;
+      submit_for (world, JB_SECOND);
+      for (uint32_t i = 0; i < LARGE_HOST_COUNT; i++)
+        world->hosts[i].store_unreachable = false;
+    }
+  /* No more often than there are pools, with the standby pool.  */
+  CU_ASSERT (count_releases (world) <= POOL_COUNT + 1);
+  submit_for (world, 25 * JB_SECOND);
+  CU_ASSERT_EQUAL (count_pools_of_large_hosts (world), POOL_COUNT);
+  jw_advance (world, 10 * JB_SECOND);
+  jw_check_and_free (world);
+}
+
 /* A successor would wait for the leases of a backend server that does not
    answer, so the pool moves when it has left the roster.  */
 static void
@@ -270,6 +302,8 @@
             test_pools_move_to_restarting_hosts },
           { "pools are released while the store is down",
             test_pools_released_without_store },
+          { "a failed hand-over is repeated at once",
+            test_failed_handover_is_repeated_at_once },
           { "a successor waits for a silent backend server",
             test_successor_waits_for_silent_backend },
           { "pools move between equal hosts",
