Keep the backend servers in an array as well

Each iteration, each scheduling cycle and each reply to a probe went through the hash table of the backend servers, which is slow to go through. An array in the order of the table is made again when one was added or freed.

--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -81,6 +81,7 @@
   g_hash_table_destroy (pool->jobs);
   g_hash_table_destroy (pool->queue_stats);
   g_hash_table_destroy (pool->org_usages);
+  g_ptr_array_free (pool->backend_list, TRUE);
   g_ptr_array_free (pool->active_jobs, TRUE);
   g_ptr_array_free (pool->dirty_jobs, TRUE);
   g_ptr_array_free (pool->deferred_requests, TRUE);
@@ -106,6 +107,7 @@
   ownership_options.partition = pool->partition;
   pool->ownership = jb_ownership_new (pool, &ownership_options);
   pool->backends = g_hash_table_new (g_str_hash, g_str_equal);
+  pool->backend_list = g_ptr_array_new ();
   pool->jobs = g_hash_table_new (g_str_hash, g_str_equal);
   pool->queue_stats = g_hash_table_new (g_str_hash, g_str_equal);
   pool->org_usages = g_hash_table_new (g_str_hash, g_str_equal);
@@ -663,6 +665,28 @@
 
 /* ---- backend servers ---- */
 
+void
+jb_pool_add_backend (struct jb_pool *pool, struct jb_backend *backend)
+{
+  g_hash_table_insert (pool->backends, backend->instance, backend);
+  g_ptr_array_set_size (pool->backend_list, 0);
+}
+
+const GPtrArray *
+jb_pool_list_backends (struct jb_pool *pool)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (pool->backend_list->len == 0)
+    {
+      g_hash_table_iter_init (&iter, pool->backends);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        g_ptr_array_add (pool->backend_list, value);
+    }
+  return pool->backend_list;
+}
+
 static void
 update_backend (struct jb_pool *pool, jb_time now,
                 const struct jb_backend_entry *entry)
@@ -674,7 +698,7 @@
     {
       backend = jb_backend_new (pool, entry);
       backend->idle_since = now;
-      g_hash_table_insert (pool->backends, backend->instance, backend);
+      jb_pool_add_backend (pool, backend);
       jb_log (pool->options.driver, JB_LEVEL_INFO, "backend-found", "backend",
               entry->instance, "pool", pool->options.name, "rack",
               backend->rack, NULL);
@@ -742,7 +766,10 @@
     }
   if (pool->write_batch == NULL
       && g_hash_table_foreach_remove (pool->backends, free_if_gone, &now) > 0)
-    pool->roster_dirty = true;
+    {
+      g_ptr_array_set_size (pool->backend_list, 0);
+      pool->roster_dirty = true;
+    }
 }
 
 void
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -104,8 +104,11 @@
   bool first_start_observed; /* the time to the first start was measured */
   /* Backend servers.  */
   GHashTable *backends; /* instance -> struct jb_backend */
-  GPtrArray *losses;    /* struct jb_loss: those that crashed or may have */
-  bool roster_dirty;    /* the stored roster is out of date */
+  /* The backend servers in the order of that table, which is slow to go
+     through, or empty if the table has changed.  */
+  GPtrArray *backend_list;
+  GPtrArray *losses; /* struct jb_loss: those that crashed or may have */
+  bool roster_dirty; /* the stored roster is out of date */
   bool roster_write_in_flight;
   uint32_t roster_row_count; /* number of rows of the stored roster */
   /* Number of backend servers that were excluded from the roster, and of those
@@ -324,6 +327,11 @@
    created on first use.  */
 struct jb_queue_stats *jb_pool_get_queue_stats (struct jb_pool *pool,
                                                 const char *name);
+/* Add BACKEND, which is new.  */
+void jb_pool_add_backend (struct jb_pool *pool, struct jb_backend *backend);
+/* Return all backend servers, borrowed from POOL until one is added or
+   freed.  */
+const GPtrArray *jb_pool_list_backends (struct jb_pool *pool);
 /* Add JOB, which is new or was loaded from the store, to POOL.  Unless it has
    ended, it becomes active.  */
 void jb_pool_add_job (struct jb_pool *pool, struct jb_job *job);
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -524,20 +524,19 @@
 {
   bool may_send = jb_ownership_state (pool->ownership) == JB_OWNERSHIP_HELD;
   jb_time next = JB_NEVER;
-  GHashTableIter iter;
-  gpointer value;
+  const GPtrArray *backends = jb_pool_list_backends (pool);
 
   if (pool->stage < JB_STAGE_SCANNING)
     return JB_NEVER;
-  g_hash_table_iter_init (&iter, pool->backends);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  for (guint i = 0; i < backends->len; i++)
     {
-      jb_time due = probe_due_at (value);
+      struct jb_backend *backend = g_ptr_array_index (backends, i);
+      jb_time due = probe_due_at (backend);
 
       if (may_send && now >= due)
         {
-          send_probe (pool, value, now);
-          due = probe_due_at (value);
+          send_probe (pool, backend, now);
+          due = probe_due_at (backend);
         }
       next = MIN (next, due);
     }
--- a/packages/jobs/src/jb_pool_roster.c
+++ b/packages/jobs/src/jb_pool_roster.c
@@ -106,7 +106,7 @@
   backend->listed_at = now;
   backend->in_roster = true;
   backend->inherited = true;
-  g_hash_table_insert (pool->backends, backend->instance, backend);
+  jb_pool_add_backend (pool, backend);
 }
 
 bool
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -534,17 +534,19 @@
 static void
 collect_usable_backends (struct jb_pool *pool, jb_time now)
 {
-  GHashTableIter iter;
-  gpointer value;
+  const GPtrArray *backends = jb_pool_list_backends (pool);
 
   talloc_free (pool->usable_backends);
-  pool->usable_backends = talloc_array (
-      pool, struct jb_backend *, g_hash_table_size (pool->backends) + 1);
+  pool->usable_backends
+      = talloc_array (pool, struct jb_backend *, backends->len + 1);
   pool->usable_count = 0;
-  g_hash_table_iter_init (&iter, pool->backends);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (jb_pool_backend_is_usable (pool, value, now))
-      pool->usable_backends[pool->usable_count++] = value;
+  for (guint i = 0; i < backends->len; i++)
+    {
+      struct jb_backend *backend = g_ptr_array_index (backends, i);
+
+      if (jb_pool_backend_is_usable (pool, backend, now))
+        pool->usable_backends[pool->usable_count++] = backend;
+    }
 }
 
 /* Return the backend server to start TASK on, or NULL when there is none.
--- a/packages/jobs/src/jb_pool_store.c
+++ b/packages/jobs/src/jb_pool_store.c
@@ -164,15 +164,13 @@
 void
 jb_pool_mark_ends_stored (struct jb_pool *pool, jb_time now)
 {
-  GHashTableIter iter;
-  gpointer value;
+  const GPtrArray *backends = jb_pool_list_backends (pool);
 
   if (pool->write_batch != NULL || pool->dirty_jobs->len > 0)
     return;
-  g_hash_table_iter_init (&iter, pool->backends);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  for (guint i = 0; i < backends->len; i++)
     {
-      struct jb_backend *backend = value;
+      struct jb_backend *backend = g_ptr_array_index (backends, i);
 
       if (backend->processed_end <= backend->stored_end)
         continue;
