Send a small body together with the headers of its request

Cause, of what is left: the body was read by a callback, so that libcurl sends it after the headers, by a system call of its own and with the socket monitored for writing. A body of at most 16 kB that may be sent again is now given to libcurl as a whole. Bodies that must not be sent twice keep the callback, which prevents that; larger ones keep it since it shows that they are being sent. libcurl adds a Content-Type to such a body, which is suppressed where the caller has none.

--- a/packages/http/src/ht_client.c
+++ b/packages/http/src/ht_client.c
@@ -16,6 +16,9 @@
   MAX_EPOLL_EVENTS = 64,
   MAX_EPOLL_WAIT_MS = 200,
   MAX_IDLE_HANDLE_COUNT = 512,
+  /* A body up to this size is sent together with the headers.  A larger one is
+     sent in parts, so that the client notices that it is being sent.  */
+  MAX_BODY_WITH_HEADERS_BYTES = 16384,
   CONNECT_TIMEOUT_MS = 1000
 };
 
@@ -249,6 +252,19 @@
   talloc_free (line);
 }
 
+/* Keep libcurl from adding a Content-Type of its own to a body for which
+   REQUEST has none.  */
+static void
+suppress_content_type (struct ht_exchange *exchange,
+                       const struct ht_request *request)
+{
+  for (size_t i = 0; i < request->header_count; i++)
+    if (g_ascii_strcasecmp (request->headers[i].name, "Content-Type") == 0)
+      return;
+  exchange->request_headers
+      = curl_slist_append (exchange->request_headers, "Content-Type:");
+}
+
 bool
 ht_client_submit (struct ht_client *client, const struct ht_request *request,
                   const struct ht_client_handlers *handlers, void *context)
@@ -277,6 +293,8 @@
   talloc_set_destructor (e, exchange_destructor);
   for (size_t i = 0; i < request->header_count; i++)
     add_header (e, request->headers[i].name, request->headers[i].value);
+  if (request->sigv4 == NULL)
+    suppress_content_type (e, request);
   /* Replaces libcurl's own Expect header, so that it doesn't wait for "100
      Continue" before it sends the body.  */
   add_header (e, "Expect", "");
@@ -425,6 +443,18 @@
   return size * count;
 }
 
+/* Return whether the body of E is given to libcurl by CURLOPT_POSTFIELDS.
+   libcurl then sends a small one in one piece with the headers, which saves a
+   system call and an iteration for each request.  It rewinds such a body
+   without the seek function, which enforces no_retry.  */
+static bool
+is_body_sent_with_headers (const struct ht_exchange *e)
+{
+  return e->sigv4 != NULL
+         || (!e->no_retry && e->body_len > 0
+             && e->body_len <= MAX_BODY_WITH_HEADERS_BYTES);
+}
+
 /* Set the options that depend on the method, the body, no_retry and
    new_connection.  */
 static void
@@ -436,11 +466,11 @@
 
   if (strcmp (e->method, "HEAD") == 0)
     curl_easy_setopt (e->easy, CURLOPT_NOBODY, 1L);
-  else if (has_body && e->sigv4 != NULL)
+  else if (has_body && is_body_sent_with_headers (e))
     {
       /* To sign, libcurl hashes the body, which it does only for a body given
-         by CURLOPT_POSTFIELDS.  libcurl rewinds such a body without the seek
-         function, so no_retry is enforced by a new connection below.  */
+         by CURLOPT_POSTFIELDS.  Then no_retry is enforced by a new connection
+         below.  */
       curl_easy_setopt (e->easy, CURLOPT_POSTFIELDSIZE_LARGE,
                         (curl_off_t)e->body_len);
       curl_easy_setopt (e->easy, CURLOPT_POSTFIELDS,
--- a/packages/http/tests/test_ht_client.c
+++ b/packages/http/tests/test_ht_client.c
@@ -58,6 +58,7 @@
 static _Atomic int request_count; /* received by the server */
 static _Atomic bool closing;      /* ends ACTION_NO_RESPONSE */
 static _Atomic bool released;     /* ends ACTION_RESPOND_WHEN_RELEASED */
+static _Atomic bool content_type_received;
 /* Number of the probe among the requests that the server has received; -1:
    none.  */
 static _Atomic int probe_position;
@@ -94,8 +95,11 @@
       length = strstr (buffer, "Content-Length: ");
       if (length != NULL && length < end)
         body = (size_t)atoi (length + strlen ("Content-Length: "));
-      if (buffered >= (size_t)(end + 4 - buffer) + body)
-        return true;
+      if (buffered < (size_t)(end + 4 - buffer) + body)
+        continue;
+      if (strstr (buffer, "Content-Type") != NULL)
+        atomic_store (&content_type_received, true);
+      return true;
     }
 }
 
@@ -282,6 +286,7 @@
   int enable = 1;
 
   atomic_store (&released, false);
+  atomic_store (&content_type_received, false);
   atomic_store (&probe_position, -1);
   atomic_store (&request_count, 0);
   atomic_store (&closing, false);
@@ -367,6 +372,20 @@
   tear_down ();
 }
 
+/* libcurl must not add a Content-Type to a body that has none.  */
+static void
+test_content_type_added (void)
+{
+  struct result r;
+
+  set_up ();
+  r = send_request ("POST", "abc", false, url, 5000);
+  CU_ASSERT_EQUAL (r.result, HT_RESULT_COMPLETE);
+  CU_ASSERT_FALSE (atomic_load (&content_type_received));
+  free_result (&r);
+  tear_down ();
+}
+
 /* A request that was not sent must not be reported as possibly received, or
    the caller could not retry it safely.  */
 static void
@@ -819,6 +838,7 @@
 {
   static const struct dp_test tests[] = {
     { "complete response", test_complete_response },
+    { "content type added", test_content_type_added },
     { "connection refused", test_connection_refused },
     { "connection closed within the body", test_truncated_body },
     { "timeout after sending", test_timeout_after_sending },
