Use ports outside the ephemeral range in tests

test_ht_client, test_pr_link and test_pl_aws failed now and then, each time at bind: their fixed ports, 39471 to 39560, lie in the range from which the system takes the local ports of outgoing connections (32768 to 60999), and are also taken while the same tests run in another checkout. Seen on port 39481 in several runs; the holder was another checkout's test when it was looked at. The ports are 20,000 lower now.

--- a/bench/bench_http_client.c
+++ b/bench/bench_http_client.c
@@ -28,7 +28,7 @@
 enum
 {
   SERVER_COUNT = 80,
-  SERVER_PORT = 39483,
+  SERVER_PORT = 19483,
   EXCHANGE_COUNT = 20480, /* of each row, at most */
   MAX_ROW_TIME_MS = 8000, /* no further batch is submitted after this */
   MAX_CONNECTIONS_PER_SERVER = 6,
--- a/packages/http/tests/test_ht_client.c
+++ b/packages/http/tests/test_ht_client.c
@@ -15,7 +15,7 @@
 
 enum
 {
-  PORT = 39481,
+  PORT = 19481,
   STALL_MS = 2000,
   /* A response of ten parts at this interval takes longer than the timeout;
      the interval is far below the idle timeout.  */
@@ -32,7 +32,7 @@
   LONG_TIMEOUT_MS = 60000    /* never expires in these tests */
 };
 
-static const char url[] = "http://127.0.0.1:39481/x";
+static const char url[] = "http://127.0.0.1:19481/x";
 static const char small_response[]
     = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Test: yes\r\n\r\nok";
 
@@ -395,7 +395,7 @@
 
   set_up ();
   /* Nothing listens on this port.  */
-  r = send_request ("POST", "abc", true, "http://127.0.0.1:39482/", 5000);
+  r = send_request ("POST", "abc", true, "http://127.0.0.1:19482/", 5000);
   CU_ASSERT_EQUAL (r.result, HT_RESULT_NOT_SENT);
   free_result (&r);
   tear_down ();
@@ -765,7 +765,7 @@
 await_client (void)
 {
   struct result r = send_request ("POST", "abc", true,
-                                  "http://127.0.0.1:39482/", LONG_TIMEOUT_MS);
+                                  "http://127.0.0.1:19482/", LONG_TIMEOUT_MS);
 
   CU_ASSERT_EQUAL (r.result, HT_RESULT_NOT_SENT);
   free_result (&r);
--- a/packages/peer/tests/test_pr_link.c
+++ b/packages/peer/tests/test_pr_link.c
@@ -17,8 +17,8 @@
 
 enum
 {
-  LINK_PORT = 39490,
-  FIRST_PEER_PORT = 39500,
+  LINK_PORT = 19490,
+  FIRST_PEER_PORT = 19500,
   PEER_COUNT = 24,
   RECEIVE_BUFFER_BYTES = 4096,
   LARGE_MESSAGE_BYTES = 3 * 1024 * 1024,
@@ -138,7 +138,7 @@
 test_memory_of_slow_peers (void)
 {
   TALLOC_CTX *mem = talloc_new (NULL);
-  struct pr_link_options options = { .address = "127.0.0.1:39490",
+  struct pr_link_options options = { .address = "127.0.0.1:19490",
                                      .secret = "secret",
                                      .incarnation = 1,
                                      .on_message = ignore_message };
--- a/packages/peer/tests/test_pr_peers.c
+++ b/packages/peer/tests/test_pr_peers.c
@@ -17,7 +17,7 @@
    peers run on a thread of their own, and the test connects to them with a
    plain socket.  */
 
-static const char address[] = "127.0.0.1:39471";
+static const char address[] = "127.0.0.1:19471";
 static const char secret[] = "the secret";
 static struct pr_peers *peers;
 static GThread *peers_thread;
@@ -72,7 +72,7 @@
 static int
 connect_to_peers (void)
 {
-  struct sockaddr_in in = { .sin_family = AF_INET, .sin_port = htons (39471) };
+  struct sockaddr_in in = { .sin_family = AF_INET, .sin_port = htons (19471) };
   int fd = socket (AF_INET, SOCK_STREAM, 0);
 
   inet_pton (AF_INET, "127.0.0.1", &in.sin_addr);
--- a/packages/services/tests/test_pl_aws.c
+++ b/packages/services/tests/test_pl_aws.c
@@ -15,7 +15,7 @@
 
 enum
 {
-  PORT = 39560,
+  PORT = 19560,
   PART_COUNT = 10,
   PART_INTERVAL_MS = 300,
   TIMEOUT_MS = 2000 /* less than the whole response takes */
@@ -84,8 +84,8 @@
 {
   TALLOC_CTX *mem = talloc_new (NULL);
   struct cf_platform_settings settings
-      = { .table = "http://127.0.0.1:39560/",
-          .object_store = "http://127.0.0.1:39560",
+      = { .table = "http://127.0.0.1:19560/",
+          .object_store = "http://127.0.0.1:19560",
           .region = "region",
           .access_key = "key",
           .timeout_ms = TIMEOUT_MS };
