Failing tests of an owner's own lateness

A connection that the server has accepted is given up when an iteration is more than a second late, since libcurl's connection timeout goes before what is ready. A request that expired in the queue is sent when another one expires in the same iteration. A write that was not sent counts as a failure of the store, and a claim as confirmed when its reply is processed.

--- a/packages/http/tests/test_ht_client.c
+++ b/packages/http/tests/test_ht_client.c
@@ -26,6 +26,7 @@
      the server responds soon after it has received the request.  */
   LATE_ITERATION_MS = 400,
   RESPONSE_DELAY_MS = 50,
+  LATE_CONNECTION_MS = 1300, /* more than the client's connection timeout */
   MANY_REQUESTS = 200, /* more than the client handles in one iteration */
   IDLE_TIMEOUT_MS = 2000,
   SENDING_TIMEOUT_MS = 2000, /* long enough to send a request */
@@ -814,6 +815,65 @@
   tear_down ();
 }
 
+/* A late thread must not take its own lateness for a server that doesn't
+   accept the connection, before it has looked whether it did.  Resolving a
+   name takes an iteration, as connecting to another host does.  */
+static void
+test_connecting_given_up_by_late_thread (void)
+{
+  struct ht_request request = { .method = "POST",
+                                .url = "http://localhost.:39481/x",
+                                .body = "abc",
+                                .body_len = 3,
+                                .timeout_ms = LONG_TIMEOUT_MS,
+                                .timeout_per_step = true,
+                                .new_connection = true };
+  struct result r;
+
+  set_up ();
+  atomic_store (&iteration_delay_ms, LATE_CONNECTION_MS);
+  r = execute_request (&request);
+  CU_ASSERT_EQUAL (r.result, HT_RESULT_COMPLETE);
+  free_result (&r);
+  tear_down ();
+}
+
+/* A request whose timeout expired while it waited for a connection must not be
+   sent by a late thread that looks for the response to another one.  */
+static void
+test_expired_request_sent_after_stall (void)
+{
+  struct ht_client_options options
+      = { .ring_capacity = 64, .max_connections_per_server = 2 };
+  struct ht_request request = { .method = "POST",
+                                .url = url,
+                                .body = "abc",
+                                .body_len = 3,
+                                .timeout_ms = SHORT_TIMEOUT_MS,
+                                .timeout_per_step = true };
+  struct result results[3] = { 0 };
+
+  set_up_with (&options);
+  server_actions[0] = ACTION_RESPOND_WHEN_RELEASED;
+  server_actions[1] = ACTION_NO_RESPONSE;
+  submit_post (&results[0], "/start", LONG_TIMEOUT_MS, false);
+  await_requests (1);
+  submit_post (&results[1], "/start", SHORT_TIMEOUT_MS, false);
+  await_requests (2);
+  results[2].body = g_string_new (NULL);
+  CU_ASSERT_TRUE (ht_client_submit (client, &request, &handlers, &results[2]));
+  await_client ();
+  atomic_store (&iteration_delay_ms, LATE_ITERATION_MS);
+  atomic_store (&released, true);
+  for (int i = 0; i < 3; i++)
+    await_result (&results[i]);
+  CU_ASSERT_EQUAL (results[2].result, HT_RESULT_NOT_SENT);
+  CU_ASSERT_EQUAL (atomic_load (&request_count), 2);
+  for (int i = 0; i < 3; i++)
+    free_result (&results[i]);
+  tear_down ();
+}
+
 int
 main (void)
 {
@@ -840,6 +900,10 @@
     { "probe waits behind starts", test_probe_waits_behind_starts },
     { "probe waits for the response to a start",
       test_probe_waits_for_response_to_start },
+    { "connecting is given up by a late thread",
+      test_connecting_given_up_by_late_thread },
+    { "an expired request is sent after a stall",
+      test_expired_request_sent_after_stall },
     { NULL, NULL }
   };
 
--- a/packages/jobs/tests/test_jb_ownership.c
+++ b/packages/jobs/tests/test_jb_ownership.c
@@ -108,11 +108,70 @@
   talloc_free (mem);
 }
 
+/* A write that this host was too busy to send says nothing about the store,
+   for which clients would be refused.  */
+static void
+test_write_not_sent (void)
+{
+  TALLOC_CTX *mem = talloc_new (NULL);
+  struct fixture fixture = { 0 };
+  struct jb_ownership_options options = { .partition = "p",
+                                          .owner = "host",
+                                          .incarnation = 1,
+                                          .on_claimed = ignore_claim,
+                                          .on_lost = count_loss,
+                                          .data = &fixture };
+  struct jb_ownership *ownership;
+
+  fixture.driver = jb_driver_new (mem, &driver_ops, &fixture);
+  options.driver = fixture.driver;
+  ownership = jb_ownership_new (mem, &options);
+  jb_ownership_claim (ownership, NOW);
+  reply (&fixture, JB_RESULT_OK);
+  reply (&fixture, JB_RESULT_OK);
+  write_row (&fixture, ownership);
+  reply (&fixture, JB_RESULT_NOT_SENT);
+  CU_ASSERT_EQUAL (jb_driver_store_failing_since (fixture.driver), 0);
+  CU_ASSERT_EQUAL (jb_ownership_failing_since (ownership), 0);
+  talloc_free (mem);
+}
+
+/* The store confirmed the claim at some time after it was sent, however late
+   the reply is processed: another host may have claimed the partition since.
+ */
+static void
+test_late_reply_to_claim (void)
+{
+  TALLOC_CTX *mem = talloc_new (NULL);
+  struct fixture fixture = { 0 };
+  struct jb_ownership_options options = { .partition = "p",
+                                          .owner = "host",
+                                          .incarnation = 1,
+                                          .on_claimed = ignore_claim,
+                                          .on_lost = count_loss,
+                                          .data = &fixture };
+  struct jb_reply message = { .result = JB_RESULT_OK, .version = 7 };
+  struct jb_ownership *ownership;
+
+  fixture.driver = jb_driver_new (mem, &driver_ops, &fixture);
+  options.driver = fixture.driver;
+  ownership = jb_ownership_new (mem, &options);
+  jb_ownership_claim (ownership, NOW);
+  reply (&fixture, JB_RESULT_OK);
+  jb_driver_receive_reply (fixture.driver, NOW + 2 * JB_SECOND,
+                           fixture.last_command, &message);
+  CU_ASSERT_EQUAL (jb_ownership_state (ownership), JB_OWNERSHIP_HELD);
+  CU_ASSERT_EQUAL (jb_ownership_confirmed_at (ownership), NOW);
+  talloc_free (mem);
+}
+
 int
 main (void)
 {
   static const struct dp_test tests[]
       = { { "a write after the loss is dropped", test_write_after_loss },
+          { "a write is not sent", test_write_not_sent },
+          { "the reply to a claim is late", test_late_reply_to_claim },
           { NULL, NULL } };
 
   return dp_test_main ("ownership of a partition", tests);
