Count ownership from the sending of the claim, and no unsent write as a failure

A claim was confirmed when its reply was processed, which may be seconds after the store carried it out, so the ownership seemed to be valid for longer than 1.8 s after its last confirmation. A write that was not sent counted as one that the store did not answer, so jobs were refused after 300 ms with the reason that the store does not answer.

--- a/packages/jobs/include/jb_ownership.h
+++ b/packages/jobs/include/jb_ownership.h
@@ -86,8 +86,8 @@
 jb_time jb_ownership_failing_since (const struct jb_ownership *ownership);
 
 /* Return when the store last confirmed this owner: the time at which the
-   newest answered transaction or verification was sent, or the end of the
-   claim.  */
+   newest answered transaction or verification was sent, or the last command of
+   the claim.  */
 jb_time jb_ownership_confirmed_at (const struct jb_ownership *ownership);
 
 /* Ask the store whether this host is still the owner, unless a question or a
--- a/packages/jobs/src/jb_ownership.c
+++ b/packages/jobs/src/jb_ownership.c
@@ -242,14 +242,17 @@
 
 /* ---- claiming ---- */
 
+/* The claim, of which the last command was sent at SENT_AT, has succeeded if
+   HELD.  */
 static void
-finish_claim (struct jb_ownership *ownership, jb_time now, bool held)
+finish_claim (struct jb_ownership *ownership, jb_time now, jb_time sent_at,
+              bool held)
 {
   ownership->state = held ? JB_OWNERSHIP_HELD : JB_OWNERSHIP_NONE;
   if (held)
     {
       ownership->fence = ownership->row_version;
-      ownership->confirmed_at = now;
+      ownership->confirmed_at = sent_at;
       ownership->failing_since = 0;
       jb_count_event (ownership->options.driver, JB_COUNT_OWNERSHIP_CLAIMED);
     }
@@ -270,19 +273,18 @@
   struct jb_ownership *ownership = data;
   uint64_t sequence;
 
-  (void)sent_at;
   if (reply->result != JB_RESULT_OK)
     {
-      finish_claim (ownership, now, false);
+      finish_claim (ownership, now, sent_at, false);
       return;
     }
   if (!is_own_row (ownership, find_owner_row (ownership, reply), &sequence))
     {
-      finish_claim (ownership, now, false);
+      finish_claim (ownership, now, sent_at, false);
       return;
     }
   ownership->row_version = find_owner_row (ownership, reply)->version;
-  finish_claim (ownership, now, true);
+  finish_claim (ownership, now, sent_at, true);
 }
 
 static void
@@ -291,16 +293,15 @@
 {
   struct jb_ownership *ownership = data;
 
-  (void)sent_at;
   if (reply->result == JB_RESULT_OK)
     {
       ownership->row_version = reply->version;
-      finish_claim (ownership, now, true);
+      finish_claim (ownership, now, sent_at, true);
     }
   else if (reply->result == JB_RESULT_UNKNOWN)
     read_owner_row (ownership, now, claim_verified);
   else
-    finish_claim (ownership, now, false);
+    finish_claim (ownership, now, sent_at, false);
 }
 
 static void
@@ -319,7 +320,7 @@
   if (reply->result != JB_RESULT_OK)
     {
       talloc_free (scratch);
-      finish_claim (ownership, now, false);
+      finish_claim (ownership, now, sent_at, false);
       return;
     }
   row = find_owner_row (ownership, reply);
@@ -426,7 +427,8 @@
       jb_count_event (ownership->options.driver,
                       JB_COUNT_STORE_WRITES_UNKNOWN);
     }
-  if (ownership->failing_since == 0)
+  /* A write that was not sent says nothing about the store.  */
+  if (ownership->failing_since == 0 && reply->result != JB_RESULT_NOT_SENT)
     {
       ownership->failing_since = sent_at;
       jb_log (ownership->options.driver, JB_LEVEL_WARN, "store-write-failed",
