Let no lateness of the HTTP client's thread decide about a server

- libcurl's connection timeout of 1 s is checked before the socket, so a late thread gave up connections that the server had accepted, and a probe counted as unanswered.
For requests whose timeout applies to each step, only that limits the connecting.
- a request whose deadline had passed in the queue was still handed to libcurl when another one ended in the same iteration, and sent late.
- stops and probes shared a queue.
Probes now go first.

--- a/packages/http/include/ht_client.h
+++ b/packages/http/include/ht_client.h
@@ -66,6 +66,16 @@
   const char *value;
 };
 
+/* Requests of a higher priority are sent first.  Those of HT_PRIORITY_LOW
+   don't use the reserved connections.  */
+enum ht_priority
+{
+  HT_PRIORITY_LOW,
+  HT_PRIORITY_NORMAL,
+  HT_PRIORITY_HIGH,
+  HT_PRIORITY_COUNT
+};
+
 /* A request to submit.  All pointers are borrowed until ht_client_submit
    returns.  */
 struct ht_request
@@ -81,10 +91,10 @@
                               with HT_RESULT_NOT_SENT; 0: no limit.  Not
                               checked again while the request waits for a
                               connection.  */
-  int64_t timeout_ms;      /* for the exchange as a whole */
-  bool high_priority;      /* sent before the requests that wait for a
-                              connection to its server without this, and may
-                              use the reserved connections */
+  int64_t timeout_ms;      /* for the exchange as a whole, or for each step of
+                              it */
+  enum ht_priority priority; /* among the requests that wait for a connection
+                                to the same server */
   bool timeout_per_step;   /* the timeout starts anew when the client begins to
                               connect and whenever it sends or receives a part,
                               so that the server has timeout_ms for each step,
@@ -105,8 +115,8 @@
   unsigned ring_capacity; /* capacity of the queue of submitted requests; a
                              power of two */
   long max_connections_per_server; /* 0: unlimited; further requests wait */
-  /* Of these, those that only requests of high priority may use; at least one
-     remains for the others.  */
+  /* Of these, those that requests of the lowest priority leave free; at least
+     one remains for them.  */
   unsigned reserved_connections_per_server;
   /* Requests of each priority that may wait for a connection to a server;
      further ones end with HT_RESULT_NOT_SENT.  0: unlimited.  */
--- a/packages/http/src/ht_client.c
+++ b/packages/http/src/ht_client.c
@@ -22,6 +22,9 @@
   CONNECT_TIMEOUT_MS = 1000
 };
 
+/* Longer than any exchange takes to connect; 0 would be libcurl's default.  */
+#define NO_CONNECT_TIMEOUT_MS (24 * 60 * 60 * 1000L)
+
 /* A message to the client's thread: start an exchange, or resume one.  */
 struct command
 {
@@ -37,7 +40,8 @@
 {
   char *authority;    /* host and port; owned */
   unsigned in_flight; /* exchanges that libcurl has */
-  GQueue waiting[2];  /* exchanges, by high_priority, in order of arrival */
+  /* Exchanges of each priority, in order of arrival.  */
+  GQueue waiting[HT_PRIORITY_COUNT];
 };
 
 struct ht_exchange
@@ -47,7 +51,7 @@
   struct server *server; /* NULL: connections are not limited */
   GList waiting_link;    /* in the server's queue while it waits */
   bool is_waiting;
-  bool high_priority;
+  enum ht_priority priority;
   const struct ht_client_handlers *handlers;
   void *context;
   CURL *easy;
@@ -287,7 +291,7 @@
   e->timeout_ms = request->timeout_ms;
   e->idle_timeout_ms = request->idle_timeout_ms;
   e->timeout_per_step = request->timeout_per_step;
-  e->high_priority = request->high_priority;
+  e->priority = request->priority;
   e->no_retry = request->no_retry;
   e->new_connection = request->new_connection;
   talloc_set_destructor (e, exchange_destructor);
@@ -534,8 +538,12 @@
                     (long)CURL_HTTP_VERSION_1_1);
   curl_easy_setopt (e->easy, CURLOPT_PROTOCOLS_STR, "http,https");
   curl_easy_setopt (e->easy, CURLOPT_HTTPHEADER, e->request_headers);
+  /* libcurl checks its timeout before the socket, so a late thread would give
+     up connections that the server has accepted.  If the timeout applies to
+     each step, it limits the connecting as well.  */
   curl_easy_setopt (e->easy, CURLOPT_CONNECTTIMEOUT_MS,
-                    (long)CONNECT_TIMEOUT_MS);
+                    e->timeout_per_step ? NO_CONNECT_TIMEOUT_MS
+                                        : (long)CONNECT_TIMEOUT_MS);
   curl_easy_setopt (e->easy, CURLOPT_PREREQFUNCTION, record_sending);
   curl_easy_setopt (e->easy, CURLOPT_PREREQDATA, e);
   curl_easy_setopt (e->easy, CURLOPT_WRITEFUNCTION, receive_body);
@@ -583,41 +591,53 @@
 static void
 forget_idle_server (struct ht_client *client, struct server *server)
 {
-  if (server->in_flight > 0 || !g_queue_is_empty (&server->waiting[false])
-      || !g_queue_is_empty (&server->waiting[true]))
+  if (server->in_flight > 0)
     return;
+  for (int i = 0; i < HT_PRIORITY_COUNT; i++)
+    if (!g_queue_is_empty (&server->waiting[i]))
+      return;
   g_hash_table_remove (client->servers, server->authority);
   talloc_free (server);
 }
 
-/* Return whether a request to SERVER may be sent now.  A request of high
-   priority may use all connections.  The others leave the reserved ones free,
-   but may use at least one.  */
+/* Return whether a request of PRIORITY to SERVER may be sent now.  Those of
+   the lowest priority leave the reserved connections free, but may use at
+   least one.  */
 static bool
 has_free_connection (const struct ht_client *client,
-                     const struct server *server, bool high_priority)
+                     const struct server *server, enum ht_priority priority)
 {
   unsigned max = client->max_connections_per_server;
   unsigned reserved = MIN (client->reserved_connections_per_server, max - 1);
 
-  return server->in_flight < (high_priority ? max : max - reserved);
+  return server->in_flight
+         < (priority > HT_PRIORITY_LOW ? max : max - reserved);
 }
 
 /* Hand the waiting requests of SERVER to libcurl for which there is a
-   connection: those of high priority first, each priority in order of
-   arrival.  */
+   connection: the highest priority first, each in order of arrival.  Those
+   whose deadline has passed are left to expire_exchanges.  */
 static void
 send_waiting (struct ht_client *client, struct server *server)
 {
-  for (int high_priority = 1; high_priority >= 0; high_priority--)
+  int64_t now_us = ba_clock_now_us ();
+
+  for (int priority = HT_PRIORITY_COUNT - 1; priority >= 0; priority--)
     {
-      GQueue *waiting = &server->waiting[high_priority];
+      GQueue *waiting = &server->waiting[priority];
+      GList *next;
 
-      while (!g_queue_is_empty (waiting)
-             && has_free_connection (client, server, high_priority))
+      for (GList *link = waiting->head;
+           link != NULL
+           && has_free_connection (client, server, (enum ht_priority)priority);
+           link = next)
         {
-          struct ht_exchange *e = g_queue_pop_head_link (waiting)->data;
+          struct ht_exchange *e = link->data;
 
+          next = link->next;
+          if (e->deadline_us <= now_us)
+            continue;
+          g_queue_unlink (waiting, link);
           e->is_waiting = false;
           server->in_flight++;
           add_to_libcurl (e);
@@ -636,7 +656,7 @@
     return;
   e->server = NULL;
   if (e->is_waiting)
-    g_queue_unlink (&server->waiting[e->high_priority], &e->waiting_link);
+    g_queue_unlink (&server->waiting[e->priority], &e->waiting_link);
   else
     server->in_flight--;
   send_waiting (e->client, server);
@@ -666,7 +686,7 @@
 send_or_wait (struct ht_client *client, struct ht_exchange *e)
 {
   struct server *server = find_server (client, e);
-  GQueue *waiting = &server->waiting[e->high_priority];
+  GQueue *waiting = &server->waiting[e->priority];
 
   if (client->max_waiting_per_server > 0
       && waiting->length >= client->max_waiting_per_server)
--- a/packages/server/src/sv_job_server.c
+++ b/packages/server/src/sv_job_server.c
@@ -211,15 +211,24 @@
   push_event (server, event);
 }
 
-/* Return whether a command of KIND goes before starts to the same backend
-   server, of which there may be hundreds: it must not be late, as probes renew
-   leases and stops free what others need.  Commands that share no server with
-   starts are equal among themselves; if they were not urgent, they would leave
-   a connection unused.  */
-static bool
-is_urgent (enum jb_command_kind kind)
-{
-  return kind != JB_COMMAND_START_TASK && kind != JB_COMMAND_SET_SPEED;
+/* Return the priority of a command of KIND.  Probes renew leases and report
+   ends, and nothing else tells whether a backend server is silent, so they go
+   before stops, and both before starts, of which there may be hundreds.
+   Commands that share no server with starts are equal among themselves; with
+   the lowest priority, they would leave a connection unused.  */
+static enum ht_priority
+command_priority (enum jb_command_kind kind)
+{
+  switch (kind)
+    {
+    case JB_COMMAND_PROBE:
+      return HT_PRIORITY_HIGH;
+    case JB_COMMAND_START_TASK:
+    case JB_COMMAND_SET_SPEED:
+      return HT_PRIORITY_LOW;
+    default:
+      return HT_PRIORITY_NORMAL;
+    }
 }
 
 static void
@@ -234,7 +243,7 @@
   struct pending_command *pending;
   struct ht_request request
       = { .timeout_ms = command->timeout_ms,
-          .high_priority = is_urgent (command->kind),
+          .priority = command_priority (command->kind),
           .timeout_per_step = true,
           .start_before_us = ba_clock_now_us () + command->timeout_ms * JB_MS,
           .idle_timeout_ms
