Decide a change of speed again that was not carried out

The owner recorded the new speed of a best-effort task before the reply and ignored a failure, so a pause that was not sent, or was refused, was lost, and the service beside it stayed above its target (HARM). Changes of speed have the lowest priority, so that is likelier on a busy owner.

After a reply that says that nothing was done, the former speed applies again. test_jb_pool_throttle failed before and passes; its pool now has the table of jobs that the task is looked up in.

--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -279,6 +279,12 @@
 
 /* ---- jb_pool_schedule.c ---- */
 
+/* Return the task that REF identifies if its current run is RUN on BACKEND,
+   else NULL: the state may have changed since a command was sent.  */
+struct jb_task *jb_pool_find_run (const struct jb_pool *pool,
+                                  const struct jb_task_ref *ref,
+                                  const struct jb_backend *backend,
+                                  uint32_t run);
 /* Run a scheduling cycle if one is due.  */
 void jb_pool_schedule (struct jb_pool *pool, jb_time now);
 /* Stop the current run of TASK, or send the stop again.  REASON is logged.
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -80,11 +80,9 @@
   uint32_t run;
 };
 
-/* Return the task that REF identifies if its current run is RUN on BACKEND,
-   else NULL: the state may have changed since a command was sent.  */
-static struct jb_task *
-find_run (const struct jb_pool *pool, const struct jb_task_ref *ref,
-          const struct jb_backend *backend, uint32_t run)
+struct jb_task *
+jb_pool_find_run (const struct jb_pool *pool, const struct jb_task_ref *ref,
+                  const struct jb_backend *backend, uint32_t run)
 {
   struct jb_job *job = g_hash_table_lookup (pool->jobs, ref->id);
   struct jb_task *task = job != NULL ? jb_job_find_task (job, ref) : NULL;
@@ -100,7 +98,8 @@
 {
   struct stop_request *stop = data;
   struct jb_backend *backend = stop->backend;
-  struct jb_task *task = find_run (stop->pool, &stop->ref, backend, stop->run);
+  struct jb_task *task
+      = jb_pool_find_run (stop->pool, &stop->ref, backend, stop->run);
 
   (void)sent_at;
   if (stop->life != backend->life)
@@ -363,7 +362,8 @@
   struct start_request *start = data;
   struct jb_pool *pool = start->pool;
   struct jb_backend *backend = start->backend;
-  struct jb_task *task = find_run (pool, &start->ref, backend, start->run);
+  struct jb_task *task
+      = jb_pool_find_run (pool, &start->ref, backend, start->run);
 
   backend->starts_in_flight--;
   start->task = task;
--- a/packages/jobs/src/jb_pool_throttle.c
+++ b/packages/jobs/src/jb_pool_throttle.c
@@ -7,17 +7,38 @@
 
 #define SET_SPEED_TIMEOUT_MS 300
 
+/* A change of speed in flight.  */
+struct set_speed_request
+{
+  struct jb_pool *pool;
+  struct jb_backend *backend;
+  struct jb_task_ref ref;
+  uint32_t run;
+  uint32_t previous_percent;
+  jb_time previous_set_at;
+};
+
 static void
 handle_set_speed_reply (void *data, jb_time now, jb_time sent_at,
                         const struct jb_reply *reply)
 {
-  struct jb_pool *pool = data;
+  struct set_speed_request *request = data;
+  struct jb_pool *pool = request->pool;
+  struct jb_task *task
+      = jb_pool_find_run (pool, &request->ref, request->backend, request->run);
 
   (void)now;
-  (void)sent_at;
   if (reply->result != JB_RESULT_OK)
     jb_log (pool->options.driver, JB_LEVEL_INFO, "set-speed-failed", "pool",
             pool->options.name, "result", jb_itoa (reply->result), NULL);
+  /* Nothing has changed, so the change is decided again.  */
+  if (reply->result != JB_RESULT_OK && reply->result != JB_RESULT_UNKNOWN
+      && task != NULL && task->speed_set_at == sent_at)
+    {
+      task->speed_percent = request->previous_percent;
+      task->speed_set_at = request->previous_set_at;
+    }
+  talloc_free (request);
 }
 
 static void
@@ -25,6 +46,8 @@
                 uint32_t speed_percent, jb_time now)
 {
   struct jb_backend *backend = task->backend;
+  struct set_speed_request *request
+      = talloc_zero (backend, struct set_speed_request);
   char name[JB_TASK_NAME_SIZE];
   struct jb_command command
       = { .kind = JB_COMMAND_SET_SPEED,
@@ -37,10 +60,16 @@
           "backend", backend->instance, "previous_percent",
           jb_itoa (task->speed_percent), "percent", jb_itoa (speed_percent),
           NULL);
+  request->pool = pool;
+  request->backend = backend;
+  jb_task_ref_parse (name, &request->ref);
+  request->run = task->run;
+  request->previous_percent = task->speed_percent;
+  request->previous_set_at = task->speed_set_at;
   task->speed_percent = speed_percent;
   task->speed_set_at = now;
   jb_driver_submit (pool->options.driver, backend, now, &command,
-                    handle_set_speed_reply, pool);
+                    handle_set_speed_reply, request);
 }
 
 void
--- a/packages/jobs/tests/test_jb_pool_throttle.c
+++ b/packages/jobs/tests/test_jb_pool_throttle.c
@@ -100,6 +100,8 @@
   pool->options.driver = fixture.driver;
   pool->options.name = "pool";
   pool->stage = JB_STAGE_ACTIVE;
+  pool->jobs = g_hash_table_new (g_str_hash, g_str_equal);
+  g_hash_table_insert (pool->jobs, job->desc->id, job);
   pool->ownership = jb_ownership_new (pool, &options);
   jb_ownership_claim (pool->ownership, NOW);
   reply (&fixture, NOW, JB_RESULT_OK);
@@ -112,6 +114,7 @@
   reply (&fixture, NOW + 300 * JB_MS, JB_RESULT_NOT_SENT);
   jb_pool_throttle_backend (pool, backend, NOW + JB_SECOND);
   CU_ASSERT_EQUAL (fixture.speeds_set, 2);
+  g_hash_table_destroy (pool->jobs);
   talloc_free (mem);
 }
 
