Ask once more before runs are given up with their lease

Found in the review of the incident: one probe that was not answered was enough to give up all runs of a backend server, if the lease had expired by the time that this was noticed. A late owner notices it seconds later, and the answer to the next probe would have listed runs that are done.

A probe must now have been sent after the lease had expired; it is sent at that moment, beside the one in flight.

--- a/packages/jobs/include/jb_backend.h
+++ b/packages/jobs/include/jb_backend.h
@@ -68,6 +68,7 @@
   bool probe_urgent;
   /* Time on its own clock in the newest answer that was processed.  */
   int64_t probe_clock_ms;
+  jb_time probe_sent_at;      /* when the last probe was sent */
   jb_time next_probe;         /* earliest time to send the next probe */
   jb_time lease_sent_at;      /* when the last command with a lease was sent */
   uint32_t unanswered_probes; /* since the last answer */
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -4,7 +4,8 @@
    A probe is a long poll: the backend server answers when a run ends, or after
    JB_PROBE_WAIT_MS, so an end is known at once.  A backend server without runs
    is not probed.  One that does not answer gets no further lease: once its
-   last lease has certainly expired, its tasks may be started elsewhere.  */
+   last lease has certainly expired, and a probe that was sent after that was
+   not answered, its tasks may be started elsewhere.  */
 
 #include "jb_crash.h"
 #include "jb_pool_internal.h"
@@ -458,8 +459,10 @@
             jb_itoa ((jb_backend_leases_expire_at (backend) - now) / JB_MS),
             NULL);
   backend->next_probe = now + UNANSWERED_RETRY_INTERVAL;
+  /* Only a probe that was sent after the lease had expired tells that nothing
+     is there any more: others may be old, if this host was late.  */
   if (backend->clock_received_at != 0
-      && (jb_backend_leases_have_expired (backend, now)
+      && (jb_backend_leases_have_expired (backend, sent_at)
           || jb_pool_has_disabled (pool, JB_SAFEGUARD_LEASE_EXPIRY)))
     {
       jb_pool_clear_lost_runs (pool, backend, now, JB_LOSS_LEASE_EXPIRED);
@@ -570,20 +573,36 @@
       command.timeout_ms += command.u.probe.wait_ms;
     }
   backend->probes_in_flight++;
+  backend->probe_sent_at = now;
   backend->probe_urgent = false;
   jb_driver_submit (pool->options.driver, backend, now, &command,
                     handle_probe_reply, probe);
 }
 
+/* Return when to send a probe to BACKEND beside the one in flight because its
+   runs can be given up after that, or JB_NEVER.  */
+static jb_time
+last_probe_due_at (const struct jb_backend *backend)
+{
+  jb_time expired_at = jb_backend_leases_expire_at (backend) + JB_MS;
+
+  if (backend->probes_in_flight > 1 || backend->unanswered_probes == 0
+      || backend->task_count == 0 || backend->clock_received_at == 0
+      || backend->probe_sent_at >= expired_at)
+    return JB_NEVER;
+  return expired_at;
+}
+
 /* Return when the next probe of BACKEND is due, or JB_NEVER.  */
 static jb_time
 probe_due_at (const struct jb_backend *backend)
 {
   jb_time due = backend->next_probe;
 
-  if (backend->probes_in_flight > (backend->probe_urgent ? 1U : 0U)
-      || !needs_probing (backend))
+  if (!needs_probing (backend))
     return JB_NEVER;
+  if (backend->probes_in_flight > (backend->probe_urgent ? 1U : 0U))
+    return last_probe_due_at (backend);
   /* The reported ends will be stored in a moment, and the probe can then
      acknowledge them.  */
   if (backend->processed_end > backend->stored_end
