--- a/packages/jobs/include/jb_backend.h
+++ b/packages/jobs/include/jb_backend.h
@@ -48,12 +48,12 @@
   bool excluded_from_roster;
   uint64_t exclusion; /* pool's number of this exclusion, if it is excluded */
   int64_t started_unix_ms; /* Unix time of its start; 0: not reported */
-  /* Pool's number of its life.  It may restart under its instance name; the
-     number rises when the owner learns of that.  */
-  uint32_t life;
+  /* Pool's number of its incarnation.  It may restart under its instance name;
+     the number rises when the owner learns of that.  */
+  uint32_t incarnation;
   /* It has restarted, and no answer has shown yet that it refuses the commands
-     of its former life.  */
-  bool may_get_former_commands;
+     of its previous incarnation.  */
+  bool may_get_old_commands;
   /* Its own clock.  */
   int64_t clock_ms; /* time that it last reported */
   /* When that report was received; 0: there was none.  */
--- a/packages/jobs/include/jb_handover.h
+++ b/packages/jobs/include/jb_handover.h
@@ -5,10 +5,7 @@
    processor.
 
    Expected load: entry hosts of which a few have four times the share of the
-   others, and pools of a hundred backend servers, which need more than a small
-   host has.  A small host gets such a pool when it is the first one that is up
-   after many lost power.  Large hosts return within seconds, and some return
-   only to fail again.
+   others, and pools that need more than a small host has.
 
    A successor reads the pool's rows and probes its backend servers before it
    starts a task, so a pool must not move often.  The share of a processor is
--- a/packages/jobs/src/jb_members.c
+++ b/packages/jobs/src/jb_members.c
@@ -28,8 +28,8 @@
 #define MAX_HEARTBEAT_AGE (1000 * JB_MS)
 
 /* A member has been alive since the end of its last silence that was longer
-   than this.  An overloaded host, whose event loop may be 2 s late, must not
-   take its own lateness for the silence of others.  */
+   than this.  An overloaded host receives heartbeats late, which must not look
+   like the silence of others.  */
 #define MAX_INTERRUPTION (3000 * JB_MS)
 
 /* Time between two heartbeats.  Those from and to an ordinary host are only
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -697,7 +697,7 @@
   if (backend == NULL)
     {
       backend = jb_backend_new (pool, entry);
-      backend->life = pool->last_life;
+      backend->incarnation = pool->last_incarnation;
       backend->idle_since = now;
       jb_pool_add_backend (pool, backend);
       jb_log (pool->options.driver, JB_LEVEL_INFO, "backend-found", "backend",
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -114,9 +114,10 @@
   /* The backend servers in the order of that table, which is slow to go
      through, or empty if the table has changed.  */
   GPtrArray *backend_list;
-  uint32_t last_life; /* highest number of a life of a backend server */
-  GPtrArray *losses;  /* struct jb_loss: those that crashed or may have */
-  bool roster_dirty;  /* the stored roster is out of date */
+  uint32_t last_incarnation; /* highest number of an incarnation of a backend
+                                server */
+  GPtrArray *losses; /* struct jb_loss: those that crashed or may have */
+  bool roster_dirty; /* the stored roster is out of date */
   bool roster_write_in_flight;
   uint32_t roster_row_count; /* number of rows of the stored roster */
   /* Number of backend servers that were excluded from the roster, and of those
@@ -185,9 +186,9 @@
 }
 
 /* Return the target of a command to BACKEND.  Its fencing token rises with
-   each owner of POOL and with each life of a backend server, so that what was
-   sent to a former life is refused in the next one, once that has seen the
-   higher token.  */
+   each owner of POOL and with each incarnation of a backend server, so that
+   what was sent to a previous incarnation is refused in the next one, once
+   that has seen the higher token.  */
 static inline struct jb_backend_target
 jb_pool_target (const struct jb_pool *pool, const struct jb_backend *backend,
                 bool new_connection)
@@ -196,7 +197,7 @@
     .address = backend->address,
     .instance = backend->instance,
     .fence = jb_ownership_fence (pool->ownership) * JB_FENCES_PER_OWNER
-             + MIN (backend->life, JB_FENCES_PER_OWNER - 1),
+             + MIN (backend->incarnation, JB_FENCES_PER_OWNER - 1),
     .new_connection = new_connection
   };
 }
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -328,8 +328,8 @@
 {
   struct jb_pool *pool;
   struct jb_backend *backend;
-  uint32_t life;      /* of the backend server, as known when it was sent */
-  uint64_t acked_end; /* number of the last end that it acknowledges */
+  uint32_t incarnation; /* of the backend server, as known when it was sent */
+  uint64_t acked_end;   /* number of the last end that it acknowledges */
   bool extends_lease;
 };
 
@@ -345,19 +345,19 @@
 }
 
 /* BACKEND has restarted, as REPLY shows: discard what is known about its
-   former life.  Commands that were sent to that may have been carried out in
-   the new one, such as starts, and still may be, until it has seen the raised
-   fencing token.  So all runs stay where they are until it has answered with
-   that.  */
+   previous incarnation.  Commands that were sent to that may have been carried
+   out in the new one, such as starts, and still may be, until it has seen the
+   raised fencing token.  So all runs stay where they are until it has answered
+   with that.  */
 static void
-begin_next_life (struct jb_pool *pool, struct jb_backend *backend, jb_time now,
-                 const struct jb_reply *reply)
+begin_incarnation (struct jb_pool *pool, struct jb_backend *backend,
+                   jb_time now, const struct jb_reply *reply)
 {
   jb_log (pool->options.driver, JB_LEVEL_INFO, "backend-restarted", "backend",
           backend->instance, "pool", pool->options.name, "runs",
           jb_itoa (backend->task_count), NULL);
-  backend->life = ++pool->last_life;
-  backend->may_get_former_commands = true;
+  backend->incarnation = ++pool->last_incarnation;
+  backend->may_get_old_commands = true;
   backend->started_unix_ms = reply->started_unix_ms;
   backend->processed_end = 0;
   backend->stored_end = 0;
@@ -378,12 +378,12 @@
 }
 
 /* BACKEND has answered for the first time after a restart: what was sent to
-   its former life can't be carried out any more.  Clear the runs that the
-   answer, which was processed, doesn't list.  */
+   its previous incarnation can't be carried out any more.  Clear the runs that
+   the answer, which was processed, doesn't list.  */
 static void
 finish_restart (struct jb_pool *pool, struct jb_backend *backend, jb_time now)
 {
-  backend->may_get_former_commands = false;
+  backend->may_get_old_commands = false;
   jb_backend_expect_lease (backend, now, pool->options.bounds->max_lease_ms);
   jb_pool_clear_lost_runs (pool, backend, now, JB_LOSS_RESTARTED);
 }
@@ -400,10 +400,10 @@
             "backend", backend->instance, "pool", pool->options.name, NULL);
   if (jb_backend_has_restarted (backend, reply->started_unix_ms))
     {
-      begin_next_life (pool, backend, now, reply);
+      begin_incarnation (pool, backend, now, reply);
       return;
     }
-  if (pool->losses->len > 0 && !backend->may_get_former_commands)
+  if (pool->losses->len > 0 && !backend->may_get_old_commands)
     jb_pool_dismiss_losses (pool, backend->instance);
   /* Answers to two probes may arrive in the wrong order: ignore this one if a
      newer one was processed.  */
@@ -427,7 +427,7 @@
   for (uint32_t i = 0; i < reply->ended_run_count; i++)
     backend->processed_end
         = MAX (backend->processed_end, reply->ended_runs[i].number);
-  if (backend->may_get_former_commands)
+  if (backend->may_get_old_commands)
     finish_restart (pool, backend, now);
   clear_unlisted_runs (pool, backend, sent_at, now);
   jb_pool_throttle_backend (pool, backend, now);
@@ -497,9 +497,12 @@
   struct jb_backend *backend = probe->backend;
 
   backend->probes_in_flight--;
-  if (probe->life != backend->life)
-    ; /* It doesn't concern the present life.  */
-  else if (reply->result == JB_RESULT_OK)
+  if (probe->incarnation != backend->incarnation)
+    {
+      talloc_free (probe);
+      return;
+    }
+  if (reply->result == JB_RESULT_OK)
     handle_probe_ok (pool, probe, sent_at, now, reply);
   else if (reply->result == JB_RESULT_GONE)
     {
@@ -547,9 +550,10 @@
 
   probe->pool = pool;
   probe->backend = backend;
-  probe->life = backend->life;
+  probe->incarnation = backend->incarnation;
   /* A backend server that has not answered may have restarted: then the
-     number would acknowledge ends of its next life, which nobody has seen.  */
+     number would acknowledge ends of its next incarnation, which nobody has
+     seen.  */
   probe->acked_end = backend->probed && backend->unanswered_probes == 0
                          ? backend->stored_end
                          : 0;
--- a/packages/jobs/src/jb_pool_roster.c
+++ b/packages/jobs/src/jb_pool_roster.c
@@ -101,7 +101,7 @@
       return;
     }
   backend = jb_backend_new (pool, &entry);
-  backend->life = pool->last_life;
+  backend->incarnation = pool->last_incarnation;
   backend->idle_since = now;
   backend->listed = true;
   backend->listed_at = now;
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -75,7 +75,7 @@
 {
   struct jb_pool *pool;
   struct jb_backend *backend;
-  uint32_t life; /* of the backend server, as known when it was sent */
+  uint32_t incarnation; /* of the backend server, as known when it was sent */
   struct jb_task_ref ref;
   uint32_t run;
 };
@@ -102,9 +102,12 @@
       = jb_pool_find_run (stop->pool, &stop->ref, backend, stop->run);
 
   (void)sent_at;
-  if (stop->life != backend->life)
-    ; /* It doesn't concern the present life.  */
-  else if (reply->result == JB_RESULT_GONE)
+  if (stop->incarnation != backend->incarnation)
+    {
+      talloc_free (stop);
+      return;
+    }
+  if (reply->result == JB_RESULT_GONE)
     jb_pool_clear_lost_runs (stop->pool, backend, now, JB_LOSS_REPLACED);
   else if (reply->result == JB_RESULT_CONFLICT
            && reply->refusal == JB_REFUSAL_FENCED)
@@ -135,7 +138,7 @@
 
   stop->pool = pool;
   stop->backend = backend;
-  stop->life = backend->life;
+  stop->incarnation = backend->incarnation;
   stop->run = run;
   if (!jb_task_ref_parse (name, &stop->ref))
     memset (&stop->ref, 0, sizeof stop->ref);
@@ -216,7 +219,7 @@
   struct jb_pool *pool;
   struct jb_task *task; /* set when the reply is processed */
   struct jb_backend *backend;
-  uint32_t life; /* of the backend server, as known when it was sent */
+  uint32_t incarnation; /* of the backend server, as known when it was sent */
   struct jb_task_ref ref;
   uint32_t run;
 };
@@ -308,7 +311,7 @@
 }
 
 /* Record the clock in the answer to START, unless it is the clock of another
-   life.  */
+   incarnation.  */
 static void
 record_clock (struct start_request *start, jb_time now, jb_time sent_at,
               const struct jb_reply *reply)
@@ -367,10 +370,10 @@
 
   backend->starts_in_flight--;
   start->task = task;
-  if (task == NULL || start->life != backend->life)
+  if (task == NULL || start->incarnation != backend->incarnation)
     {
-      /* The run ended before its start was answered, or in which life of the
-         backend server the start was carried out isn't known.  */
+      /* The run ended before its start was answered, or in which incarnation
+         of the backend server the start was carried out isn't known.  */
       talloc_free (start);
       return;
     }
@@ -429,7 +432,7 @@
 
   start->pool = pool;
   start->backend = backend;
-  start->life = backend->life;
+  start->incarnation = backend->incarnation;
   start->run = task->run;
   backend->starts_in_flight++;
   command.u.start_task.task = jb_task_name (task, name);
--- a/packages/jobs/src/jb_pool_store.c
+++ b/packages/jobs/src/jb_pool_store.c
@@ -32,12 +32,12 @@
   enum written_kind kind;
 };
 
-/* The ends of runs in one life of `backend' up to number `end_number' are
-   durable once the batch is written.  */
+/* The ends of runs in one incarnation of `backend' up to number `end_number'
+   are durable once the batch is written.  */
 struct covered_end
 {
   struct jb_backend *backend;
-  uint32_t life;
+  uint32_t incarnation;
   uint64_t end_number;
 };
 
@@ -106,7 +106,7 @@
 
       if (backend->processed_end > backend->stored_end)
         batch->ends[batch->end_count++]
-            = (struct covered_end){ backend, backend->life,
+            = (struct covered_end){ backend, backend->incarnation,
                                     backend->processed_end };
     }
 }
@@ -155,7 +155,7 @@
     {
       struct jb_backend *backend = batch->ends[i].backend;
 
-      if (batch->ends[i].life != backend->life)
+      if (batch->ends[i].incarnation != backend->incarnation)
         continue;
       backend->stored_end
           = MAX (backend->stored_end, batch->ends[i].end_number);
--- a/tests/sim/jobs/test_late_starts_after_stop.c
+++ b/tests/sim/jobs/test_late_starts_after_stop.c
@@ -1,6 +1,6 @@
 /* Tests of starts that were prevented by a stop, and are carried out late by
-   the next life of the backend server, which knows of no stop, in virtual
-   time.  */
+   the next incarnation of the backend server, which knows of no stop, in
+   virtual time.  */
 
 #include "jw_test.h"
 
--- a/tests/sim/jobs/test_restarted_backends.c
+++ b/tests/sim/jobs/test_restarted_backends.c
@@ -1,6 +1,6 @@
 /* Tests of backend servers that restart under their instance names, in virtual
-   time.  Orders that were sent to a former life of a backend server, and what
-   was known of that life, must not act on the next one.  */
+   time.  Orders that were sent to a previous incarnation of a backend server,
+   and what was known of that incarnation, must not act on the next one.  */
 
 #include "jw_test.h"
 
@@ -68,7 +68,7 @@
    its backend server, whose clock is young, and after its answers to probes.
    The backend server drains, so that the task starts elsewhere.  */
 static void
-test_late_start_in_next_life (void)
+test_late_start_in_next_incarnation (void)
 {
   for (uint32_t seed = 1; seed <= SEEDS; seed++)
     {
@@ -101,9 +101,9 @@
     }
 }
 
-/* Ends of runs in the former life are being stored during the restart.  Their
-   numbers must not acknowledge ends of the next life, which nobody has
-   seen.  */
+/* Ends of runs in the previous incarnation are being stored during the
+   restart.  Their numbers must not acknowledge ends of the next incarnation,
+   which nobody has seen.  */
 static void
 test_numbers_stored_across_restart (void)
 {
@@ -127,8 +127,8 @@
   jw_check_and_free (world);
 }
 
-/* A probe that acknowledges ends of the former life is carried out in the next
-   one, when an end there was not seen yet.  */
+/* A probe that acknowledges ends of the previous incarnation is carried out in
+   the next one, when an end there was not seen yet.  */
 static void
 test_late_acknowledgement (void)
 {
@@ -160,9 +160,9 @@
   jw_check_and_free (world);
 }
 
-/* A task ends in the next life, before the owner knows of the restart and
-   while the backend server is cut off.  The first probe after that must not
-   acknowledge this end with a number of the former life.  */
+/* A task ends in the next incarnation, before the owner knows of the restart
+   and while the backend server is cut off.  The first probe after that must
+   not acknowledge this end with a number of the previous incarnation.  */
 static void
 test_acknowledgement_after_silence (void)
 {
@@ -202,8 +202,8 @@
   jw_check_and_free (world);
 }
 
-/* After a restart, the ends of the next life are acknowledged, though their
-   numbers are lower than those of the former one.  */
+/* After a restart, the ends of the next incarnation are acknowledged, though
+   their numbers are lower than those of the former one.  */
 static void
 test_ends_of_next_life_acknowledged (void)
 {
@@ -227,7 +227,7 @@
    for the former clocks.  Then they are cut off.  The tasks must not start
    elsewhere before that lease has expired, and must do so soon after it.  */
 static void
-test_lease_of_former_life (void)
+test_lease_of_previous_incarnation (void)
 {
   struct jw_options options = {
     .seed = 1, .hosts = 3, .pools = 1, .backends = 4, .backend_cpu_milli = 8000
@@ -259,8 +259,8 @@
 main (void)
 {
   static const struct dp_test tests[]
-      = { { "a late start is carried out in the next life",
-            test_late_start_in_next_life },
+      = { { "a late start is carried out in the next incarnation",
+            test_late_start_in_next_incarnation },
           { "numbers stored across a restart",
             test_numbers_stored_across_restart },
           { "a late acknowledgement", test_late_acknowledgement },
@@ -268,9 +268,10 @@
             test_acknowledgement_after_silence },
           { "a restarted backend server leaves and returns",
             test_return_after_restart },
-          { "ends of the next life are acknowledged",
+          { "ends of the next incarnation are acknowledged",
             test_ends_of_next_life_acknowledged },
-          { "a lease of the former life", test_lease_of_former_life },
+          { "a lease of the previous incarnation",
+            test_lease_of_previous_incarnation },
           { NULL, NULL } };
 
   return dp_test_main ("backend servers that restart", tests);
