--- a/packages/http/tests/test_ht_client.c
+++ b/packages/http/tests/test_ht_client.c
@@ -854,7 +854,7 @@
   for (int i = 0; i < FILLER_COUNT; i++)
     {
       fillers[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      connect (fillers[i], (struct sockaddr *)&address, sizeof address);
+      (void)connect (fillers[i], (struct sockaddr *)&address, sizeof address);
     }
   return fd;
 }
