--- a/bench/bench_pool.c
+++ b/bench/bench_pool.c
@@ -522,7 +522,7 @@
                                    .serial = 1,
                                    .count = ORG_COUNT - 1,
                                    .shares = shares };
-  char names[ORG_COUNT][8];
+  char names[ORG_COUNT][16];
 
   for (uint32_t i = 0; i < message.count; i++)
     {
