--- a/tests/sim/jobs/jw_test.h
+++ b/tests/sim/jobs/jw_test.h
@@ -23,6 +23,34 @@
   return world;
 }
 
+/* Return a new simulation in which a start of a task that lasts DURATION_MS
+   was sent WAIT ago, is not answered and will be carried out DELAY after it
+   was sent.  Set BACKEND to the backend server that it was sent to.  */
+static inline struct jw_world *
+jw_create_late_start (uint32_t seed, int64_t duration_ms, jb_time delay,
+                      jb_time wait, struct jw_backend **backend)
+{
+  struct jw_options options = { .seed = seed,
+                                .hosts = 3,
+                                .pools = 1,
+                                .backends = 6,
+                                .backend_cpu_milli = 8000 };
+  struct jw_world *world = jw_create_world (&options);
+  struct jw_job_options job = { .step_count = 1,
+                                .tasks_per_step = 1,
+                                .cpu_milli = 1000,
+                                .duration_ms = duration_ms };
+
+  world->delayed_command
+      = (struct jw_delayed_command){ .kind = JB_COMMAND_START_TASK,
+                                     .delay = delay };
+  jw_submit_job (world, &job);
+  jw_advance (world, wait);
+  *backend = world->delayed_command.backend;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (*backend);
+  return world;
+}
+
 /* Assert that WORLD has seen no violation, and free it.  */
 static inline void
 jw_assert_and_free (struct jw_world *world)
--- a/tests/sim/jobs/test_late_starts_after_silence.c
+++ b/tests/sim/jobs/test_late_starts_after_silence.c
@@ -16,25 +16,10 @@
 {
   for (uint32_t seed = 1; seed <= SEEDS; seed++)
     {
-      struct jw_options options = { .seed = seed,
-                                    .hosts = 3,
-                                    .pools = 1,
-                                    .backends = 6,
-                                    .backend_cpu_milli = 8000 };
-      struct jw_world *world = jw_create_world (&options);
-      struct jw_job_options job = { .step_count = 1,
-                                    .tasks_per_step = 1,
-                                    .cpu_milli = 1000,
-                                    .duration_ms = 9000 };
       struct jw_backend *backend;
+      struct jw_world *world = jw_create_late_start (seed, 9000, 5 * JB_SECOND,
+                                                     150 * JB_MS, &backend);
 
-      world->delayed_command
-          = (struct jw_delayed_command){ .kind = JB_COMMAND_START_TASK,
-                                         .delay = 5 * JB_SECOND };
-      jw_submit_job (world, &job);
-      jw_advance (world, 150 * JB_MS);
-      backend = world->delayed_command.backend;
-      CU_ASSERT_PTR_NOT_NULL_FATAL (backend);
       if (backend == NULL)
         return; /* clang-tidy does not know that the assertion ends the test */
       backend->unreachable = true;
--- a/tests/sim/jobs/test_restarted_backends.c
+++ b/tests/sim/jobs/test_restarted_backends.c
@@ -1,6 +1,7 @@
 /* Tests of backend servers that restart under their instance names, in virtual
-   time.  Orders that were sent to a previous incarnation of a backend server,
-   and what was known of that incarnation, must not act on the next one.  */
+   time.  Commands that were sent to a previous incarnation of a backend
+   server, and what was known of that incarnation, must not act on the next
+   one.  */
 
 #include "jw_test.h"
 
@@ -72,23 +73,10 @@
 {
   for (uint32_t seed = 1; seed <= SEEDS; seed++)
     {
-      struct jw_options options = { .seed = seed,
-                                    .hosts = 3,
-                                    .pools = 1,
-                                    .backends = 6,
-                                    .backend_cpu_milli = 8000 };
-      struct jw_world *world = jw_create_world (&options);
-      struct jw_job_options job = long_job;
       struct jw_backend *backend;
+      struct jw_world *world = jw_create_late_start (seed, 6000, 3 * JB_SECOND,
+                                                     150 * JB_MS, &backend);
 
-      job.duration_ms = 6000;
-      world->delayed_command
-          = (struct jw_delayed_command){ .kind = JB_COMMAND_START_TASK,
-                                         .delay = 3 * JB_SECOND };
-      jw_submit_job (world, &job);
-      jw_advance (world, 150 * JB_MS);
-      backend = world->delayed_command.backend;
-      CU_ASSERT_PTR_NOT_NULL_FATAL (backend);
       if (backend == NULL)
         return; /* clang-tidy does not know that the assertion ends the test */
       backend->unreachable = true;
