--- a/packages/http/tests/test_ht_client.c
+++ b/packages/http/tests/test_ht_client.c
@@ -844,7 +844,7 @@
   struct sockaddr_in address
       = { .sin_family = AF_INET, .sin_port = htons (BUSY_PORT) };
   int enable = 1;
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
 
   setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &enable, sizeof enable);
   inet_pton (AF_INET, "127.0.0.1", &address.sin_addr);
@@ -879,11 +879,16 @@
   CU_ASSERT_TRUE (ht_client_submit (client, &request, &handlers, &r));
   g_usleep (CONNECTION_DELAY_MS * 1000);
   CU_ASSERT_FALSE (atomic_load (&r.ended));
-  for (int i = 0; !atomic_load (&r.ended) && i < FILLER_COUNT + 1; i++)
-    g_thread_unref (g_thread_new ("connection", connection_main,
-                                  GINT_TO_POINTER (accept (fd, NULL, NULL))));
   while (!atomic_load (&r.ended))
-    g_usleep (1000);
+    {
+      int accepted = accept (fd, NULL, NULL);
+
+      if (accepted >= 0)
+        g_thread_unref (g_thread_new ("connection", connection_main,
+                                      GINT_TO_POINTER (accepted)));
+      else
+        g_usleep (1000);
+    }
   CU_ASSERT_EQUAL (r.result, HT_RESULT_COMPLETE);
   for (int i = 0; i < FILLER_COUNT; i++)
     close (fillers[i]);
