Let a slow store commit each transaction once, and several together

Cause: an owner's transaction had a timeout of 800 ms at first. On a store that takes longer, the answer to the first attempt was given up, the transaction was sent again and waited a second time. And writes of the roster, which come with each crashed or moved host, were transactions of their own between those with new jobs. Clients whose submissions waited for both got 504 although nothing was wrong with their jobs.

Change: the answer to an earlier attempt still counts after a transaction was sent again, for up to 2.4 s; the store is reported as silent at the same time as before. Transactions that wait behind one in flight are merged into one if they change different rows and fit, and the next batch of jobs is queued when the last one is committed.

Tests: an answer to the first attempt after the second was sent, and merging, in test_jb_ownership; both fail on the code before.

--- a/packages/jobs/include/jb_driver.h
+++ b/packages/jobs/include/jb_driver.h
@@ -200,6 +200,10 @@
 void jb_driver_receive_reply (struct jb_driver *driver, jb_time now,
                               uint64_t number, const struct jb_reply *reply);
 
+/* Record that a call to the store has not been answered in the expected time,
+   although its answer is still awaited.  */
+void jb_driver_report_store_silence (struct jb_driver *driver, jb_time now);
+
 /* Return when the store calls began to fail: the time of the first failure
    since the store last answered, or 0 if the last call was answered.  */
 jb_time jb_driver_store_failing_since (const struct jb_driver *driver);
--- a/packages/jobs/src/jb_driver.c
+++ b/packages/jobs/src/jb_driver.c
@@ -118,6 +118,16 @@
     driver->store_failing_since = now;
 }
 
+void
+jb_driver_report_store_silence (struct jb_driver *driver, jb_time now)
+{
+  if (driver->store_failing_since != 0)
+    return;
+  driver->store_failing_since = now;
+  jb_log (driver, JB_LEVEL_WARN, "store-not-answering", "result",
+          jb_itoa (JB_RESULT_UNKNOWN), NULL);
+}
+
 jb_time
 jb_driver_store_failing_since (const struct jb_driver *driver)
 {
--- a/packages/jobs/src/jb_ownership.c
+++ b/packages/jobs/src/jb_ownership.c
@@ -9,6 +9,12 @@
 #define MIN_TIMEOUT_MS 800
 #define MAX_TIMEOUT_MS 2400
 
+/* A transaction that is not answered within the timeout is sent again, but an
+   answer to the earlier attempt is awaited for this long: a store that takes a
+   second for each transaction would otherwise be asked for each of them twice
+   or more before an answer counts.  */
+#define WRITE_ANSWER_TIMEOUT_MS MAX_TIMEOUT_MS
+
 /* Delay before a transaction that failed is sent again.  */
 #define RETRY_DELAY (60 * JB_MS)
 
@@ -25,11 +31,20 @@
   uint64_t sequence; /* number of the owner's last transaction */
 };
 
+enum
+{
+  /* Transactions are merged up to this number of bytes in their rows.  One may
+     have 1 MB, as text that is a third longer than its content.  */
+  MAX_MERGED_BYTES = 600000
+};
+
 /* A queued transaction.  */
 struct transaction
 {
-  struct transaction *next; /* in the queue */
-  struct jb_row *set;       /* rows to write; the first is the owner row */
+  struct transaction *next;   /* in the queue */
+  struct transaction *merged; /* list of those that became part of this one,
+                                 linked by `next', in their order */
+  struct jb_row *set;         /* rows to write; the first is the owner row */
   uint32_t set_count;
   struct jb_row *removed; /* rows to delete */
   uint32_t removed_count;
@@ -58,6 +73,7 @@
   struct transaction *last;
   bool first_in_flight; /* `first' was sent, at `sent_at' */
   jb_time sent_at;
+  jb_time resend_at;     /* when to send it again without an answer */
   uint32_t attempts;     /* number of attempts to execute transactions */
   bool may_be_committed; /* an attempt at `first' was not answered */
   bool verification_in_flight;
@@ -351,6 +367,7 @@
 
 /* ---- writing ---- */
 
+static void merge_waiting (struct jb_ownership *ownership);
 static void send_first (struct jb_ownership *ownership, jb_time now);
 
 /* Remove the first transaction from the queue, because it was committed and
@@ -368,9 +385,15 @@
     ownership->last = NULL;
   if (finished->committed != NULL)
     finished->committed (finished->data, now);
+  for (struct transaction *t = finished->merged; t != NULL; t = t->next)
+    if (t->committed != NULL)
+      t->committed (t->data, now);
   talloc_free (finished);
   if (ownership->first != NULL && !ownership->first_in_flight)
-    send_first (ownership, now);
+    {
+      merge_waiting (ownership);
+      send_first (ownership, now);
+    }
 }
 
 /* The owner row did not have the expected version: either an earlier attempt
@@ -389,6 +412,26 @@
     lose_ownership (ownership, now);
 }
 
+/* Record that the first transaction, sent at SENT_AT, was refused, or not
+   answered and so possibly committed if IS_UNKNOWN.  */
+static void
+record_failure (struct jb_ownership *ownership, jb_time sent_at,
+                bool is_unknown)
+{
+  if (is_unknown)
+    {
+      ownership->may_be_committed = true;
+      jb_count_event (ownership->options.driver,
+                      JB_COUNT_STORE_WRITES_UNKNOWN);
+    }
+  if (ownership->failing_since != 0)
+    return;
+  ownership->failing_since = sent_at;
+  jb_log (ownership->options.driver, JB_LEVEL_WARN, "store-write-failed",
+          "duty", ownership->options.partition, "outcome",
+          is_unknown ? "unknown" : "refused", NULL);
+}
+
 static void
 write_replied (void *data, jb_time now, jb_time sent_at,
                const struct jb_reply *reply)
@@ -408,7 +451,7 @@
   ownership->first_in_flight = false;
   adapt_timeout (ownership, now - sent_at, reply->result);
   if (reply->result == JB_RESULT_OK || reply->result == JB_RESULT_CONFLICT)
-    ownership->confirmed_at = sent_at;
+    ownership->confirmed_at = MAX (ownership->confirmed_at, sent_at);
   if (reply->result == JB_RESULT_OK)
     {
       jb_observe_latency (ownership->options.driver, JB_HIST_STORE_WRITE,
@@ -421,22 +464,95 @@
       handle_conflict (ownership, now, reply);
       return;
     }
-  if (reply->result == JB_RESULT_UNKNOWN)
-    {
-      ownership->may_be_committed = true;
-      jb_count_event (ownership->options.driver,
-                      JB_COUNT_STORE_WRITES_UNKNOWN);
-    }
   /* A write that was not sent says nothing about the store.  */
-  if (ownership->failing_since == 0 && reply->result != JB_RESULT_NOT_SENT)
+  if (reply->result != JB_RESULT_NOT_SENT)
+    record_failure (ownership, sent_at, reply->result == JB_RESULT_UNKNOWN);
+  ownership->retry_at = now + RETRY_DELAY;
+}
+
+static size_t
+count_bytes (const struct transaction *transaction)
+{
+  size_t bytes = 0;
+
+  for (uint32_t i = 0; i < transaction->set_count; i++)
+    bytes += transaction->set[i].value.len;
+  return bytes;
+}
+
+/* Return whether one of the COUNT ROWS has the key of ROW.  */
+static bool
+contains_key (const struct jb_row *rows, uint32_t count,
+              const struct jb_row *row)
+{
+  for (uint32_t i = 0; i < count; i++)
+    if (strcmp (rows[i].key, row->key) == 0
+        && strcmp (rows[i].table, row->table) == 0)
+      return true;
+  return false;
+}
+
+/* Return whether A and B, which both begin with the owner row, change the same
+   row otherwise.  */
+static bool
+have_common_rows (const struct transaction *a, const struct transaction *b)
+{
+  for (uint32_t i = 1; i < b->set_count; i++)
+    if (contains_key (a->set, a->set_count, &b->set[i])
+        || contains_key (a->removed, a->removed_count, &b->set[i]))
+      return true;
+  for (uint32_t i = 0; i < b->removed_count; i++)
+    if (contains_key (a->set, a->set_count, &b->removed[i])
+        || contains_key (a->removed, a->removed_count, &b->removed[i]))
+      return true;
+  return false;
+}
+
+/* Append the COUNT ROWS, owned by MEM, to the array *TO of *TO_COUNT rows.  */
+static void
+append_rows (TALLOC_CTX *mem, struct jb_row **to, uint32_t *to_count,
+             const struct jb_row *rows, uint32_t count)
+{
+  *to = talloc_realloc (mem, *to, struct jb_row, *to_count + count + 1);
+  for (uint32_t i = 0; i < count; i++)
+    (*to)[(*to_count)++] = rows[i];
+}
+
+/* Make the transactions that wait behind the first one part of it, as far as
+   they fit.  The store commits them one after the other, and each takes as
+   long as one with more rows.  No attempt at the first one may have been made:
+   one that may be committed must be sent again unchanged.  */
+static void
+merge_waiting (struct jb_ownership *ownership)
+{
+  struct transaction *first = ownership->first;
+  struct transaction **merged_end = &first->merged;
+  size_t bytes = count_bytes (first);
+
+  while (first->next != NULL)
     {
-      ownership->failing_since = sent_at;
-      jb_log (ownership->options.driver, JB_LEVEL_WARN, "store-write-failed",
-              "duty", ownership->options.partition, "outcome",
-              reply->result == JB_RESULT_UNKNOWN ? "unknown" : "refused",
-              NULL);
+      struct transaction *next = first->next;
+
+      bytes += count_bytes (next);
+      if (first->set_count + first->removed_count + next->set_count
+                  + next->removed_count
+              > JB_OWNERSHIP_MAX_WRITE_ROWS + 2
+          || bytes > MAX_MERGED_BYTES || have_common_rows (first, next))
+        break;
+      first->next = next->next;
+      next->next = NULL;
+      talloc_steal (first, next);
+      *merged_end = next;
+      merged_end = &next->next;
+      first->sequence = next->sequence;
+      first->set[0] = next->set[0];
+      append_rows (first, &first->set, &first->set_count, next->set + 1,
+                   next->set_count - 1);
+      append_rows (first, &first->removed, &first->removed_count,
+                   next->removed, next->removed_count);
     }
-  ownership->retry_at = now + RETRY_DELAY;
+  if (first->next == NULL)
+    ownership->last = first;
 }
 
 static void
@@ -459,9 +575,12 @@
   attempt->number = ++ownership->attempts;
   ownership->first_in_flight = true;
   ownership->sent_at = now;
+  ownership->resend_at = now + ownership->timeout_ms * JB_MS;
   ownership->retry_at = JB_NEVER;
   jb_count_event (ownership->options.driver, JB_COUNT_STORE_WRITES);
-  submit_command (ownership, now, &command, write_replied, attempt);
+  command.timeout_ms = WRITE_ANSWER_TIMEOUT_MS;
+  jb_driver_submit (ownership->options.driver, ownership, now, &command,
+                    write_replied, attempt);
 }
 
 /* Return a zeroed array, owned by MEM, with copies of the COUNT ROWS from
@@ -567,12 +686,15 @@
       ownership->may_be_committed = true;
       send_first (ownership, now);
     }
-  if (ownership->first_in_flight)
-    return JB_NEVER;
-  if (now >= ownership->retry_at)
+  if (ownership->first_in_flight && now >= ownership->resend_at)
     {
+      record_failure (ownership, ownership->sent_at, true);
+      jb_driver_report_store_silence (ownership->options.driver, now);
+      adapt_timeout (ownership, 0, JB_RESULT_UNKNOWN);
       send_first (ownership, now);
-      return JB_NEVER;
     }
-  return ownership->retry_at;
+  else if (!ownership->first_in_flight && now >= ownership->retry_at)
+    send_first (ownership, now);
+  return ownership->first_in_flight ? ownership->resend_at
+                                    : ownership->retry_at;
 }
--- a/packages/jobs/tests/test_jb_ownership.c
+++ b/packages/jobs/tests/test_jb_ownership.c
@@ -15,6 +15,7 @@
   struct jb_driver *driver;
   uint64_t last_command; /* number of the newest command */
   uint32_t writes;       /* number of write commands */
+  uint32_t rows_set;     /* by the newest write command */
   uint32_t commits;
   uint32_t losses;
 };
@@ -27,7 +28,10 @@
 
   fixture->last_command = number;
   if (command->kind == JB_COMMAND_WRITE)
-    fixture->writes++;
+    {
+      fixture->writes++;
+      fixture->rows_set = command->u.write.set_count;
+    }
 }
 
 static const struct jb_driver_ops driver_ops
@@ -66,13 +70,20 @@
 }
 
 static void
-write_row (struct fixture *fixture, struct jb_ownership *ownership)
+write_row_with_key (struct fixture *fixture, struct jb_ownership *ownership,
+                    const char *key)
 {
-  struct jb_row row = { .table = "t", .partition = "p", .key = "k" };
+  struct jb_row row = { .table = "t", .partition = "p", .key = key };
 
   jb_ownership_write (ownership, NOW, &row, 1, NULL, 0, count_commit, fixture);
 }
 
+static void
+write_row (struct fixture *fixture, struct jb_ownership *ownership)
+{
+  write_row_with_key (fixture, ownership, "k");
+}
+
 /* What an owner writes after it has lost the partition is dropped.  */
 static void
 test_write_after_loss (void)
@@ -165,6 +176,91 @@
   talloc_free (mem);
 }
 
+/* A store that takes longer for a transaction than the owner waits before it
+   sends it again: the answer to the first attempt counts, and the one to the
+   second is no loss.  Without that, each transaction is asked for at least
+   twice before an answer counts, and clients get none in time.  */
+static void
+test_slow_store (void)
+{
+  TALLOC_CTX *mem = talloc_new (NULL);
+  struct fixture fixture = { 0 };
+  struct jb_ownership_options options = { .partition = "p",
+                                          .owner = "host",
+                                          .incarnation = 1,
+                                          .on_claimed = ignore_claim,
+                                          .on_lost = count_loss,
+                                          .data = &fixture };
+  struct jb_reply committed = { .result = JB_RESULT_OK, .version = 8 };
+  struct jb_reply conflict = { .result = JB_RESULT_CONFLICT };
+  struct jb_ownership *ownership;
+  uint64_t first_attempt;
+
+  fixture.driver = jb_driver_new (mem, &driver_ops, &fixture);
+  options.driver = fixture.driver;
+  ownership = jb_ownership_new (mem, &options);
+  jb_ownership_claim (ownership, NOW);
+  reply (&fixture, JB_RESULT_OK);
+  reply (&fixture, JB_RESULT_OK);
+  fixture.writes = 0;
+  write_row (&fixture, ownership);
+  first_attempt = fixture.last_command;
+  jb_ownership_run (ownership, NOW + JB_SECOND);
+  CU_ASSERT_EQUAL (fixture.writes, 2);
+  CU_ASSERT_NOT_EQUAL (jb_driver_store_failing_since (fixture.driver), 0);
+  jb_driver_receive_reply (fixture.driver, NOW + 1200 * JB_MS, first_attempt,
+                           &committed);
+  CU_ASSERT_EQUAL (fixture.commits, 1);
+  CU_ASSERT_EQUAL (jb_ownership_failing_since (ownership), 0);
+  jb_driver_receive_reply (fixture.driver, NOW + 2 * JB_SECOND,
+                           fixture.last_command, &conflict);
+  CU_ASSERT_EQUAL (fixture.losses, 0);
+  CU_ASSERT_EQUAL (fixture.commits, 1);
+  talloc_free (mem);
+}
+
+/* Transactions that wait while one is in flight are committed together, except
+   where one changes the row of another: each takes as long as all of them, and
+   a slow store would let clients wait for every one.  */
+static void
+test_merged_transactions (void)
+{
+  TALLOC_CTX *mem = talloc_new (NULL);
+  struct fixture fixture = { 0 };
+  struct jb_ownership_options options = { .partition = "p",
+                                          .owner = "host",
+                                          .incarnation = 1,
+                                          .on_claimed = ignore_claim,
+                                          .on_lost = count_loss,
+                                          .data = &fixture };
+  struct jb_ownership *ownership;
+
+  fixture.driver = jb_driver_new (mem, &driver_ops, &fixture);
+  options.driver = fixture.driver;
+  ownership = jb_ownership_new (mem, &options);
+  jb_ownership_claim (ownership, NOW);
+  reply (&fixture, JB_RESULT_OK);
+  reply (&fixture, JB_RESULT_OK);
+  fixture.writes = 0;
+  write_row_with_key (&fixture, ownership, "a");
+  write_row_with_key (&fixture, ownership, "a");
+  write_row_with_key (&fixture, ownership, "b");
+  write_row_with_key (&fixture, ownership, "c");
+  write_row_with_key (&fixture, ownership, "b");
+  CU_ASSERT_EQUAL (fixture.writes, 1);
+  reply (&fixture, JB_RESULT_OK);
+  CU_ASSERT_EQUAL (fixture.writes, 2);
+  CU_ASSERT_EQUAL (fixture.rows_set, 1 + 3); /* owner row, a, b and c */
+  CU_ASSERT_EQUAL (fixture.commits, 1);
+  reply (&fixture, JB_RESULT_OK);
+  CU_ASSERT_EQUAL (fixture.commits, 4);
+  CU_ASSERT_EQUAL (fixture.writes, 3);
+  reply (&fixture, JB_RESULT_OK);
+  CU_ASSERT_EQUAL (fixture.commits, 5);
+  CU_ASSERT_FALSE (jb_ownership_has_pending_writes (ownership));
+  talloc_free (mem);
+}
+
 int
 main (void)
 {
@@ -172,6 +268,8 @@
       = { { "a write after the loss is dropped", test_write_after_loss },
           { "a write is not sent", test_write_not_sent },
           { "the reply to a claim is late", test_late_reply_to_claim },
+          { "the store is slow", test_slow_store },
+          { "waiting transactions are merged", test_merged_transactions },
           { NULL, NULL } };
 
   return dp_test_main ("ownership of a partition", tests);
