Start nothing in an availability zone that operators evacuate

Operators had no way to keep tasks away from a zone: the decoder dropped removed rows, and read only the first page of their table, which the configuration may fill.

The host keeps a table of the zones that have or had an order (jb_zones). It reads the operators' table to its last page, as of the version of the first one, then applies changes and removals. Coordinators send the table to all members while it is not empty (JB_MSG_ZONES). An owner starts nothing before its host knows the table, and nothing in an evacuated zone, whose capacity it leaves out of admission control.

The emulator has three zones, orders and removals, and the check EVAC.

--- a/packages/jobs/include/jb_backend.h
+++ b/packages/jobs/include/jb_backend.h
@@ -92,6 +92,11 @@
   /* No starts until then, since too many jobs failed there in a row.  */
   jb_time suspect_until;
   uint32_t starts_in_flight; /* starts without an answer yet */
+  /* When an answer to a probe was last processed; 0: never.  */
+  jb_time probe_answered_at;
+  /* Part of its capacity that may not be filled yet, because its zone was
+     taken back a short time ago.  */
+  struct jb_resources withheld;
   /* No starts until then: it is being evacuated for a command to its host.  */
   jb_time cordoned_until;
   /* Tasks that have a run there, linked by next_on_backend.  */
@@ -147,7 +152,7 @@
 bool jb_backend_has_label (const struct jb_backend *backend,
                            const char *label);
 
-/* Return the capacity that is not reserved.  */
+/* Return the capacity that is neither reserved nor withheld.  */
 struct jb_resources jb_backend_available (const struct jb_backend *backend);
 
 #endif
--- a/packages/jobs/include/jb_command.h
+++ b/packages/jobs/include/jb_command.h
@@ -8,6 +8,7 @@
 
 #include "jb_catalog.h"
 #include "jb_types.h"
+#include "jb_zones.h"
 
 enum jb_command_kind
 {
@@ -68,6 +69,9 @@
      everything, without waiting.  */
   uint64_t after_version;
   int64_t wait_ms; /* maximum time to wait for a change */
+  /* Where the page starts when everything is returned; NULL: the first
+     one.  */
+  const char *first_key;
 };
 
 /* The backend server that a command is sent to.  */
@@ -277,6 +281,7 @@
   const char *instance; /* of its backend server, or NULL */
   enum jb_host_state state;
   const char *rack; /* or NULL */
+  const char *zone; /* or NULL */
 };
 
 /* A maintenance wave as requested by an operator.  */
@@ -322,6 +327,9 @@
   struct jb_catalog *catalog; /* or NULL when there is no new one */
   struct jb_wave_entry *waves;
   uint32_t wave_count;
+  struct jb_zone_entry *zones; /* orders, and removals of orders */
+  uint32_t zone_count;
+  uint64_t last_row_version; /* highest version of a row that was returned */
   struct jb_backend_entry *backends;
   uint32_t backend_count;
   struct jb_host_entry *hosts;
--- a/packages/jobs/include/jb_driver.h
+++ b/packages/jobs/include/jb_driver.h
@@ -144,6 +144,9 @@
   /* Commands to hosts of the fleet that were executed.  */
   JB_COUNT_HOST_MOVES,
   JB_COUNT_HOST_MAINTENANCE,
+  /* Orders of operators on zones that this host has learned.  */
+  JB_COUNT_ZONES_EVACUATED,
+  JB_COUNT_ZONES_RESTORED,
   JB_COUNTER_COUNT
 };
 
--- a/packages/jobs/include/jb_msg.h
+++ b/packages/jobs/include/jb_msg.h
@@ -22,7 +22,9 @@
    JB_MSG_QUOTA_SHARES     the organisations' shares of a pool, from the
                            planner to the pool's owner
    JB_MSG_CATALOG_REQUEST  asks for a newer configuration (see
-                           jb_catalog_fetch.h)  */
+                           jb_catalog_fetch.h)
+   JB_MSG_ZONES            the evacuated zones, from coordinators to all
+                           members while there are any  */
 
 #include "jb_catalog.h"
 #include "jb_job_desc.h"
@@ -41,6 +43,7 @@
   JB_MSG_QUOTA_USAGE,
   JB_MSG_QUOTA_SHARES,
   JB_MSG_CATALOG_REQUEST,
+  JB_MSG_ZONES,
   JB_MSG_TYPE_COUNT
 };
 
@@ -197,6 +200,13 @@
   uint64_t own_version; /* of the sender; 0: it has no configuration */
 };
 
+/* The table of the sender, which it knows.  */
+struct jb_msg_zones
+{
+  uint32_t count;
+  struct jb_zone_entry *zones;
+};
+
 struct jb_msg
 {
   uint32_t type; /* enum jb_msg_type */
@@ -213,6 +223,7 @@
     struct jb_msg_usage usage;
     struct jb_msg_shares shares;
     struct jb_msg_catalog_request catalog_request;
+    struct jb_msg_zones zones;
   } u;
 };
 
--- a/packages/jobs/include/jb_pool.h
+++ b/packages/jobs/include/jb_pool.h
@@ -23,6 +23,9 @@
   /* Points to the current catalog, or to NULL before one is known.
      Borrowed.  */
   const struct jb_catalog *const *catalog;
+  /* The evacuated zones, borrowed; NULL: there are none.  Nothing is started
+     before the table is known.  */
+  const struct jb_zones *zones;
   const char *name;     /* of the pool */
   const char *owner;    /* name of this host */
   uint64_t incarnation; /* of this host's process */
@@ -128,6 +131,17 @@
 void jb_pool_get_load (struct jb_pool *pool, TALLOC_CTX *mem, jb_time now,
                        struct jb_msg_load *load);
 
+/* Number of tasks that run, or may run, in a zone.  */
+struct jb_pool_zone_runs
+{
+  uint32_t finite;
+  uint32_t long_running;
+};
+
+/* Return how many tasks of POOL run in ZONE.  */
+struct jb_pool_zone_runs jb_pool_count_zone_runs (const struct jb_pool *pool,
+                                                  const char *zone);
+
 /* Set the Unix time of the driver clock's origin, in microseconds.  */
 void jb_pool_set_unix_origin (struct jb_pool *pool, jb_time unix_origin);
 
--- a/packages/jobs/include/jb_types.h
+++ b/packages/jobs/include/jb_types.h
@@ -89,7 +89,9 @@
   JB_SAFEGUARD_DISRUPTION_BUDGET = 1 << 7,
   /* Runs on a backend server that doesn't answer count as active until their
      lease has expired.  */
-  JB_SAFEGUARD_LEASE_EXPIRY = 1 << 8
+  JB_SAFEGUARD_LEASE_EXPIRY = 1 << 8,
+  /* Nothing is started on backend servers of an evacuated zone.  */
+  JB_SAFEGUARD_ZONES = 1 << 10
 };
 
 /* Durations and limits of the deployment.  */
@@ -121,6 +123,9 @@
   /* Factor by which a task takes longer on a backend server that doesn't hold
      its data.  */
   double remote_data_slowdown;
+  /* Within this time of the order to evacuate a zone, tasks stop being
+     started there.  */
+  int64_t zone_evacuation_ms;
   /* Commands to hosts that the whole fleet accepts per second.  */
   uint32_t max_host_commands_per_s;
   /* Bit set of enum jb_safeguard; 0 except in tests.  */
--- a/packages/jobs/src/jb_backend.c
+++ b/packages/jobs/src/jb_backend.c
@@ -121,5 +121,6 @@
   struct jb_resources available = backend->capacity;
 
   jb_resources_subtract (&available, &backend->reserved);
+  jb_resources_subtract (&available, &backend->withheld);
   return available;
 }
--- a/packages/jobs/src/jb_driver.c
+++ b/packages/jobs/src/jb_driver.c
@@ -288,6 +288,8 @@
   [JB_COUNT_OWNERSHIP_RELEASED] = { "duties", "change=\"released\"" },
   [JB_COUNT_HOST_MOVES] = { "host_orders", "kind=\"move\"" },
   [JB_COUNT_HOST_MAINTENANCE] = { "host_orders", "kind=\"maintenance\"" },
+  [JB_COUNT_ZONES_EVACUATED] = { "zone_orders", "kind=\"evacuate\"" },
+  [JB_COUNT_ZONES_RESTORED] = { "zone_orders", "kind=\"restore\"" },
 };
 
 static const char *const histogram_names[JB_HIST_COUNT] = {
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -190,6 +190,30 @@
     jb_planner_add_wave (host->planner, wave->seen_at, &wave->entry);
 }
 
+/* Apply the changes of zones in REPLY, and set the version from which the next
+   watch goes on.  A reading of everything ends with its last page, and shows
+   the zones as of its first one.  */
+static void
+apply_zones (struct jb_host *host, jb_time now, const struct jb_reply *reply)
+{
+  if (host->watched_version == 0)
+    {
+      uint64_t version = host->zone_reading.version != 0
+                             ? host->zone_reading.version
+                             : reply->version;
+
+      if (jb_host_read_zones (host, now, reply))
+        host->watched_version = version;
+      return;
+    }
+  /* More changes follow after the last row.  */
+  host->watched_version
+      = reply->next_page != NULL && reply->last_row_version != 0
+            ? reply->last_row_version
+            : reply->version;
+  jb_host_watch_zones (host, now, reply, host->watched_version);
+}
+
 static void
 watch_replied (void *data, jb_time now, jb_time sent_at,
                const struct jb_reply *reply)
@@ -205,6 +229,7 @@
       jb_log (host->driver, JB_LEVEL_INFO, "configuration-history-gone",
               "after", jb_itoa ((int64_t)host->watched_version), NULL);
       host->watched_version = 0;
+      jb_host_cancel_zone_reading (host);
       return;
     }
   if (reply->result != JB_RESULT_OK)
@@ -215,9 +240,10 @@
               reply->result == JB_RESULT_UNKNOWN ? "unknown" : "refused", "ms",
               jb_itoa ((now - sent_at) / JB_MS), NULL);
       host->next_watch = now + WATCH_RETRY_DELAY;
+      jb_host_cancel_zone_reading (host);
       return;
     }
-  host->watched_version = reply->version;
+  apply_zones (host, now, reply);
   if (reply->catalog != NULL)
     apply_catalog (host, reply->catalog, "store");
   for (uint32_t i = 0; i < reply->wave_count; i++)
@@ -234,6 +260,7 @@
     return;
   host->watch_in_flight = true;
   command.u.watch_config.after_version = host->watched_version;
+  command.u.watch_config.first_key = host->zone_reading.next_page;
   if (host->watched_version != 0)
     {
       command.u.watch_config.wait_ms = WATCH_WAIT_MS;
@@ -401,6 +428,7 @@
   struct jb_pool_options options = { .driver = host->driver,
                                      .bounds = &host->options.bounds,
                                      .catalog = &host->catalog,
+                                     .zones = host->zones,
                                      .name = slot->name,
                                      .owner = host->options.name,
                                      .incarnation = host->options.incarnation,
@@ -613,6 +641,7 @@
 {
   g_ptr_array_free (host->pools, TRUE);
   g_ptr_array_free (host->waves, TRUE);
+  jb_host_cancel_zone_reading (host);
   return 0;
 }
 
@@ -646,6 +675,7 @@
                                           % (uint64_t)HANDOVER_CHECK_INTERVAL);
   host->pools = g_ptr_array_new ();
   host->waves = g_ptr_array_new ();
+  host->zones = jb_zones_new (host);
   host->driver = jb_driver_new (host, ops, context);
   members.driver = host->driver;
   host->members = jb_members_new (host, now, &members);
@@ -734,6 +764,9 @@
       handle_catalog_request (host, from,
                               message->u.catalog_request.own_version);
       break;
+    case JB_MSG_ZONES:
+      jb_host_handle_zones (host, now, &message->u.zones);
+      break;
     case JB_MSG_TYPE_COUNT:
       break;
     }
@@ -761,6 +794,7 @@
   watch_configuration (host, now);
   list_backends (host, now);
   request_catalog (host, now);
+  jb_host_send_zones (host, now);
   for (guint i = 0; i < host->pools->len; i++)
     {
       struct pool_slot *slot = g_ptr_array_index (host->pools, i);
--- a/packages/jobs/src/jb_host_internal.h
+++ b/packages/jobs/src/jb_host_internal.h
@@ -26,6 +26,14 @@
   struct jb_wave_entry entry;
 };
 
+/* A reading of everything that operators have written, page by page.  */
+struct zone_reading
+{
+  uint64_t version; /* of the store at its first page; 0: none begun */
+  char *next_page;  /* NULL: the first one */
+  GArray *zones;    /* struct jb_zone_entry, found so far */
+};
+
 struct jb_host
 {
   struct jb_host_options options;
@@ -34,6 +42,10 @@
   struct jb_frontend *frontend;
   const struct jb_catalog *catalog; /* NULL: none yet */
   struct jb_catalog_fetch catalog_fetch;
+  struct jb_zones *zones;      /* evacuated zones */
+  uint64_t logged_zone_change; /* last change of a zone that was logged */
+  uint64_t sent_zone_update;   /* last update of a zone that was sent */
+  jb_time next_zone_message;
   GPtrArray *pools;           /* struct pool_slot */
   struct jb_planner *planner; /* NULL: neither owned nor being claimed */
   jb_time next_planner_claim; /* earliest time to claim its partition */
@@ -48,6 +60,7 @@
   bool heartbeat_due; /* the heartbeat's content changed: send it at once */
   /* Watch of the configuration and of maintenance requests.  */
   bool watch_in_flight;
+  struct zone_reading zone_reading;
   uint64_t watched_version; /* newest version that the watch returned */
   jb_time next_watch;
   /* List of the backend servers.  */
@@ -77,6 +90,29 @@
 /* Return the number of partitions that this host owns or is claiming.  */
 uint32_t jb_host_ownership_count (const struct jb_host *host);
 
+/* ---- jb_host_zones.c ---- */
+
+/* Begin, go on with or end the reading of the zones with REPLY, a page of what
+   operators have written.  Return true if it was the last page.  */
+bool jb_host_read_zones (struct jb_host *host, jb_time now,
+                         const struct jb_reply *reply);
+
+/* Forget a reading that has failed.  */
+void jb_host_cancel_zone_reading (struct jb_host *host);
+
+/* Apply the changes of zones in REPLY, which shows all changes up to
+   VERSION.  */
+void jb_host_watch_zones (struct jb_host *host, jb_time now,
+                          const struct jb_reply *reply, uint64_t version);
+
+/* Apply the message ZONES of a coordinator.  */
+void jb_host_handle_zones (struct jb_host *host, jb_time now,
+                           const struct jb_msg_zones *zones);
+
+/* If this host is a coordinator, send the zones to all members when they have
+   changed, and at intervals while there are any.  */
+void jb_host_send_zones (struct jb_host *host, jb_time now);
+
 /* ---- jb_host_planner.c ---- */
 
 /* Claim, confirm or release the planner's partition, as needed.  LAST_HEARD is
--- a/packages/jobs/src/jb_msg.c
+++ b/packages/jobs/src/jb_msg.c
@@ -6,7 +6,8 @@
   MAX_OWNERSHIP_COUNT = 1000,
   MAX_MEMBER_COUNT = 10000,
   MAX_IDLE_INSTANCE_COUNT = 100000,
-  MAX_ORG_COUNT = 10000
+  MAX_ORG_COUNT = 10000,
+  MAX_ZONE_COUNT = JB_ZONES_MAX_COUNT
 };
 
 static void
@@ -177,6 +178,10 @@
     case JB_MSG_CATALOG_REQUEST:
       ba_codec_u64 (io, &message->u.catalog_request.own_version);
       break;
+    case JB_MSG_ZONES:
+      ba_codec_array (io, message->u.zones.zones, message->u.zones.count,
+                      MAX_ZONE_COUNT, jb_zone_entry_serialize);
+      break;
     case JB_MSG_TYPE_COUNT:
       break;
     }
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -431,8 +431,9 @@
 
 /* Add the capacity of all reachable backend servers to SUM, and raise LARGEST
    to the largest capacity of one of them, in each dimension.  These are the
-   listed ones that answer probes and are not being evacuated, whether or not
-   tasks may be started on them now.  */
+   listed ones that answer probes and are not being evacuated, neither for a
+   command to their host nor with their zone, whether or not tasks may be
+   started on them now.  */
 static void
 sum_capacity (const struct jb_pool *pool, jb_time now,
               struct jb_resources *sum, struct jb_resources *largest)
@@ -447,7 +448,8 @@
 
       if (!backend->listed
           || backend->unanswered_probes >= JB_SILENT_AFTER_PROBES
-          || now < backend->cordoned_until)
+          || now < backend->cordoned_until
+          || jb_pool_is_in_evacuated_zone (pool, backend))
         continue;
       jb_resources_add (sum, &backend->capacity);
       largest->cpu_milli
--- a/packages/jobs/src/jb_pool_evacuate.c
+++ b/packages/jobs/src/jb_pool_evacuate.c
@@ -63,6 +63,17 @@
   return unavailable;
 }
 
+bool
+jb_pool_may_move_long_running (const struct jb_pool *pool,
+                               const struct jb_task *task, jb_time now)
+{
+  const struct jb_step *step = jb_task_step (task);
+
+  return step->max_unavailable == 0 || task->backend->draining
+         || jb_pool_has_disabled (pool, JB_SAFEGUARD_DISRUPTION_BUDGET)
+         || count_others_unavailable (pool, task, now) < step->max_unavailable;
+}
+
 void
 jb_pool_move_long_running (struct jb_pool *pool, struct jb_backend *backend,
                            jb_time now, const char *reason)
@@ -70,14 +81,8 @@
   for (struct jb_task *task = backend->tasks; task != NULL;
        task = task->next_on_backend)
     {
-      const struct jb_step *step = jb_task_step (task);
-
-      if (!step->long_running || task->state != JB_RUN_RUNNING)
-        continue;
-      if (step->max_unavailable > 0 && !backend->draining
-          && !jb_pool_has_disabled (pool, JB_SAFEGUARD_DISRUPTION_BUDGET)
-          && count_others_unavailable (pool, task, now)
-                 >= step->max_unavailable)
+      if (!jb_task_step (task)->long_running || task->state != JB_RUN_RUNNING
+          || !jb_pool_may_move_long_running (pool, task, now))
         continue;
       jb_pool_stop_run (pool, task, now, reason);
     }
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -390,6 +390,11 @@
    to their host that has not come.  */
 void jb_pool_end_cordons (struct jb_pool *pool, jb_time now);
 
+/* Return whether the long-running TASK, which runs, may be stopped within its
+   step's disruption budget.  */
+bool jb_pool_may_move_long_running (const struct jb_pool *pool,
+                                    const struct jb_task *task, jb_time now);
+
 /* Stop the long-running tasks of BACKEND so that they start elsewhere, as far
    as their disruption budgets allow.  On a draining backend server the
    budgets don't apply.  REASON is logged.  */
@@ -397,4 +402,23 @@
                                 struct jb_backend *backend, jb_time now,
                                 const char *reason);
 
+/* ---- jb_pool_zones.c ---- */
+
+/* Return whether BACKEND is in an evacuated zone.  */
+bool jb_pool_is_in_evacuated_zone (const struct jb_pool *pool,
+                                   const struct jb_backend *backend);
+/* Return whether BACKEND's zone was taken back and BACKEND has not answered a
+   probe since.  */
+bool jb_pool_awaits_answer (const struct jb_pool *pool,
+                            const struct jb_backend *backend);
+/* Return whether tasks may be started in BACKEND's zone: the table of the
+   zones is known, the zone is not evacuated, and BACKEND has answered a probe
+   since it was taken back.  */
+bool jb_pool_zone_is_usable (const struct jb_pool *pool,
+                             const struct jb_backend *backend);
+/* Set which part of BACKEND's capacity may not be filled now, because its zone
+   was taken back a short time ago.  */
+void jb_pool_limit_fill (const struct jb_pool *pool,
+                         struct jb_backend *backend, jb_time now);
+
 #endif
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -412,6 +412,7 @@
   backend->probe_clock_ms = reply->backend_clock_ms;
   jb_backend_record_clock (backend, now, reply->backend_clock_ms);
   backend->unanswered_probes = 0;
+  backend->probe_answered_at = now;
   if (!backend->probed && !backend->in_roster)
     pool->roster_dirty = true;
   backend->probed = true;
@@ -526,12 +527,14 @@
 }
 
 /* Return whether BACKEND needs to be probed: it has never been probed, it may
-   have runs, it is listed but does not answer, or it has reported ends of runs
-   that are not acknowledged yet.  */
+   have runs, it is listed but does not answer or has not since its zone was
+   taken back, or it has reported ends of runs that are not acknowledged
+   yet.  */
 static bool
-needs_probing (const struct jb_backend *backend)
+needs_probing (const struct jb_pool *pool, const struct jb_backend *backend)
 {
   return !backend->probed || backend->task_count > 0
+         || jb_pool_awaits_answer (pool, backend)
          || (backend->unanswered_probes > 0 && backend->listed)
          || backend->orphan_seen_at != 0
          || backend->stored_end > backend->acked_end
@@ -599,11 +602,11 @@
 
 /* Return when the next probe of BACKEND is due, or JB_NEVER.  */
 static jb_time
-probe_due_at (const struct jb_backend *backend)
+probe_due_at (const struct jb_pool *pool, const struct jb_backend *backend)
 {
   jb_time due = backend->next_probe;
 
-  if (!needs_probing (backend))
+  if (!needs_probing (pool, backend))
     return JB_NEVER;
   if (backend->probes_in_flight > (backend->probe_urgent ? 1U : 0U))
     return last_probe_due_at (backend);
@@ -627,12 +630,12 @@
   for (guint i = 0; i < backends->len; i++)
     {
       struct jb_backend *backend = g_ptr_array_index (backends, i);
-      jb_time due = probe_due_at (backend);
+      jb_time due = probe_due_at (pool, backend);
 
       if (may_send && now >= due)
         {
           send_probe (pool, backend, now);
-          due = probe_due_at (backend);
+          due = probe_due_at (pool, backend);
         }
       next = MIN (next, due);
     }
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -65,7 +65,8 @@
          && backend->unanswered_probes == 0 && backend->clock_received_at != 0
          && now >= backend->unhealthy_until && now >= backend->suspect_until
          && now >= backend->cordoned_until
-         && backend->starts_in_flight < MAX_STARTS_IN_FLIGHT;
+         && backend->starts_in_flight < MAX_STARTS_IN_FLIGHT
+         && jb_pool_zone_is_usable (pool, backend);
 }
 
 /* ---- stopping ---- */
@@ -596,8 +597,10 @@
     {
       struct jb_backend *backend = g_ptr_array_index (backends, i);
 
-      if (jb_pool_backend_is_usable (pool, backend, now))
-        pool->usable_backends[pool->usable_count++] = backend;
+      if (!jb_pool_backend_is_usable (pool, backend, now))
+        continue;
+      jb_pool_limit_fill (pool, backend, now);
+      pool->usable_backends[pool->usable_count++] = backend;
     }
 }
 
--- a/tests/sim/jobs/jw_backend.c
+++ b/tests/sim/jobs/jw_backend.c
@@ -76,6 +76,7 @@
     backend->address = talloc_steal (backend, host->kept_address);
   host->kept_address = NULL;
   backend->host = talloc_strdup (backend, host->name);
+  backend->zone = host->zone;
   backend->pool = host->pool;
   backend->up = true;
   backend->cpu_milli = world->options.backend_cpu_milli;
@@ -107,6 +108,31 @@
   return NULL;
 }
 
+const char *
+jw_zone_name (uint32_t zone)
+{
+  static const char *const names[JW_ZONE_COUNT]
+      = { "zone-0", "zone-1", "zone-2" };
+
+  return names[zone];
+}
+
+uint32_t
+jw_count_running_in_zone (struct jw_world *world, uint32_t zone)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < world->backends->len; i++)
+    {
+      const struct jw_backend *backend
+          = g_ptr_array_index (world->backends, i);
+
+      if (backend->up && backend->zone == jw_zone_name (zone))
+        count += backend->runs->len;
+    }
+  return count;
+}
+
 /* ---- probes ---- */
 
 /* A probe that is answered when a run ends, or when its time is up.  */
@@ -699,6 +725,7 @@
         struct jw_fleet_host *host = talloc_zero (world, struct jw_fleet_host);
 
         host->name = talloc_asprintf (host, "m-%u-%u", pool, i);
+        host->zone = jw_zone_name (i % JW_ZONE_COUNT);
         host->pool = pool;
         g_ptr_array_add (world->fleet, host);
         jw_backend_add (world, host);
@@ -726,7 +753,8 @@
         .host = host->name,
         .pool = world->catalog->pools[host->pool].name,
         .instance = host->backend != NULL ? host->backend->instance : NULL,
-        .state = host->state
+        .state = host->state,
+        .zone = host->zone
       };
     }
 }
--- a/tests/sim/jobs/jw_check.c
+++ b/tests/sim/jobs/jw_check.c
@@ -23,6 +23,18 @@
    starts.  */
 #define MAX_ORG_USAGE_PERCENT 110
 
+/* Time after the order to evacuate a zone from which nothing may be started
+   there, and by how much it is longer while the store refuses some hosts.  */
+#define EVACUATION_TIME (5000 * JB_MS)
+#define EVACUATION_TIME_WHILE_REFUSED (6000 * JB_MS)
+
+/* A host must know of an order if it ran and the store answered it for this
+   long.  */
+#define UNDISTURBED_TIME (4000 * JB_MS)
+
+/* How often it is checked which hosts are disturbed.  */
+#define DISTURBANCE_INTERVAL (20 * JB_MS)
+
 struct jw_task *
 jw_get_task (struct jw_world *world, const char *name)
 {
@@ -126,6 +138,57 @@
                          backend->instance, (int)used, (int)limit);
 }
 
+static void
+record_disturbances (struct jw_world *world, void *data)
+{
+  (void)data;
+  for (uint32_t i = 0; i < world->options.hosts; i++)
+    {
+      struct jw_host *host = &world->hosts[i];
+      bool is_up = host->host != NULL || host->up;
+      bool is_refused = host->store_unreachable || world->store_down
+                        || world->loss_permille.store_commands > 0;
+
+      if (!is_up || host->frozen || is_refused)
+        host->disturbed_at = world->now;
+      if (is_up && is_refused)
+        world->store_refused_at = world->now;
+    }
+  jw_schedule (world, world->now + DISTURBANCE_INTERVAL, record_disturbances,
+               NULL);
+}
+
+void
+jw_watch_disturbances (struct jw_world *world)
+{
+  if (!world->watches_disturbances)
+    record_disturbances (world, NULL);
+  world->watches_disturbances = true;
+}
+
+void
+jw_check_evacuation (struct jw_world *world, const struct jw_host *host,
+                     const struct jb_command *command)
+{
+  const struct jw_backend *backend = jw_find_target (world, &command->backend);
+
+  for (uint32_t i = 0; backend != NULL && i < JW_ZONE_COUNT; i++)
+    {
+      const struct jw_zone *zone = &world->zones[i];
+      jb_time bound = EVACUATION_TIME;
+
+      if (!zone->evacuated || backend->zone != zone->name)
+        continue;
+      if (world->store_refused_at >= zone->ordered_at)
+        bound += EVACUATION_TIME_WHILE_REFUSED;
+      if (world->now > zone->ordered_at + bound
+          && world->now >= host->disturbed_at + UNDISTURBED_TIME)
+        jw_report_violation (world, "EVAC", "%s sends a start of %s to %s",
+                             host->name, command->u.start_task.task,
+                             backend->instance);
+    }
+}
+
 void
 jw_check_task_start (struct jw_world *world, struct jw_backend *backend,
                      const struct jb_command *command)
--- a/tests/sim/jobs/jw_commands.c
+++ b/tests/sim/jobs/jw_commands.c
@@ -83,6 +83,10 @@
       command->u.write.removed_rows = copy_rows (
           to, from->u.write.removed_rows, from->u.write.removed_count);
       break;
+    case JB_COMMAND_WATCH_CONFIG:
+      command->u.watch_config.first_key
+          = talloc_strdup (to, from->u.watch_config.first_key);
+      break;
     case JB_COMMAND_READ:
     case JB_COMMAND_LIST_HOSTS:
     case JB_COMMAND_LIST_BACKENDS:
@@ -232,6 +236,8 @@
       = world->now + (to_store ? STORE_LATENCY : JW_ONE_WAY_LATENCY_US);
 
   record_writer (host, command);
+  if (command->kind == JB_COMMAND_START_TASK)
+    jw_check_evacuation (world, host, command);
   in_flight->host = host;
   in_flight->epoch = host->epoch;
   in_flight->number = number;
--- a/tests/sim/jobs/jw_store.c
+++ b/tests/sim/jobs/jw_store.c
@@ -4,6 +4,7 @@
 
 #include "jw_world.h"
 
+#include <stdio.h>
 #include <string.h>
 
 enum
@@ -16,6 +17,9 @@
   MSGPACK_FIXSTR = 0xa0 /* type of a short string; its length is added */
 };
 
+/* Where the second page of what operators have written starts.  */
+#define FIRST_ZONE_KEY "evacuate/"
+
 /* How long the entry of a backend server remains after its end.  */
 #define ENTRY_LIFETIME (4500 * JB_MS)
 
@@ -189,12 +193,84 @@
   reply->version = world->version;
 }
 
+/* Order or take back the evacuation of the zone with index INDEX.  */
+static void
+change_zone (struct jw_world *world, uint32_t index, bool evacuated)
+{
+  struct jw_zone *zone = &world->zones[index];
+
+  if (zone->evacuated == evacuated)
+    return;
+  zone->name = jw_zone_name (index);
+  zone->evacuated = evacuated;
+  zone->version = ++world->version;
+  zone->ordered_at = world->now;
+  jw_watch_disturbances (world);
+  if (world->options.verbose)
+    printf ("%9.3f operator %s %s\n", (double)world->now / 1e6,
+            evacuated ? "evacuates" : "restores", zone->name);
+}
+
+void
+jw_evacuate_zone (struct jw_world *world, uint32_t zone)
+{
+  change_zone (world, zone, true);
+}
+
+void
+jw_restore_zone (struct jw_world *world, uint32_t zone)
+{
+  change_zone (world, zone, false);
+}
+
+/* Add the orders that are in force to REPLY, and unless EVERYTHING is read the
+   removals, as far as they are newer than AFTER_VERSION.  */
+static void
+add_zones (const struct jw_world *world, uint64_t after_version,
+           bool everything, struct jb_reply *reply)
+{
+  reply->zones
+      = talloc_zero_array (reply->mem, struct jb_zone_entry, JW_ZONE_COUNT);
+  for (uint32_t i = 0; i < JW_ZONE_COUNT; i++)
+    {
+      const struct jw_zone *zone = &world->zones[i];
+
+      if (zone->version > after_version && (zone->evacuated || !everything))
+        reply->zones[reply->zone_count++]
+            = (struct jb_zone_entry){ .zone
+                                      = talloc_strdup (reply->mem, zone->name),
+                                      .evacuated = zone->evacuated,
+                                      .version = zone->version };
+    }
+}
+
+/* A reading of everything has a second page if there are orders: the
+   configuration fills the first one.  */
+static void
+add_zone_page (const struct jw_world *world,
+               const struct jb_command_watch_config *watch,
+               struct jb_reply *reply)
+{
+  add_zones (world, 0, true, reply);
+  if (watch->first_key == NULL && reply->zone_count > 0)
+    {
+      reply->zone_count = 0;
+      reply->next_page = FIRST_ZONE_KEY;
+    }
+}
+
 static void
 watch_rows (struct jw_world *world,
             const struct jb_command_watch_config *watch,
             struct jb_reply *reply)
 {
   reply->version = world->version;
+  if (watch->after_version == 0)
+    add_zone_page (world, watch, reply);
+  else
+    add_zones (world, watch->after_version, false, reply);
+  if (watch->first_key != NULL)
+    return;
   if (world->catalog_version > watch->after_version)
     {
       reply->catalog = talloc_zero (reply->mem, struct jb_catalog);
@@ -243,7 +319,7 @@
         .instance = backend->instance,
         .pool = world->catalog->pools[backend->pool].name,
         .address = backend->address,
-        .zone = "zone",
+        .zone = backend->zone,
         .draining = backend->draining,
         .capacity = { backend->cpu_milli, 100000, 0 },
         .started_unix_ms = backend->started_unix_ms
--- a/tests/sim/jobs/jw_world.c
+++ b/tests/sim/jobs/jw_world.c
@@ -345,6 +345,7 @@
   if (host->host != NULL || host->up)
     return;
   host->epoch++;
+  host->disturbed_at = world->now;
   host->frozen = false;
   host->link_in_free_at = 0;
   host->arriving_reply = 0;
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -21,6 +21,7 @@
 {
   JW_MAX_HOST_COUNT = 64,
   JW_MAX_POOL_COUNT = 6,
+  JW_ZONE_COUNT = 3,
   JW_MAX_ATTEMPTS = 3, /* failed runs after which a task has failed */
   /* A task may be given up after this number of crashes of backend servers
      where it was running.  */
@@ -104,6 +105,9 @@
   GQueue *held; /* unused */
   bool store_unreachable;
   bool peers_unreachable;
+  /* When the store last refused it, or it did not run.  Kept only since the
+     first order to evacuate a zone.  */
+  jb_time disturbed_at;
   bool backends_unreachable;
   /* It is too busy to send commands to backend servers before their timeout
      has passed.  */
@@ -164,6 +168,7 @@
   char *instance;
   char *address;
   char *host; /* name of its host in the fleet */
+  const char *zone;
   uint32_t pool;
   bool up;
   jb_time ended_at; /* when it went down */
@@ -231,6 +236,7 @@
 struct jw_fleet_host
 {
   char *name;
+  const char *zone;
   uint32_t pool;
   enum jb_host_state state;
   struct jw_backend *backend;
@@ -243,6 +249,15 @@
   bool maintained; /* in the maintenance wave */
 };
 
+/* A zone that has or had an order to evacuate it.  */
+struct jw_zone
+{
+  const char *name;
+  bool evacuated;
+  uint64_t version;   /* of the store, of the last change */
+  jb_time ordered_at; /* when the order was written */
+};
+
 struct jw_world
 {
   struct jw_options options;
@@ -262,6 +277,10 @@
   struct jb_wave_entry wave;
   uint64_t wave_version; /* store version of its last change; 0: no wave */
   bool wave_completed;
+  struct jw_zone zones[JW_ZONE_COUNT];
+  jb_time store_refused_at; /* when the store last refused any host; 0: never,
+                               or before the first order */
+  bool watches_disturbances;
   GPtrArray *watches;    /* unused */
   GPtrArray *backends;   /* struct jw_backend, including those that ended */
   GPtrArray *fleet;      /* struct jw_fleet_host */
@@ -361,6 +380,16 @@
 void jw_start_wave (struct jw_world *world, uint32_t max_hosts_at_once,
                     int64_t within_ms);
 
+/* Write the order to evacuate the zone with index ZONE, or remove it.  */
+void jw_evacuate_zone (struct jw_world *world, uint32_t zone);
+void jw_restore_zone (struct jw_world *world, uint32_t zone);
+
+/* Return the name of the zone with index ZONE.  */
+const char *jw_zone_name (uint32_t zone);
+
+/* Return the number of tasks that run in the zone with index ZONE.  */
+uint32_t jw_count_running_in_zone (struct jw_world *world, uint32_t zone);
+
 /* Publish the same catalog as a new version.  */
 void jw_bump_catalog_version (struct jw_world *world);
 
@@ -428,6 +457,8 @@
    LIMIT    too many hosts are in maintenance at once, or a task starts on a
             backend server without room, except for a while after its capacity
             has become smaller
+   EVAC     a task is sent to a backend server of an evacuated zone, later than
+            5 s after the order by a host that could know of it
    MESSAGE  a message between entry hosts can't be decoded
    ANSWER   a client gets an answer of an unexpected kind  */
 void jw_report_violation (struct jw_world *world, const char *rule,
@@ -479,6 +510,9 @@
                              uint64_t number,
                              const struct jb_command *command);
 
+/* From now on, keep when entry hosts were disturbed.  */
+void jw_watch_disturbances (struct jw_world *world);
+
 void jw_store_init (struct jw_world *world);
 void jw_fleet_init (struct jw_world *world);
 
@@ -486,6 +520,11 @@
 struct jw_backend *jw_backend_add (struct jw_world *world,
                                    struct jw_fleet_host *host);
 
+/* Check that the start COMMAND, which HOST is sending, is not for a backend
+   server of an evacuated zone.  */
+void jw_check_evacuation (struct jw_world *world, const struct jw_host *host,
+                          const struct jb_command *command);
+
 /* Check the guarantees that concern the start of a task.  */
 void jw_check_task_start (struct jw_world *world, struct jw_backend *backend,
                           const struct jb_command *command);
