Move long-running tasks out of evacuated zones, and show what is left

A zone whose long-running tasks stay can't be switched off. Draining moves them within their budgets, but without regard to room: with the other zones full, all would lose their places.

New log line zone-empty, view and command evacuations.

--- a/packages/jobs/include/jb_view.h
+++ b/packages/jobs/include/jb_view.h
@@ -10,7 +10,8 @@
 
 struct jb_view_line
 {
-  const char *kind; /* "duty", "pool", "job", "step", "reason" or "wave" */
+  const char *kind; /* "duty", "pool", "job", "step", "reason", "wave" or
+                       "evacuation" */
   struct jb_log_field *fields;
   uint32_t count;
 };
@@ -30,6 +31,7 @@
   JB_VIEW_JOB,     /* one job and its steps */
   JB_VIEW_EXPLAIN, /* JB_VIEW_JOB, and why the job's tasks wait */
   JB_VIEW_WAVES,   /* maintenance waves, if this host is the planner */
+  JB_VIEW_EVACUATIONS, /* zones that are or were evacuated */
   JB_VIEW_TOPIC_COUNT
 };
 
--- a/packages/jobs/include/jb_zones.h
+++ b/packages/jobs/include/jb_zones.h
@@ -77,6 +77,9 @@
 /* Return whether ZONE is evacuated.  */
 bool jb_zones_is_evacuated (const struct jb_zones *zones, const char *zone);
 
+/* Return whether any zone is evacuated.  */
+bool jb_zones_any_evacuated (const struct jb_zones *zones);
+
 /* Return when this host learned that ZONE was taken back, or 0 if it has not
    known of an evacuation of ZONE that has ended.  */
 jb_time jb_zones_restored_at (const struct jb_zones *zones, const char *zone);
--- a/packages/jobs/src/jb_host_internal.h
+++ b/packages/jobs/src/jb_host_internal.h
@@ -97,6 +97,10 @@
 bool jb_host_read_zones (struct jb_host *host, jb_time now,
                          const struct jb_reply *reply);
 
+/* Return how many tasks of the pools that this host owns run in ZONE.  */
+struct jb_pool_zone_runs jb_host_count_zone_runs (const struct jb_host *host,
+                                                  const char *zone);
+
 /* Forget a reading that has failed.  */
 void jb_host_cancel_zone_reading (struct jb_host *host);
 
--- a/packages/jobs/src/jb_host_zones.c
+++ b/packages/jobs/src/jb_host_zones.c
@@ -6,11 +6,10 @@
 /* Time between two messages with the zones while they don't change.  */
 #define ZONE_MESSAGE_INTERVAL (2000 * JB_MS)
 
-/* Return the number of tasks that pools owned here run in ZONE.  */
-static uint32_t
-count_runs (const struct jb_host *host, const char *zone)
+struct jb_pool_zone_runs
+jb_host_count_zone_runs (const struct jb_host *host, const char *zone)
 {
-  uint32_t count = 0;
+  struct jb_pool_zone_runs sum = { 0 };
 
   for (guint i = 0; i < host->pools->len; i++)
     {
@@ -20,9 +19,10 @@
       if (!jb_host_slot_is_owned (slot))
         continue;
       runs = jb_pool_count_zone_runs (slot->pool, zone);
-      count += runs.finite + runs.long_running;
+      sum.finite += runs.finite;
+      sum.long_running += runs.long_running;
     }
-  return count;
+  return sum;
 }
 
 /* Log and count the changes of zones that were not logged yet.  SOURCE says
@@ -33,9 +33,11 @@
   for (uint32_t i = 0; i < jb_zones_count (host->zones); i++)
     {
       const struct jb_zone *zone = jb_zones_at (host->zones, i);
+      struct jb_pool_zone_runs runs;
 
       if (zone->change <= host->logged_zone_change)
         continue;
+      runs = jb_host_count_zone_runs (host, zone->entry.zone);
       jb_count_event (host->driver, zone->entry.evacuated
                                         ? JB_COUNT_ZONES_EVACUATED
                                         : JB_COUNT_ZONES_RESTORED);
@@ -43,7 +45,7 @@
               zone->entry.evacuated ? "zone-evacuated" : "zone-restored",
               "zone", zone->entry.zone, "version",
               jb_itoa ((int64_t)zone->entry.version), "source", source, "runs",
-              jb_itoa (count_runs (host, zone->entry.zone)), NULL);
+              jb_itoa (runs.finite + runs.long_running), NULL);
     }
   host->logged_zone_change = jb_zones_change (host->zones);
 }
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -81,6 +81,7 @@
   g_hash_table_destroy (pool->jobs);
   g_hash_table_destroy (pool->queue_stats);
   g_hash_table_destroy (pool->org_usages);
+  g_hash_table_destroy (pool->empty_zones);
   g_ptr_array_free (pool->backend_list, TRUE);
   g_ptr_array_free (pool->active_jobs, TRUE);
   g_ptr_array_free (pool->dirty_jobs, TRUE);
@@ -111,6 +112,8 @@
   pool->jobs = g_hash_table_new (g_str_hash, g_str_equal);
   pool->queue_stats = g_hash_table_new (g_str_hash, g_str_equal);
   pool->org_usages = g_hash_table_new (g_str_hash, g_str_equal);
+  pool->empty_zones
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   pool->active_jobs = g_ptr_array_new ();
   pool->dirty_jobs = g_ptr_array_new ();
   pool->deferred_requests = g_ptr_array_new ();
@@ -928,6 +931,7 @@
         if (((struct jb_backend *)value)->draining)
           jb_pool_move_long_running (pool, value, now,
                                      "its backend server is draining");
+      jb_pool_leave_zones (pool, now);
       if (pool->write_batch == NULL
           && !jb_ownership_has_pending_writes (pool->ownership))
         remove_expired_jobs (pool, now);
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -128,6 +128,7 @@
   jb_time list_requested_at; /* when the newest of them was requested */
   struct jb_backend **usable_backends; /* rebuilt in each scheduling cycle */
   uint32_t usable_count;
+  GHashTable *empty_zones; /* changes (struct jb_zone) logged as empty */
   /* Jobs.  */
   GHashTable *jobs;        /* ID -> struct jb_job */
   GPtrArray *active_jobs;  /* struct jb_job: not ended, or with active runs */
@@ -301,6 +302,8 @@
    was not answered.  Long-running tasks are not stopped like that: they may be
    ready by now, and then only the disruption budget allows to stop them.  */
 void jb_pool_resend_stops (struct jb_pool *pool, jb_time now);
+/* Set the usable backend servers of POOL.  */
+void jb_pool_collect_usable_backends (struct jb_pool *pool, jb_time now);
 /* Return whether tasks may be started on BACKEND.  */
 bool jb_pool_backend_is_usable (const struct jb_pool *pool,
                                 const struct jb_backend *backend, jb_time now);
@@ -420,5 +423,8 @@
    was taken back a short time ago.  */
 void jb_pool_limit_fill (const struct jb_pool *pool,
                          struct jb_backend *backend, jb_time now);
+/* Stop the long-running tasks in evacuated zones that can be started elsewhere
+   now, as their disruption budgets allow, and log which zones are empty.  */
+void jb_pool_leave_zones (struct jb_pool *pool, jb_time now);
 
 #endif
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -584,8 +584,8 @@
   return candidates;
 }
 
-static void
-collect_usable_backends (struct jb_pool *pool, jb_time now)
+void
+jb_pool_collect_usable_backends (struct jb_pool *pool, jb_time now)
 {
   const GPtrArray *backends = jb_pool_list_backends (pool);
 
@@ -715,7 +715,7 @@
     return;
   pool->schedule_due = false;
   pool->next_schedule = now + SCHEDULE_MIN_INTERVAL;
-  collect_usable_backends (pool, now);
+  jb_pool_collect_usable_backends (pool, now);
   if (pool->usable_count == 0)
     return;
   jb_pool_recount_usage (pool);
--- a/packages/jobs/src/jb_view.c
+++ b/packages/jobs/src/jb_view.c
@@ -16,8 +16,9 @@
 const char *
 jb_view_topic_name (enum jb_view_topic topic)
 {
-  static const char *const names[JB_VIEW_TOPIC_COUNT]
-      = { "owners", "pools", "jobs", "job", "explain", "waves" };
+  static const char *const names[JB_VIEW_TOPIC_COUNT] = {
+    "owners", "pools", "jobs", "job", "explain", "waves", "evacuations"
+  };
 
   return names[topic];
 }
@@ -96,12 +97,33 @@
     }
 }
 
+static void
+view_evacuations (const struct jb_host *host, jb_time now,
+                  struct jb_view *view)
+{
+  for (uint32_t i = 0; i < jb_zones_count (host->zones); i++)
+    {
+      const struct jb_zone *zone = jb_zones_at (host->zones, i);
+      struct jb_pool_zone_runs runs
+          = jb_host_count_zone_runs (host, zone->entry.zone);
+
+      jb_view_add (view, "evacuation", "zone", zone->entry.zone, "state",
+                   zone->entry.evacuated ? "evacuated" : "restored",
+                   "since_ms", jb_itoa ((now - zone->since) / JB_MS),
+                   "version", jb_itoa ((int64_t)zone->entry.version), "finite",
+                   jb_itoa (runs.finite), "long_running",
+                   jb_itoa (runs.long_running), NULL);
+    }
+}
+
 void
 jb_host_view (const struct jb_host *host, jb_time now,
               enum jb_view_topic topic, const char *id, struct jb_view *view)
 {
   if (topic == JB_VIEW_OWNERS)
     view_ownerships (host, view);
+  else if (topic == JB_VIEW_EVACUATIONS)
+    view_evacuations (host, now, view);
   else if (topic == JB_VIEW_WAVES && host->planner != NULL)
     jb_planner_view (host->planner, now, view);
   else if (topic != JB_VIEW_WAVES)
--- a/packages/jobs/src/jb_zones.c
+++ b/packages/jobs/src/jb_zones.c
@@ -196,6 +196,15 @@
   return found != NULL && found->entry.evacuated;
 }
 
+bool
+jb_zones_any_evacuated (const struct jb_zones *zones)
+{
+  for (guint i = 0; i < zones->zones->len; i++)
+    if (zone_at (zones, i)->entry.evacuated)
+      return true;
+  return false;
+}
+
 jb_time
 jb_zones_restored_at (const struct jb_zones *zones, const char *zone)
 {
--- a/programs/cli_command.c
+++ b/programs/cli_command.c
@@ -500,7 +500,7 @@
   { "counters", 0, true, run_counters }, { "jobs", 0, false, run_view },
   { "pools", 0, false, run_view },       { "owners", 0, false, run_view },
   { "waves", 0, false, run_view },       { "job", 1, false, run_view },
-  { "explain", 1, false, run_view },
+  { "explain", 1, false, run_view },     { "evacuations", 0, false, run_view },
 };
 
 static const struct command *
--- a/programs/dogwoodpulley.c
+++ b/programs/dogwoodpulley.c
@@ -39,6 +39,7 @@
       "  job ID                   a job and its steps\n"
       "  explain ID               the same, and why its tasks are waiting\n"
       "  waves                    maintenance waves\n"
+      "  evacuations              evacuated zones, and what still runs there\n"
       "\n"
       "Exit status: 0 done; 1 refused; 2 the command or file is not valid; "
       "3 conflict with another change; 4 unreachable, nothing changed; "
