Send no hosts of evacuated zones to pools, and maintain them first

Hosts of an evacuated zone counted as hosts of their pool, so no others were sent instead, and the planner could move them to a pool in need, where they are of no use.

The planner counts hosts of evacuated zones in no pool when it rebalances, and gives up moves of them whose command was not sent; those on their way arrive. For a wave they count as unavailable, whether or not they are maintained, and go first. Commands wait for the owner's answer as before. Nothing is chosen before the table of zones is known.

--- a/packages/jobs/include/jb_planner.h
+++ b/packages/jobs/include/jb_planner.h
@@ -23,8 +23,11 @@
   struct jb_driver *driver;
   const struct jb_bounds *bounds;          /* borrowed */
   const struct jb_catalog *const *catalog; /* borrowed */
-  const char *owner;                       /* this host's name */
-  uint64_t incarnation;                    /* of this host's process */
+  /* The evacuated zones, borrowed; NULL: there are none.  No host is chosen
+     before the table is known.  */
+  const struct jb_zones *zones;
+  const char *owner;         /* this host's name */
+  uint64_t incarnation;      /* of this host's process */
   bool predecessor_released; /* the previous planner is known to have released
                                 its ownership */
   /* Send EVACUATE, borrowed, to the owner of its pool.  The reply is passed to
--- a/packages/jobs/src/jb_host_planner.c
+++ b/packages/jobs/src/jb_host_planner.c
@@ -213,6 +213,7 @@
       = { .driver = host->driver,
           .bounds = &host->options.bounds,
           .catalog = &host->catalog,
+          .zones = host->zones,
           .owner = host->options.name,
           .incarnation = host->options.incarnation,
           .predecessor_released = jb_members_has_owner_released (
--- a/packages/jobs/src/jb_planner.c
+++ b/packages/jobs/src/jb_planner.c
@@ -321,6 +321,7 @@
   replace_string (host, &host->pool, entry->pool);
   replace_string (host, &host->instance, entry->instance);
   replace_string (host, &host->rack, entry->rack);
+  replace_string (host, &host->zone, entry->zone);
   host->state = entry->state;
   handle_return (planner, now, host);
 }
--- a/packages/jobs/src/jb_planner_internal.h
+++ b/packages/jobs/src/jb_planner_internal.h
@@ -32,6 +32,7 @@
   char *pool;
   char *instance; /* of its backend server, or NULL */
   char *rack;     /* or NULL */
+  char *zone;     /* or NULL */
   enum jb_host_state state;
   jb_time listed_at; /* when the last list was requested that contains it */
   /* Progress of its move or maintenance.  */
@@ -170,6 +171,19 @@
 void jb_planner_abandon_host (struct fleet_host *host, jb_time now,
                               jb_time delay);
 
+/* ---- jb_planner_zones.c ---- */
+
+/* Return whether it is known which zones are evacuated.  */
+bool jb_planner_knows_zones (const struct jb_planner *planner);
+
+/* Return whether HOST is in an evacuated zone.  */
+bool jb_planner_is_in_evacuated_zone (const struct jb_planner *planner,
+                                      const struct fleet_host *host);
+
+/* Give up the move of HOST, which is in an evacuated zone, unless a command to
+   it was sent.  */
+void jb_planner_abandon_move (struct fleet_host *host, jb_time now);
+
 /* ---- jb_planner_quota.c ---- */
 
 /* Divide the organisations' limits again if their usage has changed, and send
--- a/packages/jobs/src/jb_planner_rebalance.c
+++ b/packages/jobs/src/jb_planner_rebalance.c
@@ -182,7 +182,8 @@
 }
 
 /* Add HOST and count it in its pool, and in its target pool if it is to move.
-   A host that is away for a move is only counted in the target pool.  */
+   A host that is away for a move is only counted in the target pool, and one
+   of an evacuated zone in none.  */
 static void
 add_host (struct jb_planner *planner, jb_time now,
           struct rebalance_input *input, struct fleet_host *host)
@@ -197,6 +198,12 @@
     return;
   pool = &input->pools[pool_number];
   input->listed_counts[pool_number]++;
+  if (jb_planner_is_in_evacuated_zone (planner, host))
+    {
+      jb_planner_abandon_move (host, now);
+      host->idle_since = 0;
+      return;
+    }
   if (host->purpose == PURPOSE_MOVE && host->phase == PHASE_AWAY)
     {
       uint32_t to = pool_index (input->catalog, host->target_pool);
@@ -310,6 +317,7 @@
   uint32_t count;
 
   if (catalog == NULL || now < planner->next_rebalance
+      || !jb_planner_knows_zones (planner)
       || planner->complete_list_started_at < planner->claimed_at
       || !jb_planner_may_command (planner, now))
     return;
--- a/packages/jobs/src/jb_planner_wave.c
+++ b/packages/jobs/src/jb_planner_wave.c
@@ -248,11 +248,46 @@
           = &g_array_index (table->pools, struct jb_wave_pool, index);
 
       pool->hosts++;
-      if (host->phase != PHASE_NONE || host->state != JB_HOST_UP)
+      if (host->phase != PHASE_NONE || host->state != JB_HOST_UP
+          || jb_planner_is_in_evacuated_zone (planner, host))
         pool->unavailable++;
     }
 }
 
+/* Return whether the wave may take HOST out now; HOST may be NULL.  */
+static bool
+is_choosable (const struct fleet_host *host, jb_time now)
+{
+  return host != NULL && host->phase == PHASE_NONE && host->state == JB_HOST_UP
+         && now >= host->retry_at;
+}
+
+/* Start evacuating up to LIMIT hosts of WAVE that are in evacuated zones, and
+   return their number.  They count as unavailable already, so their pools lose
+   nothing.  */
+static uint32_t
+begin_maintenance_in_zones (struct jb_planner *planner, jb_time now,
+                            struct wave *wave, uint32_t limit)
+{
+  GHashTableIter iter;
+  gpointer name;
+  uint32_t count = 0;
+
+  g_hash_table_iter_init (&iter, wave->remaining_hosts);
+  while (count < limit && g_hash_table_iter_next (&iter, &name, NULL))
+    {
+      struct fleet_host *host = g_hash_table_lookup (planner->hosts, name);
+
+      if (!is_choosable (host, now)
+          || !jb_planner_is_in_evacuated_zone (planner, host))
+        continue;
+      host->wave = wave;
+      jb_planner_begin_evacuation (planner, now, host, PURPOSE_MAINTENANCE);
+      count++;
+    }
+  return count;
+}
+
 /* Start evacuating up to LIMIT hosts of WAVE.  TABLE is updated.  */
 static void
 begin_maintenance (struct jb_planner *planner, jb_time now, struct wave *wave,
@@ -272,8 +307,8 @@
     {
       struct fleet_host *host = g_hash_table_lookup (planner->hosts, name);
 
-      if (host == NULL || host->phase != PHASE_NONE
-          || host->state != JB_HOST_UP || now < host->retry_at)
+      if (!is_choosable (host, now)
+          || jb_planner_is_in_evacuated_zone (planner, host))
         continue;
       fleet_hosts[count] = host;
       hosts[count++] = (struct jb_wave_host){
@@ -353,6 +388,10 @@
   if (planner->complete_list_started_at <= planner->claimed_at)
     return;
   down = count_hosts_down (planner, wave);
+  if (down >= wave->max_hosts_at_once || !jb_planner_knows_zones (planner))
+    return;
+  down += begin_maintenance_in_zones (planner, now, wave,
+                                      wave->max_hosts_at_once - down);
   if (down < wave->max_hosts_at_once)
     begin_maintenance (planner, now, wave, table,
                        MIN (wave->max_hosts_at_once - down,
