--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -81,6 +81,7 @@
   g_hash_table_destroy (pool->jobs);
   g_hash_table_destroy (pool->queue_stats);
   g_hash_table_destroy (pool->org_usages);
+  g_hash_table_destroy (pool->empty_zones);
   g_ptr_array_free (pool->backend_list, TRUE);
   g_ptr_array_free (pool->active_jobs, TRUE);
   g_ptr_array_free (pool->dirty_jobs, TRUE);
@@ -111,6 +112,8 @@
   pool->jobs = g_hash_table_new (g_str_hash, g_str_equal);
   pool->queue_stats = g_hash_table_new (g_str_hash, g_str_equal);
   pool->org_usages = g_hash_table_new (g_str_hash, g_str_equal);
+  pool->empty_zones
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   pool->active_jobs = g_ptr_array_new ();
   pool->dirty_jobs = g_ptr_array_new ();
   pool->deferred_requests = g_ptr_array_new ();
@@ -431,8 +434,9 @@
 
 /* Add the capacity of all reachable backend servers to SUM, and raise LARGEST
    to the largest capacity of one of them, in each dimension.  These are the
-   listed ones that answer probes and are not being evacuated, whether or not
-   tasks may be started on them now.  */
+   listed ones that answer probes and are not being evacuated, neither for a
+   command to their host nor with their zone, whether or not tasks may be
+   started on them now.  */
 static void
 sum_capacity (const struct jb_pool *pool, jb_time now,
               struct jb_resources *sum, struct jb_resources *largest)
@@ -447,7 +451,8 @@
 
       if (!backend->listed
           || backend->unanswered_probes >= JB_SILENT_AFTER_PROBES
-          || now < backend->cordoned_until)
+          || now < backend->cordoned_until
+          || jb_pool_is_in_evacuated_zone (pool, backend))
         continue;
       jb_resources_add (sum, &backend->capacity);
       largest->cpu_milli
@@ -926,6 +931,7 @@
         if (((struct jb_backend *)value)->draining)
           jb_pool_move_long_running (pool, value, now,
                                      "its backend server is draining");
+      jb_pool_leave_zones (pool, now);
       if (pool->write_batch == NULL
           && !jb_ownership_has_pending_writes (pool->ownership))
         remove_expired_jobs (pool, now);
