--- a/packages/jobs/include/jb_members.h
+++ b/packages/jobs/include/jb_members.h
@@ -145,6 +145,29 @@
                                        const struct jb_self_status *self,
                                        jb_time last_handover_at);
 
+/* Return whether the process of the host NAME with INCARNATION is known to have
+   ended, because another process with that name answered after it: a host has
+   one process at a time.  INCARNATION must be from the store, for example from
+   an owner row, and not 0.
+
+   For this host's own name the answer is final.  Otherwise the current process
+   with that name is asked, now and after each of its heartbeats until it has
+   replied, so that false may become true a message's round trip later: call
+   this repeatedly while it matters.  That the process with another incarnation
+   is in the table of members does not suffice, since its heartbeats and its
+   row may be from before INCARNATION was started.  A host of a previous
+   version does not reply.  */
+bool jb_members_has_process_ended (struct jb_members *members,
+                                   const char *name, uint64_t incarnation);
+
+/* Process PROCESS, which is borrowed, of a JB_MSG_PROCESS_QUERY of the member
+   with the incarnation FROM, and of a JB_MSG_PROCESS_ENDED.  */
+void jb_members_receive_process_query (struct jb_members *members,
+                                       uint64_t from,
+                                       const struct jb_msg_process *process);
+void jb_members_receive_process_ended (struct jb_members *members,
+                                       const struct jb_msg_process *process);
+
 /* Return a fence above FENCE that a live member reports for PARTITION, or 0 if
    there is none.  */
 uint64_t jb_members_superseding_fence (const struct jb_members *members,
--- a/packages/jobs/include/jb_msg.h
+++ b/packages/jobs/include/jb_msg.h
@@ -22,7 +22,12 @@
    JB_MSG_QUOTA_SHARES     the organisations' shares of a pool, from the
                            planner to the pool's owner
    JB_MSG_CATALOG_REQUEST  asks for a newer configuration (see
-                           jb_catalog_fetch.h)  */
+                           jb_catalog_fetch.h)
+   JB_MSG_PROCESS_QUERY    asks the host with a name whether a former process
+                           with that name has ended (see
+                           jb_members_has_process_ended)
+   JB_MSG_PROCESS_ENDED    the reply to a JB_MSG_PROCESS_QUERY; none is sent if
+                           the process has not ended  */
 
 #include "jb_catalog.h"
 #include "jb_job_desc.h"
@@ -41,6 +46,8 @@
   JB_MSG_QUOTA_USAGE,
   JB_MSG_QUOTA_SHARES,
   JB_MSG_CATALOG_REQUEST,
+  JB_MSG_PROCESS_QUERY,
+  JB_MSG_PROCESS_ENDED,
   JB_MSG_TYPE_COUNT
 };
 
@@ -197,6 +204,13 @@
   uint64_t own_version; /* of the sender; 0: it has no configuration */
 };
 
+/* A process of an entry host.  */
+struct jb_msg_process
+{
+  char *name; /* of the host */
+  uint64_t incarnation;
+};
+
 struct jb_msg
 {
   uint32_t type; /* enum jb_msg_type */
@@ -213,6 +227,7 @@
     struct jb_msg_usage usage;
     struct jb_msg_shares shares;
     struct jb_msg_catalog_request catalog_request;
+    struct jb_msg_process process;
   } u;
 };
 
--- a/packages/jobs/include/jb_ownership.h
+++ b/packages/jobs/include/jb_ownership.h
@@ -63,6 +63,15 @@
    current claim.  */
 uint32_t jb_ownership_generation (const struct jb_ownership *ownership);
 
+/* Return the name of the host that owned the partition before the current
+   claim, borrowed, or NULL if none did, and the incarnation of its process, or
+   0.  They are those of the owner row that the claim has read, so they are
+   those of this process if it has lost the partition and claimed it again.
+   They are valid in state JB_OWNERSHIP_HELD.  */
+const char *jb_ownership_previous_owner (const struct jb_ownership *ownership);
+uint64_t
+jb_ownership_previous_incarnation (const struct jb_ownership *ownership);
+
 /* Called when a transaction is durable.  */
 typedef void jb_ownership_commit_callback (void *data, jb_time now);
 
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -734,6 +734,13 @@
       handle_catalog_request (host, from,
                               message->u.catalog_request.own_version);
       break;
+    case JB_MSG_PROCESS_QUERY:
+      jb_members_receive_process_query (host->members, from,
+                                        &message->u.process);
+      break;
+    case JB_MSG_PROCESS_ENDED:
+      jb_members_receive_process_ended (host->members, &message->u.process);
+      break;
     case JB_MSG_TYPE_COUNT:
       break;
     }
--- a/packages/jobs/src/jb_members.c
+++ b/packages/jobs/src/jb_members.c
@@ -86,6 +86,25 @@
 
 #define MEMBER_TABLE "member"
 
+enum
+{
+  /* A query about a process is sent at most this often: a host of a previous
+     version never replies.  */
+  MAX_PROCESS_QUERIES = 20,
+  /* Number of processes that are remembered as asked about: more than
+     partitions that one host claims at a time.  */
+  MAX_FORMER_PROCESSES = 256
+};
+
+/* A process of another host that may have ended.  */
+struct former_process
+{
+  char *name;
+  uint64_t incarnation;
+  uint32_t queries_sent;
+  bool ended;
+};
+
 /* What is known about the ownership of a partition.  */
 struct partition_state
 {
@@ -101,6 +120,7 @@
   jb_time started_at;
   GPtrArray *all_members; /* struct jb_member */
   GHashTable *partitions; /* partition -> struct partition_state */
+  GPtrArray *former_processes; /* struct former_process, the oldest first */
   bool is_coordinator;
   uint32_t heartbeats_sent;
   jb_time next_heartbeat;
@@ -133,6 +153,7 @@
 {
   g_ptr_array_free (members->all_members, TRUE);
   g_hash_table_destroy (members->partitions);
+  g_ptr_array_free (members->former_processes, TRUE);
   return 0;
 }
 
@@ -149,6 +170,7 @@
   members->started_at = now;
   members->all_members = g_ptr_array_new ();
   members->partitions = g_hash_table_new (g_str_hash, g_str_equal);
+  members->former_processes = g_ptr_array_new ();
   talloc_set_destructor (members, members_destroy);
   return members;
 }
@@ -263,6 +285,100 @@
   partition_state->fence = ownership->fence;
 }
 
+/* ---- processes that have ended ---- */
+
+static void
+send_process (struct jb_members *members, uint64_t to, enum jb_msg_type type,
+              const char *name, uint64_t incarnation)
+{
+  struct jb_msg message
+      = { .type = type, .u.process = { (char *)name, incarnation } };
+  struct ba_bytes bytes = jb_msg_encode (NULL, &message);
+
+  jb_driver_send (members->options.driver, to, bytes);
+  talloc_free (bytes.data);
+}
+
+/* Ask MEMBER whether FORMER has ended if it can tell and did not reply yet. */
+static void
+query_former_process (struct jb_members *members,
+                      const struct jb_member *member,
+                      struct former_process *former)
+{
+  if (former->ended || former->queries_sent >= MAX_PROCESS_QUERIES
+      || member->incarnation == former->incarnation
+      || strcmp (member->name, former->name) != 0)
+    return;
+  former->queries_sent++;
+  send_process (members, member->incarnation, JB_MSG_PROCESS_QUERY,
+                former->name, former->incarnation);
+}
+
+static struct former_process *
+find_former_process (const struct jb_members *members, const char *name,
+                     uint64_t incarnation)
+{
+  for (guint i = 0; i < members->former_processes->len; i++)
+    {
+      struct former_process *former
+          = g_ptr_array_index (members->former_processes, i);
+
+      if (former->incarnation == incarnation
+          && strcmp (former->name, name) == 0)
+        return former;
+    }
+  return NULL;
+}
+
+bool
+jb_members_has_process_ended (struct jb_members *members, const char *name,
+                              uint64_t incarnation)
+{
+  struct former_process *former;
+
+  if (strcmp (name, members->options.name) == 0)
+    return incarnation != members->options.incarnation;
+  former = find_former_process (members, name, incarnation);
+  if (former != NULL)
+    return former->ended;
+  if (members->former_processes->len == MAX_FORMER_PROCESSES)
+    talloc_free (g_ptr_array_remove_index (members->former_processes, 0));
+  former = talloc_zero (members, struct former_process);
+  former->name = talloc_strdup (former, name);
+  former->incarnation = incarnation;
+  g_ptr_array_add (members->former_processes, former);
+  for (guint i = 0; i < members->all_members->len; i++)
+    query_former_process (members,
+                          g_ptr_array_index (members->all_members, i), former);
+  return false;
+}
+
+void
+jb_members_receive_process_query (struct jb_members *members, uint64_t from,
+                                  const struct jb_msg_process *process)
+{
+  if (strcmp (process->name, members->options.name) == 0
+      && process->incarnation != members->options.incarnation)
+    send_process (members, from, JB_MSG_PROCESS_ENDED, process->name,
+                  process->incarnation);
+}
+
+void
+jb_members_receive_process_ended (struct jb_members *members,
+                                  const struct jb_msg_process *process)
+{
+  struct former_process *former
+      = find_former_process (members, process->name, process->incarnation);
+
+  if (former == NULL || former->ended)
+    return;
+  former->ended = true;
+  jb_log (members->options.driver, JB_LEVEL_INFO, "process-ended", "member",
+          former->name, "queries", jb_itoa (former->queries_sent), NULL);
+}
+
+/* ---- processing of heartbeats ---- */
+
 void
 jb_members_receive_heartbeat (struct jb_members *members, jb_time now,
                               uint64_t from,
@@ -305,6 +421,9 @@
   member->peers
       = talloc_memdup (member, heartbeat->peers,
                        heartbeat->peer_count * sizeof *heartbeat->peers);
+  for (guint i = 0; i < members->former_processes->len; i++)
+    query_former_process (
+        members, member, g_ptr_array_index (members->former_processes, i));
 }
 
 /* ---- coordinators ---- */
--- a/packages/jobs/src/jb_msg.c
+++ b/packages/jobs/src/jb_msg.c
@@ -177,6 +177,11 @@
     case JB_MSG_CATALOG_REQUEST:
       ba_codec_u64 (io, &message->u.catalog_request.own_version);
       break;
+    case JB_MSG_PROCESS_QUERY:
+    case JB_MSG_PROCESS_ENDED:
+      ba_codec_required_str (io, &message->u.process.name);
+      ba_codec_u64 (io, &message->u.process.incarnation);
+      break;
     case JB_MSG_TYPE_COUNT:
       break;
     }
--- a/packages/jobs/src/jb_ownership.c
+++ b/packages/jobs/src/jb_ownership.c
@@ -53,6 +53,8 @@
   uint64_t row_version;      /* of the owner row, last known */
   uint64_t fence;            /* version that the claim gave the owner row */
   uint32_t generation;       /* number of claims, including this one */
+  char *previous_owner;      /* name; NULL: none */
+  uint64_t previous_incarnation;
   uint64_t sequence;         /* number of the last queued transaction */
   struct transaction *first; /* of the queue; the only one that is sent */
   struct transaction *last;
@@ -118,6 +120,18 @@
   return ownership->generation;
 }
 
+const char *
+jb_ownership_previous_owner (const struct jb_ownership *ownership)
+{
+  return ownership->previous_owner;
+}
+
+uint64_t
+jb_ownership_previous_incarnation (const struct jb_ownership *ownership)
+{
+  return ownership->previous_incarnation;
+}
+
 bool
 jb_ownership_has_pending_writes (const struct jb_ownership *ownership)
 {
@@ -326,8 +340,14 @@
   row = find_owner_row (ownership, reply);
   ownership->row_version = row != NULL ? row->version : 0;
   ownership->generation = 1;
+  TALLOC_FREE (ownership->previous_owner);
+  ownership->previous_incarnation = 0;
   if (row != NULL && decode_owner_row (scratch, row->value, &owner))
-    ownership->generation = owner.generation + 1;
+    {
+      ownership->generation = owner.generation + 1;
+      ownership->previous_owner = talloc_strdup (ownership, owner.owner);
+      ownership->previous_incarnation = owner.incarnation;
+    }
   expected = current_owner_row (ownership);
   set = expected;
   set.value = encode_owner_row (ownership, scratch, 0);
--- a/packages/jobs/tests/test_jb_members.c
+++ b/packages/jobs/tests/test_jb_members.c
@@ -147,6 +147,133 @@
   CU_ASSERT (claims_at_once (0, 0, 500, 0));
 }
 
+/* Messages that a host sent to others.  */
+struct sent_messages
+{
+  struct jb_driver *driver;
+  uint32_t queries; /* JB_MSG_PROCESS_QUERY */
+  uint32_t ends;    /* JB_MSG_PROCESS_ENDED */
+  uint64_t to;      /* of the last of these */
+};
+
+static void
+record_message (void *context, uint64_t member, struct ba_bytes bytes)
+{
+  struct sent_messages *sent = context;
+  struct jb_msg *message = jb_msg_decode (NULL, bytes);
+
+  if (message->type == JB_MSG_PROCESS_QUERY)
+    sent->queries++;
+  else if (message->type == JB_MSG_PROCESS_ENDED)
+    sent->ends++;
+  if (message->type == JB_MSG_PROCESS_QUERY
+      || message->type == JB_MSG_PROCESS_ENDED)
+    sent->to = member;
+  talloc_free (message);
+}
+
+static void
+ignore_submit (void *context, uint64_t number,
+               const struct jb_command *command)
+{
+  (void)context;
+  (void)number;
+  (void)command;
+}
+
+static const struct jb_driver_ops recording_ops
+    = { .submit = ignore_submit,
+        .send = record_message,
+        .set_members = ignore_members,
+        .log = ignore_log };
+
+static struct jb_members *
+new_recording_members (TALLOC_CTX *mem, struct sent_messages *sent)
+{
+  struct jb_members_options options = { .name = "own",
+                                        .address = "10.0.0.1:1",
+                                        .zone = "a",
+                                        .incarnation = 1 };
+
+  sent->driver = jb_driver_new (mem, &recording_ops, sent);
+  options.driver = sent->driver;
+  return jb_members_new (mem, 0, &options);
+}
+
+/* A process that this host hears may be older than the one that it asks about,
+   whose messages are lost or late.  Taking the younger one, which owns a
+   partition, for ended would let two owners act at the same time.  */
+static void
+test_ended_process (void)
+{
+  TALLOC_CTX *mem = talloc_new (NULL);
+  struct sent_messages sent = { 0 };
+  struct jb_members *members = new_recording_members (mem, &sent);
+  struct jb_msg_heartbeat heartbeat
+      = { .name = "other", .address = "10.0.0.2:1", .zone = "b" };
+  struct jb_msg_process process = { (char *)"other", 7 };
+
+  jb_members_receive_heartbeat (members, NOW, 5, &heartbeat);
+  CU_ASSERT_FALSE (jb_members_has_process_ended (members, "other", 7));
+  CU_ASSERT_EQUAL (sent.queries, 1);
+  CU_ASSERT_EQUAL (sent.to, 5);
+  CU_ASSERT_FALSE (jb_members_has_process_ended (members, "other", 7));
+  CU_ASSERT_EQUAL (sent.queries, 1);
+  jb_members_receive_heartbeat (members, NOW + 200 * JB_MS, 5, &heartbeat);
+  CU_ASSERT_EQUAL (sent.queries, 2);
+  CU_ASSERT_FALSE (jb_members_has_process_ended (members, "other", 7));
+  /* The process itself is not asked.  */
+  jb_members_receive_heartbeat (members, NOW + 400 * JB_MS, 7, &heartbeat);
+  CU_ASSERT_EQUAL (sent.queries, 2);
+  jb_members_receive_process_ended (members, &process);
+  CU_ASSERT (jb_members_has_process_ended (members, "other", 7));
+  CU_ASSERT_FALSE (jb_members_has_process_ended (members, "other", 5));
+  CU_ASSERT_FALSE (jb_members_has_process_ended (members, "third", 7));
+  talloc_free (mem);
+}
+
+/* Only the host with the name replies, and not about its own process.  */
+static void
+test_process_query (void)
+{
+  TALLOC_CTX *mem = talloc_new (NULL);
+  struct sent_messages sent = { 0 };
+  struct jb_members *members = new_recording_members (mem, &sent);
+  struct jb_msg_process former = { (char *)"own", 9 };
+  struct jb_msg_process current = { (char *)"own", 1 };
+  struct jb_msg_process other = { (char *)"other", 9 };
+
+  jb_members_receive_process_query (members, 5, &current);
+  jb_members_receive_process_query (members, 5, &other);
+  CU_ASSERT_EQUAL (sent.ends, 0);
+  jb_members_receive_process_query (members, 5, &former);
+  CU_ASSERT_EQUAL (sent.ends, 1);
+  CU_ASSERT_EQUAL (sent.to, 5);
+  CU_ASSERT (jb_members_has_process_ended (members, "own", 9));
+  CU_ASSERT_FALSE (jb_members_has_process_ended (members, "own", 1));
+  talloc_free (mem);
+}
+
+/* A host of a previous version never replies.  It must not get messages that
+   it can't read for as long as the fleet runs.  */
+static void
+test_process_query_without_reply (void)
+{
+  TALLOC_CTX *mem = talloc_new (NULL);
+  struct sent_messages sent = { 0 };
+  struct jb_members *members = new_recording_members (mem, &sent);
+  struct jb_msg_heartbeat heartbeat
+      = { .name = "other", .address = "10.0.0.2:1", .zone = "b" };
+
+  CU_ASSERT_FALSE (jb_members_has_process_ended (members, "other", 7));
+  CU_ASSERT_EQUAL (sent.queries, 0);
+  for (int i = 0; i < 1000; i++)
+    jb_members_receive_heartbeat (members, NOW + i * 200 * JB_MS, 5,
+                                  &heartbeat);
+  CU_ASSERT (sent.queries > 0 && sent.queries <= 20);
+  talloc_free (mem);
+}
+
 int
 main (void)
 {
@@ -157,6 +284,9 @@
           { "a host without a reported CPU share counts as one processor",
             test_unreported_share },
           { "a late host hands its pool over", test_silence_before_handover },
+          { "the end of a former process", test_ended_process },
+          { "a query about a former process", test_process_query },
+          { "a query without a reply", test_process_query_without_reply },
           { NULL, NULL } };
 
   return dp_test_main ("choice of the claiming host", tests);
--- a/packages/jobs/tests/test_jb_ownership.c
+++ b/packages/jobs/tests/test_jb_ownership.c
@@ -17,6 +17,7 @@
   uint32_t writes;       /* number of write commands */
   uint32_t commits;
   uint32_t losses;
+  struct ba_bytes owner; /* owner row of the newest write */
 };
 
 static void
@@ -27,7 +28,12 @@
 
   fixture->last_command = number;
   if (command->kind == JB_COMMAND_WRITE)
-    fixture->writes++;
+    {
+      struct ba_bytes value = command->u.write.set_rows[0].value;
+
+      fixture->writes++;
+      fixture->owner = ba_bytes_copy (fixture->driver, value.data, value.len);
+    }
 }
 
 static const struct jb_driver_ops driver_ops
@@ -165,6 +171,50 @@
   talloc_free (mem);
 }
 
+/* A successor asks whether the process has ended that the owner row names.  It
+   must not ask about itself, nor about the owner of an earlier claim.  */
+static void
+test_previous_owner (void)
+{
+  TALLOC_CTX *mem = talloc_new (NULL);
+  struct fixture fixture = { 0 };
+  struct jb_ownership_options options = { .partition = "p",
+                                          .owner = "former",
+                                          .incarnation = 11,
+                                          .on_claimed = ignore_claim,
+                                          .on_lost = count_loss,
+                                          .data = &fixture };
+  struct jb_row row = { .table = JB_OWNERSHIP_TABLE,
+                        .partition = "p",
+                        .key = JB_OWNERSHIP_KEY,
+                        .version = 7 };
+  struct jb_reply message
+      = { .result = JB_RESULT_OK, .rows = &row, .row_count = 1 };
+  struct jb_ownership *former;
+  struct jb_ownership *successor;
+
+  fixture.driver = jb_driver_new (mem, &driver_ops, &fixture);
+  options.driver = fixture.driver;
+  former = jb_ownership_new (mem, &options);
+  jb_ownership_claim (former, NOW);
+  reply (&fixture, JB_RESULT_OK); /* to the read: there is no row */
+  row.value = fixture.owner;
+  reply (&fixture, JB_RESULT_OK);
+  CU_ASSERT_PTR_NULL (jb_ownership_previous_owner (former));
+  CU_ASSERT_EQUAL (jb_ownership_previous_incarnation (former), 0);
+  options.owner = "host";
+  options.incarnation = 12;
+  successor = jb_ownership_new (mem, &options);
+  jb_ownership_claim (successor, NOW);
+  jb_driver_receive_reply (fixture.driver, NOW, fixture.last_command,
+                           &message);
+  reply (&fixture, JB_RESULT_OK);
+  CU_ASSERT_EQUAL (jb_ownership_state (successor), JB_OWNERSHIP_HELD);
+  CU_ASSERT_STRING_EQUAL (jb_ownership_previous_owner (successor), "former");
+  CU_ASSERT_EQUAL (jb_ownership_previous_incarnation (successor), 11);
+  talloc_free (mem);
+}
+
 int
 main (void)
 {
@@ -172,6 +222,7 @@
       = { { "a write after the loss is dropped", test_write_after_loss },
           { "a write is not sent", test_write_not_sent },
           { "the reply to a claim is late", test_late_reply_to_claim },
+          { "the previous owner is known", test_previous_owner },
           { NULL, NULL } };
 
   return dp_test_main ("ownership of a partition", tests);
