Let a new planner command at once the hosts that no row names

Cause: a new planner with a predecessor commanded no host for 3 s after its claim, since two planners must not command a host within the lease of a command (ONE). After the loss of all entry hosts in a surge, hosts moved only after that.

Change: before the planner commands a host, it stores its name in the table `commanded' of its partition (jb_commanded). Names are written together for all hosts whose evacuation begins in one run. A successor reads these rows and commands all other hosts at once. Of a named host the rows tell whether no command can be executed any more (wait: the lease), or one was not answered (the lease, the validity of the predecessor's ownership, 1.8 s, and 10 s of late execution).

A wave counts the hosts that a predecessor has named for maintenance and that it must wait for, and rebalancing counts hosts that a predecessor moved as incoming: until now both were over before the first command.

--- a/packages/jobs/include/jb_driver.h
+++ b/packages/jobs/include/jb_driver.h
@@ -144,6 +144,10 @@
   /* Commands to hosts of the fleet that were executed.  */
   JB_COUNT_HOST_MOVES,
   JB_COUNT_HOST_MAINTENANCE,
+  /* Rows with the names of hosts that the planner may command: their writes,
+     and the names that new planners have read from predecessors' rows.  */
+  JB_COUNT_COMMANDED_WRITES,
+  JB_COUNT_COMMANDED_INHERITED,
   JB_COUNTER_COUNT
 };
 
@@ -156,6 +160,8 @@
   JB_HIST_STORE_WRITE, /* of a transaction */
   JB_HIST_TASK_START,  /* of a task's start */
   JB_HIST_TAKEOVER,    /* from the claim of a pool to the first start there */
+  /* From the claim of the planner's partition to its first command.  */
+  JB_HIST_PLANNER_TAKEOVER,
   JB_HIST_COUNT
 };
 
--- a/packages/jobs/include/jb_members.h
+++ b/packages/jobs/include/jb_members.h
@@ -145,10 +145,10 @@
                                        const struct jb_self_status *self,
                                        jb_time last_handover_at);
 
-/* Return whether the process of the host NAME with INCARNATION is known to have
-   ended, because another process with that name answered after it: a host has
-   one process at a time.  INCARNATION must be from the store, for example from
-   an owner row, and not 0.
+/* Return whether the process of the host NAME with INCARNATION is known to
+   have ended, because another process with that name answered after it: a host
+   has one process at a time.  INCARNATION must be from the store, for example
+   from an owner row, and not 0.
 
    For this host's own name the answer is final.  Otherwise the current process
    with that name is asked, now and after each of its heartbeats until it has
--- a/packages/jobs/include/jb_planner.h
+++ b/packages/jobs/include/jb_planner.h
@@ -9,9 +9,9 @@
    A host is taken out of a pool only after the pool's owner has replied that
    nothing runs there, or if it is switched off in a standby pool.  The pool's
    owner decides when long-running tasks may be interrupted.  Each command to a
-   host carries the planner's fence.  A new planner with a predecessor sends
-   its first command only when the lease of a command has passed since its
-   claim, to keep its commands apart from those of the predecessor.  */
+   host carries the planner's fence.  Before a command, the planner stores the
+   name of the host; a new planner waits only for the commands to the hosts
+   that its predecessor has named (see jb_commanded.h).  */
 
 #include "jb_msg.h"
 #include "jb_ownership.h"
--- a/packages/jobs/include/jb_types.h
+++ b/packages/jobs/include/jb_types.h
@@ -89,7 +89,10 @@
   JB_SAFEGUARD_DISRUPTION_BUDGET = 1 << 7,
   /* Runs on a backend server that doesn't answer count as active until their
      lease has expired.  */
-  JB_SAFEGUARD_LEASE_EXPIRY = 1 << 8
+  JB_SAFEGUARD_LEASE_EXPIRY = 1 << 8,
+  /* A planner sends commands only to hosts whose names are stored, so that its
+     successor waits for the lease of these commands.  */
+  JB_SAFEGUARD_COMMANDED_ROWS = 1 << 9
 };
 
 /* Durations and limits of the deployment.  */
--- a/packages/jobs/src/jb_driver.c
+++ b/packages/jobs/src/jb_driver.c
@@ -288,12 +288,18 @@
   [JB_COUNT_OWNERSHIP_RELEASED] = { "duties", "change=\"released\"" },
   [JB_COUNT_HOST_MOVES] = { "host_orders", "kind=\"move\"" },
   [JB_COUNT_HOST_MAINTENANCE] = { "host_orders", "kind=\"maintenance\"" },
+  [JB_COUNT_COMMANDED_WRITES] = { "commanded_host_writes", NULL },
+  [JB_COUNT_COMMANDED_INHERITED] = { "commanded_hosts_inherited", NULL },
 };
 
 static const char *const histogram_names[JB_HIST_COUNT] = {
-  [JB_HIST_JOB_STORED] = "job_stored", [JB_HIST_JOB_STARTED] = "job_started",
-  [JB_HIST_JOB_DONE] = "job_done",     [JB_HIST_STORE_WRITE] = "store_write",
-  [JB_HIST_TASK_START] = "task_start", [JB_HIST_TAKEOVER] = "takeover",
+  [JB_HIST_JOB_STORED] = "job_stored",
+  [JB_HIST_JOB_STARTED] = "job_started",
+  [JB_HIST_JOB_DONE] = "job_done",
+  [JB_HIST_STORE_WRITE] = "store_write",
+  [JB_HIST_TASK_START] = "task_start",
+  [JB_HIST_TAKEOVER] = "takeover",
+  [JB_HIST_PLANNER_TAKEOVER] = "planner_takeover",
 };
 
 static char *
--- a/packages/jobs/src/jb_members.c
+++ b/packages/jobs/src/jb_members.c
@@ -118,8 +118,8 @@
 {
   struct jb_members_options options;
   jb_time started_at;
-  GPtrArray *all_members; /* struct jb_member */
-  GHashTable *partitions; /* partition -> struct partition_state */
+  GPtrArray *all_members;      /* struct jb_member */
+  GHashTable *partitions;      /* partition -> struct partition_state */
   GPtrArray *former_processes; /* struct former_process, the oldest first */
   bool is_coordinator;
   uint32_t heartbeats_sent;
@@ -348,8 +348,8 @@
   former->incarnation = incarnation;
   g_ptr_array_add (members->former_processes, former);
   for (guint i = 0; i < members->all_members->len; i++)
-    query_former_process (members,
-                          g_ptr_array_index (members->all_members, i), former);
+    query_former_process (members, g_ptr_array_index (members->all_members, i),
+                          former);
   return false;
 }
 
@@ -422,8 +422,8 @@
       = talloc_memdup (member, heartbeat->peers,
                        heartbeat->peer_count * sizeof *heartbeat->peers);
   for (guint i = 0; i < members->former_processes->len; i++)
-    query_former_process (
-        members, member, g_ptr_array_index (members->former_processes, i));
+    query_former_process (members, member,
+                          g_ptr_array_index (members->former_processes, i));
 }
 
 /* ---- coordinators ---- */
--- a/packages/jobs/src/jb_ownership.c
+++ b/packages/jobs/src/jb_ownership.c
@@ -50,10 +50,10 @@
 {
   struct jb_ownership_options options;
   enum jb_ownership_state state;
-  uint64_t row_version;      /* of the owner row, last known */
-  uint64_t fence;            /* version that the claim gave the owner row */
-  uint32_t generation;       /* number of claims, including this one */
-  char *previous_owner;      /* name; NULL: none */
+  uint64_t row_version; /* of the owner row, last known */
+  uint64_t fence;       /* version that the claim gave the owner row */
+  uint32_t generation;  /* number of claims, including this one */
+  char *previous_owner; /* name; NULL: none */
   uint64_t previous_incarnation;
   uint64_t sequence;         /* number of the last queued transaction */
   struct transaction *first; /* of the queue; the only one that is sent */
--- a/packages/jobs/src/jb_planner.c
+++ b/packages/jobs/src/jb_planner.c
@@ -106,6 +106,7 @@
   planner->options.owner = talloc_strdup (planner, options->owner);
   planner->ownership = jb_ownership_new (planner, &ownership);
   planner->hosts = g_hash_table_new (g_str_hash, g_str_equal);
+  planner->commanded = jb_commanded_new (planner);
   planner->pools = g_hash_table_new (g_str_hash, g_str_equal);
   planner->quotas = g_hash_table_new (g_str_hash, g_str_equal);
   planner->saved_waves = g_hash_table_new (g_int64_hash, g_int64_equal);
@@ -171,7 +172,39 @@
 /* ---- takeover ---- */
 
 static void read_rows (struct jb_planner *planner, jb_time now,
-                       const char *first_key);
+                       const char *table, const char *first_key);
+
+/* All rows have been read: continue where the predecessor ended.  */
+static void
+begin_planning (struct jb_planner *planner, jb_time now)
+{
+  const struct jb_bounds *bounds = planner->options.bounds;
+  struct jb_commanded_options options
+      = { .claimed_at = planner->claimed_at,
+          .generation = jb_ownership_generation (planner->ownership),
+          .lease = bounds->disabled_safeguards & JB_SAFEGUARD_COMMAND_LEASE
+                       ? 0
+                       : bounds->command_lease_ms * JB_MS,
+          .predecessor_validity = OWNERSHIP_VALIDITY };
+
+  jb_commanded_begin (planner->commanded, &options);
+  planner->rows_loaded = true;
+  for (uint32_t i = 0; i < jb_commanded_count_inherited (planner->commanded);
+       i++)
+    jb_count_event (planner->options.driver, JB_COUNT_COMMANDED_INHERITED);
+  jb_log (planner->options.driver,
+          jb_commanded_is_known (planner->commanded) ? JB_LEVEL_INFO
+                                                     : JB_LEVEL_WARN,
+          "planner-started", "commanded_hosts",
+          jb_itoa (jb_commanded_count_inherited (planner->commanded)),
+          "others_wait_ms",
+          jb_itoa ((jb_commanded_others_usable_from (planner->commanded)
+                    - planner->claimed_at)
+                   / JB_MS),
+          "read_ms", jb_itoa ((now - planner->claimed_at) / JB_MS), NULL);
+  for (guint i = 0; i < planner->waves->len; i++)
+    jb_planner_restore_wave (planner, g_ptr_array_index (planner->waves, i));
+}
 
 static void
 rows_read (void *data, jb_time now, jb_time sent_at,
@@ -191,27 +224,50 @@
     else
       jb_planner_load_wave_row (planner, &reply->rows[i]);
   if (reply->next_page != NULL)
+    read_rows (planner, now, JB_PLANNER_TABLE, reply->next_page);
+  else
+    read_rows (planner, now, JB_COMMANDED_TABLE, NULL);
+}
+
+static void
+commanded_rows_read (void *data, jb_time now, jb_time sent_at,
+                     const struct jb_reply *reply)
+{
+  struct jb_planner *planner = data;
+
+  (void)sent_at;
+  if (reply->result != JB_RESULT_OK)
     {
-      read_rows (planner, now, reply->next_page);
+      jb_planner_release (planner, now, "the planner's rows can't be read");
       return;
     }
-  planner->rows_loaded = true;
-  for (guint i = 0; i < planner->waves->len; i++)
-    jb_planner_restore_wave (planner, g_ptr_array_index (planner->waves, i));
+  for (uint32_t i = 0; i < reply->row_count; i++)
+    if (!jb_commanded_load_row (planner->commanded, &reply->rows[i]))
+      jb_log (planner->options.driver, JB_LEVEL_ERROR, "row-unreadable",
+              "table", JB_COMMANDED_TABLE, "key", reply->rows[i].key, NULL);
+  if (reply->next_page != NULL)
+    read_rows (planner, now, JB_COMMANDED_TABLE, reply->next_page);
+  else
+    begin_planning (planner, now);
 }
 
-/* Read the planner's rows from FIRST_KEY on, or all of them if it is NULL.  */
+/* Read the rows of TABLE, one of the planner's two, from FIRST_KEY on, or all
+   of them if it is NULL.  */
 static void
-read_rows (struct jb_planner *planner, jb_time now, const char *first_key)
+read_rows (struct jb_planner *planner, jb_time now, const char *table,
+           const char *first_key)
 {
   struct jb_command command
       = { .kind = JB_COMMAND_READ,
           .timeout_ms = STORE_TIMEOUT_MS,
-          .u.read = { JB_PLANNER_TABLE, JB_PLANNER_PARTITION, first_key } };
+          .u.read = { table, JB_PLANNER_PARTITION, first_key } };
 
   jb_count_event (planner->options.driver, JB_COUNT_STORE_READS);
   jb_driver_submit (planner->options.driver, planner->ownership, now, &command,
-                    rows_read, planner);
+                    strcmp (table, JB_COMMANDED_TABLE) == 0
+                        ? commanded_rows_read
+                        : rows_read,
+                    planner);
 }
 
 static void
@@ -222,27 +278,40 @@
   planner->has_ended = !held;
   planner->claimed_at = now;
   if (held)
-    read_rows (planner, now, NULL);
+    read_rows (planner, now, JB_PLANNER_TABLE, NULL);
   planner->options.state_changed (planner->options.data);
 }
 
 bool
 jb_planner_may_command (const struct jb_planner *planner, jb_time now)
 {
-  jb_time predecessor_wait
-      = jb_ownership_generation (planner->ownership) > 1
-                && !(planner->options.bounds->disabled_safeguards
-                     & JB_SAFEGUARD_COMMAND_LEASE)
-            ? planner->options.bounds->command_lease_ms * JB_MS
-            : 0;
-
-  /* Two planners must not send commands to the same host within the lease of a
-     command, so wait for that time after the claim.  */
   return jb_planner_is_owner (planner) && planner->rows_loaded
-         && now >= planner->claimed_at + predecessor_wait
+         && now >= jb_commanded_others_usable_from (planner->commanded)
          && now < ownership_valid_until (planner);
 }
 
+bool
+jb_planner_is_usable (const struct jb_planner *planner, jb_time now,
+                      const struct fleet_host *host, enum host_purpose purpose)
+{
+  return planner->rows_loaded
+         && now >= jb_commanded_usable_from (planner->commanded, host->name,
+                                             purpose == PURPOSE_MAINTENANCE);
+}
+
+/* Return whether a command may be sent to HOST now: a successor would wait for
+   it.  */
+static bool
+may_command_host (const struct jb_planner *planner, jb_time now,
+                  const struct fleet_host *host)
+{
+  return jb_planner_may_command (planner, now)
+         && jb_planner_is_usable (planner, now, host, host->purpose)
+         && (jb_commanded_is_committed (planner->commanded, host->name)
+             || (planner->options.bounds->disabled_safeguards
+                 & JB_SAFEGUARD_COMMANDED_ROWS));
+}
+
 /* ---- the list of hosts ---- */
 
 static void
@@ -294,6 +363,7 @@
           jb_itoa ((now - host->phase_started_at) / JB_MS), NULL);
   if (host->purpose == PURPOSE_MOVE)
     host->moved_at = now;
+  jb_commanded_release_host (planner->commanded, host->name);
   host->wave = NULL;
   host->purpose = PURPOSE_NONE;
   host->phase = PHASE_NONE;
@@ -430,8 +500,10 @@
 /* ---- commands to hosts ---- */
 
 void
-jb_planner_abandon_host (struct fleet_host *host, jb_time now, jb_time delay)
+jb_planner_abandon_host (struct jb_planner *planner, jb_time now,
+                         struct fleet_host *host, jb_time delay)
 {
+  jb_commanded_release_host (planner->commanded, host->name);
   host->purpose = PURPOSE_NONE;
   host->phase = PHASE_NONE;
   host->wave = NULL;
@@ -449,6 +521,10 @@
   host->command_unanswered = false;
   host->evacuation_requested_at = 0;
   host->empty_as_of = 0;
+  if (!(planner->options.bounds->disabled_safeguards
+        & JB_SAFEGUARD_COMMANDED_ROWS))
+    jb_commanded_name_host (planner->commanded, host->name,
+                            purpose == PURPOSE_MAINTENANCE);
   jb_log (planner->options.driver, JB_LEVEL_INFO, "host-evacuation-started",
           "fleet_host", host->name, "pool", host->pool, "backend",
           host->instance != NULL ? host->instance : "", "for",
@@ -473,6 +549,8 @@
                                      .instance = host->instance,
                                      .host_removed = true };
 
+  /* Until the host has returned, nothing more is sent to it.  */
+  jb_commanded_release_host (planner->commanded, host->name);
   host->phase = PHASE_AWAY;
   host->phase_started_at = now;
   replace_string (host, &host->instance_at_command, host->instance);
@@ -501,6 +579,8 @@
       = g_hash_table_lookup (planner->hosts, command->host);
 
   (void)sent_at;
+  jb_commanded_record_answer (planner->commanded, command->host,
+                              reply->result == JB_RESULT_UNKNOWN);
   talloc_free (command);
   if (host == NULL || host->phase != PHASE_COMMANDED)
     return;
@@ -523,7 +603,7 @@
       host->command_unanswered = true;
     }
   else
-    jb_planner_abandon_host (host, now, COMMAND_RETRY_DELAY);
+    jb_planner_abandon_host (planner, now, host, COMMAND_RETRY_DELAY);
 }
 
 static void
@@ -546,6 +626,16 @@
   data->host = talloc_strdup (data, host->name);
   host->phase = PHASE_COMMANDED;
   host->phase_started_at = now;
+  if (planner->first_command_at == 0)
+    {
+      planner->first_command_at = now;
+      jb_observe_latency (planner->options.driver, JB_HIST_PLANNER_TAKEOVER,
+                          now - planner->claimed_at);
+      jb_log (planner->options.driver, JB_LEVEL_INFO, "planner-first-command",
+              "fleet_host", host->name, "ms_since_claim",
+              jb_itoa ((now - planner->claimed_at) / JB_MS), NULL);
+    }
+  jb_commanded_record_sent (planner->commanded, now, host->name);
   jb_driver_submit (planner->options.driver, planner->ownership, now, &command,
                     host_command_replied, data);
 }
@@ -576,7 +666,7 @@
 {
   if (host->phase == PHASE_AWAY
       && now - host->phase_started_at > MAX_AWAY_TIME)
-    jb_planner_abandon_host (host, now, EVACUATION_RETRY_DELAY);
+    jb_planner_abandon_host (planner, now, host, EVACUATION_RETRY_DELAY);
   if (host->phase != PHASE_EVACUATING)
     return;
   /* Nothing runs on a host that is off, or that is not up after a command to
@@ -584,7 +674,7 @@
   if (is_off (planner, host)
       || (host->command_unanswered && host->state != JB_HOST_UP))
     {
-      if (jb_planner_may_command (planner, now))
+      if (may_command_host (planner, now, host))
         send_host_command (planner, now, host);
       return;
     }
@@ -594,11 +684,11 @@
       jb_log (planner->options.driver, JB_LEVEL_INFO, "host-evacuation-failed",
               "fleet_host", host->name, "pool", host->pool, "ms",
               jb_itoa ((now - host->phase_started_at) / JB_MS), NULL);
-      jb_planner_abandon_host (host, now, EVACUATION_RETRY_DELAY);
+      jb_planner_abandon_host (planner, now, host, EVACUATION_RETRY_DELAY);
       return;
     }
   if (host->empty_as_of != 0 && now - host->empty_as_of < EMPTY_ANSWER_VALIDITY
-      && jb_planner_may_command (planner, now))
+      && may_command_host (planner, now, host))
     {
       send_host_command (planner, now, host);
       return;
@@ -615,6 +705,67 @@
     }
 }
 
+/* ---- names of commanded hosts ---- */
+
+/* A write of names that is in flight.  */
+struct name_write
+{
+  struct jb_planner *planner;
+  uint64_t number;
+};
+
+static void
+names_written (void *data, jb_time now)
+{
+  struct name_write *write = data;
+
+  (void)now;
+  jb_commanded_handle_commit (write->planner->commanded, write->number);
+  talloc_free (write);
+}
+
+/* Store the names of the hosts that may be commanded, if that is due.  */
+static void
+write_commanded_hosts (struct jb_planner *planner, jb_time now)
+{
+  TALLOC_CTX *scratch;
+  struct jb_commanded_rows rows;
+  struct name_write *write;
+  uint32_t set = 0;
+  uint32_t removed = 0;
+
+  if (jb_ownership_state (planner->ownership) != JB_OWNERSHIP_HELD
+      || !jb_commanded_is_write_due (planner->commanded, now))
+    return;
+  scratch = talloc_new (NULL);
+  rows = jb_commanded_take_rows (planner->commanded, scratch, now);
+  for (uint32_t i = 0; i < rows.set_count; i++)
+    rows.set[i].partition = JB_PLANNER_PARTITION;
+  for (uint32_t i = 0; i < rows.removed_count; i++)
+    rows.removed[i].partition = JB_PLANNER_PARTITION;
+  write = talloc_zero (planner->ownership, struct name_write);
+  write->planner = planner;
+  write->number = rows.write;
+  jb_count_event (planner->options.driver, JB_COUNT_COMMANDED_WRITES);
+  do
+    {
+      uint32_t set_count
+          = MIN (rows.set_count - set, JB_OWNERSHIP_MAX_WRITE_ROWS);
+      uint32_t removed_count = MIN (rows.removed_count - removed,
+                                    JB_OWNERSHIP_MAX_WRITE_ROWS - set_count);
+      bool last = set + set_count == rows.set_count
+                  && removed + removed_count == rows.removed_count;
+
+      jb_ownership_write (planner->ownership, now, rows.set + set, set_count,
+                          rows.removed + removed, removed_count,
+                          last ? names_written : NULL, write);
+      set += set_count;
+      removed += removed_count;
+    }
+  while (set < rows.set_count || removed < rows.removed_count);
+  talloc_free (scratch);
+}
+
 struct planner_pool *
 jb_planner_get_or_add_pool (struct jb_planner *planner, const char *name)
 {
@@ -685,6 +836,9 @@
   /* Moves first: the hosts that a surge needs must not be maintained now.  */
   jb_planner_run_rebalance (planner, now);
   jb_planner_run_waves (planner, now);
+  /* One write names all hosts whose evacuation has begun above.  It is sent
+     before the requests to evacuate them, and takes no longer.  */
+  write_commanded_hosts (planner, now);
   g_hash_table_iter_init (&iter, planner->hosts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     run_host (planner, now, value);
--- a/packages/jobs/src/jb_planner_internal.h
+++ b/packages/jobs/src/jb_planner_internal.h
@@ -3,6 +3,7 @@
 
 /* State of the planner, shared by jb_planner*.c and jb_view.c only.  */
 
+#include "jb_commanded.h"
 #include "jb_forecast.h"
 #include "jb_planner.h"
 
@@ -116,17 +117,19 @@
   struct jb_planner_options options;
   struct jb_ownership *ownership;
   bool has_ended;
-  bool rows_loaded;   /* the planner's rows were read from the store */
-  jb_time claimed_at; /* end of the claim */
-  jb_time confirmed_by_peer_at; /* when a peer last received a heartbeat of
-                                   this host while the store did not answer */
-  GHashTable *hosts;            /* name -> struct fleet_host */
-  GPtrArray *waves;             /* struct wave */
-  GHashTable *pools;            /* name -> struct planner_pool */
-  GHashTable *saved_waves;      /* wave number -> GPtrArray of the names of its
-                                   maintained hosts, as read from the store */
-  GHashTable *quotas;           /* pool name -> struct pool_quota */
-  bool usage_changed;           /* since the limits were last divided */
+  bool rows_loaded;         /* the planner's rows were read from the store */
+  jb_time claimed_at;       /* end of the claim */
+  jb_time first_command_at; /* to a host; 0: none yet */
+  jb_time confirmed_by_peer_at;   /* when a peer last received a heartbeat of
+                                     this host while the store did not answer */
+  GHashTable *hosts;              /* name -> struct fleet_host */
+  struct jb_commanded *commanded; /* which hosts may have been commanded */
+  GPtrArray *waves;               /* struct wave */
+  GHashTable *pools;              /* name -> struct planner_pool */
+  GHashTable *saved_waves; /* wave number -> GPtrArray of the names of its
+                              maintained hosts, as read from the store */
+  GHashTable *quotas;      /* pool name -> struct pool_quota */
+  bool usage_changed;      /* since the limits were last divided */
   jb_time next_rebalance;
   bool pool_row_dirty;  /* the stored row about the pools is out of date */
   jb_time unix_origin;  /* Unix time of the driver clock's origin */
@@ -146,10 +149,16 @@
                                                  const char *name);
 
 /* Return whether the planner may send commands to hosts now: its rows are
-   loaded, its ownership is valid, and, if it has a predecessor, the lease of a
-   command has passed since its claim.  */
+   loaded and its ownership is valid.  If its predecessor did not store which
+   hosts it commanded, the lease of a command has passed since the claim.  */
 bool jb_planner_may_command (const struct jb_planner *planner, jb_time now);
 
+/* Return whether no command of a predecessor to HOST keeps the planner from
+   commanding it for PURPOSE now.  */
+bool jb_planner_is_usable (const struct jb_planner *planner, jb_time now,
+                           const struct fleet_host *host,
+                           enum host_purpose purpose);
+
 /* Return whether POOL is a standby pool, whose hosts are switched off.  */
 bool jb_planner_is_standby (const struct jb_planner *planner,
                             const char *pool);
@@ -167,8 +176,8 @@
 
 /* Give up the move or maintenance of HOST, and don't choose HOST again before
    DELAY has passed.  */
-void jb_planner_abandon_host (struct fleet_host *host, jb_time now,
-                              jb_time delay);
+void jb_planner_abandon_host (struct jb_planner *planner, jb_time now,
+                              struct fleet_host *host, jb_time delay);
 
 /* ---- jb_planner_quota.c ---- */
 
--- a/packages/jobs/src/jb_planner_rebalance.c
+++ b/packages/jobs/src/jb_planner_rebalance.c
@@ -214,6 +214,9 @@
     }
   if (host->state == JB_HOST_UP)
     pool->hosts++;
+  /* A predecessor has moved it, and it is listed in its new pool.  */
+  else if (host->state == JB_HOST_MOVING && host->purpose == PURPOSE_NONE)
+    pool->incoming_hosts++;
   is_off = pool->standby && host->instance == NULL;
   idle = host->state == JB_HOST_UP
          && (is_off || jb_planner_is_idle (planner, host));
@@ -229,6 +232,7 @@
     .idle_since = host->idle_since,
     .available = host->purpose == PURPOSE_NONE && host->phase == PHASE_NONE
                  && host->state == JB_HOST_UP && now >= host->retry_at
+                 && jb_planner_is_usable (planner, now, host, PURPOSE_MOVE)
                  && now - host->moved_at > MIN_STAY_IN_POOL
   };
 }
--- a/packages/jobs/src/jb_planner_wave.c
+++ b/packages/jobs/src/jb_planner_wave.c
@@ -273,7 +273,8 @@
       struct fleet_host *host = g_hash_table_lookup (planner->hosts, name);
 
       if (host == NULL || host->phase != PHASE_NONE
-          || host->state != JB_HOST_UP || now < host->retry_at)
+          || host->state != JB_HOST_UP || now < host->retry_at
+          || !jb_planner_is_usable (planner, now, host, PURPOSE_MAINTENANCE))
         continue;
       fleet_hosts[count] = host;
       hosts[count++] = (struct jb_wave_host){
@@ -296,9 +297,11 @@
 }
 
 /* Return the number of hosts that are being maintained for WAVE, or soon will
-   be, or are in maintenance for another reason.  */
+   be, or are in maintenance for another reason.  A command of a predecessor
+   for the maintenance of a host may still be executed.  */
 static uint32_t
-count_hosts_down (const struct jb_planner *planner, const struct wave *wave)
+count_hosts_down (const struct jb_planner *planner, jb_time now,
+                  const struct wave *wave)
 {
   GHashTableIter iter;
   gpointer value;
@@ -309,7 +312,10 @@
     {
       const struct fleet_host *host = value;
 
-      if (host->wave == wave || host->state == JB_HOST_MAINTENANCE)
+      if (host->wave == wave || host->state == JB_HOST_MAINTENANCE
+          || (g_hash_table_contains (wave->remaining_hosts, host->name)
+              && jb_commanded_may_be_maintained (planner->commanded, now,
+                                                 host->name)))
         count++;
     }
   return count;
@@ -352,7 +358,7 @@
   report_wave (planner, now, wave);
   if (planner->complete_list_started_at <= planner->claimed_at)
     return;
-  down = count_hosts_down (planner, wave);
+  down = count_hosts_down (planner, now, wave);
   if (down < wave->max_hosts_at_once)
     begin_maintenance (planner, now, wave, table,
                        MIN (wave->max_hosts_at_once - down,
--- a/packages/jobs/tests/test_jb_members.c
+++ b/packages/jobs/tests/test_jb_members.c
@@ -190,10 +190,9 @@
 static struct jb_members *
 new_recording_members (TALLOC_CTX *mem, struct sent_messages *sent)
 {
-  struct jb_members_options options = { .name = "own",
-                                        .address = "10.0.0.1:1",
-                                        .zone = "a",
-                                        .incarnation = 1 };
+  struct jb_members_options options = {
+    .name = "own", .address = "10.0.0.1:1", .zone = "a", .incarnation = 1
+  };
 
   sent->driver = jb_driver_new (mem, &recording_ops, sent);
   options.driver = sent->driver;
