--- a/packages/jobs/include/jb_driver.h
+++ b/packages/jobs/include/jb_driver.h
@@ -147,6 +147,10 @@
   /* Orders of operators on zones that this host has learned.  */
   JB_COUNT_ZONES_EVACUATED,
   JB_COUNT_ZONES_RESTORED,
+  /* Rows with the names of hosts that the planner may command: their writes,
+     and the names that new planners have read from predecessors' rows.  */
+  JB_COUNT_COMMANDED_WRITES,
+  JB_COUNT_COMMANDED_INHERITED,
   JB_COUNTER_COUNT
 };
 
@@ -159,6 +163,8 @@
   JB_HIST_STORE_WRITE, /* of a transaction */
   JB_HIST_TASK_START,  /* of a task's start */
   JB_HIST_TAKEOVER,    /* from the claim of a pool to the first start there */
+  /* From the claim of the planner's partition to its first command.  */
+  JB_HIST_PLANNER_TAKEOVER,
   JB_HIST_COUNT
 };
 
--- a/packages/jobs/include/jb_msg.h
+++ b/packages/jobs/include/jb_msg.h
@@ -24,7 +24,12 @@
    JB_MSG_CATALOG_REQUEST  asks for a newer configuration (see
                            jb_catalog_fetch.h)
    JB_MSG_ZONES            the evacuated zones, from coordinators to all
-                           members while there are any  */
+                           members while there are any
+   JB_MSG_PROCESS_QUERY    asks the host with a name whether a former process
+                           with that name has ended (see
+                           jb_members_has_process_ended)
+   JB_MSG_PROCESS_ENDED    the reply to a JB_MSG_PROCESS_QUERY; none is sent if
+                           the process has not ended  */
 
 #include "jb_catalog.h"
 #include "jb_job_desc.h"
@@ -44,6 +49,8 @@
   JB_MSG_QUOTA_SHARES,
   JB_MSG_CATALOG_REQUEST,
   JB_MSG_ZONES,
+  JB_MSG_PROCESS_QUERY,
+  JB_MSG_PROCESS_ENDED,
   JB_MSG_TYPE_COUNT
 };
 
@@ -207,6 +214,13 @@
   struct jb_zone_entry *zones;
 };
 
+/* A process of an entry host.  */
+struct jb_msg_process
+{
+  char *name; /* of the host */
+  uint64_t incarnation;
+};
+
 struct jb_msg
 {
   uint32_t type; /* enum jb_msg_type */
@@ -224,6 +238,7 @@
     struct jb_msg_shares shares;
     struct jb_msg_catalog_request catalog_request;
     struct jb_msg_zones zones;
+    struct jb_msg_process process;
   } u;
 };
 
--- a/packages/jobs/include/jb_types.h
+++ b/packages/jobs/include/jb_types.h
@@ -91,7 +91,10 @@
      lease has expired.  */
   JB_SAFEGUARD_LEASE_EXPIRY = 1 << 8,
   /* Nothing is started on backend servers of an evacuated zone.  */
-  JB_SAFEGUARD_ZONES = 1 << 10
+  JB_SAFEGUARD_ZONES = 1 << 10,
+  /* A planner sends commands only to hosts whose names are stored, so that its
+     successor waits for the lease of these commands.  */
+  JB_SAFEGUARD_COMMANDED_ROWS = 1 << 9
 };
 
 /* Durations and limits of the deployment.  */
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -767,6 +767,13 @@
     case JB_MSG_ZONES:
       jb_host_handle_zones (host, now, &message->u.zones);
       break;
+    case JB_MSG_PROCESS_QUERY:
+      jb_members_receive_process_query (host->members, from,
+                                        &message->u.process);
+      break;
+    case JB_MSG_PROCESS_ENDED:
+      jb_members_receive_process_ended (host->members, &message->u.process);
+      break;
     case JB_MSG_TYPE_COUNT:
       break;
     }
--- a/packages/jobs/src/jb_msg.c
+++ b/packages/jobs/src/jb_msg.c
@@ -182,6 +182,11 @@
       ba_codec_array (io, message->u.zones.zones, message->u.zones.count,
                       MAX_ZONE_COUNT, jb_zone_entry_serialize);
       break;
+    case JB_MSG_PROCESS_QUERY:
+    case JB_MSG_PROCESS_ENDED:
+      ba_codec_required_str (io, &message->u.process.name);
+      ba_codec_u64 (io, &message->u.process.incarnation);
+      break;
     case JB_MSG_TYPE_COUNT:
       break;
     }
--- a/packages/jobs/src/jb_planner_zones.c
+++ b/packages/jobs/src/jb_planner_zones.c
@@ -19,9 +19,10 @@
 }
 
 void
-jb_planner_abandon_move (struct fleet_host *host, jb_time now)
+jb_planner_abandon_move (struct jb_planner *planner, jb_time now,
+                         struct fleet_host *host)
 {
   if (host->purpose == PURPOSE_MOVE && host->phase == PHASE_EVACUATING
       && !host->command_unanswered)
-    jb_planner_abandon_host (host, now, 0);
+    jb_planner_abandon_host (planner, now, host, 0);
 }
--- a/packages/jobs/tests/test_jb_planner_zones.c
+++ b/packages/jobs/tests/test_jb_planner_zones.c
@@ -131,7 +131,10 @@
                               .value = fixture->owner };
 
       if (fixture->commands[number].kind == JB_COMMAND_READ
-          && fixture->owner.data != NULL)
+          && fixture->owner.data != NULL
+          && strcmp (fixture->commands[number].u.read.table,
+                     JB_OWNERSHIP_TABLE)
+                 == 0)
         {
           reply.rows = &owner;
           reply.row_count = 1;
