Wait 150 ms for quota shares of a planner whose process has ended

Cause: a new planner divided no limit before 2,100 ms had passed since its claim unless its predecessor was known to have released the partition, since shares of the predecessor could still arrive. After the loss of all entry hosts, pools with new owners could start nothing in that time.

Change: the wait ends 150 ms after it is known that the predecessor sends nothing more: its process has ended (jb_members_has_process_ended, asked from the claim on), it was this process, or it released the partition. A process may have sent shares until shortly before its successor answered, so the time counts from the answer, not from the claim. That some host has released the partition no longer suffices: it must be the process that the owner row names, because another one may have claimed in between without this host's knowledge. Log lines predecessor-ended and quotas-divided, counter quota_waits.

--- a/packages/jobs/include/jb_driver.h
+++ b/packages/jobs/include/jb_driver.h
@@ -148,6 +148,10 @@
      and the names that new planners have read from predecessors' rows.  */
   JB_COUNT_COMMANDED_WRITES,
   JB_COUNT_COMMANDED_INHERITED,
+  /* New planners that waited for quota shares of a predecessor: for messages
+     only, since it was known to have ended, or as long as it may be valid.  */
+  JB_COUNT_QUOTA_WAITS_SHORT,
+  JB_COUNT_QUOTA_WAITS_FULL,
   JB_COUNTER_COUNT
 };
 
--- a/packages/jobs/include/jb_members.h
+++ b/packages/jobs/include/jb_members.h
@@ -100,6 +100,10 @@
 bool jb_members_has_owner_released (struct jb_members *members, jb_time now,
                                     const char *partition);
 
+/* Return the incarnation of the last known owner of PARTITION, or 0.  */
+uint64_t jb_members_last_owner (struct jb_members *members,
+                                const char *partition);
+
 /* Return the highest fence that any host, including this one, has reported for
    PARTITION, or 0 if none has.  */
 uint64_t jb_members_owner_fence (struct jb_members *members,
--- a/packages/jobs/include/jb_planner.h
+++ b/packages/jobs/include/jb_planner.h
@@ -25,8 +25,13 @@
   const struct jb_catalog *const *catalog; /* borrowed */
   const char *owner;                       /* this host's name */
   uint64_t incarnation;                    /* of this host's process */
-  bool predecessor_released; /* the previous planner is known to have released
-                                its ownership */
+  /* The process that is known to have released the planner's partition last;
+     0: none is known.  */
+  uint64_t released_incarnation;
+  /* Return whether a process is known to have ended, as
+     jb_members_has_process_ended does.  NULL: that is never known.  */
+  bool (*has_process_ended) (void *data, const char *name,
+                             uint64_t incarnation);
   /* Send EVACUATE, borrowed, to the owner of its pool.  The reply is passed to
      jb_planner_handle_evacuate_status, possibly during this call.  */
   void (*request_evacuation) (void *data, jb_time now,
--- a/packages/jobs/src/jb_driver.c
+++ b/packages/jobs/src/jb_driver.c
@@ -290,6 +290,8 @@
   [JB_COUNT_HOST_MAINTENANCE] = { "host_orders", "kind=\"maintenance\"" },
   [JB_COUNT_COMMANDED_WRITES] = { "commanded_host_writes", NULL },
   [JB_COUNT_COMMANDED_INHERITED] = { "commanded_hosts_inherited", NULL },
+  [JB_COUNT_QUOTA_WAITS_SHORT] = { "quota_waits", "predecessor=\"ended\"" },
+  [JB_COUNT_QUOTA_WAITS_FULL] = { "quota_waits", "predecessor=\"unknown\"" },
 };
 
 static const char *const histogram_names[JB_HIST_COUNT] = {
--- a/packages/jobs/src/jb_host_planner.c
+++ b/packages/jobs/src/jb_host_planner.c
@@ -206,6 +206,14 @@
   host->heartbeat_due = true;
 }
 
+static bool
+has_process_ended (void *data, const char *name, uint64_t incarnation)
+{
+  struct jb_host *host = data;
+
+  return jb_members_has_process_ended (host->members, name, incarnation);
+}
+
 static void
 claim_planner (struct jb_host *host, jb_time now)
 {
@@ -215,14 +223,16 @@
           .catalog = &host->catalog,
           .owner = host->options.name,
           .incarnation = host->options.incarnation,
-          .predecessor_released = jb_members_has_owner_released (
-              host->members, now, JB_PLANNER_PARTITION),
+          .has_process_ended = has_process_ended,
           .request_evacuation = request_evacuation,
           .notify_arrival = notify_arrival,
           .send_shares = send_shares,
           .state_changed = planner_state_changed,
           .data = host };
 
+  if (jb_members_has_owner_released (host->members, now, JB_PLANNER_PARTITION))
+    options.released_incarnation
+        = jb_members_last_owner (host->members, JB_PLANNER_PARTITION);
   host->planner = jb_planner_new (host, &options);
   jb_planner_set_unix_origin (host->planner, host->unix_origin);
   for (guint i = 0; i < host->waves->len; i++)
--- a/packages/jobs/src/jb_members.c
+++ b/packages/jobs/src/jb_members.c
@@ -846,6 +846,12 @@
   return best;
 }
 
+uint64_t
+jb_members_last_owner (struct jb_members *members, const char *partition)
+{
+  return get_or_add_partition (members, partition)->owner;
+}
+
 uint64_t
 jb_members_owner_fence (struct jb_members *members, const char *partition)
 {
--- a/packages/jobs/src/jb_planner.c
+++ b/packages/jobs/src/jb_planner.c
@@ -278,7 +278,10 @@
   planner->has_ended = !held;
   planner->claimed_at = now;
   if (held)
-    read_rows (planner, now, JB_PLANNER_TABLE, NULL);
+    {
+      jb_planner_check_predecessor (planner, now);
+      read_rows (planner, now, JB_PLANNER_TABLE, NULL);
+    }
   planner->options.state_changed (planner->options.data);
 }
 
--- a/packages/jobs/src/jb_planner_internal.h
+++ b/packages/jobs/src/jb_planner_internal.h
@@ -120,6 +120,10 @@
   bool rows_loaded;         /* the planner's rows were read from the store */
   jb_time claimed_at;       /* end of the claim */
   jb_time first_command_at; /* to a host; 0: none yet */
+  /* When it became known that the predecessor sends nothing more; 0: it is
+     not known.  */
+  jb_time predecessor_ended_at;
+  bool quotas_divided;            /* since the claim */
   jb_time confirmed_by_peer_at;   /* when a peer last received a heartbeat of
                                      this host while the store did not answer */
   GHashTable *hosts;              /* name -> struct fleet_host */
@@ -181,6 +185,12 @@
 
 /* ---- jb_planner_quota.c ---- */
 
+/* Find out whether the predecessor sends nothing more: it has released its
+   ownership, its process has ended, or it was this process, whose earlier
+   ownership has ended.  Otherwise it may not know yet that it has lost its
+   ownership.  To be called from the claim on until that is known.  */
+void jb_planner_check_predecessor (struct jb_planner *planner, jb_time now);
+
 /* Divide the organisations' limits again if their usage has changed, and send
    the shares that have changed or were not acknowledged in time.  */
 void jb_planner_run_quotas (struct jb_planner *planner, jb_time now);
--- a/packages/jobs/src/jb_planner_quota.c
+++ b/packages/jobs/src/jb_planner_quota.c
@@ -15,7 +15,7 @@
 
 /* Time after the claim during which shares from the predecessor may still
    arrive: if it may not know yet that it has lost its ownership, and if it is
-   known to have released it.  */
+   known to have released it or to have ended.  */
 #define PREDECESSOR_VALIDITY (2100 * JB_MS)
 #define PREDECESSOR_MESSAGE_DELAY (150 * JB_MS)
 
@@ -94,14 +94,65 @@
     }
 }
 
-/* Return how long after the claim shares from the predecessor may arrive.  */
-static jb_time
-predecessor_wait (const struct jb_planner *planner)
+void
+jb_planner_check_predecessor (struct jb_planner *planner, jb_time now)
+{
+  const struct jb_planner_options *options = &planner->options;
+  const char *name = jb_ownership_previous_owner (planner->ownership);
+  uint64_t incarnation
+      = jb_ownership_previous_incarnation (planner->ownership);
+  const char *reason = NULL;
+
+  if (planner->predecessor_ended_at != 0 || name == NULL)
+    return;
+  if (incarnation == options->incarnation)
+    reason = "it was this process";
+  else if (incarnation == options->released_incarnation)
+    reason = "it released its ownership";
+  else if (options->has_process_ended != NULL
+           && options->has_process_ended (options->data, name, incarnation))
+    reason = "its process has ended";
+  if (reason == NULL)
+    return;
+  /* The process may have ended just before its successor answered, but the
+     ownership was released before the claim.  */
+  planner->predecessor_ended_at
+      = incarnation == options->incarnation
+                || incarnation == options->released_incarnation
+            ? planner->claimed_at
+            : now;
+  jb_log (options->driver, JB_LEVEL_INFO, "predecessor-ended", "member", name,
+          "reason", reason, "ms_since_claim",
+          jb_itoa ((now - planner->claimed_at) / JB_MS), NULL);
+}
+
+/* Return whether shares from the predecessor may still arrive.  */
+static bool
+may_receive_predecessor_shares (const struct jb_planner *planner, jb_time now)
 {
   if (jb_ownership_generation (planner->ownership) <= 1)
-    return 0;
-  return planner->options.predecessor_released ? PREDECESSOR_MESSAGE_DELAY
-                                               : PREDECESSOR_VALIDITY;
+    return false;
+  if (planner->predecessor_ended_at != 0
+      && now >= planner->predecessor_ended_at + PREDECESSOR_MESSAGE_DELAY)
+    return false;
+  return now < planner->claimed_at + PREDECESSOR_VALIDITY;
+}
+
+/* Count and log that the limits are divided for the first time since the
+   claim.  */
+static void
+record_first_division (struct jb_planner *planner, jb_time now)
+{
+  if (planner->quotas_divided)
+    return;
+  planner->quotas_divided = true;
+  jb_count_event (planner->options.driver, planner->predecessor_ended_at != 0
+                                               ? JB_COUNT_QUOTA_WAITS_SHORT
+                                               : JB_COUNT_QUOTA_WAITS_FULL);
+  jb_log (planner->options.driver, JB_LEVEL_INFO, "quotas-divided",
+          "ms_since_claim", jb_itoa ((now - planner->claimed_at) / JB_MS),
+          "predecessor",
+          planner->predecessor_ended_at != 0 ? "ended" : "unknown", NULL);
 }
 
 /* Return whether the owner of every pool has reported the pool's usage.  */
@@ -232,9 +283,11 @@
   GHashTableIter iter;
   gpointer value;
 
+  jb_planner_check_predecessor (planner, now);
   if (catalog == NULL || !all_pools_reported (planner)
-      || now < planner->claimed_at + predecessor_wait (planner))
+      || may_receive_predecessor_shares (planner, now))
     return;
+  record_first_division (planner, now);
   for (uint32_t i = 0; planner->usage_changed && i < catalog->org_count; i++)
     {
       const struct jb_resources *limit = &catalog->orgs[i].limit;
