--- a/packages/jobs/src/jb_driver.c
+++ b/packages/jobs/src/jb_driver.c
@@ -302,6 +302,8 @@
   [JB_COUNT_ZONES_RESTORED] = { "zone_orders", "kind=\"restore\"" },
   [JB_COUNT_COMMANDED_WRITES] = { "commanded_host_writes", NULL },
   [JB_COUNT_COMMANDED_INHERITED] = { "commanded_hosts_inherited", NULL },
+  [JB_COUNT_QUOTA_WAITS_SHORT] = { "quota_waits", "predecessor=\"ended\"" },
+  [JB_COUNT_QUOTA_WAITS_FULL] = { "quota_waits", "predecessor=\"unknown\"" },
 };
 
 static const char *const histogram_names[JB_HIST_COUNT] = {
