Evacuate availability zones of the fleet of requests

Change: an evacuation is a maintenance order with scope zone and the name evacuate/ZONE, of which there is at most one for each zone. Its hosts are not available: nothing is started there, also not requests whose claim is granted after the order, and they don't count towards availability budgets. Requests that find no host are refused as zone-evacuated. The commands zones, evacuate and restore, functions of libdogwoodpulley, log lines zone-evacuated and zone-restored, and two counters.

--- a/packages/core/include/co_core.h
+++ b/packages/core/include/co_core.h
@@ -40,8 +40,10 @@
                                            their deadline */
   CO_DISABLE_REBALANCING = 1 << 12,     /* don't move hosts between pools by
                                            load */
-  CO_DISABLE_HYSTERESIS = 1 << 13       /* move hosts by the momentary load,
+  CO_DISABLE_HYSTERESIS = 1 << 13,      /* move hosts by the momentary load,
                                            without a pause between moves */
+  CO_DISABLE_EVACUATIONS = 1 << 14      /* ignore evacuations of zones, as
+                                           earlier versions do */
 };
 
 struct co_options
@@ -127,6 +129,8 @@
   CO_COUNTER_HOSTS_MAINTAINED,
   CO_COUNTER_SNAPSHOTS,
   CO_COUNTER_INVALID_ROWS,
+  CO_COUNTER_ZONES_EVACUATED,
+  CO_COUNTER_ZONES_RESTORED,
   CO_COUNTER_COUNT
 };
 
@@ -160,6 +164,14 @@
   uint32_t running;         /* requests from this entry host */
 };
 
+struct co_zone_status
+{
+  const char *name;
+  uint32_t host_count; /* configured hosts */
+  uint32_t running;    /* requests from this entry host */
+  bool evacuated;      /* nothing new is started there */
+};
+
 struct co_team_status
 {
   const char *name;
@@ -192,6 +204,8 @@
   const char *fleet_yaml; /* YAML in force, or NULL */
   struct co_host_status *hosts;
   uint32_t host_count;
+  struct co_zone_status *zones; /* sorted by name */
+  uint32_t zone_count;
   struct co_team_status *teams;
   uint32_t team_count;
   struct co_maintenance_status *orders;
@@ -202,8 +216,8 @@
 struct co_status *co_core_status (TALLOC_CTX *mem, const struct co_core *core,
                                   co_time now);
 
-/* Like co_core_status, but without the lists of hosts, teams and maintenance
-   orders.  */
+/* Like co_core_status, but without the lists of hosts, zones, teams and
+   maintenance orders.  */
 struct co_status *co_core_summary (TALLOC_CTX *mem, const struct co_core *core,
                                    co_time now);
 
--- a/packages/core/include/co_event.h
+++ b/packages/core/include/co_event.h
@@ -228,6 +228,15 @@
   uint64_t boot_id; /* reboot only if this is still the host's boot */
 };
 
+/* The evacuation of a zone began or ended on this entry host.  */
+struct co_action_zone
+{
+  char *zone;
+  bool evacuated;
+  uint64_t log_version; /* of the change, or of the snapshot that held it */
+  uint32_t running;     /* requests of this entry host on hosts of the zone */
+};
+
 enum co_action_type
 {
   CO_ACTION_REFUSE,
@@ -243,6 +252,7 @@
   CO_ACTION_CHANGE_DONE,
   CO_ACTION_EVICTED, /* the others removed this member from the view */
   CO_ACTION_STOPPED, /* the planned stop is complete */
+  CO_ACTION_ZONE_CHANGED,
   CO_ACTION_TYPE_COUNT
 };
 
@@ -262,6 +272,7 @@
     struct co_view view;
     struct co_action_change_done change_done;
     struct co_action_reboot reboot;
+    struct co_action_zone zone;
   } u;
 };
 
--- a/packages/core/include/co_types.h
+++ b/packages/core/include/co_types.h
@@ -153,6 +153,23 @@
 /* Encode or decode CHANGE, like co_view_serialize.  */
 void co_change_serialize (struct ba_codec *io, struct co_change *change);
 
+/* The evacuation of an availability zone is a maintenance order with
+   CO_SCOPE_ZONE and this prefix before the name of the zone, so that entry
+   hosts of versions without evacuations decode it, keep it in their snapshots
+   and find no host in its scope.  Names of zones contain no slash.  The zone
+   is evacuated unless the state of the order is CO_ORDER_CANCELLED.  */
+#define CO_EVACUATION_PREFIX "evacuate/"
+
+/* Return the zone that a maintenance order with SCOPE and SCOPE_NAME
+   evacuates, or NULL if the order is not an evacuation.  Borrowed from
+   SCOPE_NAME.  */
+const char *co_evacuation_zone (uint32_t scope, const char *scope_name);
+
+/* Make CHANGE the evacuation of ZONE or, unless EVACUATED, the end of its
+   evacuation.  The name in CHANGE is owned by MEM.  */
+void co_change_init_evacuation (TALLOC_CTX *mem, struct co_change *change,
+                                const char *zone, bool evacuated);
+
 /* The result of a configuration change.  */
 enum co_change_result
 {
--- a/packages/core/src/co_admit.c
+++ b/packages/core/src/co_admit.c
@@ -115,7 +115,8 @@
     return 0;
   if (reason == CO_REASON_NO_LEASE || reason == CO_REASON_STOPPING
       || reason == CO_REASON_NO_HOST || reason == CO_REASON_CLAIM_UNAVAILABLE
-      || reason == CO_REASON_NO_CONFIGURATION)
+      || reason == CO_REASON_NO_CONFIGURATION
+      || reason == CO_REASON_ZONE_EVACUATED)
     after = recovery_retry_after;
   if (after < min_retry_after)
     after = min_retry_after;
@@ -180,7 +181,7 @@
   if (has_filled_queue_share (core, queue, request->team))
     return CO_REASON_QUEUE_FULL;
   if (pool->usable_hosts == 0)
-    return CO_REASON_NO_HOST;
+    return co_zone_refusal_reason (pool, CO_REASON_NO_HOST);
   if (!(core->options.disabled & CO_DISABLE_EARLY_REFUSAL)
       && core->now + co_estimate_wait (core, request)
              > co_latest_start (core, request))
--- a/packages/core/src/co_change.c
+++ b/packages/core/src/co_change.c
@@ -209,6 +209,10 @@
           core->pools[host->pool]->name,
           core->pools[host->pool]->available_hosts,
           (int)core->pools[host->pool]->min_available);
+      if (core->pools[host->pool]->evacuated_hosts > 0)
+        *detail = talloc_asprintf_append (
+            *detail, "; %u not in use because their zone is evacuated",
+            core->pools[host->pool]->evacuated_hosts);
       return CO_CHANGE_RESULT_INVALID;
     }
   return CO_CHANGE_RESULT_OK;
@@ -253,11 +257,25 @@
   struct co_maintenance_order new_order
       = { .scope = change->scope, .scope_name = change->scope_name };
 
+  if (co_evacuation_zone (change->scope, change->scope_name) != NULL)
+    return co_zone_check_change (core, change, detail);
   if (change->order_id != 0)
     {
       for (uint32_t i = 0; i < core->order_count; i++)
         if (core->orders[i].id == change->order_id)
           {
+            const char *zone = co_evacuation_zone (core->orders[i].scope,
+                                                   core->orders[i].scope_name);
+
+            if (zone != NULL)
+              {
+                *detail = talloc_asprintf (
+                    core->outbox->mem,
+                    "order %" G_GUINT64_FORMAT " is the evacuation of zone "
+                    "\"%s\": evacuate or restore the zone",
+                    change->order_id, zone);
+                return CO_CHANGE_RESULT_INVALID;
+              }
             if (core->orders[i].state != CO_ORDER_CANCELLED)
               return CO_CHANGE_RESULT_OK;
             *detail = co_outbox_strdup (core, "the order is cancelled");
@@ -365,6 +383,7 @@
             "the table service can't be reached; nothing was written");
       return;
     }
+  co_zone_resolve_order (core, &pending->entry.change);
   result = check_change (core, &pending->entry.change, &detail);
   if (result != CO_CHANGE_RESULT_OK)
     {
--- a/packages/core/src/co_core.c
+++ b/packages/core/src/co_core.c
@@ -53,6 +53,10 @@
   = { "snapshots_total", "Snapshots of the configuration written" },
   [CO_COUNTER_INVALID_ROWS]
   = { "bad_rows_total", "Rows of the table service that made no sense" },
+  [CO_COUNTER_ZONES_EVACUATED]
+  = { "zones_evacuated_total", "Times a zone was evacuated" },
+  [CO_COUNTER_ZONES_RESTORED]
+  = { "zones_restored_total", "Times an evacuated zone was restored" },
 };
 
 const struct co_counter_info *
--- a/packages/core/src/co_dispatch.c
+++ b/packages/core/src/co_dispatch.c
@@ -484,7 +484,8 @@
 start_request (struct co_core *core, struct co_request *request, int host)
 {
   dequeue (core, request);
-  if (request->attempt_count == 0 && answer_if_repeated (core, request))
+  if (request->attempt_count == 0 && !request->claimed
+      && answer_if_repeated (core, request))
     return;
   request->host = host;
   acquire_slot (core, host, request->team);
@@ -553,6 +554,16 @@
       = co_outbox_strdup (core, request->idempotency_key);
 }
 
+/* Have REQUEST, which holds the claim of its idempotency key and has not been
+   sent, wait for another host than its current one.  */
+static void
+wait_for_another_host (struct co_core *core, struct co_request *request)
+{
+  stop_timer (request);
+  release_request_slot (core, request);
+  enqueue (core, request, true);
+}
+
 void
 co_request_claim_decided (struct co_core *core, struct co_request *request,
                           uint32_t result, uint64_t executor)
@@ -566,6 +577,8 @@
       /* If the caller has disconnected, the reason is not used.  */
       if (request->caller_gone || !co_has_lease (core))
         abort_request (core, request, CO_REASON_NO_LEASE);
+      else if (core->hosts[request->host]->zone_evacuated)
+        wait_for_another_host (core, request);
       else
         send_to_host (core, request);
       break;
@@ -778,15 +791,15 @@
     }
 }
 
-/* Refuse REQUEST, which is in its backlog, and free it.  If an earlier attempt
-   has claimed its idempotency key, the claim is released.  */
+/* Refuse REQUEST, which is in its backlog, and free it.  If it has claimed its
+   idempotency key, the claim is released.  */
 static void
 end_waiting (struct co_core *core, struct co_request *request,
              enum co_reason reason)
 {
   dequeue (core, request);
   if (request->idempotency_key != NULL && !request->idempotent
-      && request->attempt_count > 0)
+      && (request->attempt_count > 0 || request->claimed))
     {
       co_execution_set_state (core, request->idempotency_key,
                               CO_EXECUTION_NOT_RUN);
@@ -825,9 +838,10 @@
         {
         case CO_REQUEST_WAITING:
           end_waiting (core, request,
-                       core->now >= request->deadline
-                           ? CO_REASON_DEADLINE_PASSED
-                           : CO_REASON_WAIT_TOO_LONG);
+                       co_zone_refusal_reason (core->pools[request->pool],
+                                               core->now >= request->deadline
+                                                   ? CO_REASON_DEADLINE_PASSED
+                                                   : CO_REASON_WAIT_TOO_LONG));
           break;
         case CO_REQUEST_CLAIMING:
           if (core->now < request->state_deadline && !core->table_unreachable)
--- a/packages/core/src/co_event.c
+++ b/packages/core/src/co_event.c
@@ -160,6 +160,15 @@
   ba_codec_str (io, &c->detail);
 }
 
+static void
+zone_serialize (struct ba_codec *io, struct co_action_zone *z)
+{
+  ba_codec_str (io, &z->zone);
+  ba_codec_bool (io, &z->evacuated);
+  ba_codec_u64 (io, &z->log_version);
+  ba_codec_u32 (io, &z->running);
+}
+
 void
 co_action_serialize (struct ba_codec *io, struct co_action *action)
 {
@@ -205,6 +214,9 @@
       ba_codec_str (io, &action->u.reboot.host);
       ba_codec_u64 (io, &action->u.reboot.boot_id);
       break;
+    case CO_ACTION_ZONE_CHANGED:
+      zone_serialize (io, &action->u.zone);
+      break;
     case CO_ACTION_EVICTED:
     case CO_ACTION_STOPPED:
       break;
--- a/packages/core/src/co_fleet.c
+++ b/packages/core/src/co_fleet.c
@@ -279,6 +279,7 @@
     apply_queue (core, &fleet->queues[i]);
   for (uint32_t i = 0; i < fleet->host_count; i++)
     apply_host (core, &fleet->hosts[i]);
+  co_zone_update_hosts (core);
   for (uint32_t i = 0; i < core->host_count; i++)
     co_host_refresh (core, (int)i);
   for (uint32_t i = 0; i < core->pool_count; i++)
@@ -340,6 +341,21 @@
   return true;
 }
 
+/* Bring the hosts up to date if ORDER, whose state the log entry VERSION has
+   set, is an evacuation.  WAS_CANCELLED tells whether its former state was
+   CO_ORDER_CANCELLED.  */
+static void
+update_evacuation (struct co_core *core,
+                   const struct co_maintenance_order *order,
+                   bool was_cancelled, uint64_t version)
+{
+  if (co_evacuation_zone (order->scope, order->scope_name) == NULL
+      || was_cancelled == (order->state == CO_ORDER_CANCELLED))
+    return;
+  co_zone_update_hosts (core);
+  co_zone_report (core, order, version);
+}
+
 /* Apply ENTRY, which adds a maintenance order or changes the state of one.
    Return false if the order to change is not known.  */
 static bool
@@ -359,12 +375,17 @@
       order->completed_at_version = 0;
       order->scope = change->scope;
       order->scope_name = talloc_strdup (core, change->scope_name);
+      update_evacuation (core, order, true, entry->version);
       return true;
     }
   for (uint32_t i = 0; i < core->order_count; i++)
     if (core->orders[i].id == change->order_id)
       {
+        bool was_cancelled = core->orders[i].state == CO_ORDER_CANCELLED;
+
         core->orders[i].state = change->order_state;
+        update_evacuation (core, &core->orders[i], was_cancelled,
+                           entry->version);
         return true;
       }
   return false;
@@ -529,6 +550,12 @@
 
 bool
 co_host_is_available (const struct co_host *host)
+{
+  return co_host_is_in_service (host) && !host->zone_evacuated;
+}
+
+bool
+co_host_is_in_service (const struct co_host *host)
 {
   return host->configured && host->state == CO_HOST_ACTIVE && host->live
          && !host->leaving;
--- a/packages/core/src/co_host.c
+++ b/packages/core/src/co_host.c
@@ -78,6 +78,8 @@
       pool->ejected_hosts -= host->ejected_until != 0;
       host->counted_available = false;
     }
+  pool->evacuated_hosts -= host->counted_evacuated;
+  host->counted_evacuated = false;
 }
 
 /* Insert the host at INDEX at the head of its pool's list for FREE_SLOT_COUNT,
@@ -114,6 +116,9 @@
       pool->capacity_slots += host->counted_capacity;
       pool->ejected_hosts += host->ejected_until != 0;
     }
+  host->counted_evacuated
+      = host->zone_evacuated && co_host_is_in_service (host);
+  pool->evacuated_hosts += host->counted_evacuated;
   if (!is_usable (host))
     return;
   free_slots = co_host_free_slots (core, host);
--- a/packages/core/src/co_internal.h
+++ b/packages/core/src/co_internal.h
@@ -70,6 +70,7 @@
   char *zone;
   char *rack;
   bool configured;     /* in the current configuration */
+  bool zone_evacuated; /* its zone is evacuated */
   int pool;            /* index of the pool that it is in */
   int target_pool;     /* index of the pool that it moves to, or CO_NO_INDEX */
   int configured_pool; /* index of the pool in the configuration */
@@ -101,6 +102,7 @@
   int64_t counted_free_slots, counted_held_slots;
   bool counted_usable;
   bool counted_available; /* counts towards the pool's availability budget */
+  bool counted_evacuated; /* would, if its zone were not evacuated */
   int64_t counted_capacity;
 };
 
@@ -128,6 +130,8 @@
   uint32_t usable_hosts;    /* take work and are not ejected */
   uint32_t available_hosts; /* count towards the availability budget */
   uint32_t ejected_hosts;   /* of the available ones */
+  uint32_t evacuated_hosts; /* not available only because their zone is
+                               evacuated */
   int64_t capacity_slots;   /* configured slots of the available hosts */
   double load;              /* decaying average of demand divided by
                                capacity */
@@ -547,11 +551,14 @@
    budgets against.  */
 bool co_host_list_is_recent (const struct co_core *core);
 
-/* Return whether HOST is configured, active, live and not about to be removed
-   by the platform, so that it counts towards its pool's availability budget.
-   An ejected host counts as well.  */
+/* Return whether HOST is configured, active, live, not about to be removed by
+   the platform and in no evacuated zone, so that it counts towards its pool's
+   availability budget.  An ejected host counts as well.  */
 bool co_host_is_available (const struct co_host *host);
 
+/* Return whether HOST would be available if its zone were not evacuated.  */
+bool co_host_is_in_service (const struct co_host *host);
+
 /* co_host.c */
 
 /* Take the host at INDEX off its list and out of the sums of its pool.  This
@@ -582,6 +589,39 @@
 int64_t co_host_free_slots (const struct co_core *core,
                             const struct co_host *host);
 
+/* co_zone.c */
+
+/* Return whether one of the COUNT maintenance orders in ORDERS evacuates
+   ZONE.  */
+bool co_zone_is_evacuated (const struct co_maintenance_order *orders,
+                           uint32_t count, const char *zone);
+
+/* Bring the hosts up to date with the evacuations, after these or the zones of
+   hosts have changed.  */
+void co_zone_update_hosts (struct co_core *core);
+
+/* Count the begin or the end, by its state, of the evacuation ORDER, and
+   report it to the driver.  LOG_VERSION is that of the change or snapshot.  */
+void co_zone_report (struct co_core *core,
+                     const struct co_maintenance_order *order,
+                     uint64_t log_version);
+
+/* If CHANGE orders or ends an evacuation, have it change the order for the
+   zone that exists already, if there is one.  */
+void co_zone_resolve_order (const struct co_core *core,
+                            struct co_change *change);
+
+/* Check CHANGE, which orders or ends an evacuation: there must be hosts in its
+   zone, or an order for it.  Return an enum co_change_result, and set *DETAIL
+   unless it is CO_CHANGE_RESULT_OK.  */
+uint32_t co_zone_check_change (struct co_core *core,
+                               const struct co_change *change, char **detail);
+
+/* Return REASON, or CO_REASON_ZONE_EVACUATED if POOL has no host to start
+   requests on because of evacuations.  */
+enum co_reason co_zone_refusal_reason (const struct co_pool *pool,
+                                       enum co_reason reason);
+
 /* co_view.c */
 
 void co_view_init (struct co_core *core);
--- a/packages/core/src/co_reason.c
+++ b/packages/core/src/co_reason.c
@@ -68,6 +68,9 @@
   [CO_REASON_BACKEND_TIMEOUT]
   = { "backend-timeout", 504, CO_RUN_UNKNOWN, false,
       "The deadline passed while the request was running" },
+  [CO_REASON_ZONE_EVACUATED]
+  = { "zone-evacuated", 503, CO_RUN_NOT_RUN, true,
+      "All hosts of the pool that could take work are in evacuated zones" },
 };
 
 const struct co_reason_info *
--- a/packages/core/src/co_rebalance.c
+++ b/packages/core/src/co_rebalance.c
@@ -78,7 +78,8 @@
 }
 
 /* Return the index of a host that was lent to POOL and may be returned, or
-   CO_NO_INDEX.  */
+   CO_NO_INDEX.  A host of an evacuated zone stays, because its slots are not
+   in the capacity from which those of the returned host are subtracted.  */
 static int
 find_lent_host (const struct co_core *core, int pool)
 {
@@ -87,7 +88,7 @@
       const struct co_host *host = core->hosts[i];
 
       if (host->pool == pool && host->cause == CO_CAUSE_REBALANCE
-          && may_leave_pool (core, host))
+          && !host->zone_evacuated && may_leave_pool (core, host))
         return (int)i;
     }
   return CO_NO_INDEX;
--- a/packages/core/src/co_reconcile.c
+++ b/packages/core/src/co_reconcile.c
@@ -180,6 +180,7 @@
   /* An order that was completed at this log version has nothing to do until a
      later change brings another host into its scope.  */
   if (order->state == CO_ORDER_CANCELLED
+      || co_evacuation_zone (order->scope, order->scope_name) != NULL
       || (order->completed_at_version != 0
           && order->completed_at_version == core->log_version))
     return;
--- a/packages/core/src/co_snapshot.c
+++ b/packages/core/src/co_snapshot.c
@@ -272,6 +272,12 @@
   apply_orders (core, s);
   apply_change_tokens (core, s);
   core->log_version = s->log_version;
+  co_zone_update_hosts (core);
+  for (uint32_t i = 0; i < core->order_count; i++)
+    if (co_evacuation_zone (core->orders[i].scope, core->orders[i].scope_name)
+            != NULL
+        && core->orders[i].state != CO_ORDER_CANCELLED)
+      co_zone_report (core, &core->orders[i], core->log_version);
   return true;
 }
 
--- a/packages/core/src/co_status.c
+++ b/packages/core/src/co_status.c
@@ -1,5 +1,6 @@
 #include "co_internal.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 /* The state of the core for operators and tests.  */
@@ -32,6 +33,63 @@
     }
 }
 
+static int
+compare_zone_status (const void *a, const void *b)
+{
+  return strcmp (((const struct co_zone_status *)a)->name,
+                 ((const struct co_zone_status *)b)->name);
+}
+
+/* Return the entry of the zone NAME in STATUS, which is added if there is
+   none. POSITIONS holds name -> position + 1.  */
+static struct co_zone_status *
+find_or_add_zone (struct co_status *status, GHashTable *positions,
+                  const char *name)
+{
+  int position = co_find_index (positions, name);
+
+  if (position == CO_NO_INDEX)
+    {
+      position = (int)status->zone_count++;
+      status->zones[position].name = name;
+      g_hash_table_insert (positions, (char *)name,
+                           GINT_TO_POINTER (position + 1));
+    }
+  return &status->zones[position];
+}
+
+/* Fill in the zones that configured hosts are in, and the evacuated zones
+   without any.  */
+static void
+fill_zones (const struct co_core *core, struct co_status *status)
+{
+  GHashTable *positions = g_hash_table_new (g_str_hash, g_str_equal);
+
+  status->zones = talloc_zero_array (status, struct co_zone_status,
+                                     core->host_count + core->order_count + 1);
+  for (uint32_t i = 0; i < core->host_count; i++)
+    if (core->hosts[i]->configured)
+      {
+        struct co_zone_status *zone
+            = find_or_add_zone (status, positions, core->hosts[i]->zone);
+
+        zone->host_count++;
+        zone->running += core->hosts[i]->running;
+      }
+  for (uint32_t i = 0; i < core->order_count; i++)
+    {
+      const struct co_maintenance_order *order = &core->orders[i];
+      const char *name = co_evacuation_zone (order->scope, order->scope_name);
+
+      if (name != NULL && order->state != CO_ORDER_CANCELLED)
+        find_or_add_zone (status, positions, name)->evacuated = true;
+    }
+  g_hash_table_destroy (positions);
+  if (status->zone_count > 1)
+    qsort (status->zones, status->zone_count, sizeof *status->zones,
+           compare_zone_status);
+}
+
 static void
 fill_teams (const struct co_core *core, struct co_status *status)
 {
@@ -63,8 +121,11 @@
   for (uint32_t i = 0; i < core->order_count; i++)
     {
       const struct co_maintenance_order *order = &core->orders[i];
-      struct co_maintenance_status *s = &status->orders[status->order_count++];
+      struct co_maintenance_status *s;
 
+      if (co_evacuation_zone (order->scope, order->scope_name) != NULL)
+        continue;
+      s = &status->orders[status->order_count++];
       s->id = order->id;
       s->state = order->state;
       s->scope = order->scope;
@@ -102,6 +163,7 @@
   struct co_status *status = co_core_summary (mem, core, now);
 
   fill_hosts (core, status);
+  fill_zones (core, status);
   fill_teams (core, status);
   fill_orders (core, status);
   return status;
--- a/packages/core/src/co_types.c
+++ b/packages/core/src/co_types.c
@@ -1,6 +1,7 @@
 #include "co_types.h"
 
 #include <glib.h>
+#include <string.h>
 
 /* Names of enum values, and the msgpack encoding of the types that are stored
    in the table service.  */
@@ -25,6 +26,27 @@
   return change_result_names[result];
 }
 
+const char *
+co_evacuation_zone (uint32_t scope, const char *scope_name)
+{
+  if (scope != CO_SCOPE_ZONE || scope_name == NULL
+      || !g_str_has_prefix (scope_name, CO_EVACUATION_PREFIX))
+    return NULL;
+  return scope_name + strlen (CO_EVACUATION_PREFIX);
+}
+
+void
+co_change_init_evacuation (TALLOC_CTX *mem, struct co_change *change,
+                           const char *zone, bool evacuated)
+{
+  memset (change, 0, sizeof *change);
+  change->type = CO_CHANGE_MAINTENANCE;
+  change->order_state = evacuated ? CO_ORDER_RUNNING : CO_ORDER_CANCELLED;
+  change->scope = CO_SCOPE_ZONE;
+  change->scope_name
+      = talloc_asprintf (mem, "%s%s", CO_EVACUATION_PREFIX, zone);
+}
+
 static void
 member_serialize (struct ba_codec *io, struct co_member *member)
 {
--- a/packages/operator/include/dogwoodpulley.h
+++ b/packages/operator/include/dogwoodpulley.h
@@ -150,6 +150,14 @@
      "cancelled".  */
   enum dp_result dp_client_order (dp_client *client, uint64_t order,
                                   const char *state, GError **error);
+  /* Start no more requests on the hosts of the availability zone ZONE, until
+     it is restored.  Running requests end by themselves.  A zone may be
+     ordered again to the state that it has.  A zone that no host is in is
+     DP_INVALID.  */
+  enum dp_result dp_client_evacuate (dp_client *client, const char *zone,
+                                     GError **error);
+  enum dp_result dp_client_restore (dp_client *client, const char *zone,
+                                    GError **error);
   /* Grant a new random API key to TEAM.  Set KEY to it, to be released with
      free(), or to NULL if it was not granted.  KEY is also set after
      DP_UNKNOWN, because the key may have been granted.  The system stores only
@@ -164,6 +172,14 @@
      NULL with ERROR set.  */
   char *dp_client_status (dp_client *client, GError **error);
 
+  /* Return the availability zones as JSON text, or NULL with ERROR set if no
+     entry host responds.  Its member "zones" lists name, hosts, running and
+     state ("in-use" or "evacuated") of each zone, by the first entry host that
+     responds, except that running is the sum over all that respond.  Their
+     number is the member "entry_hosts"; "members" is the number of entry hosts
+     in the fleet.  */
+  char *dp_client_zones (dp_client *client, GError **error);
+
   /* Return the current fleet configuration as YAML text, or NULL with ERROR
      set.  Unless VERSION is NULL, set it to the version of the configuration,
      to be passed to dp_client_apply as BASE.  */
--- a/packages/operator/src/dp_client.c
+++ b/packages/operator/src/dp_client.c
@@ -283,6 +283,29 @@
                       NULL, error);
 }
 
+/* Send the change of ZONE to STATE.  */
+static enum dp_result
+send_zone_change (dp_client *client, const char *zone, const char *state,
+                  GError **error)
+{
+  return send_change (client,
+                      json_pack ("{s:s,s:s,s:s}", "type", "zone", "zone", zone,
+                                 "state", state),
+                      NULL, error);
+}
+
+enum dp_result
+dp_client_evacuate (dp_client *client, const char *zone, GError **error)
+{
+  return send_zone_change (client, zone, "evacuated", error);
+}
+
+enum dp_result
+dp_client_restore (dp_client *client, const char *zone, GError **error)
+{
+  return send_zone_change (client, zone, "restored", error);
+}
+
 enum dp_result
 dp_client_grant_key (dp_client *client, const char *team, char **key,
                      GError **error)
@@ -326,6 +349,19 @@
   return result;
 }
 
+/* Set ERROR for a GET to which no entry host responded, or the last one with
+   STATUS.  */
+static void
+set_fetch_error (long status, GError **error)
+{
+  if (status == 401)
+    g_set_error_literal (error, BA_ERROR, BA_ERROR_VALUE,
+                         "the operators' token is wrong");
+  else
+    g_set_error_literal (error, BA_ERROR, BA_ERROR_UNREACHABLE,
+                         "no entry host can be reached");
+}
+
 /* Return the body of the response to a GET of PATH, to be released with free,
    or NULL with ERROR set.  */
 static char *
@@ -337,12 +373,8 @@
 
   if (status == 200)
     text = strdup (response->str);
-  else if (status == 401)
-    g_set_error_literal (error, BA_ERROR, BA_ERROR_VALUE,
-                         "the operators' token is wrong");
   else
-    g_set_error_literal (error, BA_ERROR, BA_ERROR_UNREACHABLE,
-                         "no entry host can be reached");
+    set_fetch_error (status, error);
   g_string_free (response, TRUE);
   return text;
 }
@@ -377,3 +409,71 @@
   free (status);
   return copy;
 }
+
+/* Add the running requests in ADDED, the zones of another entry host, to those
+   of the zones with the same names in ZONES.  */
+static void
+add_running (json_t *zones, json_t *added)
+{
+  json_t *zone;
+  json_t *other;
+  size_t i;
+  size_t j;
+
+  json_array_foreach (zones, i, zone) json_array_foreach (added, j, other)
+  {
+    if (json_equal (json_object_get (zone, "name"),
+                    json_object_get (other, "name")))
+      json_object_set_new (
+          zone, "running",
+          json_integer (
+              json_integer_value (json_object_get (zone, "running"))
+              + json_integer_value (json_object_get (other, "running"))));
+  }
+}
+
+char *
+dp_client_zones (dp_client *client, GError **error)
+{
+  GString *response = g_string_new (NULL);
+  json_t *result = NULL;
+  int responded = 0;
+  long last_status = 0;
+  char *text = NULL;
+
+  for (char **server = client->servers; *server != NULL; server++)
+    {
+      long status = request_from_server (client, *server, "/v1/status", NULL,
+                                         response);
+      json_t *root
+          = status == 200 ? json_loads (response->str, 0, NULL) : NULL;
+      json_t *zones = json_object_get (root, "zones");
+
+      if (status != 0)
+        last_status = status;
+      /* Entry hosts of versions without evacuations list no zones.  */
+      if (json_is_array (zones))
+        {
+          responded++;
+          if (result == NULL)
+            result = json_pack ("{s:O,s:O}", "zones", zones, "members",
+                                json_object_get (root, "members"));
+          else
+            add_running (json_object_get (result, "zones"), zones);
+        }
+      json_decref (root);
+    }
+  if (result != NULL)
+    {
+      json_object_set_new (result, "entry_hosts", json_integer (responded));
+      text = json_dumps (result, JSON_COMPACT);
+    }
+  else if (last_status == 200)
+    g_set_error_literal (error, BA_ERROR, BA_ERROR_VALUE,
+                         "the entry hosts are of a version without zones");
+  else
+    set_fetch_error (last_status, error);
+  json_decref (result);
+  g_string_free (response, TRUE);
+  return text;
+}
--- a/packages/server/src/sv_admin.c
+++ b/packages/server/src/sv_admin.c
@@ -86,16 +86,36 @@
     = { "running", "paused", "cancelled", NULL };
 static const char *const scope_names[] = { "pool", "rack", "zone", NULL };
 
+/* Fill CHANGE, which evacuates or restores a zone, from ROOT, like
+   decode_change.  */
+static const char *
+decode_zone_change (TALLOC_CTX *mem, json_t *root, struct co_change *change)
+{
+  static const char *const zone_states[] = { "restored", "evacuated", NULL };
+  const char *zone = json_string_value (json_object_get (root, "zone"));
+  int state = find_word_member (root, "state", zone_states);
+
+  if (zone == NULL)
+    return "zone: expected a name";
+  if (state < 0)
+    return "state: expected evacuated or restored";
+  co_change_init_evacuation (mem, change, zone, state == 1);
+  return NULL;
+}
+
 /* Fill CHANGE, whose parts are owned by MEM, from ROOT.  Return NULL, or a
    message for the operator that says what is wrong with ROOT.  */
 static const char *
 decode_change (TALLOC_CTX *mem, json_t *root, struct co_change *change)
 {
   int type = find_word_member (root, "type", change_type_names);
+  const char *type_name = json_string_value (json_object_get (root, "type"));
   int word;
 
+  if (g_strcmp0 (type_name, "zone") == 0)
+    return decode_zone_change (mem, root, change);
   if (type < 0)
-    return "type: expected fleet, host, key or order";
+    return "type: expected fleet, host, key, order or zone";
   change->type = (uint32_t)type;
   change->expected_fleet_version = get_number_member (root, "base");
   change->fleet_yaml = copy_text_member (mem, root, "text");
@@ -131,6 +151,8 @@
         return "scope: expected pool, rack or zone, with scope_name";
       if (change->scope_name == NULL)
         change->scope_name = talloc_strdup (mem, "");
+      if (co_evacuation_zone (change->scope, change->scope_name) != NULL)
+        return "scope_name: expected a name";
       return NULL;
     }
 }
@@ -215,6 +237,24 @@
   return list;
 }
 
+static json_t *
+encode_zones (const struct co_status *status)
+{
+  json_t *list = json_array ();
+
+  for (uint32_t i = 0; i < status->zone_count; i++)
+    {
+      const struct co_zone_status *zone = &status->zones[i];
+
+      json_array_append_new (
+          list,
+          json_pack ("{s:s,s:i,s:i,s:s}", "name", zone->name, "hosts",
+                     (int)zone->host_count, "running", (int)zone->running,
+                     "state", zone->evacuated ? "evacuated" : "in-use"));
+    }
+  return list;
+}
+
 static json_t *
 encode_teams (const struct co_status *status)
 {
@@ -259,7 +299,7 @@
                       const struct co_status *status)
 {
   json_t *root = json_pack (
-      "{s:s,s:s,s:I,s:I,s:I,s:i,s:i,s:b,s:b,s:o,s:o,s:o,s:o}", "name",
+      "{s:s,s:s,s:I,s:I,s:I,s:i,s:i,s:b,s:b,s:o,s:o,s:o,s:o,s:o}", "name",
       admin->options.settings->name, "zone", admin->options.settings->zone,
       "log_version", (json_int_t)status->log_version, "fleet_version",
       (json_int_t)status->fleet_version, "view_version",
@@ -267,7 +307,8 @@
       "departed", (int)status->departed_count, "standing", status->has_lease,
       "stopping", status->stopping, "fleet",
       string_or_null (status->fleet_yaml), "hosts", encode_hosts (status),
-      "teams", encode_teams (status), "orders", encode_orders (status));
+      "zones", encode_zones (status), "teams", encode_teams (status), "orders",
+      encode_orders (status));
 
   answer_json (admin, call, 200, root);
 }
--- a/packages/server/src/sv_core_loop.c
+++ b/packages/server/src/sv_core_loop.c
@@ -239,6 +239,20 @@
   return talloc_asprintf (mem, "%s%s", counters, gauges);
 }
 
+static void
+log_zone_change (struct sv_core_loop *loop, const struct co_action_zone *zone)
+{
+  char version[24];
+  char running[16];
+
+  g_snprintf (version, sizeof version, "%" G_GUINT64_FORMAT,
+              zone->log_version);
+  g_snprintf (running, sizeof running, "%u", zone->running);
+  sv_log (loop->options.log, CF_LOG_WARN,
+          zone->evacuated ? "zone-evacuated" : "zone-restored", "zone",
+          zone->zone, "version", version, "running", running, NULL);
+}
+
 static void
 handle_action (struct sv_core_loop *loop, const struct co_action *action,
                co_time now)
@@ -275,6 +289,9 @@
     case CO_ACTION_CHANGE_DONE:
       handlers->answer_change (context, &action->u.change_done);
       break;
+    case CO_ACTION_ZONE_CHANGED:
+      log_zone_change (loop, &action->u.zone);
+      break;
     case CO_ACTION_EVICTED:
       sv_log (loop->options.log, CF_LOG_WARN, "evicted", NULL);
       loop->evicted = true;
--- a/programs/cli_command.c
+++ b/programs/cli_command.c
@@ -386,6 +386,43 @@
   return report_change (cli, result, error, "host is active");
 }
 
+static int
+run_zones (struct cli *cli, char **arguments)
+{
+  GError *error = NULL;
+  char *text = dp_client_zones (cli->client, &error);
+
+  (void)arguments;
+  if (text == NULL)
+    {
+      print_error (error);
+      return CLI_UNREACHABLE;
+    }
+  cli_show_zones (text, cli->options->json);
+  free (text);
+  return CLI_OK;
+}
+
+static int
+run_evacuate (struct cli *cli, char **arguments)
+{
+  GError *error = NULL;
+  enum dp_result result
+      = dp_client_evacuate (cli->client, arguments[0], &error);
+
+  return report_change (cli, result, error, "zone is evacuated");
+}
+
+static int
+run_restore (struct cli *cli, char **arguments)
+{
+  GError *error = NULL;
+  enum dp_result result
+      = dp_client_restore (cli->client, arguments[0], &error);
+
+  return report_change (cli, result, error, "zone is in use");
+}
+
 static int
 run_maintain (struct cli *cli, char **arguments)
 {
@@ -500,7 +537,8 @@
   { "counters", 0, true, run_counters }, { "jobs", 0, false, run_view },
   { "pools", 0, false, run_view },       { "owners", 0, false, run_view },
   { "waves", 0, false, run_view },       { "job", 1, false, run_view },
-  { "explain", 1, false, run_view },
+  { "explain", 1, false, run_view },     { "zones", 0, true, run_zones },
+  { "evacuate", 1, true, run_evacuate }, { "restore", 1, true, run_restore },
 };
 
 static const struct command *
--- a/programs/cli_show.c
+++ b/programs/cli_show.c
@@ -157,3 +157,28 @@
     }
   json_decref (root);
 }
+
+void
+cli_show_zones (const char *zones, bool json)
+{
+  json_t *root = json_loads (zones, 0, NULL);
+  json_t *item;
+  size_t i;
+
+  if (json)
+    printf ("%s\n", zones);
+  else
+    {
+      printf ("%-20s %6s %8s %-9s\n", "zone", "hosts", "running", "state");
+      json_array_foreach (json_object_get (root, "zones"), i, item)
+          printf ("%-20s %6d %8d %-9s\n", get_string (item, "name"),
+                  get_integer (item, "hosts"), get_integer (item, "running"),
+                  get_string (item, "state"));
+      if (get_integer (root, "entry_hosts") < get_integer (root, "members"))
+        printf ("running requests of %d of %d entry hosts: the others did not "
+                "answer or are not in --server\n",
+                get_integer (root, "entry_hosts"),
+                get_integer (root, "members"));
+    }
+  json_decref (root);
+}
--- a/programs/cli_show.h
+++ b/programs/cli_show.h
@@ -16,4 +16,8 @@
 /* Print the hosts in STATUS, one per line, or as a JSON array if JSON.  */
 void cli_show_hosts (const char *status, bool json);
 
+/* Print ZONES, the JSON text of dp_client_zones: as a table, or unchanged if
+   JSON.  */
+void cli_show_zones (const char *zones, bool json);
+
 #endif
--- a/tests/sim/sim_calls.c
+++ b/tests/sim/sim_calls.c
@@ -280,6 +280,7 @@
   run->incarnation = node->incarnation;
   run->node = node->index;
   run->backend = find_backend (world, start->host);
+  sim_check_start (world, node, run->backend);
   run->team = attempt->call->team;
   run->deadline = start->deadline;
   item->incarnation = node->incarnation;
--- a/tests/sim/sim_faults.c
+++ b/tests/sim/sim_faults.c
@@ -235,6 +235,9 @@
   pending->change.team = talloc_strdup (pending, change->team);
   pending->change.scope_name = talloc_strdup (pending, change->scope_name);
   pending->key_team = -1;
+  pending->evacuated_zone = change->order_state == CO_ORDER_CANCELLED
+                                ? -1
+                                : sim_change_zone (change);
   g_hash_table_insert (world->changes, &pending->change_id, pending);
   item->incarnation = world->nodes[i].incarnation;
   item->event = event;
@@ -338,6 +341,40 @@
   sim_send_change (world, random_node (world), &change);
 }
 
+void
+sim_set_evacuated (struct sim_world *world, uint32_t i, int zone,
+                   bool evacuated)
+{
+  struct co_change change;
+  char name[16];
+
+  g_snprintf (name, sizeof name, "z%d", zone);
+  co_change_init_evacuation (world, &change, name, evacuated);
+  sim_send_change (world, i, &change);
+  talloc_free (change.scope_name);
+}
+
+void
+sim_random_evacuation (struct sim_world *world)
+{
+  int zone = g_rand_int_range (world->random, 0, world->options.zones);
+  bool evacuated = g_rand_boolean (world->random);
+
+  if (world->settling)
+    return;
+  sim_set_evacuated (world, random_node (world), zone, evacuated);
+  /* A second operator may order the same or the opposite at another node, and
+     one operator both in quick succession.  */
+  if (g_rand_boolean (world->random))
+    sim_set_evacuated (world, random_node (world), zone,
+                       g_rand_boolean (world->random));
+  sim_schedule (
+      world,
+      world->now
+          + sim_random_time (world, min_random_interval, max_random_interval),
+      SIM_ITEM_RANDOM_EVACUATION, 0);
+}
+
 void
 sim_random_change (struct sim_world *world)
 {
--- a/tests/sim/sim_internal.h
+++ b/tests/sim/sim_internal.h
@@ -24,6 +24,7 @@
   SIM_ITEM_RETRY,   /* by a caller */
   SIM_ITEM_RANDOM_FAULT,
   SIM_ITEM_RANDOM_CHANGE, /* by an operator */
+  SIM_ITEM_RANDOM_EVACUATION,
   SIM_ITEM_HOST_LIST,
   SIM_ITEM_CANCEL_LEAVE, /* a backend server is no longer leaving */
   SIM_ITEM_BACKEND_BOOT,
@@ -97,6 +98,15 @@
   co_time leaving_since; /* 0: it is not leaving */
 };
 
+/* An availability zone, by the committed log.  */
+struct sim_zone
+{
+  bool evacuated;
+  uint64_t version;    /* of the entry that evacuated it */
+  co_time accepted_at; /* when an order to evacuate it was reported as accepted
+                          since then; 0: none was */
+};
+
 struct sim_node
 {
   uint32_t index;
@@ -122,6 +132,7 @@
   uint64_t change_id; /* as sent to the core */
   int key_team;       /* team whose API key is withdrawn, else -1 */
   int key_generation; /* of that key */
+  int evacuated_zone; /* zone that is evacuated, else -1 */
 };
 
 struct sim_world
@@ -137,6 +148,7 @@
   uint32_t write_replies_to_drop;
   struct sim_backend backends[SIM_MAX_BACKENDS];
   int backend_count;
+  struct sim_zone zones[SIM_MAX_ZONES];
   GHashTable *attempts; /* id -> struct sim_attempt */
   GPtrArray *calls;
   GHashTable *changes; /* change ID -> struct sim_pending_change */
@@ -203,6 +215,11 @@
 void sim_report_violation (struct sim_world *world, const char *format, ...)
     G_GNUC_PRINTF (2, 3);
 
+/* Check that NODE, which starts a request on BACKEND, an index, had not
+   applied the evacuation of its zone before this step.  */
+void sim_check_start (struct sim_world *world, const struct sim_node *node,
+                      int backend);
+
 /* Check the guarantees that concern a request which arrives at a backend
    server.  */
 void sim_check_run_start (struct sim_world *world, const struct sim_run *run);
@@ -212,6 +229,12 @@
 void sim_check_log_entry (struct sim_world *world,
                           const struct co_log_entry *entry);
 
+/* Return the index of the zone that CHANGE evacuates or restores, or -1.  */
+int sim_change_zone (const struct co_change *change);
+
+/* Return the index of the zone that BACKEND, an index, is in.  */
+int sim_backend_zone (const struct sim_world *world, int backend);
+
 /* Check NODE's configuration and the invariants of its core after a step.  */
 void sim_check_node (struct sim_world *world, struct sim_node *node);
 
@@ -233,6 +256,9 @@
 void sim_random_fault (struct sim_world *world);
 void sim_random_change (struct sim_world *world);
 
+/* Evacuate or restore a random zone, and schedule the next time.  */
+void sim_random_evacuation (struct sim_world *world);
+
 /* sim_calls.c */
 
 /* Return the hash of TEAM's API key of GENERATION, owned by MEM.  */
