--- a/packages/jobs/include/jb_commanded.h
+++ b/packages/jobs/include/jb_commanded.h
@@ -81,7 +81,7 @@
    came, so that it may be executed late.  */
 void jb_commanded_record_sent (struct jb_commanded *commanded, jb_time now,
                                const char *host);
-void jb_commanded_record_answer (struct jb_commanded *commanded,
+void jb_commanded_record_answer (struct jb_commanded *commanded, jb_time now,
                                  const char *host, bool unknown);
 
 /* Return whether rows must be written before commands can be sent, or, to help
--- a/packages/jobs/src/jb_commanded.c
+++ b/packages/jobs/src/jb_commanded.c
@@ -37,11 +37,11 @@
   bool inherited_maintenance;
   enum command_state inherited_state;
   /* Commands of this planner.  */
-  bool active;        /* more may be sent */
-  bool in_flight;     /* one is */
-  uint64_t write;     /* that makes STATE_NAMED durable; 0: none yet */
-  jb_time last_sent;  /* 0: none */
-  jb_time late_until; /* until when one without an answer may be executed */
+  bool active;          /* more may be sent */
+  bool in_flight;       /* one is */
+  uint64_t write;       /* that makes STATE_NAMED durable; 0: none yet */
+  jb_time last_command; /* when the last one was sent or answered; 0: none */
+  jb_time late_until;   /* until when one without an answer may be executed */
 };
 
 struct name_row
@@ -339,22 +339,24 @@
   if (entry == NULL)
     return;
   entry->in_flight = true;
-  entry->last_sent = now;
+  entry->last_command = now;
 }
 
 void
-jb_commanded_record_answer (struct jb_commanded *commanded, const char *host,
-                            bool unknown)
+jb_commanded_record_answer (struct jb_commanded *commanded, jb_time now,
+                            const char *host, bool unknown)
 {
   struct entry *entry = find_entry (commanded, host);
 
   if (entry == NULL)
     return;
   entry->in_flight = false;
-  if (!unknown)
-    return;
-  entry->late_until = entry->last_sent + JB_COMMANDED_LATE_EXECUTION;
-  commanded->unanswered = true;
+  if (unknown)
+    {
+      entry->late_until = entry->last_command + JB_COMMANDED_LATE_EXECUTION;
+      commanded->unanswered = true;
+    }
+  entry->last_command = now;
 }
 
 /* ---- writing ---- */
@@ -381,21 +383,24 @@
 }
 
 /* Return whether the name of ENTRY is still needed: a command may be sent, or
-   the last one is not older than the lease and its late execution.  */
+   the last one may be executed late or has been within the lease.  An answered
+   command is not executed late.  */
 static bool
 is_needed (const struct jb_commanded *commanded, const struct entry *entry,
            jb_time now)
 {
-  jb_time last_sent = entry->last_sent;
+  const struct jb_commanded_options *options = &commanded->options;
+  jb_time last = MAX (entry->last_command, entry->late_until);
 
   if (entry->active || entry->in_flight)
     return true;
   if (entry->inherited)
-    last_sent = MAX (last_sent, commanded->options.claimed_at
-                                    + commanded->options.predecessor_validity);
-  return last_sent != 0
-         && now < last_sent + commanded->options.lease
-                      + JB_COMMANDED_LATE_EXECUTION;
+    last = MAX (last, options->claimed_at
+                          + (entry->inherited_state == STATE_SETTLED
+                                 ? 0
+                                 : options->predecessor_validity
+                                       + JB_COMMANDED_LATE_EXECUTION));
+  return last != 0 && now < last + options->lease;
 }
 
 /* Remove names that are no longer needed, and mark the rows that have to be
--- a/packages/jobs/src/jb_planner.c
+++ b/packages/jobs/src/jb_planner.c
@@ -582,7 +582,7 @@
       = g_hash_table_lookup (planner->hosts, command->host);
 
   (void)sent_at;
-  jb_commanded_record_answer (planner->commanded, command->host,
+  jb_commanded_record_answer (planner->commanded, now, command->host,
                               reply->result == JB_RESULT_UNKNOWN);
   talloc_free (command);
   if (host == NULL || host->phase != PHASE_COMMANDED)
--- a/tests/sim/jobs/jw_commands.c
+++ b/tests/sim/jobs/jw_commands.c
@@ -224,6 +224,9 @@
   uint32_t loss_permille = to_store ? world->loss_permille.store_commands
                            : is_backend_command (command->kind)
                                ? world->loss_permille.backend_commands
+                           : command->kind == JB_COMMAND_MOVE_HOST
+                                   || command->kind == JB_COMMAND_MAINTAIN_HOST
+                               ? world->loss_permille.host_commands
                                : 0;
   struct in_flight_command *in_flight
       = talloc_zero (NULL, struct in_flight_command);
--- a/tests/sim/jobs/jw_world.c
+++ b/tests/sim/jobs/jw_world.c
@@ -102,6 +102,7 @@
   va_start (args, format);
   vsnprintf (text, sizeof text, format, args);
   va_end (args);
+  world->one_violations += strcmp (rule, "ONE") == 0;
   if (world->violations++ == 0)
     snprintf (world->first_violation, sizeof world->first_violation,
               "%s at %.3f s: %s", rule, (double)world->now / 1e6, text);
