Go on at once when a repeated maintenance changes nothing

Cause: a new planner that its predecessor did not tell about a maintenance repeats it. The platform confirms that without doing anything.

Change: a host that a list, requested 250 ms after the confirmation, shows up with the same backend server has nothing left to be done; and an answer to a probe sent after the report that the host was removed shows the owner that it was not.

--- a/packages/jobs/include/jb_backend.h
+++ b/packages/jobs/include/jb_backend.h
@@ -99,6 +99,9 @@
   struct jb_resources withheld;
   /* No starts until then: it is being evacuated for a command to its host.  */
   jb_time cordoned_until;
+  /* When the planner reported that its host was removed; 0: that is not the
+     case, or an answer has shown that it is still there.  */
+  jb_time removed_at;
   /* Tasks that have a run there, linked by next_on_backend.  */
   struct jb_task *tasks;
   uint32_t task_count;
--- a/packages/jobs/src/jb_planner.c
+++ b/packages/jobs/src/jb_planner.c
@@ -40,6 +40,10 @@
    the command.  */
 #define MAX_AWAY_TIME (15 * JB_SECOND)
 
+/* A host that is up with the same backend server so long after its maintenance
+   was confirmed has not been taken down.  */
+#define MIN_DOWN_TIME (250 * JB_MS)
+
 #define COMMAND_TIMEOUT_MS 1000 /* of a command to a host, and of a list */
 #define STORE_TIMEOUT_MS 1000   /* of a call to the store */
 
@@ -345,10 +349,21 @@
          && jb_planner_is_standby (planner, host->pool);
 }
 
-/* End the move or maintenance of HOST if it has returned: it is up, and its
-   backend server is another instance than when the command was executed.  */
+/* Return whether the list requested at SENT_AT shows that the maintenance of
+   HOST, whose command was confirmed, had been done before, for a former
+   planner that did not record it: the same backend server is up.  */
+static bool
+was_maintained_before (const struct fleet_host *host, jb_time sent_at)
+{
+  return host->purpose == PURPOSE_MAINTENANCE && host->instance != NULL
+         && sent_at - host->phase_started_at > MIN_DOWN_TIME;
+}
+
+/* End the move or maintenance of HOST, listed in a list requested at SENT_AT,
+   if it has returned: it is up, and its backend server is another instance
+   than when the command was executed, or nothing was left to be done.  */
 static void
-handle_return (struct jb_planner *planner, jb_time now,
+handle_return (struct jb_planner *planner, jb_time now, jb_time sent_at,
                struct fleet_host *host)
 {
   if (host->phase != PHASE_AWAY || host->state != JB_HOST_UP)
@@ -358,7 +373,8 @@
   if (host->instance_at_command != NULL
       || !jb_planner_is_standby (planner, host->pool))
     if (host->instance == NULL
-        || g_strcmp0 (host->instance, host->instance_at_command) == 0)
+        || (g_strcmp0 (host->instance, host->instance_at_command) == 0
+            && !was_maintained_before (host, sent_at)))
       return;
   jb_log (planner->options.driver, JB_LEVEL_INFO, "host-returned",
           "fleet_host", host->name, "pool", host->pool, "backend",
@@ -396,7 +412,7 @@
   replace_string (host, &host->rack, entry->rack);
   replace_string (host, &host->zone, entry->zone);
   host->state = entry->state;
-  handle_return (planner, now, host);
+  handle_return (planner, now, sent_at, host);
 }
 
 /* Remove the hosts that a complete list, requested at SENT_AT, does not
--- a/packages/jobs/src/jb_pool_evacuate.c
+++ b/packages/jobs/src/jb_pool_evacuate.c
@@ -114,6 +114,19 @@
   return jb_pool_is_out_of_roster (pool, backend);
 }
 
+void
+jb_pool_notice_host_kept (struct jb_pool *pool, struct jb_backend *backend,
+                          jb_time probe_sent_at)
+{
+  if (backend->removed_at == 0 || probe_sent_at <= backend->removed_at)
+    return;
+  backend->removed_at = 0;
+  backend->cordoned_until = 0;
+  jb_log (pool->options.driver, JB_LEVEL_INFO, "host-not-removed", "backend",
+          backend->instance, "pool", pool->options.name, NULL);
+  pool->schedule_due = true;
+}
+
 void
 jb_pool_end_cordons (struct jb_pool *pool, jb_time now)
 {
@@ -144,6 +157,7 @@
   if (backend == NULL)
     return;
   backend->cordoned_until = now + REMOVED_HOST_CORDON_PERIOD;
+  backend->removed_at = now;
   backend->unanswered_probes = MAX (backend->unanswered_probes, 1);
   if (backend->task_count == 0)
     jb_pool_remove_from_roster (pool, backend);
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -397,6 +397,14 @@
    to their host that has not come.  */
 void jb_pool_end_cordons (struct jb_pool *pool, jb_time now);
 
+/* BACKEND has answered a probe sent at PROBE_SENT_AT.  If its host was
+   reported as removed before that, the command to the host had been executed
+   earlier, for a former planner, and has changed nothing this time: let tasks
+   start there again.  */
+void jb_pool_notice_host_kept (struct jb_pool *pool,
+                               struct jb_backend *backend,
+                               jb_time probe_sent_at);
+
 /* Return whether the long-running TASK, which runs, may be stopped within its
    step's disruption budget.  */
 bool jb_pool_may_move_long_running (const struct jb_pool *pool,
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -416,6 +416,7 @@
   if (!backend->probed && !backend->in_roster)
     pool->roster_dirty = true;
   backend->probed = true;
+  jb_pool_notice_host_kept (pool, backend, sent_at);
   if (backend->excluded_from_roster && now >= backend->cordoned_until)
     jb_pool_return_to_roster (pool, backend);
   backend->acked_end = MAX (backend->acked_end, probe->acked_end);
