Order evacuations at random in soak_jobs

The orders have a random generator of their own, so a seed gives the same other faults. test_jobs_off: EVAC without JB_SAFEGUARD_ZONES.

--- a/tests/sim/jobs/jw_soak.c
+++ b/tests/sim/jobs/jw_soak.c
@@ -30,6 +30,12 @@
 #define MAX_RESTART_GAP_MS 1500
 #define MAX_CUT_MS 5000
 
+/* Longest time between two orders or removals.  Three quarters of the times
+   are much shorter, so that one follows the other before it has taken
+   effect.  */
+#define MAX_ORDER_GAP_MS 12000
+#define MAX_SHORT_ORDER_GAP_MS 800
+
 enum
 {
   MAX_LONG_RUNNING_JOBS = 3
@@ -183,8 +189,8 @@
 }
 
 static void
-schedule_restart_step (struct jw_world *world, jb_time delay,
-                       jw_event_handler *handler, void *pointer)
+schedule_step (struct jw_world *world, jb_time delay,
+               jw_event_handler *handler, void *pointer)
 {
   void **chunk = talloc (NULL, void *);
 
@@ -223,12 +229,12 @@
   if (backend != NULL && g_rand_boolean (cycle->random))
     {
       backend->unreachable = true;
-      schedule_restart_step (world, cut / 2, restart_backend, backend);
-      schedule_restart_step (world, cut, end_cut, backend);
+      schedule_step (world, cut / 2, restart_backend, backend);
+      schedule_step (world, cut, end_cut, backend);
     }
   else if (backend != NULL)
     jw_backend_restart (world, backend);
-  schedule_restart_step (
+  schedule_step (
       world, g_rand_int_range (cycle->random, 50, MAX_RESTART_GAP_MS) * JB_MS,
       next_restart, cycle);
 }
@@ -241,7 +247,59 @@
   cycle->random = g_rand_new_with_seed (seed);
   cycle->until = until;
   talloc_set_destructor (cycle, restart_cycle_destroy);
-  schedule_restart_step (world, 0, next_restart, cycle);
+  schedule_step (world, 0, next_restart, cycle);
+}
+
+/* Zones that are evacuated and taken back again and again until UNTIL, with a
+   random generator of its own, as above.  */
+struct order_cycle
+{
+  GRand *random;
+  jb_time until;
+};
+
+static int
+order_cycle_destroy (struct order_cycle *cycle)
+{
+  g_rand_free (cycle->random);
+  return 0;
+}
+
+/* Evacuate a zone, or take it back if it is evacuated.  In the end all are
+   taken back.  */
+static void
+next_order (struct jw_world *world, void *data)
+{
+  struct order_cycle *cycle = *(struct order_cycle **)data;
+  uint32_t zone = (uint32_t)g_rand_int_range (cycle->random, 0, JW_ZONE_COUNT);
+  int max_gap_ms = g_rand_int_range (cycle->random, 0, 4) == 0
+                       ? MAX_ORDER_GAP_MS
+                       : MAX_SHORT_ORDER_GAP_MS;
+
+  if (world->now >= cycle->until)
+    {
+      for (uint32_t i = 0; i < JW_ZONE_COUNT; i++)
+        jw_restore_zone (world, i);
+      return;
+    }
+  if (world->zones[zone].evacuated)
+    jw_restore_zone (world, zone);
+  else
+    jw_evacuate_zone (world, zone);
+  schedule_step (world,
+                 g_rand_int_range (cycle->random, 0, max_gap_ms) * JB_MS,
+                 next_order, cycle);
+}
+
+static void
+begin_order_cycle (struct jw_world *world, uint32_t seed, jb_time until)
+{
+  struct order_cycle *cycle = talloc_zero (world, struct order_cycle);
+
+  cycle->random = g_rand_new_with_seed (seed);
+  cycle->until = until;
+  talloc_set_destructor (cycle, order_cycle_destroy);
+  schedule_step (world, 0, next_order, cycle);
 }
 
 static uint32_t
@@ -456,6 +514,8 @@
     begin_stall_cycle (world, soak->seed, end);
   if (soak->restart_backends)
     begin_restart_cycle (world, soak->seed, end);
+  if (soak->evacuate_zones)
+    begin_order_cycle (world, soak->seed, end);
   while (world->now < end)
     {
       uint32_t kind = random_below (world, 100);
--- a/tests/sim/jobs/test_jobs_off.c
+++ b/tests/sim/jobs/test_jobs_off.c
@@ -10,6 +10,7 @@
   enum jb_safeguard disabled_safeguards;
   uint32_t seed;
   const char *rule; /* as the first violation names it */
+  bool evacuate_zones;
 } cases[] = { { JB_SAFEGUARD_ROSTER, 2, "TWICE" },
               { JB_SAFEGUARD_FAILED_RUNS, 26, "BUDGET" },
               { JB_SAFEGUARD_OCCURRENCES, 1, "TWICE" },
@@ -17,7 +18,8 @@
               { JB_SAFEGUARD_STORE_BEFORE_ACK, 1, "TWICE" },
               { JB_SAFEGUARD_QUOTA_SHARES, 3, "QUOTA" },
               { JB_SAFEGUARD_DISRUPTION_BUDGET, 44, "AVAIL" },
-              { JB_SAFEGUARD_LEASE_EXPIRY, 1, "TWICE" } };
+              { JB_SAFEGUARD_LEASE_EXPIRY, 1, "TWICE" },
+              { JB_SAFEGUARD_ZONES, 3, "EVAC", true } };
 
 static void
 test_safeguards_off (void)
@@ -26,6 +28,7 @@
     {
       struct jw_soak soak
           = { .seed = cases[i].seed,
+              .evacuate_zones = cases[i].evacuate_zones,
               .disabled_safeguards = cases[i].disabled_safeguards };
 
       jw_soak_run (&soak);
@@ -45,7 +48,8 @@
 {
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
-      struct jw_soak soak = { .seed = cases[i].seed };
+      struct jw_soak soak = { .seed = cases[i].seed,
+                              .evacuate_zones = cases[i].evacuate_zones };
 
       jw_soak_run (&soak);
       CU_ASSERT_EQUAL (soak.violations, 0);
