Let a new owner release loaded jobs that can't be on a silent backend server

Cause: a new owner of a pool started no loaded job before every backend server of the roster had answered or the leases of all former owners had expired, 5 s. One silent backend server among 85 made all loaded jobs late.

Change: a loaded job is released as soon as each task of its ready steps is done or was found, and each other step is behind one that was found not done (jb_takeover, without input or output). A found run counts only when it was listed by a probe sent after the former owner's last command: a former owner that still holds a probe open may learn how a run ends, and start the next step on a backend server that is silent for the new one. It counts only if it is the first run of its task by its owner, since an earlier one may be done. For the same reason an owner starts no step while a run of the steps before it is left. Jobs with an occurrence that is not open wait as before.

--- a/packages/jobs/include/jb_job.h
+++ b/packages/jobs/include/jb_job.h
@@ -23,6 +23,13 @@
   JB_RUN_STOPPING /* to be stopped; active until its end is reported */
 };
 
+enum
+{
+  /* Each owner of the pool numbers runs from a multiple of this plus 1, so
+     that run numbers rise from owner to owner without being stored.  */
+  JB_RUN_NUMBERS_PER_OWNER = 10000
+};
+
 struct jb_task
 {
   struct jb_task_group *group;
@@ -57,8 +64,11 @@
   /* When the start of the current run was confirmed, or a probe first listed
      the run.  */
   jb_time started_at;
-  bool run_proven;  /* the current run has lasted for JB_CRASH_EARLY_MS */
-  bool inherited;   /* a previous owner started the current run */
+  bool run_proven; /* the current run has lasted for JB_CRASH_EARLY_MS */
+  bool inherited;  /* a previous owner started the current run */
+  /* No run of a previous owner can be anywhere but where one was found
+     (jb_takeover.h).  */
+  bool is_located;
   jb_time ended_at; /* when the last run ended; 0: there was none */
   /* When a stop was last sent, or the start timed out.  */
   jb_time last_attempt_at;
--- a/packages/jobs/src/jb_driver.c
+++ b/packages/jobs/src/jb_driver.c
@@ -288,6 +288,10 @@
   [JB_COUNT_OWNERSHIP_RELEASED] = { "duties", "change=\"released\"" },
   [JB_COUNT_HOST_MOVES] = { "host_orders", "kind=\"move\"" },
   [JB_COUNT_HOST_MAINTENANCE] = { "host_orders", "kind=\"maintenance\"" },
+  [JB_COUNT_LOADED_JOBS_RELEASED]
+  = { "loaded_jobs", "released=\"after-scan\"" },
+  [JB_COUNT_LOADED_JOBS_RELEASED_EARLY]
+  = { "loaded_jobs", "released=\"early\"" },
 };
 
 static const char *const histogram_names[JB_HIST_COUNT] = {
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -906,6 +906,7 @@
   if (pool->stage < JB_STAGE_SCANNING)
     return;
   jb_pool_finish_scan_if_complete (pool, now);
+  pool->release_check_due = true;
   jb_pool_resend_stops (pool, now);
   jb_pool_end_cordons (pool, now);
   jb_pool_expire_losses (pool, now);
@@ -941,6 +942,7 @@
     return JB_NEVER;
   due = jb_ownership_run (pool->ownership, now);
   sweep (pool, now);
+  due = MIN (due, jb_pool_release_loaded_jobs (pool, now));
   jb_pool_schedule (pool, now);
   jb_pool_write_roster (pool, now);
   jb_pool_write_dirty_jobs (pool, now);
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -102,9 +102,19 @@
   struct jb_ownership *ownership;
   enum jb_pool_stage stage;
   jb_time loading_since; /* when the claim succeeded */
+  /* When previous owners have certainly sent their last command.  */
+  jb_time predecessor_until;
   /* When the leases of all runs that a previous owner started have certainly
      expired.  */
   jb_time scan_until;
+  /* While backend servers are silent during the scan: whether something has
+     changed since it was last checked which loaded jobs may be released, the
+     earliest time of the next check, the number of jobs that wait, and when
+     that was last logged.  */
+  bool release_check_due;
+  jb_time next_release_check;
+  uint32_t waiting_jobs;
+  jb_time wait_logged_at;
   /* When a peer last received a heartbeat of this host; 0: never.  */
   jb_time confirmed_by_peer_at;
   jb_time unix_origin;       /* Unix time of the driver clock's origin */
@@ -209,6 +219,17 @@
 /* Go on from JB_STAGE_SCANNING to JB_STAGE_ACTIVE if all backend servers in
    the roster were probed, or all runs of a previous owner have ended.  */
 void jb_pool_finish_scan_if_complete (struct jb_pool *pool, jb_time now);
+/* During the scan, release the loaded jobs of which nothing can be on a
+   backend server that has not answered, so that their tasks may start, if a
+   check is due.  Return when the next one is due, or JB_NEVER.  */
+jb_time jb_pool_release_loaded_jobs (struct jb_pool *pool, jb_time now);
+/* Return whether the scan waits for the answer of BACKEND.  */
+bool jb_pool_awaits_backend (const struct jb_backend *backend);
+/* Return the names of the first backend servers that the scan waits for,
+   separated by commas and owned by MEM, and set COUNT to the number of all of
+   them.  */
+char *jb_pool_list_awaited (const struct jb_pool *pool, TALLOC_CTX *mem,
+                            uint32_t *count);
 
 /* ---- jb_pool_roster.c ---- */
 
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -9,6 +9,7 @@
 
 #include "jb_crash.h"
 #include "jb_pool_internal.h"
+#include "jb_takeover.h"
 
 #include <string.h>
 
@@ -228,11 +229,12 @@
 
 /* ---- active runs ---- */
 
-/* Process ACTIVE_RUN, which BACKEND reported: update its task, or stop the run
-   when no job needs it.  */
+/* Process ACTIVE_RUN, which BACKEND reported in the answer to a probe sent at
+   SENT_AT: update its task, or stop the run when no job needs it.  */
 static void
 process_active_run (struct jb_pool *pool, struct jb_backend *backend,
-                    const struct jb_active_run *active_run, jb_time now)
+                    const struct jb_active_run *active_run, jb_time sent_at,
+                    jb_time now)
 {
   struct jb_task_ref ref;
   struct jb_job *job = NULL;
@@ -279,6 +281,8 @@
       task->started_at = now;
       task->confirmed_at = now;
     }
+  if (job->loaded_from_store)
+    jb_takeover_record_active (task, sent_at, pool->predecessor_until);
   update_checkpoint (task, active_run->checkpoint);
   if (task->started_at != 0
       && now - task->started_at >= JB_CRASH_EARLY_MS * JB_MS
@@ -420,7 +424,7 @@
   backend->acked_end = MAX (backend->acked_end, probe->acked_end);
   backend->orphan_seen_at = 0;
   for (uint32_t i = 0; i < reply->active_run_count; i++)
-    process_active_run (pool, backend, &reply->active_runs[i], now);
+    process_active_run (pool, backend, &reply->active_runs[i], sent_at, now);
   for (uint32_t i = 0; i < reply->ended_run_count; i++)
     if (reply->ended_runs[i].number > backend->processed_end)
       process_ended_run (pool, backend, &reply->ended_runs[i], now);
@@ -436,6 +440,7 @@
     backend->stored_end = backend->processed_end;
   jb_pool_mark_ends_stored (pool, now);
   jb_pool_finish_scan_if_complete (pool, now);
+  pool->release_check_due = true;
 }
 
 static void
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -26,10 +26,6 @@
 #define NO_CAPACITY_BACKOFF (150 * JB_MS)
 #define UNHEALTHY_BACKOFF (1000 * JB_MS)
 
-/* Each owner of the pool numbers runs from a multiple of this, so that run
-   numbers rise from owner to owner without being stored.  */
-#define RUN_NUMBERS_PER_OWNER 10000
-
 /* How long nothing is started on a backend server to which this host was too
    busy to send a start, or has no free connection.  */
 #define NOT_SENT_BACKOFF (100 * JB_MS)
@@ -412,9 +408,9 @@
 static uint32_t
 next_run_number (const struct jb_pool *pool, const struct jb_task *task)
 {
-  uint32_t first_of_owner
-      = (jb_ownership_generation (pool->ownership) - 1) * RUN_NUMBERS_PER_OWNER
-        + 1;
+  uint32_t first_of_owner = (jb_ownership_generation (pool->ownership) - 1)
+                                * JB_RUN_NUMBERS_PER_OWNER
+                            + 1;
 
   return MAX (task->run + 1, first_of_owner);
 }
@@ -548,6 +544,28 @@
          || !jb_pool_covers_demand (pool, job);
 }
 
+/* Return whether a step that precedes GROUP's, though done, still has a run:
+   another run of a task has completed it, and this one is being stopped.  A
+   successor of this owner that finds such a run takes the step for not done,
+   and the steps behind it for not started (jb_takeover.h).  A gang is not
+   concerned, since it must be found as a whole.  */
+static bool
+is_behind_active_run (const struct jb_task_group *group)
+{
+  const struct jb_step *step = jb_task_group_step (group);
+
+  for (uint32_t i = 0; i < step->predecessor_count; i++)
+    {
+      const struct jb_task_group *predecessor = jb_job_find_group (
+          group->job, group->occurrence, step->predecessors[i]);
+
+      if (predecessor->active_runs > 0
+          && !jb_task_group_step (predecessor)->gang)
+        return true;
+    }
+  return false;
+}
+
 /* Return the task groups with tasks to start, ordered by rank.  Those for
    which it makes no difference are left out: with a long queue, most of them
    fit nowhere.  The caller frees the array.  */
@@ -569,7 +587,8 @@
           struct candidate candidate = { .group = group };
 
           if (!group->ready
-              || group->done_count + group->active_runs >= group->task_count)
+              || group->done_count + group->active_runs >= group->task_count
+              || is_behind_active_run (group))
             continue;
           if (!jb_place_has_room (room, &group->tasks[0],
                                   pool->usable_backends, pool->usable_count)
--- a/packages/jobs/src/jb_pool_takeover.c
+++ b/packages/jobs/src/jb_pool_takeover.c
@@ -3,11 +3,26 @@
    task is started again.  */
 
 #include "jb_pool_internal.h"
+#include "jb_takeover.h"
 
 #include <string.h>
 
 #define STORE_READ_TIMEOUT_MS 1500
 
+/* Time between two checks of which loaded jobs may be released, each of which
+   looks at all tasks that are not done.  */
+#define RELEASE_CHECK_INTERVAL (10 * JB_MS)
+
+/* How long loaded jobs have waited when it is first logged, and the time
+   between two such lines.  */
+#define WAIT_LOG_DELAY (300 * JB_MS)
+#define WAIT_LOG_INTERVAL (1000 * JB_MS)
+
+enum
+{
+  MAX_LISTED_BACKENDS = 5 /* by name in a log line or view */
+};
+
 static void read_page (struct jb_pool *pool, jb_time now,
                        const char *first_key);
 
@@ -194,13 +209,108 @@
   /* The previous owner could send commands until its ownership expired.  The
      leases that its last commands requested expire later, on the slowest
      allowed clock as computed here.  */
+  pool->predecessor_until = now + JB_OWNERSHIP_VALIDITY;
   pool->scan_until
-      = now + JB_OWNERSHIP_VALIDITY
+      = pool->predecessor_until
         + JB_RUN_LEASE_MS * JB_MS * 100 / (100 - JB_MAX_CLOCK_DRIFT_PERCENT)
         + JB_LEASE_MARGIN_MS * JB_MS;
   jb_pool_read_roster (pool, now, handle_roster);
 }
 
+bool
+jb_pool_awaits_backend (const struct jb_backend *backend)
+{
+  return backend->inherited && !backend->probed
+         && !backend->excluded_from_roster;
+}
+
+char *
+jb_pool_list_awaited (const struct jb_pool *pool, TALLOC_CTX *mem,
+                      uint32_t *count)
+{
+  char *names = talloc_strdup (mem, "");
+  GHashTableIter iter;
+  gpointer value;
+
+  *count = 0;
+  g_hash_table_iter_init (&iter, pool->backends);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct jb_backend *backend = value;
+
+      if (jb_pool_awaits_backend (backend) && (*count)++ < MAX_LISTED_BACKENDS)
+        names = talloc_asprintf_append_buffer (
+            names, "%s%s", names[0] != '\0' ? "," : "", backend->instance);
+    }
+  return names;
+}
+
+/* Let the tasks of JOB, which was loaded, start.  */
+static void
+release_job (struct jb_pool *pool, struct jb_job *job, enum jb_counter counter)
+{
+  job->loaded_from_store = false;
+  pool->schedule_due = true;
+  jb_count_event (pool->options.driver, counter);
+}
+
+/* Log how many jobs wait for which backend servers.  */
+static void
+log_waiting_jobs (struct jb_pool *pool, jb_time now)
+{
+  jb_time waited = now - pool->loading_since;
+  uint32_t count;
+  char *names;
+
+  if (pool->waiting_jobs == 0 || waited < WAIT_LOG_DELAY
+      || (pool->wait_logged_at != 0
+          && now - pool->wait_logged_at < WAIT_LOG_INTERVAL))
+    return;
+  pool->wait_logged_at = now;
+  names = jb_pool_list_awaited (pool, NULL, &count);
+  jb_log (pool->options.driver, JB_LEVEL_WARN, "loaded-jobs-wait", "pool",
+          pool->options.name, "jobs", jb_itoa (pool->waiting_jobs), "backends",
+          jb_itoa (count), "first", names, "since_ms",
+          jb_itoa (waited / JB_MS), "at_most_ms",
+          jb_itoa ((pool->scan_until - now) / JB_MS), NULL);
+  talloc_free (names);
+}
+
+jb_time
+jb_pool_release_loaded_jobs (struct jb_pool *pool, jb_time now)
+{
+  uint32_t released = 0;
+
+  if (pool->stage != JB_STAGE_SCANNING || !pool->release_check_due)
+    return JB_NEVER;
+  if (now < pool->next_release_check)
+    return pool->next_release_check;
+  pool->release_check_due = false;
+  pool->next_release_check = now + RELEASE_CHECK_INTERVAL;
+  pool->waiting_jobs = 0;
+  for (guint i = 0; i < pool->active_jobs->len; i++)
+    {
+      struct jb_job *job = g_ptr_array_index (pool->active_jobs, i);
+
+      if (!job->loaded_from_store || job->ended_at != 0)
+        continue;
+      if (now >= pool->predecessor_until && jb_takeover_may_release (job))
+        {
+          release_job (pool, job, JB_COUNT_LOADED_JOBS_RELEASED_EARLY);
+          released++;
+        }
+      else
+        pool->waiting_jobs++;
+    }
+  if (released > 0)
+    jb_log (pool->options.driver, JB_LEVEL_INFO, "loaded-jobs-released",
+            "pool", pool->options.name, "jobs", jb_itoa (released), "waiting",
+            jb_itoa (pool->waiting_jobs), "ms",
+            jb_itoa ((now - pool->loading_since) / JB_MS), NULL);
+  log_waiting_jobs (pool, now);
+  return JB_NEVER;
+}
+
 void
 jb_pool_finish_scan_if_complete (struct jb_pool *pool, jb_time now)
 {
@@ -215,23 +325,19 @@
     {
       g_hash_table_iter_init (&iter, pool->backends);
       while (g_hash_table_iter_next (&iter, NULL, &value))
-        {
-          const struct jb_backend *backend = value;
-
-          if (backend->inherited && !backend->probed
-              && !backend->excluded_from_roster)
-            unprobed++;
-        }
+        unprobed += jb_pool_awaits_backend (value);
       if (unprobed > 0)
         return;
     }
   pool->stage = JB_STAGE_ACTIVE;
   pool->schedule_due = true;
+  pool->waiting_jobs = 0;
   for (guint i = 0; i < pool->active_jobs->len; i++)
     {
       struct jb_job *job = g_ptr_array_index (pool->active_jobs, i);
 
-      job->loaded_from_store = false;
+      if (job->loaded_from_store)
+        release_job (pool, job, JB_COUNT_LOADED_JOBS_RELEASED);
     }
   jb_log (pool->options.driver, JB_LEVEL_INFO, "pool-active", "pool",
           pool->options.name, "ms",
--- a/packages/jobs/src/jb_pool_view.c
+++ b/packages/jobs/src/jb_pool_view.c
@@ -22,6 +22,8 @@
 {
   uint32_t silent = 0;
   uint32_t usable = 0;
+  uint32_t awaited_count = 0;
+  char *awaited = NULL;
   GHashTableIter iter;
   gpointer value;
 
@@ -34,13 +36,21 @@
                 || !backend->probed;
       usable += jb_pool_backend_is_usable (pool, backend, now);
     }
-  jb_view_add (view, "pool", "pool", pool->options.name, "stage",
-               stage_name (pool->stage), "stands",
-               jb_pool_may_command (pool, now) ? "yes" : "no", "backends",
-               jb_itoa (g_hash_table_size (pool->backends)), "usable",
-               jb_itoa (usable), "silent", jb_itoa (silent), "jobs",
-               jb_itoa (pool->active_jobs->len), "to_write",
-               jb_itoa (pool->dirty_jobs->len), NULL);
+  if (pool->waiting_jobs > 0)
+    awaited = jb_pool_list_awaited (pool, view->mem, &awaited_count);
+  jb_view_add (
+      view, "pool", "pool", pool->options.name, "stage",
+      stage_name (pool->stage), "stands",
+      jb_pool_may_command (pool, now) ? "yes" : "no", "backends",
+      jb_itoa (g_hash_table_size (pool->backends)), "usable", jb_itoa (usable),
+      "silent", jb_itoa (silent), "jobs", jb_itoa (pool->active_jobs->len),
+      "to_write", jb_itoa (pool->dirty_jobs->len), "waiting_jobs",
+      awaited != NULL ? jb_itoa (pool->waiting_jobs) : NULL, "awaited",
+      awaited != NULL ? jb_itoa (awaited_count) : NULL, "awaited_first",
+      awaited, "waiting_ms",
+      awaited != NULL ? jb_itoa ((now - pool->loading_since) / JB_MS) : NULL,
+      NULL);
+  talloc_free (awaited);
 }
 
 static void
@@ -164,7 +174,7 @@
     reason = "it is not stored yet, so it is not accepted";
   else if (!jb_pool_may_command (pool, now))
     reason = "neither the store nor a peer confirms this holder: no orders";
-  else if (pool->stage != JB_STAGE_ACTIVE)
+  else if (job->loaded_from_store && pool->stage != JB_STAGE_ACTIVE)
     reason = "a former holder may have started it: backend servers are asked";
   if (reason != NULL)
     jb_view_add (view, "reason", "reason", reason, NULL);
--- /dev/null
+++ b/packages/jobs/src/jb_takeover.c
@@ -0,0 +1,72 @@
+#include "jb_takeover.h"
+
+void
+jb_takeover_record_active (struct jb_task *task, jb_time asked_at,
+                           jb_time predecessor_until)
+{
+  bool is_first_of_owner = task->run % JB_RUN_NUMBERS_PER_OWNER == 1;
+
+  if (task->inherited && is_first_of_owner && !task->done
+      && asked_at >= predecessor_until)
+    task->is_located = true;
+}
+
+/* Return whether GROUP was certainly not done when the last former owner sent
+   its last command.  One member of a gang that is done completes the gang, so
+   all must have been active.  */
+static bool
+was_incomplete (const struct jb_task_group *group)
+{
+  bool all = jb_task_group_step (group)->gang;
+
+  for (uint32_t i = 0; i < group->task_count; i++)
+    if (group->tasks[i].is_located != all)
+      return !all;
+  return all;
+}
+
+/* Return whether all tasks of GROUP are done, or were the only run of their
+   task when the last former owner sent its last command.  */
+static bool
+is_accounted_for (const struct jb_task_group *group)
+{
+  for (uint32_t i = 0; i < group->task_count; i++)
+    if (!group->tasks[i].done && !group->tasks[i].is_located)
+      return false;
+  return true;
+}
+
+/* Return whether the groups of OCCURRENCE are accounted for, or can't have
+   been started because a preceding one was incomplete.  */
+static bool
+is_occurrence_accounted_for (const struct jb_job *job, uint32_t occurrence)
+{
+  bool incomplete[JB_MAX_STEPS_PER_JOB];
+
+  /* Preceding steps have lower indexes (jb_job_desc_check).  */
+  for (uint32_t i = 0; i < job->desc->step_count; i++)
+    {
+      const struct jb_step *step = &job->desc->steps[i];
+      const struct jb_task_group *group
+          = jb_job_find_group (job, occurrence, i);
+      bool is_behind = false;
+
+      for (uint32_t j = 0; j < step->predecessor_count; j++)
+        is_behind = is_behind || incomplete[step->predecessors[j]];
+      if (!is_behind && !is_accounted_for (group))
+        return false;
+      incomplete[i] = is_behind || was_incomplete (group);
+    }
+  return true;
+}
+
+bool
+jb_takeover_may_release (const struct jb_job *job)
+{
+  if (job->opened_occurrences < jb_job_occurrence_count (job))
+    return false;
+  for (uint32_t k = job->dropped_occurrences; k < job->opened_occurrences; k++)
+    if (!is_occurrence_accounted_for (job, k))
+      return false;
+  return true;
+}
