Wait less after a predecessor whose process has ended

Cause: a new owner of a pool counted the wait for silent backend servers from its claim plus 1.8 s, for which the predecessor could still send commands, also when the predecessor's process was known to have ended.

Change: the wait is counted from the moment at which that is known (jb_members_has_process_ended, or it was this process). That alone does not suffice: a predecessor that owned the pool for less than 1.8 s may have followed an owner that is alive and cut off, whose ownership is still valid.

--- a/packages/jobs/include/jb_pool.h
+++ b/packages/jobs/include/jb_pool.h
@@ -33,6 +33,10 @@
   /* Called when the claim succeeded or failed, or the ownership was lost or
      released.  It must not free POOL.  */
   void (*state_changed) (void *data, struct jb_pool *pool);
+  /* Return whether the process of the host NAME with INCARNATION is known to
+     have ended.  It is called again and again while that matters.  */
+  bool (*has_process_ended) (void *data, const char *name,
+                             uint64_t incarnation);
   /* Called when jb_pool_evacuate_backend would newly return true for the
      backend server INSTANCE.  */
   void (*evacuated) (void *data, jb_time now, struct jb_pool *pool,
--- a/packages/jobs/include/jb_takeover.h
+++ b/packages/jobs/include/jb_takeover.h
@@ -20,6 +20,27 @@
 
 #include "jb_job.h"
 
+/* What a new owner knows about the owner before it.  */
+struct jb_takeover_predecessor
+{
+  jb_time claimed_at;  /* when the new owner's claim succeeded */
+  uint32_t generation; /* of the new owner; 1: there was no other one */
+  /* Its process is known to have ended.  */
+  bool has_ended;
+  /* Generation of the last owner that stored that no owner before it could
+     send commands any more; 0: none has.  */
+  uint32_t settled_generation;
+};
+
+/* Return the time after which no former owner sends commands, as known at NOW.
+   Without any knowledge it is VALIDITY after the claim, for which an ownership
+   may be valid without the store.  That the predecessor's process has ended
+   does not suffice: if it owned the pool for a shorter time, the owner before
+   it may still send commands.  */
+jb_time
+jb_takeover_commands_end (const struct jb_takeover_predecessor *predecessor,
+                          jb_time validity, jb_time now);
+
 /* Record that a probe which was sent at ASKED_AT has listed the current run of
    TASK as active.  Former owners send no commands after PREDECESSOR_UNTIL.
    A run that is not the first one of its owner proves nothing: an earlier run
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -395,6 +395,15 @@
     }
 }
 
+static bool
+has_process_ended (void *data, const char *name, uint64_t incarnation)
+{
+  struct jb_host *host = data;
+
+  return incarnation != 0
+         && jb_members_has_process_ended (host->members, name, incarnation);
+}
+
 static void
 claim_pool (struct jb_host *host, jb_time now, struct pool_slot *slot)
 {
@@ -406,6 +415,7 @@
                                      .incarnation = host->options.incarnation,
                                      .reply = send_reply,
                                      .state_changed = pool_state_changed,
+                                     .has_process_ended = has_process_ended,
                                      .evacuated = jb_host_report_evacuated,
                                      .data = host };
 
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -941,6 +941,8 @@
   if (jb_ownership_state (pool->ownership) != JB_OWNERSHIP_HELD)
     return JB_NEVER;
   due = jb_ownership_run (pool->ownership, now);
+  jb_pool_check_predecessor (pool, now);
+  jb_pool_write_settled (pool, now);
   sweep (pool, now);
   due = MIN (due, jb_pool_release_loaded_jobs (pool, now));
   jb_pool_schedule (pool, now);
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -7,6 +7,7 @@
 #include "jb_place.h"
 #include "jb_pool.h"
 #include "jb_rank.h"
+#include "jb_takeover.h"
 
 #define JB_JOB_TABLE "job"
 
@@ -102,6 +103,10 @@
   struct jb_ownership *ownership;
   enum jb_pool_stage stage;
   jb_time loading_since; /* when the claim succeeded */
+  struct jb_takeover_predecessor predecessor;
+  bool rows_read;       /* the roster and the jobs */
+  bool handover_read;   /* what the predecessor left was read, if possible */
+  bool settled_written; /* this owner has stored that it is settled */
   /* When previous owners have certainly sent their last command.  */
   jb_time predecessor_until;
   /* When the leases of all runs that a previous owner started have certainly
@@ -231,6 +236,21 @@
 char *jb_pool_list_awaited (const struct jb_pool *pool, TALLOC_CTX *mem,
                             uint32_t *count);
 
+/* Go on with JB_STAGE_SCANNING if all rows have been read.  */
+void jb_pool_finish_loading_if_complete (struct jb_pool *pool, jb_time now);
+/* While this owner waits because of its predecessor, find out whether the
+   predecessor's process has ended, and shorten the wait if so.  */
+void jb_pool_check_predecessor (struct jb_pool *pool, jb_time now);
+
+/* ---- jb_pool_handover.c ---- */
+
+/* Read what the predecessor has left.  When that has been read, or could not
+   be, jb_pool_finish_loading_if_complete is called.  */
+void jb_pool_read_handover (struct jb_pool *pool, jb_time now);
+/* Store once that no owner before this one can send commands any more, as soon
+   as that is so.  A successor relies on it when this process has ended.  */
+void jb_pool_write_settled (struct jb_pool *pool, jb_time now);
+
 /* ---- jb_pool_roster.c ---- */
 
 /* Read the roster from the store.  CALLBACK is called with POOL as its data
--- a/packages/jobs/src/jb_pool_takeover.c
+++ b/packages/jobs/src/jb_pool_takeover.c
@@ -125,9 +125,12 @@
     }
 }
 
-static void
-finish_loading (struct jb_pool *pool, jb_time now)
+void
+jb_pool_finish_loading_if_complete (struct jb_pool *pool, jb_time now)
 {
+  if (pool->stage != JB_STAGE_LOADING || !pool->rows_read
+      || !pool->handover_read)
+    return;
   complete_finished_jobs (pool, now);
   pool->stage = JB_STAGE_SCANNING;
   pool->schedule_due = true;
@@ -166,9 +169,12 @@
   for (uint32_t i = 0; i < reply->row_count; i++)
     load_row (pool, now, &reply->rows[i]);
   if (reply->next_page != NULL)
-    read_page (pool, now, reply->next_page);
-  else
-    finish_loading (pool, now);
+    {
+      read_page (pool, now, reply->next_page);
+      return;
+    }
+  pool->rows_read = true;
+  jb_pool_finish_loading_if_complete (pool, now);
 }
 
 /* Read the next page of the pool's job rows, from FIRST_KEY on, or from the
@@ -201,22 +207,60 @@
     jb_pool_release (pool, now, "the pool's rows can't be read");
 }
 
+/* Previous owners send no commands after UNTIL.  The leases that their last
+   commands requested expire later, on the slowest allowed clock as computed
+   here.  */
+static void
+set_predecessor_until (struct jb_pool *pool, jb_time until)
+{
+  pool->predecessor_until = until;
+  pool->scan_until
+      = until
+        + JB_RUN_LEASE_MS * JB_MS * 100 / (100 - JB_MAX_CLOCK_DRIFT_PERCENT)
+        + JB_LEASE_MARGIN_MS * JB_MS;
+}
+
 void
 jb_pool_begin_takeover (struct jb_pool *pool, jb_time now)
 {
   pool->stage = JB_STAGE_LOADING;
   pool->loading_since = now;
-  /* The previous owner could send commands until its ownership expired.  The
-     leases that its last commands requested expire later, on the slowest
-     allowed clock as computed here.  */
-  pool->predecessor_until = now + JB_OWNERSHIP_VALIDITY;
-  pool->scan_until
-      = pool->predecessor_until
-        + JB_RUN_LEASE_MS * JB_MS * 100 / (100 - JB_MAX_CLOCK_DRIFT_PERCENT)
-        + JB_LEASE_MARGIN_MS * JB_MS;
+  pool->predecessor = (struct jb_takeover_predecessor){
+    .claimed_at = now, .generation = jb_ownership_generation (pool->ownership)
+  };
+  set_predecessor_until (pool, jb_takeover_commands_end (&pool->predecessor,
+                                                         JB_OWNERSHIP_VALIDITY,
+                                                         now));
+  jb_pool_check_predecessor (pool, now);
+  jb_pool_read_handover (pool, now);
   jb_pool_read_roster (pool, now, handle_roster);
 }
 
+void
+jb_pool_check_predecessor (struct jb_pool *pool, jb_time now)
+{
+  const char *owner = jb_ownership_previous_owner (pool->ownership);
+  uint64_t incarnation = jb_ownership_previous_incarnation (pool->ownership);
+  jb_time until;
+
+  if ((pool->stage != JB_STAGE_LOADING && pool->stage != JB_STAGE_SCANNING)
+      || now >= pool->predecessor_until || owner == NULL)
+    return;
+  /* If it was this process, nothing of its former ownership is left.  */
+  if (!pool->predecessor.has_ended)
+    pool->predecessor.has_ended = incarnation == pool->options.incarnation
+                                  || pool->options.has_process_ended (
+                                      pool->options.data, owner, incarnation);
+  until = jb_takeover_commands_end (&pool->predecessor, JB_OWNERSHIP_VALIDITY,
+                                    now);
+  if (until >= pool->predecessor_until)
+    return;
+  set_predecessor_until (pool, until);
+  jb_log (pool->options.driver, JB_LEVEL_INFO, "predecessor-ended", "pool",
+          pool->options.name, "owner", owner, "ms",
+          jb_itoa ((now - pool->loading_since) / JB_MS), NULL);
+}
+
 bool
 jb_pool_awaits_backend (const struct jb_backend *backend)
 {
--- a/packages/jobs/src/jb_takeover.c
+++ b/packages/jobs/src/jb_takeover.c
@@ -1,5 +1,19 @@
 #include "jb_takeover.h"
 
+jb_time
+jb_takeover_commands_end (const struct jb_takeover_predecessor *predecessor,
+                          jb_time validity, jb_time now)
+{
+  jb_time latest = predecessor->claimed_at + validity;
+
+  if (predecessor->generation <= 1)
+    return predecessor->claimed_at;
+  if (predecessor->has_ended
+      && predecessor->settled_generation + 1 == predecessor->generation)
+    return MIN (latest, now);
+  return latest;
+}
+
 void
 jb_takeover_record_active (struct jb_task *task, jb_time asked_at,
                            jb_time predecessor_until)
--- a/packages/jobs/tests/test_jb_takeover.c
+++ b/packages/jobs/tests/test_jb_takeover.c
@@ -192,6 +192,36 @@
   talloc_free (mem);
 }
 
+/* A predecessor that has ended may have owned the pool for a moment only, and
+   the owner before it may still send commands.  */
+static void
+test_wait_after_ended_predecessor (void)
+{
+  struct jb_takeover_predecessor predecessor
+      = { .claimed_at = 20 * JB_SECOND, .generation = 7 };
+  jb_time validity = 2 * JB_SECOND;
+  jb_time now = 21 * JB_SECOND;
+
+  CU_ASSERT_EQUAL (jb_takeover_commands_end (&predecessor, validity, now),
+                   22 * JB_SECOND);
+  predecessor.has_ended = true;
+  CU_ASSERT_EQUAL (jb_takeover_commands_end (&predecessor, validity, now),
+                   22 * JB_SECOND);
+  predecessor.settled_generation = 5;
+  CU_ASSERT_EQUAL (jb_takeover_commands_end (&predecessor, validity, now),
+                   22 * JB_SECOND);
+  predecessor.settled_generation = 6;
+  CU_ASSERT_EQUAL (jb_takeover_commands_end (&predecessor, validity, now),
+                   now);
+  predecessor.has_ended = false;
+  CU_ASSERT_EQUAL (jb_takeover_commands_end (&predecessor, validity, now),
+                   22 * JB_SECOND);
+  predecessor
+      = (struct jb_takeover_predecessor){ .claimed_at = now, .generation = 1 };
+  CU_ASSERT_EQUAL (jb_takeover_commands_end (&predecessor, validity, now),
+                   now);
+}
+
 int
 main (void)
 {
@@ -207,6 +237,8 @@
     { "a gang must be found as a whole", test_gang_must_be_found_as_a_whole },
     { "an occurrence that is not open waits",
       test_occurrence_that_is_not_open_waits },
+    { "the wait after a predecessor that has ended",
+      test_wait_after_ended_predecessor },
     { NULL, NULL }
   };
 
--- a/tests/sim/jobs/test_pool_takeover.c
+++ b/tests/sim/jobs/test_pool_takeover.c
@@ -18,7 +18,8 @@
 /* Start commands that are in flight arrive within this time.  */
 #define IN_FLIGHT_TIME (5 * JB_MS)
 
-/* Return a world in which jobs run whose first step ends soon.  */
+/* Return a world in which jobs run whose first steps end one after the
+   other.  */
 static struct jw_world *
 create_busy_world (uint32_t seed)
 {
@@ -34,7 +35,7 @@
       struct jw_job_options job = { .step_count = 2,
                                     .tasks_per_step = 2,
                                     .cpu_milli = 1000,
-                                    .duration_ms = 4000 };
+                                    .duration_ms = 1200 + 120 * i };
 
       jw_submit_job (world, &job);
       jw_advance (world, JOB_INTERVAL);
@@ -70,7 +71,31 @@
       jw_find_backend (world, 0, seed % 12)->unreachable = true;
       jw_host_kill (world, (uint32_t)jw_pool_owner (world, 0));
       wait = time_to_next_start (world);
-      CU_ASSERT (wait <= 4200 * JB_MS);
+      CU_ASSERT (wait <= 3600 * JB_MS);
+      jw_advance (world, 25 * JB_SECOND);
+      jw_check_and_free (world);
+    }
+}
+
+/* The killed owner returns at once as another process, which tells that the
+   former one sends no commands.  The pool started nothing for 6.4 s after the
+   kill.  */
+static void
+test_restarted_owner (void)
+{
+  for (uint32_t seed = 1; seed <= SEED_COUNT; seed++)
+    {
+      struct jw_world *world = create_busy_world (seed);
+      uint32_t owner = (uint32_t)jw_pool_owner (world, 0);
+      jb_time begun = world->now;
+
+      jw_find_backend (world, 0, seed % 12)->unreachable = true;
+      jw_host_kill (world, owner);
+      jw_advance (world, 100 * JB_MS);
+      jw_host_start (world, owner);
+      jw_advance (world, 900 * JB_MS);
+      time_to_next_start (world);
+      CU_ASSERT (world->now - begun <= 2200 * JB_MS);
       jw_advance (world, 25 * JB_SECOND);
       jw_check_and_free (world);
     }
@@ -82,6 +107,8 @@
   static const struct dp_test tests[]
       = { { "loaded jobs go on after the owner was killed",
             test_killed_owner },
+          { "loaded jobs go on after the owner was restarted",
+            test_restarted_owner },
           { NULL, NULL } };
 
   return dp_test_main ("pool takeover", tests);
