Leave a successor what may run on silent backend servers

Change: jb_pool_hand_over sends no command any more, writes the changes of jobs and then, as the last transaction, a row with the generation and the tasks on each backend server that doesn't answer (table handover, key runs), and releases the pool when that is committed, after 150 ms at the latest. A successor of exactly that generation lets all other tasks start; those listed wait for their backend server or the leases, and count as used for limits. If a backend server is silent that is not listed, or the row is missing, it waits as after any predecessor. No row is written while a second run of a task may be active, since where that is is not known.

--- a/packages/jobs/include/jb_host.h
+++ b/packages/jobs/include/jb_host.h
@@ -58,12 +58,14 @@
    also calls this after each call of the functions above.  */
 jb_time jb_host_run (struct jb_host *host, jb_time now);
 
-/* Release all partitions that this host owns, and claim none any more; a claim
-   that is in flight is not withdrawn.  Calls are still accepted and
+/* Release all partitions that this host owns, pools as soon as what a
+   successor needs is stored (jb_pool_hand_over), and claim none any more; a
+   claim that is in flight is not withdrawn.  Calls are still accepted and
    answered.  */
 void jb_host_stop (struct jb_host *host, jb_time now);
 
-/* Return whether all calls have been answered.  */
+/* Return whether all calls have been answered, and no pool is being handed
+   over.  */
 bool jb_host_is_idle (const struct jb_host *host);
 
 /* Return whether a load balancer may direct clients to this host: it has a
--- a/packages/jobs/include/jb_job.h
+++ b/packages/jobs/include/jb_job.h
@@ -69,6 +69,8 @@
   /* No run of a previous owner can be anywhere but where one was found
      (jb_takeover.h).  */
   bool is_located;
+  /* A previous owner has left it on a backend server that is silent.  */
+  bool is_awaited;
   jb_time ended_at; /* when the last run ended; 0: there was none */
   /* When a stop was last sent, or the start timed out.  */
   jb_time last_attempt_at;
--- a/packages/jobs/include/jb_pool.h
+++ b/packages/jobs/include/jb_pool.h
@@ -84,6 +84,16 @@
    that wait for the pool's rows are dropped.  */
 void jb_pool_release (struct jb_pool *pool, jb_time now, const char *reason);
 
+/* Hand POOL over to a successor that is to come: send no more commands, store
+   what has changed and what may run on silent backend servers, and release
+   POOL with REASON as soon as that is stored, but after 150 ms at the latest.
+   If POOL is being taken over, or its ownership is not valid, it is released
+   at once.  */
+void jb_pool_hand_over (struct jb_pool *pool, jb_time now, const char *reason);
+
+/* Return whether POOL is being handed over.  It is still owned then.  */
+bool jb_pool_is_handing_over (const struct jb_pool *pool);
+
 /* Record that a peer received a heartbeat of this host at HEARD_AT, 0 for
    never.  This extends the validity of the ownership while the store
    does not answer.  Once the ownership has expired, only the store can confirm
--- a/packages/jobs/include/jb_takeover.h
+++ b/packages/jobs/include/jb_takeover.h
@@ -27,6 +27,9 @@
   uint32_t generation; /* of the new owner; 1: there was no other one */
   /* Its process is known to have ended.  */
   bool has_ended;
+  /* It has stored, after its last command, what may run on the backend servers
+     that did not answer it.  */
+  bool has_handed_over;
   /* Generation of the last owner that stored that no owner before it could
      send commands any more; 0: none has.  */
   uint32_t settled_generation;
--- a/packages/jobs/include/jb_types.h
+++ b/packages/jobs/include/jb_types.h
@@ -89,7 +89,13 @@
   JB_SAFEGUARD_DISRUPTION_BUDGET = 1 << 7,
   /* Runs on a backend server that doesn't answer count as active until their
      lease has expired.  */
-  JB_SAFEGUARD_LEASE_EXPIRY = 1 << 8
+  JB_SAFEGUARD_LEASE_EXPIRY = 1 << 8,
+  /* A new pool owner uses only what the owner just before it has left about
+     runs, not what an earlier one has.  */
+  JB_SAFEGUARD_HANDOVER_GENERATION = 1 << 12,
+  /* A run counts as the only one of its task only if it was listed after the
+     last command of a former owner.  */
+  JB_SAFEGUARD_LISTED_AFTER_COMMANDS = 1 << 13
 };
 
 /* Durations and limits of the deployment.  */
--- a/packages/jobs/src/jb_driver.c
+++ b/packages/jobs/src/jb_driver.c
@@ -9,8 +9,8 @@
 enum
 {
   MAX_LOG_FIELD_COUNT = 24,
-  NUMBER_BUFFER_COUNT = 8, /* of jb_itoa */
-  NUMBER_BUFFER_BYTES = 24 /* holds any int64_t */
+  NUMBER_BUFFER_COUNT = 10, /* of jb_itoa */
+  NUMBER_BUFFER_BYTES = 24  /* holds any int64_t */
 };
 
 /* A command whose reply has not arrived.  It is a talloc child of the owner
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -608,10 +608,10 @@
     {
       host->last_handover_at = now;
       slot->next_handover = now + HANDOVER_RETRY_DELAY;
-      jb_pool_release (slot->pool, now,
-                       talloc_asprintf (scratch,
-                                        "%s has a larger share of a processor",
-                                        successor));
+      jb_pool_hand_over (
+          slot->pool, now,
+          talloc_asprintf (scratch, "%s has a larger share of a processor",
+                           successor));
     }
   talloc_free (scratch);
 }
@@ -813,13 +813,20 @@
       struct pool_slot *slot = g_ptr_array_index (host->pools, i);
 
       if (jb_host_slot_is_owned (slot))
-        jb_pool_release (slot->pool, now, "this host is stopping");
+        jb_pool_hand_over (slot->pool, now, "this host is stopping");
     }
 }
 
 bool
 jb_host_is_idle (const struct jb_host *host)
 {
+  for (guint i = 0; i < host->pools->len; i++)
+    {
+      const struct pool_slot *slot = g_ptr_array_index (host->pools, i);
+
+      if (slot->pool != NULL && jb_pool_is_handing_over (slot->pool))
+        return false;
+    }
   return jb_frontend_pending_count (host->frontend) == 0;
 }
 
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -626,7 +626,8 @@
 jb_pool_handle_request (struct jb_pool *pool, jb_time now, uint64_t member,
                         const struct jb_msg_request *request)
 {
-  if (jb_ownership_state (pool->ownership) != JB_OWNERSHIP_HELD)
+  if (jb_ownership_state (pool->ownership) != JB_OWNERSHIP_HELD
+      || jb_pool_is_handing_over (pool))
     {
       send_reply (pool, member, request->call, JB_MSG_NOT_OWNER, 0, 0, 0);
       return;
@@ -941,6 +942,8 @@
   if (jb_ownership_state (pool->ownership) != JB_OWNERSHIP_HELD)
     return JB_NEVER;
   due = jb_ownership_run (pool->ownership, now);
+  if (jb_pool_is_handing_over (pool))
+    return MIN (due, jb_pool_run_handover (pool, now));
   jb_pool_check_predecessor (pool, now);
   jb_pool_write_settled (pool, now);
   sweep (pool, now);
--- a/packages/jobs/src/jb_pool_handover.c
+++ b/packages/jobs/src/jb_pool_handover.c
@@ -1,7 +1,13 @@
 /* What an owner of a pool leaves to its successor, in rows of a table of its
    own.  Each row holds the generation of the owner that wrote it, so that a
    successor doesn't take the row of an earlier owner for its predecessor's.
-   Owners of previous versions neither write nor read these rows.  */
+   Owners of previous versions neither write nor read these rows.
+
+   An owner that stops as planned stores what may run on the backend servers
+   that don't answer it.  From the moment at which it collects that, it sends
+   no command, so the row also tells that it has sent its last one.  The row is
+   in the last transaction, after all changes of jobs: a successor that finds
+   it also knows each end of a run that this owner has processed.  */
 
 #include "jb_pool_internal.h"
 
@@ -10,20 +16,59 @@
 #define HANDOVER_TABLE "handover"
 /* Written once no owner before the one that writes it can send commands.  */
 #define SETTLED_KEY "settled"
+/* Written by an owner that stops as planned.  */
+#define RUNS_KEY "runs"
 
 #define STORE_READ_TIMEOUT_MS 1500
 
+/* The pool is released when its last transaction is committed, or after this
+   time.  */
+#define MAX_HANDOVER_TIME (150 * JB_MS)
+
+enum
+{
+  /* About 60 KB.  With more, no row is written.  */
+  MAX_HANDOVER_TASKS = 2000,
+  MAX_HANDOVER_BACKENDS = 1000
+};
+
 struct saved_settled
 {
   uint32_t generation;
 };
 
+struct saved_handover
+{
+  uint32_t generation;
+  bool settled;
+  uint32_t silent_count;
+  struct jb_silent_backend *silent;
+};
+
 static void
 serialize_saved_settled (struct ba_codec *io, struct saved_settled *saved)
 {
   ba_codec_u32 (io, &saved->generation);
 }
 
+static void
+serialize_silent_backend (struct ba_codec *io,
+                          struct jb_silent_backend *silent)
+{
+  ba_codec_required_str (io, &silent->instance);
+  ba_codec_array (io, silent->tasks, silent->task_count, MAX_HANDOVER_TASKS,
+                  ba_codec_required_str);
+}
+
+static void
+serialize_saved_handover (struct ba_codec *io, struct saved_handover *saved)
+{
+  ba_codec_u32 (io, &saved->generation);
+  ba_codec_bool (io, &saved->settled);
+  ba_codec_array (io, saved->silent, saved->silent_count,
+                  MAX_HANDOVER_BACKENDS, serialize_silent_backend);
+}
+
 /* ---- reading ---- */
 
 static void
@@ -40,6 +85,32 @@
   talloc_free (scratch);
 }
 
+static void
+load_runs (struct jb_pool *pool, jb_time now, struct ba_bytes value)
+{
+  struct saved_handover saved = { 0 };
+  TALLOC_CTX *mem = talloc_new (pool);
+  struct ba_codec io;
+
+  ba_codec_init_reader (&io, mem, value);
+  serialize_saved_handover (&io, &saved);
+  if (!ba_codec_is_complete (&io)
+      || (saved.generation + 1 != pool->predecessor.generation
+          && !jb_pool_has_disabled (pool, JB_SAFEGUARD_HANDOVER_GENERATION)))
+    {
+      talloc_free (mem);
+      return;
+    }
+  pool->predecessor.has_handed_over = true;
+  if (saved.settled)
+    pool->predecessor.settled_generation = pool->predecessor.generation - 1;
+  pool->silent = saved.silent;
+  pool->silent_count = saved.silent_count;
+  jb_log (pool->options.driver, JB_LEVEL_INFO, "handover-read", "pool",
+          pool->options.name, "silent", jb_itoa (saved.silent_count), "ms",
+          jb_itoa ((now - pool->loading_since) / JB_MS), NULL);
+}
+
 static void
 handle_rows (void *data, jb_time now, jb_time sent_at,
              const struct jb_reply *reply)
@@ -50,8 +121,17 @@
   /* Without the rows, this owner waits as long as after any predecessor.  */
   for (uint32_t i = 0; reply->result == JB_RESULT_OK && i < reply->row_count;
        i++)
-    if (strcmp (reply->rows[i].key, SETTLED_KEY) == 0)
-      load_settled (pool, reply->rows[i].value);
+    {
+      const struct jb_row *row = &reply->rows[i];
+
+      if (strcmp (row->key, SETTLED_KEY) == 0)
+        load_settled (pool, row->value);
+    }
+  /* It may raise the generation above that of the other row.  */
+  for (uint32_t i = 0; reply->result == JB_RESULT_OK && i < reply->row_count;
+       i++)
+    if (strcmp (reply->rows[i].key, RUNS_KEY) == 0)
+      load_runs (pool, now, reply->rows[i].value);
   pool->handover_read = true;
   jb_pool_finish_loading_if_complete (pool, now);
 }
@@ -69,6 +149,75 @@
                     handle_rows, pool);
 }
 
+bool
+jb_pool_left_runs_are_known (const struct jb_pool *pool)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (!pool->predecessor.has_handed_over)
+    return false;
+  g_hash_table_iter_init (&iter, pool->backends);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct jb_backend *backend = value;
+      bool is_listed = false;
+
+      if (!jb_pool_awaits_backend (backend))
+        continue;
+      for (uint32_t i = 0; i < pool->silent_count && !is_listed; i++)
+        is_listed = strcmp (pool->silent[i].instance, backend->instance) == 0;
+      if (!is_listed)
+        return false;
+    }
+  return true;
+}
+
+/* Return the task NAME, or NULL if it belongs to no job that goes on.  Its
+   occurrence is opened if necessary: the clock of the predecessor, which has
+   started it, may be ahead.  */
+static struct jb_task *
+find_left_task (const struct jb_pool *pool, const char *name)
+{
+  struct jb_task_ref ref;
+  struct jb_job *job = jb_task_ref_parse (name, &ref)
+                           ? g_hash_table_lookup (pool->jobs, ref.id)
+                           : NULL;
+
+  if (job == NULL || job->ended_at != 0)
+    return NULL;
+  while (job->opened_occurrences <= ref.occurrence
+         && job->opened_occurrences < job->desc->scheduled_occurrences)
+    jb_job_open_next_occurrence (job);
+  return jb_job_find_task (job, &ref);
+}
+
+uint32_t
+jb_pool_mark_awaited_tasks (struct jb_pool *pool)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < pool->silent_count; i++)
+    {
+      const struct jb_silent_backend *silent = &pool->silent[i];
+      const struct jb_backend *backend
+          = g_hash_table_lookup (pool->backends, silent->instance);
+      bool is_awaited = pool->stage == JB_STAGE_SCANNING && backend != NULL
+                        && jb_pool_awaits_backend (backend);
+
+      for (uint32_t j = 0; j < silent->task_count; j++)
+        {
+          struct jb_task *task = find_left_task (pool, silent->tasks[j]);
+
+          if (task == NULL)
+            continue;
+          task->is_awaited = is_awaited && !task->done;
+          count += task->is_awaited;
+        }
+    }
+  return count;
+}
+
 /* ---- writing ---- */
 
 void
@@ -90,3 +239,165 @@
   jb_ownership_write (pool->ownership, now, &row, 1, NULL, 0, NULL, NULL);
   talloc_free (scratch);
 }
+
+/* Return whether a successor may find BACKEND silent as this owner does, or
+   whether it is not known what runs there.  */
+static bool
+is_silent (const struct jb_backend *backend)
+{
+  return backend->unanswered_probes > 0 || !backend->probed
+         || backend->may_get_old_commands;
+}
+
+/* Add the tasks that may run on BACKEND to SAVED, whose array has room.
+   Return their number.  */
+static uint32_t
+add_silent_backend (TALLOC_CTX *mem, const struct jb_backend *backend,
+                    struct saved_handover *saved)
+{
+  struct jb_silent_backend *silent = &saved->silent[saved->silent_count++];
+
+  silent->instance = backend->instance;
+  silent->tasks = talloc_array (mem, char *, backend->task_count + 1);
+  for (const struct jb_task *task = backend->tasks; task != NULL;
+       task = task->next_on_backend)
+    {
+      char name[JB_TASK_NAME_SIZE];
+
+      silent->tasks[silent->task_count++]
+          = talloc_strdup (mem, jb_task_name (task, name));
+    }
+  return silent->task_count;
+}
+
+/* Return whether a run of a task may be active that is not the task's current
+   one.  Where it is isn't known.  */
+static bool
+has_other_runs (const struct jb_pool *pool, jb_time now)
+{
+  for (guint i = 0; i < pool->active_jobs->len; i++)
+    {
+      const struct jb_job *job = g_ptr_array_index (pool->active_jobs, i);
+
+      for (guint j = 0; j < job->groups->len; j++)
+        {
+          const struct jb_task_group *group
+              = g_ptr_array_index (job->groups, j);
+
+          for (uint32_t k = 0; k < group->task_count; k++)
+            if (!group->tasks[k].done
+                && jb_pool_may_have_other_run (pool, &group->tasks[k], now))
+              return true;
+        }
+    }
+  return false;
+}
+
+static void
+release (struct jb_pool *pool, jb_time now)
+{
+  jb_pool_release (pool, now, pool->handover_reason);
+}
+
+static void
+handle_runs_written (void *data, jb_time now)
+{
+  struct jb_pool *pool = data;
+
+  if (pool->stage != JB_STAGE_NOT_OWNED)
+    release (pool, now);
+}
+
+/* Queue the last transaction, unless there is too much for a row.  */
+static void
+write_runs (struct jb_pool *pool, jb_time now)
+{
+  struct jb_row row = { .table = HANDOVER_TABLE,
+                        .partition = pool->partition,
+                        .key = RUNS_KEY,
+                        .value = pool->handover_runs };
+
+  jb_ownership_write (pool->ownership, now, &row, 1, NULL, 0,
+                      handle_runs_written, pool);
+}
+
+/* Encode what may run on silent backend servers.  Return whether a row can
+   hold it.  */
+static bool
+collect_runs (struct jb_pool *pool, jb_time now)
+{
+  const GPtrArray *backends = jb_pool_list_backends (pool);
+  TALLOC_CTX *scratch = talloc_new (NULL);
+  struct saved_handover saved
+      = { .generation = jb_ownership_generation (pool->ownership),
+          .settled = now >= pool->predecessor_until };
+  uint32_t task_count = 0;
+  bool fits;
+
+  saved.silent = talloc_zero_array (scratch, struct jb_silent_backend,
+                                    backends->len + 1);
+  for (guint i = 0; i < backends->len; i++)
+    if (is_silent (g_ptr_array_index (backends, i)))
+      task_count += add_silent_backend (
+          scratch, g_ptr_array_index (backends, i), &saved);
+  fits = task_count <= MAX_HANDOVER_TASKS
+         && saved.silent_count <= MAX_HANDOVER_BACKENDS
+         && !has_other_runs (pool, now);
+  if (fits)
+    pool->handover_runs
+        = ba_codec_encode (pool, serialize_saved_handover, &saved);
+  jb_log (pool->options.driver, JB_LEVEL_INFO, "handover-begun", "pool",
+          pool->options.name, "silent", jb_itoa (saved.silent_count), "tasks",
+          jb_itoa (task_count), "row", fits ? "yes" : "no", "to_write",
+          jb_itoa (pool->dirty_jobs->len), "reason", pool->handover_reason,
+          NULL);
+  talloc_free (scratch);
+  return fits;
+}
+
+void
+jb_pool_hand_over (struct jb_pool *pool, jb_time now, const char *reason)
+{
+  if (jb_pool_is_handing_over (pool))
+    return;
+  pool->handover_reason = talloc_strdup (pool, reason);
+  if (pool->stage != JB_STAGE_ACTIVE || !jb_pool_may_command (pool, now)
+      || !collect_runs (pool, now))
+    {
+      release (pool, now);
+      return;
+    }
+  pool->handover_since = now;
+  jb_pool_run_handover (pool, now);
+}
+
+bool
+jb_pool_is_handing_over (const struct jb_pool *pool)
+{
+  return pool->handover_since != 0 && pool->stage != JB_STAGE_NOT_OWNED;
+}
+
+jb_time
+jb_pool_run_handover (struct jb_pool *pool, jb_time now)
+{
+  jb_time deadline = pool->handover_since + MAX_HANDOVER_TIME;
+
+  if (now >= deadline)
+    {
+      release (pool, now);
+      return JB_NEVER;
+    }
+  /* All changes go before the row, since what is queued is executed in
+     order.  */
+  if (pool->dirty_jobs->len > 0)
+    {
+      pool->dirty_since = 1; /* the batch is due at once */
+      jb_pool_write_dirty_jobs (pool, now);
+    }
+  if (pool->dirty_jobs->len == 0 && !pool->handover_row_queued)
+    {
+      pool->handover_row_queued = true;
+      write_runs (pool, now);
+    }
+  return deadline;
+}
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -88,6 +88,15 @@
   uint64_t quota_version;
 };
 
+/* What the predecessor has stored of a backend server that did not answer
+   it.  */
+struct jb_silent_backend
+{
+  char *instance;
+  uint32_t task_count;
+  char **tasks; /* names of those that may run there */
+};
+
 /* Why the runs on a backend server were lost.  */
 enum jb_loss_cause
 {
@@ -107,6 +116,16 @@
   bool rows_read;       /* the roster and the jobs */
   bool handover_read;   /* what the predecessor left was read, if possible */
   bool settled_written; /* this owner has stored that it is settled */
+  /* Backend servers that did not answer the predecessor when it handed the
+     pool over, if it has.  */
+  struct jb_silent_backend *silent;
+  uint32_t silent_count;
+  /* When this owner began to hand the pool over and sent its last command; 0:
+     it has not.  Then why, and the row for its successor.  */
+  jb_time handover_since;
+  char *handover_reason;
+  struct ba_bytes handover_runs;
+  bool handover_row_queued;
   /* When previous owners have certainly sent their last command.  */
   jb_time predecessor_until;
   /* When the leases of all runs that a previous owner started have certainly
@@ -119,6 +138,7 @@
   bool release_check_due;
   jb_time next_release_check;
   uint32_t waiting_jobs;
+  uint32_t awaited_tasks; /* that wait, of jobs that may go on */
   jb_time wait_logged_at;
   /* When a peer last received a heartbeat of this host; 0: never.  */
   jb_time confirmed_by_peer_at;
@@ -195,7 +215,7 @@
 static inline bool
 jb_pool_may_command (const struct jb_pool *pool, jb_time now)
 {
-  return pool->stage >= JB_STAGE_SCANNING
+  return pool->stage >= JB_STAGE_SCANNING && pool->handover_since == 0
          && jb_ownership_state (pool->ownership) == JB_OWNERSHIP_HELD
          && now < jb_pool_ownership_valid_until (pool);
 }
@@ -251,6 +271,16 @@
    as that is so.  A successor relies on it when this process has ended.  */
 void jb_pool_write_settled (struct jb_pool *pool, jb_time now);
 
+/* Return whether the predecessor has handed the pool over and stored what may
+   run on each backend server that the scan waits for.  */
+bool jb_pool_left_runs_are_known (const struct jb_pool *pool);
+/* Mark the tasks that the predecessor has left on backend servers that the
+   scan waits for, and no others, as awaited.  Return their number.  */
+uint32_t jb_pool_mark_awaited_tasks (struct jb_pool *pool);
+/* Write what remains to be written while the pool is handed over, and release
+   it when that is done or takes too long.  Return when to call this next.  */
+jb_time jb_pool_run_handover (struct jb_pool *pool, jb_time now);
+
 /* ---- jb_pool_roster.c ---- */
 
 /* Read the roster from the store.  CALLBACK is called with POOL as its data
@@ -327,6 +357,10 @@
                                   const struct jb_task_ref *ref,
                                   const struct jb_backend *backend,
                                   uint32_t run);
+/* Return whether another run of TASK than the current one was seen, and its
+   lease may still keep it active.  */
+bool jb_pool_may_have_other_run (const struct jb_pool *pool,
+                                 const struct jb_task *task, jb_time now);
 /* Run a scheduling cycle if one is due.  */
 void jb_pool_schedule (struct jb_pool *pool, jb_time now);
 /* Stop the current run of TASK, or send the stop again.  REASON is logged.
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -282,7 +282,11 @@
       task->confirmed_at = now;
     }
   if (job->loaded_from_store)
-    jb_takeover_record_active (task, sent_at, pool->predecessor_until);
+    jb_takeover_record_active (
+        task, sent_at,
+        jb_pool_has_disabled (pool, JB_SAFEGUARD_LISTED_AFTER_COMMANDS)
+            ? 0
+            : pool->predecessor_until);
   update_checkpoint (task, active_run->checkpoint);
   if (task->started_at != 0
       && now - task->started_at >= JB_CRASH_EARLY_MS * JB_MS
@@ -623,7 +627,8 @@
 jb_time
 jb_pool_send_probes (struct jb_pool *pool, jb_time now)
 {
-  bool may_send = jb_ownership_state (pool->ownership) == JB_OWNERSHIP_HELD;
+  bool may_send = jb_ownership_state (pool->ownership) == JB_OWNERSHIP_HELD
+                  && pool->handover_since == 0;
   jb_time next = JB_NEVER;
   const GPtrArray *backends = jb_pool_list_backends (pool);
 
--- a/packages/jobs/src/jb_pool_quota.c
+++ b/packages/jobs/src/jb_pool_quota.c
@@ -151,9 +151,25 @@
   return count;
 }
 
-/* Add what the tasks of JOB use and want to ORG_USAGE.  */
+/* Return how many tasks of GROUP have no run that is known, but may have one
+   on a silent backend server.  */
+static uint32_t
+count_awaited (const struct jb_task_group *group)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < group->task_count; i++)
+    if (group->tasks[i].is_awaited && group->tasks[i].state == JB_RUN_NONE
+        && !group->tasks[i].done)
+      count++;
+  return count;
+}
+
+/* Add what the tasks of JOB use and want to ORG_USAGE.  If ANY_AWAITED, some
+   tasks may have runs on silent backend servers.  */
 static void
-add_job_usage (const struct jb_job *job, struct jb_pool_org_usage *org_usage)
+add_job_usage (const struct jb_job *job, bool any_awaited,
+               struct jb_pool_org_usage *org_usage)
 {
   for (guint i = 0; i < job->groups->len; i++)
     {
@@ -172,7 +188,12 @@
       if (job->loaded_from_store)
         add_multiple (&org_usage->used, resources, waiting);
       else if (group->ready)
-        add_multiple (&org_usage->wanted, resources, waiting);
+        {
+          int64_t awaited = any_awaited ? count_awaited (group) : 0;
+
+          add_multiple (&org_usage->used, resources, awaited);
+          add_multiple (&org_usage->wanted, resources, waiting - awaited);
+        }
     }
 }
 
@@ -195,7 +216,8 @@
       struct jb_job *job = g_ptr_array_index (pool->active_jobs, i);
 
       if (job->desc->org != NULL)
-        add_job_usage (job, jb_pool_get_job_usage (pool, job));
+        add_job_usage (job, pool->awaited_tasks > 0,
+                       jb_pool_get_job_usage (pool, job));
     }
 }
 
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -460,17 +460,24 @@
 
 /* ---- scheduling ---- */
 
+bool
+jb_pool_may_have_other_run (const struct jb_pool *pool,
+                            const struct jb_task *task, jb_time now)
+{
+  return task->other_run_seen_at != 0
+         && now - task->other_run_seen_at
+                <= (pool->options.bounds->max_lease_ms + JB_LEASE_MARGIN_MS)
+                       * JB_MS * 100 / (100 - JB_MAX_CLOCK_DRIFT_PERCENT);
+}
+
 /* Return whether TASK may start now: it has no run, not even another one that
-   was seen and that its lease may still keep active.  */
+   was seen or that a former owner has left on a silent backend server.  */
 static bool
 is_startable (const struct jb_pool *pool, const struct jb_task *task,
               jb_time now)
 {
-  return task->state == JB_RUN_NONE && !task->done
-         && (task->other_run_seen_at == 0
-             || now - task->other_run_seen_at
-                    > (pool->options.bounds->max_lease_ms + JB_LEASE_MARGIN_MS)
-                          * JB_MS * 100 / (100 - JB_MAX_CLOCK_DRIFT_PERCENT));
+  return task->state == JB_RUN_NONE && !task->done && !task->is_awaited
+         && !jb_pool_may_have_other_run (pool, task, now);
 }
 
 /* A task group with tasks to start.  */
--- a/packages/jobs/src/jb_pool_takeover.c
+++ b/packages/jobs/src/jb_pool_takeover.c
@@ -257,8 +257,10 @@
     return;
   set_predecessor_until (pool, until);
   jb_log (pool->options.driver, JB_LEVEL_INFO, "predecessor-ended", "pool",
-          pool->options.name, "owner", owner, "ms",
-          jb_itoa ((now - pool->loading_since) / JB_MS), NULL);
+          pool->options.name, "owner", owner, "reason",
+          pool->predecessor.has_handed_over ? "it has handed the pool over"
+                                            : "its process has ended",
+          "ms", jb_itoa ((now - pool->loading_since) / JB_MS), NULL);
 }
 
 bool
@@ -306,16 +308,16 @@
   uint32_t count;
   char *names;
 
-  if (pool->waiting_jobs == 0 || waited < WAIT_LOG_DELAY
+  if (pool->waiting_jobs + pool->awaited_tasks == 0 || waited < WAIT_LOG_DELAY
       || (pool->wait_logged_at != 0
           && now - pool->wait_logged_at < WAIT_LOG_INTERVAL))
     return;
   pool->wait_logged_at = now;
   names = jb_pool_list_awaited (pool, NULL, &count);
   jb_log (pool->options.driver, JB_LEVEL_WARN, "loaded-jobs-wait", "pool",
-          pool->options.name, "jobs", jb_itoa (pool->waiting_jobs), "backends",
-          jb_itoa (count), "first", names, "since_ms",
-          jb_itoa (waited / JB_MS), "at_most_ms",
+          pool->options.name, "jobs", jb_itoa (pool->waiting_jobs), "tasks",
+          jb_itoa (pool->awaited_tasks), "backends", jb_itoa (count), "first",
+          names, "since_ms", jb_itoa (waited / JB_MS), "at_most_ms",
           jb_itoa ((pool->scan_until - now) / JB_MS), NULL);
   talloc_free (names);
 }
@@ -324,6 +326,8 @@
 jb_pool_release_loaded_jobs (struct jb_pool *pool, jb_time now)
 {
   uint32_t released = 0;
+  bool all_known;
+  bool may_release;
 
   if (pool->stage != JB_STAGE_SCANNING || !pool->release_check_due)
     return JB_NEVER;
@@ -332,13 +336,19 @@
   pool->release_check_due = false;
   pool->next_release_check = now + RELEASE_CHECK_INTERVAL;
   pool->waiting_jobs = 0;
+  pool->awaited_tasks = jb_pool_mark_awaited_tasks (pool);
+  all_known = jb_pool_left_runs_are_known (pool);
+  may_release
+      = now >= pool->predecessor_until
+        || jb_pool_has_disabled (pool, JB_SAFEGUARD_LISTED_AFTER_COMMANDS);
   for (guint i = 0; i < pool->active_jobs->len; i++)
     {
       struct jb_job *job = g_ptr_array_index (pool->active_jobs, i);
 
       if (!job->loaded_from_store || job->ended_at != 0)
         continue;
-      if (now >= pool->predecessor_until && jb_takeover_may_release (job))
+      if ((now >= pool->predecessor_until && all_known)
+          || (may_release && jb_takeover_may_release (job)))
         {
           release_job (pool, job, JB_COUNT_LOADED_JOBS_RELEASED_EARLY);
           released++;
@@ -376,6 +386,7 @@
   pool->stage = JB_STAGE_ACTIVE;
   pool->schedule_due = true;
   pool->waiting_jobs = 0;
+  pool->awaited_tasks = jb_pool_mark_awaited_tasks (pool);
   for (guint i = 0; i < pool->active_jobs->len; i++)
     {
       struct jb_job *job = g_ptr_array_index (pool->active_jobs, i);
--- a/packages/jobs/src/jb_pool_view.c
+++ b/packages/jobs/src/jb_pool_view.c
@@ -36,7 +36,7 @@
                 || !backend->probed;
       usable += jb_pool_backend_is_usable (pool, backend, now);
     }
-  if (pool->waiting_jobs > 0)
+  if (pool->waiting_jobs + pool->awaited_tasks > 0)
     awaited = jb_pool_list_awaited (pool, view->mem, &awaited_count);
   jb_view_add (
       view, "pool", "pool", pool->options.name, "stage",
@@ -45,7 +45,8 @@
       jb_itoa (g_hash_table_size (pool->backends)), "usable", jb_itoa (usable),
       "silent", jb_itoa (silent), "jobs", jb_itoa (pool->active_jobs->len),
       "to_write", jb_itoa (pool->dirty_jobs->len), "waiting_jobs",
-      awaited != NULL ? jb_itoa (pool->waiting_jobs) : NULL, "awaited",
+      awaited != NULL ? jb_itoa (pool->waiting_jobs) : NULL, "waiting_tasks",
+      awaited != NULL ? jb_itoa (pool->awaited_tasks) : NULL, "awaited",
       awaited != NULL ? jb_itoa (awaited_count) : NULL, "awaited_first",
       awaited, "waiting_ms",
       awaited != NULL ? jb_itoa ((now - pool->loading_since) / JB_MS) : NULL,
--- a/packages/jobs/src/jb_takeover.c
+++ b/packages/jobs/src/jb_takeover.c
@@ -8,8 +8,11 @@
 
   if (predecessor->generation <= 1)
     return predecessor->claimed_at;
-  if (predecessor->has_ended
-      && predecessor->settled_generation + 1 == predecessor->generation)
+  if (predecessor->settled_generation + 1 != predecessor->generation)
+    return latest;
+  if (predecessor->has_handed_over)
+    return predecessor->claimed_at;
+  if (predecessor->has_ended)
     return MIN (latest, now);
   return latest;
 }
--- a/packages/jobs/tests/test_jb_takeover.c
+++ b/packages/jobs/tests/test_jb_takeover.c
@@ -214,6 +214,14 @@
   CU_ASSERT_EQUAL (jb_takeover_commands_end (&predecessor, validity, now),
                    now);
   predecessor.has_ended = false;
+  CU_ASSERT_EQUAL (jb_takeover_commands_end (&predecessor, validity, now),
+                   22 * JB_SECOND);
+  /* What it stored tells that it sends no commands, but not that the owner
+     before it doesn't.  */
+  predecessor.has_handed_over = true;
+  CU_ASSERT_EQUAL (jb_takeover_commands_end (&predecessor, validity, now),
+                   20 * JB_SECOND);
+  predecessor.settled_generation = 5;
   CU_ASSERT_EQUAL (jb_takeover_commands_end (&predecessor, validity, now),
                    22 * JB_SECOND);
   predecessor
