--- a/packages/jobs/include/jb_driver.h
+++ b/packages/jobs/include/jb_driver.h
@@ -155,6 +155,9 @@
      only, since it was known to have ended, or as long as it may be valid.  */
   JB_COUNT_QUOTA_WAITS_SHORT,
   JB_COUNT_QUOTA_WAITS_FULL,
+  /* Loaded jobs that a new owner released after the scan, and during it.  */
+  JB_COUNT_LOADED_JOBS_RELEASED,
+  JB_COUNT_LOADED_JOBS_RELEASED_EARLY,
   JB_COUNTER_COUNT
 };
 
--- a/packages/jobs/include/jb_types.h
+++ b/packages/jobs/include/jb_types.h
@@ -94,7 +94,13 @@
   JB_SAFEGUARD_ZONES = 1 << 10,
   /* A planner sends commands only to hosts whose names are stored, so that its
      successor waits for the lease of these commands.  */
-  JB_SAFEGUARD_COMMANDED_ROWS = 1 << 9
+  JB_SAFEGUARD_COMMANDED_ROWS = 1 << 9,
+  /* A new pool owner uses only what the owner just before it has left about
+     runs, not what an earlier one has.  */
+  JB_SAFEGUARD_HANDOVER_GENERATION = 1 << 12,
+  /* A run counts as the only one of its task only if it was listed after the
+     last command of a former owner.  */
+  JB_SAFEGUARD_LISTED_AFTER_COMMANDS = 1 << 13
 };
 
 /* Durations and limits of the deployment.  */
--- a/packages/jobs/src/jb_driver.c
+++ b/packages/jobs/src/jb_driver.c
@@ -9,8 +9,8 @@
 enum
 {
   MAX_LOG_FIELD_COUNT = 24,
-  NUMBER_BUFFER_COUNT = 8, /* of jb_itoa */
-  NUMBER_BUFFER_BYTES = 24 /* holds any int64_t */
+  NUMBER_BUFFER_COUNT = 10, /* of jb_itoa */
+  NUMBER_BUFFER_BYTES = 24  /* holds any int64_t */
 };
 
 /* A command whose reply has not arrived.  It is a talloc child of the owner
@@ -304,6 +304,10 @@
   [JB_COUNT_COMMANDED_INHERITED] = { "commanded_hosts_inherited", NULL },
   [JB_COUNT_QUOTA_WAITS_SHORT] = { "quota_waits", "predecessor=\"ended\"" },
   [JB_COUNT_QUOTA_WAITS_FULL] = { "quota_waits", "predecessor=\"unknown\"" },
+  [JB_COUNT_LOADED_JOBS_RELEASED]
+  = { "loaded_jobs", "released=\"after-scan\"" },
+  [JB_COUNT_LOADED_JOBS_RELEASED_EARLY]
+  = { "loaded_jobs", "released=\"early\"" },
 };
 
 static const char *const histogram_names[JB_HIST_COUNT] = {
--- a/packages/jobs/src/jb_pool_takeover.c
+++ b/packages/jobs/src/jb_pool_takeover.c
@@ -3,11 +3,26 @@
    task is started again.  */
 
 #include "jb_pool_internal.h"
+#include "jb_takeover.h"
 
 #include <string.h>
 
 #define STORE_READ_TIMEOUT_MS 1500
 
+/* Time between two checks of which loaded jobs may be released, each of which
+   looks at all tasks that are not done.  */
+#define RELEASE_CHECK_INTERVAL (10 * JB_MS)
+
+/* How long loaded jobs have waited when it is first logged, and the time
+   between two such lines.  */
+#define WAIT_LOG_DELAY (300 * JB_MS)
+#define WAIT_LOG_INTERVAL (1000 * JB_MS)
+
+enum
+{
+  MAX_LISTED_BACKENDS = 5 /* by name in a log line or view */
+};
+
 static void read_page (struct jb_pool *pool, jb_time now,
                        const char *first_key);
 
@@ -110,9 +125,12 @@
     }
 }
 
-static void
-finish_loading (struct jb_pool *pool, jb_time now)
+void
+jb_pool_finish_loading_if_complete (struct jb_pool *pool, jb_time now)
 {
+  if (pool->stage != JB_STAGE_LOADING || !pool->rows_read
+      || !pool->handover_read)
+    return;
   complete_finished_jobs (pool, now);
   pool->stage = JB_STAGE_SCANNING;
   pool->schedule_due = true;
@@ -151,9 +169,12 @@
   for (uint32_t i = 0; i < reply->row_count; i++)
     load_row (pool, now, &reply->rows[i]);
   if (reply->next_page != NULL)
-    read_page (pool, now, reply->next_page);
-  else
-    finish_loading (pool, now);
+    {
+      read_page (pool, now, reply->next_page);
+      return;
+    }
+  pool->rows_read = true;
+  jb_pool_finish_loading_if_complete (pool, now);
 }
 
 /* Read the next page of the pool's job rows, from FIRST_KEY on, or from the
@@ -186,21 +207,164 @@
     jb_pool_release (pool, now, "the pool's rows can't be read");
 }
 
+/* Previous owners send no commands after UNTIL.  The leases that their last
+   commands requested expire later, on the slowest allowed clock as computed
+   here.  */
+static void
+set_predecessor_until (struct jb_pool *pool, jb_time until)
+{
+  pool->predecessor_until = until;
+  pool->scan_until
+      = until
+        + JB_RUN_LEASE_MS * JB_MS * 100 / (100 - JB_MAX_CLOCK_DRIFT_PERCENT)
+        + JB_LEASE_MARGIN_MS * JB_MS;
+}
+
 void
 jb_pool_begin_takeover (struct jb_pool *pool, jb_time now)
 {
   pool->stage = JB_STAGE_LOADING;
   pool->loading_since = now;
-  /* The previous owner could send commands until its ownership expired.  The
-     leases that its last commands requested expire later, on the slowest
-     allowed clock as computed here.  */
-  pool->scan_until
-      = now + JB_OWNERSHIP_VALIDITY
-        + JB_RUN_LEASE_MS * JB_MS * 100 / (100 - JB_MAX_CLOCK_DRIFT_PERCENT)
-        + JB_LEASE_MARGIN_MS * JB_MS;
+  pool->predecessor = (struct jb_takeover_predecessor){
+    .claimed_at = now, .generation = jb_ownership_generation (pool->ownership)
+  };
+  set_predecessor_until (pool, jb_takeover_commands_end (&pool->predecessor,
+                                                         JB_OWNERSHIP_VALIDITY,
+                                                         now));
+  jb_pool_check_predecessor (pool, now);
+  jb_pool_read_handover (pool, now);
   jb_pool_read_roster (pool, now, handle_roster);
 }
 
+void
+jb_pool_check_predecessor (struct jb_pool *pool, jb_time now)
+{
+  const char *owner = jb_ownership_previous_owner (pool->ownership);
+  uint64_t incarnation = jb_ownership_previous_incarnation (pool->ownership);
+  jb_time until;
+
+  if ((pool->stage != JB_STAGE_LOADING && pool->stage != JB_STAGE_SCANNING)
+      || now >= pool->predecessor_until || owner == NULL)
+    return;
+  /* If it was this process, nothing of its former ownership is left.  */
+  if (!pool->predecessor.has_ended)
+    pool->predecessor.has_ended = incarnation == pool->options.incarnation
+                                  || pool->options.has_process_ended (
+                                      pool->options.data, owner, incarnation);
+  until = jb_takeover_commands_end (&pool->predecessor, JB_OWNERSHIP_VALIDITY,
+                                    now);
+  if (until >= pool->predecessor_until)
+    return;
+  set_predecessor_until (pool, until);
+  jb_log (pool->options.driver, JB_LEVEL_INFO, "predecessor-ended", "pool",
+          pool->options.name, "owner", owner, "reason",
+          pool->predecessor.has_handed_over ? "it has handed the pool over"
+                                            : "its process has ended",
+          "ms", jb_itoa ((now - pool->loading_since) / JB_MS), NULL);
+}
+
+bool
+jb_pool_awaits_backend (const struct jb_backend *backend)
+{
+  return backend->inherited && !backend->probed
+         && !backend->excluded_from_roster;
+}
+
+char *
+jb_pool_list_awaited (const struct jb_pool *pool, TALLOC_CTX *mem,
+                      uint32_t *count)
+{
+  char *names = talloc_strdup (mem, "");
+  GHashTableIter iter;
+  gpointer value;
+
+  *count = 0;
+  g_hash_table_iter_init (&iter, pool->backends);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct jb_backend *backend = value;
+
+      if (jb_pool_awaits_backend (backend) && (*count)++ < MAX_LISTED_BACKENDS)
+        names = talloc_asprintf_append_buffer (
+            names, "%s%s", names[0] != '\0' ? "," : "", backend->instance);
+    }
+  return names;
+}
+
+/* Let the tasks of JOB, which was loaded, start.  */
+static void
+release_job (struct jb_pool *pool, struct jb_job *job, enum jb_counter counter)
+{
+  job->loaded_from_store = false;
+  pool->schedule_due = true;
+  jb_count_event (pool->options.driver, counter);
+}
+
+/* Log how many jobs wait for which backend servers.  */
+static void
+log_waiting_jobs (struct jb_pool *pool, jb_time now)
+{
+  jb_time waited = now - pool->loading_since;
+  uint32_t count;
+  char *names;
+
+  if (pool->waiting_jobs + pool->awaited_tasks == 0 || waited < WAIT_LOG_DELAY
+      || (pool->wait_logged_at != 0
+          && now - pool->wait_logged_at < WAIT_LOG_INTERVAL))
+    return;
+  pool->wait_logged_at = now;
+  names = jb_pool_list_awaited (pool, NULL, &count);
+  jb_log (pool->options.driver, JB_LEVEL_WARN, "loaded-jobs-wait", "pool",
+          pool->options.name, "jobs", jb_itoa (pool->waiting_jobs), "tasks",
+          jb_itoa (pool->awaited_tasks), "backends", jb_itoa (count), "first",
+          names, "since_ms", jb_itoa (waited / JB_MS), "at_most_ms",
+          jb_itoa ((pool->scan_until - now) / JB_MS), NULL);
+  talloc_free (names);
+}
+
+jb_time
+jb_pool_release_loaded_jobs (struct jb_pool *pool, jb_time now)
+{
+  uint32_t released = 0;
+  bool all_known;
+  bool may_release;
+
+  if (pool->stage != JB_STAGE_SCANNING || !pool->release_check_due)
+    return JB_NEVER;
+  if (now < pool->next_release_check)
+    return pool->next_release_check;
+  pool->release_check_due = false;
+  pool->next_release_check = now + RELEASE_CHECK_INTERVAL;
+  pool->waiting_jobs = 0;
+  pool->awaited_tasks = jb_pool_mark_awaited_tasks (pool);
+  all_known = jb_pool_left_runs_are_known (pool);
+  may_release
+      = now >= pool->predecessor_until
+        || jb_pool_has_disabled (pool, JB_SAFEGUARD_LISTED_AFTER_COMMANDS);
+  for (guint i = 0; i < pool->active_jobs->len; i++)
+    {
+      struct jb_job *job = g_ptr_array_index (pool->active_jobs, i);
+
+      if (!job->loaded_from_store || job->ended_at != 0)
+        continue;
+      if ((now >= pool->predecessor_until && all_known)
+          || (may_release && jb_takeover_may_release (job)))
+        {
+          release_job (pool, job, JB_COUNT_LOADED_JOBS_RELEASED_EARLY);
+          released++;
+        }
+      else
+        pool->waiting_jobs++;
+    }
+  if (released > 0)
+    jb_log (pool->options.driver, JB_LEVEL_INFO, "loaded-jobs-released",
+            "pool", pool->options.name, "jobs", jb_itoa (released), "waiting",
+            jb_itoa (pool->waiting_jobs), "ms",
+            jb_itoa ((now - pool->loading_since) / JB_MS), NULL);
+  log_waiting_jobs (pool, now);
+  return JB_NEVER;
+}
+
 void
 jb_pool_finish_scan_if_complete (struct jb_pool *pool, jb_time now)
 {
@@ -215,23 +379,20 @@
     {
       g_hash_table_iter_init (&iter, pool->backends);
       while (g_hash_table_iter_next (&iter, NULL, &value))
-        {
-          const struct jb_backend *backend = value;
-
-          if (backend->inherited && !backend->probed
-              && !backend->excluded_from_roster)
-            unprobed++;
-        }
+        unprobed += jb_pool_awaits_backend (value);
       if (unprobed > 0)
         return;
     }
   pool->stage = JB_STAGE_ACTIVE;
   pool->schedule_due = true;
+  pool->waiting_jobs = 0;
+  pool->awaited_tasks = jb_pool_mark_awaited_tasks (pool);
   for (guint i = 0; i < pool->active_jobs->len; i++)
     {
       struct jb_job *job = g_ptr_array_index (pool->active_jobs, i);
 
-      job->loaded_from_store = false;
+      if (job->loaded_from_store)
+        release_job (pool, job, JB_COUNT_LOADED_JOBS_RELEASED);
     }
   jb_log (pool->options.driver, JB_LEVEL_INFO, "pool-active", "pool",
           pool->options.name, "ms",
