Reserve room for waiting tasks, with lookahead switched on

Cause: small tasks leave gaps on the backend servers that large ones can't use, so large ones wait until the surge is over.

Run: ctest -R test_jb_, all passed. Not run: with the switch on; that follows.

--- a/packages/jobs/include/jb_driver.h
+++ b/packages/jobs/include/jb_driver.h
@@ -144,6 +144,14 @@
   /* Commands to hosts of the fleet that were executed.  */
   JB_COUNT_HOST_MOVES,
   JB_COUNT_HOST_MAINTENANCE,
+  /* Placement with lookahead: reservations, tasks that were placed on backend
+     servers with reservations that go before them, and room held idle.  */
+  JB_COUNT_RESERVATIONS_MADE,
+  JB_COUNT_RESERVATIONS_KEPT,
+  JB_COUNT_RESERVATIONS_BROKEN,
+  JB_COUNT_RESERVATIONS_WITHDRAWN, /* the tasks no longer wait */
+  JB_COUNT_PLACED_IN_GAPS,
+  JB_COUNT_RESERVED_IDLE_CORE_MS,
   JB_COUNTER_COUNT
 };
 
@@ -231,8 +239,10 @@
    overwritten by the thread's eighth call after this one.  */
 const char *jb_itoa (int64_t number);
 
-/* Increment COUNTER.  */
+/* Increment COUNTER, or add NUMBER to it.  */
 void jb_count_event (struct jb_driver *driver, enum jb_counter counter);
+void jb_count_events (struct jb_driver *driver, enum jb_counter counter,
+                      uint64_t number);
 
 /* Add DURATION to HISTOGRAM; a negative one counts as 0.  */
 void jb_observe_latency (struct jb_driver *driver, enum jb_histogram histogram,
--- a/packages/jobs/include/jb_job.h
+++ b/packages/jobs/include/jb_job.h
@@ -8,6 +8,7 @@
 #include "jb_backend.h"
 #include "jb_job_desc.h"
 #include "jb_driver.h"
+#include "jb_duration.h"
 
 #include <glib.h>
 
@@ -106,6 +107,11 @@
      never.  */
   int64_t ranked_work;
   double work_divisor;
+  /* With lookahead: the expected run time of a task, until when it is not
+     looked up again, and until when no room is reserved.  */
+  struct jb_duration expected;
+  jb_time expected_until;
+  jb_time no_reservation_until;
 };
 
 struct jb_queue_stats;
--- a/packages/jobs/include/jb_place.h
+++ b/packages/jobs/include/jb_place.h
@@ -27,6 +27,25 @@
                                     const struct jb_backend *avoid,
                                     jb_time now);
 
+/* Like jb_place_choose, but of otherwise equal backend servers a short task
+   goes where it leaves the least of all resources free, not only of the
+   processor.  */
+struct jb_backend *
+jb_place_choose_best_fit (const struct jb_task *task,
+                          struct jb_backend *const *backends, uint32_t count,
+                          const struct jb_backend *avoid, jb_time now);
+
+/* Return how much of a backend server with CAPACITY and the free resources
+   AVAILABLE is left when REQUIRED is taken: the mean of the squares of the
+   free shares, from 0 to 1.  Squares let what is left of one resource alone
+   count more than the same amount left of each.  */
+double jb_place_leftover (const struct jb_resources *required,
+                          const struct jb_resources *available,
+                          const struct jb_resources *capacity);
+
+/* Return what TASK requires to be free: no CPU if it is best-effort.  */
+struct jb_resources jb_place_required (const struct jb_task *task);
+
 /* Return whether TASK fits into the free capacity of BACKEND.  */
 bool jb_place_fits (const struct jb_task *task,
                     const struct jb_backend *backend);
@@ -43,6 +62,12 @@
   const char *label; /* borrowed from the step; NULL: any backend server */
 };
 
+/* Return whether MISS implies that what requires REQUIRED and LABEL fits
+   nowhere either.  */
+bool jb_place_miss_covers (const struct jb_place_miss *miss,
+                           const struct jb_resources *required,
+                           const char *label);
+
 /* What is known of the room on a number of backend servers, as long as their
    free capacity does not grow: where a task found none, none that requires as
    much or more does.  With a long queue most tasks are found to fit nowhere
--- a/packages/jobs/include/jb_types.h
+++ b/packages/jobs/include/jb_types.h
@@ -123,6 +123,9 @@
   double remote_data_slowdown;
   /* Commands to hosts that the whole fleet accepts per second.  */
   uint32_t max_host_commands_per_s;
+  /* Placement considers what is waiting and what will end soon
+     (jb_reserve.h).  */
+  bool lookahead;
   /* Bit set of enum jb_safeguard; 0 except in tests.  */
   uint32_t disabled_safeguards;
 };
--- a/packages/jobs/src/jb_driver.c
+++ b/packages/jobs/src/jb_driver.c
@@ -213,6 +213,13 @@
   driver->metrics.counters[counter]++;
 }
 
+void
+jb_count_events (struct jb_driver *driver, enum jb_counter counter,
+                 uint64_t number)
+{
+  driver->metrics.counters[counter] += number;
+}
+
 void
 jb_observe_latency (struct jb_driver *driver, enum jb_histogram histogram,
                     jb_time duration)
@@ -288,6 +295,13 @@
   [JB_COUNT_OWNERSHIP_RELEASED] = { "duties", "change=\"released\"" },
   [JB_COUNT_HOST_MOVES] = { "host_orders", "kind=\"move\"" },
   [JB_COUNT_HOST_MAINTENANCE] = { "host_orders", "kind=\"maintenance\"" },
+  [JB_COUNT_RESERVATIONS_MADE] = { "reservations", "event=\"made\"" },
+  [JB_COUNT_RESERVATIONS_KEPT] = { "reservations", "event=\"kept\"" },
+  [JB_COUNT_RESERVATIONS_BROKEN] = { "reservations", "event=\"broken\"" },
+  [JB_COUNT_RESERVATIONS_WITHDRAWN]
+  = { "reservations", "event=\"withdrawn\"" },
+  [JB_COUNT_PLACED_IN_GAPS] = { "placed_in_gaps", NULL },
+  [JB_COUNT_RESERVED_IDLE_CORE_MS] = { "reserved_idle_core_ms", NULL },
 };
 
 static const char *const histogram_names[JB_HIST_COUNT] = {
--- a/packages/jobs/src/jb_place.c
+++ b/packages/jobs/src/jb_place.c
@@ -43,9 +43,8 @@
   return same_step < step->max_per_backend;
 }
 
-/* Return what TASK requires to be free: no CPU if it is best-effort.  */
-static struct jb_resources
-required_resources (const struct jb_task *task)
+struct jb_resources
+jb_place_required (const struct jb_task *task)
 {
   struct jb_resources required = jb_task_step (task)->resources;
 
@@ -57,7 +56,7 @@
 bool
 jb_place_fits (const struct jb_task *task, const struct jb_backend *backend)
 {
-  struct jb_resources required = required_resources (task);
+  struct jb_resources required = jb_place_required (task);
   struct jb_resources available = jb_backend_available (backend);
 
   return jb_resources_fit (&required, &available);
@@ -100,11 +99,37 @@
     }
 }
 
+static double
+free_share_squared (int64_t required, int64_t available, int64_t capacity)
+{
+  double share
+      = capacity > 0 ? (double)(available - required) / (double)capacity : 0;
+
+  return share * share;
+}
+
+double
+jb_place_leftover (const struct jb_resources *required,
+                   const struct jb_resources *available,
+                   const struct jb_resources *capacity)
+{
+  return (free_share_squared (required->cpu_milli, available->cpu_milli,
+                              capacity->cpu_milli)
+          + free_share_squared (required->memory_mb, available->memory_mb,
+                                capacity->memory_mb)
+          + free_share_squared (required->accelerators,
+                                available->accelerators,
+                                capacity->accelerators))
+         / 3;
+}
+
 /* Return the penalty of running TASK on BACKEND; the lowest wins.  The share
    of the CPU that is free there, at most 1, decides between equals: short
-   tasks prefer the fullest backend server, all others the emptiest.  */
+   tasks prefer the fullest backend server, all others the emptiest.  With
+   BEST_FIT, for short tasks jb_place_leftover decides between equals.  */
 static double
-penalty (const struct jb_task *task, const struct jb_backend *backend)
+penalty (const struct jb_task *task, const struct jb_backend *backend,
+         bool best_fit)
 {
   const struct jb_step *step = jb_task_step (task);
   struct jb_resources available = jb_backend_available (backend);
@@ -131,15 +156,19 @@
            + (services == 0 ? PENALTY_NO_SERVICE : 0)
            - (double)available.cpu_milli
                  / (double)(backend->capacity.cpu_milli + 1);
+  if (best_fit)
+    return result
+           + jb_place_leftover (&step->resources, &available,
+                                &backend->capacity);
   return result
          + (double)available.cpu_milli
                / (double)(backend->capacity.cpu_milli + 1);
 }
 
-struct jb_backend *
-jb_place_choose (const struct jb_task *task,
-                 struct jb_backend *const *backends, uint32_t count,
-                 const struct jb_backend *avoid, jb_time now)
+static struct jb_backend *
+choose (const struct jb_task *task, struct jb_backend *const *backends,
+        uint32_t count, const struct jb_backend *avoid, jb_time now,
+        bool best_fit)
 {
   struct jb_backend *best = NULL;
   double best_penalty = 0;
@@ -153,7 +182,7 @@
           || !jb_place_is_allowed (task, backend)
           || jb_crash_keeps_apart (task, backend, now))
         continue;
-      candidate_penalty = penalty (task, backend)
+      candidate_penalty = penalty (task, backend, best_fit)
                           + (backend == avoid ? PENALTY_AVOIDED_BACKEND : 0);
       if (best == NULL || candidate_penalty < best_penalty)
         {
@@ -164,13 +193,27 @@
   return best;
 }
 
+struct jb_backend *
+jb_place_choose (const struct jb_task *task,
+                 struct jb_backend *const *backends, uint32_t count,
+                 const struct jb_backend *avoid, jb_time now)
+{
+  return choose (task, backends, count, avoid, now, false);
+}
+
+struct jb_backend *
+jb_place_choose_best_fit (const struct jb_task *task,
+                          struct jb_backend *const *backends, uint32_t count,
+                          const struct jb_backend *avoid, jb_time now)
+{
+  return choose (task, backends, count, avoid, now, true);
+}
+
 /* ---- room ---- */
 
-/* Return whether MISS implies that what requires REQUIRED and LABEL fits
-   nowhere either.  */
-static bool
-covers (const struct jb_place_miss *miss, const struct jb_resources *required,
-        const char *label)
+bool
+jb_place_miss_covers (const struct jb_place_miss *miss,
+                      const struct jb_resources *required, const char *label)
 {
   return jb_resources_fit (&miss->required, required)
          && (miss->label == NULL
@@ -181,11 +224,11 @@
 jb_place_is_hopeless (const struct jb_place_room *room,
                       const struct jb_task *task)
 {
-  struct jb_resources required = required_resources (task);
+  struct jb_resources required = jb_place_required (task);
   const char *label = jb_task_step (task)->required_label;
 
   for (uint32_t i = 0; i < room->miss_count; i++)
-    if (covers (&room->misses[i], &required, label))
+    if (jb_place_miss_covers (&room->misses[i], &required, label))
       return true;
   return false;
 }
@@ -195,12 +238,13 @@
 add_miss (struct jb_place_room *room, const struct jb_task *task)
 {
   struct jb_place_miss miss
-      = { required_resources (task), jb_task_step (task)->required_label };
+      = { jb_place_required (task), jb_task_step (task)->required_label };
   uint32_t kept = 0;
 
   /* The new miss makes those superfluous that it covers.  */
   for (uint32_t i = 0; i < room->miss_count; i++)
-    if (!covers (&miss, &room->misses[i].required, room->misses[i].label))
+    if (!jb_place_miss_covers (&miss, &room->misses[i].required,
+                               room->misses[i].label))
       room->misses[kept++] = room->misses[i];
   room->miss_count = kept;
   if (room->miss_count < JB_PLACE_MAX_MISSES)
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -7,6 +7,7 @@
 #include "jb_place.h"
 #include "jb_pool.h"
 #include "jb_rank.h"
+#include "jb_reserve.h"
 
 #define JB_JOB_TABLE "job"
 
@@ -85,6 +86,18 @@
      not looked up yet.  */
   bool has_quota;
   uint64_t quota_version;
+  /* With lookahead: it uses more than its weight's share while others
+     wait.  */
+  bool exceeds_weight;
+};
+
+/* The state of placement with lookahead.  */
+struct jb_pool_lookahead
+{
+  struct jb_duration_table *durations;
+  struct jb_reserve *reserve;
+  struct jb_reserve_stats counted; /* in the driver's metrics */
+  struct jb_rank rank; /* of the group whose tasks are being started */
 };
 
 /* Why the runs on a backend server were lost.  */
@@ -156,7 +169,8 @@
      thousandths of a core * ms.  */
   double arrived_work;
   jb_time arrived_work_at;
-  GPtrArray *deferred_requests; /* struct jb_deferred_request */
+  GPtrArray *deferred_requests;        /* struct jb_deferred_request */
+  struct jb_pool_lookahead *lookahead; /* NULL: it is switched off */
 };
 
 /* Return when the ownership of POOL expires unless it is confirmed again.  */
@@ -314,6 +328,26 @@
 void jb_pool_handle_run_update (struct jb_pool *pool, struct jb_task *task,
                                 jb_time now);
 
+/* ---- jb_pool_lookahead.c ---- */
+
+/* Begin a scheduling cycle.  Return whether lookahead is switched on.  Only
+   then the other functions may be called, except jb_pool_record_duration.  */
+bool jb_pool_lookahead_begin (struct jb_pool *pool, jb_time now);
+/* Plan the reservations if that is due, after the tasks of a cycle have been
+   started.  Return whether jb_pool_reserve should be called for the first
+   groups that wait.  */
+bool jb_pool_lookahead_plan (struct jb_pool *pool, jb_time now);
+/* Return whether GROUP, which fits nowhere now, may have a reservation.  */
+bool jb_pool_may_reserve (struct jb_pool *pool,
+                          const struct jb_task_group *group, jb_time now);
+/* Reserve room for GROUP, which has RANK.  Return whether there will be
+   some.  */
+bool jb_pool_reserve (struct jb_pool *pool, struct jb_task_group *group,
+                      const struct jb_rank *rank, jb_time now);
+/* Record how long the run of TASK, which has succeeded, has taken.  */
+void jb_pool_record_duration (struct jb_pool *pool, const struct jb_task *task,
+                              jb_time now);
+
 /* ---- jb_pool_quota.c ---- */
 
 /* Return whether ORG, which may be NULL, has a quota.  */
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -212,7 +212,10 @@
       && job->ended_at == 0)
     {
       if (task->backend == backend && task->run == ended_run->run)
-        update_duration_ratio (pool, task, now);
+        {
+          update_duration_ratio (pool, task, now);
+          jb_pool_record_duration (pool, task, now);
+        }
       mark_done (pool, task, now);
     }
   if (task->state != JB_RUN_NONE && task->backend == backend
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -609,6 +609,9 @@
 {
   struct jb_backend *backend;
 
+  if (pool->lookahead != NULL)
+    return jb_reserve_choose (pool->lookahead->reserve, task,
+                              &pool->lookahead->rank, room, now);
   if (jb_place_is_hopeless (room, task))
     return NULL;
   backend = jb_place_choose (task, pool->usable_backends, pool->usable_count,
@@ -641,6 +644,9 @@
         break; /* the remaining tasks have the same size */
       assign_and_start (pool, task, backend, next_run_number (pool, task),
                         now);
+      if (pool->lookahead != NULL)
+        jb_reserve_task_started (pool->lookahead->reserve, task,
+                                 &pool->lookahead->rank, now);
       started++;
     }
   return started;
@@ -696,10 +702,89 @@
     {
       group->tasks[i].run = run;
       send_start (pool, &group->tasks[i], now);
+      if (pool->lookahead != NULL)
+        jb_reserve_task_started (pool->lookahead->reserve, &group->tasks[i],
+                                 &pool->lookahead->rank, now);
     }
   return group->task_count;
 }
 
+/* Return whether GROUP waits for room, as collect_candidates has it.  */
+static bool
+is_waiting (const struct jb_task_group *group)
+{
+  const struct jb_job *job = group->job;
+
+  return job->ended_at == 0 && job->stored && !job->loaded_from_store
+         && group->ready
+         && group->done_count + group->active_runs < group->task_count;
+}
+
+/* Insert CANDIDATE into the COUNT FIRST ones, which are ordered by rank and of
+   which LIMIT are kept.  Return the new count.  */
+static uint32_t
+insert_candidate (struct candidate *first, uint32_t count, uint32_t limit,
+                  const struct candidate *candidate)
+{
+  uint32_t i = count;
+
+  if (count == limit && compare_candidates (&first[count - 1], candidate) <= 0)
+    return count;
+  if (count == limit)
+    i--;
+  else
+    count++;
+  for (; i > 0 && compare_candidates (&first[i - 1], candidate) > 0; i--)
+    first[i] = first[i - 1];
+  first[i] = *candidate;
+  return count;
+}
+
+/* Reserve room for the first groups that still wait, if it is time for
+   that.  */
+static void
+plan_reservations (struct jb_pool *pool, jb_time now)
+{
+  /* Some of them may not be able to get one.  */
+  struct candidate first[2 * JB_RESERVE_MAX];
+  uint32_t count = 0;
+
+  if (!jb_pool_lookahead_plan (pool, now))
+    return;
+  for (guint i = 0; i < pool->active_jobs->len; i++)
+    {
+      struct jb_job *job = g_ptr_array_index (pool->active_jobs, i);
+
+      for (guint j = 0; j < job->groups->len; j++)
+        {
+          struct jb_task_group *group = g_ptr_array_index (job->groups, j);
+          struct candidate candidate = { .group = group };
+
+          if (!is_waiting (group) || !jb_pool_may_reserve (pool, group, now))
+            continue;
+          candidate.rank = rank_group (pool, group, now);
+          count = insert_candidate (first, count, G_N_ELEMENTS (first),
+                                    &candidate);
+        }
+    }
+  for (uint32_t i = 0; i < count; i++)
+    jb_pool_reserve (pool, first[i].group, &first[i].rank, now);
+}
+
+/* Rank the groups that have reservations.  */
+static void
+rank_reservations (struct jb_pool *pool, jb_time now)
+{
+  struct jb_reserve *reserve = pool->lookahead->reserve;
+
+  for (uint32_t i = 0; i < jb_reserve_count (reserve); i++)
+    {
+      struct jb_reservation *reservation = jb_reserve_get (reserve, i);
+
+      reservation->rank = rank_group (pool, reservation->group, now);
+    }
+}
+
 void
 jb_pool_schedule (struct jb_pool *pool, jb_time now)
 {
@@ -716,6 +801,8 @@
   if (pool->usable_count == 0)
     return;
   jb_pool_recount_usage (pool);
+  if (jb_pool_lookahead_begin (pool, now))
+    rank_reservations (pool, now);
   candidates = collect_candidates (pool, &room, now);
   for (guint i = 0; i < candidates->len && started < MAX_STARTS_PER_CYCLE; i++)
     {
@@ -724,11 +811,16 @@
 
       if (!jb_pool_ensure_advice (pool, group, now))
         continue;
+      if (pool->lookahead != NULL)
+        pool->lookahead->rank
+            = g_array_index (candidates, struct candidate, i).rank;
       started += jb_task_group_step (group)->gang
                      ? start_gang (pool, group, &room, now)
                      : start_group (pool, group, &room, now);
     }
   if (started >= MAX_STARTS_PER_CYCLE)
     pool->schedule_due = true;
+  else if (pool->lookahead != NULL)
+    plan_reservations (pool, now);
   g_array_free (candidates, TRUE);
 }
