--- a/programs/dogwoodpulleyd.c
+++ b/programs/dogwoodpulleyd.c
@@ -29,6 +29,8 @@
           "Accept jobs; the platform's settings file is given by the "
           "environment",
           0 },
+        { "lookahead", 'l', NULL, 0,
+          "With --jobs: reserve room for tasks that wait for it", 0 },
         { 0 } };
 
 struct arguments
@@ -36,6 +38,7 @@
   const char *settings;
   bool check;
   bool jobs;
+  bool lookahead;
 };
 
 static error_t
@@ -54,7 +57,12 @@
     case 'j':
       arguments->jobs = true;
       return 0;
+    case 'l':
+      arguments->lookahead = true;
+      return 0;
     case ARGP_KEY_END:
+      if (arguments->lookahead && !arguments->jobs)
+        argp_error (state, "--lookahead needs --jobs");
       if (arguments->settings == NULL && !arguments->jobs)
         argp_error (state, "--settings FILE is needed");
       return 0;
@@ -78,7 +86,7 @@
   sv_signals_block ();
   argp_parse (&argp, argc, argv, 0, NULL, &arguments);
   if (arguments.jobs)
-    return pf_serve_jobs ();
+    return pf_serve_jobs (arguments.lookahead);
   mem = talloc_new (NULL);
   settings = cf_settings_load (mem, arguments.settings, &error);
   if (settings == NULL)
--- a/tests/sim/jobs/jw_soak.c
+++ b/tests/sim/jobs/jw_soak.c
@@ -436,6 +436,7 @@
           .no_overload_guard = soak->no_overload_guard,
           .org_cpu_limit_milli = soak->seed % 3 == 0 ? 26000 : 0,
           .disabled_safeguards = soak->disabled_safeguards,
+          .lookahead = soak->lookahead,
           .max_delay_ms = soak->restart_backends ? RESTART_MAX_DELAY_MS : 0,
           .external_hosts = soak->external_hosts,
           .network_prefix = soak->network_prefix,
--- a/tests/sim/jobs/jw_soak.h
+++ b/tests/sim/jobs/jw_soak.h
@@ -9,6 +9,7 @@
 {
   uint32_t seed;
   uint32_t disabled_safeguards; /* enum jb_safeguard */
+  bool lookahead;               /* as in struct jw_options */
   bool no_overload_guard;       /* backend servers start what doesn't fit */
   bool stall_one_host;          /* again and again, as if it were short of
                                    processor time */
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -70,6 +70,7 @@
   int64_t backend_cpu_milli; /* thousandths of a core */
   int64_t org_cpu_limit_milli;  /* of each organisation; 0: no limit */
   uint32_t disabled_safeguards; /* enum jb_safeguard */
+  bool lookahead;               /* as in struct jb_bounds */
   bool no_overload_guard;       /* backend servers start what doesn't fit */
   bool needs_advice;            /* task starts need tickets from a policy */
   bool reorder_messages;        /* between entry hosts */
--- a/tests/sim/jobs/soak_jobs.c
+++ b/tests/sim/jobs/soak_jobs.c
@@ -14,6 +14,7 @@
   uint32_t seed;
   uint32_t runs;
   uint32_t disabled_safeguards;
+  bool lookahead;
   bool stalls;
   bool no_guard;
   bool restarts;
@@ -26,6 +27,7 @@
   { "seed", 's', "N", 0, "First seed (1)", 0 },
   { "runs", 'r', "N", 0, "Number of seeds (100)", 0 },
   { "off", 'o', "MASK", 0, "Safeguards to switch off (enum jb_safeguard)", 0 },
+  { "lookahead", 'a', NULL, 0, "Reserve room for tasks that wait for it", 0 },
   { "stalls", 't', NULL, 0, "Let one entry host stall again and again", 0 },
   { "no-guard", 'g', NULL, 0, "Let backend servers start what does not fit",
     0 },
@@ -56,6 +58,9 @@
     case 'o':
       arguments->disabled_safeguards = (uint32_t)strtoul (value, NULL, 0);
       return 0;
+    case 'a':
+      arguments->lookahead = true;
+      return 0;
     case 't':
       arguments->stalls = true;
       return 0;
@@ -96,6 +101,7 @@
       struct jw_soak soak
           = { .seed = arguments.seed + i,
               .disabled_safeguards = arguments.disabled_safeguards,
+              .lookahead = arguments.lookahead,
               .stall_one_host = arguments.stalls,
               .no_overload_guard = arguments.no_guard,
               .restart_backends = arguments.restarts,
