--- a/bench/bench_pool.c
+++ b/bench/bench_pool.c
@@ -2,6 +2,12 @@
    with a long queue, for several numbers of waiting jobs and backend servers.
 
    Usage: bench_pool [JOBS BACKENDS]
+          bench_pool lookahead [JOBS BACKENDS]
+
+   The second form compares placement with and without lookahead
+   (jb_reserve.h), for jobs of which some have tasks that need most of a
+   backend server.  The column "ratio" is that of all processor time; compare
+   "run, us" for the cycle.
 
    A pool with a simulated store and simulated backend servers, which are kept
    full, runs in virtual time.  As many tasks start a second at all sizes:
@@ -50,6 +56,12 @@
      use; the limits of the others are never reached.  */
   TIGHT_SHARE_MILLI = 150,
   SUBMISSIONS_PER_MS = 2,
+  /* With large tasks, one in so many steps has them.  */
+  LARGE_STEP_PERIOD = 12,
+  LARGE_TASK_CPU_MILLI = 6000,
+  /* 5,000 waiting tasks.  */
+  LOOKAHEAD_JOBS = 5000 / MEAN_TASKS_PER_JOB,
+  LOOKAHEAD_BACKENDS = 200,
   CLIENT = 1,       /* incarnation of the member that sends requests */
   PLANNER_FENCE = 1 /* fence of the planner that assigns shares */
 };
@@ -101,6 +113,7 @@
   struct jb_driver *driver;
   struct jb_bounds bounds;
   const struct jb_catalog *catalog;
+  bool large_tasks; /* some steps have them */
   jb_time now;
   uint64_t serial;
   uint64_t version; /* of the store */
@@ -475,6 +488,9 @@
         }
       if (g_rand_int_range (random, 0, SPECIAL_STEP_PERIOD) == 0)
         make_special (desc, random, step);
+      if (bench->large_tasks
+          && g_rand_int_range (random, 0, LARGE_STEP_PERIOD) == 0)
+        step->resources.cpu_milli = LARGE_TASK_CPU_MILLI;
     }
   return desc;
 }
@@ -725,18 +741,31 @@
     }
 }
 
-/* Run a pool with BACKEND_COUNT full backend servers and JOB_COUNT waiting
-   jobs, and print a row of the table.  Return the processor time of a second.
-   BASE is that of the first row, or 0.  */
+/* What is measured: a pool with BACKEND_COUNT full backend servers and
+   JOB_COUNT waiting jobs.  */
+struct setup
+{
+  uint32_t job_count;
+  uint32_t backend_count;
+  bool large_tasks;
+  bool lookahead;
+};
+
+/* Run the pool that SETUP describes, and print a row of the table.  Return the
+   processor time of a second.  BASE is that of the first row, or 0.  */
 static double
-measure (uint32_t job_count, uint32_t backend_count, double base)
+measure (const struct setup *setup, double base)
 {
-  struct bench *bench = make_bench (backend_count);
+  struct bench *bench = make_bench (setup->backend_count);
+  uint32_t job_count = setup->job_count;
+  uint32_t backend_count = setup->backend_count;
   uint32_t jobs
       = job_count + backend_count * TASKS_PER_BACKEND / MEAN_TASKS_PER_JOB;
   double measured_s = (double)MEASURED_TIME / JB_SECOND;
   double total = 0;
 
+  bench->large_tasks = setup->large_tasks;
+  bench->bounds.lookahead = setup->lookahead;
   advance (bench, bench->now + WARM_UP, jobs);
   bench->measuring = true;
   bench->starts = 0;
@@ -755,6 +784,17 @@
   return total;
 }
 
+/* Compare placement with and without lookahead.  */
+static void
+measure_lookahead (uint32_t job_count, uint32_t backend_count)
+{
+  struct setup setup = { job_count, backend_count, true, false };
+  double base = measure (&setup, 0);
+
+  setup.lookahead = true;
+  measure (&setup, base);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -768,15 +808,28 @@
       "reply, us | report, us | runs, %% of a core | all, %% of a core | "
       "ratio | decisions |\n");
   printf ("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n");
+  if (argc >= 2 && strcmp (argv[1], "lookahead") == 0)
+    {
+      if (argc == 4)
+        measure_lookahead ((uint32_t)atoi (argv[2]), (uint32_t)atoi (argv[3]));
+      else
+        measure_lookahead (LOOKAHEAD_JOBS, LOOKAHEAD_BACKENDS);
+      return 0;
+    }
   if (argc == 3)
     {
-      measure ((uint32_t)atoi (argv[1]), (uint32_t)atoi (argv[2]), 0);
+      struct setup setup = { .job_count = (uint32_t)atoi (argv[1]),
+                             .backend_count = (uint32_t)atoi (argv[2]) };
+
+      measure (&setup, 0);
       return 0;
     }
   for (uint32_t i = 0; i < G_N_ELEMENTS (backend_counts); i++)
     for (uint32_t j = 0; j < G_N_ELEMENTS (job_counts); j++)
       {
-        double total = measure (job_counts[j], backend_counts[i], base);
+        struct setup setup = { .job_count = job_counts[j],
+                               .backend_count = backend_counts[i] };
+        double total = measure (&setup, base);
 
         base = base > 0 ? base : total;
       }
