Reserve for long-running tasks up to the horizon

Cause: a plan replaced the duration of a long-running task's reservation by its declared run time, which is 0, so that the reservation took no room. A gang with runs that had not ended got a reservation that it could not use. Room that a start had taken was counted as held idle until the next cycle.

Change: one function gives the time that a task takes room; gangs get no reservation before their previous runs have ended; idle room is counted anew after each start.

--- a/packages/jobs/src/jb_reserve.c
+++ b/packages/jobs/src/jb_reserve.c
@@ -136,6 +136,17 @@
   return &group->expected;
 }
 
+/* Return how long a task of GROUP takes room: a long-running one beyond the
+   horizon.  */
+static jb_time
+placement_duration (struct jb_reserve *reserve, struct jb_task_group *group,
+                    jb_time now)
+{
+  if (jb_task_group_step (group)->long_running)
+    return JB_RESERVE_STEPS * JB_RESERVE_STEP;
+  return expected_duration (reserve, group, now)->mean;
+}
+
 /* Return the step in which the run of TASK is expected to have ended, or
    JB_RESERVE_STEPS.  */
 static uint32_t
@@ -491,9 +502,7 @@
                            reserve->backend_count);
       return backend;
     }
-  duration = expected_duration (reserve, task->group, now)->mean;
-  if (jb_task_step (task)->long_running)
-    duration = JB_RESERVE_STEPS * JB_RESERVE_STEP;
+  duration = placement_duration (reserve, task->group, now);
   if (is_gap_hopeless (reserve, &wanted, duration, ahead))
     return NULL;
   count = list_permitted (reserve, &wanted.required, duration, ahead, now);
@@ -532,8 +541,9 @@
             || group->done_count + group->active_runs >= group->task_count))
       {
         end_reservation (reserve, i, JB_RESERVE_STARTED, now);
-        return;
+        break;
       }
+  reserve->idle_cpu_milli = idle_cpu (reserve);
 }
 
 /* ---- making and moving reservations ---- */
@@ -706,7 +716,7 @@
 
   if (search.task == NULL)
     return;
-  item->duration = expected_duration (reserve, item->group, now)->mean;
+  item->duration = placement_duration (reserve, item->group, now);
   search.duration = item->duration;
   search.within = item;
   here = find_step (reserve, &search, found, now);
@@ -753,13 +763,14 @@
   if (reserve->count >= JB_RESERVE_MAX || search.task == NULL)
     return false;
   search.required = jb_place_required (search.task);
-  search.duration = expected_duration (reserve, group, now)->mean;
-  if (jb_task_group_step (group)->long_running)
-    search.duration = JB_RESERVE_STEPS * JB_RESERVE_STEP;
+  search.duration = placement_duration (reserve, group, now);
   search.member_count
       = jb_task_group_step (group)->gang ? group->task_count : 1;
   if (search.member_count > JB_RESERVE_MAX_MEMBERS)
     return false;
+  /* All previous runs of a gang must end first.  */
+  if (jb_task_group_step (group)->gang && group->active_runs > 0)
+    return false;
   step = find_step (reserve, &search, found, now);
   /* What fits now waits for something else than room.  */
   if (step == 0 || step == JB_RESERVE_STEPS)
--- a/packages/jobs/tests/test_jb_reserve.c
+++ b/packages/jobs/tests/test_jb_reserve.c
@@ -265,6 +265,48 @@
   talloc_free (fixture);
 }
 
+/* A long-running task has no run time.  Its reservation must take room up to
+   the horizon, also after a plan, or another one is made for the same
+   place.  */
+static void
+test_long_running (void)
+{
+  struct fixture *fixture = make_fixture ();
+  struct jb_task_group *service = add_job (fixture, 1, 6000, 0);
+  struct jb_task_group *other = add_job (fixture, 1, 6000, 500);
+
+  service->job->desc->steps->long_running = true;
+  fixture->usable = 1;
+  run_task (fixture, 0, 8000, 500);
+  CU_ASSERT_TRUE_FATAL (make (fixture, service, 10));
+  begin (fixture);
+  jb_reserve_plan (fixture->reserve, fixture->now);
+  CU_ASSERT_EQUAL (jb_reserve_get (fixture->reserve, 0)->duration,
+                   JB_RESERVE_STEPS * JB_RESERVE_STEP);
+  CU_ASSERT_FALSE (make (fixture, other, 20));
+  /* It never ends by itself, so nothing is expected to be free.  */
+  jb_task_assign (service->tasks, fixture->backends[0], JB_RUN_RUNNING);
+  CU_ASSERT_FALSE (make (fixture, other, 20));
+  talloc_free (fixture);
+}
+
+/* Some runs of a gang may still end while its other members wait: all of them
+   must have ended before it can use a reservation.  */
+static void
+test_gang_with_runs (void)
+{
+  struct fixture *fixture = make_fixture ();
+  struct jb_task_group *gang = add_job (fixture, 2, 4000, 500);
+
+  gang->job->desc->steps->gang = true;
+  fill (fixture);
+  jb_task_assign (&gang->tasks[0], fixture->backends[0], JB_RUN_RUNNING);
+  CU_ASSERT_FALSE (make (fixture, gang, 10));
+  jb_task_unassign (&gang->tasks[0], fixture->now);
+  CU_ASSERT_TRUE (make (fixture, gang, 10));
+  talloc_free (fixture);
+}
+
 /* A reservation that stays where runs end late, while another backend server
    becomes free, would let its task wait longer than without it.  */
 static void
@@ -435,6 +477,8 @@
       = { { "tasks beside a reservation", test_backfill },
           { "tasks that found no place", test_misses },
           { "gangs reserve for all members or not at all", test_gang },
+          { "a gang whose previous runs have not ended", test_gang_with_runs },
+          { "long-running tasks", test_long_running },
           { "reservations move to earlier room", test_moved },
           { "a backend server leaves", test_backend_leaves },
           { "demand ends", test_demand_ends },
