Search room for wide gangs with less work

Cause: the room beside reservations was worked out anew for each step, member and window, and each member's backend server was looked for in the list of usable ones in each cycle: with gangs of 48 on 200 backend servers a run of the owner took 35 to 45 us instead of 15 to 21 without lookahead (trial, three runs).

Change: the room is worked out once for each backend server and search, and positions are remembered. The decisions are the same.

Run: test_jb_reserve, test_lookahead and test_jb_placement: passed, the figures of the last one unchanged; valgrind on test_jb_reserve: no errors. Not run: the gang trial again.

--- a/packages/jobs/include/jb_reserve.h
+++ b/packages/jobs/include/jb_reserve.h
@@ -62,6 +62,7 @@
      these backend servers.  */
   struct jb_backend **backends;
   uint32_t *incarnations;
+  uint32_t *positions; /* where they were last found among the usable ones */
   jb_time made_at;
   jb_time start; /* when there is room, as expected now */
   jb_time due;   /* the earliest start that was ever expected */
--- a/packages/jobs/src/jb_reserve.c
+++ b/packages/jobs/src/jb_reserve.c
@@ -50,6 +50,8 @@
   uint32_t backend_count;
   struct jb_backend **permitted; /* scratch space for as many */
   GArray *reserved;              /* struct reserved_backend */
+  /* Backend server -> its position in `reserved', counted from 1.  */
+  GHashTable *reserved_numbers;
   struct gap_miss misses[MAX_GAP_MISSES];
   uint32_t miss_count;
   /* The last plan.  */
@@ -63,6 +65,7 @@
 reserve_destroy (struct jb_reserve *reserve)
 {
   g_array_free (reserve->reserved, TRUE);
+  g_hash_table_destroy (reserve->reserved_numbers);
   return 0;
 }
 
@@ -75,6 +78,7 @@
   reserve->planned_at = JB_NEVER;
   reserve->reserved
       = g_array_new (FALSE, TRUE, sizeof (struct reserved_backend));
+  reserve->reserved_numbers = g_hash_table_new (g_direct_hash, g_direct_equal);
   talloc_set_destructor (reserve, reserve_destroy);
   return reserve;
 }
@@ -216,8 +220,13 @@
   for (uint32_t i = 0; i < reserve->count; i++)
     if ((ahead & 1U << i) != 0 && reserved->counts[i] > 0
         && takes_room (reserve->items[i], step, now))
-      for (uint32_t j = 0; j < reserved->counts[i]; j++)
-        jb_resources_subtract (&result, &reserve->items[i]->required);
+      {
+        const struct jb_resources *required = &reserve->items[i]->required;
+
+        result.cpu_milli -= reserved->counts[i] * required->cpu_milli;
+        result.memory_mb -= reserved->counts[i] * required->memory_mb;
+        result.accelerators -= reserved->counts[i] * required->accelerators;
+      }
   return result;
 }
 
@@ -227,21 +236,19 @@
 find_reserved (const struct jb_reserve *reserve,
                const struct jb_backend *backend)
 {
-  for (guint i = 0; i < reserve->reserved->len; i++)
-    {
-      struct reserved_backend *reserved
-          = &g_array_index (reserve->reserved, struct reserved_backend, i);
+  gpointer number = g_hash_table_lookup (reserve->reserved_numbers, backend);
 
-      if (reserved->backend == backend)
-        return reserved;
-    }
-  return NULL;
+  if (number == NULL)
+    return NULL;
+  return &g_array_index (reserve->reserved, struct reserved_backend,
+                         GPOINTER_TO_UINT (number) - 1);
 }
 
 static void
 index_reserved (struct jb_reserve *reserve)
 {
   g_array_set_size (reserve->reserved, 0);
+  g_hash_table_remove_all (reserve->reserved_numbers);
   reserve->miss_count = 0;
   for (uint32_t i = 0; i < reserve->count; i++)
     for (uint32_t j = 0; j < reserve->items[i]->member_count; j++)
@@ -254,6 +261,8 @@
             struct reserved_backend new = { .backend = backend };
 
             g_array_append_val (reserve->reserved, new);
+            g_hash_table_insert (reserve->reserved_numbers, backend,
+                                 GUINT_TO_POINTER (reserve->reserved->len));
             reserved
                 = &g_array_index (reserve->reserved, struct reserved_backend,
                                   reserve->reserved->len - 1);
@@ -301,14 +310,24 @@
   index_reserved (reserve);
 }
 
+/* Return whether the backend server of member number INDEX of ITEM is
+   usable.  */
 static bool
-is_usable (const struct jb_reserve *reserve, const struct jb_backend *backend,
-           uint32_t incarnation)
+is_usable (const struct jb_reserve *reserve, const struct jb_reservation *item,
+           uint32_t index)
 {
-  for (uint32_t i = 0; i < reserve->backend_count; i++)
-    if (reserve->backends[i] == backend)
-      return backend->incarnation == incarnation;
-  return false;
+  uint32_t *position = &item->positions[index];
+
+  if (*position >= reserve->backend_count
+      || reserve->backends[*position] != item->backends[index])
+    {
+      *position = 0;
+      while (*position < reserve->backend_count
+             && reserve->backends[*position] != item->backends[index])
+        ++*position;
+    }
+  return *position < reserve->backend_count
+         && item->backends[index]->incarnation == item->incarnations[index];
 }
 
 /* Return whether ITEM has become void, and set REASON.  */
@@ -324,7 +343,7 @@
     return true;
   *reason = JB_RESERVE_BACKEND;
   for (uint32_t i = 0; i < item->member_count; i++)
-    if (!is_usable (reserve, item->backends[i], item->incarnations[i]))
+    if (!is_usable (reserve, item, i))
       return true;
   *reason = JB_RESERVE_OVERTIME;
   return now > item->due + JB_RESERVE_MAX_OVERTIME;
@@ -567,40 +586,60 @@
   const struct jb_reservation *within;
 };
 
-/* Return how many members, up to what is searched for, fit on the backend
-   server with INDEX from step number STEP on.  */
+/* How many members can be placed on a backend server from each step on, for as
+   long as they take.  */
+struct search_row
+{
+  uint32_t index; /* of the backend server */
+  uint8_t counts[JB_RESERVE_STEPS];
+};
+
+/* Return how often REQUIRED fits into AVAILABLE, at most MOST times.  */
 static uint32_t
-count_fitting (const struct jb_reserve *reserve, const struct search *search,
-               uint32_t index, uint32_t step, jb_time now)
+count_fitting (const struct jb_resources *required,
+               const struct jb_resources *available, uint32_t most)
+{
+  int64_t count = most;
+
+  if (!jb_resources_fit (required, available))
+    return 0;
+  if (required->cpu_milli > 0)
+    count = MIN (count, available->cpu_milli / required->cpu_milli);
+  if (required->memory_mb > 0)
+    count = MIN (count, available->memory_mb / required->memory_mb);
+  if (required->accelerators > 0)
+    count = MIN (count, available->accelerators / required->accelerators);
+  return (uint32_t)count;
+}
+
+/* Fill in the counts of ROW.  */
+static void
+fill_row (const struct jb_reserve *reserve, const struct search *search,
+          struct search_row *row, jb_time now)
 {
-  const struct room_over_time *room = &reserve->rooms[index];
+  const struct room_over_time *room = &reserve->rooms[row->index];
   const struct reserved_backend *reserved
-      = find_reserved (reserve, reserve->backends[index]);
+      = find_reserved (reserve, reserve->backends[row->index]);
   uint32_t limit = jb_task_step (search->task)->max_per_backend;
-  uint32_t last
-      = MIN (step + steps_of (search->duration), JB_RESERVE_STEPS) - 1;
   uint32_t most = search->member_count;
+  uint32_t steps = steps_of (search->duration);
 
   if (limit > 0)
     most = MIN (most, limit);
-  if (reserved == NULL)
-    last = step; /* the room does not shrink */
-  for (uint32_t i = step; i <= last && most > 0; i++)
+  for (uint32_t i = 0; i < JB_RESERVE_STEPS; i++)
     {
       struct jb_resources left
           = reserved != NULL
                 ? room_beside (reserve, reserved, room, i, search->beside, now)
                 : room->steps[i];
-      uint32_t count = 0;
-
-      while (count < most && jb_resources_fit (&search->required, &left))
-        {
-          jb_resources_subtract (&left, &search->required);
-          count++;
-        }
-      most = count;
+
+      row->counts[i] = (uint8_t)count_fitting (&search->required, &left, most);
     }
-  return most;
+  if (reserved == NULL)
+    return; /* the room does not shrink */
+  for (uint32_t i = 0; i < JB_RESERVE_STEPS; i++)
+    for (uint32_t j = i + 1; j < MIN (i + steps, JB_RESERVE_STEPS); j++)
+      row->counts[i] = MIN (row->counts[i], row->counts[j]);
 }
 
 /* Return whether the backend server with INDEX can be part of what SEARCH
@@ -644,40 +683,37 @@
 find_step (const struct jb_reserve *reserve, const struct search *search,
            uint32_t found[JB_RESERVE_MAX_MEMBERS], jb_time now)
 {
-  uint32_t *candidates
-      = talloc_array (NULL, uint32_t, MAX (reserve->backend_count, 1));
-  uint32_t candidate_count = 0;
-  uint32_t step;
+  struct search_row *rows = talloc_array (NULL, struct search_row,
+                                          MAX (reserve->backend_count, 1));
+  uint32_t row_count = 0;
+  uint32_t total = 0;
+  uint32_t step = 0;
 
   for (uint32_t i = 0; i < reserve->backend_count; i++)
     if (is_candidate (reserve, search, i))
-      candidates[candidate_count++] = i;
-  for (step = 0; candidate_count > 0 && step < JB_RESERVE_STEPS; step++)
+      {
+        rows[row_count].index = i;
+        fill_row (reserve, search, &rows[row_count++], now);
+      }
+  for (; step < JB_RESERVE_STEPS; step++)
     {
-      uint32_t total = 0;
-
-      for (uint32_t i = 0; i < candidate_count && total < search->member_count;
-           i++)
-        {
-          uint32_t index = candidates[i];
-          uint32_t count = count_fitting (reserve, search, index, step, now);
-
-          for (uint32_t j = 0; j < count && total < search->member_count; j++)
-            found[total++] = index;
-        }
-      if (total < search->member_count)
-        continue;
-      for (uint32_t i = 0; search->member_count == 1 && i < candidate_count;
-           i++)
-        if (leftover (reserve, search, candidates[i], step)
-                < leftover (reserve, search, found[0], step)
-            && count_fitting (reserve, search, candidates[i], step, now) > 0)
-          found[0] = candidates[i];
-      talloc_free (candidates);
-      return step;
+      total = 0;
+      for (uint32_t i = 0; i < row_count && total < search->member_count; i++)
+        for (uint32_t j = 0;
+             j < rows[i].counts[step] && total < search->member_count; j++)
+          found[total++] = rows[i].index;
+      if (total == search->member_count)
+        break;
     }
-  talloc_free (candidates);
-  return JB_RESERVE_STEPS;
+  for (uint32_t i = 0;
+       step < JB_RESERVE_STEPS && search->member_count == 1 && i < row_count;
+       i++)
+    if (rows[i].counts[step] > 0
+        && leftover (reserve, search, rows[i].index, step)
+               < leftover (reserve, search, found[0], step))
+      found[0] = rows[i].index;
+  talloc_free (rows);
+  return step;
 }
 
 static void
@@ -688,6 +724,7 @@
     {
       item->backends[i] = reserve->backends[found[i]];
       item->incarnations[i] = reserve->backends[found[i]]->incarnation;
+      item->positions[i] = found[i];
     }
 }
 
@@ -787,6 +824,7 @@
   item->backends
       = talloc_array (item, struct jb_backend *, item->member_count);
   item->incarnations = talloc_array (item, uint32_t, item->member_count);
+  item->positions = talloc_array (item, uint32_t, item->member_count);
   set_backends (reserve, item, found);
   item->made_at = now;
   item->start = now + (jb_time)step * JB_RESERVE_STEP;
