--- a/packages/jobs/src/jb_reserve.c
+++ b/packages/jobs/src/jb_reserve.c
@@ -586,11 +586,13 @@
   const struct jb_reservation *within;
 };
 
-/* How many members can be placed on a backend server from each step on, for as
-   long as they take.  */
+/* A backend server that can be part of what is searched for.  */
 struct search_row
 {
-  uint32_t index; /* of the backend server */
+  uint32_t index;
+  /* With reservations there: how many members can be placed from each step on,
+     for as long as they take.  Without, the room does not shrink.  */
+  bool is_reserved;
   uint8_t counts[JB_RESERVE_STEPS];
 };
 
@@ -612,7 +614,16 @@
   return (uint32_t)count;
 }
 
-/* Fill in the counts of ROW.  */
+/* Return how many members one backend server may get.  */
+static uint32_t
+member_limit (const struct search *search)
+{
+  uint32_t limit = jb_task_step (search->task)->max_per_backend;
+
+  return limit > 0 ? MIN (search->member_count, limit) : search->member_count;
+}
+
+/* Fill in ROW, except its index.  */
 static void
 fill_row (const struct jb_reserve *reserve, const struct search *search,
           struct search_row *row, jb_time now)
@@ -620,28 +631,37 @@
   const struct room_over_time *room = &reserve->rooms[row->index];
   const struct reserved_backend *reserved
       = find_reserved (reserve, reserve->backends[row->index]);
-  uint32_t limit = jb_task_step (search->task)->max_per_backend;
-  uint32_t most = search->member_count;
   uint32_t steps = steps_of (search->duration);
 
-  if (limit > 0)
-    most = MIN (most, limit);
+  row->is_reserved = reserved != NULL;
+  if (reserved == NULL)
+    return;
   for (uint32_t i = 0; i < JB_RESERVE_STEPS; i++)
     {
       struct jb_resources left
-          = reserved != NULL
-                ? room_beside (reserve, reserved, room, i, search->beside, now)
-                : room->steps[i];
+          = room_beside (reserve, reserved, room, i, search->beside, now);
 
-      row->counts[i] = (uint8_t)count_fitting (&search->required, &left, most);
+      row->counts[i] = (uint8_t)count_fitting (&search->required, &left,
+                                               member_limit (search));
     }
-  if (reserved == NULL)
-    return; /* the room does not shrink */
   for (uint32_t i = 0; i < JB_RESERVE_STEPS; i++)
     for (uint32_t j = i + 1; j < MIN (i + steps, JB_RESERVE_STEPS); j++)
       row->counts[i] = MIN (row->counts[i], row->counts[j]);
 }
 
+/* Return how many members can be placed on the backend server of ROW from step
+   number STEP on.  */
+static uint32_t
+count_in_row (const struct jb_reserve *reserve, const struct search *search,
+              const struct search_row *row, uint32_t step)
+{
+  if (row->is_reserved)
+    return row->counts[step];
+  return count_fitting (&search->required,
+                        &reserve->rooms[row->index].steps[step],
+                        member_limit (search));
+}
+
 /* Return whether the backend server with INDEX can be part of what SEARCH
    looks for.  */
 static bool
@@ -699,16 +719,19 @@
     {
       total = 0;
       for (uint32_t i = 0; i < row_count && total < search->member_count; i++)
-        for (uint32_t j = 0;
-             j < rows[i].counts[step] && total < search->member_count; j++)
-          found[total++] = rows[i].index;
+        {
+          uint32_t count = count_in_row (reserve, search, &rows[i], step);
+
+          while (count-- > 0 && total < search->member_count)
+            found[total++] = rows[i].index;
+        }
       if (total == search->member_count)
         break;
     }
   for (uint32_t i = 0;
        step < JB_RESERVE_STEPS && search->member_count == 1 && i < row_count;
        i++)
-    if (rows[i].counts[step] > 0
+    if (count_in_row (reserve, search, &rows[i], step) > 0
         && leftover (reserve, search, rows[i].index, step)
                < leftover (reserve, search, found[0], step))
       found[0] = rows[i].index;
