Start speculative steps without waiting for silent backend servers

Cause: a new owner let the tasks of speculative steps wait like all others, although copies of them may run in parallel. Besides, it asked a backend server that had not answered it yet again only after 1 s, so that a lost answer delayed the end of the scan by that, and silence was known after 1.5 s.

Change: once each backend server of the roster has answered or counts as silent, tasks of speculative steps start although a former owner may have started them. Copies of gangs and services are not started. A copy counts for its organisation's limit beside the run that may exist, until the scan has ended. A run that this owner started beside an unknown one proves nothing about the steps behind it.

--- a/packages/jobs/include/jb_driver.h
+++ b/packages/jobs/include/jb_driver.h
@@ -144,6 +144,9 @@
   /* Commands to hosts of the fleet that were executed.  */
   JB_COUNT_HOST_MOVES,
   JB_COUNT_HOST_MAINTENANCE,
+  /* Tasks that a new owner started while a former owner's run may be
+     active.  */
+  JB_COUNT_COPIES_STARTED,
   /* Loaded jobs that a new owner released after the scan, and during it.  */
   JB_COUNT_LOADED_JOBS_RELEASED,
   JB_COUNT_LOADED_JOBS_RELEASED_EARLY,
--- a/packages/jobs/include/jb_job.h
+++ b/packages/jobs/include/jb_job.h
@@ -71,6 +71,9 @@
   bool is_located;
   /* A previous owner has left it on a backend server that is silent.  */
   bool is_awaited;
+  /* It was started although a previous owner's run may be active on a silent
+     backend server.  */
+  bool may_have_copy;
   jb_time ended_at; /* when the last run ended; 0: there was none */
   /* When a stop was last sent, or the start timed out.  */
   jb_time last_attempt_at;
--- a/packages/jobs/include/jb_takeover.h
+++ b/packages/jobs/include/jb_takeover.h
@@ -51,6 +51,12 @@
 void jb_takeover_record_active (struct jb_task *task, jb_time asked_at,
                                 jb_time predecessor_until);
 
+/* Return whether the tasks of STEP, of which copies may run in parallel, need
+   not wait for silent backend servers.  The members of a gang must run
+   together, and copies of a service would use its place for long, so those
+   wait.  */
+bool jb_takeover_may_start_copies (const struct jb_step *step);
+
 /* Return whether no task of JOB that is to be started can have been started by
    a former owner.  This is not true while an occurrence of JOB is not open: a
    former owner whose clock is ahead may have opened it.  */
--- a/packages/jobs/src/jb_driver.c
+++ b/packages/jobs/src/jb_driver.c
@@ -288,6 +288,7 @@
   [JB_COUNT_OWNERSHIP_RELEASED] = { "duties", "change=\"released\"" },
   [JB_COUNT_HOST_MOVES] = { "host_orders", "kind=\"move\"" },
   [JB_COUNT_HOST_MAINTENANCE] = { "host_orders", "kind=\"maintenance\"" },
+  [JB_COUNT_COPIES_STARTED] = { "speculative_copies", NULL },
   [JB_COUNT_LOADED_JOBS_RELEASED]
   = { "loaded_jobs", "released=\"after-scan\"" },
   [JB_COUNT_LOADED_JOBS_RELEASED_EARLY]
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -79,7 +79,10 @@
 struct jb_pool_org_usage
 {
   char *org;
-  struct jb_resources used;   /* by tasks that run or may run */
+  struct jb_resources used; /* by tasks that run or may run */
+  /* Of that, by runs of previous owners that may be on silent backend servers
+     beside others of the same tasks, until the scan has ended.  */
+  struct jb_resources copies;
   struct jb_resources wanted; /* by tasks that are ready to start */
   struct jb_resources share; /* the pool's share of the organisation's quota */
   /* Whether it has a quota in the version of the catalog `quota_version'; 0:
@@ -250,6 +253,8 @@
 jb_time jb_pool_release_loaded_jobs (struct jb_pool *pool, jb_time now);
 /* Return whether the scan waits for the answer of BACKEND.  */
 bool jb_pool_awaits_backend (const struct jb_backend *backend);
+/* Return whether the runs on all backend servers that answer are known.  */
+bool jb_pool_answering_are_probed (const struct jb_pool *pool);
 /* Return the names of the first backend servers that the scan waits for,
    separated by commas and owned by MEM, and set COUNT to the number of all of
    them.  */
@@ -412,6 +417,8 @@
 bool jb_pool_covers_demand (struct jb_pool *pool, struct jb_job *job);
 /* Return when the next report to the planner is due.  */
 jb_time jb_pool_usage_report_due_at (const struct jb_pool *pool);
+/* Forget the copies: all runs of previous owners have ended or are known.  */
+void jb_pool_forget_copies (struct jb_pool *pool);
 /* Recompute what the organisations use and want, from the active jobs.  */
 void jb_pool_recount_usage (struct jb_pool *pool);
 
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -478,7 +478,11 @@
       jb_pool_remove_from_roster (pool, backend);
       backend->next_probe = now + EXPIRED_RETRY_INTERVAL;
     }
-  else if (backend->clock_received_at == 0)
+  /* During the scan jobs wait for its answer, which may just have been lost.
+   */
+  else if (backend->clock_received_at == 0
+           && !(pool->stage == JB_STAGE_SCANNING
+                && jb_pool_awaits_backend (backend)))
     backend->next_probe = now + EXPIRED_RETRY_INTERVAL;
 }
 
--- a/packages/jobs/src/jb_pool_quota.c
+++ b/packages/jobs/src/jb_pool_quota.c
@@ -19,23 +19,21 @@
 static bool
 active_runs_are_known (const struct jb_pool *pool, jb_time now)
 {
-  GHashTableIter iter;
-  gpointer value;
-
   if (pool->orphan_seen_at != 0
       && now - pool->orphan_seen_at < ORPHAN_QUIET_PERIOD)
     return false;
-  g_hash_table_iter_init (&iter, pool->backends);
-  while (pool->stage != JB_STAGE_ACTIVE
-         && g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct jb_backend *backend = value;
+  return jb_pool_answering_are_probed (pool);
+}
 
-      if (backend->inherited && !backend->probed
-          && backend->unanswered_probes < JB_SILENT_AFTER_PROBES)
-        return false;
-    }
-  return true;
+void
+jb_pool_forget_copies (struct jb_pool *pool)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, pool->org_usages);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct jb_pool_org_usage *)value)->copies = (struct jb_resources){ 0 };
 }
 
 bool
@@ -208,7 +206,7 @@
     {
       struct jb_pool_org_usage *org_usage = value;
 
-      org_usage->used = (struct jb_resources){ 0 };
+      org_usage->used = org_usage->copies;
       org_usage->wanted = (struct jb_resources){ 0 };
     }
   for (guint i = 0; i < pool->active_jobs->len; i++)
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -443,6 +443,23 @@
                     handle_start_reply, start);
 }
 
+/* TASK is started while a run of a previous owner may be active on a silent
+   backend server.  Count what that may use until the scan has ended, also if
+   TASK is done before.  */
+static void
+count_copy (struct jb_pool *pool, struct jb_task *task)
+{
+  struct jb_job *job = task->group->job;
+
+  if (task->may_have_copy)
+    return;
+  task->may_have_copy = true;
+  jb_count_event (pool->options.driver, JB_COUNT_COPIES_STARTED);
+  if (job->desc->org != NULL)
+    jb_resources_add (&jb_pool_get_job_usage (pool, job)->copies,
+                      &jb_task_step (task)->resources);
+}
+
 /* Assign TASK to BACKEND as run number RUN, and start it there.  */
 static void
 assign_and_start (struct jb_pool *pool, struct jb_task *task,
@@ -450,6 +467,8 @@
 {
   struct jb_job *job = task->group->job;
 
+  if (job->loaded_from_store || task->is_awaited)
+    count_copy (pool, task);
   jb_task_assign (task, backend, JB_RUN_STARTING);
   task->run = run;
   if (job->desc->org != NULL)
@@ -476,7 +495,9 @@
 is_startable (const struct jb_pool *pool, const struct jb_task *task,
               jb_time now)
 {
-  return task->state == JB_RUN_NONE && !task->done && !task->is_awaited
+  return task->state == JB_RUN_NONE && !task->done
+         && (!task->is_awaited
+             || jb_takeover_may_start_copies (jb_task_step (task)))
          && !jb_pool_may_have_other_run (pool, task, now);
 }
 
@@ -581,12 +602,14 @@
                     jb_time now)
 {
   GArray *candidates = g_array_new (FALSE, FALSE, sizeof (struct candidate));
+  bool may_copy = jb_pool_answering_are_probed (pool);
 
   for (guint i = 0; i < pool->active_jobs->len; i++)
     {
       struct jb_job *job = g_ptr_array_index (pool->active_jobs, i);
 
-      if (job->ended_at != 0 || !job->stored || job->loaded_from_store)
+      if (job->ended_at != 0 || !job->stored
+          || (job->loaded_from_store && !may_copy))
         continue;
       for (guint j = 0; j < job->groups->len; j++)
         {
@@ -595,6 +618,9 @@
 
           if (!group->ready
               || group->done_count + group->active_runs >= group->task_count
+              || (job->loaded_from_store
+                  && !jb_takeover_may_start_copies (
+                      jb_task_group_step (group)))
               || is_behind_active_run (group))
             continue;
           if (!jb_place_has_room (room, &group->tasks[0],
--- a/packages/jobs/src/jb_pool_takeover.c
+++ b/packages/jobs/src/jb_pool_takeover.c
@@ -270,6 +270,25 @@
          && !backend->excluded_from_roster;
 }
 
+bool
+jb_pool_answering_are_probed (const struct jb_pool *pool)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, pool->backends);
+  while (pool->stage != JB_STAGE_ACTIVE
+         && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct jb_backend *backend = value;
+
+      if (backend->inherited && !backend->probed
+          && backend->unanswered_probes < JB_SILENT_AFTER_PROBES)
+        return false;
+    }
+  return true;
+}
+
 char *
 jb_pool_list_awaited (const struct jb_pool *pool, TALLOC_CTX *mem,
                       uint32_t *count)
@@ -387,6 +406,7 @@
   pool->schedule_due = true;
   pool->waiting_jobs = 0;
   pool->awaited_tasks = jb_pool_mark_awaited_tasks (pool);
+  jb_pool_forget_copies (pool);
   for (guint i = 0; i < pool->active_jobs->len; i++)
     {
       struct jb_job *job = g_ptr_array_index (pool->active_jobs, i);
--- a/packages/jobs/src/jb_takeover.c
+++ b/packages/jobs/src/jb_takeover.c
@@ -77,6 +77,12 @@
   return true;
 }
 
+bool
+jb_takeover_may_start_copies (const struct jb_step *step)
+{
+  return step->speculative && !step->gang && !step->long_running;
+}
+
 bool
 jb_takeover_may_release (const struct jb_job *job)
 {
--- a/packages/jobs/tests/test_jb_takeover.c
+++ b/packages/jobs/tests/test_jb_takeover.c
@@ -230,6 +230,21 @@
                    now);
 }
 
+/* Copies of a gang or of a service are not started.  */
+static void
+test_copies (void)
+{
+  struct jb_step step = { .speculative = true };
+
+  CU_ASSERT_TRUE (jb_takeover_may_start_copies (&step));
+  step.gang = true;
+  CU_ASSERT_FALSE (jb_takeover_may_start_copies (&step));
+  step = (struct jb_step){ .speculative = true, .long_running = true };
+  CU_ASSERT_FALSE (jb_takeover_may_start_copies (&step));
+  step = (struct jb_step){ .speculative = false };
+  CU_ASSERT_FALSE (jb_takeover_may_start_copies (&step));
+}
+
 int
 main (void)
 {
@@ -247,6 +262,7 @@
       test_occurrence_that_is_not_open_waits },
     { "the wait after a predecessor that has ended",
       test_wait_after_ended_predecessor },
+    { "copies", test_copies },
     { NULL, NULL }
   };
 
--- a/tests/sim/jobs/jw_clients.c
+++ b/tests/sim/jobs/jw_clients.c
@@ -246,6 +246,7 @@
       step->long_running = options->long_running;
       step->max_unavailable = options->max_unavailable;
       step->gang = options->gang;
+      step->speculative = options->speculative && i == 0;
       step->max_per_backend = options->long_running ? 1 : 0;
       step->predecessors = talloc_zero_array (desc, uint32_t, 1);
       step->predecessor_count = i > 0 ? 1 : 0;
--- a/tests/sim/jobs/jw_soak.h
+++ b/tests/sim/jobs/jw_soak.h
@@ -14,6 +14,7 @@
                                    processor time */
   bool restart_backends;        /* under their names, while commands to them
                                    are carried out late */
+  bool speculative_steps;       /* in a third of the jobs */
   uint32_t more_hosts;          /* entry hosts beyond the usual 3 to 6 */
   uint32_t small_hosts;         /* as in struct jw_options */
   bool verbose;
--- a/tests/sim/jobs/soak_jobs.c
+++ b/tests/sim/jobs/soak_jobs.c
@@ -17,6 +17,7 @@
   bool stalls;
   bool no_guard;
   bool restarts;
+  bool speculative;
   uint32_t more_hosts;
   uint32_t small_hosts;
   bool verbose;
@@ -31,6 +32,7 @@
     0 },
   { "restarts", 'b', NULL, 0,
     "Restart backend servers under their names, with late commands", 0 },
+  { "speculative", 'p', NULL, 0, "Let a third of the jobs be speculative", 0 },
   { "more-hosts", 'm', "N", 0, "Entry hosts beyond the usual 3 to 6 (0)", 0 },
   { "small-hosts", 'l', "N", 0,
     "Entry hosts with a small share of a processor, the others have a large "
@@ -65,6 +67,9 @@
     case 'b':
       arguments->restarts = true;
       return 0;
+    case 'p':
+      arguments->speculative = true;
+      return 0;
     case 'm':
       arguments->more_hosts
           = MIN ((uint32_t)strtoul (value, NULL, 10), JW_MAX_HOST_COUNT - 6);
@@ -99,6 +104,7 @@
               .stall_one_host = arguments.stalls,
               .no_overload_guard = arguments.no_guard,
               .restart_backends = arguments.restarts,
+              .speculative_steps = arguments.speculative,
               .more_hosts = arguments.more_hosts,
               .small_hosts = arguments.small_hosts,
               .verbose = arguments.verbose };
