Explain why a task waits that a former owner has left, and test the view

Cause: explain named the place or the turn for a task that waits for a silent backend server of the former owner's row.

Change: a reason of its own; a test of the fields in the view of pools by which operators see how many jobs wait for which backend servers.

--- a/packages/jobs/src/jb_pool_view.c
+++ b/packages/jobs/src/jb_pool_view.c
@@ -134,6 +134,18 @@
   return "others go first, or it starts in a moment";
 }
 
+/* Return whether a task of GROUP waits for a silent backend server where a
+   former owner has left it.  */
+static bool
+has_awaited_task (const struct jb_task_group *group)
+{
+  for (uint32_t i = 0; i < group->task_count; i++)
+    if (group->tasks[i].is_awaited && !group->tasks[i].done
+        && group->tasks[i].state == JB_RUN_NONE)
+      return true;
+  return false;
+}
+
 /* Add to VIEW the reason why tasks of GROUP wait, if any do.  */
 static void
 explain_group (struct jb_pool *pool, const struct jb_task_group *group,
@@ -156,7 +168,10 @@
                    "share_cpu", jb_itoa (org_usage->share.cpu_milli), NULL);
       return;
     }
-  reason = explain_placement (pool, group, now);
+  reason = has_awaited_task (group)
+               ? "a former holder may have started it on a silent backend "
+                 "server"
+               : explain_placement (pool, group, now);
   jb_view_add (view, "reason", "step", jb_itoa (group->step), "reason", reason,
                "cpu", jb_itoa (resources->cpu_milli), NULL);
 }
--- a/tests/sim/jobs/test_pool_takeover.c
+++ b/tests/sim/jobs/test_pool_takeover.c
@@ -4,6 +4,7 @@
    Expected load: 12 backend servers, of which one stops answering when the
    owner fails, and jobs of two steps whose first tasks run at that time.  */
 
+#include "jb_view.h"
 #include "jw_test.h"
 
 #include <string.h>
@@ -122,6 +123,66 @@
     }
 }
 
+/* Return the backend server with the most runs.  */
+static struct jw_backend *
+find_busiest (struct jw_world *world, uint32_t count)
+{
+  struct jw_backend *busiest = jw_find_backend (world, 0, 0);
+
+  for (uint32_t i = 1; i < count; i++)
+    if (jw_find_backend (world, 0, i)->runs->len > busiest->runs->len)
+      busiest = jw_find_backend (world, 0, i);
+  return busiest;
+}
+
+/* Return whether VIEW has a line of KIND with the field NAME, and VALUE in it
+   unless that is NULL.  */
+static bool
+view_has (const struct jb_view *view, const char *kind, const char *name,
+          const char *value)
+{
+  for (uint32_t i = 0; i < view->count; i++)
+    for (uint32_t j = 0; j < view->lines[i].count; j++)
+      if (strcmp (view->lines[i].kind, kind) == 0
+          && strcmp (view->lines[i].fields[j].name, name) == 0
+          && (value == NULL
+              || strcmp (view->lines[i].fields[j].value, value) == 0))
+        return true;
+  return false;
+}
+
+/* Operators see how many jobs wait for which backend server, and since when,
+   and later that none does.  */
+static void
+test_view_of_waiting_jobs (void)
+{
+  struct jw_world *world = create_busy_world (1);
+  struct jw_backend *silent = find_busiest (world, 12);
+  struct jb_view view = { .mem = talloc_new (NULL) };
+  int owner;
+
+  silent->unreachable = true;
+  jw_host_kill (world, (uint32_t)jw_pool_owner (world, 0));
+  jw_advance (world, 2 * JB_SECOND);
+  owner = jw_pool_owner (world, 0);
+  CU_ASSERT_FATAL (owner >= 0);
+  jb_host_view (world->hosts[owner].host, world->now, JB_VIEW_POOLS, NULL,
+                &view);
+  CU_ASSERT (view_has (&view, "pool", "awaited", "1"));
+  CU_ASSERT (view_has (&view, "pool", "awaited_first", silent->instance));
+  CU_ASSERT (view_has (&view, "pool", "waiting_jobs", NULL));
+  CU_ASSERT (view_has (&view, "pool", "waiting_ms", NULL));
+  jw_advance (world, 10 * JB_SECOND);
+  view.count = 0;
+  jb_host_view (world->hosts[owner].host, world->now, JB_VIEW_POOLS, NULL,
+                &view);
+  CU_ASSERT (view_has (&view, "pool", "stage", "active"));
+  CU_ASSERT_FALSE (view_has (&view, "pool", "awaited", NULL));
+  talloc_free (view.mem);
+  jw_advance (world, 15 * JB_SECOND);
+  jw_check_and_free (world);
+}
+
 /* ---- jobs that have not started ---- */
 
 enum
@@ -421,18 +482,6 @@
     }
 }
 
-/* Return the backend server with the most runs.  */
-static struct jw_backend *
-find_busiest (struct jw_world *world, uint32_t count)
-{
-  struct jw_backend *busiest = jw_find_backend (world, 0, 0);
-
-  for (uint32_t i = 1; i < count; i++)
-    if (jw_find_backend (world, 0, i)->runs->len > busiest->runs->len)
-      busiest = jw_find_backend (world, 0, i);
-  return busiest;
-}
-
 /* Half of an organisation's tasks run on a backend server that is silent after
    the owner was killed.  Their copies count for its limit beside them when
    other jobs start.  */
@@ -487,6 +536,7 @@
           { "planned stop while the store is away", test_stop_without_store },
           { "planned stop with lost answers", test_stop_with_lost_answers },
           { "what an earlier owner has left", test_row_of_earlier_owner },
+          { "view of waiting jobs", test_view_of_waiting_jobs },
           { "speculative steps don't wait", test_speculative_steps },
           { "copies within a limit", test_copies_within_limit },
           { NULL, NULL } };
