--- a/packages/jobs/include/jb_driver.h
+++ b/packages/jobs/include/jb_driver.h
@@ -155,6 +155,9 @@
      only, since it was known to have ended, or as long as it may be valid.  */
   JB_COUNT_QUOTA_WAITS_SHORT,
   JB_COUNT_QUOTA_WAITS_FULL,
+  /* Tasks that a new owner started while a former owner's run may be
+     active.  */
+  JB_COUNT_COPIES_STARTED,
   /* Loaded jobs that a new owner released after the scan, and during it.  */
   JB_COUNT_LOADED_JOBS_RELEASED,
   JB_COUNT_LOADED_JOBS_RELEASED_EARLY,
--- a/packages/jobs/src/jb_driver.c
+++ b/packages/jobs/src/jb_driver.c
@@ -311,6 +311,7 @@
   [JB_COUNT_COMMANDED_INHERITED] = { "commanded_hosts_inherited", NULL },
   [JB_COUNT_QUOTA_WAITS_SHORT] = { "quota_waits", "predecessor=\"ended\"" },
   [JB_COUNT_QUOTA_WAITS_FULL] = { "quota_waits", "predecessor=\"unknown\"" },
+  [JB_COUNT_COPIES_STARTED] = { "speculative_copies", NULL },
   [JB_COUNT_LOADED_JOBS_RELEASED]
   = { "loaded_jobs", "released=\"after-scan\"" },
   [JB_COUNT_LOADED_JOBS_RELEASED_EARLY]
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -444,6 +444,23 @@
                     handle_start_reply, start);
 }
 
+/* TASK is started while a run of a previous owner may be active on a silent
+   backend server.  Count what that may use until the scan has ended, also if
+   TASK is done before.  */
+static void
+count_copy (struct jb_pool *pool, struct jb_task *task)
+{
+  struct jb_job *job = task->group->job;
+
+  if (task->may_have_copy)
+    return;
+  task->may_have_copy = true;
+  jb_count_event (pool->options.driver, JB_COUNT_COPIES_STARTED);
+  if (job->desc->org != NULL)
+    jb_resources_add (&jb_pool_get_job_usage (pool, job)->copies,
+                      &jb_task_step (task)->resources);
+}
+
 /* Assign TASK to BACKEND as run number RUN, and start it there.  */
 static void
 assign_and_start (struct jb_pool *pool, struct jb_task *task,
@@ -451,6 +468,8 @@
 {
   struct jb_job *job = task->group->job;
 
+  if (job->loaded_from_store || task->is_awaited)
+    count_copy (pool, task);
   jb_task_assign (task, backend, JB_RUN_STARTING);
   task->run = run;
   if (job->desc->org != NULL)
@@ -477,7 +496,9 @@
 is_startable (const struct jb_pool *pool, const struct jb_task *task,
               jb_time now)
 {
-  return task->state == JB_RUN_NONE && !task->done && !task->is_awaited
+  return task->state == JB_RUN_NONE && !task->done
+         && (!task->is_awaited
+             || jb_takeover_may_start_copies (jb_task_step (task)))
          && !jb_pool_may_have_other_run (pool, task, now);
 }
 
@@ -574,6 +595,22 @@
   return false;
 }
 
+/* Return whether tasks of GROUP wait to be started.  MAY_COPY says whether all
+   backend servers that answer were probed, so that copies of runs on the
+   others may be started.  */
+static bool
+is_waiting (const struct jb_task_group *group, bool may_copy)
+{
+  const struct jb_job *job = group->job;
+
+  return job->ended_at == 0 && job->stored && group->ready
+         && group->done_count + group->active_runs < group->task_count
+         && (!job->loaded_from_store
+             || (may_copy
+                 && jb_takeover_may_start_copies (jb_task_group_step (group))))
+         && !is_behind_active_run (group);
+}
+
 /* Return the task groups with tasks to start, ordered by rank.  Those for
    which it makes no difference are left out: with a long queue, most of them
    fit nowhere.  The caller frees the array.  */
@@ -582,21 +619,18 @@
                     jb_time now)
 {
   GArray *candidates = g_array_new (FALSE, FALSE, sizeof (struct candidate));
+  bool may_copy = jb_pool_answering_are_probed (pool);
 
   for (guint i = 0; i < pool->active_jobs->len; i++)
     {
       struct jb_job *job = g_ptr_array_index (pool->active_jobs, i);
 
-      if (job->ended_at != 0 || !job->stored || job->loaded_from_store)
-        continue;
       for (guint j = 0; j < job->groups->len; j++)
         {
           struct jb_task_group *group = g_ptr_array_index (job->groups, j);
           struct candidate candidate = { .group = group };
 
-          if (!group->ready
-              || group->done_count + group->active_runs >= group->task_count
-              || is_behind_active_run (group))
+          if (!is_waiting (group, may_copy))
             continue;
           if (!jb_place_has_room (room, &group->tasks[0],
                                   pool->usable_backends, pool->usable_count)
@@ -738,17 +772,6 @@
   return group->task_count;
 }
 
-/* Return whether GROUP waits for room, as collect_candidates has it.  */
-static bool
-is_waiting (const struct jb_task_group *group)
-{
-  const struct jb_job *job = group->job;
-
-  return job->ended_at == 0 && job->stored && !job->loaded_from_store
-         && group->ready
-         && group->done_count + group->active_runs < group->task_count;
-}
-
 /* Insert CANDIDATE into the COUNT FIRST ones, which are ordered by rank and of
    which LIMIT are kept.  Return the new count.  */
 static uint32_t
@@ -776,6 +799,7 @@
 {
   /* Some of them may not be able to get one.  */
   struct candidate first[2 * JB_RESERVE_MAX];
+  bool may_copy = jb_pool_answering_are_probed (pool);
   uint32_t count = 0;
 
   if (!jb_pool_lookahead_plan (pool, now))
@@ -789,7 +813,8 @@
           struct jb_task_group *group = g_ptr_array_index (job->groups, j);
           struct candidate candidate = { .group = group };
 
-          if (!is_waiting (group) || !jb_pool_may_reserve (pool, group, now))
+          if (!is_waiting (group, may_copy)
+              || !jb_pool_may_reserve (pool, group, now))
             continue;
           candidate.rank = rank_group (pool, group, now);
           count = insert_candidate (first, count, G_N_ELEMENTS (first),
