--- a/packages/jobs/tests/test_jb_zones.c
+++ b/packages/jobs/tests/test_jb_zones.c
@@ -218,6 +218,19 @@
   talloc_free (mem);
 }
 
+/* A host of a version that doesn't know a type of message must drop the
+   message, as a host of the previous version does with JB_MSG_ZONES.  */
+static void
+test_unknown_message (void)
+{
+  TALLOC_CTX *mem = talloc_new (NULL);
+  uint8_t unknown[] = { JB_MSG_TYPE_COUNT, 0x90 };
+  struct ba_bytes bytes = { unknown, sizeof unknown };
+
+  CU_ASSERT_PTR_NULL (jb_msg_decode (mem, bytes));
+  talloc_free (mem);
+}
+
 int
 main (void)
 {
@@ -236,6 +249,7 @@
     { "a repeated order is no change", test_repeated_order_is_no_change },
     { "the table is bounded", test_bounded_size },
     { "the message carries the table", test_message },
+    { "an unknown type of message is dropped", test_unknown_message },
     { NULL, NULL }
   };
 
--- a/tests/sim/jobs/jw_store.c
+++ b/tests/sim/jobs/jw_store.c
@@ -264,6 +264,11 @@
             const struct jb_command_watch_config *watch,
             struct jb_reply *reply)
 {
+  if (watch->after_version != 0 && watch->after_version < world->history_start)
+    {
+      reply->result = JB_RESULT_GONE;
+      return;
+    }
   reply->version = world->version;
   if (watch->after_version == 0)
     add_zone_page (world, watch, reply);
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -278,6 +278,8 @@
   uint64_t wave_version; /* store version of its last change; 0: no wave */
   bool wave_completed;
   struct jw_zone zones[JW_ZONE_COUNT];
+  /* The store no longer has the changes after versions below this one.  */
+  uint64_t history_start;
   jb_time store_refused_at; /* when the store last refused any host; 0: never,
                                or before the first order */
   bool watches_disturbances;
--- a/tests/sim/jobs/test_evacuation.c
+++ b/tests/sim/jobs/test_evacuation.c
@@ -136,6 +136,30 @@
   jw_check_and_free (world);
 }
 
+/* Two tasks of a step in the zone must not be stopped together, although there
+   is room for both.  */
+static void
+test_budget (void)
+{
+  uint32_t worlds_with_two = 0;
+
+  for (uint32_t seed = 30; seed < 42; seed++)
+    {
+      struct jw_world *world = create_world (seed, 3, 0);
+      uint32_t zone = seed % JW_ZONE_COUNT;
+
+      submit_long_running (world, 1, 4);
+      jw_advance (world, 3 * JB_SECOND);
+      worlds_with_two += jw_count_running_in_zone (world, zone) == 2;
+      jw_evacuate_zone (world, zone);
+      jw_advance (world, 10 * JB_SECOND);
+      CU_ASSERT_EQUAL (jw_count_running_in_zone (world, zone), 0);
+      CU_ASSERT_EQUAL (count_running (world), 4);
+      jw_check_and_free (world);
+    }
+  CU_ASSERT (worlds_with_two > 0);
+}
+
 /* A long-running task must stay while the other zones have no room for it:
    stopped, it would lose its place.  When other work has ended there, it must
    leave.  */
@@ -351,6 +375,32 @@
   jw_check_and_free (world);
 }
 
+/* Hosts for which the store has no history must read everything again: an
+   order and a removal that they have missed have no other trace.  */
+static void
+test_history_gone (void)
+{
+  struct jw_world *world = create_world (9, 3, 0);
+  struct jb_view view;
+
+  jw_evacuate_zone (world, 0);
+  jw_advance (world, 2 * JB_SECOND);
+  jw_restore_zone (world, 0);
+  jw_evacuate_zone (world, EVACUATED);
+  world->history_start = world->version;
+  advance_with_load (world, ORDER_TIME);
+  CU_ASSERT_EQUAL (jw_count_running_in_zone (world, EVACUATED), 0);
+  for (uint32_t i = 0; i < world->options.hosts; i++)
+    {
+      view = get_view (world, i);
+      CU_ASSERT_EQUAL_FATAL (view.count, 2);
+      CU_ASSERT_STRING_EQUAL (view_field (&view, "zone"), jw_zone_name (0));
+      CU_ASSERT_STRING_EQUAL (view_field (&view, "state"), "restored");
+    }
+  jw_advance (world, 3 * JB_SECOND);
+  jw_check_and_free (world);
+}
+
 /* A zone that loses power while it is evacuated is handled as any backend
    servers that crash: what ran there runs elsewhere.  */
 static void
@@ -406,6 +456,7 @@
           { "the check finds starts without the safeguard", test_check },
           { "long-running tasks leave within their budget",
             test_long_running_tasks_leave },
+          { "tasks of a step leave one after the other", test_budget },
           { "tasks stay while the other zones are full", test_full_zones },
           { "tasks stay without an allowed backend server",
             test_no_allowed_backend },
@@ -416,6 +467,7 @@
             test_cut_off_host },
           { "an owner that the store refuses", test_cut_off_owner },
           { "the store is away during an order", test_store_away },
+          { "the history of the store is gone", test_history_gone },
           { "the zone loses power while it is evacuated", test_power_loss },
           { "what is left in a zone is shown", test_view },
           { NULL, NULL } };
