Run planners of both versions beside each other in the emulator

Cause: entry hosts of the previous version store no names of hosts and don't understand queries about processes, and may be the planner before or after one of this version.

Change: the emulator can let some entry hosts neither write nor read table `commanded' and drop the new messages (previous_version_hosts). test_planner_recovery runs such a fleet: planners of both versions are killed in turn right after they have commanded hosts, and a wave needs hosts at once.

--- a/tests/sim/jobs/jw_commands.c
+++ b/tests/sim/jobs/jw_commands.c
@@ -3,7 +3,10 @@
 
 #include "jw_world.h"
 
+#include "jb_commanded.h"
+
 #include <stdio.h>
+#include <string.h>
 
 /* Latency of a command to the store, and of its reply.  */
 #define STORE_LATENCY (4 * JB_MS)
@@ -128,6 +131,33 @@
     }
 }
 
+/* Leave out what a host of the previous version would not write or read.  */
+static void
+remove_new_rows (struct in_flight_command *in_flight)
+{
+  struct jb_command *command = &in_flight->command;
+  uint32_t count = 0;
+
+  if ((in_flight->host->world->options.previous_version_hosts
+           >> in_flight->host->index
+       & 1)
+      == 0)
+    return;
+  if (command->kind == JB_COMMAND_READ
+      && strcmp (command->u.read.table, JB_COMMANDED_TABLE) == 0)
+    command->u.read.table = "";
+  if (command->kind != JB_COMMAND_WRITE)
+    return;
+  for (uint32_t i = 0; i < command->u.write.set_count; i++)
+    {
+      struct jb_row *rows = (struct jb_row *)command->u.write.set_rows;
+
+      if (strcmp (rows[i].table, JB_COMMANDED_TABLE) != 0)
+        rows[count++] = rows[i];
+    }
+  command->u.write.set_count = count;
+}
+
 static bool
 is_store_command (enum jb_command_kind kind)
 {
@@ -251,6 +281,7 @@
   in_flight->gets_reply
       = !unreachable && !jw_random_permille (world, loss_permille);
   copy_command (in_flight, command);
+  remove_new_rows (in_flight);
   /* The host gets this reply when the command's timeout has passed; it ignores
      the reply if another one came first.  */
   timed_out.mem = talloc_new (NULL);
--- a/tests/sim/jobs/jw_world.c
+++ b/tests/sim/jobs/jw_world.c
@@ -221,6 +221,20 @@
   struct ba_bytes body;
 };
 
+/* Return whether BODY is a message that a host of the previous version can't
+   decode.  */
+static bool
+is_new_message (struct ba_bytes body)
+{
+  struct jb_msg *message = jb_msg_decode (NULL, body);
+  bool is_new = message != NULL
+                && (message->type == JB_MSG_PROCESS_QUERY
+                    || message->type == JB_MSG_PROCESS_ENDED);
+
+  talloc_free (message);
+  return is_new;
+}
+
 static void
 deliver_message (struct jw_world *world, void *data)
 {
@@ -229,6 +243,9 @@
   if (message->to->host == NULL || message->to->epoch != message->epoch
       || message->to->frozen || message->to->peers_unreachable)
     return;
+  if ((world->options.previous_version_hosts >> message->to->index & 1) != 0
+      && is_new_message (message->body))
+    return;
   message->to->received_bytes += message->body.len;
   if (!jb_host_receive_message (message->to->host, world->now, message->from,
                                 message->body))
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -65,6 +65,10 @@
   /* The last of the hosts are small and the others large.  0: all have an
      unknown share of a processor and links without a limit.  */
   uint32_t small_hosts;
+  /* Bit set of the indices of hosts that neither write nor read the names of
+     commanded hosts, nor understand queries about processes, like the previous
+     version.  */
+  uint32_t previous_version_hosts;
   uint32_t pools;            /* with one queue each; a standby pool is added */
   uint32_t backends;         /* in each pool */
   int64_t backend_cpu_milli; /* thousandths of a core */
--- a/tests/sim/jobs/test_planner_recovery.c
+++ b/tests/sim/jobs/test_planner_recovery.c
@@ -268,6 +268,64 @@
     }
 }
 
+/* Kill the planner each time that it has commanded a host in a surge, and let
+   another pool have the next surge.  When the first planner of the previous
+   version is killed, a wave begins whose hosts must be maintained at once, so
+   that the successor needs hosts that were just commanded.
+   PREVIOUS_VERSION_HOSTS is as in struct jw_options.  Return the number of
+   violations.  */
+static uint32_t
+run_planners_in_turn (uint32_t seed, uint32_t previous_version_hosts)
+{
+  struct jw_options options = fleet;
+  struct jw_world *world;
+  uint32_t violations;
+
+  options.seed = seed;
+  options.previous_version_hosts = previous_version_hosts;
+  world = jw_create_world (&options);
+  submit_known_surges (world);
+  /* Let the names of these surges go, so that the successor of a planner of
+     the previous version finds rows with few names.  */
+  jw_advance (world, 6 * JB_SECOND);
+  fail_planner (world, 0, 700 * JB_MS);
+  jw_advance (world, 6 * JB_SECOND);
+  for (uint32_t i = 0; i < 8; i++)
+    {
+      jb_time begun = world->now;
+      jb_time wait = JB_SECOND;
+      int planner;
+
+      while (last_host_command (world) < begun
+             && world->now < begun + 7 * JB_SECOND)
+        submit_surge (world, i % options.pools, 50 * JB_MS);
+      planner = find_planner (world);
+      if (planner >= 0 && (previous_version_hosts >> planner & 1) != 0
+          && world->wave_version == 0)
+        {
+          jw_start_wave (world, 12, 3000);
+          wait = 4 * JB_SECOND;
+        }
+      fail_planner (world, 0, 700 * JB_MS);
+      jw_advance (world, wait);
+    }
+  jw_advance (world, 20 * JB_SECOND);
+  violations = world->violations;
+  if (violations > 0)
+    fprintf (stderr, "seed %u: %s\n", seed, world->first_violation);
+  jw_world_free (world);
+  return violations;
+}
+
+/* A planner of the previous version writes no names, and rows that were
+   written before it must not count as its own.  */
+static void
+test_both_versions (void)
+{
+  for (uint32_t seed = 1; seed <= 20; seed++)
+    CU_ASSERT_EQUAL (run_planners_in_turn (seed, 1 + seed % 2), 0);
+}
+
 int
 main (void)
 {
@@ -277,6 +335,7 @@
           { "planners fail", test_failing_planners },
           { "planners fail, without stored names", test_without_rows },
           { "planners fail, with late commands", test_late_commands },
+          { "planners fail, of both versions", test_both_versions },
           { NULL, NULL } };
 
   return dp_test_main ("recovery of the planner", tests);
