Apply removals of orders that carry the version of the removed row

A change that the watch returns is newer than the version that it goes on from, so a removal with an older version counts as of the reply's version.

--- a/packages/jobs/include/jb_zones.h
+++ b/packages/jobs/include/jb_zones.h
@@ -65,9 +65,14 @@
 bool jb_zones_apply_change (struct jb_zones *zones, jb_time now,
                             const struct jb_zone_entry *entry);
 
-/* Record that all changes up to VERSION of the store have been applied to a
-   table that was read completely.  */
-void jb_zones_confirm (struct jb_zones *zones, uint64_t version);
+/* Apply the COUNT ENTRIES, which are borrowed: all changes that the store has
+   made after the version of the table, up to VERSION.  A removal with a
+   version that can't be that of a change since then, such as that of the
+   removed row, counts as of VERSION.  */
+void jb_zones_apply_changes (struct jb_zones *zones, jb_time now,
+                             uint64_t version,
+                             const struct jb_zone_entry *entries,
+                             uint32_t count);
 
 /* Apply the COUNT ENTRIES, which are borrowed, of a peer that knows the
    table.  */
--- a/packages/jobs/src/jb_host_zones.c
+++ b/packages/jobs/src/jb_host_zones.c
@@ -104,9 +104,8 @@
 jb_host_watch_zones (struct jb_host *host, jb_time now,
                      const struct jb_reply *reply, uint64_t version)
 {
-  for (uint32_t i = 0; i < reply->zone_count; i++)
-    jb_zones_apply_change (host->zones, now, &reply->zones[i]);
-  jb_zones_confirm (host->zones, version);
+  jb_zones_apply_changes (host->zones, now, version, reply->zones,
+                          reply->zone_count);
   log_changes (host, "store");
 }
 
--- a/packages/jobs/src/jb_zones.c
+++ b/packages/jobs/src/jb_zones.c
@@ -169,12 +169,21 @@
     }
   for (uint32_t i = 0; i < count; i++)
     jb_zones_apply_change (zones, now, &entries[i]);
-  jb_zones_confirm (zones, version);
+  zones->version = MAX (zones->version, version);
 }
 
 void
-jb_zones_confirm (struct jb_zones *zones, uint64_t version)
+jb_zones_apply_changes (struct jb_zones *zones, jb_time now, uint64_t version,
+                        const struct jb_zone_entry *entries, uint32_t count)
 {
+  for (uint32_t i = 0; i < count; i++)
+    {
+      struct jb_zone_entry entry = entries[i];
+
+      if (!entry.evacuated && entry.version <= zones->version)
+        entry.version = version;
+      jb_zones_apply_change (zones, now, &entry);
+    }
   if (zones->known)
     zones->version = MAX (zones->version, version);
 }
--- a/packages/jobs/tests/test_jb_zones.c
+++ b/packages/jobs/tests/test_jb_zones.c
@@ -37,7 +37,7 @@
   struct jb_zones *zones = jb_zones_new (NULL);
 
   CU_ASSERT_FALSE (jb_zones_are_known (zones));
-  jb_zones_confirm (zones, 5);
+  jb_zones_apply_changes (zones, NOW, 5, NULL, 0);
   CU_ASSERT_EQUAL (jb_zones_version (zones), 0);
   jb_zones_apply_reading (zones, NOW, 7, NULL, 0);
   CU_ASSERT_TRUE (jb_zones_are_known (zones));
@@ -120,6 +120,28 @@
     }
 }
 
+/* A removal that is listed with the version of the row that was removed must
+   still have an effect, or the zone would stay empty for ever.  */
+static void
+test_removal_with_old_version (void)
+{
+  struct jb_zones *zones = jb_zones_new (NULL);
+  struct jb_zone_entry entry = ordered ("a", 4);
+
+  jb_zones_apply_reading (zones, NOW, 6, &entry, 1);
+  entry = removed ("a", 4);
+  jb_zones_apply_changes (zones, NOW, 9, &entry, 1);
+  CU_ASSERT_FALSE (jb_zones_is_evacuated (zones, "a"));
+  CU_ASSERT_EQUAL (jb_zones_version (zones), 9);
+  entry = ordered ("a", 4);
+  jb_zones_merge (zones, NOW, &entry, 1);
+  CU_ASSERT_FALSE (jb_zones_is_evacuated (zones, "a"));
+  entry = ordered ("a", 10);
+  jb_zones_apply_changes (zones, NOW, 10, &entry, 1);
+  CU_ASSERT_TRUE (jb_zones_is_evacuated (zones, "a"));
+  talloc_free (zones);
+}
+
 /* Two orders at once must not replace each other.  */
 static void
 test_zones_are_independent (void)
@@ -243,6 +265,8 @@
     { "a late copy of a removed order is ignored",
       test_late_copy_after_removal },
     { "the highest version wins", test_highest_version_wins },
+    { "a removal with the version of the removed row",
+      test_removal_with_old_version },
     { "orders of two zones are independent", test_zones_are_independent },
     { "the share grows after a zone was taken back",
       test_share_after_restoration },
