--- a/packages/jobs/include/jb_driver.h
+++ b/packages/jobs/include/jb_driver.h
@@ -169,6 +169,8 @@
   JB_COUNT_RESERVATIONS_WITHDRAWN, /* the tasks no longer wait */
   JB_COUNT_PLACED_IN_GAPS,
   JB_COUNT_RESERVED_IDLE_CORE_MS,
+  /* Jobs that were deferred because of their organisations' shares.  */
+  JB_COUNT_JOBS_DEFERRED,
   JB_COUNTER_COUNT
 };
 
--- a/packages/jobs/include/jb_job.h
+++ b/packages/jobs/include/jb_job.h
@@ -158,6 +158,9 @@
   GPtrArray *groups;
   uint32_t active_runs; /* of all its groups */
   int64_t total_work;   /* jb_job_desc_work of its description */
+  /* jb_select_on_time has deferred it, because its organisation uses more than
+     its share of a pool that can't finish all jobs on time.  */
+  bool deferred;
   /* Statistics of its queue, and the usage of its organisation, borrowed from
      the pool.  NULL until they are needed.  */
   struct jb_queue_stats *queue_stats;
--- a/packages/jobs/include/jb_rank.h
+++ b/packages/jobs/include/jb_rank.h
@@ -17,6 +17,7 @@
   /* Is of value while it runs, so it is due at once.  */
   JB_RANK_LONG_RUNNING,
   JB_RANK_ON_TIME,    /* can still be on time */
+  JB_RANK_DEFERRED,   /* could be on time, but others go first */
   JB_RANK_LATE,       /* can't be on time, but is of some value */
   JB_RANK_OVERDUE,    /* too late to be of value, but must still run */
   JB_RANK_BEST_EFFORT /* uses only idle capacity */
@@ -26,6 +27,7 @@
 {
   bool long_running;
   bool best_effort;
+  bool deferred; /* jb_select_on_time has deferred its job */
   uint32_t priority;
   int64_t total_work; /* of the job; thousandths of a core * ms */
   /* jb_rank_work_divisor of the work of the tasks that are not done.  */
--- a/packages/jobs/include/jb_types.h
+++ b/packages/jobs/include/jb_types.h
@@ -140,6 +140,9 @@
   /* Placement considers what is waiting and what will end soon
      (jb_reserve.h).  */
   bool lookahead;
+  /* Organisations that use more than their weights' shares of a full pool are
+     served after the others (jb_share.h).  */
+  bool shares;
   /* Bit set of enum jb_safeguard; 0 except in tests.  */
   uint32_t disabled_safeguards;
 };
--- a/packages/jobs/src/jb_driver.c
+++ b/packages/jobs/src/jb_driver.c
@@ -323,6 +323,7 @@
   = { "reservations", "event=\"withdrawn\"" },
   [JB_COUNT_PLACED_IN_GAPS] = { "placed_in_gaps", NULL },
   [JB_COUNT_RESERVED_IDLE_CORE_MS] = { "reserved_idle_core_ms", NULL },
+  [JB_COUNT_JOBS_DEFERRED] = { "jobs_deferred", NULL },
 };
 
 static const char *const histogram_names[JB_HIST_COUNT] = {
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -93,6 +93,7 @@
   /* With lookahead: it uses more than its weight's share while others
      wait.  */
   bool exceeds_weight;
+  bool over_share; /* as jb_share_compare decided last */
 };
 
 /* The state of placement with lookahead.  */
@@ -192,6 +193,8 @@
   bool schedule_due;     /* something changed since the last cycle */
   jb_time next_schedule; /* earliest time of the next cycle */
   jb_time next_sweep;
+  jb_time next_selection; /* when jobs are deferred again, see jb_select.h */
+  bool share_applies;     /* a job was deferred in the last selection */
   /* Quotas of organisations.  */
   GHashTable *org_usages; /* organisation -> struct jb_pool_org_usage */
   uint64_t reported_planner_fence; /* highest fence of a planner that got a
@@ -435,6 +438,13 @@
 void jb_pool_record_duration (struct jb_pool *pool, const struct jb_task *task,
                               jb_time now);
 
+/* ---- jb_pool_select.c ---- */
+
+/* With shares, if it is time to: decide which jobs are deferred because the
+   pool can't finish all of them on time.  The usage of the organisations must
+   have been recounted just before.  */
+void jb_pool_select_jobs (struct jb_pool *pool, jb_time now);
+
 /* ---- jb_pool_quota.c ---- */
 
 /* Return whether ORG, which may be NULL, has a quota.  */
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -525,6 +525,7 @@
   const struct jb_step *step = jb_task_group_step (group);
   struct jb_rank_input input = { .long_running = step->long_running,
                                  .best_effort = step->best_effort,
+                                 .deferred = job->deferred,
                                  .priority = job->desc->priority,
                                  .total_work = job->total_work,
                                  .received_at = job->received_at,
@@ -855,6 +856,7 @@
   if (pool->usable_count == 0)
     return;
   jb_pool_recount_usage (pool);
+  jb_pool_select_jobs (pool, now);
   if (jb_pool_lookahead_begin (pool, now))
     rank_reservations (pool, now);
   candidates = collect_candidates (pool, &room, now);
--- a/packages/jobs/src/jb_pool_view.c
+++ b/packages/jobs/src/jb_pool_view.c
@@ -171,6 +171,8 @@
   reason = has_awaited_task (group)
                ? "a former holder may have started it on a silent backend "
                  "server"
+           : group->job->deferred
+               ? "its organisation uses more than its share of a full pool"
                : explain_placement (pool, group, now);
   jb_view_add (view, "reason", "step", jb_itoa (group->step), "reason", reason,
                "cpu", jb_itoa (resources->cpu_milli), NULL);
--- a/packages/jobs/src/jb_rank.c
+++ b/packages/jobs/src/jb_rank.c
@@ -51,7 +51,7 @@
   else if (input->long_running)
     rank.class = JB_RANK_LONG_RUNNING;
   else if (expected_end <= input->due_at)
-    rank.class = JB_RANK_ON_TIME;
+    rank.class = input->deferred ? JB_RANK_DEFERRED : JB_RANK_ON_TIME;
   else if (expected_end <= worthless_at)
     rank.class = JB_RANK_LATE;
   else
--- a/programs/dogwoodpulleyd.c
+++ b/programs/dogwoodpulleyd.c
@@ -31,6 +31,9 @@
           0 },
         { "lookahead", 'l', NULL, 0,
           "With --jobs: reserve room for tasks that wait for it", 0 },
+        { "shares", 'w', NULL, 0,
+          "With --jobs: serve organisations by their weights in a full pool",
+          0 },
         { 0 } };
 
 struct arguments
@@ -38,7 +41,7 @@
   const char *settings;
   bool check;
   bool jobs;
-  bool lookahead;
+  struct pf_job_options job_options;
 };
 
 static error_t
@@ -58,11 +61,16 @@
       arguments->jobs = true;
       return 0;
     case 'l':
-      arguments->lookahead = true;
+      arguments->job_options.lookahead = true;
+      return 0;
+    case 'w':
+      arguments->job_options.shares = true;
       return 0;
     case ARGP_KEY_END:
-      if (arguments->lookahead && !arguments->jobs)
+      if (arguments->job_options.lookahead && !arguments->jobs)
         argp_error (state, "--lookahead needs --jobs");
+      if (arguments->job_options.shares && !arguments->jobs)
+        argp_error (state, "--shares needs --jobs");
       if (arguments->settings == NULL && !arguments->jobs)
         argp_error (state, "--settings FILE is needed");
       return 0;
@@ -86,7 +94,7 @@
   sv_signals_block ();
   argp_parse (&argp, argc, argv, 0, NULL, &arguments);
   if (arguments.jobs)
-    return pf_serve_jobs (arguments.lookahead);
+    return pf_serve_jobs (&arguments.job_options);
   mem = talloc_new (NULL);
   settings = cf_settings_load (mem, arguments.settings, &error);
   if (settings == NULL)
