Pass the jobs of a selection as a plain table

clang-tidy takes the size of a pointer to a structure in qsort for a mistake; the order is now a table of indices, and the caller's table keeps its own.

--- a/packages/jobs/include/jb_select.h
+++ b/packages/jobs/include/jb_select.h
@@ -24,9 +24,8 @@
 
 /* Set `deferred' of the COUNT JOBS, of which each could be on time if it had
    the pool for itself, for a pool that works on them with CAPACITY_CPU_MILLI
-   thousandths of a core from NOW on.  The order of JOBS is changed.  Return
-   the number of deferred jobs.  */
-uint32_t jb_select_on_time (struct jb_select_job **jobs, uint32_t count,
+   thousandths of a core from NOW on.  Return the number of deferred jobs.  */
+uint32_t jb_select_on_time (struct jb_select_job *jobs, uint32_t count,
                             int64_t capacity_cpu_milli, jb_time now);
 
 #endif
--- a/packages/jobs/src/jb_pool_select.c
+++ b/packages/jobs/src/jb_pool_select.c
@@ -112,7 +112,6 @@
   guint len = pool->active_jobs->len;
   struct jb_resources capacity;
   struct jb_select_job *entries;
-  struct jb_select_job **order;
   struct jb_job **jobs;
   bool *was_deferred;
   uint32_t deferred;
@@ -122,7 +121,6 @@
     return;
   pool->next_selection = now + SELECTION_INTERVAL;
   entries = g_new0 (struct jb_select_job, len + 1);
-  order = g_new (struct jb_select_job *, len + 1);
   jobs = g_new (struct jb_job *, len + 1);
   was_deferred = g_new (bool, len + 1);
   capacity = finite_capacity (pool);
@@ -146,10 +144,9 @@
         .over_share = job->desc->org != NULL
                       && jb_pool_get_job_usage (pool, job)->over_share
       };
-      order[count] = &entries[count];
       jobs[count++] = job;
     }
-  deferred = jb_select_on_time (order, count, capacity.cpu_milli, now);
+  deferred = jb_select_on_time (entries, count, capacity.cpu_milli, now);
   for (uint32_t i = 0; i < count; i++)
     {
       jobs[i]->deferred = entries[i].deferred;
@@ -158,7 +155,6 @@
     }
   log_change (pool, deferred);
   g_free (entries);
-  g_free (order);
   g_free (jobs);
   g_free (was_deferred);
 }
--- a/packages/jobs/src/jb_select.c
+++ b/packages/jobs/src/jb_select.c
@@ -7,13 +7,22 @@
    fit together.  */
 #define USABLE_PERCENT 90
 
+/* A job in the order in which jobs are due.  */
+struct due_job
+{
+  jb_time due_at;
+  uint32_t index;
+};
+
 static int
 compare_due (const void *a, const void *b)
 {
-  const struct jb_select_job *x = *(struct jb_select_job *const *)a;
-  const struct jb_select_job *y = *(struct jb_select_job *const *)b;
+  const struct due_job *x = a;
+  const struct due_job *y = b;
 
-  return x->due_at < y->due_at ? -1 : x->due_at > y->due_at;
+  if (x->due_at != y->due_at)
+    return x->due_at < y->due_at ? -1 : 1;
+  return x->index < y->index ? -1 : x->index > y->index;
 }
 
 /* Return whether A is to be deferred before B.  */
@@ -26,46 +35,54 @@
          > (double)b->remaining_work * a->value;
 }
 
-/* Return the index of the job among the first COUNT JOBS that is to be
-   deferred next, or COUNT if all are.  */
-static uint32_t
-find_next_deferred (struct jb_select_job *const *jobs, uint32_t count)
+/* Return the one of the first COUNT jobs in ORDER that is to be deferred next,
+   or NULL if none may be.  */
+static struct jb_select_job *
+find_next_deferred (struct jb_select_job *jobs, const struct due_job *order,
+                    uint32_t count)
 {
-  uint32_t best = count;
+  struct jb_select_job *best = NULL;
 
   for (uint32_t i = 0; i < count; i++)
-    if (!jobs[i]->deferred && jobs[i]->over_share
-        && (best == count || goes_first (jobs[i], jobs[best])))
-      best = i;
+    {
+      struct jb_select_job *job = &jobs[order[i].index];
+
+      if (!job->deferred && job->over_share
+          && (best == NULL || goes_first (job, best)))
+        best = job;
+    }
   return best;
 }
 
 uint32_t
-jb_select_on_time (struct jb_select_job **jobs, uint32_t count,
+jb_select_on_time (struct jb_select_job *jobs, uint32_t count,
                    int64_t capacity_cpu_milli, jb_time now)
 {
+  struct due_job *order = g_new (struct due_job, count + 1);
   int64_t work = 0;
   uint32_t deferred = 0;
 
-  qsort (jobs, count, sizeof *jobs, compare_due);
   for (uint32_t i = 0; i < count; i++)
-    jobs[i]->deferred = false;
+    {
+      jobs[i].deferred = false;
+      order[i] = (struct due_job){ jobs[i].due_at, i };
+    }
+  qsort (order, count, sizeof *order, compare_due);
   for (uint32_t i = 0; i < count; i++)
     {
       int64_t room = capacity_cpu_milli * USABLE_PERCENT / 100
-                     * MAX (jobs[i]->due_at - now, 0) / JB_MS;
+                     * MAX (order[i].due_at - now, 0) / JB_MS;
+      struct jb_select_job *next = NULL;
 
-      work += jobs[i]->remaining_work;
-      while (work > room)
+      work += jobs[order[i].index].remaining_work;
+      while (work > room
+             && (next = find_next_deferred (jobs, order, i + 1)) != NULL)
         {
-          uint32_t next = find_next_deferred (jobs, i + 1);
-
-          if (next > i)
-            break;
-          jobs[next]->deferred = true;
-          work -= jobs[next]->remaining_work;
+          next->deferred = true;
+          work -= next->remaining_work;
           deferred++;
         }
     }
+  g_free (order);
   return deferred;
 }
--- a/packages/jobs/tests/test_jb_select.c
+++ b/packages/jobs/tests/test_jb_select.c
@@ -32,7 +32,7 @@
   jb_time due_at;
   int64_t done_ms; /* of JOB_DURATION_MS */
   bool ended;
-  struct jb_select_job select;
+  bool deferred; /* see jb_select.h */
 };
 
 struct simulation
@@ -59,7 +59,8 @@
 {
   struct jb_resources capacity = { .cpu_milli = CAPACITY_CPU_MILLI };
   struct jb_share_org orgs[ORG_COUNT] = { 0 };
-  struct jb_select_job **order = g_new (struct jb_select_job *, MAX_JOBS);
+  struct jb_select_job *entries = g_new (struct jb_select_job, MAX_JOBS);
+  uint32_t *indices = g_new (uint32_t, MAX_JOBS);
   uint32_t count = 0;
 
   for (uint32_t i = 0; i < ORG_COUNT; i++)
@@ -78,37 +79,40 @@
     {
       struct job *job = &simulation->jobs[i];
 
-      job->select.deferred = false;
+      job->deferred = false;
       if (job->ended || now >= job->due_at)
         continue;
-      job->select
+      indices[count] = i;
+      entries[count++]
           = (struct jb_select_job){ .due_at = job->due_at,
                                     .remaining_work
                                     = (JOB_DURATION_MS - job->done_ms)
                                       * (int64_t)JOB_CPU_MILLI,
                                     .value = 1,
                                     .over_share = orgs[job->org].over_share };
-      order[count++] = &job->select;
     }
-  jb_select_on_time (order, count, CAPACITY_CPU_MILLI, now);
-  g_free (order);
+  jb_select_on_time (entries, count, CAPACITY_CPU_MILLI, now);
+  for (uint32_t i = 0; i < count; i++)
+    simulation->jobs[indices[i]].deferred = entries[i].deferred;
+  g_free (entries);
+  g_free (indices);
 }
 
 /* Running jobs first, then those that can be on time, then the deferred ones,
    then the late ones; each by when they are due.  */
 static int
-compare_jobs (const void *a, const void *b, void *data)
+compare_jobs (gconstpointer a, gconstpointer b, gpointer data)
 {
   const struct job *x = *(struct job *const *)a;
   const struct job *y = *(struct job *const *)b;
   jb_time latest = *(const jb_time *)data + JOB_DURATION_MS * JB_MS;
   int class_x = x->done_ms > 0       ? 0
                 : x->due_at < latest ? 3
-                : x->select.deferred ? 2
+                : x->deferred        ? 2
                                      : 1;
   int class_y = y->done_ms > 0       ? 0
                 : y->due_at < latest ? 3
-                : y->select.deferred ? 2
+                : y->deferred        ? 2
                                      : 1;
 
   if (class_x != class_y)
@@ -122,14 +126,13 @@
 run (uint32_t first, uint32_t last, bool shares)
 {
   struct simulation *simulation = g_new0 (struct simulation, 1);
-  struct job **order = g_new (struct job *, MAX_JOBS);
+  GPtrArray *order = g_ptr_array_new ();
   uint32_t total = 0;
   uint32_t on_time = 0;
 
   for (jb_time now = 0; now < 2 * LOAD_MS * JB_MS; now += STEP_MS * JB_MS)
     {
       uint32_t slots = CAPACITY_CPU_MILLI / JOB_CPU_MILLI;
-      uint32_t waiting = 0;
 
       /* Half a job a step is a tenth of the pool.  */
       for (uint32_t org = 0; org < FLOODING_ORG && now < LOAD_MS * JB_MS;
@@ -139,25 +142,26 @@
         submit (simulation, FLOODING_ORG, 25, now);
       if (shares)
         select_jobs (simulation, now);
+      g_ptr_array_set_size (order, 0);
       for (uint32_t i = 0; i < simulation->count; i++)
         if (!simulation->jobs[i].ended)
-          order[waiting++] = &simulation->jobs[i];
-      g_qsort_with_data (order, (gint)waiting, sizeof *order, compare_jobs,
-                         &now);
-      for (uint32_t i = 0; i < MIN (waiting, slots); i++)
+          g_ptr_array_add (order, &simulation->jobs[i]);
+      g_ptr_array_sort_with_data (order, compare_jobs, &now);
+      for (uint32_t i = 0; i < MIN (order->len, slots); i++)
         {
-          order[i]->done_ms += STEP_MS;
-          order[i]->ended = order[i]->done_ms >= JOB_DURATION_MS;
-          if (order[i]->ended && order[i]->org >= first
-              && order[i]->org <= last
-              && now + STEP_MS * JB_MS <= order[i]->due_at)
+          struct job *job = g_ptr_array_index (order, i);
+
+          job->done_ms += STEP_MS;
+          job->ended = job->done_ms >= JOB_DURATION_MS;
+          if (job->ended && job->org >= first && job->org <= last
+              && now + STEP_MS * JB_MS <= job->due_at)
             on_time++;
         }
     }
   for (uint32_t i = 0; i < simulation->count; i++)
     total
         += simulation->jobs[i].org >= first && simulation->jobs[i].org <= last;
-  g_free (order);
+  g_ptr_array_free (order, TRUE);
   g_free (simulation);
   return (double)on_time / (double)total;
 }
@@ -183,7 +187,6 @@
 test_work_conserving (void)
 {
   struct jb_select_job jobs[20] = { 0 };
-  struct jb_select_job *order[20];
 
   for (uint32_t i = 0; i < 20; i++)
     {
@@ -191,11 +194,9 @@
                                         .remaining_work = 10000000,
                                         .value = 1,
                                         .over_share = true };
-      order[i] = &jobs[i];
     }
-  CU_ASSERT_EQUAL (jb_select_on_time (order, 20, CAPACITY_CPU_MILLI, 0), 0);
-  CU_ASSERT_EQUAL (jb_select_on_time (order, 20, CAPACITY_CPU_MILLI / 2, 0),
-                   9);
+  CU_ASSERT_EQUAL (jb_select_on_time (jobs, 20, CAPACITY_CPU_MILLI, 0), 0);
+  CU_ASSERT_EQUAL (jb_select_on_time (jobs, 20, CAPACITY_CPU_MILLI / 2, 0), 9);
 }
 
 /* Jobs of organisations within their shares are not deferred, nor are those of
@@ -217,11 +218,10 @@
                                      .due_at = JB_SECOND,
                                      .remaining_work = 900000,
                                      .value = 1 } };
-  struct jb_select_job *order[3] = { &jobs[0], &jobs[1], &jobs[2] };
 
-  CU_ASSERT_EQUAL (jb_select_on_time (order, 3, 2050, 0), 1);
+  CU_ASSERT_EQUAL (jb_select_on_time (jobs, 3, 2050, 0), 1);
   CU_ASSERT_TRUE (jobs[0].deferred);
-  CU_ASSERT_EQUAL (jb_select_on_time (order, 3, 100, 0), 2);
+  CU_ASSERT_EQUAL (jb_select_on_time (jobs, 3, 100, 0), 2);
   CU_ASSERT_FALSE (jobs[2].deferred);
 }
 
