Grant no share for what a former owner of a pool can't have used

Cause: a new owner counts every task of the jobs that it has loaded as used, since any may run.

Ruled out: the planner's shorter wait (one planner throughout), late starts of the former owner (all runs at 1007.29 s are the new owner's).

Change: what the new owner of a pool reports as used is bounded by the highest share that its predecessor, or it, may have had in force. An organisation that a report does not contain has had no quota and is not bounded.

Open: a new planner knows of no former share, so the grant is still too high when the owner and the planner change together.

--- a/packages/jobs/src/jb_planner_internal.h
+++ b/packages/jobs/src/jb_planner_internal.h
@@ -97,8 +97,14 @@
   struct jb_resources reported_share; /* by the pool's owner */
   struct jb_resources assigned_share; /* by this planner, last */
   struct jb_resources highest_share;  /* that the owner may have in force */
-  bool is_unsent;                     /* assigned_share was not sent yet */
-  GArray *unacked_shares;             /* struct unacked_share */
+  /* The pool has had another owner since this planner's claim, which reported
+     this quota, and all owners since have: no more can be used than the
+     highest share that any of them may have had in force.  */
+  bool use_is_bounded;
+  struct jb_resources use_bound;
+  uint64_t last_report;   /* number of the last one that contains it */
+  bool is_unsent;         /* assigned_share was not sent yet */
+  GArray *unacked_shares; /* struct unacked_share */
 };
 
 /* The quotas of all organisations in a pool.  */
@@ -106,6 +112,7 @@
 {
   char *name;
   uint64_t fence;        /* of the pool's owner; 0: it has reported nothing */
+  uint64_t reports;      /* number of reports, of all owners */
   uint64_t serial;       /* of the newest shares sent; 0: none */
   uint64_t acked_serial; /* of the shares that the owner has in force */
   bool shares_changed;   /* since they were last sent */
--- a/packages/jobs/src/jb_planner_quota.c
+++ b/packages/jobs/src/jb_planner_quota.c
@@ -71,6 +71,16 @@
   resources->accelerators = MAX (resources->accelerators, other->accelerators);
 }
 
+/* Lower each dimension of RESOURCES to that of OTHER if that is smaller.  */
+static void
+lower_to_minimum (struct jb_resources *resources,
+                  const struct jb_resources *other)
+{
+  resources->cpu_milli = MIN (resources->cpu_milli, other->cpu_milli);
+  resources->memory_mb = MIN (resources->memory_mb, other->memory_mb);
+  resources->accelerators = MIN (resources->accelerators, other->accelerators);
+}
+
 /* Compute the highest share that the pool's owner may have in force.  That is
    the maximum of the share that it reported, what the organisation uses, and
    all shares that were assigned and not acknowledged.  Shares up to
@@ -236,6 +246,7 @@
       org_quota->assigned_share = pools[i].share;
       org_quota->is_unsent = true;
       raise_to_maximum (&org_quota->highest_share, &org_quota->assigned_share);
+      raise_to_maximum (&org_quota->use_bound, &org_quota->assigned_share);
       quotas[i]->shares_changed = true;
     }
   g_free (pools);
@@ -323,7 +334,9 @@
     {
       /* The pool has a new owner.  No shares are in force there yet, and its
          report includes everything that the previous owner may have left
-         running.  */
+         running: all tasks of the jobs that it has loaded.  The previous owner
+         can't have used more than its share, and a share for the rest would be
+         free for new starts as soon as the runs are known.  */
       quota->fence = usage->fence;
       quota->serial = 0;
       quota->acked_serial = 0;
@@ -332,6 +345,8 @@
         {
           struct org_quota *org_quota = value;
 
+          org_quota->use_is_bounded = org_quota->last_report == quota->reports;
+          raise_to_maximum (&org_quota->use_bound, &org_quota->highest_share);
           org_quota->assigned_share = (struct jb_resources){ 0 };
           org_quota->is_unsent = false;
           g_array_set_size (org_quota->unacked_shares, 0);
@@ -340,12 +355,19 @@
   /* The serial numbers of another planner are not comparable.  */
   quota->acked_serial
       = usage->planner_fence == jb_planner_fence (planner) ? usage->serial : 0;
+  quota->reports++;
   for (uint32_t i = 0; i < usage->count; i++)
     {
       const struct jb_msg_org_usage *report = &usage->org_usages[i];
       struct org_quota *org_quota = get_or_add_org_quota (quota, report->org);
 
       org_quota->used = report->used;
+      /* Without a report it may have had no quota, and used anything.  */
+      if (org_quota->last_report != quota->reports - 1)
+        org_quota->use_is_bounded = false;
+      org_quota->last_report = quota->reports;
+      if (org_quota->use_is_bounded)
+        lower_to_minimum (&org_quota->used, &org_quota->use_bound);
       org_quota->wanted = report->wanted;
       org_quota->reported_share = report->share;
     }
