Let a job wait that fits on the backend servers of an evacuated zone only

Cause: their capacity was left out of the largest one that admission compares a job with, so such a job was refused as too large for every backend server, with no time to come back, although the zone may be taken back.

Change: the capacity of an evacuated zone counts for the largest backend server and not for the sum.

Result: the new case of test_evacuation failed before and passes. Also formats one line.

--- a/packages/jobs/include/jb_catalog.h
+++ b/packages/jobs/include/jb_catalog.h
@@ -33,7 +33,7 @@
   char *name;
   char **keys; /* API keys */
   uint32_t key_count;
-  uint32_t weight; /* for its share of a full pool, see jb_share.h */
+  uint32_t weight;           /* for its share of a full pool, see jb_share.h */
   struct jb_resources limit; /* of all pools together; 0: unlimited */
 };
 
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -434,9 +434,10 @@
 
 /* Add the capacity of all reachable backend servers to SUM, and raise LARGEST
    to the largest capacity of one of them, in each dimension.  These are the
-   listed ones that answer probes and are not being evacuated, neither for a
-   command to their host nor with their zone, whether or not tasks may be
-   started on them now.  */
+   listed ones that answer probes and are not being evacuated for a command to
+   their host, whether or not tasks may be started on them now.  Those of an
+   evacuated zone count for LARGEST only: a job that fits on them only can wait
+   until the zone is taken back.  */
 static void
 sum_capacity (const struct jb_pool *pool, jb_time now,
               struct jb_resources *sum, struct jb_resources *largest)
@@ -451,10 +452,10 @@
 
       if (!backend->listed
           || backend->unanswered_probes >= JB_SILENT_AFTER_PROBES
-          || now < backend->cordoned_until
-          || jb_pool_is_in_evacuated_zone (pool, backend))
+          || now < backend->cordoned_until)
         continue;
-      jb_resources_add (sum, &backend->capacity);
+      if (!jb_pool_is_in_evacuated_zone (pool, backend))
+        jb_resources_add (sum, &backend->capacity);
       largest->cpu_milli
           = MAX (largest->cpu_milli, backend->capacity.cpu_milli);
       largest->memory_mb
--- a/tests/sim/jobs/test_evacuation.c
+++ b/tests/sim/jobs/test_evacuation.c
@@ -208,6 +208,43 @@
   jw_check_and_free (world);
 }
 
+/* A job that fits on the backend servers of the zone only must wait until the
+   zone is taken back.  Refused as too large for every backend server, its
+   client would not come again.  */
+static void
+test_fits_evacuated_zone_only (void)
+{
+  struct jw_world *world = create_world (3, 3, 0);
+  struct jw_job_options job = { .step_count = 1,
+                                .tasks_per_step = 1,
+                                .cpu_milli = 4000,
+                                .duration_ms = 1000 };
+  const struct jw_job *submitted;
+  const char *id;
+
+  for (uint32_t i = 0; i < 6; i++)
+    {
+      struct jw_backend *backend = jw_find_backend (world, 0, i);
+
+      if (strcmp (backend->zone, jw_zone_name (EVACUATED)) != 0)
+        jw_backend_set_capacity (world, backend, 2000);
+    }
+  jw_advance (world, 3 * JB_SECOND);
+  jw_evacuate_zone (world, EVACUATED);
+  jw_advance (world, ORDER_TIME);
+  id = jw_submit_job (world, &job);
+  jw_advance (world, 2 * JB_SECOND);
+  submitted = jw_find_job (world, id);
+  CU_ASSERT_TRUE (submitted->accepted);
+  CU_ASSERT_FALSE (submitted->started);
+  jw_restore_zone (world, EVACUATED);
+  jw_advance (world, 5 * JB_SECOND);
+  jw_query_all_jobs (world);
+  jw_advance (world, JB_SECOND);
+  CU_ASSERT_EQUAL (submitted->state, JB_JOB_COMPLETED);
+  jw_check_and_free (world);
+}
+
 /* Two orders at once must both have an effect, and one removal only its
    own.  */
 static void
@@ -460,6 +497,8 @@
           { "tasks stay while the other zones are full", test_full_zones },
           { "tasks stay without an allowed backend server",
             test_no_allowed_backend },
+          { "a job fits on the zone's backend servers only",
+            test_fits_evacuated_zone_only },
           { "two orders at once", test_two_orders },
           { "orders and removals in quick succession", test_quick_succession },
           { "orders during takeovers", test_order_during_takeover },
