Bound the host index before shifting the emulator's version mask

Cause: the emulator looked up a host's bit in a 32-bit mask with the host's index, which reaches 49 in the tests of large fleets. UndefinedBehaviorSanitizer stops test_large_fleet and test_large_configuration there; on x86 the shift wraps and, as the mask is 0 in these tests, nothing else changes. Change: one predicate for both places, which counts hosts from index 32 on as hosts of this version.

--- a/tests/sim/jobs/jw_commands.c
+++ b/tests/sim/jobs/jw_commands.c
@@ -142,10 +142,7 @@
   struct jb_command *command = &in_flight->command;
   uint32_t count = 0;
 
-  if ((in_flight->host->world->options.previous_version_hosts
-           >> in_flight->host->index
-       & 1)
-      == 0)
+  if (!jw_host_is_previous_version (in_flight->host))
     return;
   if (command->kind == JB_COMMAND_READ
       && strcmp (command->u.read.table, JB_COMMANDED_TABLE) == 0)
--- a/tests/sim/jobs/jw_world.c
+++ b/tests/sim/jobs/jw_world.c
@@ -235,6 +235,14 @@
   return is_new;
 }
 
+bool
+jw_host_is_previous_version (const struct jw_host *host)
+{
+  const uint32_t mask = host->world->options.previous_version_hosts;
+
+  return host->index < 32 && (mask >> host->index & 1) != 0;
+}
+
 static void
 deliver_message (struct jw_world *world, void *data)
 {
@@ -243,7 +251,7 @@
   if (message->to->host == NULL || message->to->epoch != message->epoch
       || message->to->frozen || message->to->peers_unreachable)
     return;
-  if ((world->options.previous_version_hosts >> message->to->index & 1) != 0
+  if (jw_host_is_previous_version (message->to)
       && is_new_message (message->body))
     return;
   message->to->received_bytes += message->body.len;
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -68,7 +68,7 @@
   uint32_t small_hosts;
   /* Bit set of the indices of hosts that neither write nor read the names of
      commanded hosts, nor understand queries about processes, like the previous
-     version.  */
+     version.  Hosts from index 32 on are always of this version.  */
   uint32_t previous_version_hosts;
   uint32_t pools;            /* with one queue each; a standby pool is added */
   uint32_t backends;         /* in each pool */
@@ -445,6 +445,9 @@
    and schedule its next run.  */
 void jw_host_run (struct jw_host *host);
 
+/* Whether HOST is one of the options' previous_version_hosts.  */
+bool jw_host_is_previous_version (const struct jw_host *host);
+
 /* Count a violation of RULE and keep the text of the first one.  The rules:
 
    UNASKED  a task starts that no job has, with a specification other than its
