Let the kernel choose the ports of the HTTP client's tests

Cause: test_ht_client listened on ports 19481 and 19484. Change: the test binds to port 0 and asks for the port.

--- a/packages/http/tests/test_ht_client.c
+++ b/packages/http/tests/test_ht_client.c
@@ -15,7 +15,6 @@
 
 enum
 {
-  PORT = 19481,
   STALL_MS = 2000,
   /* A response of ten parts at this interval takes longer than the timeout;
      the interval is far below the idle timeout.  */
@@ -27,7 +26,6 @@
   LATE_ITERATION_MS = 2500,
   RESPONSE_DELAY_MS = 50,
   CONNECTION_DELAY_MS = 2000, /* more than libcurl's connection timeout */
-  BUSY_PORT = 19484,
   FILLER_COUNT = 2,
   MANY_REQUESTS = 200, /* more than the client handles in one iteration */
   IDLE_TIMEOUT_MS = 5000,
@@ -35,7 +33,10 @@
   LONG_TIMEOUT_MS = 60000    /* never expires in these tests */
 };
 
-static const char url[] = "http://127.0.0.1:19481/x";
+/* Of the server, which listens on a port that the kernel chooses: with a fixed
+   one, the tests of two checkouts can't run at the same time.  */
+static int port;
+static char url[40];
 static const char small_response[]
     = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Test: yes\r\n\r\nok";
 
@@ -281,12 +282,23 @@
 static GThread *client_thread;
 static GThread *server_thread;
 
+/* Bind FD to a port of the loopback interface, and store its ADDRESS.  */
+static void
+bind_to_free_port (int fd, struct sockaddr_in *address)
+{
+  socklen_t size = sizeof *address;
+
+  *address = (struct sockaddr_in){ .sin_family = AF_INET };
+  inet_pton (AF_INET, "127.0.0.1", &address->sin_addr);
+  CU_ASSERT_EQUAL_FATAL (bind (fd, (struct sockaddr *)address, size), 0);
+  CU_ASSERT_EQUAL_FATAL (getsockname (fd, (struct sockaddr *)address, &size),
+                         0);
+}
+
 static void
 set_up_with (const struct ht_client_options *options)
 {
-  struct sockaddr_in address
-      = { .sin_family = AF_INET, .sin_port = htons (PORT) };
-  int enable = 1;
+  struct sockaddr_in address;
 
   atomic_store (&released, false);
   atomic_store (&content_type_received, false);
@@ -297,10 +309,9 @@
   atomic_store (&iteration_delay_ms, 0);
   memset (server_actions, 0, sizeof server_actions);
   listening_fd = socket (AF_INET, SOCK_STREAM, 0);
-  setsockopt (listening_fd, SOL_SOCKET, SO_REUSEADDR, &enable, sizeof enable);
-  inet_pton (AF_INET, "127.0.0.1", &address.sin_addr);
-  CU_ASSERT_EQUAL_FATAL (
-      bind (listening_fd, (struct sockaddr *)&address, sizeof address), 0);
+  bind_to_free_port (listening_fd, &address);
+  port = ntohs (address.sin_port);
+  g_snprintf (url, sizeof url, "http://127.0.0.1:%d/x", port);
   listen (listening_fd, MANY_REQUESTS);
   server_thread = g_thread_new ("server", server_main, NULL);
   client = ht_client_new (NULL, options);
@@ -623,7 +634,7 @@
 submit_post (struct result *r, const char *path, int64_t timeout_ms,
              enum ht_priority priority)
 {
-  char *target_url = g_strdup_printf ("http://127.0.0.1:%d%s", PORT, path);
+  char *target_url = g_strdup_printf ("http://127.0.0.1:%d%s", port, path);
   struct ht_request request = { .method = "POST",
                                 .url = target_url,
                                 .body = "abc",
@@ -836,25 +847,20 @@
   tear_down ();
 }
 
-/* Return a socket that listens on BUSY_PORT and drops requests for connections
-   until those are accepted that wait in its queue, which FILLERS fill.  */
+/* Return a socket that listens on a port, stored in ADDRESS, and drops
+   requests for connections until those are accepted that wait in its queue,
+   which FILLERS fill.  */
 static int
-listen_with_full_queue (int fillers[FILLER_COUNT])
+listen_with_full_queue (struct sockaddr_in *address, int fillers[FILLER_COUNT])
 {
-  struct sockaddr_in address
-      = { .sin_family = AF_INET, .sin_port = htons (BUSY_PORT) };
-  int enable = 1;
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
 
-  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &enable, sizeof enable);
-  inet_pton (AF_INET, "127.0.0.1", &address.sin_addr);
-  CU_ASSERT_EQUAL_FATAL (
-      bind (fd, (struct sockaddr *)&address, sizeof address), 0);
+  bind_to_free_port (fd, address);
   listen (fd, 0);
   for (int i = 0; i < FILLER_COUNT; i++)
     {
       fillers[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      (void)connect (fillers[i], (struct sockaddr *)&address, sizeof address);
+      (void)connect (fillers[i], (struct sockaddr *)address, sizeof *address);
     }
   return fd;
 }
@@ -864,18 +870,22 @@
 static void
 test_connecting_given_up_before_timeout (void)
 {
+  char busy_url[40];
   struct ht_request request = { .method = "POST",
-                                .url = "http://127.0.0.1:19484/x",
+                                .url = busy_url,
                                 .body = "abc",
                                 .body_len = 3,
                                 .timeout_ms = LONG_TIMEOUT_MS,
                                 .timeout_per_step = true };
   struct result r = { .body = g_string_new (NULL) };
+  struct sockaddr_in address;
   int fillers[FILLER_COUNT];
   int fd;
 
   set_up ();
-  fd = listen_with_full_queue (fillers);
+  fd = listen_with_full_queue (&address, fillers);
+  g_snprintf (busy_url, sizeof busy_url, "http://127.0.0.1:%d/x",
+              ntohs (address.sin_port));
   CU_ASSERT_TRUE (ht_client_submit (client, &request, &handlers, &r));
   g_usleep (CONNECTION_DELAY_MS * 1000);
   CU_ASSERT_FALSE (atomic_load (&r.ended));
