Look up an organisation's weight in one place

Cause: placement with lookahead and the selection by shares each looked it up in the catalog, with the same default. Change: both call jb_pool_org_weight. Result: behaviour is unchanged; test_jb_select, test_jb_reserve and test_lookahead pass.

--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -457,6 +457,10 @@
    from POOL.  */
 struct jb_pool_org_usage *jb_pool_get_job_usage (struct jb_pool *pool,
                                                  struct jb_job *job);
+/* Return the weight of the organisation of ORG_USAGE, at least 1, also if the
+   catalog does not name it.  */
+uint32_t jb_pool_org_weight (const struct jb_pool *pool,
+                             const struct jb_pool_org_usage *org_usage);
 /* Return whether JOB may use RESOURCES in addition, that is whether its
    organisation then stays within the pool's share of the organisation's quota.
    If not, the next report to the planner is sent sooner.  */
--- a/packages/jobs/src/jb_pool_lookahead.c
+++ b/packages/jobs/src/jb_pool_lookahead.c
@@ -3,9 +3,6 @@
 
 #include "jb_pool_internal.h"
 
-/* Weight of an organisation that the catalog does not name.  */
-#define DEFAULT_WEIGHT 1
-
 static struct jb_task_group *
 find_group (void *data, const char *id, uint32_t occurrence, uint32_t step)
 {
@@ -119,17 +116,6 @@
   counted->idle_cpu_milli_ms = idle_counted;
 }
 
-static uint32_t
-org_weight (const struct jb_pool *pool, const char *org)
-{
-  const struct jb_catalog *catalog = *pool->options.catalog;
-  const struct jb_org *settings
-      = catalog != NULL ? jb_catalog_find_org (catalog, org) : NULL;
-
-  return settings != NULL && settings->weight > 0 ? settings->weight
-                                                  : DEFAULT_WEIGHT;
-}
-
 /* Set `exceeds_weight' of each organisation that uses POOL or waits for
    it.  */
 static void
@@ -150,7 +136,7 @@
 
       waiting += org_usage->wanted.cpu_milli > 0;
       if (org_usage->wanted.cpu_milli > 0 || org_usage->used.cpu_milli > 0)
-        weight_sum += org_weight (pool, org_usage->org);
+        weight_sum += jb_pool_org_weight (pool, org_usage);
     }
   g_hash_table_iter_init (&iter, pool->org_usages);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -162,7 +148,7 @@
           = org_usage->used.cpu_milli > 0
             && jb_reserve_exceeds_weight (org_usage->used.cpu_milli,
                                           capacity_cpu_milli,
-                                          org_weight (pool, org_usage->org),
+                                          jb_pool_org_weight (pool, org_usage),
                                           weight_sum, others_waiting > 0);
     }
 }
--- a/packages/jobs/src/jb_pool_quota.c
+++ b/packages/jobs/src/jb_pool_quota.c
@@ -73,6 +73,17 @@
   return job->org_usage;
 }
 
+uint32_t
+jb_pool_org_weight (const struct jb_pool *pool,
+                    const struct jb_pool_org_usage *org_usage)
+{
+  const struct jb_catalog *catalog = *pool->options.catalog;
+  const struct jb_org *org
+      = catalog != NULL ? jb_catalog_find_org (catalog, org_usage->org) : NULL;
+
+  return org != NULL ? MAX (org->weight, 1) : 1;
+}
+
 /* Return whether the organisation of ORG_USAGE has a quota.  The catalog is
    searched once for each version of it.  */
 static bool
--- a/packages/jobs/src/jb_pool_select.c
+++ b/packages/jobs/src/jb_pool_select.c
@@ -51,7 +51,6 @@
 static void
 compare_orgs (struct jb_pool *pool, const struct jb_resources *capacity)
 {
-  const struct jb_catalog *catalog = *pool->options.catalog;
   guint size = g_hash_table_size (pool->org_usages);
   struct jb_share_org *orgs = g_new0 (struct jb_share_org, size + 1);
   GHashTableIter iter;
@@ -62,10 +61,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct jb_pool_org_usage *usage = value;
-      const struct jb_org *org
-          = catalog != NULL ? jb_catalog_find_org (catalog, usage->org) : NULL;
 
-      orgs[count].weight = org != NULL ? MAX (org->weight, 1) : 1;
+      orgs[count].weight = jb_pool_org_weight (pool, usage);
       orgs[count].used = usage->used;
       orgs[count++].wanted = usage->wanted;
     }
