Share the ignoring callbacks of the planner's tests

Cause: three test files had their own copies of the same empty functions. Change: they include ignoring_planner.h. Result: test_jb_planner, test_jb_planner_zones and test_jb_planner_recovery pass with the same assertions.

--- a/packages/jobs/tests/test_jb_planner.c
+++ b/packages/jobs/tests/test_jb_planner.c
@@ -6,6 +6,7 @@
 
 #include "dp_test.h"
 #include "ignoring_driver.h"
+#include "ignoring_planner.h"
 #include "jb_planner.h"
 
 enum
@@ -50,29 +51,6 @@
 static const struct jb_driver_ops driver_ops
     = { .submit = record_command, .log = ignore_log };
 
-static void
-ignore_evacuation (void *data, jb_time now,
-                   const struct jb_msg_evacuate *evacuate)
-{
-  (void)data;
-  (void)now;
-  (void)evacuate;
-}
-
-static void
-ignore_arrival (void *data, jb_time now, const char *pool)
-{
-  (void)data;
-  (void)now;
-  (void)pool;
-}
-
-static void
-ignore_state (void *data)
-{
-  (void)data;
-}
-
 static char *
 host_name (TALLOC_CTX *mem, uint32_t index)
 {
--- a/packages/jobs/tests/test_jb_planner_recovery.c
+++ b/packages/jobs/tests/test_jb_planner_recovery.c
@@ -8,6 +8,7 @@
 
 #include "dp_test.h"
 #include "ignoring_driver.h"
+#include "ignoring_planner.h"
 #include "jb_commanded.h"
 #include "jb_planner.h"
 
@@ -154,23 +155,6 @@
 static const struct jb_driver_ops driver_ops
     = { .submit = record_command, .log = ignore_log };
 
-static void
-ignore_evacuation (void *data, jb_time now,
-                   const struct jb_msg_evacuate *evacuate)
-{
-  (void)data;
-  (void)now;
-  (void)evacuate;
-}
-
-static void
-ignore_arrival (void *data, jb_time now, const char *pool)
-{
-  (void)data;
-  (void)now;
-  (void)pool;
-}
-
 static void
 record_shares (void *data, jb_time now, const struct jb_msg_shares *shares)
 {
@@ -181,12 +165,6 @@
     fixture->shares_sent_at = now;
 }
 
-static void
-ignore_state (void *data)
-{
-  (void)data;
-}
-
 static bool
 has_process_ended (void *data, const char *name, uint64_t incarnation)
 {
--- a/packages/jobs/tests/test_jb_planner_zones.c
+++ b/packages/jobs/tests/test_jb_planner_zones.c
@@ -5,6 +5,7 @@
 
 #include "dp_test.h"
 #include "ignoring_driver.h"
+#include "ignoring_planner.h"
 #include "jb_planner.h"
 
 #include <string.h>
@@ -78,20 +79,6 @@
     fixture->taken[host_index (evacuate->instance)]++;
 }
 
-static void
-ignore_arrival (void *data, jb_time now, const char *pool)
-{
-  (void)data;
-  (void)now;
-  (void)pool;
-}
-
-static void
-ignore_state (void *data)
-{
-  (void)data;
-}
-
 /* Fill in the list of the hosts.  One more host is in the pool "busy", which
    grows to a multiple of its own hosts only.  */
 static void
