Share the lookups of the planner and of view lines between simulation tests

Cause: test_planner_recovery and test_pool_takeover had copies of functions of test_jobs. Change: jw_find_planner in the emulator, jw_view_has in jw_test.h.

--- a/tests/sim/jobs/jw_test.h
+++ b/tests/sim/jobs/jw_test.h
@@ -4,10 +4,12 @@
 /* Helpers of the tests that run simulations.  */
 
 #include "dp_test.h"
+#include "jb_view.h"
 #include "jw_soak.h"
 #include "jw_world.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 /* Return a new simulation, after time for the entry hosts to claim all pools.
    It prints the log lines of the entry hosts if JW_VERBOSE is set.  */
@@ -51,6 +53,22 @@
   return world;
 }
 
+/* Return whether VIEW has a line of KIND with the field NAME, and VALUE in it
+   unless that is NULL.  */
+static inline bool
+jw_view_has (const struct jb_view *view, const char *kind, const char *name,
+             const char *value)
+{
+  for (uint32_t i = 0; i < view->count; i++)
+    for (uint32_t j = 0; j < view->lines[i].count; j++)
+      if (strcmp (view->lines[i].kind, kind) == 0
+          && strcmp (view->lines[i].fields[j].name, name) == 0
+          && (value == NULL
+              || strcmp (view->lines[i].fields[j].value, value) == 0))
+        return true;
+  return false;
+}
+
 /* Assert that WORLD has seen no violation, and free it.  */
 static inline void
 jw_assert_and_free (struct jw_world *world)
--- a/tests/sim/jobs/jw_world.c
+++ b/tests/sim/jobs/jw_world.c
@@ -485,6 +485,16 @@
   return -1;
 }
 
+int
+jw_find_planner (const struct jw_world *world)
+{
+  for (uint32_t i = 0; i < world->options.hosts; i++)
+    if (world->hosts[i].host != NULL
+        && jb_host_is_planner (world->hosts[i].host))
+      return (int)i;
+  return -1;
+}
+
 static void
 create_catalog (struct jw_world *world)
 {
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -336,6 +336,8 @@
 /* Return the index of the entry host that owns POOL, or -1.  Of external
    hosts, it is the one that last wrote rows of POOL.  */
 int jw_pool_owner (struct jw_world *world, uint32_t pool);
+/* Return the index of the entry host that is the planner, or -1.  */
+int jw_find_planner (const struct jw_world *world);
 
 /* ---- the store ---- */
 
--- a/tests/sim/jobs/test_jobs.c
+++ b/tests/sim/jobs/test_jobs.c
@@ -295,17 +295,6 @@
   jw_check_and_free (world);
 }
 
-/* Return the index of the entry host that is the planner, or -1.  */
-static int
-find_planner (const struct jw_world *world)
-{
-  for (uint32_t i = 0; i < world->options.hosts; i++)
-    if (world->hosts[i].host != NULL
-        && jb_host_is_planner (world->hosts[i].host))
-      return (int)i;
-  return -1;
-}
-
 /* The planner is killed in the middle of a maintenance wave.  */
 static void
 test_wave_planner_killed (void)
@@ -320,7 +309,7 @@
       world = jw_create_world (&options);
       jw_start_wave (world, 2, 20000);
       jw_advance (world, (300 + 400 * seed) * JB_MS);
-      planner = find_planner (world);
+      planner = jw_find_planner (world);
       CU_ASSERT_FATAL (planner >= 0);
       jw_host_kill (world, (uint32_t)planner);
       jw_advance (world, 25 * JB_SECOND);
@@ -401,7 +390,7 @@
       world = jw_create_world (&options);
       jw_start_wave (world, 2, 20000);
       jw_advance (world, (200 + 37 * seed) * JB_MS);
-      planner = find_planner (world);
+      planner = jw_find_planner (world);
       CU_ASSERT_FATAL (planner >= 0);
       world->hosts[planner].peers_unreachable = true;
       submit_many (world, 40, 150 * JB_MS);
@@ -469,20 +458,6 @@
     }
 }
 
-/* Return whether VIEW has a line of KIND in which field NAME is VALUE.  */
-static bool
-view_has (const struct jb_view *view, const char *kind, const char *name,
-          const char *value)
-{
-  for (uint32_t i = 0; i < view->count; i++)
-    for (uint32_t j = 0; j < view->lines[i].count; j++)
-      if (strcmp (view->lines[i].kind, kind) == 0
-          && strcmp (view->lines[i].fields[j].name, name) == 0
-          && strcmp (view->lines[i].fields[j].value, value) == 0)
-        return true;
-  return false;
-}
-
 /* Return the lines of all entry hosts about TOPIC.  */
 static struct jb_view
 get_view (struct jw_world *world, enum jb_view_topic topic, const char *id)
@@ -515,21 +490,21 @@
   id = jw_submit_job (world, &job);
   jw_advance (world, JB_SECOND);
   view = get_view (world, JB_VIEW_OWNERS, NULL);
-  CU_ASSERT (view_has (&view, "duty", "duty", "plan"));
-  CU_ASSERT (view_has (&view, "duty", "duty", "pool/pool-0"));
+  CU_ASSERT (jw_view_has (&view, "duty", "duty", "plan"));
+  CU_ASSERT (jw_view_has (&view, "duty", "duty", "pool/pool-0"));
   view = get_view (world, JB_VIEW_EXPLAIN, id);
-  CU_ASSERT (view_has (&view, "job", "running", "3"));
-  CU_ASSERT (view_has (&view, "step", "turn", "waits for earlier steps"));
+  CU_ASSERT (jw_view_has (&view, "job", "running", "3"));
+  CU_ASSERT (jw_view_has (&view, "step", "turn", "waits for earlier steps"));
   CU_ASSERT (
-      view_has (&view, "reason", "reason",
-                "the pool's share of its organisation's limit is used"));
+      jw_view_has (&view, "reason", "reason",
+                   "the pool's share of its organisation's limit is used"));
   job.api_key = "key-1";
   job.cpu_milli = 3000;
   id = jw_submit_job (world, &job);
   jw_advance (world, JB_SECOND);
   view = get_view (world, JB_VIEW_EXPLAIN, id);
-  CU_ASSERT (view_has (&view, "reason", "reason",
-                       "no allowed backend server has so much room left"));
+  CU_ASSERT (jw_view_has (&view, "reason", "reason",
+                          "no allowed backend server has so much room left"));
   view = get_view (world, JB_VIEW_JOBS, NULL);
   CU_ASSERT_EQUAL (view.count, 2);
   view = get_view (world, JB_VIEW_JOB, "0000000000000000");
--- a/tests/sim/jobs/test_planner_recovery.c
+++ b/tests/sim/jobs/test_planner_recovery.c
@@ -126,16 +126,6 @@
     }
 }
 
-static int
-find_planner (const struct jw_world *world)
-{
-  for (uint32_t i = 0; i < world->options.hosts; i++)
-    if (world->hosts[i].host != NULL
-        && jb_host_is_planner (world->hosts[i].host))
-      return (int)i;
-  return -1;
-}
-
 /* The end of a fault of the entry host INDEX.  */
 struct fault_end
 {
@@ -159,7 +149,7 @@
 static void
 fail_planner (struct jw_world *world, uint32_t kind, jb_time duration)
 {
-  int planner = find_planner (world);
+  int planner = jw_find_planner (world);
   struct fault_end *end;
 
   if (planner < 0)
@@ -299,7 +289,7 @@
       while (last_host_command (world) < begun
              && world->now < begun + 7 * JB_SECOND)
         submit_surge (world, i % options.pools, 50 * JB_MS);
-      planner = find_planner (world);
+      planner = jw_find_planner (world);
       if (planner >= 0 && (previous_version_hosts >> planner & 1) != 0
           && world->wave_version == 0)
         {
--- a/tests/sim/jobs/test_pool_takeover.c
+++ b/tests/sim/jobs/test_pool_takeover.c
@@ -135,22 +135,6 @@
   return busiest;
 }
 
-/* Return whether VIEW has a line of KIND with the field NAME, and VALUE in it
-   unless that is NULL.  */
-static bool
-view_has (const struct jb_view *view, const char *kind, const char *name,
-          const char *value)
-{
-  for (uint32_t i = 0; i < view->count; i++)
-    for (uint32_t j = 0; j < view->lines[i].count; j++)
-      if (strcmp (view->lines[i].kind, kind) == 0
-          && strcmp (view->lines[i].fields[j].name, name) == 0
-          && (value == NULL
-              || strcmp (view->lines[i].fields[j].value, value) == 0))
-        return true;
-  return false;
-}
-
 /* Operators see how many jobs wait for which backend server, and since when,
    and later that none does.  */
 static void
@@ -168,16 +152,16 @@
   CU_ASSERT_FATAL (owner >= 0);
   jb_host_view (world->hosts[owner].host, world->now, JB_VIEW_POOLS, NULL,
                 &view);
-  CU_ASSERT (view_has (&view, "pool", "awaited", "1"));
-  CU_ASSERT (view_has (&view, "pool", "awaited_first", silent->instance));
-  CU_ASSERT (view_has (&view, "pool", "waiting_jobs", NULL));
-  CU_ASSERT (view_has (&view, "pool", "waiting_ms", NULL));
+  CU_ASSERT (jw_view_has (&view, "pool", "awaited", "1"));
+  CU_ASSERT (jw_view_has (&view, "pool", "awaited_first", silent->instance));
+  CU_ASSERT (jw_view_has (&view, "pool", "waiting_jobs", NULL));
+  CU_ASSERT (jw_view_has (&view, "pool", "waiting_ms", NULL));
   jw_advance (world, 10 * JB_SECOND);
   view.count = 0;
   jb_host_view (world->hosts[owner].host, world->now, JB_VIEW_POOLS, NULL,
                 &view);
-  CU_ASSERT (view_has (&view, "pool", "stage", "active"));
-  CU_ASSERT_FALSE (view_has (&view, "pool", "awaited", NULL));
+  CU_ASSERT (jw_view_has (&view, "pool", "stage", "active"));
+  CU_ASSERT_FALSE (jw_view_has (&view, "pool", "awaited", NULL));
   talloc_free (view.mem);
   jw_advance (world, 15 * JB_SECOND);
   jw_check_and_free (world);
