Draw random numbers of the simulations in one order on all machines

Seen: on arm64 test_sim, test_golden ("record again") and test_jobs_off fail; on x86-64 they pass. Cause: calls of the simulations drew two random numbers in their arguments. Ruled out before: contraction of floating-point operations.

--- a/tests/sim/jobs/jw_clients.c
+++ b/tests/sim/jobs/jw_clients.c
@@ -216,14 +216,16 @@
 {
   struct jw_job *job = talloc_zero (world, struct jw_job);
   struct jb_job_desc *desc = talloc_zero (job, struct jb_job_desc);
+  guint32 low;
 
   job->desc = desc;
   job->pool = options->pool;
   job->only_refused = true;
   job->always_fails = options->always_fails;
   job->crashes_backends = options->crashes_backends;
-  desc->id = talloc_asprintf (desc, "%08x%08x", g_rand_int (world->random),
-                              g_rand_int (world->random));
+  low = g_rand_int (world->random);
+  desc->id
+      = talloc_asprintf (desc, "%08x%08x", g_rand_int (world->random), low);
   desc->queue = talloc_asprintf (desc, "queue-%u", options->pool);
   /* On the client's side, the API key stands for the organisation.  */
   desc->org
--- a/tests/sim/jobs/jw_soak.c
+++ b/tests/sim/jobs/jw_soak.c
@@ -167,6 +167,20 @@
   jw_schedule (world, world->now, next_stall_phase, first);
 }
 
+/* Return a backend server drawn with RANDOM, or NULL.  The draws are
+   statements of their own since the order in which arguments are evaluated
+   depends on the architecture.  */
+static struct jw_backend *
+random_backend (struct jw_world *world, GRand *random)
+{
+  uint32_t index = (uint32_t)g_rand_int_range (
+      random, 0, (gint32)world->options.backends);
+  uint32_t pool
+      = (uint32_t)g_rand_int_range (random, 0, (gint32)world->options.pools);
+
+  return jw_find_backend (world, pool, index);
+}
+
 /* Backend servers that restart again and again until UNTIL, with a random
    generator of its own, as above.  */
 struct restart_cycle
@@ -219,12 +233,7 @@
       return;
     }
   world->loss_permille.backend_commands = RESTART_LOSS_PERMILLE;
-  backend = jw_find_backend (
-      world,
-      (uint32_t)g_rand_int_range (cycle->random, 0,
-                                  (gint32)world->options.pools),
-      (uint32_t)g_rand_int_range (cycle->random, 0,
-                                  (gint32)world->options.backends));
+  backend = random_backend (world, cycle->random);
   cut = g_rand_int_range (cycle->random, 100, MAX_CUT_MS) * JB_MS;
   if (backend != NULL && g_rand_boolean (cycle->random))
     {
@@ -359,9 +368,7 @@
 static void
 inject_backend_fault (struct jw_world *world)
 {
-  struct jw_backend *backend
-      = jw_find_backend (world, random_below (world, world->options.pools),
-                         random_below (world, world->options.backends));
+  struct jw_backend *backend = random_backend (world, world->random);
 
   if (backend == NULL)
     return;
--- a/tests/sim/sim_faults.c
+++ b/tests/sim/sim_faults.c
@@ -147,6 +147,8 @@
 sim_random_fault (struct sim_world *world)
 {
   uint32_t i = random_node (world);
+  co_time length;
+  bool failing;
 
   if (world->settling)
     return;
@@ -166,9 +168,8 @@
           sim_random_time (world, 50 * CO_MILLISECOND, 4 * CO_SECOND));
       break;
     case 4:
-      sim_partition_nodes (
-          world, i, random_node (world),
-          sim_random_time (world, 300 * CO_MILLISECOND, 5 * CO_SECOND));
+      length = sim_random_time (world, 300 * CO_MILLISECOND, 5 * CO_SECOND);
+      sim_partition_nodes (world, i, random_node (world), length);
       break;
     case 5:
       isolate_node (world);
@@ -187,17 +188,16 @@
           world, (uint32_t)g_rand_int_range (world->random, 1, 6));
       break;
     case 9:
-      sim_backend_crash (world, random_backend (world),
-                         sim_random_time (world, CO_SECOND, 5 * CO_SECOND));
+      length = sim_random_time (world, CO_SECOND, 5 * CO_SECOND);
+      sim_backend_crash (world, random_backend (world), length);
       break;
     case 11:
-      sim_backend_announce_leave (
-          world, random_backend (world),
-          sim_random_time (world, CO_SECOND, 8 * CO_SECOND));
+      length = sim_random_time (world, CO_SECOND, 8 * CO_SECOND);
+      sim_backend_announce_leave (world, random_backend (world), length);
       break;
     case 10:
-      sim_backend_set_failing (world, random_backend (world),
-                               g_rand_boolean (world->random));
+      failing = g_rand_boolean (world->random);
+      sim_backend_set_failing (world, random_backend (world), failing);
       break;
     default:
       if (world->nodes[i].core != NULL && !world->nodes[i].frozen)
@@ -366,8 +366,10 @@
   /* A second operator may order the same or the opposite at another node, and
      one operator both in quick succession.  */
   if (g_rand_boolean (world->random))
-    sim_set_evacuated (world, random_node (world), zone,
-                       g_rand_boolean (world->random));
+    {
+      evacuated = g_rand_boolean (world->random);
+      sim_set_evacuated (world, random_node (world), zone, evacuated);
+    }
   sim_schedule (
       world,
       world->now
@@ -378,15 +380,17 @@
 void
 sim_random_change (struct sim_world *world)
 {
+  int limit;
+
   if (world->settling)
     return;
   switch (g_rand_int_range (world->random, 0, 7))
     {
     case 0:
     case 1:
-      sim_set_limit (world,
-                     g_rand_int_range (world->random, 0, SIM_TEAM_COUNT),
-                     g_rand_int_range (world->random, 1, 9));
+      limit = g_rand_int_range (world->random, 1, 9);
+      sim_set_limit (
+          world, g_rand_int_range (world->random, 0, SIM_TEAM_COUNT), limit);
       break;
     case 2:
       rotate_key (world);
