Log and count runs that are carried out after they were given up

Cause: when a task had two runs at the same time, the log could not tell a start that the next incarnation of a backend server carried out late from a lease that lasted longer than its owner counted, or from two owners that command. start-unanswered did not name the incarnation, and nothing said whether a run that was given up appeared later.

Change: start-unanswered, backend-restarted, run-vanished, runs-lost, run-orphaned, run-found and run-ended have `born', the start of the incarnation. run-orphaned has the generation of the owner that numbered the run, beside this owner's. A pool remembers the runs that it gives up (not listed, lost with their lease, by a restart or by a replacement) for 20 s, at most 1,024 of them; the oldest is dropped and counted. If a probe lists one later, run-late says why it was given up, after how long, whether the backend server has restarted, and for a lease how long it had been over. An end that is listed after a lease has expired, in the same incarnation, is expected and not counted. No decision depends on the table. The sum of a counter over the hosts moves from test_lookahead.c to jw_test.h.

--- a/packages/jobs/include/jb_backend.h
+++ b/packages/jobs/include/jb_backend.h
@@ -48,6 +48,8 @@
   bool excluded_from_roster;
   uint64_t exclusion; /* pool's number of this exclusion, if it is excluded */
   int64_t started_unix_ms; /* Unix time of its start; 0: not reported */
+  /* That of its previous incarnation; 0: there was none.  */
+  int64_t former_started_unix_ms;
   /* Pool's number of its incarnation.  It may restart under its instance name;
      the number rises when the owner learns of that.  */
   uint32_t incarnation;
--- a/packages/jobs/include/jb_driver.h
+++ b/packages/jobs/include/jb_driver.h
@@ -129,6 +129,12 @@
   JB_COUNT_PROBES_NOT_SENT,
   /* Backend servers that are known to have crashed while they had runs.  */
   JB_COUNT_BACKENDS_CRASHED,
+  /* Runs that this owner had given up and a backend server listed later, in
+     its next incarnation or in the same; and those that it forgot too early to
+     notice that.  */
+  JB_COUNT_LATE_RUNS_RESTARTED,
+  JB_COUNT_LATE_RUNS_SAME,
+  JB_COUNT_GIVEN_UP_RUNS_DROPPED,
   /* Calls to the store.  */
   JB_COUNT_STORE_WRITES,         /* writes that were sent, answered or not */
   JB_COUNT_STORE_WRITES_UNKNOWN, /* writes that were not answered */
--- a/packages/jobs/src/jb_pool_crash.c
+++ b/packages/jobs/src/jb_pool_crash.c
@@ -35,11 +35,13 @@
   struct lost_run *runs;
 };
 
-static const char *
-cause_text (enum jb_loss_cause cause)
+const char *
+jb_pool_loss_cause_text (enum jb_loss_cause cause)
 {
   static const char *const texts[]
-      = { [JB_LOSS_LEASE_EXPIRED] = "its lease has expired",
+      = { [JB_LOSS_START_UNANSWERED] = "its start was not answered",
+          [JB_LOSS_UNLISTED] = "it was not listed any more",
+          [JB_LOSS_LEASE_EXPIRED] = "its lease has expired",
           [JB_LOSS_REPLACED] = "another instance answers at its address",
           [JB_LOSS_RESTARTED] = "the backend server has restarted" };
 
@@ -294,13 +296,16 @@
       jb_log (pool->options.driver, JB_LEVEL_INFO, "run-lost", "task",
               jb_task_name (task, name), "run", jb_itoa (task->run), "backend",
               backend->instance, "crashes", jb_itoa (task->crashes), NULL);
+      jb_pool_remember_given_up (pool, task, now, cause);
       jb_pool_clear_run (pool, task, now);
     }
   if (count > 0)
     jb_log (pool->options.driver, JB_LEVEL_WARN, "runs-lost", "backend",
             backend->instance, "pool", pool->options.name, "runs",
-            jb_itoa (count), "reason", cause_text (cause), "last_answer_ms",
-            jb_itoa ((now - backend->clock_received_at) / JB_MS), NULL);
+            jb_itoa (count), "reason", jb_pool_loss_cause_text (cause),
+            "last_answer_ms",
+            jb_itoa ((now - backend->clock_received_at) / JB_MS), "born",
+            jb_itoa (backend->started_unix_ms), NULL);
   if (cause != JB_LOSS_LEASE_EXPIRED)
     confirm_losses (pool, backend->address, backend->instance, true, now);
   /* If it was replaced, nothing tells by which of the others.  */
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -114,11 +114,13 @@
   char **tasks; /* names of those that may run there */
 };
 
-/* Why the runs on a backend server were lost.  */
+/* Why runs on a backend server were lost, all of them or only one.  */
 enum jb_loss_cause
 {
-  JB_LOSS_LEASE_EXPIRED, /* it does not answer */
-  JB_LOSS_REPLACED,      /* another instance answers at its address */
+  JB_LOSS_START_UNANSWERED, /* its start: it was stopped and is not there */
+  JB_LOSS_UNLISTED,         /* it was there and is not any more */
+  JB_LOSS_LEASE_EXPIRED,    /* it does not answer */
+  JB_LOSS_REPLACED,         /* another instance answers at its address */
   JB_LOSS_RESTARTED
 };
 
@@ -169,7 +171,8 @@
   uint32_t last_incarnation; /* highest number of an incarnation of a backend
                                 server */
   GPtrArray *losses; /* struct jb_loss: those that crashed or may have */
-  bool roster_dirty; /* the stored roster is out of date */
+  struct jb_given_up_table *given_up; /* NULL: no run was given up yet */
+  bool roster_dirty;                  /* the stored roster is out of date */
   bool roster_write_in_flight;
   uint32_t roster_row_count; /* number of rows of the stored roster */
   /* Number of backend servers that were excluded from the roster, and of those
@@ -241,6 +244,13 @@
          && now < jb_pool_ownership_valid_until (pool);
 }
 
+/* Return the generation of the owner that numbered RUN.  */
+static inline uint32_t
+jb_pool_generation_of_run (uint32_t run)
+{
+  return (MAX (run, 1) - 1) / JB_RUN_NUMBERS_PER_OWNER + 1;
+}
+
 /* Return the target of a command to BACKEND.  Its fencing token rises with
    each owner of POOL and with each incarnation of a backend server, so that
    what was sent to a previous incarnation is refused in the next one, once
@@ -347,6 +357,8 @@
 
 /* ---- jb_pool_probe.c ---- */
 
+/* Return the name of OUTCOME, for log lines.  */
+const char *jb_run_outcome_name (enum jb_run_outcome outcome);
 /* Send the probes that are due.  Return when the next probe of a backend
    server is due, or JB_NEVER.  */
 jb_time jb_pool_send_probes (struct jb_pool *pool, jb_time now);
@@ -376,6 +388,24 @@
 /* Forget silent backend servers for which no crash has shown in time.  */
 void jb_pool_expire_losses (struct jb_pool *pool, jb_time now);
 
+/* Return why runs were lost by CAUSE, for log lines.  */
+const char *jb_pool_loss_cause_text (enum jb_loss_cause cause);
+
+/* ---- jb_pool_given_up.c ---- */
+
+/* Remember for some time that the current run of TASK is given up because of
+   CAUSE.  The number of such runs is bounded: the oldest one is dropped.  */
+void jb_pool_remember_given_up (struct jb_pool *pool,
+                                const struct jb_task *task, jb_time now,
+                                enum jb_loss_cause cause);
+/* BACKEND lists run number RUN of the task with name TASK as active, or if
+   OUTCOME is not NULL, as ended with that outcome.  Log and count it if the
+   run was given up before.  */
+void jb_pool_check_late_run (struct jb_pool *pool,
+                             const struct jb_backend *backend,
+                             const char *task, uint32_t run,
+                             const enum jb_run_outcome *outcome, jb_time now);
+
 /* ---- jb_pool_schedule.c ---- */
 
 /* Return the task that REF identifies if its current run is RUN on BACKEND,
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -118,8 +118,8 @@
           "different jobs failed there in a row", NULL);
 }
 
-static const char *
-outcome_name (enum jb_run_outcome outcome)
+const char *
+jb_run_outcome_name (enum jb_run_outcome outcome)
 {
   static const char *const names[] = {
     [JB_OUTCOME_DONE] = "done",          [JB_OUTCOME_FAILED] = "failed",
@@ -190,6 +190,9 @@
     return;
   job = g_hash_table_lookup (pool->jobs, ref.id);
   task = job != NULL ? open_and_find_task (pool, job, &ref) : NULL;
+  if (task == NULL || task->backend != backend || task->run != ended_run->run)
+    jb_pool_check_late_run (pool, backend, ended_run->task, ended_run->run,
+                            &ended_run->outcome, now);
   if (task == NULL)
     return;
   long_running = jb_task_step (task)->long_running;
@@ -204,7 +207,8 @@
                                                 : JB_LEVEL_INFO,
           "run-ended", "task", ended_run->task, "run",
           jb_itoa (ended_run->run), "backend", backend->instance, "outcome",
-          outcome_name (ended_run->outcome), NULL);
+          jb_run_outcome_name (ended_run->outcome), "born",
+          jb_itoa (backend->started_unix_ms), NULL);
   if (ended_run->outcome == JB_OUTCOME_FAILED)
     task->last_failed_backend = backend;
   if (ended_run->outcome == JB_OUTCOME_FAILED && !long_running)
@@ -247,6 +251,9 @@
     job = g_hash_table_lookup (pool->jobs, ref.id);
   if (job != NULL && job->ended_at == 0)
     task = open_and_find_task (pool, job, &ref);
+  if (task == NULL || task->backend != backend || task->run != active_run->run)
+    jb_pool_check_late_run (pool, backend, active_run->task, active_run->run,
+                            NULL, now);
   if (task == NULL || task->done)
     {
       /* A run that was told to stop is listed until it has ended.  */
@@ -268,7 +275,8 @@
       task->confirmed_at = now;
       jb_log (pool->options.driver, JB_LEVEL_INFO, "run-found", "task",
               active_run->task, "run", jb_itoa (active_run->run), "backend",
-              backend->instance, NULL);
+              backend->instance, "born", jb_itoa (backend->started_unix_ms),
+              NULL);
     }
   if (task->backend != backend || task->run != active_run->run)
     {
@@ -327,7 +335,11 @@
       jb_count_event (pool->options.driver, JB_COUNT_END_VANISHED);
       jb_log (pool->options.driver, JB_LEVEL_WARN, "run-vanished", "task",
               jb_task_name (task, name), "run", jb_itoa (task->run), "backend",
-              backend->instance, NULL);
+              backend->instance, "born", jb_itoa (backend->started_unix_ms),
+              NULL);
+      jb_pool_remember_given_up (
+          pool, task, now,
+          task->started_at == 0 ? JB_LOSS_START_UNANSWERED : JB_LOSS_UNLISTED);
       jb_pool_clear_run (pool, task, now);
     }
 }
@@ -366,7 +378,10 @@
 {
   jb_log (pool->options.driver, JB_LEVEL_INFO, "backend-restarted", "backend",
           backend->instance, "pool", pool->options.name, "runs",
-          jb_itoa (backend->task_count), NULL);
+          jb_itoa (backend->task_count), "born",
+          jb_itoa (reply->started_unix_ms), "former_born",
+          jb_itoa (backend->started_unix_ms), NULL);
+  backend->former_started_unix_ms = backend->started_unix_ms;
   backend->incarnation = ++pool->last_incarnation;
   backend->may_get_old_commands = true;
   backend->started_unix_ms = reply->started_unix_ms;
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -155,7 +155,10 @@
     return;
   backend->orphan_stopped_at = now;
   jb_log (pool->options.driver, JB_LEVEL_INFO, "run-orphaned", "task", task,
-          "run", jb_itoa (run), "backend", backend->instance, NULL);
+          "run", jb_itoa (run), "backend", backend->instance, "born",
+          jb_itoa (backend->started_unix_ms), "generation",
+          jb_itoa (jb_pool_generation_of_run (run)), "own_generation",
+          jb_itoa (jb_ownership_generation (pool->ownership)), NULL);
   send_stop (pool, backend, task, run, now);
 }
 
@@ -276,10 +279,13 @@
           "task", jb_task_name (start->task, name), "run",
           jb_itoa (start->run), "backend", start->backend->instance,
           "sent_after_ms", jb_itoa (reply->sent_after_ms), "awaited_ms",
-          jb_itoa (reply->awaited_ms), NULL);
+          jb_itoa (reply->awaited_ms), "born",
+          jb_itoa (start->backend->started_unix_ms), NULL);
   jb_count_event (start->pool->options.driver, JB_COUNT_START_UNKNOWN);
   if (jb_pool_has_disabled (start->pool, JB_SAFEGUARD_UNCONFIRMED_STARTS))
     {
+      jb_pool_remember_given_up (start->pool, start->task, now,
+                                 JB_LOSS_START_UNANSWERED);
       jb_pool_clear_run (start->pool, start->task, now);
       return;
     }
--- a/tests/sim/jobs/jw_test.h
+++ b/tests/sim/jobs/jw_test.h
@@ -53,6 +53,18 @@
   return world;
 }
 
+/* Return the value of COUNTER summed over the entry hosts that are up.  */
+static inline uint64_t
+jw_sum_counter (const struct jw_world *world, enum jb_counter counter)
+{
+  uint64_t sum = 0;
+
+  for (uint32_t i = 0; i < world->options.hosts; i++)
+    if (world->hosts[i].host != NULL)
+      sum += jb_host_metrics (world->hosts[i].host)->counters[counter];
+  return sum;
+}
+
 /* Return whether VIEW has a line of KIND with the field NAME, and VALUE in it
    unless that is NULL.  */
 static inline bool
--- a/tests/sim/jobs/test_lookahead.c
+++ b/tests/sim/jobs/test_lookahead.c
@@ -57,18 +57,6 @@
   return jw_submit_job (world, &job);
 }
 
-/* Return the value of COUNTER summed over the entry hosts that are up.  */
-static uint64_t
-sum_counter (const struct jw_world *world, enum jb_counter counter)
-{
-  uint64_t sum = 0;
-
-  for (uint32_t i = 0; i < world->options.hosts; i++)
-    if (world->hosts[i].host != NULL)
-      sum += jb_host_metrics (world->hosts[i].host)->counters[counter];
-  return sum;
-}
-
 /* Return how long the large job ID waits for its start, at most 8 s, while the
    stream goes on.  */
 static jb_time
@@ -96,7 +84,7 @@
       submit_stream (world, 2 * JB_SECOND);
       id = submit_large (world);
       sum += wait_for_start (world, id);
-      CU_ASSERT_EQUAL (sum_counter (world, JB_COUNT_RESERVATIONS_MADE) > 0,
+      CU_ASSERT_EQUAL (jw_sum_counter (world, JB_COUNT_RESERVATIONS_MADE) > 0,
                        lookahead);
       jw_advance (world, 20 * JB_SECOND);
       jw_check_and_free (world);
@@ -127,11 +115,12 @@
 
   submit_stream (world, 2 * JB_SECOND);
   *id = submit_large (world);
-  made = sum_counter (world, JB_COUNT_RESERVATIONS_MADE);
+  made = jw_sum_counter (world, JB_COUNT_RESERVATIONS_MADE);
   for (int i = 0;
-       i < 100 && sum_counter (world, JB_COUNT_RESERVATIONS_MADE) == made; i++)
+       i < 100 && jw_sum_counter (world, JB_COUNT_RESERVATIONS_MADE) == made;
+       i++)
     submit_stream (world, 10 * JB_MS);
-  CU_ASSERT (sum_counter (world, JB_COUNT_RESERVATIONS_MADE) > made);
+  CU_ASSERT (jw_sum_counter (world, JB_COUNT_RESERVATIONS_MADE) > made);
   return world;
 }
 
@@ -154,7 +143,7 @@
       submit_stream (world, 2 * JB_SECOND);
       id = submit_large (world);
       CU_ASSERT (wait_for_start (world, id) < 8 * JB_SECOND);
-      CU_ASSERT (sum_counter (world, JB_COUNT_RESERVATIONS_MADE) > 0);
+      CU_ASSERT (jw_sum_counter (world, JB_COUNT_RESERVATIONS_MADE) > 0);
       jw_advance (world, 20 * JB_SECOND);
       jw_check_and_free (world);
     }
@@ -184,7 +173,7 @@
              && world->now < crashed_at + 10 * JB_SECOND)
         jw_advance (world, 20 * JB_MS);
       CU_ASSERT (world->now < crashed_at + 10 * JB_SECOND);
-      CU_ASSERT (sum_counter (world, JB_COUNT_RESERVATIONS_BROKEN) > 0);
+      CU_ASSERT (jw_sum_counter (world, JB_COUNT_RESERVATIONS_BROKEN) > 0);
       jw_advance (world, 25 * JB_SECOND);
       jw_check_and_free (world);
     }
