--- a/tests/sim/jobs/jw_commands.c
+++ b/tests/sim/jobs/jw_commands.c
@@ -238,7 +238,8 @@
     return false;
   in_flight->gets_reply = false;
   in_flight->delayed = true;
-  jw_schedule (world, arrival + delayed->delay, deliver_command, in_flight);
+  delayed->delivered_at = arrival + delayed->delay;
+  jw_schedule (world, delayed->delivered_at, deliver_command, in_flight);
   delayed->backend = jw_find_target (world, &in_flight->command.backend);
   delayed->delay = 0;
   return true;
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -148,6 +148,7 @@
   enum jb_command_kind kind;
   jb_time delay;              /* 0: none is delayed */
   struct jw_backend *backend; /* of the last one that was delayed, or NULL */
+  jb_time delivered_at;       /* when that one is carried out */
 };
 
 struct jw_task_run
