Grant leases late in the emulator, by the time of their arrival or not

Cause: the users' disruption applied_late has a variant, grants, in which orders that carry a lease are carried out 2 to 12 s late and their time counts from their arrival. Half of the probes and starts that carry a lease get no answer and are carried out 2 to 12 s later, also while the backend server is silent, which happens to them for 1 to 9 s again and again. The lease lasts for the time that was left when it was sent ("arrival") or until the time that it names ("until"). Random generators of its own; a quarter of the jobs have longer tasks, which outlast a lease.

--- a/tests/sim/jobs/jw_backend.c
+++ b/tests/sim/jobs/jw_backend.c
@@ -52,9 +52,8 @@
   return chunk;
 }
 
-/* Return the time on the clock of BACKEND, which drifts.  */
-static int64_t
-read_clock_ms (const struct jw_backend *backend, jb_time now)
+int64_t
+jw_backend_clock_ms (const struct jw_backend *backend, jb_time now)
 {
   return (int64_t)((double)(now - backend->clock_origin) * backend->clock_rate
                    / JB_MS);
@@ -151,7 +150,7 @@
 list_runs (const struct jw_world *world, const struct jw_backend *backend,
            struct jb_reply *reply)
 {
-  reply->backend_clock_ms = read_clock_ms (backend, world->now);
+  reply->backend_clock_ms = jw_backend_clock_ms (backend, world->now);
   reply->started_unix_ms = backend->started_unix_ms;
   reply->active_runs = talloc_zero_array (reply->mem, struct jb_active_run,
                                           backend->runs->len + 1);
@@ -313,7 +312,7 @@
   struct jw_backend *backend = *(void **)data;
 
   if (!backend->up
-      || read_clock_ms (backend, world->now) < backend->lease_until_ms)
+      || jw_backend_clock_ms (backend, world->now) < backend->lease_until_ms)
     return;
   backend->lapsed_at = world->now;
   while (backend->runs->len > 0)
@@ -329,12 +328,12 @@
 {
   int64_t left;
 
-  until_ms
-      = MIN (until_ms, read_clock_ms (backend, world->now) + MAX_LEASE_MS);
+  until_ms = MIN (until_ms,
+                  jw_backend_clock_ms (backend, world->now) + MAX_LEASE_MS);
   if (until_ms <= backend->lease_until_ms)
     return;
   backend->lease_until_ms = until_ms;
-  left = until_ms - read_clock_ms (backend, world->now);
+  left = until_ms - jw_backend_clock_ms (backend, world->now);
   jw_schedule (world,
                world->now
                    + (jb_time)((double)left * JB_MS / backend->clock_rate)
@@ -437,7 +436,7 @@
      -1: runs until stopped.  */
   int behaviour = 0;
 
-  reply->backend_clock_ms = read_clock_ms (backend, world->now);
+  reply->backend_clock_ms = jw_backend_clock_ms (backend, world->now);
   if (run != NULL && run->run == from->run)
     {
       extend_lease (world, backend, from->lease_until_ms);
@@ -502,7 +501,7 @@
 {
   struct jw_task_run *run = find_run (backend, command->u.stop_task.task);
 
-  reply->backend_clock_ms = read_clock_ms (backend, world->now);
+  reply->backend_clock_ms = jw_backend_clock_ms (backend, world->now);
   close_run (backend, command->u.stop_task.task, command->u.stop_task.run);
   if (run == NULL || run->run != command->u.stop_task.run)
     return;
@@ -538,15 +537,16 @@
 /* Return whether COMMAND reaches BACKEND and its fencing token is not stale.
    If so, record the token; if not, set the result in REPLY.  */
 static bool
-admit_command (struct jw_backend *backend, const struct jb_command *command,
-               struct jb_reply *reply)
+admit_command (const struct jw_world *world, struct jw_backend *backend,
+               const struct jb_command *command, struct jb_reply *reply)
 {
   if (backend == NULL || !backend->up)
     {
       reply->result = JB_RESULT_REFUSED;
       return false;
     }
-  if (backend->unreachable)
+  /* A late lease has reached it before it became unreachable.  */
+  if (backend->unreachable && !world->delivering_late_lease)
     {
       reply->result = JB_RESULT_UNKNOWN;
       return false;
@@ -573,7 +573,7 @@
   struct jw_backend *backend = jw_find_target (world, &command->backend);
 
   reply->result = JB_RESULT_OK;
-  if (!admit_command (backend, command, reply))
+  if (!admit_command (world, backend, command, reply))
     return;
   switch (command->kind)
     {
@@ -588,7 +588,7 @@
       list_runs (world, backend, reply);
       break;
     default:
-      reply->backend_clock_ms = read_clock_ms (backend, world->now);
+      reply->backend_clock_ms = jw_backend_clock_ms (backend, world->now);
       break;
     }
 }
@@ -602,7 +602,7 @@
   struct waiting_probe *probe;
 
   if (command->u.probe.wait_ms == 0
-      || !admit_command (backend, command, &reply))
+      || !admit_command (world, backend, command, &reply))
     return false;
   apply_probe (world, backend, command);
   if (backend->ended_runs->len > 0)
--- a/tests/sim/jobs/jw_commands.c
+++ b/tests/sim/jobs/jw_commands.c
@@ -15,6 +15,10 @@
 #define MIN_DELAY_MS 500
 #define DEFAULT_MAX_DELAY_MS 6000
 
+/* Delay of a lease that is granted late.  */
+#define MIN_LEASE_DELAY_MS 2000
+#define MAX_LEASE_DELAY_MS 12000
+
 enum
 {
   STORE_BYTES_PER_QUEUE = 270 /* in the store's answer with a configuration */
@@ -28,6 +32,8 @@
   struct jb_command command;
   bool gets_reply;
   bool delayed;
+  bool has_late_lease;
+  int64_t lease_ms; /* time left of a late lease when it was sent */
   jb_time sent_at;
 };
 
@@ -171,6 +177,30 @@
   return kind >= JB_COMMAND_START_TASK && kind <= JB_COMMAND_SET_SPEED;
 }
 
+/* Return the lease that COMMAND asks for, or NULL.  */
+static int64_t *
+find_lease (struct jb_command *command)
+{
+  if (command->kind == JB_COMMAND_START_TASK)
+    return &command->u.start_task.lease_until_ms;
+  if (command->kind == JB_COMMAND_PROBE && command->u.probe.lease_until_ms > 0)
+    return &command->u.probe.lease_until_ms;
+  return NULL;
+}
+
+/* Let the late lease of IN_FLIGHT, which arrives, count from its arrival.  */
+static void
+count_lease_from_arrival (struct jw_world *world,
+                          struct in_flight_command *in_flight)
+{
+  const struct jw_backend *backend
+      = jw_find_target (world, &in_flight->command.backend);
+
+  if (backend != NULL)
+    *find_lease (&in_flight->command)
+        = jw_backend_clock_ms (backend, world->now) + in_flight->lease_ms;
+}
+
 static void
 deliver_command (struct jw_world *world, void *data)
 {
@@ -183,6 +213,10 @@
                                  &in_flight->command))
     return;
   world->delivering_delayed_command = in_flight->delayed;
+  world->delivering_late_lease = in_flight->has_late_lease;
+  if (in_flight->has_late_lease
+      && world->options.late_leases == JW_LATE_LEASES_FROM_ARRIVAL)
+    count_lease_from_arrival (world, in_flight);
   reply.mem = talloc_new (NULL);
   if (is_store_command (in_flight->command.kind))
     {
@@ -245,6 +279,38 @@
   return true;
 }
 
+/* Let the lease that IN_FLIGHT asks for, if any, be granted late at random.
+   Return whether it will be.  */
+static bool
+delay_lease (struct jw_world *world, struct in_flight_command *in_flight)
+{
+  const struct jw_backend *backend;
+  const int64_t *lease_until_ms;
+  jb_time delay;
+
+  if (world->options.late_leases == JW_LATE_LEASES_NONE
+      || world->late_lease_permille == 0)
+    return false;
+  lease_until_ms = find_lease (&in_flight->command);
+  if (lease_until_ms == NULL)
+    return false;
+  backend = jw_find_target (world, &in_flight->command.backend);
+  if (backend == NULL || backend->unreachable
+      || g_rand_int_range (world->late_lease_random, 0, 1000)
+             >= (gint32)world->late_lease_permille)
+    return false;
+  delay = g_rand_int_range (world->late_lease_random, MIN_LEASE_DELAY_MS,
+                            MAX_LEASE_DELAY_MS)
+          * JB_MS;
+  in_flight->lease_ms
+      = *lease_until_ms - jw_backend_clock_ms (backend, world->now);
+  in_flight->gets_reply = false;
+  in_flight->delayed = true;
+  in_flight->has_late_lease = true;
+  jw_schedule (world, world->now + delay, deliver_command, in_flight);
+  return true;
+}
+
 void
 jw_submit_command (void *context, uint64_t number,
                    const struct jb_command *command)
@@ -295,6 +361,8 @@
                      world->now + command->timeout_ms * JB_MS, &timed_out);
   if (delay_for_test (world, in_flight, arrival))
     return;
+  if (!unreachable && delay_lease (world, in_flight))
+    return;
   /* Commands to an unreachable destination are lost.  So are half of the other
      commands without a reply; half of the rest is carried out late.  */
   if (!in_flight->gets_reply
--- a/tests/sim/jobs/jw_soak.c
+++ b/tests/sim/jobs/jw_soak.c
@@ -30,6 +30,17 @@
 #define MAX_RESTART_GAP_MS 1500
 #define MAX_CUT_MS 5000
 
+/* While leases are granted late, this share of them is, and backend servers
+   fall silent for a time between these, one after another.  */
+#define LATE_LEASE_PERMILLE 500
+#define MIN_SILENCE_MS 1000
+#define MAX_SILENCE_MS 9000
+#define MAX_SILENCE_GAP_MS 6000
+
+/* A quarter of the jobs then have one step that lasts longer by this factor,
+   so that its tasks outlast their leases.  */
+#define LATE_LEASE_DURATION_FACTOR 5
+
 /* Longest time between two orders or removals.  Three quarters of the times
    are much shorter, so that one follows the other before it has taken
    effect.  */
@@ -259,6 +270,56 @@
   schedule_step (world, 0, next_restart, cycle);
 }
 
+/* Backend servers that fall silent again and again until UNTIL, while leases
+   are granted late, with a random generator of its own, as above.  */
+struct silence_cycle
+{
+  GRand *random;
+  jb_time until;
+};
+
+static int
+silence_cycle_destroy (struct silence_cycle *cycle)
+{
+  g_rand_free (cycle->random);
+  return 0;
+}
+
+static void
+next_silence (struct jw_world *world, void *data)
+{
+  struct silence_cycle *cycle = *(struct silence_cycle **)data;
+  struct jw_backend *backend;
+  jb_time silence;
+  jb_time gap;
+
+  world->late_lease_permille
+      = world->now < cycle->until ? LATE_LEASE_PERMILLE : 0;
+  if (world->now >= cycle->until)
+    return;
+  backend = random_backend (world, cycle->random);
+  silence = g_rand_int_range (cycle->random, MIN_SILENCE_MS, MAX_SILENCE_MS)
+            * JB_MS;
+  gap = g_rand_int_range (cycle->random, 50, MAX_SILENCE_GAP_MS) * JB_MS;
+  if (backend != NULL)
+    {
+      backend->unreachable = true;
+      schedule_step (world, silence, end_cut, backend);
+    }
+  schedule_step (world, gap, next_silence, cycle);
+}
+
+static void
+begin_silence_cycle (struct jw_world *world, uint32_t seed, jb_time until)
+{
+  struct silence_cycle *cycle = talloc_zero (world, struct silence_cycle);
+
+  cycle->random = g_rand_new_with_seed (seed);
+  cycle->until = until;
+  talloc_set_destructor (cycle, silence_cycle_destroy);
+  schedule_step (world, 0, next_silence, cycle);
+}
+
 /* Zones that are evacuated and taken back again and again until UNTIL, with a
    random generator of its own, as above.  */
 struct order_cycle
@@ -424,7 +485,7 @@
 /* Submit a random job, and perhaps cancel it.  */
 static void
 submit_random_job (struct jw_world *world, uint32_t *long_running_count,
-                   bool speculative)
+                   const struct jw_soak *soak)
 {
   struct jw_job_options job
       = { .pool = random_below (world, world->options.pools),
@@ -463,7 +524,12 @@
     }
   if (jw_random_permille (world, 300))
     job.api_key = "key-1";
-  job.speculative = speculative && job.duration_ms % 3 == 0;
+  job.speculative = soak->speculative_steps && job.duration_ms % 3 == 0;
+  if (soak->late_leases != JW_LATE_LEASES_NONE && job.duration_ms % 4 == 0)
+    {
+      job.step_count = 1;
+      job.duration_ms *= LATE_LEASE_DURATION_FACTOR;
+    }
   id = jw_submit_job (world, &job);
   if (jw_random_permille (world, 100) && !job.long_running)
     {
@@ -505,6 +571,7 @@
           .disabled_safeguards = soak->disabled_safeguards,
           .lookahead = soak->lookahead,
           .max_delay_ms = soak->restart_backends ? RESTART_MAX_DELAY_MS : 0,
+          .late_leases = soak->late_leases,
           .external_hosts = soak->external_hosts,
           .network_prefix = soak->network_prefix,
           .backend_port = soak->backend_port,
@@ -524,6 +591,8 @@
     begin_stall_cycle (world, soak->seed, end);
   if (soak->restart_backends)
     begin_restart_cycle (world, soak->seed, end);
+  if (soak->late_leases != JW_LATE_LEASES_NONE)
+    begin_silence_cycle (world, soak->seed, end);
   if (soak->evacuate_zones)
     begin_order_cycle (world, soak->seed, end);
   while (world->now < end)
@@ -531,8 +600,7 @@
       uint32_t kind = random_below (world, 100);
 
       if (kind < 70)
-        submit_random_job (world, &long_running_count,
-                           soak->speculative_steps);
+        submit_random_job (world, &long_running_count, soak);
       else if (kind < 86)
         inject_host_fault (world);
       else if (kind < 95)
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -59,6 +59,19 @@
                          const struct jb_reply *reply);
 };
 
+/* What becomes of a share of the leases that entry hosts grant to backend
+   servers, with probes and starts.  */
+enum jw_late_leases
+{
+  JW_LATE_LEASES_NONE, /* all are granted in time */
+  /* Some of the commands are not answered, and are carried out late, even
+     while the backend server does not answer.  Either they last until the time
+     on the backend server's clock that they ask for, or their time counts from
+     their arrival.  */
+  JW_LATE_LEASES_UNTIL,
+  JW_LATE_LEASES_FROM_ARRIVAL
+};
+
 struct jw_options
 {
   uint32_t seed;
@@ -80,7 +93,9 @@
   bool needs_advice;            /* task starts need tickets from a policy */
   bool reorder_messages;        /* between entry hosts */
   int64_t max_delay_ms; /* of a command that is carried out late; 0: 6000 */
-  bool verbose;         /* print the log lines of entry hosts */
+  enum jw_late_leases late_leases; /* while jw_world.late_lease_permille is
+                                      not 0 */
+  bool verbose;                    /* print the log lines of entry hosts */
   /* NULL: entry hosts are part of the simulation.  */
   const struct jw_external_hosts *external_hosts;
   /* First three bytes of backend server addresses, such as "10.0.0".  */
@@ -302,6 +317,11 @@
   uint32_t starts_after_done; /* of tasks that a run had completed, whether an
                                  entry host knew it or not */
   bool delivering_delayed_command;
+  /* Chance in a thousand that a lease is granted late, with a random generator
+     of its own, so that a seed gives the same other faults as without.  */
+  uint32_t late_lease_permille;
+  GRand *late_lease_random;
+  bool delivering_late_lease;
   /* The next command to a backend server of this kind is not answered, and is
      carried out after this delay.  */
   struct jw_delayed_command delayed_command;
@@ -515,6 +535,8 @@
 void jw_backend_execute (struct jw_world *world,
                          const struct jb_command *command,
                          struct jb_reply *reply);
+/* Return the time on the clock of BACKEND, which drifts.  */
+int64_t jw_backend_clock_ms (const struct jw_backend *backend, jb_time now);
 /* Return the backend server that TARGET's address leads to, or NULL.  */
 struct jw_backend *jw_find_target (struct jw_world *world,
                                    const struct jb_backend_target *target);
--- a/tests/sim/jobs/soak_jobs.c
+++ b/tests/sim/jobs/soak_jobs.c
@@ -8,6 +8,7 @@
 #include <argp.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 struct arguments
 {
@@ -18,6 +19,7 @@
   bool stalls;
   bool no_guard;
   bool restarts;
+  enum jw_late_leases late_leases;
   bool evacuations;
   bool speculative;
   uint32_t more_hosts;
@@ -35,6 +37,10 @@
     0 },
   { "restarts", 'b', NULL, 0,
     "Restart backend servers under their names, with late commands", 0 },
+  { "late-grants", 'n', "arrival|until", 0,
+    "Grant leases late, for a time from their arrival or until the time that "
+    "they ask for, while backend servers fall silent",
+    0 },
   { "evacuations", 'e', NULL, 0,
     "Evacuate availability zones, and take them back", 0 },
   { "speculative", 'p', NULL, 0, "Let a third of the jobs be speculative", 0 },
@@ -75,6 +81,14 @@
     case 'b':
       arguments->restarts = true;
       return 0;
+    case 'n':
+      if (strcmp (value, "arrival") == 0)
+        arguments->late_leases = JW_LATE_LEASES_FROM_ARRIVAL;
+      else if (strcmp (value, "until") == 0)
+        arguments->late_leases = JW_LATE_LEASES_UNTIL;
+      else
+        argp_error (state, "--late-grants: arrival or until, not '%s'", value);
+      return 0;
     case 'e':
       arguments->evacuations = true;
       return 0;
@@ -116,6 +130,7 @@
               .stall_one_host = arguments.stalls,
               .no_overload_guard = arguments.no_guard,
               .restart_backends = arguments.restarts,
+              .late_leases = arguments.late_leases,
               .evacuate_zones = arguments.evacuations,
               .speculative_steps = arguments.speculative,
               .more_hosts = arguments.more_hosts,
