Hold organisations to a new limit while pools have unlimited shares

Cause: jb_quota_divide subtracted the highest share of each pool from the limit. The share of a pool without a limit is a quarter of INT64_MAX, so with five or more pools that have unlimited shares in force the difference overflowed and became positive: a part that nobody may use seemed unassigned. Callers saw: found by reading; when an organisation got its first limit, pools with small shares could be granted more, beside the unlimited shares. Change: the unassigned part ends at 0. Test: "a quota is new while pools have unlimited shares" in test_jb_policies.

--- a/packages/jobs/src/jb_quota.c
+++ b/packages/jobs/src/jb_quota.c
@@ -65,8 +65,10 @@
       demands[i] = *dimension (&pools[i].used, offset)
                    + *dimension (&pools[i].wanted, offset);
       total_demand += demands[i];
-      unassigned -= MAX (*dimension (&pools[i].highest_share, offset),
-                         *dimension (&pools[i].used, offset));
+      /* The sum of unlimited shares would overflow.  */
+      unassigned -= MIN (MAX (*dimension (&pools[i].highest_share, offset),
+                              *dimension (&pools[i].used, offset)),
+                         unassigned);
     }
   level = total_demand > limit ? max_min_fair_level (demands, count, limit)
                                : INT64_MAX;
@@ -84,7 +86,7 @@
         continue;
       /* A share may grow only by the part of the limit that no pool may have
          in force.  */
-      *share = highest + CLAMP (unassigned, 0, target - highest);
+      *share = highest + MIN (unassigned, target - highest);
       unassigned -= *share - highest;
     }
   g_free (demands);
--- a/packages/jobs/tests/test_jb_policies.c
+++ b/packages/jobs/tests/test_jb_policies.c
@@ -89,6 +89,26 @@
   CU_ASSERT_EQUAL (admission.retry_after_ms, 0);
 }
 
+/* When an organisation gets a quota, the owners of its pools still have
+   unlimited shares.  Their sum must not overflow: that would leave a part to
+   assign, and the quota is exceeded.  */
+static void
+test_new_quota (void)
+{
+  enum
+  {
+    POOL_COUNT = 6
+  };
+  struct jb_resources quota = { 10000, 0, 0 };
+  struct jb_quota_pool pools[POOL_COUNT] = { 0 };
+
+  for (int i = 0; i < POOL_COUNT - 1; i++)
+    pools[i].highest_share.cpu_milli = JB_QUOTA_UNLIMITED;
+  pools[POOL_COUNT - 1].wanted.cpu_milli = 5000;
+  jb_quota_divide (&quota, pools, POOL_COUNT);
+  CU_ASSERT_EQUAL (pools[POOL_COUNT - 1].share.cpu_milli, 0);
+}
+
 /* The shares that the owners of the pools may have in force must never add up
    to more than the quota, also while a reduced share is not acknowledged.  */
 static void
@@ -540,6 +560,7 @@
     { "small late jobs go first", test_rank_late },
     { "jobs that can't be done are refused", test_admission },
     { "shares stay within the quota", test_quota },
+    { "a quota is new while pools have unlimited shares", test_new_quota },
     { "recurring surges are forecast", test_forecast },
     { "hosts move to a pool in need", test_rebalance },
     { "no host moves away while tasks wait", test_rebalance_waiting },
