--- a/packages/base/include/ba_address.h
+++ b/packages/base/include/ba_address.h
@@ -11,4 +11,9 @@
    an IPv4 address followed by a port from 1 to 65535.  */
 bool ba_address_parse (const char *text, struct sockaddr_in *address);
 
+/* Return whether TEXT, which may be NULL, is a host and a port from 1 to
+   65535, such as "host.example:80", "127.0.0.1:80" or "[::1]:80", so that it
+   can be used in a URL.  */
+bool ba_address_is_host_and_port (const char *text);
+
 #endif
--- a/packages/jobs/include/jb_types.h
+++ b/packages/jobs/include/jb_types.h
@@ -19,6 +19,22 @@
 /* Later than any other time.  */
 #define JB_NEVER INT64_MAX
 
+/* Bounds on numbers from outside the process.  They are far above all real
+   ones, and small enough that sums and products of them fit into 64 bits.  */
+
+/* One dimension of the resources of a task or a backend server.  */
+#define JB_MAX_AMOUNT INT64_C (100000000)
+/* The duration of a task, a time limit: 115 days.  */
+#define JB_MAX_DURATION_MS INT64_C (10000000000)
+/* The clock of a backend server, the interval of a schedule: 317 years.  */
+#define JB_MAX_CLOCK_MS INT64_C (10000000000000)
+/* Unix time: the end of the year 9999.  */
+#define JB_MAX_UNIX_MS INT64_C (253402300799999)
+/* The numbers of a task's runs, and of the ends of runs on one backend
+   server.  */
+#define JB_MAX_RUN 1000000000
+#define JB_MAX_END_NUMBER (INT64_MAX / 2)
+
 /* An amount of resources, such as the capacity of a backend server or what a
    task requires.  */
 struct jb_resources
