--- a/packages/jobs/include/jb_job_desc.h
+++ b/packages/jobs/include/jb_job_desc.h
@@ -12,9 +12,14 @@
   JB_MAX_STEPS_PER_JOB = 64,
   JB_MAX_TASKS_PER_STEP = 4096,
   JB_MAX_OCCURRENCES = 100000, /* of a scheduled job */
-  JB_MAX_SPEC_BYTES = 4000     /* without the final NUL */
+  JB_MAX_SPEC_BYTES = 4000,    /* without the final NUL */
+  JB_MAX_ATTEMPTS = 100000     /* of a task */
 };
 
+/* Work of one occurrence of a job, as jb_job_desc_work returns it: 20 million
+   hours of a core.  */
+#define JB_MAX_JOB_WORK (INT64_C (1) << 56)
+
 /* A step: a number of equal tasks.  */
 struct jb_step
 {
@@ -92,7 +97,8 @@
 
 /* Return the work of STEP, or of all steps of one occurrence: the CPU that the
    tasks use times their estimated run time, in thousandths of a core times
-   milliseconds.  Long-running steps count as 0.  */
+   milliseconds.  Long-running steps count as 0.  INT64_MAX stands for any work
+   that doesn't fit.  */
 int64_t jb_step_work (const struct jb_step *step);
 int64_t jb_job_desc_work (const struct jb_job_desc *desc);
 
--- a/packages/jobs/src/jb_job.c
+++ b/packages/jobs/src/jb_job.c
@@ -7,7 +7,7 @@
 enum
 {
   /* Bounds when decoding stored progress.  */
-  MAX_FAILURES_PER_TASK = 100000,
+  MAX_FAILURES_PER_TASK = JB_MAX_ATTEMPTS,
   MAX_SAVED_CRASHES = 1000000
 };
 
--- a/packages/jobs/src/jb_job_desc.c
+++ b/packages/jobs/src/jb_job_desc.c
@@ -52,6 +52,12 @@
          && strspn (id, "0123456789abcdefABCDEF") == JB_JOB_ID_DIGITS;
 }
 
+static bool
+is_amount (int64_t amount)
+{
+  return amount >= 0 && amount <= JB_MAX_AMOUNT;
+}
+
 /* Return NULL when STEP, which has the index NUMBER, is valid, else an error
    message.  */
 static const char *
@@ -59,11 +65,14 @@
 {
   if (step->task_count == 0 || step->task_count > JB_MAX_TASKS_PER_STEP)
     return "a step has no tasks, or too many";
-  if (step->resources.cpu_milli < 0 || step->resources.memory_mb < 0
-      || step->resources.accelerators < 0)
-    return "a step asks for a negative amount";
-  if (step->estimate_ms < 0)
-    return "a step has a negative estimate";
+  if (!is_amount (step->resources.cpu_milli)
+      || !is_amount (step->resources.memory_mb)
+      || !is_amount (step->resources.accelerators))
+    return "a step asks for a negative amount, or for too much";
+  if (step->estimate_ms < 0 || step->estimate_ms > JB_MAX_DURATION_MS)
+    return "a step has a negative estimate, or one that is too long";
+  if (step->tail_target_ms < 0 || step->tail_target_ms > JB_MAX_DURATION_MS)
+    return "a step has a negative target, or one that is too long";
   for (uint32_t i = 0; i < step->predecessor_count; i++)
     if (step->predecessors[i] >= number)
       return "a step waits for one that is not before it";
@@ -80,7 +89,8 @@
   if (desc->step_count == 0 || desc->step_count > JB_MAX_STEPS_PER_JOB)
     return "the job has no steps, or too many";
   if (desc->scheduled_occurrences > JB_MAX_OCCURRENCES
-      || (desc->scheduled_occurrences > 1 && desc->interval_ms < 0))
+      || desc->first_unix_ms < 0 || desc->first_unix_ms > JB_MAX_UNIX_MS
+      || desc->interval_ms < 0 || desc->interval_ms > JB_MAX_CLOCK_MS)
     return "the schedule makes no sense";
   for (uint32_t i = 0; i < desc->step_count; i++)
     {
@@ -89,15 +99,23 @@
       if (error != NULL)
         return error;
     }
+  if (jb_job_desc_work (desc) > JB_MAX_JOB_WORK)
+    return "the work of all tasks together is too much";
   return NULL;
 }
 
 int64_t
 jb_step_work (const struct jb_step *step)
 {
-  return step->long_running ? 0
-                            : step->task_count * step->resources.cpu_milli
-                                  * step->estimate_ms;
+  int64_t work;
+
+  if (step->long_running)
+    return 0;
+  return __builtin_mul_overflow (step->resources.cpu_milli, step->estimate_ms,
+                                 &work)
+                 || __builtin_mul_overflow (work, step->task_count, &work)
+             ? INT64_MAX
+             : work;
 }
 
 int64_t
@@ -106,7 +124,8 @@
   int64_t work = 0;
 
   for (uint32_t i = 0; i < desc->step_count; i++)
-    work += jb_step_work (&desc->steps[i]);
+    if (__builtin_add_overflow (work, jb_step_work (&desc->steps[i]), &work))
+      return INT64_MAX;
   return work;
 }
 
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -406,7 +406,7 @@
 /* ---- requests ---- */
 
 /* Return the work that was accepted and is not done, in thousandths of a core
-   times milliseconds.  */
+   times milliseconds, but at most JB_MAX_JOB_WORK.  */
 static int64_t
 unfinished_work (const struct jb_pool *pool)
 {
@@ -427,6 +427,7 @@
           if (!step->long_running)
             work += (int64_t)(group->task_count - group->done_count)
                     * step->resources.cpu_milli * step->estimate_ms;
+          work = MIN (work, JB_MAX_JOB_WORK);
         }
     }
   return work;
--- a/packages/jobs/tests/test_jb_job.c
+++ b/packages/jobs/tests/test_jb_job.c
@@ -188,6 +188,35 @@
   talloc_free (mem);
 }
 
+/* The work of a job is part of sums and products of the owner's: a job whose
+   work is too large for them must be refused.  */
+static void
+test_work (void)
+{
+  TALLOC_CTX *mem = talloc_new (NULL);
+  struct jb_job_desc *desc = make_job (mem, 0)->desc;
+  struct jb_step *step = &desc->steps[0];
+
+  step->resources.cpu_milli = 64000;
+  step->estimate_ms = 24 * 60 * 60 * 1000;
+  CU_ASSERT_PTR_NULL (jb_job_desc_check (desc));
+  CU_ASSERT_EQUAL (jb_job_desc_work (desc), 3 * step->estimate_ms * 64000);
+  step->resources.cpu_milli = JB_MAX_AMOUNT;
+  step->estimate_ms = JB_MAX_DURATION_MS;
+  CU_ASSERT_PTR_NOT_NULL (jb_job_desc_check (desc));
+  step->task_count = JB_MAX_TASKS_PER_STEP;
+  CU_ASSERT_EQUAL (jb_job_desc_work (desc), INT64_MAX);
+  desc->steps[1] = *step;
+  CU_ASSERT_EQUAL (jb_job_desc_work (desc), INT64_MAX);
+  CU_ASSERT_PTR_NOT_NULL (jb_job_desc_check (desc));
+  step->long_running = true;
+  desc->steps[1].long_running = true;
+  CU_ASSERT_PTR_NULL (jb_job_desc_check (desc));
+  step->estimate_ms++;
+  CU_ASSERT_PTR_NOT_NULL (jb_job_desc_check (desc));
+  talloc_free (mem);
+}
+
 /* A request must go to the queue with the longest matching path prefix on its
    host, and an API key must identify its organisation only.  */
 static void
@@ -230,6 +259,7 @@
           { "task names are parsed and checked", test_names },
           { "leases expire on the slowest allowed clock", test_leases },
           { "truncated messages are rejected", test_messages },
+          { "the work of a job is bounded", test_work },
           { "catalog finds queues and organisations", test_catalog },
           { NULL, NULL } };
 
