Bound the open occurrences of a scheduled job

Cause: all occurrences that are due were opened at once. A schedule with an interval of 0, or with a first time long ago, has up to 100,000 due, each with all its tasks: gigabytes. Callers saw: found by reading; one such job would end the owner of its pool, and then the next owner. Change: another occurrence is opened only while the tasks of all open ones are at most 65,536, or if none is open. It starts when earlier ones are done. Test: "the open occurrences of a job are bounded" in test_jb_job. A backend server that reports a run of a later occurrence still opens all up to that one.

--- a/packages/jobs/include/jb_job.h
+++ b/packages/jobs/include/jb_job.h
@@ -151,7 +151,8 @@
   jb_time due_at;      /* it is late after this time; JB_NEVER: never */
   /* Number of leading occurrences that are done and were dropped.  */
   uint32_t dropped_occurrences;
-  /* Number of occurrences whose start time has come.  */
+  /* Number of occurrences whose start time has come, as far as
+     jb_job_can_open_occurrence allowed.  */
   uint32_t opened_occurrences;
   /* Task groups of the opened occurrences that were not dropped, ordered by
      occurrence and step.  */
@@ -175,6 +176,11 @@
 /* Return the number of occurrences of JOB, at least 1.  */
 uint32_t jb_job_occurrence_count (const struct jb_job *job);
 
+/* Return whether the tasks of one more occurrence of JOB may be opened beside
+   those of the open ones, within JB_MAX_OPEN_TASKS.  If not, it is opened when
+   an earlier one is done.  */
+bool jb_job_can_open_occurrence (const struct jb_job *job);
+
 /* Open the next occurrence of JOB: create its task groups.  */
 void jb_job_open_next_occurrence (struct jb_job *job);
 
--- a/packages/jobs/include/jb_job_desc.h
+++ b/packages/jobs/include/jb_job_desc.h
@@ -12,8 +12,11 @@
   JB_MAX_STEPS_PER_JOB = 64,
   JB_MAX_TASKS_PER_STEP = 4096,
   JB_MAX_OCCURRENCES = 100000, /* of a scheduled job */
-  JB_MAX_SPEC_BYTES = 4000,    /* without the final NUL */
-  JB_MAX_ATTEMPTS = 100000     /* of a task */
+  /* Tasks of all open occurrences of a scheduled job, unless one alone has
+     more: about 20 MB.  */
+  JB_MAX_OPEN_TASKS = 65536,
+  JB_MAX_SPEC_BYTES = 4000, /* without the final NUL */
+  JB_MAX_ATTEMPTS = 100000  /* of a task */
 };
 
 /* Work of one occurrence of a job, as jb_job_desc_work returns it: 20 million
--- a/packages/jobs/src/jb_job.c
+++ b/packages/jobs/src/jb_job.c
@@ -37,6 +37,17 @@
   return MAX (job->desc->scheduled_occurrences, 1);
 }
 
+bool
+jb_job_can_open_occurrence (const struct jb_job *job)
+{
+  uint64_t open_count = job->opened_occurrences - job->dropped_occurrences;
+  uint64_t task_count = 0;
+
+  for (uint32_t i = 0; i < job->desc->step_count; i++)
+    task_count += job->desc->steps[i].task_count;
+  return open_count == 0 || (open_count + 1) * task_count <= JB_MAX_OPEN_TASKS;
+}
+
 void
 jb_job_open_next_occurrence (struct jb_job *job)
 {
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -312,6 +312,7 @@
   int64_t unix_ms = (now + pool->unix_origin) / JB_MS;
 
   while (job->opened_occurrences < desc->scheduled_occurrences
+         && jb_job_can_open_occurrence (job)
          && unix_ms >= desc->first_unix_ms
                            + job->opened_occurrences * desc->interval_ms
                            + OCCURRENCE_START_MARGIN_MS)
--- a/packages/jobs/tests/test_jb_job.c
+++ b/packages/jobs/tests/test_jb_job.c
@@ -1,6 +1,7 @@
 /* The data of jobs: task groups and their progress, task names, leases of
    backend servers, messages that carry a job, and the catalog.  */
 
+#include "../src/jb_pool_internal.h"
 #include "dp_test.h"
 #include "jb_msg.h"
 #include "jb_job.h"
@@ -217,6 +218,42 @@
   talloc_free (mem);
 }
 
+static uint32_t
+count_open_tasks (const struct jb_job *job)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < job->groups->len; i++)
+    count += ((struct jb_task_group *)g_ptr_array_index (job->groups, i))
+                 ->task_count;
+  return count;
+}
+
+/* All occurrences of a scheduled job may be due at once, such as those of one
+   with an interval of 0.  Opened at once, their tasks would use up the
+   memory.  */
+static void
+test_open_occurrences (void)
+{
+  TALLOC_CTX *mem = talloc_new (NULL);
+  struct jb_pool *pool = talloc_zero (mem, struct jb_pool);
+  struct jb_job *job = make_job (mem, JB_MAX_OCCURRENCES);
+  uint32_t opened;
+
+  jb_pool_open_due_occurrences (pool, job, JB_SECOND);
+  opened = job->opened_occurrences;
+  CU_ASSERT_TRUE (opened > 1000);
+  CU_ASSERT_TRUE (count_open_tasks (job) <= 65536);
+  jb_pool_open_due_occurrences (pool, job, JB_SECOND);
+  CU_ASSERT_EQUAL (job->opened_occurrences, opened);
+  finish_step (job, 0, 0);
+  finish_step (job, 0, 1);
+  jb_job_drop_done_occurrences (job);
+  jb_pool_open_due_occurrences (pool, job, JB_SECOND);
+  CU_ASSERT_EQUAL (job->opened_occurrences, opened + 1);
+  talloc_free (mem);
+}
+
 /* A request must go to the queue with the longest matching path prefix on its
    host, and an API key must identify its organisation only.  */
 static void
@@ -260,6 +297,8 @@
           { "leases expire on the slowest allowed clock", test_leases },
           { "truncated messages are rejected", test_messages },
           { "the work of a job is bounded", test_work },
+          { "the open occurrences of a job are bounded",
+            test_open_occurrences },
           { "catalog finds queues and organisations", test_catalog },
           { NULL, NULL } };
 
