Skip odd registrations of backend servers, and log skipped entries

Cause: a registration counted as valid when its fields were present: the range of its capacity, the port of its address and the number of its labels were not looked at. Nothing said that entries were skipped. A key with a NUL hid the whole page, and one with a line break would add headers to commands. Callers saw: with one entry that says "cpu": the sum of capacities overflows until the entry is found silent, 1 s after each takeover of the pool. Ruled out: very deep nesting and integers beyond 64 bits make the JSON library refuse only the value of their own row, which was skipped before, too. An address with an impossible port is never connected to: it is probed once a second without effect on others, does not enter the roster, and no takeover waits for it. Change: a registration is skipped when its address is no host and port, a number is out of the bounds of jb_types.h, it has more labels than a row of the roster may hold (the next owner could not read that row), or its key can't be the value of a header. Skipped entries of all lists are counted (entries_skipped) and logged (entries-skipped), once in 10 s a list.

--- a/packages/jobs/include/jb_command.h
+++ b/packages/jobs/include/jb_command.h
@@ -246,7 +246,13 @@
   const char *checkpoint; /* newest one, or NULL */
 };
 
-/* What a backend server publishes about itself.  */
+enum
+{
+  JB_MAX_LABELS_PER_BACKEND = 100
+};
+
+/* What a backend server publishes about itself.  Its numbers are within the
+   bounds of jb_types.h.  */
 struct jb_backend_entry
 {
   const char *instance;
@@ -346,6 +352,10 @@
   struct jb_ticket *tickets;
   uint32_t ticket_count;
   int64_t tickets_valid_ms;
+  /* Entries that were left out because they can't be used: their number, and
+     the key of the first, NULL if it is not known.  */
+  uint32_t skipped_count;
+  const char *skipped_key;
 };
 
 #endif
--- a/packages/jobs/include/jb_driver.h
+++ b/packages/jobs/include/jb_driver.h
@@ -171,6 +171,9 @@
   JB_COUNT_RESERVED_IDLE_CORE_MS,
   /* Jobs that were deferred because of their organisations' shares.  */
   JB_COUNT_JOBS_DEFERRED,
+  /* Entries of lists and answers that can't be used, counted each time that
+     they are read.  */
+  JB_COUNT_ENTRIES_SKIPPED,
   JB_COUNTER_COUNT
 };
 
--- a/packages/jobs/src/jb_driver.c
+++ b/packages/jobs/src/jb_driver.c
@@ -6,6 +6,9 @@
 #include <inttypes.h>
 #include <stdarg.h>
 
+/* Minimum time between two log lines about skipped entries of one list.  */
+#define SKIPPED_LOG_INTERVAL (10 * JB_SECOND)
+
 enum
 {
   MAX_LOG_FIELD_COUNT = 24,
@@ -34,6 +37,8 @@
   jb_time store_failing_since; /* 0: the last call was answered */
   jb_time store_answered_at;   /* 0: never */
   jb_time store_recovered_at;  /* 0: never */
+  /* When skipped entries may be logged again, by the kind of command.  */
+  jb_time next_skipped_log[JB_COMMAND_KIND_COUNT];
   struct jb_metrics metrics;
 };
 
@@ -146,6 +151,40 @@
   return driver->store_answered_at;
 }
 
+/* Count the entries that REPLY to a command of KIND left out, and log them
+   unless that was done a short time ago: lists are read again and again.  */
+static void
+record_skipped_entries (struct jb_driver *driver, jb_time now,
+                        enum jb_command_kind kind,
+                        const struct jb_reply *reply)
+{
+  /* Indexed by enum jb_command_kind.  */
+  static const char *const lists[]
+      = { [JB_COMMAND_WRITE] = "rows",
+          [JB_COMMAND_READ] = "rows",
+          [JB_COMMAND_WATCH_CONFIG] = "operators-orders",
+          [JB_COMMAND_LIST_BACKENDS] = "backend-servers",
+          [JB_COMMAND_REPORT_WAVE] = "rows",
+          [JB_COMMAND_START_TASK] = "runs",
+          [JB_COMMAND_STOP_TASK] = "runs",
+          [JB_COMMAND_PROBE] = "runs",
+          [JB_COMMAND_SET_SPEED] = "runs",
+          [JB_COMMAND_GET_ADVICE] = "advice",
+          [JB_COMMAND_LIST_HOSTS] = "hosts",
+          [JB_COMMAND_MOVE_HOST] = "hosts",
+          [JB_COMMAND_MAINTAIN_HOST] = "hosts" };
+
+  if (reply->skipped_count == 0)
+    return;
+  jb_count_events (driver, JB_COUNT_ENTRIES_SKIPPED, reply->skipped_count);
+  if (now < driver->next_skipped_log[kind])
+    return;
+  driver->next_skipped_log[kind] = now + SKIPPED_LOG_INTERVAL;
+  jb_log (driver, JB_LEVEL_WARN, "entries-skipped", "list", lists[kind],
+          "count", jb_itoa (reply->skipped_count), "first", reply->skipped_key,
+          NULL);
+}
+
 void
 jb_driver_receive_reply (struct jb_driver *driver, jb_time now,
                          uint64_t number, const struct jb_reply *reply)
@@ -159,6 +198,7 @@
   copy = *in_flight;
   talloc_free (in_flight);
   record_store_result (driver, now, &copy, reply->result);
+  record_skipped_entries (driver, now, copy.kind, reply);
   copy.callback (copy.data, now, copy.sent_at, reply);
 }
 
@@ -324,6 +364,7 @@
   [JB_COUNT_PLACED_IN_GAPS] = { "placed_in_gaps", NULL },
   [JB_COUNT_RESERVED_IDLE_CORE_MS] = { "reserved_idle_core_ms", NULL },
   [JB_COUNT_JOBS_DEFERRED] = { "jobs_deferred", NULL },
+  [JB_COUNT_ENTRIES_SKIPPED] = { "entries_skipped", NULL },
 };
 
 static const char *const histogram_names[JB_HIST_COUNT] = {
--- a/packages/jobs/src/jb_pool_roster.c
+++ b/packages/jobs/src/jb_pool_roster.c
@@ -23,8 +23,7 @@
   /* Small enough for the row with about 250 bytes for each.  */
   ROSTER_BACKENDS_PER_ROW = 200,
   /* A pool that needs more has too many backend servers for one owner.  */
-  MAX_ROSTER_ROWS = JB_OWNERSHIP_MAX_WRITE_ROWS / 2,
-  MAX_LABELS_PER_BACKEND = 100
+  MAX_ROSTER_ROWS = JB_OWNERSHIP_MAX_WRITE_ROWS / 2
 };
 
 /* The stored form of a backend server, and of the roster.  */
@@ -52,7 +51,7 @@
   ba_codec_required_str (io, &backend->address);
   ba_codec_required_str (io, &backend->zone);
   ba_codec_array (io, backend->labels, backend->label_count,
-                  MAX_LABELS_PER_BACKEND, ba_codec_required_str);
+                  JB_MAX_LABELS_PER_BACKEND, ba_codec_required_str);
   jb_resources_serialize (io, &backend->capacity);
   ba_codec_i64 (io, &backend->started_unix_ms);
 }
--- a/tests/process/jobs.sh
+++ b/tests/process/jobs.sh
@@ -55,6 +55,13 @@
 check 'the completed wave is shown' 'wave=1 state=completed' operator_cli waves
 check 'a job that is larger than any backend server is refused' 'status=429' \
   submit_job 00000000000000ab 50000
+check 'a job with an impossible number is refused with its cause' \
+  'steps\[0\].cpu.*status=400' submit_job 00000000000000ad 1e300
+check 'the odd entries among the backend servers are logged' \
+  '"event":"entries-skipped","list":"backend-servers"' \
+  cat run/process-jobs/entry-0.log run/process-jobs/entry-1.log run/process-jobs/entry-2.log
+check 'no job is refused because of an odd capacity' '^0$' \
+  sh -c 'cat run/process-jobs/entry-*.log | grep -c backlog.is.too.long'
 check 'a job that needs all cores of nine backend servers is accepted' 'status=200' \
   submit_job 00000000000000ac 12000
 check 'a single job is shown by its ID' 'job=00000000000000ac' operator_cli job 00000000000000ac
