Fuzz decoders with odd values, and compute with what they accept

Cause: the mutations of tests/fuzz rarely yield a number that is too large or deep nesting, and accepted values were not used, so overflows after the decoders went unnoticed.

--- a/tests/fuzz/fuzz_decode.c
+++ b/tests/fuzz/fuzz_decode.c
@@ -153,6 +153,25 @@
       (struct ba_bytes){ input.data + 2 + len, input.len - 2 - len });
 }
 
+/* Compute with the numbers of REPLY as the owner of a pool does.  They must
+   not overflow.  */
+static void
+use_reply (TALLOC_CTX *mem, const struct jb_reply *reply)
+{
+  struct jb_backend_entry entry
+      = { .instance = "i", .address = "a", .zone = "z" };
+  struct jb_backend *backend = jb_backend_new (mem, &entry);
+  struct jb_resources sum = { 0 };
+
+  for (uint32_t i = 0; i < reply->backend_count; i++)
+    jb_resources_add (&sum, &reply->backends[i].capacity);
+  jb_backend_record_clock (backend, JB_SECOND, reply->backend_clock_ms);
+  jb_backend_grant_lease (backend, 2 * JB_SECOND, 6000);
+  /* A restart may take its clock back.  */
+  jb_backend_record_clock (backend, 3 * JB_SECOND, 0);
+  jb_backend_leases_expire_at (backend);
+}
+
 /* Decode INPUT as the platform's response to each kind of command.  */
 static void
 decode_platform_responses (TALLOC_CTX *mem, struct ba_bytes input)
@@ -164,9 +183,28 @@
       pf_service_api_decode_response (NULL, mem, (enum jb_command_kind)kind,
                                       200, (const char *)input.data, input.len,
                                       &reply);
+      use_reply (mem, &reply);
     }
 }
 
+/* Compute with the numbers of DESC as the owner of a pool does.  They must not
+   overflow.  */
+static void
+use_job (TALLOC_CTX *mem, struct jb_job_desc *desc)
+{
+  enum
+  {
+    MAX_STRETCH_MILLI = 1000000
+  };
+  struct jb_job *job = jb_job_new (mem, desc);
+  int64_t path_ms = jb_job_desc_critical_path_ms (desc);
+
+  job->due_at = path_ms * MAX_STRETCH_MILLI / 1000 * JB_MS;
+  job->due_at
+      += desc->first_unix_ms + desc->scheduled_occurrences * desc->interval_ms;
+  jb_job_open_next_occurrence (job);
+}
+
 static void
 decode_client_request (TALLOC_CTX *mem, struct ba_bytes input)
 {
@@ -181,7 +219,8 @@
     return;
   /* The entry host takes the job ID from the path.  */
   call.desc->id = talloc_strdup (mem, "0123456789abcdef");
-  jb_job_desc_check (call.desc);
+  if (jb_job_desc_check (call.desc) == NULL)
+    use_job (mem, call.desc);
 }
 
 static void
@@ -235,9 +274,42 @@
   g_free (copy);
 }
 
+/* Insert at OFFSET what a random change of bytes rarely yields: a number that
+   is too large, or very deep nesting.  */
+static void
+insert_odd_value (GRand *rand, GByteArray *bytes, guint offset)
+{
+  static const char *const values[] = { "9223372036854775807",
+                                        "-9223372036854775808",
+                                        "99999999999999999999",
+                                        "4294967297",
+                                        "1e300",
+                                        "-1e300",
+                                        "0.5",
+                                        "[",
+                                        "\\u0000",
+                                        ":70000" };
+  enum
+  {
+    NESTING = 5000
+  };
+  const char *value
+      = values[g_rand_int_range (rand, 0, (gint32)G_N_ELEMENTS (values))];
+  guint times = *value == '[' ? NESTING : 1;
+  GByteArray *result = g_byte_array_new ();
+
+  g_byte_array_append (result, bytes->data, offset);
+  for (guint i = 0; i < times; i++)
+    g_byte_array_append (result, (const guint8 *)value, (guint)strlen (value));
+  g_byte_array_append (result, bytes->data + offset, bytes->len - offset);
+  g_byte_array_set_size (bytes, 0);
+  g_byte_array_append (bytes, result->data, result->len);
+  g_byte_array_free (result, TRUE);
+}
+
 /* Apply one to five random changes to BYTES: overwrite a byte, flip a bit,
-   truncate, or duplicate a part.  The first byte, which selects the decoder,
-   stays.  */
+   truncate, duplicate a part, or insert an odd value.  The first byte, which
+   selects the decoder, stays.  */
 static void
 mutate (GRand *rand, GByteArray *bytes)
 {
@@ -247,7 +319,7 @@
     {
       guint offset = (guint)g_rand_int_range (rand, 1, (gint32)bytes->len);
 
-      switch (g_rand_int_range (rand, 0, 4))
+      switch (g_rand_int_range (rand, 0, 5))
         {
         case 0:
           bytes->data[offset] = (guint8)g_rand_int_range (rand, 0, 256);
@@ -258,6 +330,9 @@
         case 2:
           g_byte_array_set_size (bytes, offset);
           break;
+        case 3:
+          insert_odd_value (rand, bytes, offset);
+          break;
         default:
           duplicate_half (bytes, offset);
           break;
