Accept all run numbers that owners of pools assign

Each owner of a pool numbers runs from a multiple of 10,000, so after 100,000 changes of owner all answers would have counted as no answer. Change: the bound is that of the numbers that are sent (32 bits, signed). Test: "odd answers count as no answer" in test_pf_limits; before: test_pf_limits.c:225 - CU_ASSERT_EQUAL(reply.result,JB_RESULT_OK) Result: it passes.

--- a/packages/jobs/include/jb_types.h
+++ b/packages/jobs/include/jb_types.h
@@ -30,9 +30,10 @@
 #define JB_MAX_CLOCK_MS INT64_C (10000000000000)
 /* Unix time: the end of the year 9999.  */
 #define JB_MAX_UNIX_MS INT64_C (253402300799999)
-/* The numbers of a task's runs, and of the ends of runs on one backend
+/* The numbers of a task's runs, which owners of the pool assign
+   (JB_RUN_NUMBERS_PER_OWNER), and of the ends of runs on one backend
    server.  */
-#define JB_MAX_RUN 1000000000
+#define JB_MAX_RUN INT32_MAX
 #define JB_MAX_END_NUMBER (INT64_MAX / 2)
 
 /* An amount of resources, such as the capacity of a backend server or what a
