--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -312,6 +312,7 @@
   int64_t unix_ms = (now + pool->unix_origin) / JB_MS;
 
   while (job->opened_occurrences < desc->scheduled_occurrences
+         && jb_job_can_open_occurrence (job)
          && unix_ms >= desc->first_unix_ms
                            + job->opened_occurrences * desc->interval_ms
                            + OCCURRENCE_START_MARGIN_MS)
@@ -406,7 +407,7 @@
 /* ---- requests ---- */
 
 /* Return the work that was accepted and is not done, in thousandths of a core
-   times milliseconds.  */
+   times milliseconds, but at most JB_MAX_JOB_WORK.  */
 static int64_t
 unfinished_work (const struct jb_pool *pool)
 {
@@ -427,6 +428,7 @@
           if (!step->long_running)
             work += (int64_t)(group->task_count - group->done_count)
                     * step->resources.cpu_milli * step->estimate_ms;
+          work = MIN (work, JB_MAX_JOB_WORK);
         }
     }
   return work;
