Let the emulator start another run of a task beside the one that runs

Cause: the emulator's backend server refused a start of a task that runs there under another number. The protocol promises that only for numbers up to that of a run that has ended or was stopped there. Change: runs are found by task and number; another run of the task does not keep a start from being carried out.

--- a/tests/sim/jobs/jw_backend.c
+++ b/tests/sim/jobs/jw_backend.c
@@ -212,14 +212,15 @@
 
 /* ---- runs ---- */
 
+/* Return run NUMBER of TASK on BACKEND, or NULL if it is not active there.  */
 static struct jw_task_run *
-find_run (const struct jw_backend *backend, const char *task)
+find_run (const struct jw_backend *backend, const char *task, uint32_t number)
 {
   for (guint i = 0; i < backend->runs->len; i++)
     {
       struct jw_task_run *run = g_ptr_array_index (backend->runs, i);
 
-      if (strcmp (run->task, task) == 0)
+      if (strcmp (run->task, task) == 0 && run->run == number)
         return run;
     }
   return NULL;
@@ -276,6 +277,7 @@
 {
   struct jw_backend *backend;
   char *task;
+  uint32_t run;
   uint64_t serial;
   enum jb_run_outcome outcome;
 };
@@ -284,7 +286,7 @@
 apply_scheduled_end (struct jw_world *world, void *data)
 {
   struct scheduled_end *end = data;
-  struct jw_task_run *run = find_run (end->backend, end->task);
+  struct jw_task_run *run = find_run (end->backend, end->task, end->run);
 
   if (end->backend->up && run != NULL && run->end_serial == end->serial)
     end_run (world, end->backend, run, end->outcome);
@@ -300,6 +302,7 @@
   run->end_serial = ++world->serial;
   end->backend = backend;
   end->task = talloc_strdup (end, run->task);
+  end->run = run->run;
   end->serial = run->end_serial;
   end->outcome = outcome;
   jw_schedule (world, world->now + after, apply_scheduled_end, end);
@@ -392,9 +395,9 @@
         {
           struct jw_backend *backend = g_ptr_array_index (world->backends, j);
           struct jw_task_run *run
-              = backend->up ? find_run (backend, member) : NULL;
+              = backend->up ? find_run (backend, member, number) : NULL;
 
-          if (run != NULL && run->run == number)
+          if (run != NULL)
             runs[count++] = run;
         }
     }
@@ -428,7 +431,7 @@
             const struct jb_command *command, struct jb_reply *reply)
 {
   const struct jb_command_start_task *from = &command->u.start_task;
-  struct jw_task_run *run = find_run (backend, from->task);
+  struct jw_task_run *run = find_run (backend, from->task, from->run);
   uint32_t highest_closed_run = GPOINTER_TO_UINT (
       g_hash_table_lookup (backend->closed_runs, from->task));
   int duration_ms = 0;
@@ -437,7 +440,7 @@
   int behaviour = 0;
 
   reply->backend_clock_ms = jw_backend_clock_ms (backend, world->now);
-  if (run != NULL && run->run == from->run)
+  if (run != NULL)
     {
       extend_lease (world, backend, from->lease_until_ms);
       return;
@@ -461,9 +464,9 @@
       reply->refusal = JB_REFUSAL_LEASE_EXPIRED;
       return;
     }
-  if (run != NULL
-      || (!world->options.no_overload_guard
-          && (int64_t)(backend->runs->len + 1) * 1000 > backend->cpu_milli))
+  /* Another run of the task does not keep this one from starting.  */
+  if (!world->options.no_overload_guard
+      && (int64_t)(backend->runs->len + 1) * 1000 > backend->cpu_milli)
     {
       reply->refusal = JB_REFUSAL_NO_CAPACITY;
       extend_lease (world, backend, from->lease_until_ms);
@@ -499,13 +502,12 @@
 stop_task (struct jw_world *world, struct jw_backend *backend,
            const struct jb_command *command, struct jb_reply *reply)
 {
-  struct jw_task_run *run = find_run (backend, command->u.stop_task.task);
+  struct jw_task_run *run = find_run (backend, command->u.stop_task.task,
+                                      command->u.stop_task.run);
 
   reply->backend_clock_ms = jw_backend_clock_ms (backend, world->now);
   close_run (backend, command->u.stop_task.task, command->u.stop_task.run);
-  if (run == NULL || run->run != command->u.stop_task.run)
-    return;
-  if (run->stopping)
+  if (run == NULL || run->stopping)
     return;
   run->stopping = true;
   jw_check_disruption (world, backend, run->task);
