Keep a task on the backend server that may still carry out a start of it

Cause: a start without an answer may be carried out seconds later. The owner took the answer to a stop, an answer that does not list the run, its fencing token or an expired lease for proof that it would not be, and started the task elsewhere. Each of these proves something about one incarnation of the backend server only: after a restart under its name it knows none of them. Class: proof of one incarnation taken for proof of all. Change: a table of the starts that may still be carried out (jb_doubt.h). Their tasks start nowhere else for 12.5 s after the start was sent, and on a silent backend server until a run of the last moment would have ended. Instead of a stop the start is sent again with the same number, which is the same run if the first one arrives after all. Ends of such tasks are not acknowledged before, so that a restart within that time loses them. The time is over at once when the instance is replaced, when nobody hears it any more, and when it drains and has answered after a restart.

--- a/packages/jobs/include/jb_backend.h
+++ b/packages/jobs/include/jb_backend.h
@@ -53,6 +53,14 @@
   /* Pool's number of its incarnation.  It may restart under its instance name;
      the number rises when the owner learns of that.  */
   uint32_t incarnation;
+  /* Pool's number from which the fencing token of commands is made.  It rises
+     with the incarnation, and when commands sent before are to be refused;
+     when it last rose.  */
+  uint32_t fence_number;
+  jb_time fence_raised_at;
+  /* When it was last noticed to have restarted; 0: never.  What it has
+     forgotten includes the fencing token of another owner.  */
+  jb_time restart_seen_at;
   /* It has restarted, and no answer has shown yet that it refuses the commands
      of its previous incarnation.  */
   bool may_get_old_commands;
@@ -86,6 +94,12 @@
   uint64_t processed_end;
   uint64_t stored_end;
   uint64_t acked_end;
+  /* Number of tasks with a start in doubt here (jb_doubt.h), the lowest number
+     of an end that must not be acknowledged because of one, 0: none, and when
+     the last processed probe was sent.  */
+  uint32_t doubt_count;
+  uint64_t held_from;
+  jb_time asked_at;
   /* Health.  */
   jb_time unhealthy_until; /* no starts until then, since it refused one */
   /* Number of different jobs that failed there since the last success.  */
--- /dev/null
+++ b/packages/jobs/include/jb_doubt.h
@@ -0,0 +1,92 @@
+#ifndef JB_DOUBT_H
+#define JB_DOUBT_H
+
+/* The starts of a pool that are in doubt: they were not answered, so the
+   backend server may still carry them out.
+
+   A command without an answer may be executed JB_MAX_COMMAND_DELAY after it
+   was sent.  What the backend server has answered meanwhile proves little: it
+   may restart under its instance name, and its next incarnation knows neither
+   the stops nor the fencing tokens of the former one, and has another clock
+   for leases.  So a task with a start in doubt is only started on the backend
+   server of that start, where a former run ends with the incarnation, until
+
+   - the run was listed by the backend server, if only one start of it was
+     sent: a command is executed at most once;
+   - or the start can't be carried out any more, and the backend server was
+     asked for its runs after that;
+   - or, if it does not answer, the longest lease has expired since then;
+   - or its instance will not come back.
+
+   An end of a run whose task has another start in doubt is not acknowledged
+   before: the backend server may lose it by a restart, and run the task once
+   more.
+
+   Expected load: none while nothing fails.  While half of the starts get no
+   answer, 1,000 tasks of a pool.  */
+
+#include "jb_types.h"
+
+#include <glib.h>
+#include <talloc.h>
+
+/* Longest time after which a command that was not answered is carried out.  */
+#define JB_MAX_COMMAND_DELAY (12500 * JB_MS)
+
+struct jb_doubt
+{
+  char *task;     /* name */
+  char *instance; /* of the backend server */
+  uint32_t run;   /* number in the start that was sent last */
+  uint32_t sent;  /* starts that may still be carried out */
+  /* A start of run number `run' has succeeded, so that the run is listed does
+     not tell of another one.  */
+  bool succeeded;
+  /* Run number `run' has ended or was stopped, so a start of the task needs a
+     higher one.  */
+  bool run_closed;
+  jb_time until; /* nothing is carried out after that */
+};
+
+struct jb_doubt_table;
+
+struct jb_doubt_table *jb_doubt_table_new (TALLOC_CTX *mem);
+
+/* Return the number of tasks with starts in doubt.  */
+uint32_t jb_doubt_count (const struct jb_doubt_table *table);
+
+/* Return the entry of TASK, borrowed until it is removed, or NULL.  */
+struct jb_doubt *jb_doubt_find (const struct jb_doubt_table *table,
+                                const char *task);
+
+/* Record that a start of run number RUN of TASK on INSTANCE is sent, not after
+   SENT_AT.  Return the entry.  */
+struct jb_doubt *jb_doubt_add (struct jb_doubt_table *table, const char *task,
+                               uint32_t run, const char *instance,
+                               jb_time sent_at);
+
+/* Record that a start of run number RUN of TASK on INSTANCE has SUCCEEDED, was
+   refused or was not sent, so it is not carried out later.  */
+void jb_doubt_answer (struct jb_doubt_table *table, const char *task,
+                      uint32_t run, const char *instance, bool succeeded);
+
+/* Record that INSTANCE has listed run number RUN of TASK.  */
+void jb_doubt_settle (struct jb_doubt_table *table, const char *task,
+                      uint32_t run, const char *instance);
+
+/* Return how long a run may be active without an extension of its lease, if
+   the longest lease of its backend server is MAX_LEASE_MS on its clock.  */
+jb_time jb_doubt_lease (int64_t max_lease_ms);
+
+/* Return whether nothing of DOUBT can be active at NOW beside what the answer
+   to a probe sent at ASKED_AT has listed, 0 if there was none.  MAX_LEASE_MS
+   as above.  */
+bool jb_doubt_is_over (const struct jb_doubt *doubt, jb_time now,
+                       jb_time asked_at, int64_t max_lease_ms);
+
+/* Call VISIT for each entry, and remove those for which it returns true.  */
+void jb_doubt_visit (struct jb_doubt_table *table,
+                     bool (*visit) (void *data, struct jb_doubt *doubt),
+                     void *data);
+
+#endif
--- a/packages/jobs/include/jb_driver.h
+++ b/packages/jobs/include/jb_driver.h
@@ -115,6 +115,7 @@
   JB_COUNT_START_UNHEALTHY,
   JB_COUNT_START_NOT_SENT,
   JB_COUNT_START_UNKNOWN,
+  JB_COUNT_STARTS_REPEATED, /* sent again after no answer */
   /* Runs of tasks that ended, as enum jb_run_outcome.  */
   JB_COUNT_END_DONE,
   JB_COUNT_END_FAILED,
--- a/packages/jobs/include/jb_job.h
+++ b/packages/jobs/include/jb_job.h
@@ -70,6 +70,9 @@
   /* No run of a previous owner can be anywhere but where one was found
      (jb_takeover.h).  */
   bool is_located;
+  /* A start of it may be in doubt: its entry in the pool's table tells
+     (jb_doubt.h).  */
+  bool in_doubt;
   /* A previous owner has left it on a backend server that is silent.  */
   bool is_awaited;
   /* It was started although a previous owner's run may be active on a silent
@@ -235,6 +238,10 @@
   uint32_t index;
 };
 
+/* Write the name that REF identifies to NAME, and return NAME.  */
+char *jb_task_ref_name (const struct jb_task_ref *ref,
+                        char name[JB_TASK_NAME_SIZE]);
+
 /* Parse the task name NAME into REF.  Return whether NAME is valid; if not,
    the content of REF is unspecified.  */
 bool jb_task_ref_parse (const char *name, struct jb_task_ref *ref);
--- a/packages/jobs/include/jb_types.h
+++ b/packages/jobs/include/jb_types.h
@@ -100,7 +100,9 @@
   JB_SAFEGUARD_HANDOVER_GENERATION = 1 << 12,
   /* A run counts as the only one of its task only if it was listed after the
      last command of a former owner.  */
-  JB_SAFEGUARD_LISTED_AFTER_COMMANDS = 1 << 13
+  JB_SAFEGUARD_LISTED_AFTER_COMMANDS = 1 << 13,
+  /* A task with a start that may still be carried out starts nowhere else.  */
+  JB_SAFEGUARD_DOUBT = 1 << 14
 };
 
 /* Durations and limits of the deployment.  */
--- /dev/null
+++ b/packages/jobs/src/jb_doubt.c
@@ -0,0 +1,142 @@
+#include "jb_doubt.h"
+
+#include "jb_backend.h"
+
+#include <string.h>
+
+struct jb_doubt_table
+{
+  GHashTable *entries; /* task name -> struct jb_doubt */
+};
+
+static int
+table_destroy (struct jb_doubt_table *table)
+{
+  g_hash_table_destroy (table->entries);
+  return 0;
+}
+
+struct jb_doubt_table *
+jb_doubt_table_new (TALLOC_CTX *mem)
+{
+  struct jb_doubt_table *table = talloc_zero (mem, struct jb_doubt_table);
+
+  table->entries = g_hash_table_new (g_str_hash, g_str_equal);
+  talloc_set_destructor (table, table_destroy);
+  return table;
+}
+
+uint32_t
+jb_doubt_count (const struct jb_doubt_table *table)
+{
+  return g_hash_table_size (table->entries);
+}
+
+struct jb_doubt *
+jb_doubt_find (const struct jb_doubt_table *table, const char *task)
+{
+  return g_hash_table_lookup (table->entries, task);
+}
+
+struct jb_doubt *
+jb_doubt_add (struct jb_doubt_table *table, const char *task, uint32_t run,
+              const char *instance, jb_time sent_at)
+{
+  struct jb_doubt *doubt = jb_doubt_find (table, task);
+
+  if (doubt == NULL)
+    {
+      doubt = talloc_zero (table, struct jb_doubt);
+      doubt->task = talloc_strdup (doubt, task);
+      g_hash_table_insert (table->entries, doubt->task, doubt);
+    }
+  if (g_strcmp0 (doubt->instance, instance) != 0)
+    {
+      talloc_free (doubt->instance);
+      doubt->instance = talloc_strdup (doubt, instance);
+    }
+  if (doubt->run != run)
+    {
+      doubt->run_closed = false;
+      doubt->succeeded = false;
+    }
+  doubt->run = run;
+  doubt->sent++;
+  doubt->until = MAX (doubt->until, sent_at + JB_MAX_COMMAND_DELAY);
+  return doubt;
+}
+
+static struct jb_doubt *
+find_start (const struct jb_doubt_table *table, const char *task, uint32_t run,
+            const char *instance)
+{
+  struct jb_doubt *doubt = jb_doubt_find (table, task);
+
+  return doubt != NULL && doubt->run == run
+                 && strcmp (doubt->instance, instance) == 0
+             ? doubt
+             : NULL;
+}
+
+static void
+remove_entry (struct jb_doubt_table *table, struct jb_doubt *doubt)
+{
+  g_hash_table_remove (table->entries, doubt->task);
+  talloc_free (doubt);
+}
+
+void
+jb_doubt_answer (struct jb_doubt_table *table, const char *task, uint32_t run,
+                 const char *instance, bool succeeded)
+{
+  struct jb_doubt *doubt = find_start (table, task, run, instance);
+
+  if (doubt == NULL)
+    return;
+  doubt->succeeded = doubt->succeeded || succeeded;
+  if (--doubt->sent == 0)
+    remove_entry (table, doubt);
+}
+
+void
+jb_doubt_settle (struct jb_doubt_table *table, const char *task, uint32_t run,
+                 const char *instance)
+{
+  struct jb_doubt *doubt = find_start (table, task, run, instance);
+
+  /* Which of several starts was carried out isn't known.  */
+  if (doubt != NULL && doubt->sent == 1 && !doubt->succeeded)
+    remove_entry (table, doubt);
+}
+
+jb_time
+jb_doubt_lease (int64_t max_lease_ms)
+{
+  return (max_lease_ms + JB_LEASE_MARGIN_MS) * JB_MS * 100
+         / (100 - JB_MAX_CLOCK_DRIFT_PERCENT);
+}
+
+bool
+jb_doubt_is_over (const struct jb_doubt *doubt, jb_time now, jb_time asked_at,
+                  int64_t max_lease_ms)
+{
+  return now >= doubt->until
+         && (asked_at >= doubt->until
+             || now >= doubt->until + jb_doubt_lease (max_lease_ms));
+}
+
+void
+jb_doubt_visit (struct jb_doubt_table *table,
+                bool (*visit) (void *data, struct jb_doubt *doubt), void *data)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, table->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (visit (data, value))
+      {
+        g_hash_table_iter_remove (&iter);
+        talloc_free (value);
+      }
+}
--- a/packages/jobs/src/jb_driver.c
+++ b/packages/jobs/src/jb_driver.c
@@ -284,6 +284,7 @@
   [JB_COUNT_START_UNHEALTHY] = { "starts", "outcome=\"ill\"" },
   [JB_COUNT_START_NOT_SENT] = { "starts", "outcome=\"not-sent\"" },
   [JB_COUNT_START_UNKNOWN] = { "starts", "outcome=\"unknown\"" },
+  [JB_COUNT_STARTS_REPEATED] = { "starts_repeated", NULL },
   [JB_COUNT_END_DONE] = { "runs_ended", "how=\"done\"" },
   [JB_COUNT_END_FAILED] = { "runs_ended", "how=\"failed\"" },
   [JB_COUNT_END_STOPPED] = { "runs_ended", "how=\"stopped\"" },
--- a/packages/jobs/src/jb_job.c
+++ b/packages/jobs/src/jb_job.c
@@ -169,13 +169,26 @@
   return g_hash_table_lookup (group->advice->tickets, backend->instance);
 }
 
+static char *
+format_name (const char *id, uint32_t occurrence, uint32_t step,
+             uint32_t index, char name[JB_TASK_NAME_SIZE])
+{
+  snprintf (name, JB_TASK_NAME_SIZE, "%s.%" PRIu32 ".%" PRIu32 ".%" PRIu32, id,
+            occurrence, step, index);
+  return name;
+}
+
 char *
 jb_task_name (const struct jb_task *task, char name[JB_TASK_NAME_SIZE])
 {
-  snprintf (name, JB_TASK_NAME_SIZE, "%s.%" PRIu32 ".%" PRIu32 ".%" PRIu32,
-            task->group->job->desc->id, task->group->occurrence,
-            task->group->step, task->index);
-  return name;
+  return format_name (task->group->job->desc->id, task->group->occurrence,
+                      task->group->step, task->index, name);
+}
+
+char *
+jb_task_ref_name (const struct jb_task_ref *ref, char name[JB_TASK_NAME_SIZE])
+{
+  return format_name (ref->id, ref->occurrence, ref->step, ref->index, name);
 }
 
 bool
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -118,6 +118,7 @@
   pool->dirty_jobs = g_ptr_array_new ();
   pool->deferred_requests = g_ptr_array_new ();
   pool->losses = g_ptr_array_new ();
+  pool->doubts = jb_pool_doubts_new (pool);
   talloc_set_destructor (pool, pool_destroy);
   return pool;
 }
@@ -705,6 +706,7 @@
     {
       backend = jb_backend_new (pool, entry);
       backend->incarnation = pool->last_incarnation;
+      backend->fence_number = pool->last_incarnation;
       backend->idle_since = now;
       jb_pool_add_backend (pool, backend);
       jb_log (pool->options.driver, JB_LEVEL_INFO, "backend-found", "backend",
@@ -917,6 +919,7 @@
   jb_pool_resend_stops (pool, now);
   jb_pool_end_cordons (pool, now);
   jb_pool_expire_losses (pool, now);
+  jb_pool_expire_doubts (pool, now);
   if (now - jb_ownership_confirmed_at (pool->ownership)
       > OWNERSHIP_VERIFY_AFTER)
     jb_ownership_verify (pool->ownership, now);
--- a/packages/jobs/src/jb_pool_crash.c
+++ b/packages/jobs/src/jb_pool_crash.c
@@ -244,6 +244,7 @@
                         const char *instance, jb_time now)
 {
   confirm_losses (pool, address, instance, false, now);
+  jb_pool_drop_doubts_at (pool, address, instance);
 }
 
 void
@@ -306,6 +307,8 @@
             "last_answer_ms",
             jb_itoa ((now - backend->clock_received_at) / JB_MS), "born",
             jb_itoa (backend->started_unix_ms), NULL);
+  if (cause == JB_LOSS_REPLACED)
+    jb_pool_drop_doubts (pool, backend->instance);
   if (cause != JB_LOSS_LEASE_EXPIRED)
     confirm_losses (pool, backend->address, backend->instance, true, now);
   /* If it was replaced, nothing tells by which of the others.  */
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -4,6 +4,7 @@
 /* The state of a pool at its owner, and the functions that the files
    jb_pool*.c share.  */
 
+#include "jb_doubt.h"
 #include "jb_place.h"
 #include "jb_pool.h"
 #include "jb_rank.h"
@@ -168,8 +169,8 @@
   /* The backend servers in the order of that table, which is slow to go
      through, or empty if the table has changed.  */
   GPtrArray *backend_list;
-  uint32_t last_incarnation; /* highest number of an incarnation of a backend
-                                server */
+  uint32_t last_incarnation; /* highest number of an incarnation or a fencing
+                                token of a backend server */
   GPtrArray *losses; /* struct jb_loss: those that crashed or may have */
   struct jb_given_up_table *given_up; /* NULL: no run was given up yet */
   bool roster_dirty;                  /* the stored roster is out of date */
@@ -216,6 +217,7 @@
   jb_time arrived_work_at;
   GPtrArray *deferred_requests;        /* struct jb_deferred_request */
   struct jb_pool_lookahead *lookahead; /* NULL: it is switched off */
+  struct jb_pool_doubts *doubts;
 };
 
 /* Return when the ownership of POOL expires unless it is confirmed again.  */
@@ -251,6 +253,16 @@
   return (MAX (run, 1) - 1) / JB_RUN_NUMBERS_PER_OWNER + 1;
 }
 
+/* Raise the fencing token of commands to BACKEND.  Once it has answered one of
+   them, it refuses what was sent before, until it restarts.  */
+static inline void
+jb_pool_raise_fence (struct jb_pool *pool, struct jb_backend *backend,
+                     jb_time now)
+{
+  backend->fence_number = ++pool->last_incarnation;
+  backend->fence_raised_at = now;
+}
+
 /* Return the target of a command to BACKEND.  Its fencing token rises with
    each owner of POOL and with each incarnation of a backend server, so that
    what was sent to a previous incarnation is refused in the next one, once
@@ -263,7 +275,7 @@
     .address = backend->address,
     .instance = backend->instance,
     .fence = jb_ownership_fence (pool->ownership) * JB_FENCES_PER_OWNER
-             + MIN (backend->incarnation, JB_FENCES_PER_OWNER - 1),
+             + MIN (backend->fence_number, JB_FENCES_PER_OWNER - 1),
     .new_connection = new_connection
   };
 }
@@ -295,6 +307,48 @@
    predecessor's process has ended, and shorten the wait if so.  */
 void jb_pool_check_predecessor (struct jb_pool *pool, jb_time now);
 
+/* ---- jb_pool_doubt.c ---- */
+
+struct jb_pool_doubts *jb_pool_doubts_new (TALLOC_CTX *mem);
+/* The current run of TASK is about to be started.  */
+void jb_pool_begin_start (struct jb_pool *pool, struct jb_task *task,
+                          jb_time now);
+/* A start of run number RUN of TASK on BACKEND has SUCCEEDED, was refused or
+   was not sent.  */
+void jb_pool_start_answered (struct jb_pool *pool, const char *task,
+                             uint32_t run, const struct jb_backend *backend,
+                             bool succeeded);
+/* Return the entry of TASK if a start of it is in doubt, else NULL.  */
+struct jb_doubt *jb_pool_find_doubt (const struct jb_pool *pool,
+                                     struct jb_task *task);
+/* Return the backend server of the start of TASK that is in doubt, or NULL if
+   TASK can't start there now.  */
+struct jb_backend *jb_pool_choose_in_doubt (const struct jb_pool *pool,
+                                            struct jb_task *task, jb_time now);
+/* The backend server of TASK's current run has answered that the run can't be
+   started there any more: TASK needs a higher number.  */
+void jb_pool_close_run (struct jb_pool *pool, struct jb_task *task);
+/* Return whether TASK may start with a higher number: none of its starts that
+   are in doubt can be carried out beside that.  If not, the fencing token of
+   their backend server is raised.  */
+bool jb_pool_may_renumber (struct jb_pool *pool, struct jb_task *task,
+                           jb_time now);
+/* BACKEND has listed run number RUN of TASK as active.  */
+void jb_pool_run_listed (struct jb_pool *pool,
+                         const struct jb_backend *backend, const char *task,
+                         uint32_t run);
+/* BACKEND has listed ENDED_RUN.  */
+void jb_pool_end_listed (struct jb_pool *pool, struct jb_backend *backend,
+                         const struct jb_ended_run *ended_run);
+/* Return the number of the last end that may be acknowledged to BACKEND.  */
+uint64_t jb_pool_ackable_end (const struct jb_backend *backend);
+/* The instance INSTANCE will not come back: it carries out nothing.  */
+void jb_pool_drop_doubts (struct jb_pool *pool, const char *instance);
+/* The same for all instances that were at ADDRESS, except INSTANCE.  */
+void jb_pool_drop_doubts_at (struct jb_pool *pool, const char *address,
+                             const char *instance);
+/* Remove the entries of starts that can't be carried out any more.  */
+void jb_pool_expire_doubts (struct jb_pool *pool, jb_time now);
 /* ---- jb_pool_handover.c ---- */
 
 /* Read what the predecessor has left.  When that has been read, or could not
@@ -429,9 +483,11 @@
 void jb_pool_stop_orphaned_run (struct jb_pool *pool,
                                 struct jb_backend *backend, const char *task,
                                 uint32_t run, jb_time now);
-/* Send stops that were not answered in time again, and stop runs whose start
-   was not answered.  Long-running tasks are not stopped like that: they may be
-   ready by now, and then only the disruption budget allows to stop them.  */
+/* BACKEND does not list the current run of TASK, whose start was not answered:
+   send the start again, or a stop if the task may not start there now.  */
+void jb_pool_repeat_start (struct jb_pool *pool, struct jb_task *task,
+                           jb_time now);
+/* Send stops that were not answered in time again.  */
 void jb_pool_resend_stops (struct jb_pool *pool, jb_time now);
 /* Set the usable backend servers of POOL.  */
 void jb_pool_collect_usable_backends (struct jb_pool *pool, jb_time now);
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -22,6 +22,9 @@
    reports all ends of runs that are close to each other.  */
 #define PROBE_MIN_INTERVAL (25 * JB_MS)
 
+/* The same while ends must not be acknowledged: each answer lists them.  */
+#define HELD_INTERVAL (100 * JB_MS)
+
 /* Delay of the next probe of a backend server that does not answer, before and
    after its lease has expired.  */
 #define UNANSWERED_RETRY_INTERVAL (150 * JB_MS)
@@ -186,6 +189,7 @@
   bool long_running;
 
   count_run_end (pool, ended_run->outcome);
+  jb_pool_end_listed (pool, backend, ended_run);
   if (!jb_task_ref_parse (ended_run->task, &ref))
     return;
   job = g_hash_table_lookup (pool->jobs, ref.id);
@@ -247,6 +251,7 @@
   struct jb_job *job = NULL;
   struct jb_task *task = NULL;
 
+  jb_pool_run_listed (pool, backend, active_run->task, active_run->run);
   if (jb_task_ref_parse (active_run->task, &ref))
     job = g_hash_table_lookup (pool->jobs, ref.id);
   if (job != NULL && job->ended_at == 0)
@@ -259,7 +264,17 @@
       /* A run that was told to stop is listed until it has ended.  */
       if (task == NULL && job != NULL)
         task = jb_job_find_task (job, &ref);
-      if (task == NULL || task->state != JB_RUN_STOPPING)
+      if (task != NULL && task->backend == backend
+          && task->run == active_run->run)
+        {
+          task->reported_at = now;
+          if (task->state != JB_RUN_STOPPING)
+            {
+              task->state = JB_RUN_RUNNING; /* its start was carried out */
+              jb_pool_stop_run (pool, task, now, "no job needs it");
+            }
+        }
+      else if (task == NULL || task->state != JB_RUN_STOPPING)
         jb_pool_stop_orphaned_run (pool, backend, active_run->task,
                                    active_run->run, now);
       else
@@ -313,8 +328,7 @@
 
 /* Clear the runs on BACKEND that are missing from the answer to a probe sent
    at SENT_AT, if the last command for the run had been answered before that.
-   Stop the missing runs whose start was not answered, so that the start can't
-   be carried out later.  */
+   Start the missing runs whose start was not answered again.  */
 static void
 clear_unlisted_runs (struct jb_pool *pool, struct jb_backend *backend,
                      jb_time sent_at, jb_time now)
@@ -328,7 +342,7 @@
       next = task->next_on_backend;
       if (task->reported_at != now && task->state == JB_RUN_UNCONFIRMED
           && task->confirmed_at == 0 && sent_at >= task->last_attempt_at)
-        jb_pool_stop_run (pool, task, now, "its start was not answered");
+        jb_pool_repeat_start (pool, task, now);
       if (task->reported_at == now || task->confirmed_at == 0
           || task->confirmed_at > sent_at)
         continue;
@@ -382,12 +396,15 @@
           jb_itoa (reply->started_unix_ms), "former_born",
           jb_itoa (backend->started_unix_ms), NULL);
   backend->former_started_unix_ms = backend->started_unix_ms;
-  backend->incarnation = ++pool->last_incarnation;
+  jb_pool_raise_fence (pool, backend, now);
+  backend->incarnation = backend->fence_number;
   backend->may_get_old_commands = true;
+  backend->restart_seen_at = now;
   backend->started_unix_ms = reply->started_unix_ms;
   backend->processed_end = 0;
   backend->stored_end = 0;
   backend->acked_end = 0;
+  backend->held_from = 0;
   backend->lease_until_ms = 0;
   backend->probe_clock_ms = 0;
   backend->consecutive_failed_jobs = 0;
@@ -439,6 +456,7 @@
   jb_backend_record_clock (backend, now, reply->backend_clock_ms);
   backend->unanswered_probes = 0;
   backend->probe_answered_at = now;
+  backend->asked_at = sent_at;
   if (!backend->probed && !backend->in_roster)
     pool->roster_dirty = true;
   backend->probed = true;
@@ -459,7 +477,9 @@
     finish_restart (pool, backend, now);
   clear_unlisted_runs (pool, backend, sent_at, now);
   jb_pool_throttle_backend (pool, backend, now);
-  backend->next_probe = sent_at + PROBE_MIN_INTERVAL;
+  backend->next_probe
+      = sent_at
+        + (backend->held_from != 0 ? HELD_INTERVAL : PROBE_MIN_INTERVAL);
   if (jb_pool_has_disabled (pool, JB_SAFEGUARD_STORE_BEFORE_ACK))
     backend->stored_end = backend->processed_end;
   jb_pool_mark_ends_stored (pool, now);
@@ -559,17 +579,17 @@
 }
 
 /* Return whether BACKEND needs to be probed: it has never been probed, it may
-   have runs, it is listed but does not answer or has not since its zone was
-   taken back, or it has reported ends of runs that are not acknowledged
-   yet.  */
+   have runs or carry out starts late, it is listed but does not answer or has
+   not since its zone was taken back, or it has reported ends of runs that are
+   not acknowledged yet.  */
 static bool
 needs_probing (const struct jb_pool *pool, const struct jb_backend *backend)
 {
   return !backend->probed || backend->task_count > 0
-         || jb_pool_awaits_answer (pool, backend)
+         || backend->doubt_count > 0 || jb_pool_awaits_answer (pool, backend)
          || (backend->unanswered_probes > 0 && backend->listed)
          || backend->orphan_seen_at != 0
-         || backend->stored_end > backend->acked_end
+         || jb_pool_ackable_end (backend) > backend->acked_end
          || backend->processed_end > backend->stored_end;
 }
 
@@ -590,7 +610,7 @@
      number would acknowledge ends of its next incarnation, which nobody has
      seen.  */
   probe->acked_end = backend->probed && backend->unanswered_probes == 0
-                         ? backend->stored_end
+                         ? jb_pool_ackable_end (backend)
                          : 0;
   command.u.probe.acked_end = probe->acked_end;
   /* Extend the lease only if the backend server answers and is listed.  */
@@ -602,9 +622,9 @@
           = jb_backend_grant_lease (backend, now, JB_RUN_LEASE_MS);
     }
   if (backend->unanswered_probes == 0 && backend->probed
-      && backend->task_count > 0
+      && backend->task_count + backend->doubt_count > 0
       && backend->processed_end == backend->stored_end
-      && !backend->probe_urgent)
+      && backend->held_from == 0 && !backend->probe_urgent)
     {
       command.u.probe.wait_ms = jb_crash_has_probation (backend)
                                     ? JB_CRASH_EARLY_MS
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -1,8 +1,9 @@
 /* Scheduling cycles, and the commands that start and stop tasks.
 
-   A start without an answer may still be carried out later.  So the task is
-   not started again until a stop of that run has been answered, which prevents
-   the start, or the lease that the start requested has expired.  */
+   A start without an answer may still be carried out later.  If the backend
+   server does not list the run, the start is sent again: it has no further
+   effect if the run is there by then.  Until the first one can't be carried
+   out any more, the task starts nowhere else (jb_doubt.h).  */
 
 #include "jb_pool_internal.h"
 
@@ -14,10 +15,6 @@
 /* Delay before a stop without an answer is sent again.  */
 #define STOP_RETRY_DELAY (250 * JB_MS)
 
-/* Delay before a run whose start was not answered is stopped, although no
-   probe has shown yet whether it is active.  */
-#define UNCONFIRMED_STOP_DELAY (750 * JB_MS)
-
 /* How long nothing is started on a backend server that has refused a start.
    The first applies if it lacked capacity or saw the lease as expired, until a
    probe has reported what runs there and its clock.  The second applies to
@@ -113,6 +110,7 @@
             || reply->result == JB_RESULT_CONFLICT)
            && task != NULL)
     {
+      jb_pool_close_run (stop->pool, task);
       task->confirmed_at = now;
       task->state = JB_RUN_STOPPING;
       backend->probe_urgent = true;
@@ -194,12 +192,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     for (struct jb_task *task = ((struct jb_backend *)value)->tasks;
          task != NULL; task = task->next_on_backend)
-      if (task->confirmed_at == 0
-          && ((task->state == JB_RUN_STOPPING
-               && now - task->last_attempt_at >= STOP_RETRY_DELAY)
-              || (task->state == JB_RUN_UNCONFIRMED
-                  && !jb_task_step (task)->long_running
-                  && now - task->last_attempt_at >= UNCONFIRMED_STOP_DELAY)))
+      if (task->confirmed_at == 0 && task->state == JB_RUN_STOPPING
+          && now - task->last_attempt_at >= STOP_RETRY_DELAY)
         jb_pool_stop_run (pool, task, now, "no answer yet");
 }
 
@@ -267,8 +261,7 @@
           jb_itoa (reply->result), NULL);
 }
 
-/* Handle a start without an answer: it may be carried out at any time until
-   its lease has expired.  */
+/* Handle a start without an answer: it may be carried out later.  */
 static void
 handle_start_unknown (struct start_request *start, jb_time now,
                       const struct jb_reply *reply)
@@ -291,8 +284,7 @@
     }
   start->task->state = JB_RUN_UNCONFIRMED;
   start->task->last_attempt_at = now;
-  /* The next probe tells whether the run is active.  Only if it is not listed,
-     the run is stopped.  */
+  /* The next probe tells whether the run is active.  */
   start->backend->probe_urgent = true;
   start->backend->next_probe = MIN (start->backend->next_probe, now);
 }
@@ -313,6 +305,18 @@
   jb_pool_clear_run (pool, start->task, now);
 }
 
+/* The start was refused because the run has ended or was stopped already: an
+   earlier start of it has been carried out.  The next probe lists the end.  */
+static void
+await_end (struct start_request *start, jb_time now)
+{
+  jb_pool_close_run (start->pool, start->task);
+  start->task->state = JB_RUN_STOPPING;
+  start->task->confirmed_at = now;
+  start->backend->probe_urgent = true;
+  start->backend->next_probe = MIN (start->backend->next_probe, now);
+}
+
 /* Record the clock in the answer to START, unless it is the clock of another
    incarnation.  */
 static void
@@ -370,8 +374,13 @@
   struct jb_backend *backend = start->backend;
   struct jb_task *task
       = jb_pool_find_run (pool, &start->ref, backend, start->run);
+  char name[JB_TASK_NAME_SIZE];
 
   backend->starts_in_flight--;
+  if (reply->result != JB_RESULT_UNKNOWN)
+    jb_pool_start_answered (pool, jb_task_ref_name (&start->ref, name),
+                            start->run, backend,
+                            reply->result == JB_RESULT_OK);
   start->task = task;
   if (task == NULL || start->incarnation != backend->incarnation)
     {
@@ -404,21 +413,31 @@
           handle_start_refused (start, now, reply);
           if (reply->backend_clock_ms > 0)
             record_clock (start, now, sent_at, reply);
-          jb_pool_clear_run (pool, task, now);
+          if (reply->refusal == JB_REFUSAL_STALE_RUN
+              && jb_pool_find_doubt (pool, task) != NULL)
+            await_end (start, now);
+          else
+            jb_pool_clear_run (pool, task, now);
         }
       break;
     }
   talloc_free (start);
 }
 
-/* Return the number of the next run of TASK.  */
+/* Return the number of the next run of TASK.  A run that may still be started
+   late keeps its number, so that it is the same one.  The members of a gang
+   need a number that is new to all.  */
 static uint32_t
-next_run_number (const struct jb_pool *pool, const struct jb_task *task)
+next_run_number (const struct jb_pool *pool, struct jb_task *task)
 {
   uint32_t first_of_owner = (jb_ownership_generation (pool->ownership) - 1)
                                 * JB_RUN_NUMBERS_PER_OWNER
                             + 1;
+  const struct jb_doubt *doubt = jb_pool_find_doubt (pool, task);
 
+  if (doubt != NULL && doubt->run == task->run && !doubt->run_closed
+      && task->run >= first_of_owner && !jb_task_step (task)->gang)
+    return task->run;
   return MAX (task->run + 1, first_of_owner);
 }
 
@@ -438,6 +457,7 @@
   start->incarnation = backend->incarnation;
   start->run = task->run;
   backend->starts_in_flight++;
+  jb_pool_begin_start (pool, task, now);
   command.u.start_task.task = jb_task_name (task, name);
   jb_task_ref_parse (name, &start->ref);
   command.u.start_task.run = task->run;
@@ -484,6 +504,20 @@
   send_start (pool, task, now);
 }
 
+void
+jb_pool_repeat_start (struct jb_pool *pool, struct jb_task *task, jb_time now)
+{
+  if (task->group->job->ended_at != 0
+      || !jb_pool_backend_is_usable (pool, task->backend, now))
+    jb_pool_stop_run (pool, task, now, "its start was not answered");
+  else if (jb_pool_may_command (pool, now))
+    {
+      jb_count_event (pool->options.driver, JB_COUNT_STARTS_REPEATED);
+      task->state = JB_RUN_STARTING;
+      send_start (pool, task, now);
+    }
+}
+
 /* ---- scheduling ---- */
 
 bool
@@ -674,11 +708,13 @@
 /* Return the backend server to start TASK on, or NULL when there is none.
    ROOM is that of this cycle, in which free capacity does not grow.  */
 static struct jb_backend *
-choose_backend (struct jb_pool *pool, const struct jb_task *task,
+choose_backend (struct jb_pool *pool, struct jb_task *task,
                 struct jb_place_room *room, jb_time now)
 {
   struct jb_backend *backend;
 
+  if (jb_pool_find_doubt (pool, task) != NULL)
+    return jb_pool_choose_in_doubt (pool, task, now);
   if (pool->lookahead != NULL)
     return jb_reserve_choose (pool->lookahead->reserve, task,
                               &pool->lookahead->rank, room, now);
@@ -710,6 +746,8 @@
       if (!jb_pool_check_share (pool, group->job, &resources))
         break;
       backend = choose_backend (pool, task, room, now);
+      if (backend == NULL && task->in_doubt)
+        continue;
       if (backend == NULL)
         break; /* the remaining tasks have the same size */
       assign_and_start (pool, task, backend, next_run_number (pool, task),
@@ -741,7 +779,8 @@
   if (group->active_runs > 0) /* all previous runs must end first */
     return 0;
   for (uint32_t i = 0; i < group->task_count; i++)
-    if (!is_startable (pool, &group->tasks[i], now))
+    if (!is_startable (pool, &group->tasks[i], now)
+        || !jb_pool_may_renumber (pool, &group->tasks[i], now))
       return 0;
   if (!jb_pool_check_share (pool, group->job, &resources))
     return 0;
--- a/packages/jobs/src/jb_pool_view.c
+++ b/packages/jobs/src/jb_pool_view.c
@@ -146,6 +146,19 @@
   return false;
 }
 
+/* Return whether a task of GROUP waits for the backend server that may still
+   carry out a start of it.  */
+static bool
+has_task_in_doubt (const struct jb_pool *pool,
+                   const struct jb_task_group *group)
+{
+  for (uint32_t i = 0; i < group->task_count; i++)
+    if (!group->tasks[i].done && group->tasks[i].state == JB_RUN_NONE
+        && jb_pool_find_doubt (pool, &group->tasks[i]) != NULL)
+      return true;
+  return false;
+}
+
 /* Add to VIEW the reason why tasks of GROUP wait, if any do.  */
 static void
 explain_group (struct jb_pool *pool, const struct jb_task_group *group,
@@ -171,6 +184,9 @@
   reason = has_awaited_task (group)
                ? "a former holder may have started it on a silent backend "
                  "server"
+           : has_task_in_doubt (pool, group)
+               ? "a backend server did not answer its start and may still "
+                 "carry it out"
            : group->job->deferred
                ? "its organisation uses more than its share of a full pool"
                : explain_placement (pool, group, now);
--- a/tests/sim/jobs/test_late_runs.c
+++ b/tests/sim/jobs/test_late_runs.c
@@ -1,6 +1,6 @@
 /* Tests that runs which their owner has given up are counted when a backend
-   server carries them out late, in virtual time.  The safeguard against that
-   is disabled, so that the owner gives them up at once.  */
+   server carries them out late, in virtual time.  The safeguards against that
+   are disabled, so that the owner gives them up at once.  */
 
 #include "jw_test.h"
 
@@ -21,7 +21,8 @@
           .pools = 1,
           .backends = 6,
           .backend_cpu_milli = 8000,
-          .disabled_safeguards = JB_SAFEGUARD_UNCONFIRMED_STARTS };
+          .disabled_safeguards
+          = JB_SAFEGUARD_UNCONFIRMED_STARTS | JB_SAFEGUARD_DOUBT };
   struct jw_world *world = jw_create_world (&options);
   struct jw_job_options job = { .step_count = 1,
                                 .tasks_per_step = 1,
