Store starts in doubt for the next owner of a pool

Cause: which starts had no answer was known to the owner only. Change: an owner stores in the table `handover' which starts have waited for 25 ms, at most one row in 40 ms and none while starts are answered; its successor reads the rows with the others and keeps the tasks where they are. Rows are removed when none of their starts can have an effect. At a planned handover those in flight are stored, too. Ruled out: storing each start before it is sent (a store round for each start, none during an outage of the store). Remains: a start sent less than 65 ms before its owner is killed, or while the store does not answer the owner.

--- a/packages/jobs/include/jb_doubt.h
+++ b/packages/jobs/include/jb_doubt.h
@@ -46,6 +46,7 @@
      higher one.  */
   bool run_closed;
   jb_time until; /* nothing is carried out after that */
+  bool stored;   /* a successor will know of it */
 };
 
 struct jb_doubt_table;
--- a/packages/jobs/src/jb_doubt.c
+++ b/packages/jobs/src/jb_doubt.c
@@ -63,6 +63,7 @@
   doubt->run = run;
   doubt->sent++;
   doubt->until = MAX (doubt->until, sent_at + JB_MAX_COMMAND_DELAY);
+  doubt->stored = false;
   return doubt;
 }
 
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -960,6 +960,7 @@
   due = MIN (due, jb_pool_release_loaded_jobs (pool, now));
   jb_pool_schedule (pool, now);
   jb_pool_write_roster (pool, now);
+  due = MIN (due, jb_pool_write_doubts (pool, now));
   jb_pool_write_dirty_jobs (pool, now);
   due = MIN (due, jb_pool_send_probes (pool, now));
   if (pool->schedule_due)
--- a/packages/jobs/src/jb_pool_doubt.c
+++ b/packages/jobs/src/jb_pool_doubt.c
@@ -1,5 +1,11 @@
-/* Starts in doubt (jb_doubt.h) of a pool: where their tasks may start, and
-   which ends of runs are not acknowledged.  */
+/* Starts in doubt (jb_doubt.h) of a pool: where their tasks may start, which
+   ends of runs are not acknowledged, and the rows from which a successor
+   learns of them.
+
+   A row lists the starts that were not answered for STORE_AFTER, far longer
+   than most answers take.  It is removed when none of them can have an effect
+   any more.  A successor can't know of a start that was sent shortly before
+   the owner ended, and not answered.  */
 
 #include "jb_pool_internal.h"
 
@@ -7,6 +13,23 @@
 
 #include <string.h>
 
+/* How long a start waits for its answer before it is stored, and the time
+   between two rows, so that one lists several starts.  */
+#define STORE_AFTER (25 * JB_MS)
+#define ROW_INTERVAL (40 * JB_MS)
+
+enum
+{
+  MAX_DOUBTS_PER_ROW = 500 /* about 30 KB */
+};
+
+/* A row in the store, removed after UNTIL.  */
+struct doubt_row
+{
+  char *key;
+  jb_time until;
+};
+
 /* An end of a run on one incarnation of INSTANCE that is not acknowledged
    while a start of TASK is in doubt.  */
 struct held_end
@@ -21,12 +44,47 @@
 {
   struct jb_doubt_table *table;
   GPtrArray *held_ends; /* struct held_end */
+  GPtrArray *rows;      /* struct doubt_row, in the order of their age */
+  uint32_t row_number;  /* of the last one of this owner */
+  bool write_in_flight;
+  jb_time next_row; /* earliest time of the next row */
 };
 
+struct saved_doubt
+{
+  char *task;
+  char *instance;
+  uint32_t run;
+  uint32_t sent;
+};
+
+struct saved_doubts
+{
+  uint32_t count;
+  struct saved_doubt *doubts;
+};
+
+static void
+serialize_saved_doubt (struct ba_codec *io, struct saved_doubt *doubt)
+{
+  ba_codec_required_str (io, &doubt->task);
+  ba_codec_required_str (io, &doubt->instance);
+  ba_codec_u32 (io, &doubt->run);
+  ba_codec_u32 (io, &doubt->sent);
+}
+
+static void
+serialize_saved_doubts (struct ba_codec *io, struct saved_doubts *saved)
+{
+  ba_codec_array (io, saved->doubts, saved->count, MAX_DOUBTS_PER_ROW,
+                  serialize_saved_doubt);
+}
+
 static int
 doubts_destroy (struct jb_pool_doubts *doubts)
 {
   g_ptr_array_free (doubts->held_ends, TRUE);
+  g_ptr_array_free (doubts->rows, TRUE);
   return 0;
 }
 
@@ -37,6 +95,7 @@
 
   doubts->table = jb_doubt_table_new (doubts);
   doubts->held_ends = g_ptr_array_new ();
+  doubts->rows = g_ptr_array_new ();
   talloc_set_destructor (doubts, doubts_destroy);
   return doubts;
 }
@@ -331,3 +390,204 @@
   jb_doubt_visit (pool->doubts->table, expire_doubt, &visit);
   release_ends (pool);
 }
+
+/* ---- rows ---- */
+
+static char *
+row_key (TALLOC_CTX *mem, uint32_t generation, uint32_t number)
+{
+  return talloc_asprintf (mem, JB_KEY_PREFIX_DOUBTS "%010u.%010u", generation,
+                          number);
+}
+
+static void
+remember_row (struct jb_pool *pool, const char *key, jb_time now)
+{
+  struct doubt_row *row = talloc_zero (pool->doubts, struct doubt_row);
+
+  row->key = talloc_strdup (row, key);
+  row->until = now + JB_MAX_COMMAND_DELAY
+               + jb_doubt_lease (pool->options.bounds->max_lease_ms);
+  g_ptr_array_add (pool->doubts->rows, row);
+}
+
+struct collection
+{
+  TALLOC_CTX *mem;
+  struct saved_doubts saved;
+  jb_time sent_before; /* only starts that were sent before */
+  bool is_incomplete;  /* others remain */
+};
+
+/* Add DOUBT to the row if it belongs there.  */
+static bool
+collect_doubt (void *data, struct jb_doubt *doubt)
+{
+  struct collection *collection = data;
+  struct saved_doubts *saved = &collection->saved;
+
+  if (doubt->stored)
+    return false;
+  if (saved->count == MAX_DOUBTS_PER_ROW
+      || doubt->until - JB_MAX_COMMAND_DELAY >= collection->sent_before)
+    {
+      collection->is_incomplete = true;
+      return false;
+    }
+  doubt->stored = true;
+  saved->doubts[saved->count++] = (struct saved_doubt){
+    .task = talloc_strdup (collection->mem, doubt->task),
+    .instance = talloc_strdup (collection->mem, doubt->instance),
+    .run = doubt->run,
+    .sent = doubt->sent
+  };
+  return false;
+}
+
+static void
+handle_rows_written (void *data, jb_time now)
+{
+  struct jb_pool *pool = data;
+
+  (void)now;
+  pool->doubts->write_in_flight = false;
+}
+
+/* Move the keys of the rows that list nothing any more to REMOVED.  Return
+   their number.  */
+static uint32_t
+take_expired_rows (struct jb_pool *pool, TALLOC_CTX *mem, jb_time now,
+                   struct jb_row *removed, uint32_t limit)
+{
+  GPtrArray *rows = pool->doubts->rows;
+  uint32_t count = 0;
+
+  while (count < limit && rows->len > 0
+         && now > ((struct doubt_row *)g_ptr_array_index (rows, 0))->until)
+    {
+      struct doubt_row *row = g_ptr_array_remove_index (rows, 0);
+
+      removed[count++]
+          = (struct jb_row){ .table = JB_HANDOVER_TABLE,
+                             .partition = pool->partition,
+                             .key = talloc_steal (mem, row->key) };
+      talloc_free (row);
+    }
+  return count;
+}
+
+/* Queue the next row, of starts that were sent before SENT_BEFORE, and remove
+   expired ones.  Return whether it lists all of the starts.  */
+static bool
+write_row (struct jb_pool *pool, jb_time now, jb_time sent_before)
+{
+  struct jb_pool_doubts *doubts = pool->doubts;
+  TALLOC_CTX *scratch = talloc_new (NULL);
+  struct jb_row removed[JB_OWNERSHIP_MAX_WRITE_ROWS];
+  struct collection collection
+      = { .mem = scratch, .sent_before = sent_before };
+  struct jb_row row
+      = { .table = JB_HANDOVER_TABLE, .partition = pool->partition };
+  uint32_t removed_count = take_expired_rows (pool, scratch, now, removed,
+                                              JB_OWNERSHIP_MAX_WRITE_ROWS - 1);
+
+  collection.saved.doubts
+      = talloc_array (scratch, struct saved_doubt, MAX_DOUBTS_PER_ROW);
+  jb_doubt_visit (doubts->table, collect_doubt, &collection);
+  if (collection.saved.count > 0)
+    {
+      row.key = row_key (scratch, jb_ownership_generation (pool->ownership),
+                         ++doubts->row_number);
+      row.value = ba_codec_encode (scratch, serialize_saved_doubts,
+                                   &collection.saved);
+      remember_row (pool, row.key, now);
+    }
+  if (collection.saved.count + removed_count > 0)
+    {
+      doubts->write_in_flight = true;
+      jb_ownership_write (pool->ownership, now, &row,
+                          collection.saved.count > 0, removed, removed_count,
+                          handle_rows_written, pool);
+    }
+  talloc_free (scratch);
+  return !collection.is_incomplete;
+}
+
+jb_time
+jb_pool_write_doubts (struct jb_pool *pool, jb_time now)
+{
+  struct jb_pool_doubts *doubts = pool->doubts;
+  const struct doubt_row *oldest
+      = doubts->rows->len > 0 ? g_ptr_array_index (doubts->rows, 0) : NULL;
+
+  if (doubts->write_in_flight
+      || (jb_doubt_count (doubts->table) == 0
+          && (oldest == NULL || now <= oldest->until))
+      || jb_ownership_state (pool->ownership) != JB_OWNERSHIP_HELD)
+    return JB_NEVER;
+  if (now < doubts->next_row)
+    return doubts->next_row;
+  doubts->next_row = now + ROW_INTERVAL;
+  return write_row (pool, now, now - STORE_AFTER) ? JB_NEVER
+                                                  : doubts->next_row;
+}
+
+void
+jb_pool_write_all_doubts (struct jb_pool *pool, jb_time now)
+{
+  write_row (pool, now, JB_NEVER);
+}
+
+void
+jb_pool_load_doubts (struct jb_pool *pool, const struct jb_row *row,
+                     jb_time now)
+{
+  struct saved_doubts saved = { 0 };
+  TALLOC_CTX *scratch = talloc_new (NULL);
+  struct ba_codec io;
+
+  ba_codec_init_reader (&io, scratch, row->value);
+  serialize_saved_doubts (&io, &saved);
+  if (!ba_codec_is_complete (&io))
+    {
+      jb_log (pool->options.driver, JB_LEVEL_ERROR, "row-unreadable", "table",
+              JB_HANDOVER_TABLE, "pool", pool->options.name, "key", row->key,
+              NULL);
+      saved.count = 0;
+    }
+  remember_row (pool, row->key, now);
+  for (uint32_t i = 0; i < saved.count && !is_disabled (pool); i++)
+    {
+      struct jb_doubt *doubt
+          = jb_doubt_add (pool->doubts->table, saved.doubts[i].task,
+                          saved.doubts[i].run, saved.doubts[i].instance, now);
+
+      doubt->sent = MAX (doubt->sent, saved.doubts[i].sent);
+      /* The former owner may have sent further ones.  */
+      doubt->succeeded = true;
+      doubt->stored = true;
+    }
+  talloc_free (scratch);
+}
+
+/* Mark the task of DOUBT, if its job goes on.  */
+static bool
+mark_task (void *data, struct jb_doubt *doubt)
+{
+  struct jb_task *task = jb_pool_find_left_task (data, doubt->task);
+
+  if (task != NULL)
+    task->in_doubt = true;
+  return false;
+}
+
+void
+jb_pool_mark_tasks_in_doubt (struct jb_pool *pool, jb_time now)
+{
+  jb_doubt_visit (pool->doubts->table, mark_task, pool);
+  jb_pool_expire_doubts (pool, now);
+  if (jb_doubt_count (pool->doubts->table) > 0)
+    jb_log (pool->options.driver, JB_LEVEL_INFO, "starts-in-doubt", "pool",
+            pool->options.name, "tasks",
+            jb_itoa (jb_doubt_count (pool->doubts->table)), NULL);
+}
--- a/packages/jobs/src/jb_pool_handover.c
+++ b/packages/jobs/src/jb_pool_handover.c
@@ -13,7 +13,6 @@
 
 #include <string.h>
 
-#define HANDOVER_TABLE "handover"
 /* Written once no owner before the one that writes it can send commands.  */
 #define SETTLED_KEY "settled"
 /* Written by an owner that stops as planned.  */
@@ -111,6 +110,9 @@
           jb_itoa ((now - pool->loading_since) / JB_MS), NULL);
 }
 
+static void read_page (struct jb_pool *pool, jb_time now,
+                       const char *first_key);
+
 static void
 handle_rows (void *data, jb_time now, jb_time sent_at,
              const struct jb_reply *reply)
@@ -126,29 +128,42 @@
 
       if (strcmp (row->key, SETTLED_KEY) == 0)
         load_settled (pool, row->value);
+      else if (g_str_has_prefix (row->key, JB_KEY_PREFIX_DOUBTS))
+        jb_pool_load_doubts (pool, row, now);
     }
   /* It may raise the generation above that of the other row.  */
   for (uint32_t i = 0; reply->result == JB_RESULT_OK && i < reply->row_count;
        i++)
     if (strcmp (reply->rows[i].key, RUNS_KEY) == 0)
       load_runs (pool, now, reply->rows[i].value);
+  if (reply->result == JB_RESULT_OK && reply->next_page != NULL)
+    {
+      read_page (pool, now, reply->next_page);
+      return;
+    }
   pool->handover_read = true;
   jb_pool_finish_loading_if_complete (pool, now);
 }
 
-void
-jb_pool_read_handover (struct jb_pool *pool, jb_time now)
+static void
+read_page (struct jb_pool *pool, jb_time now, const char *first_key)
 {
   struct jb_command command
       = { .kind = JB_COMMAND_READ,
           .timeout_ms = STORE_READ_TIMEOUT_MS,
-          .u.read = { HANDOVER_TABLE, pool->partition, NULL } };
+          .u.read = { JB_HANDOVER_TABLE, pool->partition, first_key } };
 
   jb_count_event (pool->options.driver, JB_COUNT_STORE_READS);
   jb_driver_submit (pool->options.driver, pool->ownership, now, &command,
                     handle_rows, pool);
 }
 
+void
+jb_pool_read_handover (struct jb_pool *pool, jb_time now)
+{
+  read_page (pool, now, NULL);
+}
+
 bool
 jb_pool_left_runs_are_known (const struct jb_pool *pool)
 {
@@ -173,11 +188,8 @@
   return true;
 }
 
-/* Return the task NAME, or NULL if it belongs to no job that goes on.  Its
-   occurrence is opened if necessary: the clock of the predecessor, which has
-   started it, may be ahead.  */
-static struct jb_task *
-find_left_task (const struct jb_pool *pool, const char *name)
+struct jb_task *
+jb_pool_find_left_task (const struct jb_pool *pool, const char *name)
 {
   struct jb_task_ref ref;
   struct jb_job *job = jb_task_ref_parse (name, &ref)
@@ -207,7 +219,8 @@
 
       for (uint32_t j = 0; j < silent->task_count; j++)
         {
-          struct jb_task *task = find_left_task (pool, silent->tasks[j]);
+          struct jb_task *task
+              = jb_pool_find_left_task (pool, silent->tasks[j]);
 
           if (task == NULL)
             continue;
@@ -225,7 +238,7 @@
 {
   TALLOC_CTX *scratch;
   struct saved_settled saved = { jb_ownership_generation (pool->ownership) };
-  struct jb_row row = { .table = HANDOVER_TABLE,
+  struct jb_row row = { .table = JB_HANDOVER_TABLE,
                         .partition = pool->partition,
                         .key = SETTLED_KEY };
 
@@ -312,7 +325,7 @@
 static void
 write_runs (struct jb_pool *pool, jb_time now)
 {
-  struct jb_row row = { .table = HANDOVER_TABLE,
+  struct jb_row row = { .table = JB_HANDOVER_TABLE,
                         .partition = pool->partition,
                         .key = RUNS_KEY,
                         .value = pool->handover_runs };
@@ -397,6 +410,7 @@
   if (pool->dirty_jobs->len == 0 && !pool->handover_row_queued)
     {
       pool->handover_row_queued = true;
+      jb_pool_write_all_doubts (pool, now);
       write_runs (pool, now);
     }
   return deadline;
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -19,6 +19,11 @@
 #define JB_KEY_SUFFIX_PROGRESS ".p"
 #define JB_KEY_SUFFIX_END ".e"
 
+/* What an owner leaves to its successor (jb_pool_handover.c), and prefix of
+   the keys of the rows that list starts in doubt.  */
+#define JB_HANDOVER_TABLE "handover"
+#define JB_KEY_PREFIX_DOUBTS "doubt."
+
 /* Lease of the runs on a backend server, extended by each probe.  If no owner
    of the pool probes the backend server for this time, the runs end.  It is
    long enough for another host to take over the pool, and short enough that
@@ -349,8 +354,25 @@
                              const char *instance);
 /* Remove the entries of starts that can't be carried out any more.  */
 void jb_pool_expire_doubts (struct jb_pool *pool, jb_time now);
+/* Store the starts that were not answered, for a successor, and remove rows
+   that list nothing any more.  Return when to call this next, or JB_NEVER.  */
+jb_time jb_pool_write_doubts (struct jb_pool *pool, jb_time now);
+/* Store all starts in doubt, also those in flight.  */
+void jb_pool_write_all_doubts (struct jb_pool *pool, jb_time now);
+/* Add the starts that ROW of a former owner lists.  */
+void jb_pool_load_doubts (struct jb_pool *pool, const struct jb_row *row,
+                          jb_time now);
+/* All rows were read: mark the tasks with starts in doubt.  */
+void jb_pool_mark_tasks_in_doubt (struct jb_pool *pool, jb_time now);
+
 /* ---- jb_pool_handover.c ---- */
 
+/* Return the task NAME, or NULL if it belongs to no job that goes on.  Its
+   occurrence is opened if necessary: the clock of the predecessor, which has
+   started it, may be ahead.  */
+struct jb_task *jb_pool_find_left_task (const struct jb_pool *pool,
+                                        const char *name);
+
 /* Read what the predecessor has left.  When that has been read, or could not
    be, jb_pool_finish_loading_if_complete is called.  */
 void jb_pool_read_handover (struct jb_pool *pool, jb_time now);
--- a/packages/jobs/src/jb_pool_takeover.c
+++ b/packages/jobs/src/jb_pool_takeover.c
@@ -133,6 +133,7 @@
     return;
   complete_finished_jobs (pool, now);
   pool->stage = JB_STAGE_SCANNING;
+  jb_pool_mark_tasks_in_doubt (pool, now);
   pool->schedule_due = true;
   jb_log (pool->options.driver, JB_LEVEL_INFO, "pool-loaded", "pool",
           pool->options.name, "jobs", jb_itoa (g_hash_table_size (pool->jobs)),
