Send the number of an acknowledged end only until it is acknowledged

Cause: each probe carried the number of the last end that was stored, also when the backend server had acknowledged it already. Change: a probe carries the number only while it is news. In a quiet pool most probes carry none.

--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -608,10 +608,11 @@
   probe->incarnation = backend->incarnation;
   /* A backend server that has not answered may have restarted: then the
      number would acknowledge ends of its next incarnation, which nobody has
-     seen.  */
-  probe->acked_end = backend->probed && backend->unanswered_probes == 0
-                         ? jb_pool_ackable_end (backend)
-                         : 0;
+     seen.  So does a probe that is carried out late, and so none that needs
+     not has the number.  */
+  if (backend->probed && backend->unanswered_probes == 0
+      && jb_pool_ackable_end (backend) > backend->acked_end)
+    probe->acked_end = jb_pool_ackable_end (backend);
   command.u.probe.acked_end = probe->acked_end;
   /* Extend the lease only if the backend server answers and is listed.  */
   if (backend->clock_received_at != 0 && backend->unanswered_probes == 0
