Have the ownership confirmed before a restarted backend server is used

Cause: the fencing token that keeps a former owner from starting tasks is forgotten in a restart; same class as the starts in doubt. Change: an owner that notices a restart uses the backend server again when the store has confirmed the ownership after that, unless the store does not answer; and a new owner that has noticed one waits until its predecessor can't send commands any more before loaded tasks start. Without restarts nothing waits. Remains: a former owner that has noticed neither the restart nor its successor.

--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -954,6 +954,8 @@
   due = jb_ownership_run (pool->ownership, now);
   if (jb_pool_is_handing_over (pool))
     return MIN (due, jb_pool_run_handover (pool, now));
+  if (pool->restart_seen_at > jb_ownership_confirmed_at (pool->ownership))
+    jb_ownership_verify (pool->ownership, now);
   jb_pool_check_predecessor (pool, now);
   jb_pool_write_settled (pool, now);
   sweep (pool, now);
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -176,6 +176,7 @@
   GPtrArray *backend_list;
   uint32_t last_incarnation; /* highest number of an incarnation or a fencing
                                 token of a backend server */
+  jb_time restart_seen_at;   /* of any backend server */
   GPtrArray *losses; /* struct jb_loss: those that crashed or may have */
   struct jb_given_up_table *given_up; /* NULL: no run was given up yet */
   bool roster_dirty;                  /* the stored roster is out of date */
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -49,12 +49,25 @@
   return settings == NULL || !settings->rejects_overload;
 }
 
+/* Return whether BACKEND has restarted since the store last confirmed the
+   ownership: it no longer refuses the commands of a former owner, and this
+   host may be one.  Nobody takes a pool over while the store does not
+   answer.  */
+static bool
+awaits_confirmation (const struct jb_pool *pool,
+                     const struct jb_backend *backend)
+{
+  return jb_ownership_confirmed_at (pool->ownership) < backend->restart_seen_at
+         && jb_ownership_failing_since (pool->ownership) == 0;
+}
+
 bool
 jb_pool_backend_is_usable (const struct jb_pool *pool,
                            const struct jb_backend *backend, jb_time now)
 {
   return !has_unknown_room (pool, backend) && backend->probed
          && backend->listed && backend->in_roster && !backend->draining
+         && !awaits_confirmation (pool, backend)
          && backend->unanswered_probes == 0 && backend->clock_received_at != 0
          && now >= backend->unhealthy_until && now >= backend->suspect_until
          && now >= backend->cordoned_until
--- a/packages/jobs/src/jb_pool_takeover.c
+++ b/packages/jobs/src/jb_pool_takeover.c
@@ -394,6 +394,10 @@
 
   if (pool->stage != JB_STAGE_SCANNING)
     return;
+  /* A backend server that restarts forgets the fencing token of this owner,
+     and carries out commands that the predecessor still sends.  */
+  if (pool->restart_seen_at != 0 && now < pool->predecessor_until)
+    return;
   if (jb_ownership_generation (pool->ownership) > 1 && now < pool->scan_until
       && !jb_pool_has_disabled (pool, JB_SAFEGUARD_ROSTER))
     {
