Start nothing on a backend server that has answered nothing for 150 ms

Cause: backend servers that fall silent got starts for up to 0.75 s, until a probe was unanswered. Each of these starts stays in doubt, so its task waits for the silent backend server. Change: a backend server gets no further start while it has answered nothing for 150 ms since one was sent.

--- a/packages/jobs/include/jb_backend.h
+++ b/packages/jobs/include/jb_backend.h
@@ -108,6 +108,8 @@
   /* No starts until then, since too many jobs failed there in a row.  */
   jb_time suspect_until;
   uint32_t starts_in_flight; /* starts without an answer yet */
+  /* When the first start was sent since it last answered anything; 0: none. */
+  jb_time awaited_since;
   /* When an answer to a probe was last processed; 0: never.  */
   jb_time probe_answered_at;
   /* Part of its capacity that may not be filled yet, because its zone was
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -406,6 +406,7 @@
   backend->stored_end = 0;
   backend->acked_end = 0;
   backend->held_from = 0;
+  backend->awaited_since = 0;
   backend->lease_until_ms = 0;
   backend->probe_clock_ms = 0;
   backend->consecutive_failed_jobs = 0;
@@ -456,6 +457,7 @@
   backend->probe_clock_ms = reply->backend_clock_ms;
   jb_backend_record_clock (backend, now, reply->backend_clock_ms);
   backend->unanswered_probes = 0;
+  backend->awaited_since = 0;
   backend->probe_answered_at = now;
   backend->asked_at = sent_at;
   if (!backend->probed && !backend->in_roster)
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -27,6 +27,11 @@
    busy to send a start, or has no free connection.  */
 #define NOT_SENT_BACKOFF (100 * JB_MS)
 
+/* Nothing more is started on a backend server that has answered nothing for
+   this time since a start was sent there: each such start may keep its task
+   from starting elsewhere for long, if the backend server has failed.  */
+#define MAX_AWAITED_TIME (150 * JB_MS)
+
 enum
 {
   MAX_STARTS_IN_FLIGHT = 64, /* per backend server, without an answer yet */
@@ -72,6 +77,8 @@
          && now >= backend->unhealthy_until && now >= backend->suspect_until
          && now >= backend->cordoned_until
          && backend->starts_in_flight < MAX_STARTS_IN_FLIGHT
+         && (backend->awaited_since == 0
+             || now - backend->awaited_since < MAX_AWAITED_TIME)
          && jb_pool_zone_is_usable (pool, backend);
 }
 
@@ -390,6 +397,10 @@
   char name[JB_TASK_NAME_SIZE];
 
   backend->starts_in_flight--;
+  if (reply->result != JB_RESULT_UNKNOWN
+      && (reply->result != JB_RESULT_NOT_SENT
+          || backend->starts_in_flight == 0))
+    backend->awaited_since = 0;
   if (reply->result != JB_RESULT_UNKNOWN)
     jb_pool_start_answered (pool, jb_task_ref_name (&start->ref, name),
                             start->run, backend,
@@ -470,6 +481,8 @@
   start->incarnation = backend->incarnation;
   start->run = task->run;
   backend->starts_in_flight++;
+  if (backend->awaited_since == 0)
+    backend->awaited_since = now;
   jb_pool_begin_start (pool, task, now);
   command.u.start_task.task = jb_task_name (task, name);
   jb_task_ref_parse (name, &start->ref);
