Expect late leases where backend servers answer selectively

The users' kind `applied_late' has such grants, "their time counts from their arrival". Cause: a silent backend server's leases counted as expired at the time that they asked for. A lease that arrives late and counts from its arrival outlasts that. Change: while a backend server of the pool has missed an answer and given others that were asked for at the same time, commands are assumed to arrive late: the leases on a silent, listed backend server expire as late as one of its unanswered commands can extend them. A backend server that is cut off or crashed answers nothing and changes nothing.

--- a/packages/jobs/include/jb_backend.h
+++ b/packages/jobs/include/jb_backend.h
@@ -78,9 +78,16 @@
   bool probe_urgent;
   /* Time on its own clock in the newest answer that was processed.  */
   int64_t probe_clock_ms;
-  jb_time probe_sent_at;      /* when the last probe was sent */
-  jb_time next_probe;         /* earliest time to send the next probe */
-  jb_time lease_sent_at;      /* when the last command with a lease was sent */
+  jb_time probe_sent_at; /* when the last probe was sent */
+  jb_time next_probe;    /* earliest time to send the next probe */
+  jb_time lease_sent_at; /* when the last command with a lease was sent */
+  /* When the last command with a lease was sent that was not answered; 0:
+     none.  */
+  jb_time unanswered_lease_sent_at;
+  /* When the answer that was missed last was due, and when the last command
+     was sent that was answered.  */
+  jb_time missed_answer_due_at;
+  jb_time answered_sent_at;
   uint32_t unanswered_probes; /* since the last answer */
   /* When the newest probe listed an orphaned run, which no job needs here; 0:
      it listed none.  */
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -177,6 +177,9 @@
   uint32_t last_incarnation; /* highest number of an incarnation or a fencing
                                 token of a backend server */
   jb_time restart_seen_at;   /* of any backend server */
+  /* Until then, commands without an answer are assumed to be carried out late:
+     a backend server that answers others has not answered one.  */
+  jb_time delays_until;
   GPtrArray *losses; /* struct jb_loss: those that crashed or may have */
   struct jb_given_up_table *given_up; /* NULL: no run was given up yet */
   bool roster_dirty;                  /* the stored roster is out of date */
@@ -439,6 +442,16 @@
 /* Send the probes that are due.  Return when the next probe of a backend
    server is due, or JB_NEVER.  */
 jb_time jb_pool_send_probes (struct jb_pool *pool, jb_time now);
+/* Return when the leases on BACKEND have certainly expired, as known at NOW.
+ */
+jb_time jb_pool_leases_expire_at (const struct jb_pool *pool,
+                                  const struct jb_backend *backend,
+                                  jb_time now);
+/* A command to BACKEND that was sent at SENT_AT and should have been answered
+   after WAIT, with a lease if EXTENDS_LEASE, has the result RESULT.  */
+void jb_pool_note_result (struct jb_pool *pool, struct jb_backend *backend,
+                          jb_time now, jb_time sent_at, jb_time wait,
+                          bool extends_lease, enum jb_reply_result result);
 /* BACKEND may have restarted: probe it at once, and start nothing there
    before.  */
 void jb_pool_suspect_restart (struct jb_pool *pool, struct jb_backend *backend,
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -25,6 +25,12 @@
 /* The same while ends must not be acknowledged: each answer lists them.  */
 #define HELD_INTERVAL (100 * JB_MS)
 
+/* Time within which a command is answered as long as nothing fails, and after
+   that, within which an answer to another command shows that the backend
+   server was there.  */
+#define USUAL_ANSWER_TIME (20 * JB_MS)
+#define SELECTIVE_ANSWER_TIME (500 * JB_MS)
+
 /* Delay of the next probe of a backend server that does not answer, before and
    after its lease has expired.  */
 #define UNANSWERED_RETRY_INTERVAL (150 * JB_MS)
@@ -360,6 +366,53 @@
 
 /* ---- probes ---- */
 
+jb_time
+jb_pool_leases_expire_at (const struct jb_pool *pool,
+                          const struct jb_backend *backend, jb_time now)
+{
+  jb_time expire_at = jb_backend_leases_expire_at (backend);
+
+  /* A lease that arrives late may count from its arrival.  Otherwise it has
+     been lost with the backend server, like those before it.  */
+  if (now < pool->delays_until && backend->listed
+      && backend->unanswered_lease_sent_at != 0)
+    expire_at = MAX (expire_at, backend->unanswered_lease_sent_at
+                                    + JB_MAX_COMMAND_DELAY
+                                    + jb_doubt_lease (JB_RUN_LEASE_MS));
+  return expire_at;
+}
+
+/* Return whether BACKEND has answered a command that was sent soon after the
+   answer to another one was due, which it has missed.  One that is cut off or
+   has crashed answers none.  */
+static bool
+answers_selectively (const struct jb_backend *backend)
+{
+  jb_time since = backend->missed_answer_due_at;
+
+  return since != 0 && backend->answered_sent_at > since
+         && backend->answered_sent_at < since + SELECTIVE_ANSWER_TIME;
+}
+
+void
+jb_pool_note_result (struct jb_pool *pool, struct jb_backend *backend,
+                     jb_time now, jb_time sent_at, jb_time wait,
+                     bool extends_lease, enum jb_reply_result result)
+{
+  if (result == JB_RESULT_NOT_SENT)
+    return;
+  if (result == JB_RESULT_UNKNOWN)
+    backend->missed_answer_due_at = sent_at + wait + USUAL_ANSWER_TIME;
+  else
+    backend->answered_sent_at = MAX (backend->answered_sent_at, sent_at);
+  if (result == JB_RESULT_UNKNOWN && extends_lease)
+    backend->unanswered_lease_sent_at
+        = MAX (backend->unanswered_lease_sent_at, sent_at);
+  if (answers_selectively (backend))
+    pool->delays_until
+        = now + JB_MAX_COMMAND_DELAY + jb_doubt_lease (JB_RUN_LEASE_MS);
+}
+
 /* A probe in flight.  */
 struct probe
 {
@@ -368,6 +421,7 @@
   uint32_t incarnation; /* of the backend server, as known when it was sent */
   uint64_t acked_end;   /* number of the last end that it acknowledges */
   bool extends_lease;
+  jb_time wait; /* for its answer, as requested */
 };
 
 void
@@ -495,26 +549,28 @@
                       jb_time now, jb_time sent_at,
                       const struct jb_reply *reply)
 {
-  jb_log (pool->options.driver, JB_LEVEL_INFO, "probe-unanswered", "backend",
-          backend->instance, "runs", jb_itoa (backend->task_count),
-          "unanswered", jb_itoa (backend->unanswered_probes + 1), "age_ms",
-          jb_itoa ((now - sent_at) / JB_MS), "sent_after_ms",
-          jb_itoa (reply->sent_after_ms), "awaited_ms",
-          jb_itoa (reply->awaited_ms), "lease_expires_in_ms",
-          jb_itoa ((jb_backend_leases_expire_at (backend) - now) / JB_MS),
-          NULL);
+  jb_log (
+      pool->options.driver, JB_LEVEL_INFO, "probe-unanswered", "backend",
+      backend->instance, "runs", jb_itoa (backend->task_count), "unanswered",
+      jb_itoa (backend->unanswered_probes + 1), "age_ms",
+      jb_itoa ((now - sent_at) / JB_MS), "sent_after_ms",
+      jb_itoa (reply->sent_after_ms), "awaited_ms",
+      jb_itoa (reply->awaited_ms), "lease_expires_in_ms",
+      jb_itoa ((jb_pool_leases_expire_at (pool, backend, now) - now) / JB_MS),
+      NULL);
   jb_count_event (pool->options.driver, JB_COUNT_PROBES_UNANSWERED);
   if (++backend->unanswered_probes == JB_SILENT_AFTER_PROBES)
     jb_log (pool->options.driver, JB_LEVEL_WARN, "backend-silent", "backend",
             backend->instance, "pool", pool->options.name, "runs",
             jb_itoa (backend->task_count), "lease_expires_in_ms",
-            jb_itoa ((jb_backend_leases_expire_at (backend) - now) / JB_MS),
+            jb_itoa ((jb_pool_leases_expire_at (pool, backend, now) - now)
+                     / JB_MS),
             NULL);
   backend->next_probe = now + UNANSWERED_RETRY_INTERVAL;
   /* Only a probe that was sent after the lease had expired tells that nothing
      is there any more: others may be old, if this host was late.  */
   if (backend->clock_received_at != 0
-      && (jb_backend_leases_have_expired (backend, sent_at)
+      && (sent_at > jb_pool_leases_expire_at (pool, backend, now)
           || jb_pool_has_disabled (pool, JB_SAFEGUARD_LEASE_EXPIRY)))
     {
       jb_pool_clear_lost_runs (pool, backend, now, JB_LOSS_LEASE_EXPIRED);
@@ -536,11 +592,12 @@
                        jb_time now, jb_time sent_at)
 {
   jb_count_event (pool->options.driver, JB_COUNT_PROBES_NOT_SENT);
-  jb_log (pool->options.driver, JB_LEVEL_INFO, "probe-not-sent", "backend",
-          backend->instance, "runs", jb_itoa (backend->task_count), "age_ms",
-          jb_itoa ((now - sent_at) / JB_MS), "lease_expires_in_ms",
-          jb_itoa ((jb_backend_leases_expire_at (backend) - now) / JB_MS),
-          NULL);
+  jb_log (
+      pool->options.driver, JB_LEVEL_INFO, "probe-not-sent", "backend",
+      backend->instance, "runs", jb_itoa (backend->task_count), "age_ms",
+      jb_itoa ((now - sent_at) / JB_MS), "lease_expires_in_ms",
+      jb_itoa ((jb_pool_leases_expire_at (pool, backend, now) - now) / JB_MS),
+      NULL);
   backend->next_probe = now;
 }
 
@@ -553,6 +610,8 @@
   struct jb_backend *backend = probe->backend;
 
   backend->probes_in_flight--;
+  jb_pool_note_result (pool, backend, now, sent_at, probe->wait,
+                       probe->extends_lease, reply->result);
   if (probe->incarnation != backend->incarnation)
     {
       talloc_free (probe);
@@ -634,6 +693,7 @@
                                     ? JB_CRASH_EARLY_MS
                                     : JB_PROBE_WAIT_MS;
       command.timeout_ms += command.u.probe.wait_ms;
+      probe->wait = command.u.probe.wait_ms * JB_MS;
     }
   backend->probes_in_flight++;
   backend->probe_sent_at = now;
@@ -645,9 +705,10 @@
 /* Return when to send a probe to BACKEND beside the one in flight because its
    runs can be given up after that, or JB_NEVER.  */
 static jb_time
-last_probe_due_at (const struct jb_backend *backend)
+last_probe_due_at (const struct jb_pool *pool,
+                   const struct jb_backend *backend, jb_time now)
 {
-  jb_time expired_at = jb_backend_leases_expire_at (backend) + JB_MS;
+  jb_time expired_at = jb_pool_leases_expire_at (pool, backend, now) + JB_MS;
 
   if (backend->probes_in_flight > 1 || backend->unanswered_probes == 0
       || backend->task_count == 0 || backend->clock_received_at == 0
@@ -658,14 +719,15 @@
 
 /* Return when the next probe of BACKEND is due, or JB_NEVER.  */
 static jb_time
-probe_due_at (const struct jb_pool *pool, const struct jb_backend *backend)
+probe_due_at (const struct jb_pool *pool, const struct jb_backend *backend,
+              jb_time now)
 {
   jb_time due = backend->next_probe;
 
   if (!needs_probing (pool, backend))
     return JB_NEVER;
   if (backend->probes_in_flight > (backend->probe_urgent ? 1U : 0U))
-    return last_probe_due_at (backend);
+    return last_probe_due_at (pool, backend, now);
   /* The reported ends will be stored in a moment, and the probe can then
      acknowledge them.  */
   if (backend->processed_end > backend->stored_end
@@ -687,12 +749,12 @@
   for (guint i = 0; i < backends->len; i++)
     {
       struct jb_backend *backend = g_ptr_array_index (backends, i);
-      jb_time due = probe_due_at (pool, backend);
+      jb_time due = probe_due_at (pool, backend, now);
 
       if (may_send && now >= due)
         {
           send_probe (pool, backend, now);
-          due = probe_due_at (pool, backend);
+          due = probe_due_at (pool, backend, now);
         }
       next = MIN (next, due);
     }
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -115,7 +115,8 @@
   struct jb_task *task
       = jb_pool_find_run (stop->pool, &stop->ref, backend, stop->run);
 
-  (void)sent_at;
+  jb_pool_note_result (stop->pool, backend, now, sent_at, 0, false,
+                       reply->result);
   if (stop->incarnation != backend->incarnation)
     {
       talloc_free (stop);
@@ -401,6 +402,7 @@
       && (reply->result != JB_RESULT_NOT_SENT
           || backend->starts_in_flight == 0))
     backend->awaited_since = 0;
+  jb_pool_note_result (pool, backend, now, sent_at, 0, true, reply->result);
   if (reply->result != JB_RESULT_UNKNOWN)
     jb_pool_start_answered (pool, jb_task_ref_name (&start->ref, name),
                             start->run, backend,
