--- a/packages/jobs/include/jb_backend.h
+++ b/packages/jobs/include/jb_backend.h
@@ -53,6 +53,14 @@
   /* Pool's number of its incarnation.  It may restart under its instance name;
      the number rises when the owner learns of that.  */
   uint32_t incarnation;
+  /* Pool's number from which the fencing token of commands is made.  It rises
+     with the incarnation, and when commands sent before are to be refused;
+     when it last rose.  */
+  uint32_t fence_number;
+  jb_time fence_raised_at;
+  /* When it was last noticed to have restarted; 0: never.  What it has
+     forgotten includes the fencing token of another owner.  */
+  jb_time restart_seen_at;
   /* It has restarted, and no answer has shown yet that it refuses the commands
      of its previous incarnation.  */
   bool may_get_old_commands;
@@ -70,9 +78,16 @@
   bool probe_urgent;
   /* Time on its own clock in the newest answer that was processed.  */
   int64_t probe_clock_ms;
-  jb_time probe_sent_at;      /* when the last probe was sent */
-  jb_time next_probe;         /* earliest time to send the next probe */
-  jb_time lease_sent_at;      /* when the last command with a lease was sent */
+  jb_time probe_sent_at; /* when the last probe was sent */
+  jb_time next_probe;    /* earliest time to send the next probe */
+  jb_time lease_sent_at; /* when the last command with a lease was sent */
+  /* When the last command with a lease was sent that was not answered; 0:
+     none.  */
+  jb_time unanswered_lease_sent_at;
+  /* When the answer that was missed last was due, and when the last command
+     was sent that was answered.  */
+  jb_time missed_answer_due_at;
+  jb_time answered_sent_at;
   uint32_t unanswered_probes; /* since the last answer */
   /* When the newest probe listed an orphaned run, which no job needs here; 0:
      it listed none.  */
@@ -86,6 +101,12 @@
   uint64_t processed_end;
   uint64_t stored_end;
   uint64_t acked_end;
+  /* Number of tasks with a start in doubt here (jb_doubt.h), the lowest number
+     of an end that must not be acknowledged because of one, 0: none, and when
+     the last processed probe was sent.  */
+  uint32_t doubt_count;
+  uint64_t held_from;
+  jb_time asked_at;
   /* Health.  */
   jb_time unhealthy_until; /* no starts until then, since it refused one */
   /* Number of different jobs that failed there since the last success.  */
@@ -94,6 +115,8 @@
   /* No starts until then, since too many jobs failed there in a row.  */
   jb_time suspect_until;
   uint32_t starts_in_flight; /* starts without an answer yet */
+  /* When the first start was sent since it last answered anything; 0: none. */
+  jb_time awaited_since;
   /* When an answer to a probe was last processed; 0: never.  */
   jb_time probe_answered_at;
   /* Part of its capacity that may not be filled yet, because its zone was
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -22,6 +22,15 @@
    reports all ends of runs that are close to each other.  */
 #define PROBE_MIN_INTERVAL (25 * JB_MS)
 
+/* The same while ends must not be acknowledged: each answer lists them.  */
+#define HELD_INTERVAL (100 * JB_MS)
+
+/* Time within which a command is answered as long as nothing fails, and after
+   that, within which an answer to another command shows that the backend
+   server was there.  */
+#define USUAL_ANSWER_TIME (20 * JB_MS)
+#define SELECTIVE_ANSWER_TIME (500 * JB_MS)
+
 /* Delay of the next probe of a backend server that does not answer, before and
    after its lease has expired.  */
 #define UNANSWERED_RETRY_INTERVAL (150 * JB_MS)
@@ -186,6 +195,7 @@
   bool long_running;
 
   count_run_end (pool, ended_run->outcome);
+  jb_pool_end_listed (pool, backend, ended_run);
   if (!jb_task_ref_parse (ended_run->task, &ref))
     return;
   job = g_hash_table_lookup (pool->jobs, ref.id);
@@ -247,6 +257,7 @@
   struct jb_job *job = NULL;
   struct jb_task *task = NULL;
 
+  jb_pool_run_listed (pool, backend, active_run->task, active_run->run);
   if (jb_task_ref_parse (active_run->task, &ref))
     job = g_hash_table_lookup (pool->jobs, ref.id);
   if (job != NULL && job->ended_at == 0)
@@ -259,7 +270,17 @@
       /* A run that was told to stop is listed until it has ended.  */
       if (task == NULL && job != NULL)
         task = jb_job_find_task (job, &ref);
-      if (task == NULL || task->state != JB_RUN_STOPPING)
+      if (task != NULL && task->backend == backend
+          && task->run == active_run->run)
+        {
+          task->reported_at = now;
+          if (task->state != JB_RUN_STOPPING)
+            {
+              task->state = JB_RUN_RUNNING; /* its start was carried out */
+              jb_pool_stop_run (pool, task, now, "no job needs it");
+            }
+        }
+      else if (task == NULL || task->state != JB_RUN_STOPPING)
         jb_pool_stop_orphaned_run (pool, backend, active_run->task,
                                    active_run->run, now);
       else
@@ -313,8 +334,7 @@
 
 /* Clear the runs on BACKEND that are missing from the answer to a probe sent
    at SENT_AT, if the last command for the run had been answered before that.
-   Stop the missing runs whose start was not answered, so that the start can't
-   be carried out later.  */
+   Start the missing runs whose start was not answered again.  */
 static void
 clear_unlisted_runs (struct jb_pool *pool, struct jb_backend *backend,
                      jb_time sent_at, jb_time now)
@@ -328,7 +348,7 @@
       next = task->next_on_backend;
       if (task->reported_at != now && task->state == JB_RUN_UNCONFIRMED
           && task->confirmed_at == 0 && sent_at >= task->last_attempt_at)
-        jb_pool_stop_run (pool, task, now, "its start was not answered");
+        jb_pool_repeat_start (pool, task, now);
       if (task->reported_at == now || task->confirmed_at == 0
           || task->confirmed_at > sent_at)
         continue;
@@ -346,6 +366,53 @@
 
 /* ---- probes ---- */
 
+jb_time
+jb_pool_leases_expire_at (const struct jb_pool *pool,
+                          const struct jb_backend *backend, jb_time now)
+{
+  jb_time expire_at = jb_backend_leases_expire_at (backend);
+
+  /* A lease that arrives late may count from its arrival.  Otherwise it has
+     been lost with the backend server, like those before it.  */
+  if (now < pool->delays_until && backend->listed
+      && backend->unanswered_lease_sent_at != 0)
+    expire_at = MAX (expire_at, backend->unanswered_lease_sent_at
+                                    + JB_MAX_COMMAND_DELAY
+                                    + jb_doubt_lease (JB_RUN_LEASE_MS));
+  return expire_at;
+}
+
+/* Return whether BACKEND has answered a command that was sent soon after the
+   answer to another one was due, which it has missed.  One that is cut off or
+   has crashed answers none.  */
+static bool
+answers_selectively (const struct jb_backend *backend)
+{
+  jb_time since = backend->missed_answer_due_at;
+
+  return since != 0 && backend->answered_sent_at > since
+         && backend->answered_sent_at < since + SELECTIVE_ANSWER_TIME;
+}
+
+void
+jb_pool_note_result (struct jb_pool *pool, struct jb_backend *backend,
+                     jb_time now, jb_time sent_at, jb_time wait,
+                     bool extends_lease, enum jb_reply_result result)
+{
+  if (result == JB_RESULT_NOT_SENT)
+    return;
+  if (result == JB_RESULT_UNKNOWN)
+    backend->missed_answer_due_at = sent_at + wait + USUAL_ANSWER_TIME;
+  else
+    backend->answered_sent_at = MAX (backend->answered_sent_at, sent_at);
+  if (result == JB_RESULT_UNKNOWN && extends_lease)
+    backend->unanswered_lease_sent_at
+        = MAX (backend->unanswered_lease_sent_at, sent_at);
+  if (answers_selectively (backend))
+    pool->delays_until
+        = now + JB_MAX_COMMAND_DELAY + jb_doubt_lease (JB_RUN_LEASE_MS);
+}
+
 /* A probe in flight.  */
 struct probe
 {
@@ -354,6 +421,7 @@
   uint32_t incarnation; /* of the backend server, as known when it was sent */
   uint64_t acked_end;   /* number of the last end that it acknowledges */
   bool extends_lease;
+  jb_time wait; /* for its answer, as requested */
 };
 
 void
@@ -382,12 +450,17 @@
           jb_itoa (reply->started_unix_ms), "former_born",
           jb_itoa (backend->started_unix_ms), NULL);
   backend->former_started_unix_ms = backend->started_unix_ms;
-  backend->incarnation = ++pool->last_incarnation;
+  jb_pool_raise_fence (pool, backend, now);
+  backend->incarnation = backend->fence_number;
   backend->may_get_old_commands = true;
+  backend->restart_seen_at = now;
+  pool->restart_seen_at = now;
   backend->started_unix_ms = reply->started_unix_ms;
   backend->processed_end = 0;
   backend->stored_end = 0;
   backend->acked_end = 0;
+  backend->held_from = 0;
+  backend->awaited_since = 0;
   backend->lease_until_ms = 0;
   backend->probe_clock_ms = 0;
   backend->consecutive_failed_jobs = 0;
@@ -438,7 +511,9 @@
   backend->probe_clock_ms = reply->backend_clock_ms;
   jb_backend_record_clock (backend, now, reply->backend_clock_ms);
   backend->unanswered_probes = 0;
+  backend->awaited_since = 0;
   backend->probe_answered_at = now;
+  backend->asked_at = sent_at;
   if (!backend->probed && !backend->in_roster)
     pool->roster_dirty = true;
   backend->probed = true;
@@ -459,7 +534,9 @@
     finish_restart (pool, backend, now);
   clear_unlisted_runs (pool, backend, sent_at, now);
   jb_pool_throttle_backend (pool, backend, now);
-  backend->next_probe = sent_at + PROBE_MIN_INTERVAL;
+  backend->next_probe
+      = sent_at
+        + (backend->held_from != 0 ? HELD_INTERVAL : PROBE_MIN_INTERVAL);
   if (jb_pool_has_disabled (pool, JB_SAFEGUARD_STORE_BEFORE_ACK))
     backend->stored_end = backend->processed_end;
   jb_pool_mark_ends_stored (pool, now);
@@ -472,26 +549,28 @@
                       jb_time now, jb_time sent_at,
                       const struct jb_reply *reply)
 {
-  jb_log (pool->options.driver, JB_LEVEL_INFO, "probe-unanswered", "backend",
-          backend->instance, "runs", jb_itoa (backend->task_count),
-          "unanswered", jb_itoa (backend->unanswered_probes + 1), "age_ms",
-          jb_itoa ((now - sent_at) / JB_MS), "sent_after_ms",
-          jb_itoa (reply->sent_after_ms), "awaited_ms",
-          jb_itoa (reply->awaited_ms), "lease_expires_in_ms",
-          jb_itoa ((jb_backend_leases_expire_at (backend) - now) / JB_MS),
-          NULL);
+  jb_log (
+      pool->options.driver, JB_LEVEL_INFO, "probe-unanswered", "backend",
+      backend->instance, "runs", jb_itoa (backend->task_count), "unanswered",
+      jb_itoa (backend->unanswered_probes + 1), "age_ms",
+      jb_itoa ((now - sent_at) / JB_MS), "sent_after_ms",
+      jb_itoa (reply->sent_after_ms), "awaited_ms",
+      jb_itoa (reply->awaited_ms), "lease_expires_in_ms",
+      jb_itoa ((jb_pool_leases_expire_at (pool, backend, now) - now) / JB_MS),
+      NULL);
   jb_count_event (pool->options.driver, JB_COUNT_PROBES_UNANSWERED);
   if (++backend->unanswered_probes == JB_SILENT_AFTER_PROBES)
     jb_log (pool->options.driver, JB_LEVEL_WARN, "backend-silent", "backend",
             backend->instance, "pool", pool->options.name, "runs",
             jb_itoa (backend->task_count), "lease_expires_in_ms",
-            jb_itoa ((jb_backend_leases_expire_at (backend) - now) / JB_MS),
+            jb_itoa ((jb_pool_leases_expire_at (pool, backend, now) - now)
+                     / JB_MS),
             NULL);
   backend->next_probe = now + UNANSWERED_RETRY_INTERVAL;
   /* Only a probe that was sent after the lease had expired tells that nothing
      is there any more: others may be old, if this host was late.  */
   if (backend->clock_received_at != 0
-      && (jb_backend_leases_have_expired (backend, sent_at)
+      && (sent_at > jb_pool_leases_expire_at (pool, backend, now)
           || jb_pool_has_disabled (pool, JB_SAFEGUARD_LEASE_EXPIRY)))
     {
       jb_pool_clear_lost_runs (pool, backend, now, JB_LOSS_LEASE_EXPIRED);
@@ -513,11 +592,12 @@
                        jb_time now, jb_time sent_at)
 {
   jb_count_event (pool->options.driver, JB_COUNT_PROBES_NOT_SENT);
-  jb_log (pool->options.driver, JB_LEVEL_INFO, "probe-not-sent", "backend",
-          backend->instance, "runs", jb_itoa (backend->task_count), "age_ms",
-          jb_itoa ((now - sent_at) / JB_MS), "lease_expires_in_ms",
-          jb_itoa ((jb_backend_leases_expire_at (backend) - now) / JB_MS),
-          NULL);
+  jb_log (
+      pool->options.driver, JB_LEVEL_INFO, "probe-not-sent", "backend",
+      backend->instance, "runs", jb_itoa (backend->task_count), "age_ms",
+      jb_itoa ((now - sent_at) / JB_MS), "lease_expires_in_ms",
+      jb_itoa ((jb_pool_leases_expire_at (pool, backend, now) - now) / JB_MS),
+      NULL);
   backend->next_probe = now;
 }
 
@@ -530,6 +610,8 @@
   struct jb_backend *backend = probe->backend;
 
   backend->probes_in_flight--;
+  jb_pool_note_result (pool, backend, now, sent_at, probe->wait,
+                       probe->extends_lease, reply->result);
   if (probe->incarnation != backend->incarnation)
     {
       talloc_free (probe);
@@ -559,17 +641,17 @@
 }
 
 /* Return whether BACKEND needs to be probed: it has never been probed, it may
-   have runs, it is listed but does not answer or has not since its zone was
-   taken back, or it has reported ends of runs that are not acknowledged
-   yet.  */
+   have runs or carry out starts late, it is listed but does not answer or has
+   not since its zone was taken back, or it has reported ends of runs that are
+   not acknowledged yet.  */
 static bool
 needs_probing (const struct jb_pool *pool, const struct jb_backend *backend)
 {
   return !backend->probed || backend->task_count > 0
-         || jb_pool_awaits_answer (pool, backend)
+         || backend->doubt_count > 0 || jb_pool_awaits_answer (pool, backend)
          || (backend->unanswered_probes > 0 && backend->listed)
          || backend->orphan_seen_at != 0
-         || backend->stored_end > backend->acked_end
+         || jb_pool_ackable_end (backend) > backend->acked_end
          || backend->processed_end > backend->stored_end;
 }
 
@@ -588,10 +670,11 @@
   probe->incarnation = backend->incarnation;
   /* A backend server that has not answered may have restarted: then the
      number would acknowledge ends of its next incarnation, which nobody has
-     seen.  */
-  probe->acked_end = backend->probed && backend->unanswered_probes == 0
-                         ? backend->stored_end
-                         : 0;
+     seen.  So does a probe that is carried out late, and so none that needs
+     not has the number.  */
+  if (backend->probed && backend->unanswered_probes == 0
+      && jb_pool_ackable_end (backend) > backend->acked_end)
+    probe->acked_end = jb_pool_ackable_end (backend);
   command.u.probe.acked_end = probe->acked_end;
   /* Extend the lease only if the backend server answers and is listed.  */
   if (backend->clock_received_at != 0 && backend->unanswered_probes == 0
@@ -602,14 +685,15 @@
           = jb_backend_grant_lease (backend, now, JB_RUN_LEASE_MS);
     }
   if (backend->unanswered_probes == 0 && backend->probed
-      && backend->task_count > 0
+      && backend->task_count + backend->doubt_count > 0
       && backend->processed_end == backend->stored_end
-      && !backend->probe_urgent)
+      && backend->held_from == 0 && !backend->probe_urgent)
     {
       command.u.probe.wait_ms = jb_crash_has_probation (backend)
                                     ? JB_CRASH_EARLY_MS
                                     : JB_PROBE_WAIT_MS;
       command.timeout_ms += command.u.probe.wait_ms;
+      probe->wait = command.u.probe.wait_ms * JB_MS;
     }
   backend->probes_in_flight++;
   backend->probe_sent_at = now;
@@ -621,9 +705,10 @@
 /* Return when to send a probe to BACKEND beside the one in flight because its
    runs can be given up after that, or JB_NEVER.  */
 static jb_time
-last_probe_due_at (const struct jb_backend *backend)
+last_probe_due_at (const struct jb_pool *pool,
+                   const struct jb_backend *backend, jb_time now)
 {
-  jb_time expired_at = jb_backend_leases_expire_at (backend) + JB_MS;
+  jb_time expired_at = jb_pool_leases_expire_at (pool, backend, now) + JB_MS;
 
   if (backend->probes_in_flight > 1 || backend->unanswered_probes == 0
       || backend->task_count == 0 || backend->clock_received_at == 0
@@ -634,14 +719,15 @@
 
 /* Return when the next probe of BACKEND is due, or JB_NEVER.  */
 static jb_time
-probe_due_at (const struct jb_pool *pool, const struct jb_backend *backend)
+probe_due_at (const struct jb_pool *pool, const struct jb_backend *backend,
+              jb_time now)
 {
   jb_time due = backend->next_probe;
 
   if (!needs_probing (pool, backend))
     return JB_NEVER;
   if (backend->probes_in_flight > (backend->probe_urgent ? 1U : 0U))
-    return last_probe_due_at (backend);
+    return last_probe_due_at (pool, backend, now);
   /* The reported ends will be stored in a moment, and the probe can then
      acknowledge them.  */
   if (backend->processed_end > backend->stored_end
@@ -663,12 +749,12 @@
   for (guint i = 0; i < backends->len; i++)
     {
       struct jb_backend *backend = g_ptr_array_index (backends, i);
-      jb_time due = probe_due_at (pool, backend);
+      jb_time due = probe_due_at (pool, backend, now);
 
       if (may_send && now >= due)
         {
           send_probe (pool, backend, now);
-          due = probe_due_at (pool, backend);
+          due = probe_due_at (pool, backend, now);
         }
       next = MIN (next, due);
     }
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -1,8 +1,9 @@
 /* Scheduling cycles, and the commands that start and stop tasks.
 
-   A start without an answer may still be carried out later.  So the task is
-   not started again until a stop of that run has been answered, which prevents
-   the start, or the lease that the start requested has expired.  */
+   A start without an answer may still be carried out later.  If the backend
+   server does not list the run, the start is sent again: it has no further
+   effect if the run is there by then.  Until the first one can't be carried
+   out any more, the task starts nowhere else (jb_doubt.h).  */
 
 #include "jb_pool_internal.h"
 
@@ -14,10 +15,6 @@
 /* Delay before a stop without an answer is sent again.  */
 #define STOP_RETRY_DELAY (250 * JB_MS)
 
-/* Delay before a run whose start was not answered is stopped, although no
-   probe has shown yet whether it is active.  */
-#define UNCONFIRMED_STOP_DELAY (750 * JB_MS)
-
 /* How long nothing is started on a backend server that has refused a start.
    The first applies if it lacked capacity or saw the lease as expired, until a
    probe has reported what runs there and its clock.  The second applies to
@@ -30,6 +27,11 @@
    busy to send a start, or has no free connection.  */
 #define NOT_SENT_BACKOFF (100 * JB_MS)
 
+/* Nothing more is started on a backend server that has answered nothing for
+   this time since a start was sent there: each such start may keep its task
+   from starting elsewhere for long, if the backend server has failed.  */
+#define MAX_AWAITED_TIME (150 * JB_MS)
+
 enum
 {
   MAX_STARTS_IN_FLIGHT = 64, /* per backend server, without an answer yet */
@@ -52,16 +54,31 @@
   return settings == NULL || !settings->rejects_overload;
 }
 
+/* Return whether BACKEND has restarted since the store last confirmed the
+   ownership: it no longer refuses the commands of a former owner, and this
+   host may be one.  Nobody takes a pool over while the store does not
+   answer.  */
+static bool
+awaits_confirmation (const struct jb_pool *pool,
+                     const struct jb_backend *backend)
+{
+  return jb_ownership_confirmed_at (pool->ownership) < backend->restart_seen_at
+         && jb_ownership_failing_since (pool->ownership) == 0;
+}
+
 bool
 jb_pool_backend_is_usable (const struct jb_pool *pool,
                            const struct jb_backend *backend, jb_time now)
 {
   return !has_unknown_room (pool, backend) && backend->probed
          && backend->listed && backend->in_roster && !backend->draining
+         && !awaits_confirmation (pool, backend)
          && backend->unanswered_probes == 0 && backend->clock_received_at != 0
          && now >= backend->unhealthy_until && now >= backend->suspect_until
          && now >= backend->cordoned_until
          && backend->starts_in_flight < MAX_STARTS_IN_FLIGHT
+         && (backend->awaited_since == 0
+             || now - backend->awaited_since < MAX_AWAITED_TIME)
          && jb_pool_zone_is_usable (pool, backend);
 }
 
@@ -98,7 +115,8 @@
   struct jb_task *task
       = jb_pool_find_run (stop->pool, &stop->ref, backend, stop->run);
 
-  (void)sent_at;
+  jb_pool_note_result (stop->pool, backend, now, sent_at, 0, false,
+                       reply->result);
   if (stop->incarnation != backend->incarnation)
     {
       talloc_free (stop);
@@ -113,6 +131,7 @@
             || reply->result == JB_RESULT_CONFLICT)
            && task != NULL)
     {
+      jb_pool_close_run (stop->pool, task);
       task->confirmed_at = now;
       task->state = JB_RUN_STOPPING;
       backend->probe_urgent = true;
@@ -194,12 +213,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     for (struct jb_task *task = ((struct jb_backend *)value)->tasks;
          task != NULL; task = task->next_on_backend)
-      if (task->confirmed_at == 0
-          && ((task->state == JB_RUN_STOPPING
-               && now - task->last_attempt_at >= STOP_RETRY_DELAY)
-              || (task->state == JB_RUN_UNCONFIRMED
-                  && !jb_task_step (task)->long_running
-                  && now - task->last_attempt_at >= UNCONFIRMED_STOP_DELAY)))
+      if (task->confirmed_at == 0 && task->state == JB_RUN_STOPPING
+          && now - task->last_attempt_at >= STOP_RETRY_DELAY)
         jb_pool_stop_run (pool, task, now, "no answer yet");
 }
 
@@ -267,8 +282,7 @@
           jb_itoa (reply->result), NULL);
 }
 
-/* Handle a start without an answer: it may be carried out at any time until
-   its lease has expired.  */
+/* Handle a start without an answer: it may be carried out later.  */
 static void
 handle_start_unknown (struct start_request *start, jb_time now,
                       const struct jb_reply *reply)
@@ -291,8 +305,7 @@
     }
   start->task->state = JB_RUN_UNCONFIRMED;
   start->task->last_attempt_at = now;
-  /* The next probe tells whether the run is active.  Only if it is not listed,
-     the run is stopped.  */
+  /* The next probe tells whether the run is active.  */
   start->backend->probe_urgent = true;
   start->backend->next_probe = MIN (start->backend->next_probe, now);
 }
@@ -313,6 +326,18 @@
   jb_pool_clear_run (pool, start->task, now);
 }
 
+/* The start was refused because the run has ended or was stopped already: an
+   earlier start of it has been carried out.  The next probe lists the end.  */
+static void
+await_end (struct start_request *start, jb_time now)
+{
+  jb_pool_close_run (start->pool, start->task);
+  start->task->state = JB_RUN_STOPPING;
+  start->task->confirmed_at = now;
+  start->backend->probe_urgent = true;
+  start->backend->next_probe = MIN (start->backend->next_probe, now);
+}
+
 /* Record the clock in the answer to START, unless it is the clock of another
    incarnation.  */
 static void
@@ -370,8 +395,18 @@
   struct jb_backend *backend = start->backend;
   struct jb_task *task
       = jb_pool_find_run (pool, &start->ref, backend, start->run);
+  char name[JB_TASK_NAME_SIZE];
 
   backend->starts_in_flight--;
+  if (reply->result != JB_RESULT_UNKNOWN
+      && (reply->result != JB_RESULT_NOT_SENT
+          || backend->starts_in_flight == 0))
+    backend->awaited_since = 0;
+  jb_pool_note_result (pool, backend, now, sent_at, 0, true, reply->result);
+  if (reply->result != JB_RESULT_UNKNOWN)
+    jb_pool_start_answered (pool, jb_task_ref_name (&start->ref, name),
+                            start->run, backend,
+                            reply->result == JB_RESULT_OK);
   start->task = task;
   if (task == NULL || start->incarnation != backend->incarnation)
     {
@@ -404,21 +439,31 @@
           handle_start_refused (start, now, reply);
           if (reply->backend_clock_ms > 0)
             record_clock (start, now, sent_at, reply);
-          jb_pool_clear_run (pool, task, now);
+          if (reply->refusal == JB_REFUSAL_STALE_RUN
+              && jb_pool_find_doubt (pool, task) != NULL)
+            await_end (start, now);
+          else
+            jb_pool_clear_run (pool, task, now);
         }
       break;
     }
   talloc_free (start);
 }
 
-/* Return the number of the next run of TASK.  */
+/* Return the number of the next run of TASK.  A run that may still be started
+   late keeps its number, so that it is the same one.  The members of a gang
+   need a number that is new to all.  */
 static uint32_t
-next_run_number (const struct jb_pool *pool, const struct jb_task *task)
+next_run_number (const struct jb_pool *pool, struct jb_task *task)
 {
   uint32_t first_of_owner = (jb_ownership_generation (pool->ownership) - 1)
                                 * JB_RUN_NUMBERS_PER_OWNER
                             + 1;
+  const struct jb_doubt *doubt = jb_pool_find_doubt (pool, task);
 
+  if (doubt != NULL && doubt->run == task->run && !doubt->run_closed
+      && task->run >= first_of_owner && !jb_task_step (task)->gang)
+    return task->run;
   return MAX (task->run + 1, first_of_owner);
 }
 
@@ -438,6 +483,9 @@
   start->incarnation = backend->incarnation;
   start->run = task->run;
   backend->starts_in_flight++;
+  if (backend->awaited_since == 0)
+    backend->awaited_since = now;
+  jb_pool_begin_start (pool, task, now);
   command.u.start_task.task = jb_task_name (task, name);
   jb_task_ref_parse (name, &start->ref);
   command.u.start_task.run = task->run;
@@ -484,6 +532,20 @@
   send_start (pool, task, now);
 }
 
+void
+jb_pool_repeat_start (struct jb_pool *pool, struct jb_task *task, jb_time now)
+{
+  if (task->group->job->ended_at != 0
+      || !jb_pool_backend_is_usable (pool, task->backend, now))
+    jb_pool_stop_run (pool, task, now, "its start was not answered");
+  else if (jb_pool_may_command (pool, now))
+    {
+      jb_count_event (pool->options.driver, JB_COUNT_STARTS_REPEATED);
+      task->state = JB_RUN_STARTING;
+      send_start (pool, task, now);
+    }
+}
+
 /* ---- scheduling ---- */
 
 bool
@@ -674,11 +736,13 @@
 /* Return the backend server to start TASK on, or NULL when there is none.
    ROOM is that of this cycle, in which free capacity does not grow.  */
 static struct jb_backend *
-choose_backend (struct jb_pool *pool, const struct jb_task *task,
+choose_backend (struct jb_pool *pool, struct jb_task *task,
                 struct jb_place_room *room, jb_time now)
 {
   struct jb_backend *backend;
 
+  if (jb_pool_find_doubt (pool, task) != NULL)
+    return jb_pool_choose_in_doubt (pool, task, now);
   if (pool->lookahead != NULL)
     return jb_reserve_choose (pool->lookahead->reserve, task,
                               &pool->lookahead->rank, room, now);
@@ -710,6 +774,8 @@
       if (!jb_pool_check_share (pool, group->job, &resources))
         break;
       backend = choose_backend (pool, task, room, now);
+      if (backend == NULL && task->in_doubt)
+        continue;
       if (backend == NULL)
         break; /* the remaining tasks have the same size */
       assign_and_start (pool, task, backend, next_run_number (pool, task),
@@ -741,7 +807,8 @@
   if (group->active_runs > 0) /* all previous runs must end first */
     return 0;
   for (uint32_t i = 0; i < group->task_count; i++)
-    if (!is_startable (pool, &group->tasks[i], now))
+    if (!is_startable (pool, &group->tasks[i], now)
+        || !jb_pool_may_renumber (pool, &group->tasks[i], now))
       return 0;
   if (!jb_pool_check_share (pool, group->job, &resources))
     return 0;
