Acknowledge all ends on a backend server whose host is being evacuated

Cause: a host is taken down when all ends on it are acknowledged; ends held back for a start in doubt delayed that by up to 12.5 s. And a backend server with held ends was asked every 100 ms instead of answering at the next end. Change: nothing is held back on a cordoned backend server, which goes with its host; with held ends the interval is 50 ms.

--- a/packages/jobs/src/jb_pool_doubt.c
+++ b/packages/jobs/src/jb_pool_doubt.c
@@ -264,9 +264,10 @@
 }
 
 uint64_t
-jb_pool_ackable_end (const struct jb_backend *backend)
+jb_pool_ackable_end (const struct jb_backend *backend, jb_time now)
 {
-  if (backend->held_from != 0 && backend->held_from <= backend->stored_end)
+  if (backend->held_from != 0 && backend->held_from <= backend->stored_end
+      && now >= backend->cordoned_until)
     return backend->held_from - 1;
   return backend->stored_end;
 }
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -349,8 +349,10 @@
 /* BACKEND has listed ENDED_RUN.  */
 void jb_pool_end_listed (struct jb_pool *pool, struct jb_backend *backend,
                          const struct jb_ended_run *ended_run);
-/* Return the number of the last end that may be acknowledged to BACKEND.  */
-uint64_t jb_pool_ackable_end (const struct jb_backend *backend);
+/* Return the number of the last end that may be acknowledged to BACKEND.  None
+   is held back while it is cordoned: its host goes when all are acknowledged,
+   and the instance with it.  */
+uint64_t jb_pool_ackable_end (const struct jb_backend *backend, jb_time now);
 /* The instance INSTANCE will not come back: it carries out nothing.  */
 void jb_pool_drop_doubts (struct jb_pool *pool, const char *instance);
 /* The same for all instances that were at ADDRESS, except INSTANCE.  */
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -23,7 +23,7 @@
 #define PROBE_MIN_INTERVAL (25 * JB_MS)
 
 /* The same while ends must not be acknowledged: each answer lists them.  */
-#define HELD_INTERVAL (100 * JB_MS)
+#define HELD_INTERVAL (50 * JB_MS)
 
 /* Time within which a command is answered as long as nothing fails, and after
    that, within which an answer to another command shows that the backend
@@ -645,13 +645,14 @@
    not since its zone was taken back, or it has reported ends of runs that are
    not acknowledged yet.  */
 static bool
-needs_probing (const struct jb_pool *pool, const struct jb_backend *backend)
+needs_probing (const struct jb_pool *pool, const struct jb_backend *backend,
+               jb_time now)
 {
   return !backend->probed || backend->task_count > 0
          || backend->doubt_count > 0 || jb_pool_awaits_answer (pool, backend)
          || (backend->unanswered_probes > 0 && backend->listed)
          || backend->orphan_seen_at != 0
-         || jb_pool_ackable_end (backend) > backend->acked_end
+         || jb_pool_ackable_end (backend, now) > backend->acked_end
          || backend->processed_end > backend->stored_end;
 }
 
@@ -673,8 +674,8 @@
      seen.  So does a probe that is carried out late, and so none that needs
      not has the number.  */
   if (backend->probed && backend->unanswered_probes == 0
-      && jb_pool_ackable_end (backend) > backend->acked_end)
-    probe->acked_end = jb_pool_ackable_end (backend);
+      && jb_pool_ackable_end (backend, now) > backend->acked_end)
+    probe->acked_end = jb_pool_ackable_end (backend, now);
   command.u.probe.acked_end = probe->acked_end;
   /* Extend the lease only if the backend server answers and is listed.  */
   if (backend->clock_received_at != 0 && backend->unanswered_probes == 0
@@ -724,7 +725,7 @@
 {
   jb_time due = backend->next_probe;
 
-  if (!needs_probing (pool, backend))
+  if (!needs_probing (pool, backend, now))
     return JB_NEVER;
   if (backend->probes_in_flight > (backend->probe_urgent ? 1U : 0U))
     return last_probe_due_at (pool, backend, now);
