Give the terms of starts in doubt one definition each

Cause: a review: the time of sending was worked out in five places, the longest duration of a lease in two, a function named "may" raised a fencing token, and "closed", "barred" and "held" were explained nowhere. Change: the entry keeps the time of sending, jb_backend_lease_time serves all, jb_pool_try_renumber says what it does, jb_doubt.h explains the terms.

--- a/packages/jobs/include/jb_backend.h
+++ b/packages/jobs/include/jb_backend.h
@@ -176,6 +176,10 @@
    jb_backend_leases_have_expired is true.  */
 jb_time jb_backend_leases_expire_at (const struct jb_backend *backend);
 
+/* Return how long a lease of LEASE_MS, on a backend server's clock, lasts at
+   most, with the usual margin.  */
+jb_time jb_backend_lease_time (int64_t lease_ms);
+
 /* Return whether BACKEND has LABEL, or LABEL is NULL.  */
 bool jb_backend_has_label (const struct jb_backend *backend,
                            const char *label);
--- a/packages/jobs/include/jb_doubt.h
+++ b/packages/jobs/include/jb_doubt.h
@@ -18,9 +18,14 @@
    - or, if it does not answer, the longest lease has expired since then;
    - or its instance will not come back.
 
-   An end of a run whose task has another start in doubt is not acknowledged
-   before: the backend server may lose it by a restart, and run the task once
-   more.
+   An end of a run whose task has another start in doubt is held back: it is
+   not acknowledged before.  The backend server may lose it by a restart, and
+   run the task once more.
+
+   A run is closed when its backend server has said that it can't be started
+   there any more, since it has ended or was stopped.  A start is barred on a
+   backend server that has answered a command with a higher fencing token. Both
+   hold for that incarnation only.
 
    Expected load: none while nothing fails.  While half of the starts get no
    answer, 1,000 tasks of a pool.  */
@@ -45,8 +50,8 @@
   /* Run number `run' has ended or was stopped, so a start of the task needs a
      higher one.  */
   bool run_closed;
-  jb_time until; /* nothing is carried out after that */
-  bool stored;   /* a successor will know of it */
+  jb_time sent_at; /* of the start that was sent last */
+  bool stored;     /* a successor will know of it */
 };
 
 struct jb_doubt_table;
@@ -75,9 +80,8 @@
 void jb_doubt_settle (struct jb_doubt_table *table, const char *task,
                       uint32_t run, const char *instance);
 
-/* Return how long a run may be active without an extension of its lease, if
-   the longest lease of its backend server is MAX_LEASE_MS on its clock.  */
-jb_time jb_doubt_lease (int64_t max_lease_ms);
+/* Return when the starts of DOUBT can't be carried out any more.  */
+jb_time jb_doubt_until (const struct jb_doubt *doubt);
 
 /* Return whether nothing of DOUBT can be active at NOW beside what the answer
    to a probe sent at ASKED_AT has listed, 0 if there was none.  MAX_LEASE_MS
--- a/packages/jobs/src/jb_backend.c
+++ b/packages/jobs/src/jb_backend.c
@@ -104,6 +104,13 @@
   return now > jb_backend_leases_expire_at (backend);
 }
 
+jb_time
+jb_backend_lease_time (int64_t lease_ms)
+{
+  return (lease_ms + JB_LEASE_MARGIN_MS) * JB_MS * 100
+         / (100 - JB_MAX_CLOCK_DRIFT_PERCENT);
+}
+
 bool
 jb_backend_has_label (const struct jb_backend *backend, const char *label)
 {
--- a/packages/jobs/src/jb_doubt.c
+++ b/packages/jobs/src/jb_doubt.c
@@ -62,7 +62,7 @@
     }
   doubt->run = run;
   doubt->sent++;
-  doubt->until = MAX (doubt->until, sent_at + JB_MAX_COMMAND_DELAY);
+  doubt->sent_at = MAX (doubt->sent_at, sent_at);
   doubt->stored = false;
   return doubt;
 }
@@ -111,19 +111,20 @@
 }
 
 jb_time
-jb_doubt_lease (int64_t max_lease_ms)
+jb_doubt_until (const struct jb_doubt *doubt)
 {
-  return (max_lease_ms + JB_LEASE_MARGIN_MS) * JB_MS * 100
-         / (100 - JB_MAX_CLOCK_DRIFT_PERCENT);
+  return doubt->sent_at + JB_MAX_COMMAND_DELAY;
 }
 
 bool
 jb_doubt_is_over (const struct jb_doubt *doubt, jb_time now, jb_time asked_at,
                   int64_t max_lease_ms)
 {
-  return now >= doubt->until
-         && (asked_at >= doubt->until
-             || now >= doubt->until + jb_doubt_lease (max_lease_ms));
+  jb_time until = jb_doubt_until (doubt);
+
+  return now >= until
+         && (asked_at >= until
+             || now >= until + jb_backend_lease_time (max_lease_ms));
 }
 
 void
--- a/packages/jobs/src/jb_pool_doubt.c
+++ b/packages/jobs/src/jb_pool_doubt.c
@@ -4,8 +4,9 @@
 
    A row lists the starts that were not answered for STORE_AFTER, far longer
    than most answers take.  It is removed when none of them can have an effect
-   any more.  A successor can't know of a start that was sent shortly before
-   the owner ended, and not answered.  */
+   any more.  A successor doesn't know of a start without an answer that was
+   sent shortly before the owner ended, or while the store did not answer the
+   owner.  */
 
 #include "jb_pool_internal.h"
 
@@ -162,12 +163,12 @@
 static bool
 is_barred (const struct jb_backend *backend, const struct jb_doubt *doubt)
 {
-  return doubt->until - JB_MAX_COMMAND_DELAY < backend->fence_raised_at
+  return doubt->sent_at < backend->fence_raised_at
          && backend->asked_at >= backend->fence_raised_at;
 }
 
 bool
-jb_pool_may_renumber (struct jb_pool *pool, struct jb_task *task, jb_time now)
+jb_pool_try_renumber (struct jb_pool *pool, struct jb_task *task, jb_time now)
 {
   const struct jb_doubt *doubt = jb_pool_find_doubt (pool, task);
   struct jb_backend *backend
@@ -178,7 +179,7 @@
     return true;
   if (backend == NULL)
     return false;
-  if (doubt->until - JB_MAX_COMMAND_DELAY >= backend->fence_raised_at)
+  if (doubt->sent_at >= backend->fence_raised_at)
     {
       jb_pool_raise_fence (pool, backend, now);
       backend->probe_urgent = true;
@@ -320,9 +321,10 @@
   pool->schedule_due = true;
 }
 
-/* Return whether BACKEND is gone, since nobody hears it, or will be before it
-   could restart once more: it drains, and has restarted since the start of
-   DOUBT was sent and answered a command that bars that.  */
+/* Return whether BACKEND, the one of DOUBT, is gone, since nobody hears it, or
+   will be before it could restart once more: it drains, and has restarted
+   since the start was sent and answered a command that bars that.  BACKEND is
+   NULL if it isn't known.  */
 static bool
 is_gone (const struct jb_backend *backend, const struct jb_doubt *doubt,
          jb_time now)
@@ -408,7 +410,7 @@
 
   row->key = talloc_strdup (row, key);
   row->until = now + JB_MAX_COMMAND_DELAY
-               + jb_doubt_lease (pool->options.bounds->max_lease_ms);
+               + jb_backend_lease_time (pool->options.bounds->max_lease_ms);
   g_ptr_array_add (pool->doubts->rows, row);
 }
 
@@ -430,7 +432,7 @@
   if (doubt->stored)
     return false;
   if (saved->count == MAX_DOUBTS_PER_ROW
-      || doubt->until - JB_MAX_COMMAND_DELAY >= collection->sent_before)
+      || doubt->sent_at >= collection->sent_before)
     {
       collection->is_incomplete = true;
       return false;
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -338,9 +338,9 @@
    started there any more: TASK needs a higher number.  */
 void jb_pool_close_run (struct jb_pool *pool, struct jb_task *task);
 /* Return whether TASK may start with a higher number: none of its starts that
-   are in doubt can be carried out beside that.  If not, the fencing token of
-   their backend server is raised.  */
-bool jb_pool_may_renumber (struct jb_pool *pool, struct jb_task *task,
+   are in doubt can be carried out beside that.  If not, raise the fencing
+   token of their backend server, so that it may later.  */
+bool jb_pool_try_renumber (struct jb_pool *pool, struct jb_task *task,
                            jb_time now);
 /* BACKEND has listed run number RUN of TASK as active.  */
 void jb_pool_run_listed (struct jb_pool *pool,
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -378,7 +378,7 @@
       && backend->unanswered_lease_sent_at != 0)
     expire_at = MAX (expire_at, backend->unanswered_lease_sent_at
                                     + JB_MAX_COMMAND_DELAY
-                                    + jb_doubt_lease (JB_RUN_LEASE_MS));
+                                    + jb_backend_lease_time (JB_RUN_LEASE_MS));
   return expire_at;
 }
 
@@ -410,7 +410,7 @@
         = MAX (backend->unanswered_lease_sent_at, sent_at);
   if (answers_selectively (backend))
     pool->delays_until
-        = now + JB_MAX_COMMAND_DELAY + jb_doubt_lease (JB_RUN_LEASE_MS);
+        = now + JB_MAX_COMMAND_DELAY + jb_backend_lease_time (JB_RUN_LEASE_MS);
 }
 
 /* A probe in flight.  */
@@ -671,8 +671,8 @@
   probe->incarnation = backend->incarnation;
   /* A backend server that has not answered may have restarted: then the
      number would acknowledge ends of its next incarnation, which nobody has
-     seen.  So does a probe that is carried out late, and so none that needs
-     not has the number.  */
+     seen.  A probe that is carried out late may do that, too: it has the
+     number only if that is news.  */
   if (backend->probed && backend->unanswered_probes == 0
       && jb_pool_ackable_end (backend, now) > backend->acked_end)
     probe->acked_end = jb_pool_ackable_end (backend, now);
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -554,8 +554,7 @@
 {
   return task->other_run_seen_at != 0
          && now - task->other_run_seen_at
-                <= (pool->options.bounds->max_lease_ms + JB_LEASE_MARGIN_MS)
-                       * JB_MS * 100 / (100 - JB_MAX_CLOCK_DRIFT_PERCENT);
+                <= jb_backend_lease_time (pool->options.bounds->max_lease_ms);
 }
 
 /* Return whether TASK may start now: it has no run, not even another one that
@@ -808,7 +807,7 @@
     return 0;
   for (uint32_t i = 0; i < group->task_count; i++)
     if (!is_startable (pool, &group->tasks[i], now)
-        || !jb_pool_may_renumber (pool, &group->tasks[i], now))
+        || !jb_pool_try_renumber (pool, &group->tasks[i], now))
       return 0;
   if (!jb_pool_check_share (pool, group->job, &resources))
     return 0;
--- a/packages/jobs/tests/test_jb_doubt.c
+++ b/packages/jobs/tests/test_jb_doubt.c
@@ -2,6 +2,7 @@
    start stays in doubt guards against a task that runs twice.  */
 
 #include "dp_test.h"
+#include "jb_backend.h"
 #include "jb_doubt.h"
 
 #include <string.h>
@@ -105,7 +106,7 @@
   struct jb_doubt_table *table = table_with_starts (1);
   const struct jb_doubt *doubt = jb_doubt_find (table, TASK);
   jb_time until = SENT_AT + JB_MAX_COMMAND_DELAY;
-  jb_time lease = jb_doubt_lease (MAX_LEASE_MS);
+  jb_time lease = jb_backend_lease_time (MAX_LEASE_MS);
 
   CU_ASSERT (lease > MAX_LEASE_MS * JB_MS * 102 / 100);
   CU_ASSERT_FALSE (
