Hold back no more ends than a backend server lists

Seen by a reviewer: a backend server lists 500 ends that were not acknowledged. Change: the emulator has the limit; with 300 ends behind the one that is held back, all are acknowledged.

--- a/packages/jobs/src/jb_pool_doubt.c
+++ b/packages/jobs/src/jb_pool_doubt.c
@@ -21,7 +21,10 @@
 
 enum
 {
-  MAX_DOUBTS_PER_ROW = 500 /* about 30 KB */
+  MAX_DOUBTS_PER_ROW = 500, /* about 30 KB */
+  /* A backend server lists 500 ends that were not acknowledged.  With so many
+     all are, so that none is missing in an answer.  */
+  MAX_HELD_ENDS = 300
 };
 
 /* A row in the store, removed after UNTIL.  */
@@ -268,6 +271,7 @@
 jb_pool_ackable_end (const struct jb_backend *backend, jb_time now)
 {
   if (backend->held_from != 0 && backend->held_from <= backend->stored_end
+      && backend->processed_end - backend->held_from < MAX_HELD_ENDS
       && now >= backend->cordoned_until)
     return backend->held_from - 1;
   return backend->stored_end;
--- a/tests/sim/jobs/jw_backend.c
+++ b/tests/sim/jobs/jw_backend.c
@@ -12,7 +12,9 @@
 enum
 {
   HOSTS_PER_PAGE = 3,
-  ADDRESS_COUNT = 250 /* later backend servers reuse the addresses */
+  MAX_LISTED_ENDS = 500, /* in an answer; the others follow when these are
+                            acknowledged */
+  ADDRESS_COUNT = 250    /* later backend servers reuse the addresses */
 };
 
 /* How long a task takes to end after it was told to stop.  A long-running one,
@@ -150,6 +152,8 @@
 list_runs (const struct jw_world *world, const struct jw_backend *backend,
            struct jb_reply *reply)
 {
+  guint count = MIN (backend->ended_runs->len, MAX_LISTED_ENDS);
+
   reply->backend_clock_ms = jw_backend_clock_ms (backend, world->now);
   reply->started_unix_ms = backend->started_unix_ms;
   reply->active_runs = talloc_zero_array (reply->mem, struct jb_active_run,
@@ -164,9 +168,9 @@
         .ready_percent = world->now - run->started_at >= READY_DELAY ? 100 : 0
       };
     }
-  reply->ended_runs = talloc_zero_array (reply->mem, struct jb_ended_run,
-                                         backend->ended_runs->len + 1);
-  for (guint i = 0; i < backend->ended_runs->len; i++)
+  reply->ended_runs
+      = talloc_zero_array (reply->mem, struct jb_ended_run, count + 1);
+  for (guint i = 0; i < count; i++)
     {
       const struct jw_ended_run *ended
           = g_ptr_array_index (backend->ended_runs, i);
