Count tasks with a start in doubt against their organisation's quota

Cause: read in a review: a task whose repeated start was refused has no run and counted as waiting, while its first start may still be carried out; other tasks of the organisation could use its share meanwhile.

--- a/packages/jobs/src/jb_pool_quota.c
+++ b/packages/jobs/src/jb_pool_quota.c
@@ -162,22 +162,28 @@
 
 /* Return how many tasks of GROUP have no run that is known, but may have one
    on a silent backend server.  */
+/* Return the number of tasks of GROUP without a known run that may have one:
+   a former owner has left it on a silent backend server, or a start is in
+   doubt.  */
 static uint32_t
-count_awaited (const struct jb_task_group *group)
+count_possible_runs (const struct jb_pool *pool,
+                     const struct jb_task_group *group)
 {
   uint32_t count = 0;
 
   for (uint32_t i = 0; i < group->task_count; i++)
-    if (group->tasks[i].is_awaited && group->tasks[i].state == JB_RUN_NONE
-        && !group->tasks[i].done)
-      count++;
+    {
+      struct jb_task *task = &group->tasks[i];
+
+      if (task->state == JB_RUN_NONE && !task->done)
+        count += task->is_awaited || jb_pool_find_doubt (pool, task) != NULL;
+    }
   return count;
 }
 
-/* Add what the tasks of JOB use and want to ORG_USAGE.  If ANY_AWAITED, some
-   tasks may have runs on silent backend servers.  */
+/* Add what the tasks of JOB use and want to ORG_USAGE.  */
 static void
-add_job_usage (const struct jb_job *job, bool any_awaited,
+add_job_usage (const struct jb_pool *pool, const struct jb_job *job,
                struct jb_pool_org_usage *org_usage)
 {
   for (guint i = 0; i < job->groups->len; i++)
@@ -198,10 +204,10 @@
         add_multiple (&org_usage->used, resources, waiting);
       else if (group->ready)
         {
-          int64_t awaited = any_awaited ? count_awaited (group) : 0;
+          int64_t possible = count_possible_runs (pool, group);
 
-          add_multiple (&org_usage->used, resources, awaited);
-          add_multiple (&org_usage->wanted, resources, waiting - awaited);
+          add_multiple (&org_usage->used, resources, possible);
+          add_multiple (&org_usage->wanted, resources, waiting - possible);
         }
     }
 }
@@ -225,8 +231,7 @@
       struct jb_job *job = g_ptr_array_index (pool->active_jobs, i);
 
       if (job->desc->org != NULL)
-        add_job_usage (job, pool->awaited_tasks > 0,
-                       jb_pool_get_job_usage (pool, job));
+        add_job_usage (pool, job, jb_pool_get_job_usage (pool, job));
     }
 }
 
