--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -923,7 +923,8 @@
   jb_pool_expire_losses (pool, now);
   jb_pool_expire_doubts (pool, now);
   if (now - jb_ownership_confirmed_at (pool->ownership)
-      > OWNERSHIP_VERIFY_AFTER)
+          > OWNERSHIP_VERIFY_AFTER
+      || pool->restart_seen_at > jb_ownership_confirmed_at (pool->ownership))
     jb_ownership_verify (pool->ownership, now);
   for (guint i = 0; i < pool->active_jobs->len; i++)
     {
@@ -956,8 +957,6 @@
   due = jb_ownership_run (pool->ownership, now);
   if (jb_pool_is_handing_over (pool))
     return MIN (due, jb_pool_run_handover (pool, now));
-  if (pool->restart_seen_at > jb_ownership_confirmed_at (pool->ownership))
-    jb_ownership_verify (pool->ownership, now);
   jb_pool_check_predecessor (pool, now);
   jb_pool_write_settled (pool, now);
   sweep (pool, now);
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -455,6 +455,7 @@
   backend->may_get_old_commands = true;
   backend->restart_seen_at = now;
   pool->restart_seen_at = now;
+  jb_ownership_verify (pool->ownership, now);
   backend->started_unix_ms = reply->started_unix_ms;
   backend->processed_end = 0;
   backend->stored_end = 0;
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -56,8 +56,8 @@
 
 /* Return whether BACKEND has restarted since the store last confirmed the
    ownership: it no longer refuses the commands of a former owner, and this
-   host may be one.  Nobody takes a pool over while the store does not
-   answer.  */
+   host may be one.  While the store does not answer, the validity of the
+   ownership (jb_pool_may_command) must do.  */
 static bool
 awaits_confirmation (const struct jb_pool *pool,
                      const struct jb_backend *backend)
