Let no task wait for a backend server that is not there

Change: an instance that is neither known nor listed 3 s after the rows were read counts as gone; one with starts in doubt is not freed; when the planner reports a host as removed, its instance carries out nothing more.

--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -734,8 +734,9 @@
 }
 
 /* Callback of g_hash_table_foreach_remove: free the backend server VALUE if it
-   left the list at least 2 * UNLISTED_GRACE_PERIOD ago, runs nothing and has
-   no starts or probes in flight.  Return whether it was freed.  */
+   left the list at least 2 * UNLISTED_GRACE_PERIOD ago, runs nothing, can't
+   carry out a start late, and has no starts or probes in flight.  Return
+   whether it was freed.  */
 static gboolean
 free_if_gone (gpointer key, gpointer value, gpointer data)
 {
@@ -743,7 +744,7 @@
   jb_time now = *(jb_time *)data;
 
   (void)key;
-  if (backend->listed || backend->task_count > 0
+  if (backend->listed || backend->task_count > 0 || backend->doubt_count > 0
       || backend->starts_in_flight > 0 || backend->probes_in_flight > 0
       || now - backend->listed_at < 2 * UNLISTED_GRACE_PERIOD)
     return FALSE;
--- a/packages/jobs/src/jb_pool_doubt.c
+++ b/packages/jobs/src/jb_pool_doubt.c
@@ -19,6 +19,9 @@
 #define STORE_AFTER (25 * JB_MS)
 #define ROW_INTERVAL (40 * JB_MS)
 
+/* Time within which a backend server that is there is listed.  */
+#define LIST_TIME (3000 * JB_MS)
+
 enum
 {
   MAX_DOUBTS_PER_ROW = 500, /* about 30 KB */
@@ -330,11 +333,14 @@
    since the start was sent and answered a command that bars that.  BACKEND is
    NULL if it isn't known.  */
 static bool
-is_gone (const struct jb_backend *backend, const struct jb_doubt *doubt,
-         jb_time now)
+is_gone (const struct jb_pool *pool, const struct jb_backend *backend,
+         const struct jb_doubt *doubt, jb_time now)
 {
+  if (backend == NULL)
+    return pool->stage == JB_STAGE_ACTIVE && pool->list_number > 0
+           && now - doubt->sent_at > LIST_TIME;
   if (backend->draining && is_barred (backend, doubt)
-      && doubt->until - JB_MAX_COMMAND_DELAY < backend->restart_seen_at)
+      && doubt->sent_at < backend->restart_seen_at)
     return true;
   return !backend->listed
          && backend->unanswered_probes >= JB_SILENT_AFTER_PROBES
@@ -353,7 +359,7 @@
   if (jb_doubt_is_over (doubt, visit->now,
                         backend != NULL ? backend->asked_at : 0,
                         pool->options.bounds->max_lease_ms)
-      || (backend != NULL && is_gone (backend, doubt, visit->now)))
+      || is_gone (pool, backend, doubt, visit->now))
     return true;
   if (backend != NULL)
     backend->doubt_count++;
--- a/packages/jobs/src/jb_pool_evacuate.c
+++ b/packages/jobs/src/jb_pool_evacuate.c
@@ -156,6 +156,7 @@
 
   if (backend == NULL)
     return;
+  jb_pool_drop_doubts (pool, instance);
   backend->cordoned_until = now + REMOVED_HOST_CORDON_PERIOD;
   backend->removed_at = now;
   backend->unanswered_probes = MAX (backend->unanswered_probes, 1);
