Start a task on one backend server six times without an answer at most

Cause: read in a review: each repeated start keeps its task in doubt for longer, so a backend server that answers probes but no starts kept its tasks for ever; and the start of a task that another run had completed meanwhile was repeated. Change: after six starts without an answer the run is stopped, and the task goes elsewhere when none of them can be carried out any more; no start of a task that is done is repeated.

--- a/packages/jobs/src/jb_pool_doubt.c
+++ b/packages/jobs/src/jb_pool_doubt.c
@@ -158,7 +158,8 @@
       = doubt != NULL ? g_hash_table_lookup (pool->backends, doubt->instance)
                       : NULL;
 
-  if (backend == NULL || !jb_pool_backend_is_usable (pool, backend, now))
+  if (backend == NULL || doubt->sent >= JB_MAX_STARTS_IN_DOUBT
+      || !jb_pool_backend_is_usable (pool, backend, now))
     return NULL;
   return jb_place_choose (task, &backend, 1, NULL, now);
 }
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -46,6 +46,9 @@
 
 enum
 {
+  /* A task whose starts on a backend server were not answered so often is not
+     started there again.  */
+  JB_MAX_STARTS_IN_DOUBT = 6,
   /* Each owner has this many fencing tokens, so that it can raise the one of a
      backend server.  */
   JB_FENCES_PER_OWNER = 1 << 16
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -535,7 +535,10 @@
 void
 jb_pool_repeat_start (struct jb_pool *pool, struct jb_task *task, jb_time now)
 {
-  if (task->group->job->ended_at != 0
+  const struct jb_doubt *doubt = jb_pool_find_doubt (pool, task);
+
+  if (task->group->job->ended_at != 0 || task->done
+      || (doubt != NULL && doubt->sent >= JB_MAX_STARTS_IN_DOUBT)
       || !jb_pool_backend_is_usable (pool, task->backend, now))
     jb_pool_stop_run (pool, task, now, "its start was not answered");
   else if (jb_pool_may_command (pool, now))
