List exactly the starts in doubt at a planned handover

Cause: read in a review: rows of the last 19 s stayed, with starts that had been answered since, and at most 500 of the others were added; the successor would keep tasks in place and hold ends back for nothing. Change: the rows are replaced by as many new ones as needed. Result: test_pool_takeover passes.

--- a/packages/jobs/src/jb_pool_doubt.c
+++ b/packages/jobs/src/jb_pool_doubt.c
@@ -546,10 +546,30 @@
                                                   : doubts->next_row;
 }
 
+static bool
+mark_unstored (void *data, struct jb_doubt *doubt)
+{
+  (void)data;
+  doubt->stored = false;
+  return false;
+}
+
 void
 jb_pool_write_all_doubts (struct jb_pool *pool, jb_time now)
 {
-  write_row (pool, now, JB_NEVER);
+  GPtrArray *rows = pool->doubts->rows;
+  guint old_count = rows->len;
+  bool is_complete = false;
+
+  for (guint i = 0; i < old_count; i++)
+    ((struct doubt_row *)g_ptr_array_index (rows, i))->until = 0;
+  jb_doubt_visit (pool->doubts->table, mark_unstored, NULL);
+  /* Each transaction adds one row and removes some of the old ones, which are
+     the first.  */
+  while (!is_complete
+         || (rows->len > 0
+             && ((struct doubt_row *)g_ptr_array_index (rows, 0))->until == 0))
+    is_complete = write_row (pool, now, JB_NEVER);
 }
 
 void
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -366,7 +366,8 @@
 /* Store the starts that were not answered, for a successor, and remove rows
    that list nothing any more.  Return when to call this next, or JB_NEVER.  */
 jb_time jb_pool_write_doubts (struct jb_pool *pool, jb_time now);
-/* Store all starts in doubt, also those in flight.  */
+/* Replace the rows by new ones that list all starts in doubt, also those in
+   flight.  */
 void jb_pool_write_all_doubts (struct jb_pool *pool, jb_time now);
 /* Add the starts that ROW of a former owner lists.  */
 void jb_pool_load_doubts (struct jb_pool *pool, const struct jb_row *row,
