Open no more occurrences for a reported run than fit

Cause: a backend server that reports a run of the last of 100,000 occurrences had all of them opened with their tasks, past the bound that applies to those that are due; the same for a row of a former owner. Change: both use jb_job_open_occurrences_up_to, which keeps the bound. A run beyond it is stopped as one that no job needs. Result: test_jb_job, "occurrences opened for a reported run are bounded".

--- a/packages/jobs/include/jb_job.h
+++ b/packages/jobs/include/jb_job.h
@@ -184,6 +184,10 @@
    an earlier one is done.  */
 bool jb_job_can_open_occurrence (const struct jb_job *job);
 
+/* Open the occurrences up to OCCURRENCE, which was started before, as far as
+   jb_job_can_open_occurrence allows.  */
+void jb_job_open_occurrences_up_to (struct jb_job *job, uint32_t occurrence);
+
 /* Open the next occurrence of JOB: create its task groups.  */
 void jb_job_open_next_occurrence (struct jb_job *job);
 
--- a/packages/jobs/src/jb_job.c
+++ b/packages/jobs/src/jb_job.c
@@ -75,6 +75,15 @@
   jb_job_update_ready_groups (job, occurrence);
 }
 
+void
+jb_job_open_occurrences_up_to (struct jb_job *job, uint32_t occurrence)
+{
+  while (job->opened_occurrences <= occurrence
+         && job->opened_occurrences < job->desc->scheduled_occurrences
+         && jb_job_can_open_occurrence (job))
+    jb_job_open_next_occurrence (job);
+}
+
 int64_t
 jb_task_group_critical_path_ms (struct jb_task_group *group)
 {
--- a/packages/jobs/src/jb_pool_handover.c
+++ b/packages/jobs/src/jb_pool_handover.c
@@ -198,9 +198,7 @@
 
   if (job == NULL || job->ended_at != 0)
     return NULL;
-  while (job->opened_occurrences <= ref.occurrence
-         && job->opened_occurrences < job->desc->scheduled_occurrences)
-    jb_job_open_next_occurrence (job);
+  jb_job_open_occurrences_up_to (job, ref.occurrence);
   return jb_job_find_task (job, &ref);
 }
 
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -177,10 +177,9 @@
 open_and_find_task (const struct jb_pool *pool, struct jb_job *job,
                     const struct jb_task_ref *ref)
 {
-  while (!jb_pool_has_disabled (pool, JB_SAFEGUARD_OCCURRENCES)
-         && job->ended_at == 0 && job->opened_occurrences <= ref->occurrence
-         && job->opened_occurrences < job->desc->scheduled_occurrences)
-    jb_job_open_next_occurrence (job);
+  if (!jb_pool_has_disabled (pool, JB_SAFEGUARD_OCCURRENCES)
+      && job->ended_at == 0)
+    jb_job_open_occurrences_up_to (job, ref->occurrence);
   return jb_job_find_task (job, ref);
 }
 
--- a/packages/jobs/tests/test_jb_job.c
+++ b/packages/jobs/tests/test_jb_job.c
@@ -254,6 +254,21 @@
   talloc_free (mem);
 }
 
+/* A backend server that reports a run of the last occurrence must not get all
+   of them opened.  */
+static void
+test_open_reported_occurrence (void)
+{
+  TALLOC_CTX *mem = talloc_new (NULL);
+  struct jb_job *job = make_job (mem, JB_MAX_OCCURRENCES);
+
+  jb_job_open_occurrences_up_to (job, 9);
+  CU_ASSERT_EQUAL (job->opened_occurrences, 10);
+  jb_job_open_occurrences_up_to (job, JB_MAX_OCCURRENCES - 1);
+  CU_ASSERT_TRUE (count_open_tasks (job) <= 65536);
+  talloc_free (mem);
+}
+
 /* A request must go to the queue with the longest matching path prefix on its
    host, and an API key must identify its organisation only.  */
 static void
@@ -299,6 +314,8 @@
           { "the work of a job is bounded", test_work },
           { "the open occurrences of a job are bounded",
             test_open_occurrences },
+          { "occurrences opened for a reported run are bounded",
+            test_open_reported_occurrence },
           { "catalog finds queues and organisations", test_catalog },
           { NULL, NULL } };
 
