--- a/packages/jobs/include/jb_doubt.h
+++ b/packages/jobs/include/jb_doubt.h
@@ -85,7 +85,7 @@
 
 /* Return whether nothing of DOUBT can be active at NOW beside what the answer
    to a probe sent at ASKED_AT has listed, 0 if there was none.  MAX_LEASE_MS
-   as above.  */
+   is the longest lease of the backend server, on its clock.  */
 bool jb_doubt_is_over (const struct jb_doubt *doubt, jb_time now,
                        jb_time asked_at, int64_t max_lease_ms);
 
