Review: a wide job blocks its pool, and runs on after it was cancelled

The progress of the job outgrows a row of the store, the transaction is repeated without end, and the cancellation behind it is never stored, so the next owner starts the job again.

--- a/review/src/stage.c
+++ b/review/src/stage.c
@@ -764,7 +764,8 @@
   return answer;
 }
 
-/* A spec has the form "cpu=N mem=N ms=N"; ms=0 runs until it is stopped.  */
+/* A spec has the form "cpu=N ms=N spread=N"; ms=0 runs until it is stopped,
+   and the tasks of a step take up to SPREAD percent longer, by their index. */
 static int64_t
 spec_number (const char *spec, const char *name)
 {
@@ -816,6 +817,9 @@
   active->record->started_at = stage_now ();
   active->record->ended_at = -1;
   active->duration_ms = spec_number (spec, "ms=");
+  active->duration_ms
+      += active->duration_ms * spec_number (spec, "spread=")
+         * (g_ascii_strtoll (strrchr (task, '.') + 1, NULL, 10) % 100) / 10000;
   active->resumed_ms
       = g_ascii_strtoll (text_of (json, "checkpointed"), NULL, 16);
   g_ptr_array_add (worker->active, active);
@@ -1215,6 +1219,55 @@
   stage.pids[index] = 0;
 }
 
+void
+stage_restart_entry (unsigned index, int64_t limit_ms)
+{
+  int64_t until = stage_now () + limit_ms;
+  int status;
+
+  stage_signal_entry (index, SIGTERM);
+  while (waitpid (stage.pids[index], &status, WNOHANG) == 0)
+    {
+      if (stage_now () >= until)
+        {
+          stage_signal_entry (index, SIGKILL);
+          break;
+        }
+      stage_sleep (20);
+    }
+  stage_note ("edge-%u has ended", index + 1);
+  stage.pids[index] = 0;
+  stage_start_entry (index);
+}
+
+int
+stage_find_owner (const char *service)
+{
+  char *part = g_strdup_printf ("pool/%s", service);
+  int owner = -1;
+
+  g_mutex_lock (&stage.lock);
+  for (guint i = 0; i < stage.rows->len; i++)
+    {
+      const struct row *row = g_ptr_array_index (stage.rows, i);
+      gsize len = 0;
+      guchar *value;
+      const char *name;
+
+      if (row->deleted || strcmp (row->table, "duty") != 0
+          || strcmp (row->part, part) != 0)
+        continue;
+      value = g_base64_decode (row->value, &len);
+      name = memmem (value, len, "edge-", 5);
+      if (name != NULL)
+        owner = name[5] - '1';
+      g_free (value);
+    }
+  g_mutex_unlock (&stage.lock);
+  g_free (part);
+  return owner;
+}
+
 /* ---- clients ---- */
 
 static int
--- a/review/src/stage.h
+++ b/review/src/stage.h
@@ -91,6 +91,14 @@
    no entry host has answered.  */
 char *stage_job_state (const char *host, const char *path);
 
+/* Return the index of the entry host that is named in the store as the owner
+   of the pool of SERVICE, or -1.  */
+int stage_find_owner (const char *service);
+
+/* Send SIGTERM to entry host INDEX, and start it again when it has ended,
+   after LIMIT_MS at the latest.  */
+void stage_restart_entry (unsigned index, int64_t limit_ms);
+
 /* Call VISIT for each run in the order of the starts.  */
 void stage_foreach_run (void (*visit) (const struct stage_run *run,
                                        void *data),
