--- a/review/src/stage.c
+++ b/review/src/stage.c
@@ -88,6 +88,8 @@
   int64_t last_end;
   int64_t sequence;
   int64_t next_heartbeat;
+  char *stale_id; /* of the last life, whose entry the store still has */
+  int64_t stale_until;
   GPtrArray *active;  /* struct active */
   GPtrArray *ends;    /* struct end, not acknowledged */
   GHashTable *closed; /* task -> highest run that was stopped or ended */
@@ -625,11 +627,18 @@
   worker->up = false;
   worker->state = state;
   worker->up_at = stage_now () + down_ms;
-  if (is_planned || strcmp (worker->id, worker->next_id) != 0)
+  if (is_planned)
     {
       stage.version++;
       put_row ("servers", "", worker->id, NULL);
     }
+  else if (strcmp (worker->id, worker->next_id) != 0)
+    {
+      /* The entry is removed after three heartbeat intervals of silence.  */
+      g_free (worker->stale_id);
+      worker->stale_id = g_strdup (worker->id);
+      worker->stale_until = worker->next_heartbeat + 2 * HEARTBEAT_MS;
+    }
   g_cond_broadcast (&stage.changed);
 }
 
@@ -686,6 +695,12 @@
 static void
 run_worker (struct stage_worker *worker)
 {
+  if (worker->stale_id != NULL && stage_now () >= worker->stale_until)
+    {
+      stage.version++;
+      put_row ("servers", "", worker->stale_id, NULL);
+      g_clear_pointer (&worker->stale_id, g_free);
+    }
   if (!worker->up)
     {
       if (worker->next_id != NULL && stage_now () >= worker->up_at)
