--- a/review/src/stage.c
+++ b/review/src/stage.c
@@ -22,6 +22,7 @@
 enum
 {
   TX_MS = 8,
+  READ_MS = 4,
   HOLD_MAX_MS = 6000,
   MOVE_MS = 1500,
   UPKEEP_MS = 2000,
@@ -109,6 +110,7 @@
   int64_t version;
   unsigned oversized_writes;
   bool store_down;
+  int store_slowness;
   struct stage_worker workers[MAX_WORKERS];
   unsigned worker_count;
   GPtrArray *runs;
@@ -336,7 +338,7 @@
   json_t *current = json_array ();
   bool holds = true;
 
-  stage_sleep (TX_MS);
+  stage_sleep (TX_MS * stage.store_slowness);
   g_mutex_lock (&stage.lock);
   *status = check_transaction (request->json, request->body->len);
   for (size_t i = 0; i < json_array_size (expected); i++)
@@ -413,7 +415,7 @@
   size_t bytes = 0;
   guint count = 0;
 
-  stage_sleep (4);
+  stage_sleep (READ_MS * stage.store_slowness);
   g_mutex_lock (&stage.lock);
   for (guint i = 0; i < stage.rows->len; i++)
     {
@@ -452,7 +454,7 @@
   json_t *rows = json_array ();
   json_t *answer;
 
-  stage_sleep (4);
+  stage_sleep (READ_MS * stage.store_slowness);
   g_mutex_lock (&stage.lock);
   for (;;)
     {
@@ -1529,6 +1531,15 @@
   g_mutex_unlock (&stage.lock);
 }
 
+void
+stage_set_store_slowness (int factor)
+{
+  g_mutex_lock (&stage.lock);
+  stage_note ("answers of the store take %d times as long", factor);
+  stage.store_slowness = factor;
+  g_mutex_unlock (&stage.lock);
+}
+
 void
 stage_foreach_run (void (*visit) (const struct stage_run *run, void *data),
                    void *data)
@@ -1603,6 +1614,7 @@
   stage.folder = g_strdup (folder);
   stage.program = g_strdup (program);
   stage.entry_count = entry_count;
+  stage.store_slowness = 1;
   stage.rows = g_ptr_array_new ();
   stage.runs = g_ptr_array_new ();
   stage.network = 100 + (unsigned)getpid () % 150;
--- a/review/src/stage.h
+++ b/review/src/stage.h
@@ -69,6 +69,8 @@
 /* Let the platform's store leave all calls unanswered and undone, or serve
    calls again.  */
 void stage_set_store_down (bool down);
+/* Let the answers of the platform's store take FACTOR times as long.  */
+void stage_set_store_slowness (int factor);
 
 void stage_start_entries (void);
 /* Send SIGNAL_NUMBER to entry host INDEX; it is not restarted.  */
