--- a/review/3/case.c
+++ b/review/3/case.c
@@ -1,52 +1,48 @@
-/* The platform's store is down for some seconds while many short tasks run.
-   Their ends can't be stored, so they are not acknowledged, and a worker lists
-   only the first 500 of them.  */
+/* A queue's service changes between the acceptance of a job and the arrival of
+   a repeated submission of the same job.  */
 
 #include "stage.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define HOST "queues.example"
+#define PATH "/book/5c0e7a21d94b36f8"
+#define TASK "5c0e7a21d94b36f8.0.0.0"
 
-enum
-{
-  JOBS = 40,
-  TASKS_PER_JOB = 200,
-  TASK_MS = 500,
-  TASK_CPU = 50, /* thousandths of a core */
-  WORKERS = 3,
-  OUTAGE_MS = 4500,
-  FINISH_MS = 20000
-};
+static const char job[]
+    = "{\"spec\":\"cpu=1000 ms=9000\",\"steps\":[{\"count\":2,\"cpu\":1000,"
+      "\"memMb\":256,\"estimateMs\":9000}]}";
 
+/* Return a configuration with VERSION, in which the queue belongs to SERVICE
+   and has the target LATENCY_MS.  */
 static json_t *
-make_config (void)
+make_config (int version, const char *service, int latency_ms)
 {
   return json_pack (
       "{s:i,s:[{s:s,s:s,s:s,s:s,s:i,s:i,s:f,s:i,s:b}],s:[{s:s,s:[s],s:i,"
-      "s:{s:i,s:i,s:i}}],s:[{s:s,s:b}],s:{s:i}}",
-      "version", 3, "routes", "name", "check", "host", HOST, "pathPrefix",
-      "/check/", "service", "desk-a", "priority", 0, "maxAttempts", 4,
-      "stretch", 3.0, "targetLatencyMs", 600, "public", 0, "tenants", "name",
+      "s:{s:i,s:i,s:i}}],s:[{s:s,s:b},{s:s,s:b}],s:{s:i}}",
+      "version", version, "routes", "name", "book", "host", HOST, "pathPrefix",
+      "/book/", "service", service, "priority", 0, "maxAttempts", 4, "stretch",
+      3.0, "targetLatencyMs", latency_ms, "public", 0, "tenants", "name",
       "tenant-1", "apiKeys", "key-of-tenant-1", "weight", 10, "cap", "cpu", 0,
       "memMb", 0, "gpu", 0, "services", "name", "desk-a", "rejectsOverload", 1,
-      "limits", "maxBodyBytes", 262144);
+      "name", "desk-b", "rejectsOverload", 1, "limits", "maxBodyBytes",
+      262144);
 }
 
 static bool
-submit_job (int number)
+wait_for_start (int64_t limit_ms)
 {
-  char body[300];
-  char path[64];
+  int64_t until = stage_now () + limit_ms;
 
-  snprintf (body, sizeof body,
-            "{\"spec\":\"cpu=%d ms=%d\",\"steps\":[{\"count\":%d,\"cpu\":%d,"
-            "\"memMb\":8,\"estimateMs\":%d}]}",
-            TASK_CPU, TASK_MS, TASKS_PER_JOB, TASK_CPU, TASK_MS);
-  snprintf (path, sizeof path, "/check/0000000000000c%02d", number);
-  return stage_submit (HOST, path, body, 10000);
+  while (stage_now () < until)
+    {
+      if (stage_find_running (TASK) != NULL)
+        return true;
+      stage_sleep (50);
+    }
+  return false;
 }
 
 int
@@ -58,27 +54,22 @@
   if (argc != 3)
     return STAGE_CANNOT_RUN;
   stage_open (argv[1], argv[2], 3);
-  stage_configure (make_config ());
-  for (int i = 0; i < WORKERS; i++)
+  stage_configure (make_config (3, "desk-a", 600));
+  for (int i = 0; i < 3; i++)
     stage_add_worker ("desk-a", "kind-a,r1", 16000, 65536);
+  for (int i = 0; i < 3; i++)
+    stage_add_worker ("desk-b", "kind-a,r2", 16000, 65536);
   stage_start_entries ();
-  if (!stage_wait_ready (15000))
+  if (!stage_wait_ready (15000) || !stage_submit (HOST, PATH, job, 15000)
+      || !wait_for_start (10000))
     return stage_close (STAGE_CANNOT_RUN);
-  for (int i = 0; i < JOBS; i++)
-    if (!submit_job (i))
-      return stage_close (STAGE_CANNOT_RUN);
-  if (has_trouble)
-    stage_set_store_down (true);
-  stage_sleep (OUTAGE_MS);
-  if (has_trouble)
-    stage_set_store_down (false);
-  stage_sleep (FINISH_MS);
-  for (int i = 0; i < JOBS; i++)
-    {
-      char path[64];
-
-      snprintf (path, sizeof path, "/check/0000000000000c%02d", i);
-      free (stage_job_state (HOST, path));
-    }
+  stage_configure (has_trouble ? make_config (5, "desk-b", 600)
+                               : make_config (5, "desk-a", 700));
+  /* In force within configApplyMs, 2 s.  */
+  stage_sleep (2500);
+  /* The same submission arrives again.  */
+  stage_call (1, "POST", HOST, PATH, job, 3000, NULL);
+  stage_sleep (12000);
+  free (stage_job_state (HOST, PATH));
   return stage_close (stage_count_twice () > 0 ? STAGE_BROKEN : STAGE_PASSED);
 }
