Deliver messages between entry hosts only to the process that they are for

Cause: a connection between entry hosts was bound to an address. When the member's process is replaced, the connection is made again and reaches the next process, which takes replies to its predecessor's calls for replies to its own, since both number them from 1.

Ruled out: writes lost in the store. The lost jobs had never been sent to an owner.

Change: the nonce of a challenge names the process that sends it, and the opening side closes the connection if that is not the member; the accepting side closes connections to a former incarnation of its own. Hosts of the previous version name no process, so the numbers of calls no longer repeat between the processes of a host either.

--- a/packages/jobs/include/jb_msg.h
+++ b/packages/jobs/include/jb_msg.h
@@ -97,7 +97,8 @@
 
 struct jb_msg_request
 {
-  uint64_t call; /* number, unique on the sending host */
+  uint64_t call; /* number, unique among those of all processes of the sending
+                    host */
   uint32_t kind; /* enum jb_request_kind */
   char *pool;
   char *id;                 /* of the job, or NULL */
--- a/packages/jobs/src/jb_frontend.c
+++ b/packages/jobs/src/jb_frontend.c
@@ -1,5 +1,7 @@
 #include "jb_frontend.h"
 
+#include "ba_hash.h"
+
 #include <string.h>
 
 /* A forwarded request is sent again if no reply arrives within this time.  */
@@ -44,6 +46,10 @@
 struct jb_frontend
 {
   struct jb_frontend_options options;
+  /* Added to the number of a call in requests.  Each process numbers its calls
+     from 1, and a reply to a former process of this host, which a host of the
+     previous version may send here, must not answer a call of this one.  */
+  uint64_t request_number_offset;
   GHashTable *pending_calls; /* number -> struct pending_call */
 };
 
@@ -58,8 +64,12 @@
 jb_frontend_new (TALLOC_CTX *mem, const struct jb_frontend_options *options)
 {
   struct jb_frontend *frontend = talloc_zero (mem, struct jb_frontend);
+  char incarnation[24];
 
   frontend->options = *options;
+  g_snprintf (incarnation, sizeof incarnation, "%" G_GUINT64_FORMAT,
+              options->incarnation);
+  frontend->request_number_offset = ba_hash_str (incarnation, 0);
   frontend->pending_calls = g_hash_table_new (g_int64_hash, g_int64_equal);
   talloc_set_destructor (frontend, frontend_destroy);
   return frontend;
@@ -224,7 +234,7 @@
       = now + MAX (deadline_ms - ANSWER_MARGIN_MS, deadline_ms / 2) * JB_MS;
   pending_call->partition
       = talloc_asprintf (pending_call, "pool/%s", queue->pool);
-  request->call = number;
+  request->call = frontend->request_number_offset + number;
   request->pool = talloc_strdup (pending_call, queue->pool);
   request->queue = talloc_strdup (pending_call, queue->name);
   if (*id != '\0')
@@ -347,8 +357,9 @@
 jb_frontend_receive_reply (struct jb_frontend *frontend, jb_time now,
                            const struct jb_msg_reply *reply)
 {
+  uint64_t number = reply->call - frontend->request_number_offset;
   struct pending_call *pending_call
-      = g_hash_table_lookup (frontend->pending_calls, &reply->call);
+      = g_hash_table_lookup (frontend->pending_calls, &number);
   struct jb_answer answer = { .kind = reply->kind,
                               .state = reply->state,
                               .pending = reply->pending,
--- a/packages/peer/include/pr_link.h
+++ b/packages/peer/include/pr_link.h
@@ -7,7 +7,9 @@
    Each process sends over connections that it opens itself and receives over
    those that it accepts.  The accepting side sends a challenge.  The opening
    side answers with its incarnation and a keyed digest of the challenge, so
-   that only processes that know the shared secret are accepted.
+   that only processes that know the shared secret are accepted.  The challenge
+   names the process that sends it, so that a message reaches only the process
+   that it is for, not one that was started at its address later.
 
    A message that can't be sent is dropped.  The protocols that use the link
    recover from lost messages.  What waits for connections is bounded for each
@@ -37,6 +39,9 @@
   PR_COUNTER_BAD_SECRET,
   PR_COUNTER_BAD_VERSION,
   PR_COUNTER_OVERSIZED,
+  /* Connections that were closed because they were meant for a former process
+     at the address, or for a former incarnation of this process.  */
+  PR_COUNTER_FORMER_PROCESS,
   PR_COUNTER_COUNT
 };
 
@@ -84,7 +89,8 @@
                           const struct pr_member *members, uint32_t count);
 
 /* Set the incarnation of this process to INCARNATION, and make all connections
-   to the members anew with it.  Any thread.  */
+   to the members anew with it.  What members still send to the former
+   incarnation is not received any more.  Any thread.  */
 void pr_link_set_incarnation (struct pr_link *link, uint64_t incarnation);
 
 /* Serve until pr_link_stop is called.  HEARTBEAT is called with CONTEXT every
--- a/packages/peer/src/pr_frame.c
+++ b/packages/peer/src/pr_frame.c
@@ -3,6 +3,16 @@
 #include "ba_codec.h"
 
 #include <string.h>
+#include <sys/random.h>
+
+/* Marks a nonce that names a process.  The incarnation of the process follows,
+   most significant byte first, then random bytes.  */
+static const uint8_t nonce_mark[] = { 'd', 'p', '-', 'n', 'o', 'n', 'c', 'e' };
+
+enum
+{
+  NONCE_RANDOM_OFFSET = sizeof nonce_mark + sizeof (guint64)
+};
 
 void
 pr_frame_append (GByteArray *out, struct ba_bytes body)
@@ -80,6 +90,28 @@
   return ba_codec_is_complete (&io) && hello->digest.len == PR_DIGEST_BYTES;
 }
 
+bool
+pr_nonce_init (uint8_t *nonce, uint64_t incarnation)
+{
+  const size_t random_bytes = PR_NONCE_BYTES - NONCE_RANDOM_OFFSET;
+  guint64 number = GUINT64_TO_BE (incarnation);
+
+  memcpy (nonce, nonce_mark, sizeof nonce_mark);
+  memcpy (nonce + sizeof nonce_mark, &number, sizeof number);
+  return getrandom (nonce + NONCE_RANDOM_OFFSET, random_bytes, 0)
+         == (ssize_t)random_bytes;
+}
+
+bool
+pr_nonce_may_be_of (struct ba_bytes nonce, uint64_t incarnation)
+{
+  guint64 number = GUINT64_TO_BE (incarnation);
+
+  return memcmp (nonce.data, nonce_mark, sizeof nonce_mark) != 0
+         || memcmp (nonce.data + sizeof nonce_mark, &number, sizeof number)
+                == 0;
+}
+
 struct ba_bytes
 pr_compute_digest (TALLOC_CTX *mem, const char *secret, struct ba_bytes nonce,
                    uint64_t incarnation)
--- a/packages/peer/src/pr_frame.h
+++ b/packages/peer/src/pr_frame.h
@@ -36,7 +36,10 @@
                                      size_t max_body_bytes,
                                      struct ba_bytes *body);
 
-/* The first frame that the accepting side of a connection sends.  */
+/* The first frame that the accepting side of a connection sends.  Its nonce
+   names the process that sends it: another process may have been at its
+   address when the opening side learnt the address.  A process of the previous
+   version sends a nonce that names none.  */
 struct pr_challenge
 {
   uint32_t version; /* PR_PROTOCOL_VERSION */
@@ -62,6 +65,13 @@
 bool pr_hello_decode (TALLOC_CTX *mem, struct ba_bytes in,
                       struct pr_hello *hello);
 
+/* Set NONCE, which has PR_NONCE_BYTES, to a new nonce that names the process
+   with INCARNATION.  Return false if there are no random numbers.  */
+bool pr_nonce_init (uint8_t *nonce, uint64_t incarnation);
+
+/* Return whether NONCE names the process with INCARNATION, or none.  */
+bool pr_nonce_may_be_of (struct ba_bytes nonce, uint64_t incarnation);
+
 /* Return the HMAC-SHA-256 of NONCE and INCARNATION under SECRET, owned by MEM.
    It proves knowledge of SECRET.  */
 struct ba_bytes pr_compute_digest (TALLOC_CTX *mem, const char *secret,
--- a/packages/peer/src/pr_link.c
+++ b/packages/peer/src/pr_link.c
@@ -8,7 +8,6 @@
 #include <netinet/tcp.h>
 #include <stdatomic.h>
 #include <string.h>
-#include <sys/random.h>
 #include <sys/socket.h>
 #include <tevent.h>
 #include <unistd.h>
@@ -78,6 +77,7 @@
   struct pr_link *link;
   int fd;
   struct tevent_fd *event;
+  uint64_t addressee;            /* incarnation that the challenge named */
   bool authenticated;            /* the hello was accepted */
   uint64_t incarnation;          /* of the other process, when authenticated */
   uint8_t nonce[PR_NONCE_BYTES]; /* sent in the challenge */
@@ -122,6 +122,9 @@
   [PR_COUNTER_OVERSIZED]
   = { "dogwoodpulley_peer_closed_total", "reason=\"oversized\"",
       "Connections closed because of what the other side sent" },
+  [PR_COUNTER_FORMER_PROCESS]
+  = { "dogwoodpulley_peer_closed_total", "reason=\"former-process\"",
+      "Connections closed because of what the other side sent" },
 };
 
 static void
@@ -233,7 +236,8 @@
 }
 
 /* If the challenge of the other side has arrived completely, answer it with a
-   hello.  Return false if the challenge is not valid.  */
+   hello.  Return false if the challenge is not valid, or if it is not the
+   member's: another process runs at its address now.  */
 static bool
 out_answer_challenge (struct out_connection *out)
 {
@@ -249,7 +253,14 @@
     {
       is_valid = pr_challenge_decode (scratch, body, &challenge)
                  && challenge.version == PR_PROTOCOL_VERSION;
-      if (is_valid)
+      if (!is_valid)
+        add_to_counter (out->link, PR_COUNTER_BAD_VERSION, 1);
+      else if (!pr_nonce_may_be_of (challenge.nonce, out->incarnation))
+        {
+          add_to_counter (out->link, PR_COUNTER_FORMER_PROCESS, 1);
+          is_valid = false;
+        }
+      else
         {
           hello.incarnation = out->link->options.incarnation;
           hello.digest
@@ -258,8 +269,6 @@
           append_frame (out, pr_hello_encode (scratch, &hello));
           out->hello_queued = true;
         }
-      else
-        add_to_counter (out->link, PR_COUNTER_BAD_VERSION, 1);
     }
   talloc_free (scratch);
   return is_valid;
@@ -540,7 +549,9 @@
       in_close (in, NO_COUNTER);
       return;
     }
-  reason = in_handle_frames (in);
+  reason = in->addressee == in->link->options.incarnation
+               ? in_handle_frames (in)
+               : PR_COUNTER_FORMER_PROCESS;
   if (reason != NO_COUNTER)
     in_close (in, reason);
 }
@@ -564,11 +575,12 @@
   in = talloc_zero (link, struct in_connection);
   in->link = link;
   in->fd = fd;
+  in->addressee = link->options.incarnation;
   in->received = g_byte_array_new ();
   talloc_set_destructor (in, in_destroy);
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
   in->event = tevent_add_fd (events, in, fd, TEVENT_FD_READ, in_event, in);
-  if (getrandom (in->nonce, sizeof in->nonce, 0) != sizeof in->nonce)
+  if (!pr_nonce_init (in->nonce, in->addressee))
     {
       in_close (in, NO_COUNTER);
       return;
--- a/packages/peer/tests/test_pr_link.c
+++ b/packages/peer/tests/test_pr_link.c
@@ -1,4 +1,5 @@
-/* Test of a link whose peers don't read.
+/* Tests of a link whose peers don't read, and of links between processes that
+   follow one another at an address.
 
    Expected load: a message of some megabytes for each of dozens of peers,
    whose links are slow.  */
@@ -18,6 +19,12 @@
 enum
 {
   LINK_PORT = 19490,
+  SENDER_INCARNATION = 101,
+  FORMER_INCARNATION = 102,
+  NEXT_INCARNATION = 103,
+  /* Longer than the link waits before it connects again.  */
+  RECONNECT_TIME_MS = 600,
+  SETTLE_TIME_MS = 300,
   FIRST_PEER_PORT = 19500,
   PEER_COUNT = 24,
   RECEIVE_BUFFER_BYTES = 4096,
@@ -188,11 +195,127 @@
     stop_peer (&peers[i]);
 }
 
+/* A process with a link of its own.  */
+struct process
+{
+  TALLOC_CTX *mem;
+  struct pr_link *link;
+  GThread *thread;
+  _Atomic int received_count;
+};
+
+static enum pr_receive_result
+count_message (void *context, uint64_t from, struct ba_bytes body)
+{
+  struct process *process = context;
+
+  (void)from;
+  (void)body;
+  atomic_fetch_add (&process->received_count, 1);
+  return PR_RECEIVE_ACCEPTED;
+}
+
+static void
+start_process (struct process *process, const char *address,
+               uint64_t incarnation)
+{
+  struct pr_link_options options = { .address = address,
+                                     .secret = "secret",
+                                     .incarnation = incarnation,
+                                     .on_message = count_message,
+                                     .context = process };
+
+  process->mem = talloc_new (NULL);
+  atomic_store (&process->received_count, 0);
+  process->link = pr_link_new (process->mem, &options, NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (process->link);
+  process->thread = g_thread_new ("process", run_link, process->link);
+}
+
+static void
+stop_process (struct process *process)
+{
+  pr_link_stop (process->link);
+  g_thread_join (process->thread);
+  talloc_free (process->mem);
+}
+
+/* Send messages from SENDER to the process TO until RECEIVER has received one
+   or LIMIT_MS have passed.  */
+static void
+send_until_received (struct process *sender, uint64_t to,
+                     struct process *receiver, int limit_ms)
+{
+  uint8_t byte = 0;
+  struct ba_bytes body = { &byte, 1 };
+
+  for (int i = 0; i < limit_ms && atomic_load (&receiver->received_count) == 0;
+       i++)
+    {
+      pr_link_send (sender->link, to, body);
+      g_usleep (1000);
+    }
+}
+
+/* Messages for a process reach the next one at its address, which takes
+   replies to calls of the former process for replies to its own.  */
+static void
+test_message_for_former_process (void)
+{
+  struct process sender;
+  struct process receiver;
+  struct pr_member member = { FORMER_INCARNATION, "127.0.0.1:19492" };
+
+  start_process (&sender, "127.0.0.1:19491", SENDER_INCARNATION);
+  start_process (&receiver, member.address, FORMER_INCARNATION);
+  pr_link_set_members (sender.link, &member, 1);
+  send_until_received (&sender, FORMER_INCARNATION, &receiver, WAIT_MS);
+  CU_ASSERT (atomic_load (&receiver.received_count) > 0);
+  stop_process (&receiver);
+  start_process (&receiver, member.address, NEXT_INCARNATION);
+  send_until_received (&sender, FORMER_INCARNATION, &receiver,
+                       RECONNECT_TIME_MS);
+  CU_ASSERT_EQUAL (atomic_load (&receiver.received_count), 0);
+  member.incarnation = NEXT_INCARNATION;
+  pr_link_set_members (sender.link, &member, 1);
+  send_until_received (&sender, NEXT_INCARNATION, &receiver, WAIT_MS);
+  CU_ASSERT (atomic_load (&receiver.received_count) > 0);
+  stop_process (&receiver);
+  stop_process (&sender);
+}
+
+/* A process that has taken a new incarnation receives messages for its former
+   one over connections that are still open.  */
+static void
+test_message_for_former_incarnation (void)
+{
+  struct process sender;
+  struct process receiver;
+  struct pr_member member = { FORMER_INCARNATION, "127.0.0.1:19492" };
+
+  start_process (&sender, "127.0.0.1:19491", SENDER_INCARNATION);
+  start_process (&receiver, member.address, FORMER_INCARNATION);
+  pr_link_set_members (sender.link, &member, 1);
+  send_until_received (&sender, FORMER_INCARNATION, &receiver, WAIT_MS);
+  CU_ASSERT (atomic_load (&receiver.received_count) > 0);
+  pr_link_set_incarnation (receiver.link, NEXT_INCARNATION);
+  g_usleep (SETTLE_TIME_MS * 1000);
+  atomic_store (&receiver.received_count, 0);
+  send_until_received (&sender, FORMER_INCARNATION, &receiver,
+                       RECONNECT_TIME_MS);
+  CU_ASSERT_EQUAL (atomic_load (&receiver.received_count), 0);
+  stop_process (&receiver);
+  stop_process (&sender);
+}
+
 int
 main (void)
 {
   static const struct dp_test tests[]
       = { { "memory exhausted by slow peers", test_memory_of_slow_peers },
+          { "message for a former process", test_message_for_former_process },
+          { "message for a former incarnation",
+            test_message_for_former_incarnation },
           { NULL, NULL } };
 
   return dp_test_main ("pr_link", tests);
--- a/tests/sim/jobs/jw_clients.c
+++ b/tests/sim/jobs/jw_clients.c
@@ -22,13 +22,17 @@
 
 struct jw_call
 {
-  uint64_t number;
-  struct jw_host *host;
-  uint32_t epoch;
+  uint64_t key;
   enum jb_call_kind kind;
   struct jw_job *job;
 };
 
+uint64_t
+jw_call_key (const struct jw_host *host, uint64_t number)
+{
+  return (uint64_t)host->index << 56 | (uint64_t)host->epoch << 32 | number;
+}
+
 static void send_call (struct jw_world *world, struct jw_job *job,
                        enum jb_call_kind kind);
 
@@ -65,12 +69,12 @@
 static void
 call_timed_out (struct jw_world *world, void *data)
 {
-  uint64_t *number = data;
-  struct jw_call *call = g_hash_table_lookup (world->calls, number);
+  uint64_t *key = data;
+  struct jw_call *call = g_hash_table_lookup (world->calls, key);
 
   if (call == NULL)
     return;
-  g_hash_table_remove (world->calls, number);
+  g_hash_table_remove (world->calls, key);
   if (call->kind == JB_CALL_SUBMIT)
     call->job->only_refused = false;
   if (call->kind != JB_CALL_QUERY)
@@ -107,14 +111,12 @@
       return;
     }
   call = talloc_zero (world, struct jw_call);
-  call->number = ++world->last_call;
-  call->host = host;
-  call->epoch = host->epoch;
+  call->key = jw_call_key (host, ++host->last_call);
   call->kind = kind;
   call->job = job;
-  g_hash_table_insert (world->calls, &call->number, call);
+  g_hash_table_insert (world->calls, &call->key, call);
   jw_schedule (world, world->now + CALL_TIMEOUT, call_timed_out,
-               talloc_memdup (NULL, &call->number, sizeof call->number));
+               talloc_memdup (NULL, &call->key, sizeof call->key));
   if (kind == JB_CALL_SUBMIT)
     {
       message.desc = talloc_zero (call, struct jb_job_desc);
@@ -123,11 +125,11 @@
     }
   if (external_hosts != NULL)
     {
-      external_hosts->send_call (external_hosts->context, call->number,
+      external_hosts->send_call (external_hosts->context, call->key,
                                  host->index, &message);
       return;
     }
-  jb_host_receive_call (host->host, world->now, call->number, &message);
+  jb_host_receive_call (host->host, world->now, host->last_call, &message);
   jw_host_run (host);
 }
 
@@ -161,15 +163,15 @@
 }
 
 void
-jw_receive_answer (struct jw_world *world, uint64_t number,
+jw_receive_answer (struct jw_world *world, uint64_t key,
                    const struct jb_answer *answer)
 {
-  struct jw_call *call = g_hash_table_lookup (world->calls, &number);
+  struct jw_call *call = g_hash_table_lookup (world->calls, &key);
   struct jw_job *job;
 
   if (call == NULL)
     return;
-  g_hash_table_remove (world->calls, &number);
+  g_hash_table_remove (world->calls, &key);
   job = call->job;
   job->answered_at = world->now;
   switch (answer->kind)
--- a/tests/sim/jobs/jw_commands.c
+++ b/tests/sim/jobs/jw_commands.c
@@ -221,7 +221,7 @@
   if (is_store_command (in_flight->command.kind))
     {
       jw_store_execute (world, &in_flight->command, &reply);
-      reply_at = world->now + STORE_LATENCY;
+      reply_at = world->now + STORE_LATENCY + world->store_delay;
       /* Watches are answered after a quarter of their waiting time, except for
          the first one.  */
       if (in_flight->command.kind == JB_COMMAND_WATCH_CONFIG
@@ -331,8 +331,9 @@
   struct in_flight_command *in_flight
       = talloc_zero (NULL, struct in_flight_command);
   struct jb_reply timed_out = { .result = JB_RESULT_UNKNOWN };
-  jb_time arrival
-      = world->now + (to_store ? STORE_LATENCY : JW_ONE_WAY_LATENCY_US);
+  jb_time arrival = world->now
+                    + (to_store ? STORE_LATENCY + world->store_delay
+                                : JW_ONE_WAY_LATENCY_US);
 
   record_writer (host, command);
   if (command->kind == JB_COMMAND_START_TASK)
--- a/tests/sim/jobs/jw_world.c
+++ b/tests/sim/jobs/jw_world.c
@@ -272,6 +272,18 @@
   return *free_at;
 }
 
+/* Return whether a message of FROM to the process MEMBER reaches TO.  */
+static bool
+reaches (const struct jw_host *from, uint64_t member, const struct jw_host *to)
+{
+  bool is_unbound = from->world->options.unbound_links
+                    || jw_host_is_previous_version (from);
+
+  return to->host != NULL
+         && (to->incarnation == member
+             || (is_unbound && to->incarnation >> 32 == member >> 32));
+}
+
 static void
 send_message (void *context, uint64_t member, struct ba_bytes body)
 {
@@ -288,8 +300,7 @@
       struct jw_host *to = &world->hosts[i];
       struct peer_message *message;
 
-      if (to->host == NULL || to->incarnation != member
-          || host->peers_unreachable)
+      if (!reaches (host, member, to) || host->peers_unreachable)
         continue;
       message = talloc_zero (NULL, struct peer_message);
       message->to = to;
@@ -335,7 +346,7 @@
 {
   const struct jw_host *host = context;
 
-  jw_receive_answer (host->world, number, answer);
+  jw_receive_answer (host->world, jw_call_key (host, number), answer);
 }
 
 static const struct jb_driver_ops driver_ops = { .submit = jw_submit_command,
@@ -372,6 +383,7 @@
   if (host->host != NULL || host->up)
     return;
   host->epoch++;
+  host->last_call = 0;
   host->disturbed_at = world->now;
   host->frozen = false;
   host->link_in_free_at = 0;
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -92,6 +92,9 @@
   bool no_overload_guard;       /* backend servers start what doesn't fit */
   bool needs_advice;            /* task starts need tickets from a policy */
   bool reorder_messages;        /* between entry hosts */
+  /* A message for a process that has been replaced reaches the next one on its
+     host, as those of hosts of the previous version always do.  */
+  bool unbound_links;
   int64_t max_delay_ms; /* of a command that is carried out late; 0: 6000 */
   enum jw_late_leases late_leases; /* while jw_world.late_lease_permille is
                                       not 0 */
@@ -119,6 +122,7 @@
   uint64_t incarnation;
   uint32_t epoch; /* incremented at each start and kill; what was sent to an
                      earlier epoch is dropped */
+  uint64_t last_call;       /* number of the last call sent to this process */
   uint64_t next_run_serial; /* of the last scheduled run; earlier ones are
                                void */
   bool frozen;
@@ -290,7 +294,8 @@
   GRand *random;
   struct jw_host hosts[JW_MAX_HOST_COUNT];
   bool store_down;
-  GPtrArray *rows; /* struct jw_row, sorted by name */
+  jb_time store_delay; /* of a command to the store, and again of its reply */
+  GPtrArray *rows;     /* struct jw_row, sorted by name */
   /* Index of the entry host that last wrote rows of each pool, or -1.  */
   int last_writers[JW_MAX_POOL_COUNT];
   uint64_t version; /* of the last write to the store */
@@ -310,8 +315,7 @@
   GPtrArray *fleet;      /* struct jw_fleet_host */
   GHashTable *tasks;     /* name -> struct jw_task */
   GHashTable *jobs;      /* ID -> struct jw_job */
-  GHashTable *calls;     /* number -> struct jw_call */
-  uint64_t last_call;    /* number of the last call sent */
+  GHashTable *calls;     /* jw_call_key -> struct jw_call */
   uint32_t last_backend; /* number of the last backend server added */
   uint32_t task_starts;
   uint32_t starts_after_done; /* of tasks that a run had completed, whether an
@@ -516,9 +520,13 @@
 void jw_submit_command (void *context, uint64_t number,
                         const struct jb_command *command);
 
-/* Deliver ANSWER to the client that made call NUMBER.  If it no longer waits,
-   the answer is ignored.  */
-void jw_receive_answer (struct jw_world *world, uint64_t number,
+/* Return the key of the call with NUMBER to the current process of HOST.  Each
+   process numbers its calls from 1.  External hosts get the key as number.  */
+uint64_t jw_call_key (const struct jw_host *host, uint64_t number);
+
+/* Deliver ANSWER to the client that made the call with KEY.  If it no longer
+   waits, the answer is ignored.  */
+void jw_receive_answer (struct jw_world *world, uint64_t key,
                         const struct jb_answer *answer);
 
 /* Deliver REPLY to HOST at WHEN unless HOST has left EPOCH by then.  Takes
