Let an owner go on without the store only while no other host can claim its pool

Cause: without the store, a heartbeat of any member that had heard an owner extended its ownership. If that member is cut off together with the owner, the others claim the pool meanwhile, and both act as its owner.

Ruled out: late starts; the former owner's orders were answered at once.

Change: an ownership is extended up to the time by which all known members had heard the owner, or for most of them up to 4 s after the owner renewed its row, before which the others, a minority, claim nothing. Heartbeats are used also before the first call to the store has timed out, and ordinary hosts send theirs to owners, who need to hear all.

--- a/packages/jobs/include/jb_members.h
+++ b/packages/jobs/include/jb_members.h
@@ -126,9 +126,15 @@
 uint32_t jb_members_count_alive (const struct jb_members *members,
                                  jb_time now);
 
-/* Return the latest time at which a member received a heartbeat of this host,
-   as the members' heartbeats report, or 0 if none has.  */
-jb_time jb_members_last_heard_by_peer (const struct jb_members *members);
+/* Return a time up to which no other host has claimed a partition that this
+   host owns, as far as heartbeats show it without the store, or 0 if they show
+   nothing.  A host claims only what it believes to be vacant, so this is the
+   time by which every known member had received a heartbeat of this host.  If
+   some have not, but most have, the others are a minority, which claims only
+   after this host's row has not been renewed for a while.  That a member hears
+   this host proves nothing about those that it doesn't hear either: it may be
+   cut off together with this host.  */
+jb_time jb_members_unclaimed_until (const struct jb_members *members);
 
 /* Return whether this host should claim PARTITION now: it has been vacant for
    long enough that all hosts which come first could have claimed it.
--- a/packages/jobs/include/jb_planner.h
+++ b/packages/jobs/include/jb_planner.h
@@ -70,12 +70,12 @@
 /* Return the fencing token of the planner's commands.  */
 uint64_t jb_planner_fence (const struct jb_planner *planner);
 
-/* Record that a peer received a heartbeat of this host at HEARD_AT, 0 for
-   never.  This extends the validity of the ownership while the store does not
-   answer.  Once the ownership has expired, only the store can confirm it
-   again.  */
+/* Record that no other host has claimed the partition up to UNCLAIMED_UNTIL,
+   as far as heartbeats show it (jb_members_unclaimed_until).  This extends the
+   validity of the ownership.  Once the ownership has expired, only the store
+   can confirm it again.  */
 void jb_planner_confirm_ownership (struct jb_planner *planner, jb_time now,
-                                   jb_time heard_at);
+                                   jb_time unclaimed_until);
 
 /* Release the ownership; REASON is logged.  No command is sent afterwards.  */
 void jb_planner_release (struct jb_planner *planner, jb_time now,
--- a/packages/jobs/include/jb_pool.h
+++ b/packages/jobs/include/jb_pool.h
@@ -97,12 +97,12 @@
 /* Return whether POOL is being handed over.  It is still owned then.  */
 bool jb_pool_is_handing_over (const struct jb_pool *pool);
 
-/* Record that a peer received a heartbeat of this host at HEARD_AT, 0 for
-   never.  This extends the validity of the ownership while the store
-   does not answer.  Once the ownership has expired, only the store can confirm
-   it again.  */
+/* Record that no other host has claimed the partition up to UNCLAIMED_UNTIL,
+   as far as heartbeats show it (jb_members_unclaimed_until).  This extends the
+   validity of the ownership.  Once the ownership has expired, only the store
+   can confirm it again.  */
 void jb_pool_confirm_ownership (struct jb_pool *pool, jb_time now,
-                                jb_time heard_at);
+                                jb_time unclaimed_until);
 
 /* One page of the list of the backend servers of all pools.  */
 struct jb_backend_page
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -502,16 +502,18 @@
 static void
 check_ownerships (struct jb_host *host, jb_time now)
 {
-  jb_time last_heard;
+  jb_time unclaimed_until;
 
   if (now < host->next_ownership_check)
     return;
   host->next_ownership_check = now + OWNERSHIP_CHECK_INTERVAL;
   release_if_cut_off (host, now);
-  last_heard = jb_driver_store_failing_since (host->driver) != 0
-                   ? jb_members_last_heard_by_peer (host->members)
-                   : 0;
-  jb_host_check_planner_ownership (host, now, last_heard);
+  /* Not only while the store is known to be failing: the first call that it
+     leaves unanswered may time out after the ownership has expired.  */
+  unclaimed_until = jb_host_ownership_count (host) > 0
+                        ? jb_members_unclaimed_until (host->members)
+                        : 0;
+  jb_host_check_planner_ownership (host, now, unclaimed_until);
   for (guint i = 0; i < host->pools->len; i++)
     {
       struct pool_slot *slot = g_ptr_array_index (host->pools, i);
@@ -525,7 +527,7 @@
           if (jb_members_superseding_fence (host->members, now, partition,
                                             jb_pool_fence (slot->pool))
               == 0)
-            jb_pool_confirm_ownership (slot->pool, now, last_heard);
+            jb_pool_confirm_ownership (slot->pool, now, unclaimed_until);
           else
             jb_pool_release (slot->pool, now, "a peer has a higher fence");
         }
--- a/packages/jobs/src/jb_host_internal.h
+++ b/packages/jobs/src/jb_host_internal.h
@@ -119,11 +119,10 @@
 
 /* ---- jb_host_planner.c ---- */
 
-/* Claim, confirm or release the planner's partition, as needed.  LAST_HEARD is
-   when a peer last received a heartbeat of this host if the store does not
-   answer this host, else 0.  */
+/* Claim, confirm or release the planner's partition, as needed.
+   UNCLAIMED_UNTIL is as for jb_planner_confirm_ownership.  */
 void jb_host_check_planner_ownership (struct jb_host *host, jb_time now,
-                                      jb_time last_heard);
+                                      jb_time unclaimed_until);
 
 /* Report to the planner what the organisations use of the pools that this host
    owns, if that is due.  */
--- a/packages/jobs/src/jb_host_planner.c
+++ b/packages/jobs/src/jb_host_planner.c
@@ -248,7 +248,7 @@
 
 void
 jb_host_check_planner_ownership (struct jb_host *host, jb_time now,
-                                 jb_time last_heard)
+                                 jb_time unclaimed_until)
 {
   if (host->planner != NULL && jb_planner_is_owner (host->planner))
     {
@@ -258,7 +258,7 @@
           != 0)
         jb_planner_release (host->planner, now, "a peer has a higher fence");
       else
-        jb_planner_confirm_ownership (host->planner, now, last_heard);
+        jb_planner_confirm_ownership (host->planner, now, unclaimed_until);
     }
   if (host->planner != NULL || host->stopping || now < host->next_planner_claim
       || host->catalog == NULL || !jb_host_can_reach_store (host, now))
--- a/packages/jobs/src/jb_members.c
+++ b/packages/jobs/src/jb_members.c
@@ -5,9 +5,10 @@
    The COORDINATOR_COUNT hosts that come first in an order which all hosts
    compute alike are coordinators.  They exchange heartbeats with every host,
    so they know which hosts are alive, and only they claim partitions.  Owners
-   send their heartbeats to every host too.  All other hosts exchange
-   heartbeats with the coordinators only, so what an ordinary host sends and
-   receives does not grow with the fleet.
+   exchange heartbeats with every host too: while the store does not answer, an
+   owner goes on only as long as the others hear it.  All other hosts exchange
+   heartbeats with the coordinators and owners only, so what an ordinary host
+   sends and receives does not grow with the fleet.
 
    Each host orders the hosts that it hears.  An ordinary host doesn't hear the
    hosts that could replace a lost coordinator, so it relies on the others: the
@@ -129,7 +130,8 @@
   jb_time last_read_at; /* when the rows were last received; 0: never */
   bool renewal_in_flight;
   bool read_in_flight;
-  uint64_t own_row_version;
+  jb_time own_row_renewed_at; /* when the last renewal that succeeded was sent;
+                                 0: none has */
 };
 
 /* Content of a host's row in the store; the key is the host's name.  */
@@ -562,8 +564,8 @@
   return jb_msg_encode (mem, &message);
 }
 
-/* Return whether this host, whose state is STATUS, sends its heartbeats to the
-   coordinators only.  */
+/* Return whether this host, whose state is STATUS, sends its heartbeats to
+   coordinators and owners only.  */
 static bool
 is_ordinary (const struct jb_members *members, jb_time now,
              const struct jb_self_status *status)
@@ -573,23 +575,21 @@
          && jb_members_count_alive (members, now) > 0;
 }
 
-/* Send this host's heartbeat: to the coordinators if it is an ordinary host,
-   else to coordinators and owners, and to all others too if TO_ALL.  */
+/* Send this host's heartbeat to coordinators and owners, and to all others too
+   if TO_ALL, unless it is an ordinary host.  */
 static void
 send_heartbeat (struct jb_members *members, jb_time now,
                 const struct jb_self_status *status, bool to_all)
 {
   TALLOC_CTX *scratch = talloc_new (NULL);
-  bool to_coordinators_only = is_ordinary (members, now, status);
   struct ba_bytes bytes = encode_heartbeat (members, scratch, now, status);
 
+  to_all = to_all && !is_ordinary (members, now, status);
   for (guint i = 0; i < members->all_members->len; i++)
     {
       struct jb_member *member = g_ptr_array_index (members->all_members, i);
 
-      if (member->is_coordinator
-          || (!to_coordinators_only
-              && (to_all || member->ownership_count > 0)))
+      if (to_all || member->is_coordinator || member->ownership_count > 0)
         jb_driver_send (members->options.driver, member->incarnation, bytes);
     }
   talloc_free (scratch);
@@ -617,10 +617,9 @@
   struct jb_members *members = data;
 
   (void)now;
-  (void)sent_at;
   members->renewal_in_flight = false;
   if (reply->result == JB_RESULT_OK)
-    members->own_row_version = reply->version;
+    members->own_row_renewed_at = sent_at;
 }
 
 static void
@@ -731,7 +730,7 @@
 static bool
 is_minority (const struct jb_members *members, jb_time now)
 {
-  /* An ordinary host hears only the coordinators.  */
+  /* An ordinary host hears only the coordinators and owners.  */
   if (!members->is_coordinator && jb_members_count_alive (members, now) > 0)
     return false;
   return 2 * (jb_members_count_alive (members, now) + 1)
@@ -874,22 +873,48 @@
   return 0;
 }
 
-jb_time
-jb_members_last_heard_by_peer (const struct jb_members *members)
+/* Return when MEMBER last received a heartbeat of this host, as its last
+   heartbeat reports, or 0 if it reports none.  */
+static jb_time
+last_heard_by (const struct jb_members *members,
+               const struct jb_member *member)
 {
-  jb_time latest = 0;
+  for (uint32_t i = 0; i < member->peer_count; i++)
+    if (member->peers[i].incarnation == members->options.incarnation)
+      return member->last_heartbeat_at - member->peers[i].age_ms * JB_MS;
+  return 0;
+}
 
-  for (guint i = 0; i < members->all_members->len; i++)
-    {
-      const struct jb_member *member
-          = g_ptr_array_index (members->all_members, i);
+/* Compare two times, the later one first.  */
+static int
+compare_times (const void *a, const void *b)
+{
+  jb_time x = *(const jb_time *)a;
+  jb_time y = *(const jb_time *)b;
 
-      for (uint32_t j = 0; j < member->peer_count; j++)
-        if (member->peers[j].incarnation == members->options.incarnation)
-          latest = MAX (latest, member->last_heartbeat_at
-                                    - member->peers[j].age_ms * JB_MS);
-    }
-  return latest;
+  return x > y ? -1 : x < y;
+}
+
+jb_time
+jb_members_unclaimed_until (const struct jb_members *members)
+{
+  guint count = members->all_members->len;
+  jb_time *heard_at = talloc_array (NULL, jb_time, count + 1);
+  jb_time by_all;
+  jb_time by_most;
+
+  for (guint i = 0; i < count; i++)
+    heard_at[i]
+        = last_heard_by (members, g_ptr_array_index (members->all_members, i));
+  qsort (heard_at, count, sizeof *heard_at, compare_times);
+  by_all = count > 0 ? heard_at[count - 1] : 0;
+  /* Together with this host, COUNT / 2 (rounded up) others are most.  */
+  by_most = count > 0 ? heard_at[(count + 1) / 2 - 1] : 0;
+  talloc_free (heard_at);
+  if (members->own_row_renewed_at == 0)
+    return by_all;
+  return MAX (by_all,
+              MIN (by_most, members->own_row_renewed_at + MAX_ROW_AGE));
 }
 
 /* ---- choice of the host that claims a partition ---- */
--- a/packages/jobs/src/jb_planner.c
+++ b/packages/jobs/src/jb_planner.c
@@ -147,18 +147,17 @@
 static jb_time
 ownership_valid_until (const struct jb_planner *planner)
 {
-  return MAX (planner->confirmed_by_peer_at,
+  return MAX (planner->unclaimed_until,
               jb_ownership_confirmed_at (planner->ownership))
          + OWNERSHIP_VALIDITY;
 }
 
 void
 jb_planner_confirm_ownership (struct jb_planner *planner, jb_time now,
-                              jb_time heard_at)
+                              jb_time unclaimed_until)
 {
   if (now < ownership_valid_until (planner))
-    planner->confirmed_by_peer_at
-        = MAX (planner->confirmed_by_peer_at, heard_at);
+    planner->unclaimed_until = MAX (planner->unclaimed_until, unclaimed_until);
 }
 
 void
--- a/packages/jobs/src/jb_planner_internal.h
+++ b/packages/jobs/src/jb_planner_internal.h
@@ -131,9 +131,10 @@
   /* When it became known that the predecessor sends nothing more; 0: it is
      not known.  */
   jb_time predecessor_ended_at;
-  bool quotas_divided;            /* since the claim */
-  jb_time confirmed_by_peer_at;   /* when a peer last received a heartbeat of
-                                     this host while the store did not answer */
+  bool quotas_divided; /* since the claim */
+  /* Up to when no other host has claimed the partition, as far as the
+     heartbeats of members show; 0: they show nothing.  */
+  jb_time unclaimed_until;
   GHashTable *hosts;              /* name -> struct fleet_host */
   struct jb_commanded *commanded; /* which hosts may have been commanded */
   GPtrArray *waves;               /* struct wave */
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -167,10 +167,11 @@
 }
 
 void
-jb_pool_confirm_ownership (struct jb_pool *pool, jb_time now, jb_time heard_at)
+jb_pool_confirm_ownership (struct jb_pool *pool, jb_time now,
+                           jb_time unclaimed_until)
 {
   if (now < jb_pool_ownership_valid_until (pool))
-    pool->confirmed_by_peer_at = MAX (pool->confirmed_by_peer_at, heard_at);
+    pool->unclaimed_until = MAX (pool->unclaimed_until, unclaimed_until);
 }
 
 void
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -168,8 +168,9 @@
   uint32_t waiting_jobs;
   uint32_t awaited_tasks; /* that wait, of jobs that may go on */
   jb_time wait_logged_at;
-  /* When a peer last received a heartbeat of this host; 0: never.  */
-  jb_time confirmed_by_peer_at;
+  /* Up to when no other host has claimed the pool, as far as the heartbeats of
+     members show; 0: they show nothing.  */
+  jb_time unclaimed_until;
   jb_time unix_origin;       /* Unix time of the driver clock's origin */
   bool first_start_observed; /* the time to the first start was measured */
   /* Backend servers.  */
@@ -236,7 +237,7 @@
 static inline jb_time
 jb_pool_ownership_valid_until (const struct jb_pool *pool)
 {
-  return MAX (pool->confirmed_by_peer_at,
+  return MAX (pool->unclaimed_until,
               jb_ownership_confirmed_at (pool->ownership))
          + JB_OWNERSHIP_VALIDITY;
 }
--- a/packages/jobs/tests/test_jb_members.c
+++ b/packages/jobs/tests/test_jb_members.c
@@ -273,6 +273,68 @@
   talloc_free (mem);
 }
 
+/* Let the members with the incarnations 2 to 1 + COUNT report at NOW that they
+   received a heartbeat of this host AGES_MS before; a negative age: that they
+   don't hear it.  */
+static void
+report_ages (struct jb_members *members, const int64_t *ages_ms, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      char name[16];
+      struct jb_msg_heartbeat_age own = { 1, ages_ms[i] };
+      struct jb_msg_heartbeat heartbeat = { .name = name,
+                                            .address = "10.0.0.2:1",
+                                            .zone = "b",
+                                            .peer_count = ages_ms[i] >= 0,
+                                            .peers = &own };
+
+      g_snprintf (name, sizeof name, "host-%zu", i);
+      jb_members_receive_heartbeat (members, NOW, 2 + i, &heartbeat);
+    }
+}
+
+/* Two owners: those that hear an owner may be cut off with it, so the others
+   have to be counted.  */
+static void
+test_unclaimed_until (void)
+{
+  static const int64_t heard_by_all[] = { 100, 300, 200, 0 };
+  static const int64_t heard_by_most[] = { 100, -1, 200, 300 };
+  static const int64_t heard_by_two[] = { 100, -1, 200, -1 };
+  static const int64_t heard_by_one[] = { -1, -1, 200, -1 };
+  TALLOC_CTX *mem = talloc_new (NULL);
+  uint64_t last = 0;
+  struct jb_driver *driver = jb_driver_new (mem, &driver_ops, &last);
+  struct jb_members_options options = { .driver = driver,
+                                        .name = "own",
+                                        .address = "10.0.0.1:1",
+                                        .zone = "a",
+                                        .incarnation = 1 };
+  struct jb_members *members = jb_members_new (mem, 0, &options);
+  struct jb_self_status self = { .store_reachable = true };
+  struct jb_reply reply = { .result = JB_RESULT_OK };
+  const jb_time renewed_at = NOW - 5 * JB_SECOND;
+
+  CU_ASSERT_EQUAL (jb_members_unclaimed_until (members), 0);
+  report_ages (members, heard_by_all, G_N_ELEMENTS (heard_by_all));
+  CU_ASSERT_EQUAL (jb_members_unclaimed_until (members), NOW - 300 * JB_MS);
+  /* Without a row in the store, nothing holds a minority back.  */
+  report_ages (members, heard_by_most, G_N_ELEMENTS (heard_by_most));
+  CU_ASSERT_EQUAL (jb_members_unclaimed_until (members), 0);
+  (void)jb_members_run (members, renewed_at, &self);
+  for (uint64_t number = 1; number <= last; number++)
+    jb_driver_receive_reply (driver, renewed_at, number, &reply);
+  CU_ASSERT_EQUAL (jb_members_unclaimed_until (members),
+                   renewed_at + 4 * JB_SECOND);
+  report_ages (members, heard_by_two, G_N_ELEMENTS (heard_by_two));
+  CU_ASSERT_EQUAL (jb_members_unclaimed_until (members),
+                   renewed_at + 4 * JB_SECOND);
+  report_ages (members, heard_by_one, G_N_ELEMENTS (heard_by_one));
+  CU_ASSERT_EQUAL (jb_members_unclaimed_until (members), 0);
+  talloc_free (mem);
+}
+
 int
 main (void)
 {
@@ -283,6 +345,7 @@
           { "a host without a reported CPU share counts as one processor",
             test_unreported_share },
           { "a late host hands its pool over", test_silence_before_handover },
+          { "up to when no other host has claimed", test_unclaimed_until },
           { "the end of a former process", test_ended_process },
           { "a query about a former process", test_process_query },
           { "a query without a reply", test_process_query_without_reply },
--- a/tests/sim/jobs/jw_check.c
+++ b/tests/sim/jobs/jw_check.c
@@ -154,7 +154,7 @@
 {
   const struct jw_world *world = host->world;
 
-  return host->store_unreachable || world->store_down
+  return host->store_unreachable || host->in_cut_group || world->store_down
          || world->loss_permille.store_commands > 0;
 }
 
--- a/tests/sim/jobs/jw_commands.c
+++ b/tests/sim/jobs/jw_commands.c
@@ -318,7 +318,8 @@
   struct jw_host *host = context;
   struct jw_world *world = host->world;
   bool to_store = is_store_command (command->kind);
-  bool unreachable = to_store ? host->store_unreachable || world->store_down
+  bool unreachable = to_store ? host->store_unreachable || host->in_cut_group
+                                    || world->store_down
                               : is_backend_command (command->kind)
                                     && host->backends_unreachable;
   uint32_t loss_permille = to_store ? world->loss_permille.store_commands
--- a/tests/sim/jobs/jw_soak.c
+++ b/tests/sim/jobs/jw_soak.c
@@ -47,9 +47,17 @@
 #define MAX_ORDER_GAP_MS 12000
 #define MAX_SHORT_ORDER_GAP_MS 800
 
+/* A group of entry hosts is cut off for a time between these, and some backend
+   servers a moment later.  */
+#define MIN_GROUP_CUT_MS 1500
+#define MAX_GROUP_CUT_MS 12000
+#define MAX_GROUP_CUT_GAP_MS 4000
+#define MAX_SILENCE_DELAY_MS 1500
+
 enum
 {
-  MAX_LONG_RUNNING_JOBS = 3
+  MAX_LONG_RUNNING_JOBS = 3,
+  SILENT_BACKENDS_PER_GROUP_CUT = 3
 };
 
 /* The scheduled end of an injected fault.  */
@@ -320,6 +328,84 @@
   schedule_step (world, 0, next_silence, cycle);
 }
 
+/* Groups of entry hosts that are cut off together, one after another until
+   UNTIL, with a random generator of its own, as above.  */
+struct group_cut_cycle
+{
+  GRand *random;
+  jb_time until;
+};
+
+static int
+group_cut_cycle_destroy (struct group_cut_cycle *cycle)
+{
+  g_rand_free (cycle->random);
+  return 0;
+}
+
+static void next_group_cut (struct jw_world *world, void *data);
+
+static void
+end_group_cut (struct jw_world *world, void *data)
+{
+  struct group_cut_cycle *cycle = *(struct group_cut_cycle **)data;
+
+  jw_cut_group (world, 0, 0);
+  schedule_step (world,
+                 g_rand_int_range (cycle->random, 50, MAX_GROUP_CUT_GAP_MS)
+                     * JB_MS,
+                 next_group_cut, cycle);
+}
+
+static void
+begin_silence (struct jw_world *world, void *data)
+{
+  (void)world;
+  (*(struct jw_backend **)data)->unreachable = true;
+}
+
+/* Cut a group off that contains the owner of a pool.  */
+static void
+next_group_cut (struct jw_world *world, void *data)
+{
+  struct group_cut_cycle *cycle = *(struct group_cut_cycle **)data;
+  uint32_t pool = (uint32_t)g_rand_int_range (cycle->random, 0,
+                                              (gint32)world->options.pools);
+  int owner = jw_pool_owner (world, pool);
+  jb_time duration
+      = g_rand_int_range (cycle->random, MIN_GROUP_CUT_MS, MAX_GROUP_CUT_MS)
+        * JB_MS;
+  uint32_t count = (uint32_t)g_rand_int_range (cycle->random, 1,
+                                               (gint32)world->options.hosts);
+
+  if (world->now >= cycle->until)
+    return;
+  jw_cut_group (world, (uint32_t)MAX (owner, 0), count);
+  for (uint32_t i = 0; i < SILENT_BACKENDS_PER_GROUP_CUT; i++)
+    {
+      struct jw_backend *backend = random_backend (world, cycle->random);
+      jb_time delay
+          = g_rand_int_range (cycle->random, 0, MAX_SILENCE_DELAY_MS) * JB_MS;
+
+      if (backend == NULL)
+        continue;
+      schedule_step (world, delay, begin_silence, backend);
+      schedule_step (world, delay + duration * 2 / 3, end_cut, backend);
+    }
+  schedule_step (world, duration, end_group_cut, cycle);
+}
+
+static void
+begin_group_cut_cycle (struct jw_world *world, uint32_t seed, jb_time until)
+{
+  struct group_cut_cycle *cycle = talloc_zero (world, struct group_cut_cycle);
+
+  cycle->random = g_rand_new_with_seed (seed);
+  cycle->until = until;
+  talloc_set_destructor (cycle, group_cut_cycle_destroy);
+  schedule_step (world, 0, next_group_cut, cycle);
+}
+
 /* Zones that are evacuated and taken back again and again until UNTIL, with a
    random generator of its own, as above.  */
 struct order_cycle
@@ -593,6 +679,8 @@
     begin_restart_cycle (world, soak->seed, end);
   if (soak->late_leases != JW_LATE_LEASES_NONE)
     begin_silence_cycle (world, soak->seed, end);
+  if (soak->cut_groups)
+    begin_group_cut_cycle (world, soak->seed, end);
   if (soak->evacuate_zones)
     begin_order_cycle (world, soak->seed, end);
   while (world->now < end)
--- a/tests/sim/jobs/jw_soak.h
+++ b/tests/sim/jobs/jw_soak.h
@@ -16,10 +16,11 @@
   bool restart_backends;           /* under their names, while commands to them
                                       are carried out late */
   enum jw_late_leases late_leases; /* while backend servers fall silent */
-  bool evacuate_zones;             /* and take them back, again and again */
-  bool speculative_steps;          /* in a third of the jobs */
-  uint32_t more_hosts;             /* entry hosts beyond the usual 3 to 6 */
-  uint32_t small_hosts;            /* as in struct jw_options */
+  bool cut_groups;        /* of entry hosts, and then some backend servers */
+  bool evacuate_zones;    /* and take them back, again and again */
+  bool speculative_steps; /* in a third of the jobs */
+  uint32_t more_hosts;    /* entry hosts beyond the usual 3 to 6 */
+  uint32_t small_hosts;   /* as in struct jw_options */
   bool verbose;
   /* These three as in struct jw_options.  */
   const struct jw_external_hosts *external_hosts;
--- a/tests/sim/jobs/jw_world.c
+++ b/tests/sim/jobs/jw_world.c
@@ -279,7 +279,7 @@
   bool is_unbound = from->world->options.unbound_links
                     || jw_host_is_previous_version (from);
 
-  return to->host != NULL
+  return to->host != NULL && to->in_cut_group == from->in_cut_group
          && (to->incarnation == member
              || (is_unbound && to->incarnation >> 32 == member >> 32));
 }
@@ -482,6 +482,15 @@
     jw_host_run (host);
 }
 
+void
+jw_cut_group (struct jw_world *world, uint32_t first, uint32_t count)
+{
+  uint32_t host_count = world->options.hosts;
+
+  for (uint32_t i = 0; i < host_count; i++)
+    world->hosts[(first + i) % host_count].in_cut_group = i < count;
+}
+
 int
 jw_pool_owner (struct jw_world *world, uint32_t pool)
 {
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -129,6 +129,9 @@
   GQueue *held; /* unused */
   bool store_unreachable;
   bool peers_unreachable;
+  /* It is cut off from the store and from the hosts outside of the group, but
+     not from the others of the group.  */
+  bool in_cut_group;
   /* When the store last refused it, or it did not run.  Kept only since the
      first order to evacuate a zone.  */
   jb_time disturbed_at;
@@ -358,6 +361,9 @@
 /* Stop an entry host gracefully; 2.5 s later it is killed.  */
 void jw_host_stop (struct jw_world *world, uint32_t index);
 void jw_host_set_frozen (struct jw_world *world, uint32_t index, bool frozen);
+/* Cut the COUNT entry hosts from index FIRST on, which wraps around, off
+   together.  COUNT 0 ends the cut.  */
+void jw_cut_group (struct jw_world *world, uint32_t first, uint32_t count);
 /* Return the index of the entry host that owns POOL, or -1.  Of external
    hosts, it is the one that last wrote rows of POOL.  */
 int jw_pool_owner (struct jw_world *world, uint32_t pool);
--- a/tests/sim/jobs/soak_jobs.c
+++ b/tests/sim/jobs/soak_jobs.c
@@ -20,6 +20,7 @@
   bool no_guard;
   bool restarts;
   enum jw_late_leases late_leases;
+  bool group_cuts;
   bool evacuations;
   bool speculative;
   uint32_t more_hosts;
@@ -41,6 +42,8 @@
     "Grant leases late, for a time from their arrival or until the time that "
     "they ask for, while backend servers fall silent",
     0 },
+  { "group-cuts", 'c', NULL, 0,
+    "Cut groups of entry hosts off from the others and from the store", 0 },
   { "evacuations", 'e', NULL, 0,
     "Evacuate availability zones, and take them back", 0 },
   { "speculative", 'p', NULL, 0, "Let a third of the jobs be speculative", 0 },
@@ -89,6 +92,9 @@
       else
         argp_error (state, "--late-grants: arrival or until, not '%s'", value);
       return 0;
+    case 'c':
+      arguments->group_cuts = true;
+      return 0;
     case 'e':
       arguments->evacuations = true;
       return 0;
@@ -131,6 +137,7 @@
               .no_overload_guard = arguments.no_guard,
               .restart_backends = arguments.restarts,
               .late_leases = arguments.late_leases,
+              .cut_groups = arguments.group_cuts,
               .evacuate_zones = arguments.evacuations,
               .speculative_steps = arguments.speculative,
               .more_hosts = arguments.more_hosts,
