Answer every call before a planned stop ends the process

Cause: a stopping host ended at the first moment without a waiting call, noticed that up to 0.5 s later, slept for 0.25 s and closed all connections, with the calls that had come meanwhile. A host that always had a call waiting accepted clients until it was killed at the end of its grace period.

Ruled out: the balancer, since requests come over connections that are open.

Change: the decision code completes a planned stop. Calls are answered by 5/6 of the grace period at the latest; no client is accepted once the balancer has noticed; calls that come after all were answered are refused at once; the server ends when none is left. A second SIGTERM changes nothing, also in the decision code.

--- a/Makefile
+++ b/Makefile
@@ -61,6 +61,8 @@
 process-test: build
 	BIN=$(BUILD) bash tests/process/run.sh
 	BIN=$(BUILD) bash tests/process/jobs.sh
+	$(BUILD)/soak/process_soak --stops --network 88 --directory run/stops \
+	  --program $(BUILD)/programs/dogwoodpulleyd
 	$(MAKE) process-soak SEED=1 RUNS=2
 
 # Run entry hosts as real processes with random faults, two seeds at a time:
--- a/packages/jobs/include/jb_frontend.h
+++ b/packages/jobs/include/jb_frontend.h
@@ -60,6 +60,11 @@
 void jb_frontend_receive_reply (struct jb_frontend *frontend, jb_time now,
                                 const struct jb_msg_reply *reply);
 
+/* Answer each call by ANSWER_BY at the latest, those that are pending and
+   those that are still to come, because this host is stopping.  A call that
+   comes later is refused at once.  */
+void jb_frontend_stop (struct jb_frontend *frontend, jb_time answer_by);
+
 /* Return the number of calls that have not been answered.  */
 uint32_t jb_frontend_pending_count (const struct jb_frontend *frontend);
 
--- a/packages/jobs/include/jb_host.h
+++ b/packages/jobs/include/jb_host.h
@@ -61,12 +61,19 @@
 /* Release all partitions that this host owns, pools as soon as what a
    successor needs is stored (jb_pool_hand_over), and claim none any more; a
    claim that is in flight is not withdrawn.  Calls are still accepted and
-   answered.  */
-void jb_host_stop (struct jb_host *host, jb_time now);
-
-/* Return whether all calls have been answered, and no pool is being handed
-   over.  */
-bool jb_host_is_idle (const struct jb_host *host);
+   answered, each before the process must have ended, GRACE from now.  Does
+   nothing if this host is stopping already.  */
+void jb_host_stop (struct jb_host *host, jb_time now, jb_time grace);
+
+/* Return whether this host is stopping, and the load balancer has had time to
+   notice it: connections of clients need not be accepted any more.  Over those
+   that are open, calls may still come.  */
+bool jb_host_is_drained (const struct jb_host *host, jb_time now);
+
+/* Return whether a planned stop is complete: this host was drained, had
+   answered all calls and handed no pool over, or had no more time for that.
+   Calls that come now are refused at once.  */
+bool jb_host_has_stopped (const struct jb_host *host);
 
 /* Return whether a load balancer may direct clients to this host: it has a
    configuration, is not stopping, and reaches the store or a peer.  */
--- a/packages/jobs/src/jb_frontend.c
+++ b/packages/jobs/src/jb_frontend.c
@@ -56,6 +56,8 @@
      from 1, and a reply to a former process of this host, which a host of the
      previous version may send here, must not answer a call of this one.  */
   uint64_t request_number_offset;
+  jb_time answer_by; /* latest time to answer any call, because this host is
+                        stopping; JB_NEVER: it is not */
   GHashTable *pending_calls; /* number -> struct pending_call */
 };
 
@@ -73,6 +75,7 @@
   char incarnation[24];
 
   frontend->options = *options;
+  frontend->answer_by = JB_NEVER;
   g_snprintf (incarnation, sizeof incarnation, "%" G_GUINT64_FORMAT,
               options->incarnation);
   frontend->request_number_offset = ba_hash_str (incarnation, 0);
@@ -81,6 +84,12 @@
   return frontend;
 }
 
+void
+jb_frontend_stop (struct jb_frontend *frontend, jb_time answer_by)
+{
+  frontend->answer_by = answer_by;
+}
+
 uint32_t
 jb_frontend_pending_count (const struct jb_frontend *frontend)
 {
@@ -303,6 +312,12 @@
   const struct jb_org *org;
   const char *id;
 
+  if (now >= frontend->answer_by)
+    {
+      reject_call (frontend, number, call, JB_ANSWER_UNAVAILABLE,
+                   "this host is stopping");
+      return;
+    }
   if (catalog == NULL)
     {
       reject_call (frontend, number, call, JB_ANSWER_UNAVAILABLE,
@@ -503,9 +518,10 @@
 }
 
 static bool
-has_timed_out (const struct pending_call *pending_call, jb_time now)
+has_timed_out (const struct jb_frontend *frontend,
+               const struct pending_call *pending_call, jb_time now)
 {
-  return now >= pending_call->deadline
+  return now >= MIN (pending_call->deadline, frontend->answer_by)
          || (!pending_call->was_forwarded
              && now - pending_call->received_at > MAX_WAIT_FOR_OWNER);
 }
@@ -532,7 +548,7 @@
 
       if (pending_call == NULL)
         continue;
-      if (has_timed_out (pending_call, now))
+      if (has_timed_out (frontend, pending_call, now))
         time_out_call (frontend, now, pending_call);
       else
         forward_call (frontend, now, pending_call);
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -51,6 +51,15 @@
    of the store for all hosts, another host may just be answered first.  */
 #define STORE_RECOVERY_GRACE (900 * JB_MS)
 
+/* In a planned stop, the time in which the load balancer notices the failing
+   readiness check and stops sending clients here, but at most half of the
+   grace period.  */
+#define BALANCER_DRAIN_TIME (2200 * JB_MS)
+
+/* In a planned stop, this fraction of the grace period remains for answers to
+   reach their clients and for the process to end.  */
+#define STOP_MARGIN_FRACTION 6
+
 struct pool_slot *
 jb_host_find_slot (const struct jb_host *host, const char *name)
 {
@@ -805,12 +814,41 @@
   jb_driver_receive_reply (host->driver, now, number, reply);
 }
 
+/* Return whether all calls have been answered, and no pool is being handed
+   over.  */
+static bool
+is_idle (const struct jb_host *host)
+{
+  for (guint i = 0; i < host->pools->len; i++)
+    {
+      const struct pool_slot *slot = g_ptr_array_index (host->pools, i);
+
+      if (slot->pool != NULL && jb_pool_is_handing_over (slot->pool))
+        return false;
+    }
+  return jb_frontend_pending_count (host->frontend) == 0;
+}
+
+/* Complete a planned stop as soon as nothing is left to do, or there is no
+   more time.  Calls that come later are refused: they might not be answered
+   before the process ends.  */
+static void
+complete_stop (struct jb_host *host, jb_time now)
+{
+  if (host->stopped || !jb_host_is_drained (host, now)
+      || (now < host->answer_by && !is_idle (host)))
+    return;
+  host->stopped = true;
+  jb_frontend_stop (host->frontend, now);
+}
+
 jb_time
 jb_host_run (struct jb_host *host, jb_time now)
 {
   jb_time next = JB_NEVER;
 
   host->now = now;
+  complete_stop (host, now);
   free_ended_ownerships (host, now);
   check_ownerships (host, now);
   hand_over_pool (host, now);
@@ -841,10 +879,15 @@
 }
 
 void
-jb_host_stop (struct jb_host *host, jb_time now)
+jb_host_stop (struct jb_host *host, jb_time now, jb_time grace)
 {
   host->now = now;
+  if (host->stopping)
+    return;
   host->stopping = true;
+  host->drained_at = now + MIN (BALANCER_DRAIN_TIME, grace / 2);
+  host->answer_by = now + grace - grace / STOP_MARGIN_FRACTION;
+  jb_frontend_stop (host->frontend, host->answer_by);
   host->heartbeat_due = true;
   if (host->planner != NULL && jb_planner_is_owner (host->planner))
     jb_planner_release (host->planner, now, "this host is stopping");
@@ -858,16 +901,15 @@
 }
 
 bool
-jb_host_is_idle (const struct jb_host *host)
+jb_host_is_drained (const struct jb_host *host, jb_time now)
 {
-  for (guint i = 0; i < host->pools->len; i++)
-    {
-      const struct pool_slot *slot = g_ptr_array_index (host->pools, i);
+  return host->stopping && now >= host->drained_at;
+}
 
-      if (slot->pool != NULL && jb_pool_is_handing_over (slot->pool))
-        return false;
-    }
-  return jb_frontend_pending_count (host->frontend) == 0;
+bool
+jb_host_has_stopped (const struct jb_host *host)
+{
+  return host->stopped;
 }
 
 bool
--- a/packages/jobs/src/jb_host_internal.h
+++ b/packages/jobs/src/jb_host_internal.h
@@ -55,6 +55,11 @@
   jb_time now;         /* time of the event that is being processed */
   jb_time unix_origin; /* Unix time of the driver clock's origin */
   bool stopping;
+  /* While it is stopping: when the load balancer has noticed it, and by when
+     all calls are answered.  */
+  jb_time drained_at;
+  jb_time answer_by;
+  bool stopped; /* the planned stop is complete */
   /* Since when another host reaches the store and this host does not; 0: that
      is not the case.  */
   jb_time cut_off_since;
--- a/packages/server/include/sv_job_server.h
+++ b/packages/server/include/sv_job_server.h
@@ -27,7 +27,8 @@
   const char *admin_address;     /* for operators, or NULL */
   const char *peer_address;      /* for the other entry hosts */
   const char *peer_secret;       /* shared by the entry hosts */
-  int64_t stop_grace_ms;         /* time for a planned stop; not enforced */
+  int64_t stop_grace_ms;         /* time for a planned stop, after which the
+                                    process is killed */
   size_t max_body_bytes;         /* of a client's request */
   uint32_t cpu_share_milli;      /* thousandths of a core; 0: not known */
   unsigned max_connections;      /* of clients */
--- a/packages/server/src/sv_job_server.c
+++ b/packages/server/src/sv_job_server.c
@@ -37,18 +37,17 @@
   SUPERVISION_INTERVAL_MS = 500,
   MAX_EVENT_WAIT_MS = 1000,
   SETTINGS_CHECK_INTERVAL_MS = 1000,
-  RESPONSE_FLUSH_POLL_US = 20000, /* sleep between two checks of the time */
+  STOP_CHECK_INTERVAL_MS = 20, /* between two checks whether a planned stop is
+                                  complete */
   MAX_LOG_LINES_PER_SECOND = 200, /* for each log event */
   EXIT_THREAD_FAILED = 70
 };
 
-/* In a planned stop, the time in which the load balancer notices the failing
-   readiness check and stops sending clients here.  */
-#define BALANCER_DRAIN_US (2200 * JB_MS)
-
 /* At the end of a planned stop, the time in which responses in flight can
-   reach their clients.  */
+   reach their clients, and the longest time to wait for calls that have come
+   meanwhile.  */
 #define RESPONSE_FLUSH_US (250 * JB_MS)
+#define MAX_RESPONSE_FLUSH_US (400 * JB_MS)
 
 /* An iteration of the event loop that takes longer is late: meanwhile no
    answer is read, and no lease is extended.  */
@@ -75,6 +74,7 @@
   struct jb_reply reply;
   struct ba_bytes message; /* from a peer */
   struct jb_bounds bounds;
+  jb_time grace; /* of a planned stop */
   enum jb_view_topic topic;
   char *job_id; /* for a view of one job, or NULL */
 };
@@ -94,7 +94,8 @@
   struct jb_host *host; /* the decision code; event loop only */
   struct sv_supervisor *supervisor;
   int signal_fd;
-  jb_time earliest_stop; /* 0: not stopping; event loop only */
+  bool stopping;          /* event loop only */
+  bool accepting_stopped; /* of clients; event loop only */
   _Atomic bool ready;
   _Atomic bool close_connections; /* after each response to a client */
   _Atomic bool stopped;           /* the planned stop is complete */
@@ -592,17 +593,15 @@
 
 /* ---- event loop (thread `decider') ---- */
 
-/* Begin a planned stop.  Clients are answered until the load balancer has had
-   time to stop sending them here.  */
+/* Begin a planned stop, for which there is the time GRACE.  Clients are
+   answered until the load balancer has had time to stop sending them here.  */
 static void
-begin_stop (struct sv_job_server *server, jb_time now)
+begin_stop (struct sv_job_server *server, jb_time now, jb_time grace)
 {
-  if (server->earliest_stop != 0)
-    return;
-  server->earliest_stop = now + BALANCER_DRAIN_US;
+  server->stopping = true;
   atomic_store (&server->ready, false);
   atomic_store (&server->close_connections, true);
-  jb_host_stop (server->host, now);
+  jb_host_stop (server->host, now, grace);
 }
 
 static json_t *
@@ -660,7 +659,7 @@
       answer_view_request (server, now, event);
       break;
     case EVENT_STOP:
-      begin_stop (server, now);
+      begin_stop (server, now, event->grace);
       break;
     case EVENT_NEW_BOUNDS:
       jb_host_set_bounds (server->host, &event->bounds);
@@ -669,15 +668,25 @@
   talloc_free (event);
 }
 
+/* Accept no more clients once the load balancer sends them elsewhere: while
+   new ones come, there may be no moment without a call.  */
+static void
+stop_accepting_if_drained (struct sv_job_server *server, jb_time now)
+{
+  if (server->accepting_stopped || !jb_host_is_drained (server->host, now))
+    return;
+  server->accepting_stopped = true;
+  ht_server_stop_accepting (server->client_server);
+}
+
 /* Copy the readiness, the end of a planned stop and the metrics to where other
    threads read them.  */
 static void
 publish_state (struct sv_job_server *server, jb_time now)
 {
-  atomic_store (&server->ready, server->earliest_stop == 0
-                                    && jb_host_is_ready (server->host, now));
-  if (server->earliest_stop != 0 && now >= server->earliest_stop
-      && jb_host_is_idle (server->host))
+  atomic_store (&server->ready,
+                !server->stopping && jb_host_is_ready (server->host, now));
+  if (jb_host_has_stopped (server->host))
     atomic_store (&server->stopped, true);
   g_mutex_lock (&server->metrics_lock);
   server->metrics = *jb_host_metrics (server->host);
@@ -741,6 +750,7 @@
       if (processed == MAX_EVENTS_PER_ITERATION)
         wakeup = now; /* don't wait: the ring may hold more events, and its
                          descriptor was reset */
+      stop_accepting_if_drained (server, now);
       publish_state (server, now);
       report_late_iteration (server, start, now, processed);
     }
@@ -943,7 +953,9 @@
   push_event (server, event);
 }
 
-static void
+/* Return whether the signal NUMBER, which is handled, begins a planned stop.
+ */
+static bool
 handle_signal (struct sv_job_server *server, uint32_t number)
 {
   struct event *event;
@@ -951,24 +963,32 @@
   if (number == SIGHUP)
     {
       reload_settings (server);
-      return;
+      return false;
     }
   sv_log (server->log, CF_LOG_INFO, "stopping", NULL);
   event = talloc_zero (NULL, struct event);
   event->type = EVENT_STOP;
+  event->grace = server->options.settings->stop_grace_ms * JB_MS;
   push_event (server, event);
+  return true;
 }
 
-/* Accept no more clients, and give the responses in flight time to reach
-   theirs.  */
+/* Give the responses in flight time to reach their clients.  Over connections
+   that are open, calls may come until the end, and a call that has been read
+   must be answered: the event loop still runs.  */
 static void
 flush_responses (struct sv_job_server *server)
 {
-  int64_t until = ba_clock_now_us () + RESPONSE_FLUSH_US;
+  int64_t start = ba_clock_now_us ();
+  int64_t elapsed = 0;
 
-  ht_server_stop_accepting (server->client_server);
-  while (ba_clock_now_us () < until)
-    g_usleep (RESPONSE_FLUSH_POLL_US);
+  while (elapsed < RESPONSE_FLUSH_US
+         || (elapsed < MAX_RESPONSE_FLUSH_US
+             && ht_server_call_count (server->client_server) > 0))
+    {
+      g_usleep (STOP_CHECK_INTERVAL_MS * 1000);
+      elapsed = ba_clock_now_us () - start;
+    }
 }
 
 int
@@ -978,6 +998,7 @@
   struct pollfd p = { .fd = server->signal_fd, .events = POLLIN };
   const char *failed_thread = NULL;
   jb_time next_settings_check = 0;
+  int interval_ms = SUPERVISION_INTERVAL_MS;
 
   sv_supervisor_start (server->supervisor);
   sv_log (server->log, CF_LOG_INFO, "started", "listen",
@@ -987,9 +1008,10 @@
     {
       struct signalfd_siginfo info;
 
-      poll (&p, 1, SUPERVISION_INTERVAL_MS);
+      poll (&p, 1, interval_ms);
       while (read (p.fd, &info, sizeof info) == (ssize_t)sizeof info)
-        handle_signal (server, info.ssi_signo);
+        if (handle_signal (server, info.ssi_signo))
+          interval_ms = STOP_CHECK_INTERVAL_MS;
       if (ba_clock_now_us () >= next_settings_check)
         {
           next_settings_check
--- a/soak/process_soak.c
+++ b/soak/process_soak.c
@@ -1,7 +1,7 @@
 /* Runs entry hosts as processes under random load and faults, for one seed
    after another: process_soak --seed 1 --runs 3
 
-   Or demonstrates a fixed scenario: process_soak --demo
+   Or plays a fixed scenario: process_soak --demo, process_soak --stops
 
    Exit status 0 if there was neither a violation nor a crash.  After the first
    seed that fails, the program ends and leaves the logs in the directory.  */
@@ -16,6 +16,12 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+enum
+{
+  STOP_COUNT = 6,
+  JOBS_PER_STOP = 50
+};
+
 struct arguments
 {
   struct ps_options harness;
@@ -24,6 +30,7 @@
   uint32_t minutes;
   bool stalls;
   bool demo;
+  bool stops;
   bool keep;
 };
 
@@ -37,6 +44,8 @@
   { "directory", 'd', "DIR", 0, "For settings files and logs (run/soak)", 0 },
   { "stalls", 't', NULL, 0, "Let one entry host stall again and again", 0 },
   { "demo", 'D', NULL, 0, "Demonstrate jobs while entry hosts fail", 0 },
+  { "stops", 'S', NULL, 0,
+    "Stop entry hosts in turn, as planned, while the store is slow", 0 },
   { "keep", 'k', NULL, 0, "After the demo, run until interrupted", 0 },
   { 0 }
 };
@@ -74,6 +83,9 @@
     case 'D':
       arguments->demo = true;
       return 0;
+    case 'S':
+      arguments->stops = true;
+      return 0;
     case 'k':
       arguments->keep = true;
       return 0;
@@ -284,8 +296,31 @@
     jw_advance (world, 200 * JB_MS);
 }
 
+/* Stop all entry hosts in turn.  A submission takes about a second, so that
+   each of them always has calls that wait.  */
+static void
+run_stops_scenario (struct jw_world *world)
+{
+  static const jb_time store_delay = 400 * JB_MS;
+
+  jw_advance (world, 4 * JB_SECOND);
+  world->store_delay = store_delay;
+  for (uint32_t i = 0; i < STOP_COUNT; i++)
+    {
+      uint32_t host = i % world->options.hosts;
+
+      jw_host_stop (world, host);
+      submit_jobs (world, JOBS_PER_STOP);
+      jw_host_start (world, host);
+      submit_jobs (world, JOBS_PER_STOP / 3);
+    }
+  world->store_delay = 0;
+  jw_advance (world, 10 * JB_SECOND);
+  jw_check_final_states (world);
+}
+
 static int
-run_demo (const struct arguments *arguments)
+run_scenario (const struct arguments *arguments)
 {
   struct ps_harness *harness = open_harness (arguments);
   struct jw_options world_options
@@ -303,7 +338,10 @@
   ps_harness_lock (harness);
   world = jw_world_new (&world_options);
   ps_harness_set_world (harness, world);
-  run_demo_scenario (world);
+  if (arguments->stops)
+    run_stops_scenario (world);
+  else
+    run_demo_scenario (world);
   failures = world->violations;
   if (failures > 0)
     printf ("first violation: %s\n", world->first_violation);
@@ -314,7 +352,8 @@
   ps_harness_unlock (harness);
   failures += ps_harness_take_crash_count (harness);
   talloc_free (harness);
-  printf ("demo of jobs: %u violations or crashes\n", failures);
+  printf ("%s of jobs: %u violations or crashes\n",
+          arguments->stops ? "stops" : "demo", failures);
   return failures == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
@@ -332,5 +371,6 @@
           .runs = 1 };
 
   argp_parse (&argp, argc, argv, 0, NULL, &arguments);
-  return arguments.demo ? run_demo (&arguments) : run_seeds (&arguments);
+  return arguments.demo || arguments.stops ? run_scenario (&arguments)
+                                           : run_seeds (&arguments);
 }
--- a/soak/ps_harness.c
+++ b/soak/ps_harness.c
@@ -32,6 +32,10 @@
 /* Time that a planned stop of an entry host may take.  */
 #define HOST_STOP_GRACE_S 2.0
 
+/* A request that was sent less than this before its entry host closed the
+   connection, as part of a planned stop, may remain without an answer.  */
+#define CUT_OFF_SLACK (200 * JB_MS)
+
 /* A process that is still being loaded has no signal handlers yet.  If it is
    told to stop within this time after its start and a signal kills it, that is
    not a crash.  */
@@ -67,6 +71,9 @@
   bool stop_requested[JW_MAX_HOST_COUNT];
   jb_time started_at[JW_MAX_HOST_COUNT];
   jb_time stop_requested_at[JW_MAX_HOST_COUNT];
+  /* The process was frozen, or killed before the time for its planned stop had
+     passed.  */
+  bool disturbed[JW_MAX_HOST_COUNT];
   uint32_t crash_count; /* since the last ps_harness_take_crash_count */
 };
 
@@ -204,9 +211,28 @@
   struct jw_world *world;
   uint64_t number;
   enum jb_call_kind kind;
+  uint32_t host; /* index of the entry host */
+  jb_time sent_at;
   GByteArray *body;
 };
 
+/* Check that CALL, whose connection was closed without an answer, was not cut
+   off by a planned stop.  */
+static void
+check_cut_off (const struct ps_harness *harness, const struct call *call)
+{
+  uint32_t host = call->host;
+  jb_time age = unix_now (harness) - call->sent_at;
+
+  if (harness->stop_requested[host] && !harness->disturbed[host]
+      && call->sent_at >= harness->started_at[host] && age > CUT_OFF_SLACK
+      && age < CALL_TIMEOUT_MS * JB_MS)
+    jw_report_violation (call->world, "LOST",
+                         "entry-%u has stopped without an answer to a call "
+                         "that was sent %d ms before",
+                         host, (int)(age / JB_MS));
+}
+
 static bool
 receive_call_body (struct ht_exchange *exchange, void *context,
                    const void *data, size_t len)
@@ -234,6 +260,8 @@
   if (harness->world == call->world)
     {
       call->world->now = MAX (call->world->now, unix_now (harness));
+      if (result != HT_RESULT_COMPLETE && result != HT_RESULT_NOT_SENT)
+        check_cut_off (harness, call);
       jw_receive_answer (call->world, call->number, &answer);
     }
   g_cond_signal (&harness->activity);
@@ -267,6 +295,8 @@
   call->world = harness->world;
   call->number = number;
   call->kind = client_call->kind;
+  call->host = index;
+  call->sent_at = unix_now (harness);
   call->body = g_byte_array_new ();
   request.url = talloc_asprintf (
       mem, "http://127.%u.%u.%d:%d%s", harness->options.network, index + 1,
@@ -387,6 +417,7 @@
   posix_spawnattr_setsigmask (&attributes, &none);
   posix_spawnattr_setflags (&attributes, POSIX_SPAWN_SETSIGMASK);
   harness->stop_requested[index] = false;
+  harness->disturbed[index] = false;
   harness->started_at[index] = unix_now (harness);
   error = posix_spawn (&harness->pids[index], harness->options.program,
                        &actions, &attributes, arguments, environment);
@@ -419,6 +450,12 @@
       kill (harness->pids[index], SIGHUP);
       kill (harness->pids[index], SIGTERM);
     }
+  if (signal_number == SIGSTOP
+      || (signal_number == SIGKILL
+          && (!harness->stop_requested[index]
+              || unix_now (harness) - harness->stop_requested_at[index]
+                     < (jb_time)(HOST_STOP_GRACE_S * JB_SECOND))))
+    harness->disturbed[index] = true;
   kill (harness->pids[index], signal_number);
   if (signal_number == SIGKILL)
     reap_host (harness, index, 0);
--- a/tests/sim/jobs/jw_clients.c
+++ b/tests/sim/jobs/jw_clients.c
@@ -14,6 +14,10 @@
 #define REFUSED_RETRY_DELAY (400 * JB_MS)
 #define NO_HOST_RETRY_DELAY (300 * JB_MS)
 
+/* A call that was sent less than this before its entry host ended as planned
+   may remain without an answer.  */
+#define CUT_OFF_SLACK (200 * JB_MS)
+
 enum
 {
   CALL_DEADLINE_MS = 3000,
@@ -25,6 +29,7 @@
   uint64_t key;
   enum jb_call_kind kind;
   struct jw_job *job;
+  jb_time sent_at;
 };
 
 uint64_t
@@ -114,6 +119,7 @@
   call->key = jw_call_key (host, ++host->last_call);
   call->kind = kind;
   call->job = job;
+  call->sent_at = world->now;
   g_hash_table_insert (world->calls, &call->key, call);
   jw_schedule (world, world->now + CALL_TIMEOUT, call_timed_out,
                talloc_memdup (NULL, &call->key, sizeof call->key));
@@ -133,6 +139,46 @@
   jw_host_run (host);
 }
 
+static bool
+is_call_to (const struct jw_call *call, const struct jw_host *host)
+{
+  return call->key >> 32 == jw_call_key (host, 0) >> 32;
+}
+
+bool
+jw_has_calls (struct jw_world *world, const struct jw_host *host)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, world->calls);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (is_call_to (value, host))
+      return true;
+  return false;
+}
+
+void
+jw_check_calls_answered (struct jw_world *world, const struct jw_host *host)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, world->calls);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct jw_call *call = value;
+
+      if (is_call_to (call, host)
+          && world->now - call->sent_at > CUT_OFF_SLACK)
+        jw_report_violation (world, "LOST",
+                             "%s has stopped without an answer to a call for "
+                             "job %s, sent %d ms before",
+                             host->name, call->job->desc->id,
+                             (int)((world->now - call->sent_at) / JB_MS));
+    }
+}
+
 static void
 check_job_state (struct jw_world *world, struct jw_job *job,
                  const struct jb_answer *answer)
--- a/tests/sim/jobs/jw_world.c
+++ b/tests/sim/jobs/jw_world.c
@@ -11,6 +11,13 @@
 /* A stopped entry host is killed after this time.  */
 #define HOST_STOP_TIMEOUT (2500 * JB_MS)
 
+/* How long a host's process goes on after the host has stopped, so that
+   responses in flight reach their clients, and at most if calls come
+   meanwhile; and how often it is checked.  */
+#define RESPONSE_FLUSH_TIME (250 * JB_MS)
+#define MAX_RESPONSE_FLUSH_TIME (400 * JB_MS)
+#define STOP_CHECK_INTERVAL (20 * JB_MS)
+
 /* How often a reply to a frozen entry host is tried again.  */
 #define FROZEN_RETRY_INTERVAL (50 * JB_MS)
 
@@ -435,19 +442,41 @@
   host->epoch++;
 }
 
+/* A planned stop.  */
 struct pending_exit
 {
   struct jw_host *host;
   uint32_t epoch;
+  jb_time stopped_at; /* when the decision code had stopped; 0: it has not */
+  jb_time begun_at;
 };
 
+/* End the process of a host that has stopped, or has no more time to.  */
 static void
 exit_after_stop (struct jw_world *world, void *data)
 {
   struct pending_exit *pending = data;
+  struct jw_host *host = pending->host;
+  bool is_late = world->now - pending->begun_at >= HOST_STOP_TIMEOUT;
+  jb_time flushed;
+  struct pending_exit *next;
 
-  if (pending->host->epoch == pending->epoch)
-    jw_host_kill (world, pending->host->index);
+  if (host->epoch != pending->epoch)
+    return;
+  if (pending->stopped_at == 0 && host->host != NULL && !host->frozen
+      && jb_host_has_stopped (host->host))
+    pending->stopped_at = world->now;
+  flushed = pending->stopped_at != 0 ? world->now - pending->stopped_at : 0;
+  if (is_late || flushed >= MAX_RESPONSE_FLUSH_TIME
+      || (flushed >= RESPONSE_FLUSH_TIME && !jw_has_calls (world, host)))
+    {
+      if (host->host != NULL && host->frozen_at < pending->begun_at)
+        jw_check_calls_answered (world, host);
+      jw_host_kill (world, host->index);
+      return;
+    }
+  next = talloc_memdup (NULL, pending, sizeof *pending);
+  jw_schedule (world, world->now + STOP_CHECK_INTERVAL, exit_after_stop, next);
 }
 
 void
@@ -461,13 +490,14 @@
   send_signal (host, SIGTERM);
   if (host->host != NULL)
     {
-      jb_host_stop (host->host, world->now);
+      jb_host_stop (host->host, world->now, HOST_STOP_TIMEOUT);
       jw_host_run (host);
     }
   pending = talloc_zero (NULL, struct pending_exit);
   pending->host = host;
   pending->epoch = host->epoch;
-  jw_schedule (world, world->now + HOST_STOP_TIMEOUT, exit_after_stop,
+  pending->begun_at = world->now;
+  jw_schedule (world, world->now + STOP_CHECK_INTERVAL, exit_after_stop,
                pending);
 }
 
@@ -477,6 +507,8 @@
   struct jw_host *host = &world->hosts[index];
 
   host->frozen = frozen;
+  if (frozen)
+    host->frozen_at = world->now;
   send_signal (host, frozen ? SIGSTOP : SIGCONT);
   if (!frozen && host->host != NULL)
     jw_host_run (host);
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -119,6 +119,7 @@
   char name[16];
   struct jb_host *host; /* NULL when it is down or external */
   bool up;              /* external hosts only */
+  jb_time frozen_at;    /* when it was last frozen; 0: never */
   uint64_t incarnation;
   uint32_t epoch; /* incremented at each start and kill; what was sent to an
                      earlier epoch is dropped */
@@ -358,7 +359,10 @@
 
 void jw_host_start (struct jw_world *world, uint32_t index);
 void jw_host_kill (struct jw_world *world, uint32_t index);
-/* Stop an entry host gracefully; 2.5 s later it is killed.  */
+/* Stop an entry host gracefully.  Its process ends by itself, and is killed
+   2.5 s later at the latest.  Clients keep using it until it has ended, and a
+   call of theirs that is cut off then is a violation, unless the host was
+   frozen meanwhile.  */
 void jw_host_stop (struct jw_world *world, uint32_t index);
 void jw_host_set_frozen (struct jw_world *world, uint32_t index, bool frozen);
 /* Cut the COUNT entry hosts from index FIRST on, which wraps around, off
@@ -504,17 +508,15 @@
    QUOTA    a task starts above its organisation's limit
    TICKET   a task starts without the ticket that it needs
    AVAIL    too many tasks of a step are unavailable at once
-   LOST     an accepted job is unknown, fails wrongly, doesn't complete or, if
-            it is long-running, doesn't run all its tasks
-   MIXED    a job or a wave is reported as completed before it is
-   ONE      a host gets a command of a planner too soon after one of another
-            planner, or with a stale fencing token
-   LIMIT    too many hosts are in maintenance at once, or a task starts on a
-            backend server without room, except for a while after its capacity
-            has become smaller
-   EVAC     a task is sent to a backend server of an evacuated zone, later than
-            5 s after the order by a host that could know of it
-   MESSAGE  a message between entry hosts can't be decoded
+   LOST     a call is cut off by a planned stop; an accepted job is unknown,
+   fails wrongly, doesn't complete or, if it is long-running, doesn't run all
+   its tasks MIXED    a job or a wave is reported as completed before it is ONE
+   a host gets a command of a planner too soon after one of another planner, or
+   with a stale fencing token LIMIT    too many hosts are in maintenance at
+   once, or a task starts on a backend server without room, except for a while
+   after its capacity has become smaller EVAC     a task is sent to a backend
+   server of an evacuated zone, later than 5 s after the order by a host that
+   could know of it MESSAGE  a message between entry hosts can't be decoded
    ANSWER   a client gets an answer of an unexpected kind  */
 void jw_report_violation (struct jw_world *world, const char *rule,
                           const char *format, ...) G_GNUC_PRINTF (3, 4);
@@ -537,6 +539,14 @@
    process numbers its calls from 1.  External hosts get the key as number.  */
 uint64_t jw_call_key (const struct jw_host *host, uint64_t number);
 
+/* Return whether a client waits for the answer to a call to HOST.  */
+bool jw_has_calls (struct jw_world *world, const struct jw_host *host);
+
+/* Report a violation for each call to HOST, which is ending as planned, that a
+   client still waits for.  */
+void jw_check_calls_answered (struct jw_world *world,
+                              const struct jw_host *host);
+
 /* Deliver ANSWER to the client that made the call with KEY.  If it no longer
    waits, the answer is ignored.  */
 void jw_receive_answer (struct jw_world *world, uint64_t key,
