Conclude nothing about unlisted runs from a full list of ends

Cause: a backend server lists 500 ends at a time. A run that has ended beyond those is listed neither as active nor as ended, and was taken for vanished.

Ruled out: lost answers and expired leases.

Change: an answer says whether there may be more ends; then no run is cleared or started again because it isn't listed. A new owner waits until a backend server that answers has listed all its ends.

--- a/packages/jobs/include/jb_backend.h
+++ b/packages/jobs/include/jb_backend.h
@@ -95,6 +95,8 @@
   jb_time orphan_stopped_at; /* when orphaned runs were last told to stop */
   /* A probe that carried this owner's fencing token was answered.  */
   bool probed;
+  /* Such an answer has listed all ends that were not acknowledged.  */
+  bool ends_listed;
   /* The backend server numbers the ends of runs there in ascending order.
      These are the highest numbers of the ends that were processed, whose
      effects are durable, and that were acknowledged to the backend server.  */
--- a/packages/jobs/include/jb_command.h
+++ b/packages/jobs/include/jb_command.h
@@ -348,6 +348,7 @@
   uint32_t active_run_count;
   struct jb_ended_run *ended_runs;
   uint32_t ended_run_count;
+  bool more_ended_runs; /* there may be more, after those that are listed */
   /* Reply to JB_COMMAND_GET_ADVICE.  */
   struct jb_ticket *tickets;
   uint32_t ticket_count;
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -459,6 +459,7 @@
   backend->processed_end = 0;
   backend->stored_end = 0;
   backend->acked_end = 0;
+  backend->ends_listed = false;
   backend->held_from = 0;
   backend->awaited_since = 0;
   backend->lease_until_ms = 0;
@@ -517,6 +518,7 @@
   if (!backend->probed && !backend->in_roster)
     pool->roster_dirty = true;
   backend->probed = true;
+  backend->ends_listed = backend->ends_listed || !reply->more_ended_runs;
   jb_pool_notice_host_kept (pool, backend, sent_at);
   if (backend->excluded_from_roster && now >= backend->cordoned_until)
     jb_pool_return_to_roster (pool, backend);
@@ -530,9 +532,14 @@
   for (uint32_t i = 0; i < reply->ended_run_count; i++)
     backend->processed_end
         = MAX (backend->processed_end, reply->ended_runs[i].number);
-  if (backend->may_get_old_commands)
-    finish_restart (pool, backend, now);
-  clear_unlisted_runs (pool, backend, sent_at, now);
+  /* With more ends than are listed, a run that isn't listed may have ended. It
+     is listed once those before it have been acknowledged.  */
+  if (!reply->more_ended_runs)
+    {
+      if (backend->may_get_old_commands)
+        finish_restart (pool, backend, now);
+      clear_unlisted_runs (pool, backend, sent_at, now);
+    }
   jb_pool_throttle_backend (pool, backend, now);
   backend->next_probe
       = sent_at
--- a/packages/jobs/src/jb_pool_takeover.c
+++ b/packages/jobs/src/jb_pool_takeover.c
@@ -276,7 +276,7 @@
 bool
 jb_pool_awaits_backend (const struct jb_backend *backend)
 {
-  return backend->inherited && !backend->probed
+  return backend->inherited && !(backend->probed && backend->ends_listed)
          && !backend->excluded_from_roster;
 }
 
@@ -292,7 +292,7 @@
     {
       const struct jb_backend *backend = value;
 
-      if (backend->inherited && !backend->probed
+      if (backend->inherited && !(backend->probed && backend->ends_listed)
           && backend->unanswered_probes < JB_SILENT_AFTER_PROBES)
         return false;
     }
@@ -394,6 +394,18 @@
   return JB_NEVER;
 }
 
+/* Return whether the scan must wait for BACKEND at NOW: until all runs that a
+   previous owner started there have ended, or it has answered; and until it
+   has listed their ends, if it answers.  */
+static bool
+delays_scan (const struct jb_pool *pool, const struct jb_backend *backend,
+             jb_time now)
+{
+  return jb_pool_awaits_backend (backend)
+         && (now < pool->scan_until
+             || (backend->probed && backend->unanswered_probes == 0));
+}
+
 void
 jb_pool_finish_scan_if_complete (struct jb_pool *pool, jb_time now)
 {
@@ -407,12 +419,12 @@
      and carries out commands that the predecessor still sends.  */
   if (pool->restart_seen_at != 0 && now < pool->predecessor_until)
     return;
-  if (jb_ownership_generation (pool->ownership) > 1 && now < pool->scan_until
+  if (jb_ownership_generation (pool->ownership) > 1
       && !jb_pool_has_disabled (pool, JB_SAFEGUARD_ROSTER))
     {
       g_hash_table_iter_init (&iter, pool->backends);
       while (g_hash_table_iter_next (&iter, NULL, &value))
-        unprobed += jb_pool_awaits_backend (value);
+        unprobed += delays_scan (pool, value, now);
       if (unprobed > 0)
         return;
     }
--- a/tests/sim/jobs/jw_backend.c
+++ b/tests/sim/jobs/jw_backend.c
@@ -168,6 +168,7 @@
         .ready_percent = world->now - run->started_at >= READY_DELAY ? 100 : 0
       };
     }
+  reply->more_ended_runs = backend->ended_runs->len > count;
   reply->ended_runs
       = talloc_zero_array (reply->mem, struct jb_ended_run, count + 1);
   for (guint i = 0; i < count; i++)
