Remove what is not needed from the rows of queues, and correct a header

Left over from writing jb_pool_queues.c: an unused constant and a variable that is only assigned. The header of jb_pool.h still said that one peer confirms an ownership. No change of behaviour; test_moved_queues passes.

--- a/packages/jobs/include/jb_pool.h
+++ b/packages/jobs/include/jb_pool.h
@@ -6,9 +6,9 @@
    durable state in the store.
 
    It starts and stops tasks and extends leases only while its ownership is
-   valid, that is for a short time after the store, or a peer that received
-   this host's heartbeat, has confirmed it.  Otherwise it only sends probes,
-   which extend no lease then.  */
+   valid, that is for a short time after the store has confirmed it, or after
+   the time up to which heartbeats show that no other host has claimed it.
+   Otherwise it only sends probes, which extend no lease then.  */
 
 #include "jb_ownership.h"
 #include "jb_msg.h"
--- a/packages/jobs/src/jb_pool_queues.c
+++ b/packages/jobs/src/jb_pool_queues.c
@@ -32,8 +32,7 @@
   /* Of at most 18 bytes each.  */
   QUEUES_PER_ROW = 400,
   /* Queues beyond them count as new for the next owner.  */
-  MAX_QUEUE_ROWS = JB_OWNERSHIP_MAX_WRITE_ROWS / 2,
-  QUEUE_KEY_BYTES = 24
+  MAX_QUEUE_ROWS = JB_OWNERSHIP_MAX_WRITE_ROWS / 2
 };
 
 /* A queue of the pool.  */
@@ -124,14 +123,13 @@
   uint32_t removed_count = 0;
   GHashTableIter iter;
   gpointer value;
-  bool more;
 
   g_hash_table_iter_init (&iter, pool->queues);
   do
     {
       saved.count = 0;
-      while ((more = saved.count < QUEUES_PER_ROW
-                     && g_hash_table_iter_next (&iter, NULL, &value)))
+      while (saved.count < QUEUES_PER_ROW
+             && g_hash_table_iter_next (&iter, NULL, &value))
         saved.queues[saved.count++] = *(const struct pool_queue *)value;
       set[count] = (struct jb_row){
         .table = JB_JOB_TABLE,
