Let one cycle serve all faults that the soak repeats

The stall cycle has more state and stays.

All 79 tests of the plain build pass, and the format is checked; the tests with sanitizers and with processes were not run again.

--- a/tests/sim/jobs/jw_soak.c
+++ b/tests/sim/jobs/jw_soak.c
@@ -205,21 +205,6 @@
   return jw_find_backend (world, pool, index);
 }
 
-/* Backend servers that restart again and again until UNTIL, with a random
-   generator of its own, as above.  */
-struct restart_cycle
-{
-  GRand *random;
-  jb_time until;
-};
-
-static int
-restart_cycle_destroy (struct restart_cycle *cycle)
-{
-  g_rand_free (cycle->random);
-  return 0;
-}
-
 static void
 restart_backend (struct jw_world *world, void *data)
 {
@@ -236,6 +221,36 @@
   jw_schedule (world, world->now + delay, handler, chunk);
 }
 
+/* Faults of one kind that follow one another until UNTIL.  They have a random
+   generator of their own, so that a seed gives the same other faults as
+   without them.  */
+struct fault_cycle
+{
+  GRand *random;
+  jb_time until;
+};
+
+static int
+fault_cycle_destroy (struct fault_cycle *cycle)
+{
+  g_rand_free (cycle->random);
+  return 0;
+}
+
+/* Begin a cycle whose steps are calls of NEXT, each of which schedules the
+   following one.  */
+static void
+begin_fault_cycle (struct jw_world *world, uint32_t seed, jb_time until,
+                   jw_event_handler *next)
+{
+  struct fault_cycle *cycle = talloc_zero (world, struct fault_cycle);
+
+  cycle->random = g_rand_new_with_seed (seed);
+  cycle->until = until;
+  talloc_set_destructor (cycle, fault_cycle_destroy);
+  schedule_step (world, 0, next, cycle);
+}
+
 static void
 end_cut (struct jw_world *world, void *data)
 {
@@ -247,7 +262,7 @@
 static void
 next_restart (struct jw_world *world, void *data)
 {
-  struct restart_cycle *cycle = *(struct restart_cycle **)data;
+  struct fault_cycle *cycle = *(struct fault_cycle **)data;
   struct jw_backend *backend;
   jb_time cut;
 
@@ -272,36 +287,11 @@
       next_restart, cycle);
 }
 
-static void
-begin_restart_cycle (struct jw_world *world, uint32_t seed, jb_time until)
-{
-  struct restart_cycle *cycle = talloc_zero (world, struct restart_cycle);
-
-  cycle->random = g_rand_new_with_seed (seed);
-  cycle->until = until;
-  talloc_set_destructor (cycle, restart_cycle_destroy);
-  schedule_step (world, 0, next_restart, cycle);
-}
-
-/* Backend servers that fall silent again and again until UNTIL, while leases
-   are granted late, with a random generator of its own, as above.  */
-struct silence_cycle
-{
-  GRand *random;
-  jb_time until;
-};
-
-static int
-silence_cycle_destroy (struct silence_cycle *cycle)
-{
-  g_rand_free (cycle->random);
-  return 0;
-}
-
+/* Let a backend server fall silent while leases are granted late.  */
 static void
 next_silence (struct jw_world *world, void *data)
 {
-  struct silence_cycle *cycle = *(struct silence_cycle **)data;
+  struct fault_cycle *cycle = *(struct fault_cycle **)data;
   struct jw_backend *backend;
   jb_time silence;
   jb_time gap;
@@ -322,38 +312,12 @@
   schedule_step (world, gap, next_silence, cycle);
 }
 
-static void
-begin_silence_cycle (struct jw_world *world, uint32_t seed, jb_time until)
-{
-  struct silence_cycle *cycle = talloc_zero (world, struct silence_cycle);
-
-  cycle->random = g_rand_new_with_seed (seed);
-  cycle->until = until;
-  talloc_set_destructor (cycle, silence_cycle_destroy);
-  schedule_step (world, 0, next_silence, cycle);
-}
-
-/* Groups of entry hosts that are cut off together, one after another until
-   UNTIL, with a random generator of its own, as above.  */
-struct group_cut_cycle
-{
-  GRand *random;
-  jb_time until;
-};
-
-static int
-group_cut_cycle_destroy (struct group_cut_cycle *cycle)
-{
-  g_rand_free (cycle->random);
-  return 0;
-}
-
 static void next_group_cut (struct jw_world *world, void *data);
 
 static void
 end_group_cut (struct jw_world *world, void *data)
 {
-  struct group_cut_cycle *cycle = *(struct group_cut_cycle **)data;
+  struct fault_cycle *cycle = *(struct fault_cycle **)data;
 
   jw_cut_group (world, 0, 0);
   schedule_step (world,
@@ -373,7 +337,7 @@
 static void
 next_group_cut (struct jw_world *world, void *data)
 {
-  struct group_cut_cycle *cycle = *(struct group_cut_cycle **)data;
+  struct fault_cycle *cycle = *(struct fault_cycle **)data;
   uint32_t pool = (uint32_t)g_rand_int_range (cycle->random, 0,
                                               (gint32)world->options.pools);
   int owner = jw_pool_owner (world, pool);
@@ -400,37 +364,10 @@
   schedule_step (world, duration, end_group_cut, cycle);
 }
 
-static void
-begin_group_cut_cycle (struct jw_world *world, uint32_t seed, jb_time until)
-{
-  struct group_cut_cycle *cycle = talloc_zero (world, struct group_cut_cycle);
-
-  cycle->random = g_rand_new_with_seed (seed);
-  cycle->until = until;
-  talloc_set_destructor (cycle, group_cut_cycle_destroy);
-  schedule_step (world, 0, next_group_cut, cycle);
-}
-
-/* Queues that are moved to other pools, with jobs that are submitted again
-   before and after, until UNTIL, with a random generator of its own, as
-   above.  */
-struct queue_move_cycle
-{
-  GRand *random;
-  jb_time until;
-};
-
-static int
-queue_move_cycle_destroy (struct queue_move_cycle *cycle)
-{
-  g_rand_free (cycle->random);
-  return 0;
-}
-
 static void
 resubmit_random_job (struct jw_world *world, void *data)
 {
-  struct queue_move_cycle *cycle = *(struct queue_move_cycle **)data;
+  struct fault_cycle *cycle = *(struct fault_cycle **)data;
   guint skipped = (guint)g_rand_int_range (
       cycle->random, 0, (gint32)g_hash_table_size (world->jobs) + 1);
   GHashTableIter iter;
@@ -449,10 +386,11 @@
     }
 }
 
+/* Move a queue to another pool, and submit jobs again before the next move. */
 static void
 next_queue_move (struct jw_world *world, void *data)
 {
-  struct queue_move_cycle *cycle = *(struct queue_move_cycle **)data;
+  struct fault_cycle *cycle = *(struct fault_cycle **)data;
   gint32 pools = (gint32)world->options.pools;
   uint32_t queue = (uint32_t)g_rand_int_range (cycle->random, 0, pools);
   uint32_t pool = (uint32_t)g_rand_int_range (cycle->random, 0, pools);
@@ -467,39 +405,12 @@
   schedule_step (world, gap_ms * JB_MS, next_queue_move, cycle);
 }
 
-static void
-begin_queue_move_cycle (struct jw_world *world, uint32_t seed, jb_time until)
-{
-  struct queue_move_cycle *cycle
-      = talloc_zero (world, struct queue_move_cycle);
-
-  cycle->random = g_rand_new_with_seed (seed);
-  cycle->until = until;
-  talloc_set_destructor (cycle, queue_move_cycle_destroy);
-  schedule_step (world, 0, next_queue_move, cycle);
-}
-
-/* Zones that are evacuated and taken back again and again until UNTIL, with a
-   random generator of its own, as above.  */
-struct order_cycle
-{
-  GRand *random;
-  jb_time until;
-};
-
-static int
-order_cycle_destroy (struct order_cycle *cycle)
-{
-  g_rand_free (cycle->random);
-  return 0;
-}
-
 /* Evacuate a zone, or take it back if it is evacuated.  In the end all are
    taken back.  */
 static void
 next_order (struct jw_world *world, void *data)
 {
-  struct order_cycle *cycle = *(struct order_cycle **)data;
+  struct fault_cycle *cycle = *(struct fault_cycle **)data;
   uint32_t zone = (uint32_t)g_rand_int_range (cycle->random, 0, JW_ZONE_COUNT);
   int max_gap_ms = g_rand_int_range (cycle->random, 0, 4) == 0
                        ? MAX_ORDER_GAP_MS
@@ -520,17 +431,6 @@
                  next_order, cycle);
 }
 
-static void
-begin_order_cycle (struct jw_world *world, uint32_t seed, jb_time until)
-{
-  struct order_cycle *cycle = talloc_zero (world, struct order_cycle);
-
-  cycle->random = g_rand_new_with_seed (seed);
-  cycle->until = until;
-  talloc_set_destructor (cycle, order_cycle_destroy);
-  schedule_step (world, 0, next_order, cycle);
-}
-
 static uint32_t
 random_below (struct jw_world *world, uint32_t limit)
 {
@@ -749,15 +649,15 @@
   if (soak->stall_one_host)
     begin_stall_cycle (world, soak->seed, end);
   if (soak->restart_backends)
-    begin_restart_cycle (world, soak->seed, end);
+    begin_fault_cycle (world, soak->seed, end, next_restart);
   if (soak->late_leases != JW_LATE_LEASES_NONE)
-    begin_silence_cycle (world, soak->seed, end);
+    begin_fault_cycle (world, soak->seed, end, next_silence);
   if (soak->cut_groups)
-    begin_group_cut_cycle (world, soak->seed, end);
+    begin_fault_cycle (world, soak->seed, end, next_group_cut);
   if (soak->move_queues)
-    begin_queue_move_cycle (world, soak->seed, end);
+    begin_fault_cycle (world, soak->seed, end, next_queue_move);
   if (soak->evacuate_zones)
-    begin_order_cycle (world, soak->seed, end);
+    begin_fault_cycle (world, soak->seed, end, next_order);
   while (world->now < end)
     {
       uint32_t kind = random_below (world, 100);
