Simulation: trace what backend servers carry out

The lines of entry hosts don't tell whether a start or an acknowledgement that a backend server carries out was sent to its previous incarnation, so they don't distinguish the hypotheses on tasks that run twice.

--- a/tests/sim/jobs/jw_backend.c
+++ b/tests/sim/jobs/jw_backend.c
@@ -5,6 +5,7 @@
 
 #include "jb_job.h"
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -270,6 +271,9 @@
   ended->outcome = outcome;
   ended->ended_at = world->now;
   g_ptr_array_add (backend->ended_runs, ended);
+  jw_trace_backend (world, backend, false,
+                    "end %" PRIu64 " task=%s run=%u outcome=%d", ended->number,
+                    ended->task, ended->run, outcome);
   close_run (backend, run->task, run->run);
   remove_run (world, backend, run);
   jw_check_run_end (world, backend, ended, false);
@@ -478,6 +482,8 @@
       return;
     }
   reply->result = JB_RESULT_OK;
+  jw_trace_backend (world, backend, true, "start task=%s run=%u", from->task,
+                    from->run);
   jw_check_task_start (world, backend, command);
   sscanf (from->spec, "%d %d", &duration_ms, &behaviour);
   run = talloc_zero (backend, struct jw_task_run);
@@ -536,6 +542,10 @@
 
       if (first->number > command->u.probe.acked_end)
         break;
+      jw_trace_backend (
+          world, backend, true,
+          "acknowledged %" PRIu64 " of %" PRIu64 " task=%s run=%u",
+          first->number, command->u.probe.acked_end, first->task, first->run);
       jw_check_run_end (world, backend, first, true);
       g_ptr_array_remove_index (backend->ended_runs, 0);
     }
@@ -682,6 +692,7 @@
   g_hash_table_remove_all (backend->closed_runs);
   backend->started_unix_ms
       = MAX (backend->started_unix_ms + 1, world->now / JB_MS);
+  jw_trace_backend (world, backend, false, "restart");
   backend->clock_origin = world->now;
   backend->fencing_token = 0;
   backend->lease_until_ms = 0;
--- a/tests/sim/jobs/jw_commands.c
+++ b/tests/sim/jobs/jw_commands.c
@@ -208,6 +208,8 @@
   struct jb_reply reply = { 0 };
   jb_time reply_at = world->now + JW_ONE_WAY_LATENCY_US;
 
+  world->sender = in_flight->host;
+  world->command_sent_at = in_flight->sent_at;
   if (in_flight->command.kind == JB_COMMAND_PROBE && in_flight->gets_reply
       && jw_backend_defer_probe (world, in_flight->host, in_flight->number,
                                  &in_flight->command))
--- a/tests/sim/jobs/jw_world.c
+++ b/tests/sim/jobs/jw_world.c
@@ -5,6 +5,7 @@
 
 #include <signal.h>
 #include <stdarg.h>
+#include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -117,6 +118,28 @@
     printf ("%9.3f VIOLATION %s: %s\n", (double)world->now / 1e6, rule, text);
 }
 
+void
+jw_trace_backend (const struct jw_world *world,
+                  const struct jw_backend *backend, bool is_command,
+                  const char *format, ...)
+{
+  char text[200];
+  va_list args;
+
+  if (!world->options.verbose)
+    return;
+  va_start (args, format);
+  vsnprintf (text, sizeof text, format, args);
+  va_end (args);
+  printf ("%9.3f %s born=%" PRId64 " %s", (double)world->now / 1e6,
+          backend->instance, backend->started_unix_ms, text);
+  if (is_command && world->sender != NULL)
+    printf (" (%s at %.3f%s)", world->sender->name,
+            (double)world->command_sent_at / 1e6,
+            world->delivering_delayed_command ? ", late" : "");
+  printf ("\n");
+}
+
 bool
 jw_random_permille (struct jw_world *world, uint32_t permille)
 {
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -330,6 +330,9 @@
   uint32_t late_lease_permille;
   GRand *late_lease_random;
   bool delivering_late_lease;
+  /* The entry host that sent the command being delivered, and when.  */
+  const struct jw_host *sender;
+  jb_time command_sent_at;
   /* The next command to a backend server of this kind is not answered, and is
      carried out after this delay.  */
   struct jw_delayed_command delayed_command;
@@ -521,6 +524,12 @@
 void jw_report_violation (struct jw_world *world, const char *rule,
                           const char *format, ...) G_GNUC_PRINTF (3, 4);
 
+/* Print what happens at BACKEND if the options ask for that, with the sender
+   of the command that is being delivered, if IS_COMMAND.  */
+void jw_trace_backend (const struct jw_world *world,
+                       const struct jw_backend *backend, bool is_command,
+                       const char *format, ...) G_GNUC_PRINTF (4, 5);
+
 /* Return true with a chance of PERMILLE in a thousand.  */
 bool jw_random_permille (struct jw_world *world, uint32_t permille);
 
