Keep late acknowledgements away from ends that nobody has seen

Neither kind of fault alone does it: the acknowledgement, a start and the restart must overlap. Cause: ends are numbered from 1 in each incarnation of a backend server. An acknowledgement without an answer may reach the next incarnation, and drop the end of a run that a start without an answer began there. Class: a command outlives the process that it was sent to. Change: the two can no longer meet there in that order. - A start that follows an acknowledgement without an answer has a higher fencing token, so the next incarnation refuses the acknowledgement once it has carried out the start. - While a start on a backend server is in doubt, its ends are not acknowledged, up to 300 of them. That was so only for ends of the same task, and not on a cordoned backend server, whose host counts as empty now when all ends are stored. Fencing tokens rise with the version of the owner row, of which each write of the owner makes a new one, so their number is not limited for an owner any more; a command that was overtaken by a higher token of the same owner is no sign of another owner. Ruled out: concluding from a refused start that the run is done (it may have failed), and not using a restarted backend server until no acknowledgement can be late.

--- a/packages/jobs/include/jb_backend.h
+++ b/packages/jobs/include/jb_backend.h
@@ -53,11 +53,12 @@
   /* Pool's number of its incarnation.  It may restart under its instance name;
      the number rises when the owner learns of that.  */
   uint32_t incarnation;
-  /* Pool's number from which the fencing token of commands is made.  It rises
-     with the incarnation, and when commands sent before are to be refused;
-     when it last rose.  */
-  uint32_t fence_number;
+  /* Fencing token of commands.  It rises with the incarnation, and when
+     commands sent before are to be refused; when it last rose.  */
+  uint64_t fence;
   jb_time fence_raised_at;
+  /* Commands with this token that acknowledge ends and were not answered.  */
+  uint32_t open_acks;
   /* When it was last noticed to have restarted; 0: never.  What it has
      forgotten includes the fencing token of another owner.  */
   jb_time restart_seen_at;
--- a/packages/jobs/include/jb_doubt.h
+++ b/packages/jobs/include/jb_doubt.h
@@ -72,12 +72,14 @@
                                jb_time sent_at);
 
 /* Record that a start of run number RUN of TASK on INSTANCE has SUCCEEDED, was
-   refused or was not sent, so it is not carried out later.  */
-void jb_doubt_answer (struct jb_doubt_table *table, const char *task,
+   refused or was not sent, so it is not carried out later.  Return whether
+   that was the last one in doubt.  */
+bool jb_doubt_answer (struct jb_doubt_table *table, const char *task,
                       uint32_t run, const char *instance, bool succeeded);
 
-/* Record that INSTANCE has listed run number RUN of TASK.  */
-void jb_doubt_settle (struct jb_doubt_table *table, const char *task,
+/* Record that INSTANCE has listed run number RUN of TASK.  Return whether
+   nothing of TASK is in doubt any more because of that.  */
+bool jb_doubt_settle (struct jb_doubt_table *table, const char *task,
                       uint32_t run, const char *instance);
 
 /* Return when the starts of DOUBT can't be carried out any more.  */
--- a/packages/jobs/include/jb_ownership.h
+++ b/packages/jobs/include/jb_ownership.h
@@ -59,6 +59,10 @@
    JB_OWNERSHIP_HELD.  */
 uint64_t jb_ownership_fence (const struct jb_ownership *ownership);
 
+/* Return the version of the owner row that this owner wrote last, as far as
+   known: not below its fencing token, and below that of any later owner.  */
+uint64_t jb_ownership_version (const struct jb_ownership *ownership);
+
 /* Return how often the partition has been claimed, by any host, including the
    current claim.  */
 uint32_t jb_ownership_generation (const struct jb_ownership *ownership);
--- a/packages/jobs/src/jb_doubt.c
+++ b/packages/jobs/src/jb_doubt.c
@@ -86,28 +86,32 @@
   talloc_free (doubt);
 }
 
-void
+bool
 jb_doubt_answer (struct jb_doubt_table *table, const char *task, uint32_t run,
                  const char *instance, bool succeeded)
 {
   struct jb_doubt *doubt = find_start (table, task, run, instance);
 
   if (doubt == NULL)
-    return;
+    return false;
   doubt->succeeded = doubt->succeeded || succeeded;
-  if (--doubt->sent == 0)
-    remove_entry (table, doubt);
+  if (--doubt->sent > 0)
+    return false;
+  remove_entry (table, doubt);
+  return true;
 }
 
-void
+bool
 jb_doubt_settle (struct jb_doubt_table *table, const char *task, uint32_t run,
                  const char *instance)
 {
   struct jb_doubt *doubt = find_start (table, task, run, instance);
 
   /* Which of several starts was carried out isn't known.  */
-  if (doubt != NULL && doubt->sent == 1 && !doubt->succeeded)
-    remove_entry (table, doubt);
+  if (doubt == NULL || doubt->sent != 1 || doubt->succeeded)
+    return false;
+  remove_entry (table, doubt);
+  return true;
 }
 
 jb_time
--- a/packages/jobs/src/jb_ownership.c
+++ b/packages/jobs/src/jb_ownership.c
@@ -130,6 +130,12 @@
   return ownership->fence;
 }
 
+uint64_t
+jb_ownership_version (const struct jb_ownership *ownership)
+{
+  return ownership->row_version;
+}
+
 uint32_t
 jb_ownership_generation (const struct jb_ownership *ownership)
 {
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -736,7 +736,7 @@
     {
       backend = jb_backend_new (pool, entry);
       backend->incarnation = pool->last_incarnation;
-      backend->fence_number = pool->last_incarnation;
+      backend->fence = jb_pool_last_fence (pool);
       backend->idle_since = now;
       jb_pool_add_backend (pool, backend);
       jb_log (pool->options.driver, JB_LEVEL_INFO, "backend-found", "backend",
--- a/packages/jobs/src/jb_pool_doubt.c
+++ b/packages/jobs/src/jb_pool_doubt.c
@@ -118,22 +118,31 @@
 void
 jb_pool_begin_start (struct jb_pool *pool, struct jb_task *task, jb_time now)
 {
+  const struct jb_doubt *doubt;
   char name[JB_TASK_NAME_SIZE];
 
   if (is_disabled (pool) || jb_takeover_may_start_copies (jb_task_step (task)))
     return;
-  jb_doubt_add (pool->doubts->table, jb_task_name (task, name), task->run,
-                task->backend->instance, now);
+  doubt = jb_doubt_add (pool->doubts->table, jb_task_name (task, name),
+                        task->run, task->backend->instance, now);
   task->in_doubt = true;
-  task->backend->doubt_count++;
+  task->backend->doubt_count += doubt->sent == 1;
+}
+
+/* Nothing of a task is in doubt on BACKEND any more if IS_LAST.  */
+static void
+count_settled (struct jb_backend *backend, bool is_last)
+{
+  if (is_last && backend->doubt_count > 0)
+    backend->doubt_count--;
 }
 
 void
 jb_pool_start_answered (struct jb_pool *pool, const char *task, uint32_t run,
-                        const struct jb_backend *backend, bool succeeded)
+                        struct jb_backend *backend, bool succeeded)
 {
-  jb_doubt_answer (pool->doubts->table, task, run, backend->instance,
-                   succeeded);
+  count_settled (backend, jb_doubt_answer (pool->doubts->table, task, run,
+                                           backend->instance, succeeded));
 }
 
 struct jb_doubt *
@@ -207,11 +216,12 @@
 /* ---- reports of backend servers ---- */
 
 void
-jb_pool_run_listed (struct jb_pool *pool, const struct jb_backend *backend,
+jb_pool_run_listed (struct jb_pool *pool, struct jb_backend *backend,
                     const char *task, uint32_t run)
 {
   if (jb_doubt_count (pool->doubts->table) > 0)
-    jb_doubt_settle (pool->doubts->table, task, run, backend->instance);
+    count_settled (backend, jb_doubt_settle (pool->doubts->table, task, run,
+                                             backend->instance));
 }
 
 /* If a start of the task NAME is in doubt, do not acknowledge end NUMBER on
@@ -272,15 +282,26 @@
 }
 
 uint64_t
-jb_pool_ackable_end (const struct jb_backend *backend, jb_time now)
+jb_pool_ackable_end (const struct jb_backend *backend)
 {
-  if (backend->held_from != 0 && backend->held_from <= backend->stored_end
-      && backend->processed_end - backend->held_from < MAX_HELD_ENDS
-      && now >= backend->cordoned_until)
-    return backend->held_from - 1;
+  uint64_t held_from = backend->held_from;
+
+  /* An acknowledgement that is carried out late must not follow a start after
+     a restart: it would drop the end of its run.  */
+  if (backend->doubt_count > 0)
+    held_from = backend->acked_end + 1;
+  if (held_from != 0 && held_from <= backend->stored_end
+      && backend->processed_end - held_from < MAX_HELD_ENDS)
+    return held_from - 1;
   return backend->stored_end;
 }
 
+bool
+jb_pool_holds_ends (const struct jb_backend *backend)
+{
+  return jb_pool_ackable_end (backend) < backend->stored_end;
+}
+
 /* ---- the end of doubt ---- */
 
 struct visit
--- a/packages/jobs/src/jb_pool_evacuate.c
+++ b/packages/jobs/src/jb_pool_evacuate.c
@@ -106,7 +106,7 @@
                              "its host is being evacuated");
   if (backend->task_count > 0 || backend->starts_in_flight > 0
       || !backend->probed || backend->unanswered_probes > 0
-      || backend->acked_end != backend->processed_end)
+      || backend->stored_end != backend->processed_end)
     return false;
   /* A successor would wait for the leases of a backend server in the roster
      that has gone with its host.  */
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -49,9 +49,9 @@
   /* A task whose starts on a backend server were not answered so often is not
      started there again.  */
   JB_MAX_STARTS_IN_DOUBT = 6,
-  /* Each owner has this many fencing tokens, so that it can raise the one of a
-     backend server.  */
-  JB_FENCES_PER_OWNER = 1 << 16
+  /* There are this many fencing tokens for each version of an owner row, so
+     that an owner can raise the one of a backend server.  */
+  JB_FENCES_PER_VERSION = 1 << 16
 };
 
 enum jb_pool_stage
@@ -185,8 +185,9 @@
   /* The backend servers in the order of that table, which is slow to go
      through, or empty if the table has changed.  */
   GPtrArray *backend_list;
-  uint32_t last_incarnation; /* highest number of an incarnation or a fencing
-                                token of a backend server */
+  uint32_t last_incarnation; /* highest number of an incarnation of a backend
+                                server */
+  uint64_t last_fence;       /* highest fencing token of a backend server */
   jb_time restart_seen_at;   /* of any backend server */
   /* Until then, commands without an answer are assumed to be carried out late:
      a backend server that answers others has not answered one.  */
@@ -273,31 +274,68 @@
   return (MAX (run, 1) - 1) / JB_RUN_NUMBERS_PER_OWNER + 1;
 }
 
+/* Return the highest fencing token that POOL's owner has used, or its first
+   one.  */
+static inline uint64_t
+jb_pool_last_fence (const struct jb_pool *pool)
+{
+  return MAX (pool->last_fence,
+              jb_ownership_fence (pool->ownership) * JB_FENCES_PER_VERSION);
+}
+
 /* Raise the fencing token of commands to BACKEND.  Once it has answered one of
-   them, it refuses what was sent before, until it restarts.  */
+   them, it refuses what was sent before, until it restarts.  The token stays
+   below those of later owners, and rises by far less than is left between two
+   writes of this one.  */
 static inline void
 jb_pool_raise_fence (struct jb_pool *pool, struct jb_backend *backend,
                      jb_time now)
 {
-  backend->fence_number = ++pool->last_incarnation;
+  uint64_t version = jb_ownership_version (pool->ownership);
+
+  pool->last_fence
+      = CLAMP (jb_pool_last_fence (pool) + 1, version * JB_FENCES_PER_VERSION,
+               (version + 1) * JB_FENCES_PER_VERSION - 1);
+  backend->fence = pool->last_fence;
   backend->fence_raised_at = now;
+  backend->open_acks = 0;
 }
 
-/* Return the target of a command to BACKEND.  Its fencing token rises with
-   each owner of POOL and with each incarnation of a backend server, so that
-   what was sent to a previous incarnation is refused in the next one, once
-   that has seen the higher token.  */
+/* Return the fencing token of commands to BACKEND.  It rises with each owner
+   of POOL and with each incarnation of a backend server, so that what was sent
+   to a previous incarnation is refused in the next one, once that has seen the
+   higher token.  */
+static inline uint64_t
+jb_pool_fence_at (const struct jb_pool *pool, const struct jb_backend *backend)
+{
+  return MAX (backend->fence,
+              jb_ownership_fence (pool->ownership) * JB_FENCES_PER_VERSION);
+}
+
+/* Return the target of a command to BACKEND.  */
 static inline struct jb_backend_target
 jb_pool_target (const struct jb_pool *pool, const struct jb_backend *backend,
                 bool new_connection)
 {
-  return (struct jb_backend_target){
-    .address = backend->address,
-    .instance = backend->instance,
-    .fence = jb_ownership_fence (pool->ownership) * JB_FENCES_PER_OWNER
-             + MIN (backend->fence_number, JB_FENCES_PER_OWNER - 1),
-    .new_connection = new_connection
-  };
+  return (struct jb_backend_target){ .address = backend->address,
+                                     .instance = backend->instance,
+                                     .fence = jb_pool_fence_at (pool, backend),
+                                     .new_connection = new_connection };
+}
+
+/* BACKEND has refused a command with the fencing token FENCE as stale.  Unless
+   the command has only been overtaken by one with a higher token of this
+   owner, find out whether there is another owner.  Return whether that is
+   so.  */
+static inline bool
+jb_pool_check_refused_fence (struct jb_pool *pool,
+                             const struct jb_backend *backend, uint64_t fence,
+                             jb_time now)
+{
+  if (fence < jb_pool_fence_at (pool, backend))
+    return false;
+  jb_ownership_verify (pool->ownership, now);
+  return true;
 }
 
 /* ---- jb_pool_takeover.c ---- */
@@ -336,7 +374,7 @@
 /* A start of run number RUN of TASK on BACKEND has SUCCEEDED, was refused or
    was not sent.  */
 void jb_pool_start_answered (struct jb_pool *pool, const char *task,
-                             uint32_t run, const struct jb_backend *backend,
+                             uint32_t run, struct jb_backend *backend,
                              bool succeeded);
 /* Return the entry of TASK if a start of it is in doubt, else NULL.  */
 struct jb_doubt *jb_pool_find_doubt (const struct jb_pool *pool,
@@ -354,16 +392,16 @@
 bool jb_pool_try_renumber (struct jb_pool *pool, struct jb_task *task,
                            jb_time now);
 /* BACKEND has listed run number RUN of TASK as active.  */
-void jb_pool_run_listed (struct jb_pool *pool,
-                         const struct jb_backend *backend, const char *task,
-                         uint32_t run);
+void jb_pool_run_listed (struct jb_pool *pool, struct jb_backend *backend,
+                         const char *task, uint32_t run);
 /* BACKEND has listed ENDED_RUN.  */
 void jb_pool_end_listed (struct jb_pool *pool, struct jb_backend *backend,
                          const struct jb_ended_run *ended_run);
-/* Return the number of the last end that may be acknowledged to BACKEND.  None
-   is held back while it is cordoned: its host goes when all are acknowledged,
-   and the instance with it.  */
-uint64_t jb_pool_ackable_end (const struct jb_backend *backend, jb_time now);
+/* Return the number of the last end that may be acknowledged to BACKEND.  */
+uint64_t jb_pool_ackable_end (const struct jb_backend *backend);
+/* Return whether ends that BACKEND has reported must not be acknowledged
+   although they are stored.  */
+bool jb_pool_holds_ends (const struct jb_backend *backend);
 /* The instance INSTANCE will not come back: it carries out nothing.  */
 void jb_pool_drop_doubts (struct jb_pool *pool, const char *instance);
 /* The same for all instances that were at ADDRESS, except INSTANCE.  */
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -418,7 +418,8 @@
   struct jb_pool *pool;
   struct jb_backend *backend;
   uint32_t incarnation; /* of the backend server, as known when it was sent */
-  uint64_t acked_end;   /* number of the last end that it acknowledges */
+  uint64_t fence;
+  uint64_t acked_end; /* number of the last end that it acknowledges */
   bool extends_lease;
   jb_time wait; /* for its answer, as requested */
 };
@@ -450,7 +451,7 @@
           jb_itoa (backend->started_unix_ms), NULL);
   backend->former_started_unix_ms = backend->started_unix_ms;
   jb_pool_raise_fence (pool, backend, now);
-  backend->incarnation = backend->fence_number;
+  backend->incarnation = ++pool->last_incarnation;
   backend->may_get_old_commands = true;
   backend->restart_seen_at = now;
   pool->restart_seen_at = now;
@@ -543,7 +544,7 @@
   jb_pool_throttle_backend (pool, backend, now);
   backend->next_probe
       = sent_at
-        + (backend->held_from != 0 ? HELD_INTERVAL : PROBE_MIN_INTERVAL);
+        + (jb_pool_holds_ends (backend) ? HELD_INTERVAL : PROBE_MIN_INTERVAL);
   if (jb_pool_has_disabled (pool, JB_SAFEGUARD_STORE_BEFORE_ACK))
     backend->stored_end = backend->processed_end;
   jb_pool_mark_ends_stored (pool, now);
@@ -617,6 +618,9 @@
   struct jb_backend *backend = probe->backend;
 
   backend->probes_in_flight--;
+  if (probe->acked_end != 0 && reply->result != JB_RESULT_UNKNOWN
+      && probe->fence == jb_pool_fence_at (pool, backend))
+    backend->open_acks--;
   jb_pool_note_result (pool, backend, now, sent_at, probe->wait,
                        probe->extends_lease, reply->result);
   if (probe->incarnation != backend->incarnation)
@@ -637,8 +641,9 @@
     }
   else if (reply->result == JB_RESULT_CONFLICT)
     {
-      jb_ownership_verify (pool->ownership, now);
-      backend->next_probe = now + UNANSWERED_RETRY_INTERVAL;
+      backend->next_probe = now;
+      if (jb_pool_check_refused_fence (pool, backend, probe->fence, now))
+        backend->next_probe += UNANSWERED_RETRY_INTERVAL;
     }
   else if (reply->result == JB_RESULT_NOT_SENT)
     handle_probe_not_sent (pool, backend, now, sent_at);
@@ -652,14 +657,13 @@
    not since its zone was taken back, or it has reported ends of runs that are
    not acknowledged yet.  */
 static bool
-needs_probing (const struct jb_pool *pool, const struct jb_backend *backend,
-               jb_time now)
+needs_probing (const struct jb_pool *pool, const struct jb_backend *backend)
 {
   return !backend->probed || backend->task_count > 0
          || backend->doubt_count > 0 || jb_pool_awaits_answer (pool, backend)
          || (backend->unanswered_probes > 0 && backend->listed)
          || backend->orphan_seen_at != 0
-         || jb_pool_ackable_end (backend, now) > backend->acked_end
+         || jb_pool_ackable_end (backend) > backend->acked_end
          || backend->processed_end > backend->stored_end;
 }
 
@@ -681,9 +685,11 @@
      seen.  A probe that is carried out late may do that, too: it has the
      number only if that is news.  */
   if (backend->probed && backend->unanswered_probes == 0
-      && jb_pool_ackable_end (backend, now) > backend->acked_end)
-    probe->acked_end = jb_pool_ackable_end (backend, now);
+      && jb_pool_ackable_end (backend) > backend->acked_end)
+    probe->acked_end = jb_pool_ackable_end (backend);
   command.u.probe.acked_end = probe->acked_end;
+  probe->fence = command.backend.fence;
+  backend->open_acks += probe->acked_end != 0;
   /* Extend the lease only if the backend server answers and is listed.  */
   if (backend->clock_received_at != 0 && backend->unanswered_probes == 0
       && backend->listed && jb_pool_may_command (pool, now))
@@ -695,7 +701,7 @@
   if (backend->unanswered_probes == 0 && backend->probed
       && backend->task_count + backend->doubt_count > 0
       && backend->processed_end == backend->stored_end
-      && backend->held_from == 0 && !backend->probe_urgent)
+      && !jb_pool_holds_ends (backend) && !backend->probe_urgent)
     {
       command.u.probe.wait_ms = jb_crash_has_probation (backend)
                                     ? JB_CRASH_EARLY_MS
@@ -732,7 +738,7 @@
 {
   jb_time due = backend->next_probe;
 
-  if (!needs_probing (pool, backend, now))
+  if (!needs_probing (pool, backend))
     return JB_NEVER;
   if (backend->probes_in_flight > (backend->probe_urgent ? 1U : 0U))
     return last_probe_due_at (pool, backend, now);
@@ -741,6 +747,10 @@
   if (backend->processed_end > backend->stored_end
       && backend->unanswered_probes == 0)
     due = MAX (due, backend->lease_sent_at + LEASE_RENEW_INTERVAL);
+  /* So will the starts, and the probe can then acknowledge ends.  */
+  if (backend->starts_in_flight > 0 && backend->unanswered_probes == 0
+      && backend->stored_end > backend->acked_end)
+    due = MAX (due, backend->awaited_since + USUAL_ANSWER_TIME);
   return due;
 }
 
--- a/packages/jobs/src/jb_pool_roster.c
+++ b/packages/jobs/src/jb_pool_roster.c
@@ -101,7 +101,7 @@
     }
   backend = jb_backend_new (pool, &entry);
   backend->incarnation = pool->last_incarnation;
-  backend->fence_number = pool->last_incarnation;
+  backend->fence = jb_pool_last_fence (pool);
   backend->idle_since = now;
   backend->listed = true;
   backend->listed_at = now;
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -90,6 +90,7 @@
   struct jb_pool *pool;
   struct jb_backend *backend;
   uint32_t incarnation; /* of the backend server, as known when it was sent */
+  uint64_t fence;
   struct jb_task_ref ref;
   uint32_t run;
 };
@@ -126,7 +127,7 @@
     jb_pool_clear_lost_runs (stop->pool, backend, now, JB_LOSS_REPLACED);
   else if (reply->result == JB_RESULT_CONFLICT
            && reply->refusal == JB_REFUSAL_FENCED)
-    jb_ownership_verify (stop->pool->ownership, now);
+    jb_pool_check_refused_fence (stop->pool, backend, stop->fence, now);
   else if ((reply->result == JB_RESULT_OK
             || reply->result == JB_RESULT_CONFLICT)
            && task != NULL)
@@ -155,6 +156,7 @@
   stop->pool = pool;
   stop->backend = backend;
   stop->incarnation = backend->incarnation;
+  stop->fence = command.backend.fence;
   stop->run = run;
   if (!jb_task_ref_parse (name, &stop->ref))
     memset (&stop->ref, 0, sizeof stop->ref);
@@ -235,6 +237,7 @@
   struct jb_task *task; /* set when the reply is processed */
   struct jb_backend *backend;
   uint32_t incarnation; /* of the backend server, as known when it was sent */
+  uint64_t fence;
   struct jb_task_ref ref;
   uint32_t run;
 };
@@ -264,8 +267,8 @@
       break;
     case JB_REFUSAL_FENCED:
       counter = JB_COUNT_START_FENCED;
-      backend->unhealthy_until = now + UNHEALTHY_BACKOFF;
-      jb_ownership_verify (pool->ownership, now);
+      if (jb_pool_check_refused_fence (pool, backend, start->fence, now))
+        backend->unhealthy_until = now + UNHEALTHY_BACKOFF;
       break;
     case JB_REFUSAL_NO_TICKET:
       counter = JB_COUNT_START_NO_TICKET;
@@ -474,13 +477,17 @@
   struct start_request *start = talloc_zero (backend, struct start_request);
   char name[JB_TASK_NAME_SIZE];
   struct jb_command command
-      = { .kind = JB_COMMAND_START_TASK,
-          .timeout_ms = START_TIMEOUT_MS,
-          .backend = jb_pool_target (pool, backend, false) };
+      = { .kind = JB_COMMAND_START_TASK, .timeout_ms = START_TIMEOUT_MS };
 
+  /* An acknowledgement that was sent before and is carried out late must not
+     follow this start after a restart: it would drop the end of its run.  */
+  if (backend->open_acks > 0)
+    jb_pool_raise_fence (pool, backend, now);
+  command.backend = jb_pool_target (pool, backend, false);
   start->pool = pool;
   start->backend = backend;
   start->incarnation = backend->incarnation;
+  start->fence = command.backend.fence;
   start->run = task->run;
   backend->starts_in_flight++;
   if (backend->awaited_since == 0)
