Don't bar the late starts of a task that is still to run

Cause: after six starts without an answer, or while its backend server could not be used for a moment, the owner sent a stop. That closes the run, so that none of the starts that were still to be carried out took effect, and the task may not start elsewhere until they are over, 12.5 s after the last one. Change: a stop is sent only if the task is not to run there: its job has ended, the backend server leaves, or none of its starts can be carried out any more. Otherwise the owner waits for one of them, and after six sends another one each second, twelve in all.

--- a/packages/jobs/src/jb_pool_doubt.c
+++ b/packages/jobs/src/jb_pool_doubt.c
@@ -19,6 +19,9 @@
 #define STORE_AFTER (25 * JB_MS)
 #define ROW_INTERVAL (40 * JB_MS)
 
+/* Time between starts of a task after JB_MAX_QUICK_STARTS of them.  */
+#define REPEAT_INTERVAL (1000 * JB_MS)
+
 /* How long after a backend server has restarted under its instance name others
    are expected to do so.  */
 #define RESTART_MEMORY (60 * JB_SECOND)
@@ -175,6 +178,14 @@
          || now - pool->restart_seen_at > RESTART_MEMORY;
 }
 
+bool
+jb_pool_may_repeat (const struct jb_doubt *doubt, jb_time now)
+{
+  return doubt->sent < JB_MAX_QUICK_STARTS
+         || (doubt->sent < JB_MAX_STARTS_IN_DOUBT
+             && now - doubt->sent_at >= REPEAT_INTERVAL);
+}
+
 struct jb_backend *
 jb_pool_choose_in_doubt (const struct jb_pool *pool, struct jb_task *task,
                          jb_time now)
@@ -184,7 +195,7 @@
       = doubt != NULL ? g_hash_table_lookup (pool->backends, doubt->instance)
                       : NULL;
 
-  if (backend == NULL || doubt->sent >= JB_MAX_STARTS_IN_DOUBT
+  if (backend == NULL || !jb_pool_may_repeat (doubt, now)
       || !may_start_beside (pool, task, doubt, now)
       || !jb_pool_backend_is_usable (pool, backend, now))
     return NULL;
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -46,9 +46,10 @@
 
 enum
 {
-  /* A task whose starts on a backend server were not answered so often is not
-     started there again.  */
-  JB_MAX_STARTS_IN_DOUBT = 6,
+  /* After this number of starts of a task that were not answered, further ones
+     are sent at intervals, and after the second number, none.  */
+  JB_MAX_QUICK_STARTS = 6,
+  JB_MAX_STARTS_IN_DOUBT = 12,
   /* There are this many fencing tokens for each version of an owner row, so
      that an owner can raise the one of a backend server.  */
   JB_FENCES_PER_VERSION = 1 << 16
@@ -379,6 +380,8 @@
 /* Return the entry of TASK if a start of it is in doubt, else NULL.  */
 struct jb_doubt *jb_pool_find_doubt (const struct jb_pool *pool,
                                      struct jb_task *task);
+/* Return whether another start may be sent beside those of DOUBT.  */
+bool jb_pool_may_repeat (const struct jb_doubt *doubt, jb_time now);
 /* Return the backend server of the start of TASK that is in doubt, or NULL if
    TASK can't start there now.  */
 struct jb_backend *jb_pool_choose_in_doubt (const struct jb_pool *pool,
@@ -590,7 +593,8 @@
                                 struct jb_backend *backend, const char *task,
                                 uint32_t run, jb_time now);
 /* BACKEND does not list the current run of TASK, whose start was not answered:
-   send the start again, or a stop if the task may not start there now.  */
+   send the start again if that is possible now, or a stop if the task is not to
+   start there any more.  */
 void jb_pool_repeat_start (struct jb_pool *pool, struct jb_task *task,
                            jb_time now);
 /* Send stops that were not answered in time again.  */
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -541,16 +541,30 @@
   send_start (pool, task, now);
 }
 
+/* Return whether nothing that is started on BACKEND could stay there.  */
+static bool
+is_leaving (const struct jb_pool *pool, const struct jb_backend *backend,
+            jb_time now)
+{
+  return backend->draining || !backend->listed || now < backend->cordoned_until
+         || !jb_pool_zone_is_usable (pool, backend);
+}
+
 void
 jb_pool_repeat_start (struct jb_pool *pool, struct jb_task *task, jb_time now)
 {
   const struct jb_doubt *doubt = jb_pool_find_doubt (pool, task);
+  /* No start of it can be carried out any more.  */
+  bool is_over = doubt == NULL
+                 && !jb_takeover_may_start_copies (jb_task_step (task))
+                 && !jb_pool_has_disabled (pool, JB_SAFEGUARD_DOUBT);
 
-  if (task->group->job->ended_at != 0 || task->done
-      || (doubt != NULL && doubt->sent >= JB_MAX_STARTS_IN_DOUBT)
-      || !jb_pool_backend_is_usable (pool, task->backend, now))
+  if (task->group->job->ended_at != 0 || task->done || is_over
+      || is_leaving (pool, task->backend, now))
     jb_pool_stop_run (pool, task, now, "its start was not answered");
-  else if (jb_pool_may_command (pool, now))
+  else if ((doubt == NULL || jb_pool_may_repeat (doubt, now))
+           && jb_pool_backend_is_usable (pool, task->backend, now)
+           && jb_pool_may_command (pool, now))
     {
       jb_count_event (pool->options.driver, JB_COUNT_STARTS_REPEATED);
       task->state = JB_RUN_STARTING;
