Don't count starts that can't be carried out any more

Cause: starts in doubt were counted until the last one was over, so that those of half a minute before still used up the limit. Change: the table keeps when each start was sent, and counts it for 12.5 s. A run that is listed settles the last start only if none was dropped that way: it may be the dropped one's.

--- a/packages/jobs/include/jb_doubt.h
+++ b/packages/jobs/include/jb_doubt.h
@@ -38,12 +38,23 @@
 /* Longest time after which a command that was not answered is carried out.  */
 #define JB_MAX_COMMAND_DELAY (12500 * JB_MS)
 
+enum
+{
+  JB_MAX_STARTS_IN_DOUBT = 12 /* of one task */
+};
+
 struct jb_doubt
 {
   char *task;     /* name */
   char *instance; /* of the backend server */
   uint32_t run;   /* number in the start that was sent last */
   uint32_t sent;  /* starts that may still be carried out */
+  /* Upper bounds of the times at which they were sent, in ascending order: of
+     the last ones, if there are more.  */
+  jb_time sent_times[JB_MAX_STARTS_IN_DOUBT];
+  /* Some are not counted any more, because their time is over.  Which start
+     has led to a run that is listed isn't known then.  */
+  bool some_expired;
   /* A start of run number `run' has succeeded, so that the run is listed does
      not tell of another one.  */
   bool succeeded;
@@ -82,6 +93,10 @@
 bool jb_doubt_settle (struct jb_doubt_table *table, const char *task,
                       uint32_t run, const char *instance);
 
+/* Stop counting those starts of DOUBT, except the last one, that can't be
+   carried out any more at NOW.  */
+void jb_doubt_expire_starts (struct jb_doubt *doubt, jb_time now);
+
 /* Return when the starts of DOUBT can't be carried out any more.  */
 jb_time jb_doubt_until (const struct jb_doubt *doubt);
 
--- a/packages/jobs/src/jb_doubt.c
+++ b/packages/jobs/src/jb_doubt.c
@@ -38,6 +38,14 @@
   return g_hash_table_lookup (table->entries, task);
 }
 
+/* Remove the first of the COUNT times of DOUBT.  */
+static void
+drop_first_time (struct jb_doubt *doubt, uint32_t count)
+{
+  memmove (doubt->sent_times, doubt->sent_times + 1,
+           (count - 1) * sizeof *doubt->sent_times);
+}
+
 struct jb_doubt *
 jb_doubt_add (struct jb_doubt_table *table, const char *task, uint32_t run,
               const char *instance, jb_time sent_at)
@@ -59,10 +67,15 @@
     {
       doubt->run_closed = false;
       doubt->succeeded = false;
+      doubt->some_expired = false;
     }
   doubt->run = run;
-  doubt->sent++;
   doubt->sent_at = MAX (doubt->sent_at, sent_at);
+  if (doubt->sent >= JB_MAX_STARTS_IN_DOUBT)
+    drop_first_time (doubt, JB_MAX_STARTS_IN_DOUBT);
+  doubt->sent_times[MIN (doubt->sent, JB_MAX_STARTS_IN_DOUBT - 1)]
+      = doubt->sent_at;
+  doubt->sent++;
   doubt->stored = false;
   return doubt;
 }
@@ -95,6 +108,10 @@
   if (doubt == NULL)
     return false;
   doubt->succeeded = doubt->succeeded || succeeded;
+  /* Which of them it was isn't known: the others were sent not later than the
+     remaining times say.  */
+  if (doubt->sent <= JB_MAX_STARTS_IN_DOUBT)
+    drop_first_time (doubt, doubt->sent);
   if (--doubt->sent > 0)
     return false;
   remove_entry (table, doubt);
@@ -108,12 +125,24 @@
   struct jb_doubt *doubt = find_start (table, task, run, instance);
 
   /* Which of several starts was carried out isn't known.  */
-  if (doubt == NULL || doubt->sent != 1 || doubt->succeeded)
+  if (doubt == NULL || doubt->sent != 1 || doubt->succeeded
+      || doubt->some_expired)
     return false;
   remove_entry (table, doubt);
   return true;
 }
 
+void
+jb_doubt_expire_starts (struct jb_doubt *doubt, jb_time now)
+{
+  while (doubt->sent > 1 && doubt->sent <= JB_MAX_STARTS_IN_DOUBT
+         && now >= doubt->sent_times[0] + JB_MAX_COMMAND_DELAY)
+    {
+      drop_first_time (doubt, doubt->sent--);
+      doubt->some_expired = true;
+    }
+}
+
 jb_time
 jb_doubt_until (const struct jb_doubt *doubt)
 {
--- a/packages/jobs/src/jb_pool_doubt.c
+++ b/packages/jobs/src/jb_pool_doubt.c
@@ -407,6 +407,7 @@
   struct jb_backend *backend
       = g_hash_table_lookup (pool->backends, doubt->instance);
 
+  jb_doubt_expire_starts (doubt, visit->now);
   if (jb_doubt_is_over (doubt, visit->now,
                         backend != NULL ? backend->asked_at : 0,
                         pool->options.bounds->max_lease_ms)
@@ -646,7 +647,9 @@
           = jb_doubt_add (pool->doubts->table, saved.doubts[i].task,
                           saved.doubts[i].run, saved.doubts[i].instance, now);
 
-      doubt->sent = MAX (doubt->sent, saved.doubts[i].sent);
+      while (doubt->sent < MIN (saved.doubts[i].sent, JB_MAX_STARTS_IN_DOUBT))
+        jb_doubt_add (pool->doubts->table, doubt->task, doubt->run,
+                      doubt->instance, now);
       /* The former owner may have sent further ones.  */
       doubt->succeeded = true;
       doubt->stored = true;
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -47,9 +47,8 @@
 enum
 {
   /* After this number of starts of a task that were not answered, further ones
-     are sent at intervals, and after the second number, none.  */
+     are sent at intervals.  */
   JB_MAX_QUICK_STARTS = 6,
-  JB_MAX_STARTS_IN_DOUBT = 12,
   /* There are this many fencing tokens for each version of an owner row, so
      that an owner can raise the one of a backend server.  */
   JB_FENCES_PER_VERSION = 1 << 16
@@ -593,8 +592,8 @@
                                 struct jb_backend *backend, const char *task,
                                 uint32_t run, jb_time now);
 /* BACKEND does not list the current run of TASK, whose start was not answered:
-   send the start again if that is possible now, or a stop if the task is not to
-   start there any more.  */
+   send the start again if that is possible now, or a stop if the task is not
+   to start there any more.  */
 void jb_pool_repeat_start (struct jb_pool *pool, struct jb_task *task,
                            jb_time now);
 /* Send stops that were not answered in time again.  */
--- a/packages/jobs/tests/test_jb_doubt.c
+++ b/packages/jobs/tests/test_jb_doubt.c
@@ -66,6 +66,28 @@
   talloc_free (table);
 }
 
+/* Starts whose time is over don't count, but one that is listed doesn't settle
+   those that are left: it may be the run of an expired one.  */
+static void
+test_expired_starts (void)
+{
+  struct jb_doubt_table *table = table_with_starts (JB_MAX_STARTS_IN_DOUBT);
+  struct jb_doubt *doubt = jb_doubt_find (table, TASK);
+  jb_time first_over = SENT_AT + JB_MAX_COMMAND_DELAY;
+
+  jb_doubt_expire_starts (doubt, first_over - 1);
+  CU_ASSERT_EQUAL (doubt->sent, JB_MAX_STARTS_IN_DOUBT);
+  jb_doubt_expire_starts (doubt, first_over + 2 * JB_SECOND);
+  CU_ASSERT_EQUAL (doubt->sent, JB_MAX_STARTS_IN_DOUBT - 3);
+  jb_doubt_expire_starts (doubt, first_over + 60 * JB_SECOND);
+  CU_ASSERT_EQUAL (doubt->sent, 1);
+  jb_doubt_settle (table, TASK, RUN, "i-1");
+  CU_ASSERT_PTR_NOT_NULL (jb_doubt_find (table, TASK));
+  jb_doubt_answer (table, TASK, RUN, "i-1", true);
+  CU_ASSERT_PTR_NULL (jb_doubt_find (table, TASK));
+  talloc_free (table);
+}
+
 /* Which of two starts has led to a run that is listed isn't known.  */
 static void
 test_listed_after_repeat (void)
@@ -143,6 +165,7 @@
   static const struct dp_test tests[]
       = { { "answered", test_answered },
           { "the answer to a repeat", test_repeat_answered },
+          { "starts whose time is over", test_expired_starts },
           { "listed", test_listed },
           { "listed after a repeat", test_listed_after_repeat },
           { "the answer to a former run", test_answer_of_former_run },
