Explore all orders of a task's commands in a small model

The model has one task, two owners and two backend servers, one of which restarts; a breadth-first search reaches all states.

--- /dev/null
+++ b/tests/sim/model/cm_model.c
@@ -0,0 +1,902 @@
+#include "cm_model.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum cm_end
+{
+  END_RUN_MASK = 7, /* run number, 0: of another task */
+  END_DONE = 8,
+  END_VOID = 16,         /* the lease has lapsed since */
+  END_BEFORE_START = 32, /* the task was started after it */
+};
+
+enum
+{
+  UNKNOWN_COUNT = 3,   /* starts in doubt of a former owner */
+  MAX_DOUBT_COUNT = 2, /* of starts in doubt that an owner sends */
+  LEASE_TIMES = 2      /* after its arrival, a lease expires in the second */
+};
+
+static const char *const rule_names[CM_RULE_COUNT] = {
+  [CM_RULE_SAME_SERVER] = "R1 same-server",
+  [CM_RULE_SAME_RUN] = "R2 same-run",
+  [CM_RULE_STORED_STARTS] = "R3 stored-starts",
+  [CM_RULE_HELD_ENDS] = "R4 held-ends",
+  [CM_RULE_NO_REPEATED_ACK] = "R4 no-repeated-acknowledgement",
+  [CM_RULE_FENCE_AFTER_ACK] = "R5 fence-after-acknowledgement",
+  [CM_RULE_STORED_ENDS] = "R6 stored-ends",
+  [CM_RULE_OWNER_FENCE] = "R7 owner-fence",
+  [CM_RULE_ASK_ALL] = "R7 ask-all",
+  [CM_RULE_FORMER_OWNER_ENDS] = "R8 former-owner-ends",
+  [CM_RULE_LEASE_FROM_ARRIVAL] = "R9 lease-from-arrival",
+};
+
+static const char *const violation_names[]
+    = { [CM_NO_VIOLATION] = "none",
+        [CM_TWO_RUNS] = "two runs at the same time",
+        [CM_START_AFTER_NOTED_END] = "a start after an acknowledged end",
+        [CM_END_NOTED_AFTER_START]
+        = "an end acknowledged after a later start" };
+
+const char *
+cm_rule_name (enum cm_rule rule)
+{
+  return rule_names[rule];
+}
+
+const char *
+cm_violation_name (enum cm_violation violation)
+{
+  return violation_names[violation];
+}
+
+void
+cm_init (struct cm_state *state)
+{
+  memset (state, 0, sizeof *state);
+  state->owners[0].acts = 1;
+  for (int i = 0; i < CM_SERVERS; i++)
+    state->owners[0].views[i].answered = 1;
+}
+
+static bool
+has_rule (const struct cm_options *options, enum cm_rule rule)
+{
+  return (options->rules & (1U << rule)) != 0;
+}
+
+static uint8_t
+run_bit (uint8_t run)
+{
+  return 1U << run;
+}
+
+static uint8_t
+highest_run (uint8_t runs)
+{
+  return 31 - __builtin_clz (runs);
+}
+
+/* ---- commands in flight ---- */
+
+static int
+compare_messages (const void *a, const void *b)
+{
+  return memcmp (b, a, sizeof (struct cm_message));
+}
+
+static void
+sort_messages (struct cm_state *state)
+{
+  qsort (state->messages, CM_MESSAGES, sizeof state->messages[0],
+         compare_messages);
+}
+
+static bool
+is_start (const struct cm_message *message)
+{
+  return (message->kind - 1) % 2 != 0;
+}
+
+static uint8_t
+message_server (const struct cm_message *message)
+{
+  return (message->kind - 1) / 2 % CM_SERVERS;
+}
+
+static uint8_t
+message_owner (const struct cm_message *message)
+{
+  return (message->kind - 1) / 4;
+}
+
+static bool
+send_message (struct cm_state *state, uint8_t owner, uint8_t server,
+              bool start, uint8_t fence, uint8_t value)
+{
+  struct cm_message *last = &state->messages[CM_MESSAGES - 1];
+
+  if (last->kind != 0)
+    return false;
+  last->kind = 1 + owner * 4 + server * 2 + start;
+  last->fence = fence;
+  last->value = value;
+  sort_messages (state);
+  return true;
+}
+
+/* ---- backend servers ---- */
+
+static void
+append_end (struct cm_server *server, uint8_t end)
+{
+  server->ends[server->end_count++] = end;
+}
+
+static void
+note_start (struct cm_state *state, struct cm_server *server, uint8_t run)
+{
+  if (state->end_noted)
+    state->violation = CM_START_AFTER_NOTED_END;
+  for (int i = 0; i < CM_SERVERS; i++)
+    {
+      struct cm_server *other = &state->servers[i];
+
+      if (other->active != 0)
+        state->violation = CM_TWO_RUNS;
+      for (int j = 0; j < other->end_count; j++)
+        if (other->ends[j] & END_DONE)
+          other->ends[j] |= END_BEFORE_START;
+    }
+  server->active |= run_bit (run);
+}
+
+static void
+drop_ends (struct cm_state *state, struct cm_server *server, uint8_t up_to)
+{
+  while (server->end_count > 0 && server->dropped_ends < up_to)
+    {
+      uint8_t end = server->ends[0];
+
+      if ((end & END_DONE) && !(end & END_VOID))
+        {
+          state->end_noted = 1;
+          if (end & END_BEFORE_START)
+            state->violation = CM_END_NOTED_AFTER_START;
+        }
+      memmove (server->ends, server->ends + 1, CM_ENDS - 1);
+      server->ends[CM_ENDS - 1] = 0;
+      server->end_count--;
+      server->dropped_ends++;
+    }
+}
+
+/* End all runs of SERVER, whose lease has expired.  */
+static void
+lapse (struct cm_server *server)
+{
+  for (int i = 0; i < server->end_count; i++)
+    if (server->ends[i] & END_DONE)
+      server->ends[i] |= END_VOID;
+  for (uint8_t run = 1; run <= CM_OWNERS * CM_RUNS_PER_OWNER; run++)
+    if (server->active & run_bit (run))
+      {
+        server->closed = MAX (server->closed, run);
+        if (server->end_count < CM_ENDS)
+          append_end (server, run);
+      }
+  server->active = 0;
+}
+
+/* ---- what an owner learns ---- */
+
+/* Forget the doubts of SERVER in VIEW, and its row in the store.  */
+static void
+clear_doubt (struct cm_state *state, uint8_t owner, uint8_t server)
+{
+  struct cm_view *view = &state->owners[owner].views[server];
+
+  view->doubt_runs = 0;
+  view->doubt_count = 0;
+  view->doubt_age = 0;
+  view->doubt_fence = 0;
+  view->succeeded = 0;
+  view->held_from = 0;
+  if (owner == 0 && !state->taken_over)
+    state->stored_doubts[server] = 0;
+}
+
+static void
+settle_one_start (struct cm_state *state, uint8_t owner, uint8_t server)
+{
+  struct cm_view *view = &state->owners[owner].views[server];
+
+  if (view->doubt_count == UNKNOWN_COUNT || view->doubt_count == 0)
+    return;
+  if (--view->doubt_count == 0)
+    clear_doubt (state, owner, server);
+}
+
+static void
+learn_incarnation (struct cm_view *view, const struct cm_server *server)
+{
+  if (view->incarnation == server->incarnation)
+    return;
+  view->incarnation = server->incarnation;
+  view->active = 0;
+  view->closed = 0;
+  view->seen_end = 0;
+  view->stored_end = 0;
+  view->held_from = 0;
+  view->acked_end = 0;
+  view->fence_answered = 0;
+}
+
+static void
+read_end (struct cm_owner *owner, struct cm_view *view, uint8_t end,
+          uint8_t number)
+{
+  uint8_t run = end & END_RUN_MASK;
+
+  if ((end & END_DONE) && !owner->done)
+    {
+      owner->done = 1;
+      owner->unstored = 1;
+      for (int i = 0; i < CM_SERVERS; i++)
+        owner->views[i].stored_end = owner->views[i].seen_end;
+    }
+  if (run != 0 && view->doubt_count > 0)
+    {
+      view->closed = MAX (view->closed, run);
+      if (view->held_from == 0)
+        view->held_from = number;
+    }
+  view->seen_end = number;
+}
+
+/* Read both lists of a backend server.  */
+static void
+read_lists (struct cm_state *state, uint8_t owner, uint8_t server_index)
+{
+  struct cm_owner *reader = &state->owners[owner];
+  struct cm_view *view = &reader->views[server_index];
+  const struct cm_server *server = &state->servers[server_index];
+  uint8_t listed = server->active;
+
+  learn_incarnation (view, server);
+  for (uint8_t i = 0; i < server->end_count; i++)
+    {
+      uint8_t number = server->dropped_ends + i + 1;
+
+      listed |= run_bit (server->ends[i] & END_RUN_MASK);
+      if (number > view->seen_end)
+        read_end (reader, view, server->ends[i], number);
+    }
+  if (owner == 1)
+    reader->unstored = 0; /* nobody takes over from it */
+  if (view->active == 0)
+    view->lease_age = 0;
+  view->active = server->active;
+  view->answered = 1;
+  view->fence_answered = MAX (view->fence_answered, view->fence + 1);
+  /* A start in doubt is over if it is known to have been carried out, or can't
+     be any more.  */
+  if (view->doubt_age > 0)
+    clear_doubt (state, owner, server_index);
+  else if (view->doubt_count == 1 && !view->succeeded
+           && (listed & view->doubt_runs) == view->doubt_runs)
+    settle_one_start (state, owner, server_index);
+}
+
+/* ---- steps of owners ---- */
+
+static uint8_t
+fence_of (const struct cm_options *options, uint8_t owner, uint8_t raises)
+{
+  return 1 + raises
+         + (has_rule (options, CM_RULE_OWNER_FENCE)
+                ? owner * (CM_MAX_FENCE_RAISES + 1)
+                : 0);
+}
+
+/* Return whether OWNER knows where each run of a former owner may be.  */
+static bool
+has_located_all (const struct cm_options *options,
+                 const struct cm_state *state, uint8_t owner)
+{
+  uint8_t silent_times
+      = has_rule (options, CM_RULE_LEASE_FROM_ARRIVAL) ? LEASE_TIMES : 1;
+
+  if (owner == 0)
+    return true;
+  if (options->successor_waits && state->times_since_takeover == 0)
+    return false;
+  if (!has_rule (options, CM_RULE_ASK_ALL))
+    return true;
+  for (int i = 0; i < CM_SERVERS; i++)
+    if (!state->owners[owner].views[i].answered
+        && state->owners[owner].views[i].lease_age < silent_times)
+      return false;
+  return true;
+}
+
+static bool
+may_start (const struct cm_options *options, const struct cm_state *state,
+           uint8_t owner, uint8_t server)
+{
+  const struct cm_owner *sender = &state->owners[owner];
+
+  if (!sender->acts || sender->done || state->starts >= options->starts
+      || sender->views[server].doubt_count == MAX_DOUBT_COUNT
+      || !has_located_all (options, state, owner))
+    return false;
+  for (int i = 0; i < CM_SERVERS; i++)
+    if (sender->views[i].active != 0
+        || (i != server && sender->views[i].doubt_count > 0
+            && has_rule (options, CM_RULE_SAME_SERVER)))
+      return false;
+  return true;
+}
+
+/* Return whether OWNER may use a higher run number than RUN, of which a start
+   is in doubt.  */
+static bool
+may_renumber (const struct cm_options *options, uint8_t owner,
+              const struct cm_view *view, uint8_t run)
+{
+  bool is_barred = view->fence_answered > view->doubt_fence;
+  bool is_closed = run <= view->closed;
+  bool is_own = run > owner * CM_RUNS_PER_OWNER;
+
+  uint8_t ways = 0;
+
+  if (is_closed)
+    ways |= CM_RENUMBER_CLOSED | (is_barred ? CM_RENUMBER_CLOSED_BARRED : 0);
+  if (!is_own)
+    ways |= CM_RENUMBER_SUCCESSOR
+            | (is_barred ? CM_RENUMBER_SUCCESSOR_BARRED : 0);
+  return (options->renumber & ways) != 0;
+}
+
+/* Return the run number of the next start by OWNER, or 0 if there is none.  */
+static uint8_t
+choose_run (const struct cm_options *options, struct cm_state *state,
+            uint8_t owner, const struct cm_view *view)
+{
+  struct cm_owner *sender = &state->owners[owner];
+
+  if (view->doubt_count > 0 && has_rule (options, CM_RULE_SAME_RUN))
+    {
+      uint8_t run = highest_run (view->doubt_runs);
+
+      if (!may_renumber (options, owner, view, run))
+        return run > view->closed ? run : 0;
+    }
+  if (sender->used_runs == CM_RUNS_PER_OWNER)
+    return 0;
+  return owner * CM_RUNS_PER_OWNER + ++sender->used_runs;
+}
+
+static bool
+send_start (const struct cm_options *options, struct cm_state *state,
+            uint8_t owner, uint8_t server)
+{
+  struct cm_view *view = &state->owners[owner].views[server];
+  uint8_t run;
+
+  if (!may_start (options, state, owner, server))
+    return false;
+  run = choose_run (options, state, owner, view);
+  if (run == 0)
+    return false;
+  if (has_rule (options, CM_RULE_FENCE_AFTER_ACK) && view->open_acks > 0)
+    {
+      if (view->fence == CM_MAX_FENCE_RAISES)
+        return false;
+      view->fence++;
+      view->open_acks = 0;
+    }
+  if (has_rule (options, CM_RULE_STORED_STARTS) && owner == 0)
+    {
+      if (state->taken_over && !(state->stored_doubts[server] & run_bit (run)))
+        return false;
+      if (!state->taken_over)
+        state->stored_doubts[server] |= run_bit (run);
+    }
+  view->doubt_runs |= run_bit (run);
+  if (view->doubt_count != UNKNOWN_COUNT)
+    view->doubt_count++;
+  view->doubt_age = 0;
+  view->doubt_fence = view->fence + 1;
+  view->lease_age = 0;
+  state->starts++;
+  return send_message (state, owner, server, true,
+                       fence_of (options, owner, view->fence), run);
+}
+
+/* Return up to which number OWNER acknowledges ends of a backend server.  */
+static uint8_t
+ackable_end (const struct cm_options *options, const struct cm_state *state,
+             uint8_t owner, const struct cm_view *view)
+{
+  const struct cm_owner *sender = &state->owners[owner];
+
+  if (options->successor_waits && !options->successor_acks_early && owner == 1
+      && (state->times_since_takeover == 0 || !view->answered))
+    return 0;
+  if (view->doubt_count > 0 && has_rule (options, CM_RULE_HELD_ENDS))
+    {
+      if (options->hold_own_ends_only)
+        return view->held_from != 0 ? view->held_from - 1 : view->seen_end;
+      return has_rule (options, CM_RULE_NO_REPEATED_ACK) ? 0 : view->acked_end;
+    }
+  if (sender->unstored && has_rule (options, CM_RULE_STORED_ENDS))
+    return view->stored_end;
+  return view->seen_end;
+}
+
+/* Return whether a hold of OWNER with the same effect is in flight.  */
+static bool
+is_hold_in_flight (const struct cm_state *state, uint8_t owner, uint8_t server,
+                   uint8_t fence, uint8_t acked)
+{
+  for (int i = 0; i < CM_MESSAGES; i++)
+    {
+      const struct cm_message *message = &state->messages[i];
+
+      if (message->kind != 0 && !is_start (message)
+          && message_owner (message) == owner
+          && message_server (message) == server && message->fence == fence
+          && message->value >= acked)
+        return true;
+    }
+  return false;
+}
+
+/* Send a grant that acknowledges what may be.  */
+static bool
+send_hold (const struct cm_options *options, struct cm_state *state,
+           uint8_t owner, uint8_t server)
+{
+  struct cm_view *view = &state->owners[owner].views[server];
+  uint8_t fence = fence_of (options, owner, view->fence);
+  uint8_t acked = ackable_end (options, state, owner, view);
+
+  if (!state->owners[owner].acts
+      || (acked == 0 && (!options->late_grants || view->active == 0))
+      || is_hold_in_flight (state, owner, server, fence, acked))
+    return false;
+  if (acked > 0)
+    view->open_acks = MIN (view->open_acks + 1, CM_MESSAGES);
+  view->lease_age = 0;
+  return send_message (state, owner, server, false, fence, acked);
+}
+
+/* OWNER sends a hold that is answered at once, without an acknowledgement; and
+   without a grant if it knows of no run there.  */
+static bool
+ask (const struct cm_options *options, struct cm_state *state, uint8_t owner,
+     uint8_t server_index)
+{
+  struct cm_view *view = &state->owners[owner].views[server_index];
+  struct cm_server *server = &state->servers[server_index];
+  uint8_t fence;
+
+  if (!state->owners[owner].acts)
+    return false;
+  if (options->renumber != 0 && view->doubt_count > 0
+      && view->doubt_fence == view->fence + 1
+      && view->fence < CM_MAX_FENCE_RAISES)
+    {
+      view->fence++;
+      view->open_acks = 0;
+    }
+  fence = fence_of (options, owner, view->fence);
+  if (fence < server->fence)
+    return false;
+  server->fence = fence;
+  if (view->active != 0)
+    {
+      server->lease = LEASE_TIMES;
+      view->lease_age = 0;
+    }
+  read_lists (state, owner, server_index);
+  return true;
+}
+
+static bool
+store (struct cm_state *state)
+{
+  struct cm_owner *owner = &state->owners[0];
+
+  if (state->taken_over || !owner->unstored)
+    return false;
+  owner->unstored = 0;
+  for (int i = 0; i < CM_SERVERS; i++)
+    owner->views[i].stored_end = 0;
+  state->stored_done = 1;
+  return true;
+}
+
+static bool
+take_over (struct cm_state *state)
+{
+  struct cm_owner *owner = &state->owners[1];
+
+  if (state->taken_over)
+    return false;
+  state->taken_over = 1;
+  owner->acts = 1;
+  owner->done = state->stored_done;
+  for (int i = 0; i < CM_SERVERS; i++)
+    if (state->stored_doubts[i] != 0)
+      {
+        owner->views[i].doubt_runs = state->stored_doubts[i];
+        owner->views[i].doubt_count = UNKNOWN_COUNT;
+      }
+  return true;
+}
+
+/* ---- commands are carried out ---- */
+
+static void
+carry_out_start (struct cm_state *state, const struct cm_message *message,
+                 bool is_answered)
+{
+  uint8_t index = message_server (message);
+  uint8_t owner = message_owner (message);
+  uint8_t run = message->value;
+  struct cm_server *server = &state->servers[index];
+  struct cm_view *view = &state->owners[owner].views[index];
+  bool is_refused = true;
+
+  if (message->fence >= server->fence)
+    {
+      server->fence = message->fence;
+      server->lease = LEASE_TIMES;
+      is_refused = run <= server->closed;
+      if (!is_refused && !(server->active & run_bit (run)))
+        note_start (state, server, run);
+    }
+  if (!is_answered)
+    return;
+  learn_incarnation (view, server);
+  view->succeeded |= !is_refused;
+  if (!is_refused)
+    view->active |= run_bit (run);
+  else if (message->fence == server->fence)
+    view->closed = MAX (view->closed, run);
+  settle_one_start (state, owner, index);
+}
+
+static void
+carry_out_hold (const struct cm_options *options, struct cm_state *state,
+                const struct cm_message *message, bool is_answered)
+{
+  uint8_t index = message_server (message);
+  uint8_t owner = message_owner (message);
+  struct cm_server *server = &state->servers[index];
+  struct cm_view *view = &state->owners[owner].views[index];
+
+  if (message->fence >= server->fence)
+    {
+      server->fence = message->fence;
+      server->lease = LEASE_TIMES;
+      drop_ends (state, server, message->value);
+      if (is_answered)
+        {
+          read_lists (state, owner, index);
+          view->acked_end
+              = MIN (MAX (view->acked_end, message->value), view->seen_end);
+        }
+    }
+  if (is_answered && view->open_acks > 0 && message->value > 0
+      && message->fence == fence_of (options, owner, view->fence))
+    view->open_acks--;
+}
+
+static bool
+carry_out (const struct cm_options *options, struct cm_state *state,
+           uint8_t index, bool is_answered)
+{
+  struct cm_message message = state->messages[index];
+
+  if (message.kind == 0)
+    return false;
+  if (is_answered && !state->owners[message_owner (&message)].acts)
+    return false;
+  memset (&state->messages[index], 0, sizeof state->messages[index]);
+  sort_messages (state);
+  if (is_start (&message))
+    carry_out_start (state, &message, is_answered);
+  else
+    carry_out_hold (options, state, &message, is_answered);
+  return true;
+}
+
+/* ---- events ---- */
+
+static bool
+end_run (struct cm_server *server, bool done)
+{
+  uint8_t run;
+
+  if (server->active == 0 || server->end_count == CM_ENDS)
+    return false;
+  run = highest_run (server->active);
+  server->active &= ~run_bit (run);
+  server->closed = MAX (server->closed, run);
+  append_end (server, run | (done ? END_DONE : 0));
+  return true;
+}
+
+static bool
+end_other (const struct cm_options *options, struct cm_state *state)
+{
+  struct cm_server *server = &state->servers[0];
+
+  if (state->other_ends >= options->other_ends || server->end_count == CM_ENDS)
+    return false;
+  state->other_ends++;
+  append_end (server, 0);
+  return true;
+}
+
+static bool
+restart (const struct cm_options *options, struct cm_state *state)
+{
+  struct cm_server *server = &state->servers[0];
+
+  if (state->restarts >= options->restarts)
+    return false;
+  state->restarts++;
+  memset (server, 0, sizeof *server);
+  server->incarnation = state->restarts;
+  return true;
+}
+
+static void
+age_views (const struct cm_options *options, struct cm_state *state,
+           uint8_t owner)
+{
+  uint8_t silent_times
+      = has_rule (options, CM_RULE_LEASE_FROM_ARRIVAL) ? LEASE_TIMES : 1;
+
+  for (uint8_t i = 0; i < CM_SERVERS; i++)
+    {
+      struct cm_view *view = &state->owners[owner].views[i];
+
+      view->open_acks = 0;
+      view->lease_age = MIN (view->lease_age + 1, LEASE_TIMES);
+      if (view->lease_age >= silent_times)
+        view->active = 0;
+      if (view->doubt_count == 0)
+        continue;
+      view->doubt_age = MIN (view->doubt_age + 1, LEASE_TIMES);
+      if (MIN (view->doubt_age, view->lease_age) >= silent_times)
+        clear_doubt (state, owner, i);
+    }
+}
+
+static bool
+pass_time (const struct cm_options *options, struct cm_state *state)
+{
+  uint8_t last = has_rule (options, CM_RULE_FORMER_OWNER_ENDS) ? 1 : 2;
+
+  if (state->times >= options->times)
+    return false;
+  state->times++;
+  memset (state->messages, 0, sizeof state->messages);
+  for (int i = 0; i < CM_SERVERS; i++)
+    if (state->servers[i].lease > 0 && --state->servers[i].lease == 0)
+      lapse (&state->servers[i]);
+  if (options->successor_waits && state->times_since_takeover == 0)
+    for (int i = 0; i < CM_SERVERS; i++)
+      state->owners[1].views[i].answered = 0;
+  if (state->taken_over)
+    state->times_since_takeover
+        = MIN (state->times_since_takeover + 1, LEASE_TIMES);
+  if (state->times_since_takeover >= last)
+    memset (&state->owners[0], 0, sizeof state->owners[0]);
+  for (uint8_t i = 0; i < CM_OWNERS; i++)
+    if (state->owners[i].acts)
+      age_views (options, state, i);
+  return true;
+}
+
+/* ---- steps ---- */
+
+/* Clear what VIEW holds without an effect.  */
+static void
+normalise_view (const struct cm_options *options, struct cm_view *view)
+{
+  if (view->doubt_count == 0)
+    view->closed = 0;
+  if (view->doubt_count == 0 && view->active == 0 && view->answered)
+    view->lease_age = 0;
+  if (has_rule (options, CM_RULE_NO_REPEATED_ACK))
+    view->acked_end = 0;
+  if (!options->hold_own_ends_only)
+    view->held_from = 0;
+  if (options->renumber == 0)
+    view->doubt_fence = view->fence_answered = 0;
+}
+
+static void
+normalise_server (struct cm_server *server)
+{
+  bool needs_lease = server->active != 0;
+
+  for (int i = 0; i < server->end_count; i++)
+    {
+      if (server->ends[i] & END_VOID)
+        server->ends[i] &= ~END_BEFORE_START;
+      needs_lease |= (server->ends[i] & (END_DONE | END_VOID)) == END_DONE;
+    }
+  if (!needs_lease)
+    server->lease = 0;
+}
+
+/* Remove the holds that will be refused.  */
+static void
+remove_refused_holds (const struct cm_options *options, struct cm_state *state)
+{
+  for (int i = 0; i < CM_MESSAGES; i++)
+    {
+      struct cm_message *message = &state->messages[i];
+      uint8_t server;
+
+      if (message->kind == 0 || is_start (message))
+        continue;
+      server = message_server (message);
+      if (message->fence < state->servers[server].fence
+          && (server != 0 || state->restarts == options->restarts))
+        memset (message, 0, sizeof *message);
+    }
+  sort_messages (state);
+}
+
+/* Give states of the same future the same content.  */
+static void
+normalise (const struct cm_options *options, struct cm_state *state)
+{
+  for (int i = 0; i < CM_SERVERS; i++)
+    {
+      normalise_server (&state->servers[i]);
+      for (int j = 0; j < CM_OWNERS; j++)
+        normalise_view (options, &state->owners[j].views[i]);
+      if (state->taken_over && !state->owners[0].acts)
+        state->stored_doubts[i] = 0;
+    }
+  if (state->taken_over)
+    state->stored_done = 0;
+  remove_refused_holds (options, state);
+}
+
+bool
+cm_is_final (const struct cm_options *options, const struct cm_state *state)
+{
+  if (state->starts < options->starts
+      && ((!state->taken_over && !state->stored_done)
+          || (state->owners[0].acts && !state->owners[0].done)
+          || (state->owners[1].acts && !state->owners[1].done)))
+    return false;
+  for (int i = 0; i < CM_MESSAGES; i++)
+    if (state->messages[i].kind != 0 && is_start (&state->messages[i]))
+      return false;
+  for (int i = 0; i < CM_SERVERS; i++)
+    for (int j = 0; j < state->servers[i].end_count; j++)
+      if (state->servers[i].ends[j] & END_BEFORE_START)
+        return false;
+  return true;
+}
+
+static bool
+take_step (const struct cm_options *options, struct cm_state *state,
+           const struct cm_step *step)
+{
+  switch ((enum cm_step_kind)step->kind)
+    {
+    case CM_SEND_START:
+      return send_start (options, state, step->owner, step->server);
+    case CM_SEND_HOLD:
+      return send_hold (options, state, step->owner, step->server);
+    case CM_ASK:
+      return ask (options, state, step->owner, step->server);
+    case CM_CARRY_OUT:
+      return carry_out (options, state, step->server, step->value != 0);
+    case CM_RUN_ENDS:
+      return end_run (&state->servers[step->server], step->value != 0);
+    case CM_OTHER_ENDS:
+      return end_other (options, state);
+    case CM_RESTART:
+      return restart (options, state);
+    case CM_STORE:
+      return store (state);
+    case CM_TAKE_OVER:
+      return take_over (state);
+    case CM_TIME:
+      return pass_time (options, state);
+    case CM_STEP_KINDS:
+      break;
+    }
+  return false;
+}
+
+bool
+cm_apply (const struct cm_options *options, struct cm_state *state,
+          const struct cm_step *step)
+{
+  if (!take_step (options, state, step))
+    return false;
+  normalise (options, state);
+  return true;
+}
+
+/* ---- output ---- */
+
+static void
+print_message (const struct cm_message *message)
+{
+  printf (is_start (message) ? "start of run %d" : "hold that acknowledges %d",
+          message->value);
+  printf (" (fence %d, owner %d, server %d)", message->fence,
+          message_owner (message), message_server (message));
+}
+
+static void
+print_sent (const struct cm_state *before, const struct cm_state *after)
+{
+  int i = 0;
+
+  while (i < CM_MESSAGES - 1
+         && memcmp (&before->messages[i], &after->messages[i],
+                    sizeof before->messages[i])
+                == 0)
+    i++;
+  print_message (&after->messages[i]);
+}
+
+void
+cm_print_step (const struct cm_step *step, const struct cm_state *before,
+               const struct cm_state *after)
+{
+  static const char *const events[CM_STEP_KINDS]
+      = { [CM_OTHER_ENDS] = "server 0: a run of another task ends",
+          [CM_RESTART] = "server 0 restarts",
+          [CM_STORE] = "owner 0 stores the ends that it has read",
+          [CM_TAKE_OVER] = "owner 1 takes over",
+          [CM_TIME] = "commands in flight expire" };
+
+  printf ("    ");
+  if (step->kind == CM_SEND_START || step->kind == CM_SEND_HOLD)
+    {
+      printf ("sent: ");
+      print_sent (before, after);
+    }
+  else if (step->kind == CM_CARRY_OUT)
+    {
+      printf ("carried out, %s: ", step->value ? "answered" : "no answer");
+      print_message (&before->messages[step->server]);
+    }
+  else if (step->kind == CM_ASK)
+    printf ("owner %d asks server %d", step->owner, step->server);
+  else if (step->kind == CM_RUN_ENDS)
+    printf ("server %d: the run ends %s, as end %d", step->server,
+            step->value ? "done" : "failed",
+            after->servers[step->server].dropped_ends
+                + after->servers[step->server].end_count);
+  else
+    printf ("%s", events[step->kind]);
+  printf ("  [active %x %x, known %x %x | %x %x, doubt %d %d | %d %d]\n",
+          after->servers[0].active, after->servers[1].active,
+          after->owners[0].views[0].active, after->owners[0].views[1].active,
+          after->owners[1].views[0].active, after->owners[1].views[1].active,
+          after->owners[0].views[0].doubt_count,
+          after->owners[0].views[1].doubt_count,
+          after->owners[1].views[0].doubt_count,
+          after->owners[1].views[1].doubt_count);
+}
