Merge states of the command model that have the same future

Merging the two backend servers by symmetry was weighed: it would give them other names within a trace.

--- a/tests/sim/model/cm_explore.h
+++ b/tests/sim/model/cm_explore.h
@@ -3,7 +3,7 @@
 
 /* Breadth-first search of all states of the model that can be reached.
 
-   Expected load: a million states of 88 bytes.  */
+   Expected load: a million states of 116 bytes.  */
 
 #include "cm_model.h"
 
--- a/tests/sim/model/cm_model.c
+++ b/tests/sim/model/cm_model.c
@@ -1,8 +1,6 @@
 #include "cm_model.h"
 
 #include <glib.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 enum cm_end
@@ -20,39 +18,6 @@
   LEASE_TIMES = 2      /* after its arrival, a lease expires in the second */
 };
 
-static const char *const rule_names[CM_RULE_COUNT] = {
-  [CM_RULE_SAME_SERVER] = "R1 same-server",
-  [CM_RULE_SAME_RUN] = "R2 same-run",
-  [CM_RULE_STORED_STARTS] = "R3 stored-starts",
-  [CM_RULE_HELD_ENDS] = "R4 held-ends",
-  [CM_RULE_NO_REPEATED_ACK] = "R4 no-repeated-acknowledgement",
-  [CM_RULE_FENCE_AFTER_ACK] = "R5 fence-after-acknowledgement",
-  [CM_RULE_STORED_ENDS] = "R6 stored-ends",
-  [CM_RULE_OWNER_FENCE] = "R7 owner-fence",
-  [CM_RULE_ASK_ALL] = "R7 ask-all",
-  [CM_RULE_FORMER_OWNER_ENDS] = "R8 former-owner-ends",
-  [CM_RULE_LEASE_FROM_ARRIVAL] = "R9 lease-from-arrival",
-};
-
-static const char *const violation_names[]
-    = { [CM_NO_VIOLATION] = "none",
-        [CM_TWO_RUNS] = "two runs at the same time",
-        [CM_START_AFTER_NOTED_END] = "a start after an acknowledged end",
-        [CM_END_NOTED_AFTER_START]
-        = "an end acknowledged after a later start" };
-
-const char *
-cm_rule_name (enum cm_rule rule)
-{
-  return rule_names[rule];
-}
-
-const char *
-cm_violation_name (enum cm_violation violation)
-{
-  return violation_names[violation];
-}
-
 void
 cm_init (struct cm_state *state)
 {
@@ -82,35 +47,20 @@
 
 /* ---- commands in flight ---- */
 
-static int
-compare_messages (const void *a, const void *b)
-{
-  return memcmp (b, a, sizeof (struct cm_message));
-}
-
 static void
 sort_messages (struct cm_state *state)
 {
-  qsort (state->messages, CM_MESSAGES, sizeof state->messages[0],
-         compare_messages);
-}
-
-static bool
-is_start (const struct cm_message *message)
-{
-  return (message->kind - 1) % 2 != 0;
-}
+  struct cm_message *messages = state->messages;
 
-static uint8_t
-message_server (const struct cm_message *message)
-{
-  return (message->kind - 1) / 2 % CM_SERVERS;
-}
+  for (int i = 1; i < CM_MESSAGES; i++)
+    for (int j = i; j > 0; j--)
+      if (memcmp (&messages[j - 1], &messages[j], sizeof messages[j]) < 0)
+        {
+          struct cm_message message = messages[j];
 
-static uint8_t
-message_owner (const struct cm_message *message)
-{
-  return (message->kind - 1) / 4;
+          messages[j] = messages[j - 1];
+          messages[j - 1] = message;
+        }
 }
 
 static bool
@@ -181,7 +131,7 @@
   for (int i = 0; i < server->end_count; i++)
     if (server->ends[i] & END_DONE)
       server->ends[i] |= END_VOID;
-  for (uint8_t run = 1; run <= CM_OWNERS * CM_RUNS_PER_OWNER; run++)
+  for (uint32_t run = 1; run <= CM_OWNERS * CM_RUNS_PER_OWNER; run++)
     if (server->active & run_bit (run))
       {
         server->closed = MAX (server->closed, run);
@@ -447,9 +397,9 @@
     {
       const struct cm_message *message = &state->messages[i];
 
-      if (message->kind != 0 && !is_start (message)
-          && message_owner (message) == owner
-          && message_server (message) == server && message->fence == fence
+      if (message->kind != 0 && !cm_is_start (message)
+          && cm_message_owner (message) == owner
+          && cm_message_server (message) == server && message->fence == fence
           && message->value >= acked)
         return true;
     }
@@ -546,8 +496,8 @@
 carry_out_start (struct cm_state *state, const struct cm_message *message,
                  bool is_answered)
 {
-  uint8_t index = message_server (message);
-  uint8_t owner = message_owner (message);
+  uint8_t index = cm_message_server (message);
+  uint8_t owner = cm_message_owner (message);
   uint8_t run = message->value;
   struct cm_server *server = &state->servers[index];
   struct cm_view *view = &state->owners[owner].views[index];
@@ -576,8 +526,8 @@
 carry_out_hold (const struct cm_options *options, struct cm_state *state,
                 const struct cm_message *message, bool is_answered)
 {
-  uint8_t index = message_server (message);
-  uint8_t owner = message_owner (message);
+  uint8_t index = cm_message_server (message);
+  uint8_t owner = cm_message_owner (message);
   struct cm_server *server = &state->servers[index];
   struct cm_view *view = &state->owners[owner].views[index];
 
@@ -606,11 +556,11 @@
 
   if (message.kind == 0)
     return false;
-  if (is_answered && !state->owners[message_owner (&message)].acts)
+  if (is_answered && !state->owners[cm_message_owner (&message)].acts)
     return false;
   memset (&state->messages[index], 0, sizeof state->messages[index]);
   sort_messages (state);
-  if (is_start (&message))
+  if (cm_is_start (&message))
     carry_out_start (state, &message, is_answered);
   else
     carry_out_hold (options, state, &message, is_answered);
@@ -665,7 +615,7 @@
   uint8_t silent_times
       = has_rule (options, CM_RULE_LEASE_FROM_ARRIVAL) ? LEASE_TIMES : 1;
 
-  for (uint8_t i = 0; i < CM_SERVERS; i++)
+  for (int i = 0; i < CM_SERVERS; i++)
     {
       struct cm_view *view = &state->owners[owner].views[i];
 
@@ -701,7 +651,7 @@
         = MIN (state->times_since_takeover + 1, LEASE_TIMES);
   if (state->times_since_takeover >= last)
     memset (&state->owners[0], 0, sizeof state->owners[0]);
-  for (uint8_t i = 0; i < CM_OWNERS; i++)
+  for (int i = 0; i < CM_OWNERS; i++)
     if (state->owners[i].acts)
       age_views (options, state, i);
   return true;
@@ -709,11 +659,26 @@
 
 /* ---- steps ---- */
 
-/* Clear what VIEW holds without an effect.  */
+/* Return whether OWNER may still send a start.  */
+static bool
+can_start (const struct cm_options *options, const struct cm_state *state,
+           uint8_t owner)
+{
+  if (!state->owners[owner].acts || state->owners[owner].done
+      || state->starts == options->starts)
+    return false;
+  return owner == 1 || !state->taken_over
+         || !has_rule (options, CM_RULE_STORED_STARTS)
+         || state->stored_doubts[0] != 0 || state->stored_doubts[1] != 0;
+}
+
+/* Clear what VIEW, of an owner that still STARTS the task or not, holds
+   without an effect.  */
 static void
-normalise_view (const struct cm_options *options, struct cm_view *view)
+normalise_view (const struct cm_options *options, struct cm_view *view,
+                bool starts)
 {
-  if (view->doubt_count == 0)
+  if (view->doubt_count == 0 || !starts)
     view->closed = 0;
   if (view->doubt_count == 0 && view->active == 0 && view->answered)
     view->lease_age = 0;
@@ -723,6 +688,8 @@
     view->held_from = 0;
   if (options->renumber == 0)
     view->doubt_fence = view->fence_answered = 0;
+  if (!starts)
+    view->open_acks = 0;
 }
 
 static void
@@ -749,9 +716,9 @@
       struct cm_message *message = &state->messages[i];
       uint8_t server;
 
-      if (message->kind == 0 || is_start (message))
+      if (message->kind == 0 || cm_is_start (message))
         continue;
-      server = message_server (message);
+      server = cm_message_server (message);
       if (message->fence < state->servers[server].fence
           && (server != 0 || state->restarts == options->restarts))
         memset (message, 0, sizeof *message);
@@ -763,13 +730,19 @@
 static void
 normalise (const struct cm_options *options, struct cm_state *state)
 {
+  if (state->taken_over && !can_start (options, state, 0))
+    memset (state->stored_doubts, 0, sizeof state->stored_doubts);
   for (int i = 0; i < CM_SERVERS; i++)
     {
       normalise_server (&state->servers[i]);
       for (int j = 0; j < CM_OWNERS; j++)
-        normalise_view (options, &state->owners[j].views[i]);
-      if (state->taken_over && !state->owners[0].acts)
-        state->stored_doubts[i] = 0;
+        {
+          bool starts = can_start (options, state, j);
+
+          normalise_view (options, &state->owners[j].views[i], starts);
+          if (!starts)
+            state->owners[j].used_runs = 0;
+        }
     }
   if (state->taken_over)
     state->stored_done = 0;
@@ -779,13 +752,12 @@
 bool
 cm_is_final (const struct cm_options *options, const struct cm_state *state)
 {
-  if (state->starts < options->starts
-      && ((!state->taken_over && !state->stored_done)
-          || (state->owners[0].acts && !state->owners[0].done)
-          || (state->owners[1].acts && !state->owners[1].done)))
+  if ((state->starts < options->starts && !state->taken_over
+       && !state->stored_done)
+      || can_start (options, state, 0) || can_start (options, state, 1))
     return false;
   for (int i = 0; i < CM_MESSAGES; i++)
-    if (state->messages[i].kind != 0 && is_start (&state->messages[i]))
+    if (state->messages[i].kind != 0 && cm_is_start (&state->messages[i]))
       return false;
   for (int i = 0; i < CM_SERVERS; i++)
     for (int j = 0; j < state->servers[i].end_count; j++)
@@ -835,68 +807,3 @@
   normalise (options, state);
   return true;
 }
-
-/* ---- output ---- */
-
-static void
-print_message (const struct cm_message *message)
-{
-  printf (is_start (message) ? "start of run %d" : "hold that acknowledges %d",
-          message->value);
-  printf (" (fence %d, owner %d, server %d)", message->fence,
-          message_owner (message), message_server (message));
-}
-
-static void
-print_sent (const struct cm_state *before, const struct cm_state *after)
-{
-  int i = 0;
-
-  while (i < CM_MESSAGES - 1
-         && memcmp (&before->messages[i], &after->messages[i],
-                    sizeof before->messages[i])
-                == 0)
-    i++;
-  print_message (&after->messages[i]);
-}
-
-void
-cm_print_step (const struct cm_step *step, const struct cm_state *before,
-               const struct cm_state *after)
-{
-  static const char *const events[CM_STEP_KINDS]
-      = { [CM_OTHER_ENDS] = "server 0: a run of another task ends",
-          [CM_RESTART] = "server 0 restarts",
-          [CM_STORE] = "owner 0 stores the ends that it has read",
-          [CM_TAKE_OVER] = "owner 1 takes over",
-          [CM_TIME] = "commands in flight expire" };
-
-  printf ("    ");
-  if (step->kind == CM_SEND_START || step->kind == CM_SEND_HOLD)
-    {
-      printf ("sent: ");
-      print_sent (before, after);
-    }
-  else if (step->kind == CM_CARRY_OUT)
-    {
-      printf ("carried out, %s: ", step->value ? "answered" : "no answer");
-      print_message (&before->messages[step->server]);
-    }
-  else if (step->kind == CM_ASK)
-    printf ("owner %d asks server %d", step->owner, step->server);
-  else if (step->kind == CM_RUN_ENDS)
-    printf ("server %d: the run ends %s, as end %d", step->server,
-            step->value ? "done" : "failed",
-            after->servers[step->server].dropped_ends
-                + after->servers[step->server].end_count);
-  else
-    printf ("%s", events[step->kind]);
-  printf ("  [active %x %x, known %x %x | %x %x, doubt %d %d | %d %d]\n",
-          after->servers[0].active, after->servers[1].active,
-          after->owners[0].views[0].active, after->owners[0].views[1].active,
-          after->owners[1].views[0].active, after->owners[1].views[1].active,
-          after->owners[0].views[0].doubt_count,
-          after->owners[0].views[1].doubt_count,
-          after->owners[1].views[0].doubt_count,
-          after->owners[1].views[1].doubt_count);
-}
--- a/tests/sim/model/cm_model.h
+++ b/tests/sim/model/cm_model.h
@@ -123,6 +123,24 @@
   uint8_t value; /* run number, or number of the acknowledged end */
 };
 
+static inline bool
+cm_is_start (const struct cm_message *message)
+{
+  return (message->kind - 1) % 2 != 0;
+}
+
+static inline uint8_t
+cm_message_server (const struct cm_message *message)
+{
+  return (message->kind - 1) / 2 % CM_SERVERS;
+}
+
+static inline uint8_t
+cm_message_owner (const struct cm_message *message)
+{
+  return (message->kind - 1) / 4;
+}
+
 struct cm_state
 {
   struct cm_server servers[CM_SERVERS];
