--- a/packages/jobs/src/jb_pool_doubt.c
+++ b/packages/jobs/src/jb_pool_doubt.c
@@ -627,6 +627,8 @@
 jb_pool_load_doubts (struct jb_pool *pool, const struct jb_row *row,
                      jb_time now)
 {
+  /* The former owner may have sent the starts again since it wrote the row. */
+  jb_time sent_at = MAX (now, pool->predecessor_until);
   struct saved_doubts saved = { 0 };
   TALLOC_CTX *scratch = talloc_new (NULL);
   struct ba_codec io;
@@ -640,17 +642,17 @@
               NULL);
       saved.count = 0;
     }
-  remember_row (pool, row->key, now);
+  remember_row (pool, row->key, sent_at);
   for (uint32_t i = 0; i < saved.count && !is_disabled (pool); i++)
     {
-      struct jb_doubt *doubt
-          = jb_doubt_add (pool->doubts->table, saved.doubts[i].task,
-                          saved.doubts[i].run, saved.doubts[i].instance, now);
+      struct jb_doubt *doubt = jb_doubt_add (
+          pool->doubts->table, saved.doubts[i].task, saved.doubts[i].run,
+          saved.doubts[i].instance, sent_at);
 
       while (doubt->sent < MIN (saved.doubts[i].sent, JB_MAX_STARTS_IN_DOUBT))
         jb_doubt_add (pool->doubts->table, doubt->task, doubt->run,
-                      doubt->instance, now);
-      /* The former owner may have sent further ones.  */
+                      doubt->instance, sent_at);
+      /* That a run is listed doesn't tell which start it is.  */
       doubt->succeeded = true;
       doubt->stored = true;
     }
