--- a/tests/sim/jobs/jw_backend.c
+++ b/tests/sim/jobs/jw_backend.c
@@ -346,6 +346,9 @@
     return;
   backend->lease_until_ms = until_ms;
   left = until_ms - jw_backend_clock_ms (backend, world->now);
+  if (world->delivering_delayed_command)
+    jw_trace_backend (world, backend, true, "lease extended by %" PRId64 " ms",
+                      left);
   jw_schedule (world,
                world->now
                    + (jb_time)((double)left * JB_MS / backend->clock_rate)
