Test leases of a former owner that are granted late

Guards against: a lease of a former owner that arrives late counts from its arrival, and outlasts the time for which the new owner waits for a silent backend server. Simulation: the command that a test delays grants its lease late if jw_options.late_leases is set, also while its target is silent, as those delayed at random do.

--- a/tests/sim/jobs/jw_commands.c
+++ b/tests/sim/jobs/jw_commands.c
@@ -262,6 +262,20 @@
     host->world->last_writers[pool] = (int)host->index;
 }
 
+/* The lease that IN_FLIGHT asks for, which lasts until LEASE_UNTIL_MS on the
+   clock of BACKEND, will be granted late.  */
+static void
+mark_late_lease (const struct jw_world *world,
+                 struct in_flight_command *in_flight,
+                 const struct jw_backend *backend, int64_t lease_until_ms)
+{
+  in_flight->lease_ms
+      = lease_until_ms - jw_backend_clock_ms (backend, world->now);
+  in_flight->gets_reply = false;
+  in_flight->delayed = true;
+  in_flight->has_late_lease = true;
+}
+
 /* Delay IN_FLIGHT, which would arrive at ARRIVAL, if it is the command that a
    test delays.  Return whether it was.  */
 static bool
@@ -269,11 +283,17 @@
                 jb_time arrival)
 {
   struct jw_delayed_command *delayed = &world->delayed_command;
+  const int64_t *lease_until_ms = find_lease (&in_flight->command);
 
   if (delayed->delay == 0 || in_flight->command.kind != delayed->kind)
     return false;
   in_flight->gets_reply = false;
   in_flight->delayed = true;
+  if (world->options.late_leases != JW_LATE_LEASES_NONE
+      && lease_until_ms != NULL)
+    mark_late_lease (world, in_flight,
+                     jw_find_target (world, &in_flight->command.backend),
+                     *lease_until_ms);
   delayed->delivered_at = arrival + delayed->delay;
   jw_schedule (world, delayed->delivered_at, deliver_command, in_flight);
   delayed->backend = jw_find_target (world, &in_flight->command.backend);
@@ -304,11 +324,7 @@
   delay = g_rand_int_range (world->late_lease_random, MIN_LEASE_DELAY_MS,
                             MAX_LEASE_DELAY_MS)
           * JB_MS;
-  in_flight->lease_ms
-      = *lease_until_ms - jw_backend_clock_ms (backend, world->now);
-  in_flight->gets_reply = false;
-  in_flight->delayed = true;
-  in_flight->has_late_lease = true;
+  mark_late_lease (world, in_flight, backend, *lease_until_ms);
   jw_schedule (world, world->now + delay, deliver_command, in_flight);
   return true;
 }
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -165,7 +165,8 @@
   uint32_t host_commands;
 };
 
-/* A command to a backend server that a test delays.  */
+/* A command to a backend server that a test delays.  With
+   jw_options.late_leases its lease, if it asks for one, is granted late.  */
 struct jw_delayed_command
 {
   enum jb_command_kind kind;
