--- a/packages/jobs/tests/test_jb_takeover.c
+++ b/packages/jobs/tests/test_jb_takeover.c
@@ -245,6 +245,33 @@
   CU_ASSERT_FALSE (jb_takeover_may_start_copies (&step));
 }
 
+/* A task that may run on a silent backend server starts again, or others are
+   held back with it.  */
+static void
+test_unaccounted_tasks_are_awaited (void)
+{
+  TALLOC_CTX *mem = talloc_new (NULL);
+  struct jb_job *job = make_chain (mem);
+
+  CU_ASSERT_EQUAL (jb_takeover_await_tasks (job), 6);
+  jb_takeover_release_tasks (job);
+  CU_ASSERT_FALSE (get_task (job, 0, 1)->is_awaited);
+  /* Nothing behind an incomplete step was started.  */
+  find_active (get_task (job, 0, 0), FIRST_RUN, AFTER);
+  CU_ASSERT_EQUAL (jb_takeover_await_tasks (job), 1);
+  CU_ASSERT_FALSE (get_task (job, 0, 0)->is_awaited);
+  CU_ASSERT_TRUE (get_task (job, 0, 1)->is_awaited);
+  job = make_chain (mem);
+  complete (job, 0, 0);
+  complete (job, 0, 1);
+  get_task (job, 1, 0)->state = JB_RUN_RUNNING;
+  /* Its run does not prove that the step was incomplete.  */
+  CU_ASSERT_EQUAL (jb_takeover_await_tasks (job), 3);
+  CU_ASSERT_FALSE (get_task (job, 1, 0)->is_awaited);
+  CU_ASSERT_TRUE (get_task (job, 1, 1)->is_awaited);
+  talloc_free (mem);
+}
+
 int
 main (void)
 {
@@ -263,6 +290,8 @@
     { "the wait after a predecessor that has ended",
       test_wait_after_ended_predecessor },
     { "copies", test_copies },
+    { "tasks that are not accounted for are awaited",
+      test_unaccounted_tasks_are_awaited },
     { NULL, NULL }
   };
 
