Mix kinds of fault in simulations and in the soak by default

Cause: soak_jobs plays the kinds that its options name, and nobody had named these two together; process_soak knew only stalls.

A new kind, signals, sends SIGHUP, SIGSTOP, SIGTERM and SIGKILL also to hosts that are frozen or stopping.

Ruled out: the two kinds of late grants in one run, since leases of one platform count in one way.

--- a/soak/process_soak.c
+++ b/soak/process_soak.c
@@ -1,12 +1,15 @@
 /* Runs entry hosts as processes under random load and faults, for one seed
    after another: process_soak --seed 1 --runs 3
 
+   Each seed mixes KINDS_PER_SEED kinds of fault and load, as jw_mix_kinds
+   does, and every tenth has many entry hosts.
+
    Or plays a fixed scenario: process_soak --demo, process_soak --stops
 
    Exit status 0 if there was neither a violation nor a crash.  After the first
    seed that fails, the program ends and leaves the logs in the directory.  */
 
-#include "jw_soak.h"
+#include "jw_mix.h"
 #include "ps_harness.h"
 
 #include <argp.h>
@@ -16,8 +19,18 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+/* All kinds that entry hosts take without further settings.  */
+#define PROCESS_KINDS                                                         \
+  (JW_ALL_KINDS & ~(1U << JW_KIND_SMALL_HOSTS | 1U << JW_KIND_LOOKAHEAD))
+
 enum
 {
+  KINDS_PER_SEED = 4,
+  /* These seeds have 24 to 39 entry hosts, each a process with dozens of
+     threads, the others at most 14.  */
+  MANY_HOSTS_INTERVAL = 10,
+  MIN_MANY_HOSTS = 21, /* beyond the usual 3 to 6 */
+  MAX_MANY_HOSTS = 34,
   STOP_COUNT = 6,
   JOBS_PER_STOP = 50
 };
@@ -29,6 +42,7 @@
   uint32_t runs;
   uint32_t minutes;
   bool stalls;
+  bool plain;
   bool demo;
   bool stops;
   bool keep;
@@ -43,6 +57,7 @@
     "Path of dogwoodpulleyd (build/programs/dogwoodpulleyd)", 0 },
   { "directory", 'd', "DIR", 0, "For settings files and logs (run/soak)", 0 },
   { "stalls", 't', NULL, 0, "Let one entry host stall again and again", 0 },
+  { "plain", 'P', NULL, 0, "Mix no kinds, and run the usual 3 to 6 hosts", 0 },
   { "demo", 'D', NULL, 0, "Demonstrate jobs while entry hosts fail", 0 },
   { "stops", 'S', NULL, 0,
     "Stop entry hosts in turn, as planned, while the store is slow", 0 },
@@ -80,6 +95,9 @@
     case 't':
       arguments->stalls = true;
       return 0;
+    case 'P':
+      arguments->plain = true;
+      return 0;
     case 'D':
       arguments->demo = true;
       return 0;
@@ -126,6 +144,17 @@
     }
 }
 
+static void
+choose_kinds (struct jw_soak *soak)
+{
+  uint32_t range = MAX_MANY_HOSTS - MIN_MANY_HOSTS + 1;
+
+  jw_mix_kinds (soak, PROCESS_KINDS, KINDS_PER_SEED);
+  if (soak->seed % MANY_HOSTS_INTERVAL == 0)
+    soak->more_hosts
+        = MIN_MANY_HOSTS + soak->seed / MANY_HOSTS_INTERVAL % range;
+}
+
 /* Run the simulation of SEED.  Return whether there was neither a violation
    nor a crash.  */
 static bool
@@ -134,8 +163,14 @@
   struct ps_harness *harness;
   struct jw_soak soak = { .seed = seed, .stall_one_host = arguments->stalls };
   uint32_t crashes;
+  char *kinds;
   bool passed;
 
+  if (!arguments->plain)
+    choose_kinds (&soak);
+  kinds = jw_mix_describe (NULL, &soak);
+  printf ("seed %u:%s\n", seed, kinds);
+  fflush (stdout);
   remove_logs (arguments);
   harness = open_harness (arguments);
   soak.external_hosts = ps_harness_external_hosts (harness);
@@ -150,9 +185,12 @@
   crashes = ps_harness_take_crash_count (harness);
   talloc_free (harness);
   passed = soak.violations == 0 && crashes == 0;
-  printf ("seed %u: %u jobs, %u task starts, %u violations, %u crashes%s%s\n",
-          seed, soak.job_count, soak.task_starts, soak.violations, crashes,
-          soak.violations > 0 ? ", first " : "", soak.first_violation);
+  printf ("seed %u:%s: %u jobs, %u task starts, %u violations, %u crashes"
+          "%s%s\n",
+          seed, kinds, soak.job_count, soak.task_starts, soak.violations,
+          crashes, soak.violations > 0 ? ", first " : "",
+          soak.first_violation);
+  talloc_free (kinds);
   fflush (stdout);
   if (passed)
     remove_logs (arguments);
--- a/soak/run.sh
+++ b/soak/run.sh
@@ -7,7 +7,7 @@
 # seeds end there.
 set -u
 BIN=${BIN:-build} SEED=${SEED:-1} RUNS=${RUNS:-2} MINUTES=${MINUTES:-0} LANES=${LANES:-2}
-FIRST_NETWORK=91 # lane N uses the addresses 127.(FIRST_NETWORK + N).0.0/16
+FIRST_NETWORK=${FIRST_NETWORK:-91} # lane N uses the addresses 127.(FIRST_NETWORK + N).0.0/16
 failed=0 pids=
 
 for lane in $(seq 0 $((LANES - 1))); do
--- a/tests/sim/jobs/jw_soak.c
+++ b/tests/sim/jobs/jw_soak.c
@@ -58,6 +58,9 @@
    jobs that are submitted again in between.  */
 #define MAX_QUEUE_MOVE_GAP_MS 3000
 
+/* Longest time between two signals to entry hosts.  */
+#define MAX_SIGNAL_GAP_MS 1500
+
 enum
 {
   REPEATS_PER_QUEUE_MOVE = 12,
@@ -485,6 +488,39 @@
     }
 }
 
+/* Send a signal to an entry host, perhaps one that is frozen or stopping.  */
+static void
+next_signal (struct jw_world *world, void *data)
+{
+  struct fault_cycle *cycle = *(struct fault_cycle **)data;
+  uint32_t index = (uint32_t)g_rand_int_range (cycle->random, 0,
+                                               (gint32)world->options.hosts);
+  int gap_ms = g_rand_int_range (cycle->random, 5, MAX_SIGNAL_GAP_MS);
+
+  if (world->now >= cycle->until)
+    return;
+  switch (g_rand_int_range (cycle->random, 0, 6))
+    {
+    case 0:
+      jw_host_kill (world, index);
+      schedule_recovery (world, RECOVER_HOST, index, NULL, 600, 3000);
+      break;
+    case 1:
+      jw_host_stop (world, index);
+      schedule_recovery (world, RECOVER_HOST, index, NULL, 2600, 4000);
+      break;
+    case 2:
+    case 3:
+      jw_host_set_frozen (world, index, true);
+      schedule_recovery (world, RECOVER_FROZEN_HOST, index, NULL, 50, 4000);
+      break;
+    default:
+      jw_host_reload (world, index);
+      break;
+    }
+  schedule_step (world, gap_ms * JB_MS, next_signal, cycle);
+}
+
 static void
 inject_backend_fault (struct jw_world *world)
 {
@@ -658,6 +694,8 @@
     begin_fault_cycle (world, soak->seed, end, next_queue_move);
   if (soak->evacuate_zones)
     begin_fault_cycle (world, soak->seed, end, next_order);
+  if (soak->signal_series)
+    begin_fault_cycle (world, soak->seed, end, next_signal);
   while (world->now < end)
     {
       uint32_t kind = random_below (world, 100);
--- a/tests/sim/jobs/jw_soak.h
+++ b/tests/sim/jobs/jw_soak.h
@@ -20,6 +20,7 @@
   bool cut_groups;        /* of entry hosts, and then some backend servers */
   bool evacuate_zones;    /* and take them back, again and again */
   bool speculative_steps; /* in a third of the jobs */
+  bool signal_series;     /* of all kinds to entry hosts, one upon another */
   uint32_t more_hosts;    /* entry hosts beyond the usual 3 to 6 */
   uint32_t small_hosts;   /* as in struct jw_options */
   bool verbose;
--- a/tests/sim/jobs/jw_world.c
+++ b/tests/sim/jobs/jw_world.c
@@ -537,6 +537,12 @@
     jw_host_run (host);
 }
 
+void
+jw_host_reload (struct jw_world *world, uint32_t index)
+{
+  send_signal (&world->hosts[index], SIGHUP);
+}
+
 void
 jw_cut_group (struct jw_world *world, uint32_t first, uint32_t count)
 {
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -368,6 +368,9 @@
    frozen meanwhile.  */
 void jw_host_stop (struct jw_world *world, uint32_t index);
 void jw_host_set_frozen (struct jw_world *world, uint32_t index, bool frozen);
+
+/* Send SIGHUP to an entry host if it is external.  */
+void jw_host_reload (struct jw_world *world, uint32_t index);
 /* Cut the COUNT entry hosts from index FIRST on, which wraps around, off
    together.  COUNT 0 ends the cut.  */
 void jw_cut_group (struct jw_world *world, uint32_t first, uint32_t count);
