--- a/soak/process_soak.c
+++ b/soak/process_soak.c
@@ -1,7 +1,7 @@
 /* Runs entry hosts as processes under random load and faults, for one seed
    after another: process_soak --seed 1 --runs 3
 
-   Each seed mixes KINDS_PER_SEED kinds of fault and load, as jw_mix_kinds
+   Each seed mixes JW_DEFAULT_MIX kinds of fault and load, as jw_mix_kinds
    does, and every tenth has many entry hosts.
 
    Or plays a fixed scenario: process_soak --demo, process_soak --stops
@@ -25,7 +25,6 @@
 
 enum
 {
-  KINDS_PER_SEED = 4,
   /* These seeds have 24 to 39 entry hosts, each a process with dozens of
      threads, the others at most 14.  */
   MANY_HOSTS_INTERVAL = 10,
@@ -149,7 +148,7 @@
 {
   uint32_t range = MAX_MANY_HOSTS - MIN_MANY_HOSTS + 1;
 
-  jw_mix_kinds (soak, PROCESS_KINDS, KINDS_PER_SEED);
+  jw_mix_kinds (soak, PROCESS_KINDS, JW_DEFAULT_MIX);
   if (soak->seed % MANY_HOSTS_INTERVAL == 0)
     soak->more_hosts
         = MIN_MANY_HOSTS + soak->seed / MANY_HOSTS_INTERVAL % range;
--- a/tests/sim/jobs/jw_mix.c
+++ b/tests/sim/jobs/jw_mix.c
@@ -89,8 +89,8 @@
 jw_mix_kinds (struct jw_soak *soak, uint32_t allowed, uint32_t count)
 {
   GRand *random = g_rand_new_with_seed (soak->seed);
-  uint32_t kinds
-      = find_pair (allowed, soak->seed % jw_mix_pair_count (allowed));
+  uint32_t pair_count = MAX (jw_mix_pair_count (allowed), 1);
+  uint32_t kinds = find_pair (allowed, soak->seed % pair_count);
 
   while ((uint32_t)__builtin_popcount (kinds) < count)
     {
--- a/tests/sim/jobs/soak_jobs.c
+++ b/tests/sim/jobs/soak_jobs.c
@@ -2,8 +2,8 @@
    each seed: soak_jobs --seed 1 --runs 1000
 
    Without options that choose kinds of fault, of load or of deployment, each
-   seed mixes DEFAULT_MIX of them, as jw_mix_kinds does.  Before that was so,
-   such commands had none: these seeds are repeated with --plain.
+   seed mixes JW_DEFAULT_MIX of them, as jw_mix_kinds does.  Before that was
+   so, such commands had none: these seeds are repeated with --plain.
 
    Exit status 0 if no run has a violation.  */
 
@@ -14,11 +14,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum
-{
-  DEFAULT_MIX = 3
-};
-
 struct arguments
 {
   struct jw_soak soak; /* what all seeds have in common */
@@ -33,7 +28,7 @@
   { "runs", 'r', "N", 0, "Number of seeds (100)", 0 },
   { "mix", 'x', "N", 0,
     "Let each seed have N of the kinds below: one pair after another, and "
-    "others at random (3, if no kind is chosen)",
+    "others at random (5, if no kind is chosen)",
     0 },
   { "plain", 'P', NULL, 0, "Without any of the kinds below", 0 },
   { "off", 'o', "MASK", 0, "Safeguards to switch off (enum jb_safeguard)", 0 },
@@ -176,7 +171,7 @@
       return EXIT_FAILURE;
     }
   if (arguments.mix == 0 && !arguments.kinds_chosen)
-    arguments.mix = DEFAULT_MIX;
+    arguments.mix = JW_DEFAULT_MIX;
   for (uint32_t i = 0; i < arguments.runs; i++)
     {
       struct jw_soak soak = arguments.soak;
