Divide progress that is larger than a row of the store

What callers see: from the first end of a task of a job of 3,400 tasks on, new jobs of its pool get 503 and a DELETE gets 504 from each entry host.

Cause: the progress of a job is one row of any size, about 22 bytes for a task with a checkpoint and 6 for one that is done. The store refuses rows over rowBytes with 400. Nothing compared the two, rowBytes was not even read, and a transaction that is refused is repeated unchanged with all later ones behind it. The description of a job had no bound either.

Change: rowBytes is read from the settings. Progress that exceeds three quarters of it is divided (jb_progress.h) into a row for the occurrences and one for each 128 tasks, of which only changed ones are written, over several transactions if need be; the ends of runs are acknowledged after the last of them. Rows of the previous version are read, and jobs whose progress fits are stored as before. What remains of an ended job's rows is removed with later transactions, or by the next owner. A description that is too large gets 400 at submission. A checkpoint that doesn't fit is left out of what is stored.

--- a/packages/base/include/ba_hash.h
+++ b/packages/base/include/ba_hash.h
@@ -4,6 +4,7 @@
 /* Hash functions: a fast one, for rendezvous hashing and sharding, and SHA-256
    for digests of API keys.  */
 
+#include <stddef.h>
 #include <stdint.h>
 #include <talloc.h>
 
@@ -11,6 +12,9 @@
    not suitable for cryptography.  */
 uint64_t ba_hash_str (const char *text, uint64_t seed);
 
+/* As ba_hash_str, of the LEN bytes at DATA.  */
+uint64_t ba_hash_bytes (const void *data, size_t len, uint64_t seed);
+
 /* Return the SHA-256 digest of TEXT as 64 lower-case hexadecimal digits, owned
    by MEM.  */
 char *ba_hash_sha256_hex (TALLOC_CTX *mem, const char *text);
--- a/packages/base/src/ba_hash.c
+++ b/packages/base/src/ba_hash.c
@@ -10,6 +10,12 @@
   return XXH3_64bits_withSeed (text, strlen (text), seed);
 }
 
+uint64_t
+ba_hash_bytes (const void *data, size_t len, uint64_t seed)
+{
+  return XXH3_64bits_withSeed (data, len, seed);
+}
+
 char *
 ba_hash_sha256_hex (TALLOC_CTX *mem, const char *text)
 {
--- a/packages/jobs/include/jb_frontend.h
+++ b/packages/jobs/include/jb_frontend.h
@@ -33,6 +33,7 @@
   struct jb_members *members;
   uint64_t incarnation;              /* of this host's process */
   const struct jb_catalog **catalog; /* *catalog is NULL while there is none */
+  const struct jb_bounds *bounds;
   /* Return whether this host owns the pool NAME.  */
   bool (*owns_pool) (void *data, const char *name);
   /* Handle REQUEST, which is borrowed, for a pool that this host owns.  The
--- a/packages/jobs/include/jb_job.h
+++ b/packages/jobs/include/jb_job.h
@@ -160,6 +160,8 @@
   /* Task groups of the opened occurrences that were not dropped, ordered by
      occurrence and step.  */
   GPtrArray *groups;
+  /* Its progress in the store, if that is in several rows (jb_progress.h).  */
+  struct jb_progress *progress;
   uint32_t active_runs; /* of all its groups */
   int64_t total_work;   /* jb_job_desc_work of its description */
   /* jb_select_on_time has deferred it, because its organisation uses more than
@@ -286,4 +288,34 @@
    unchanged then.  */
 bool jb_job_apply_progress (struct jb_job *job, struct ba_bytes progress);
 
+enum
+{
+  JB_JOB_SEGMENT_TASKS = 128
+};
+
+/* The tasks of a job, numbered from its first occurrence and step on, are
+   divided into segments of JB_JOB_SEGMENT_TASKS.  Return the number of the
+   first segment with a task of an open occurrence, and the number after the
+   last one.  */
+uint64_t jb_job_first_segment (const struct jb_job *job);
+uint64_t jb_job_segments_end (const struct jb_job *job);
+
+/* Return the progress of JOB's tasks in SEGMENT, owned by MEM, without the
+   checkpoints that are longer than MAX_CHECKPOINT_BYTES.  Set IS_EMPTY to
+   whether none of them has made any.  */
+struct ba_bytes jb_job_encode_segment (TALLOC_CTX *mem,
+                                       const struct jb_job *job,
+                                       uint64_t segment,
+                                       size_t max_checkpoint_bytes,
+                                       bool *is_empty);
+
+/* Return the progress of JOB without that of its tasks, owned by MEM.  */
+struct ba_bytes jb_job_encode_occurrences (TALLOC_CTX *mem,
+                                           const struct jb_job *job);
+
+/* Add to JOB, which must not have any runs, what the encoded SEGMENT tells of
+   the tasks of open occurrences.  Return false when SEGMENT is invalid; JOB is
+   unchanged then.  */
+bool jb_job_apply_segment (struct jb_job *job, struct ba_bytes segment);
+
 #endif
--- a/packages/jobs/include/jb_types.h
+++ b/packages/jobs/include/jb_types.h
@@ -156,6 +156,8 @@
   int64_t zone_evacuation_ms;
   /* Commands to hosts that the whole fleet accepts per second.  */
   uint32_t max_host_commands_per_s;
+  /* Largest value of a row that the store accepts, in bytes; 0: 65536.  */
+  uint32_t max_row_bytes;
   /* Placement considers what is waiting and what will end soon
      (jb_reserve.h).  */
   bool lookahead;
--- a/packages/jobs/src/jb_frontend.c
+++ b/packages/jobs/src/jb_frontend.c
@@ -1,6 +1,7 @@
 #include "jb_frontend.h"
 
 #include "ba_hash.h"
+#include "jb_progress.h"
 
 #include <string.h>
 
@@ -303,6 +304,27 @@
   forward_call (frontend, now, pending_call);
 }
 
+/* Return NULL when the job that CALL submits is valid, else an error message
+   for the client.  */
+static const char *
+check_submission (const struct jb_frontend *frontend,
+                  const struct jb_call *call)
+{
+  const char *error = call->desc_error;
+  struct ba_bytes row;
+
+  if (call->desc == NULL)
+    return error;
+  error = jb_job_desc_check (call->desc);
+  if (error != NULL)
+    return error;
+  row = ba_codec_encode (NULL, jb_job_desc_serialize, call->desc);
+  if (row.len > jb_progress_row_limit (frontend->options.bounds))
+    error = "the description of the job is too large to be stored";
+  talloc_free (row.data);
+  return error;
+}
+
 void
 jb_frontend_receive_call (struct jb_frontend *frontend, jb_time now,
                           uint64_t number, const struct jb_call *call)
@@ -311,6 +333,7 @@
   const struct jb_queue *queue;
   const struct jb_org *org;
   const char *id;
+  const char *desc_error;
 
   if (now >= frontend->answer_by)
     {
@@ -342,11 +365,10 @@
       call->desc->id = (char *)id;
       call->desc->queue = queue->name;
     }
-  if (call->kind == JB_CALL_SUBMIT
-      && (call->desc == NULL || jb_job_desc_check (call->desc) != NULL))
-    reject_call (frontend, number, call, JB_ANSWER_BAD_REQUEST,
-                 call->desc == NULL ? call->desc_error
-                                    : jb_job_desc_check (call->desc));
+  desc_error = call->kind == JB_CALL_SUBMIT ? check_submission (frontend, call)
+                                            : NULL;
+  if (desc_error != NULL)
+    reject_call (frontend, number, call, JB_ANSWER_BAD_REQUEST, desc_error);
   else if (*id != '\0' && !jb_job_id_is_valid (id))
     reject_call (frontend, number, call, JB_ANSWER_NO_JOB, NULL);
   else if (*id == '\0' && call->kind == JB_CALL_CANCEL)
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -684,6 +684,7 @@
           .incarnation = options->incarnation };
   struct jb_frontend_options frontend = { .incarnation = options->incarnation,
                                           .catalog = &host->catalog,
+                                          .bounds = &host->options.bounds,
                                           .owns_pool = owns_pool,
                                           .handle_local = handle_own_request,
                                           .data = host };
--- a/packages/jobs/src/jb_job.c
+++ b/packages/jobs/src/jb_job.c
@@ -1,5 +1,7 @@
 #include "jb_job.h"
 
+#include "jb_progress.h"
+
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
@@ -14,6 +16,7 @@
 static int
 job_destroy (struct jb_job *job)
 {
+  jb_progress_free (job);
   g_ptr_array_free (job->groups, TRUE);
   return 0;
 }
@@ -409,12 +412,13 @@
                     serialize_saved_crashes);
 }
 
-/* Append the tasks of GROUP under which backend servers have crashed to
-   SAVED, whose array has room for them.  */
+/* Append the tasks of GROUP with indexes from FROM on and below TO under which
+   backend servers have crashed to SAVED, whose array has room for them.  */
 static void
-save_crashes (const struct jb_task_group *group, struct saved_job *saved)
+save_crashes (const struct jb_task_group *group, uint32_t from, uint32_t to,
+              struct saved_job *saved)
 {
-  for (uint32_t i = 0; i < group->task_count; i++)
+  for (uint32_t i = from; i < to; i++)
     {
       const struct jb_task *task = &group->tasks[i];
 
@@ -425,25 +429,33 @@
     }
 }
 
-/* Fill SAVED with the tasks of GROUP that have any progress.  Its array is
-   owned by MEM.  */
+/* Append to SAVED, whose arrays have room for them, the tasks of GROUP with
+   indexes from FROM on and below TO that have any progress, without the
+   checkpoints that are longer than MAX_CHECKPOINT_BYTES.  */
 static void
-save_group (TALLOC_CTX *mem, const struct jb_task_group *group,
-            struct saved_group *saved)
+save_tasks (TALLOC_CTX *mem, const struct jb_task_group *group, uint32_t from,
+            uint32_t to, size_t max_checkpoint_bytes, struct saved_job *saved)
 {
-  saved->occurrence = group->occurrence;
-  saved->step = group->step;
-  saved->tasks = talloc_array (mem, struct saved_task, group->task_count);
-  for (uint32_t i = 0; i < group->task_count; i++)
+  struct saved_group *saved_group = &saved->groups[saved->group_count];
+
+  *saved_group = (struct saved_group){ .occurrence = group->occurrence,
+                                       .step = group->step };
+  saved_group->tasks = talloc_array (mem, struct saved_task, to - from + 1);
+  for (uint32_t i = from; i < to; i++)
     {
       const struct jb_task *task = &group->tasks[i];
+      char *checkpoint = task->done ? NULL : task->checkpoint;
 
-      if (task->done || task->failures > 0 || task->checkpoint != NULL)
-        saved->tasks[saved->task_count++]
+      if (checkpoint != NULL && strlen (checkpoint) > max_checkpoint_bytes)
+        checkpoint = NULL;
+      if (task->done || task->failures > 0 || checkpoint != NULL)
+        saved_group->tasks[saved_group->task_count++]
             = (struct saved_task){ i, task->done, task->failures,
-                                   task->failed_runs,
-                                   task->done ? NULL : task->checkpoint };
+                                   task->failed_runs, checkpoint };
     }
+  save_crashes (group, from, to, saved);
+  if (saved_group->task_count > 0)
+    saved->group_count++;
 }
 
 struct ba_bytes
@@ -463,17 +475,88 @@
   saved.crashes = talloc_array (scratch, struct saved_crashes, task_count + 1);
   for (guint i = 0; i < job->groups->len; i++)
     {
-      save_crashes (g_ptr_array_index (job->groups, i), &saved);
-      save_group (scratch, g_ptr_array_index (job->groups, i),
-                  &saved.groups[saved.group_count]);
-      if (saved.groups[saved.group_count].task_count > 0)
-        saved.group_count++;
+      const struct jb_task_group *group = g_ptr_array_index (job->groups, i);
+
+      save_tasks (scratch, group, 0, group->task_count, SIZE_MAX, &saved);
     }
   bytes = ba_codec_encode (mem, serialize_saved_job, &saved);
   talloc_free (scratch);
   return bytes;
 }
 
+static uint64_t
+count_tasks_of_occurrence (const struct jb_job *job)
+{
+  uint64_t count = 0;
+
+  for (uint32_t i = 0; i < job->desc->step_count; i++)
+    count += job->desc->steps[i].task_count;
+  return count;
+}
+
+uint64_t
+jb_job_first_segment (const struct jb_job *job)
+{
+  return job->dropped_occurrences * count_tasks_of_occurrence (job)
+         / JB_JOB_SEGMENT_TASKS;
+}
+
+uint64_t
+jb_job_segments_end (const struct jb_job *job)
+{
+  uint64_t task_count
+      = job->opened_occurrences * count_tasks_of_occurrence (job);
+
+  return (task_count + JB_JOB_SEGMENT_TASKS - 1) / JB_JOB_SEGMENT_TASKS;
+}
+
+struct ba_bytes
+jb_job_encode_segment (TALLOC_CTX *mem, const struct jb_job *job,
+                       uint64_t segment, size_t max_checkpoint_bytes,
+                       bool *is_empty)
+{
+  TALLOC_CTX *scratch = talloc_new (mem);
+  uint64_t first = segment * JB_JOB_SEGMENT_TASKS;
+  uint64_t end = first + JB_JOB_SEGMENT_TASKS;
+  uint64_t tasks_of_occurrence = count_tasks_of_occurrence (job);
+  uint64_t occurrence
+      = MAX (first / tasks_of_occurrence, job->dropped_occurrences);
+  uint64_t group_first = occurrence * tasks_of_occurrence;
+  struct ba_bytes bytes;
+  struct saved_job saved = { 0 };
+
+  saved.groups
+      = talloc_zero_array (scratch, struct saved_group, JB_JOB_SEGMENT_TASKS);
+  saved.crashes
+      = talloc_array (scratch, struct saved_crashes, JB_JOB_SEGMENT_TASKS);
+  for (uint64_t i
+       = (occurrence - job->dropped_occurrences) * job->desc->step_count;
+       i < job->groups->len && group_first < end; i++)
+    {
+      const struct jb_task_group *group = g_ptr_array_index (job->groups, i);
+      uint64_t group_end = group_first + group->task_count;
+
+      if (group_end > first)
+        save_tasks (scratch, group, MAX (first, group_first) - group_first,
+                    MIN (end, group_end) - group_first, max_checkpoint_bytes,
+                    &saved);
+      group_first = group_end;
+    }
+  *is_empty = saved.group_count == 0 && saved.crashes_count == 0;
+  bytes = ba_codec_encode (mem, serialize_saved_job, &saved);
+  talloc_free (scratch);
+  return bytes;
+}
+
+struct ba_bytes
+jb_job_encode_occurrences (TALLOC_CTX *mem, const struct jb_job *job)
+{
+  struct saved_job saved = { .dropped_occurrences = job->dropped_occurrences,
+                             .opened_occurrences = job->opened_occurrences };
+
+  return ba_codec_encode (mem, serialize_saved_job, &saved);
+}
+
 static void
 restore_group (struct jb_job *job, const struct saved_group *saved)
 {
@@ -493,7 +576,10 @@
       task->ever_started = true;
       job->ever_started = true;
       if (saved_task->checkpoint != NULL)
-        task->checkpoint = talloc_strdup (group, saved_task->checkpoint);
+        {
+          talloc_free (task->checkpoint);
+          task->checkpoint = talloc_strdup (group, saved_task->checkpoint);
+        }
       if (saved_task->done)
         jb_task_mark_done (task);
     }
@@ -547,3 +633,27 @@
   talloc_free (scratch);
   return valid;
 }
+
+bool
+jb_job_apply_segment (struct jb_job *job, struct ba_bytes segment)
+{
+  TALLOC_CTX *scratch = talloc_new (NULL);
+  struct saved_job saved = { 0 };
+  struct ba_codec io;
+  bool valid;
+
+  ba_codec_init_reader (&io, scratch, segment);
+  serialize_saved_job (&io, &saved);
+  valid = ba_codec_is_complete (&io);
+  for (uint32_t i = 0; valid && i < saved.group_count; i++)
+    {
+      restore_group (job, &saved.groups[i]);
+      jb_job_update_ready_groups (job, saved.groups[i].occurrence);
+    }
+  for (uint32_t i = 0; valid && i < saved.crashes_count; i++)
+    restore_crashes (job, &saved.crashes[i]);
+  if (valid)
+    job->dirty = false;
+  talloc_free (scratch);
+  return valid;
+}
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -214,6 +214,8 @@
   GPtrArray *dirty_jobs; /* struct jb_job: changes that are not written */
   jb_time dirty_since;   /* time of the first such change; 0: there is none */
   struct jb_write_batch *write_batch; /* in flight, or NULL */
+  /* Keys of rows of JB_JOB_TABLE to be removed.  */
+  GPtrArray *obsolete_keys;
   /* Scheduling and periodic work.  */
   bool schedule_due;     /* something changed since the last cycle */
   jb_time next_schedule; /* earliest time of the next cycle */
@@ -483,6 +485,9 @@
 /* Mark all processed ends of runs as stored if no change of a job waits to be
    written or is being written.  */
 void jb_pool_mark_ends_stored (struct jb_pool *pool, jb_time now);
+/* Remove the row with KEY, which is taken over, from JB_JOB_TABLE with or
+   after the next batch.  */
+void jb_pool_remove_row (struct jb_pool *pool, gchar *key);
 /* Return when the next batch is due, or JB_NEVER if there is nothing to write
    or a batch is in flight.  */
 jb_time jb_pool_write_due_at (const struct jb_pool *pool);
--- a/packages/jobs/src/jb_pool_store.c
+++ b/packages/jobs/src/jb_pool_store.c
@@ -7,13 +7,15 @@
 
 #include "jb_pool_internal.h"
 
+#include "jb_progress.h"
+
 /* Delay from the first change to its batch, so that several changes share a
    transaction.  */
 #define WRITE_BATCH_DELAY (8 * JB_MS)
 
 enum
 {
-  MAX_ROWS_PER_JOB = 3, /* an ended job: one to write, two to delete */
+  ROWS_PER_ENDED_JOB = 3, /* one to write, two to delete */
   /* A batch with more bytes than this gets no further job.  A transaction may
      have 1 MB, as text that is a third longer than its content.  */
   MAX_BATCH_BYTES = 500000
@@ -203,74 +205,183 @@
   return 0;
 }
 
-void
-jb_pool_write_dirty_jobs (struct jb_pool *pool, jb_time now)
+/* The rows of a batch that is being filled.  */
+struct batch_rows
 {
   struct jb_row set[JB_OWNERSHIP_MAX_WRITE_ROWS];
   struct jb_row removed[JB_OWNERSHIP_MAX_WRITE_ROWS];
-  uint32_t set_count = 0;
-  uint32_t removed_count = 0;
-  size_t bytes = 0;
+  uint32_t set_count;
+  uint32_t removed_count;
+  size_t bytes; /* of the rows to write */
+};
+
+static void
+add_set_row (struct jb_pool *pool, struct jb_write_batch *batch,
+             struct batch_rows *rows, const struct jb_job *job,
+             const char *key_suffix, struct ba_bytes value)
+{
+  add_row (pool, batch, rows->set, &rows->set_count, job, key_suffix, value);
+  rows->bytes += value.len;
+}
+
+/* Add the keys of the rows of JOB whose suffixes are in SUFFIXES to those that
+   are to be removed.  */
+static void
+add_obsolete_rows (struct jb_pool *pool, const struct jb_job *job,
+                   const GPtrArray *suffixes)
+{
+  for (guint i = 0; i < suffixes->len; i++)
+    jb_pool_remove_row (
+        pool,
+        g_strconcat (job->desc->id,
+                     (const char *)g_ptr_array_index (suffixes, i), NULL));
+}
+
+static void
+add_end (struct jb_pool *pool, struct jb_write_batch *batch,
+         struct batch_rows *rows, struct jb_job *job)
+{
   struct ba_bytes no_value = { NULL, 0 };
+  GPtrArray *suffixes = g_ptr_array_new_with_free_func (g_free);
+
+  add_set_row (pool, batch, rows, job, JB_KEY_SUFFIX_END,
+               encode_end (batch, job));
+  add_row (pool, batch, rows->removed, &rows->removed_count, job,
+           JB_KEY_SUFFIX_DESC, no_value);
+  add_row (pool, batch, rows->removed, &rows->removed_count, job,
+           JB_KEY_SUFFIX_PROGRESS, no_value);
+  jb_progress_remove (job, suffixes);
+  add_obsolete_rows (pool, job, suffixes);
+  g_ptr_array_free (suffixes, TRUE);
+}
+
+/* Add what fits of JOB's progress.  Return false if there is more.  */
+static bool
+add_progress (struct jb_pool *pool, struct jb_write_batch *batch,
+              struct batch_rows *rows, struct jb_job *job)
+{
+  struct jb_progress_rows progress
+      = { .max_count = JB_OWNERSHIP_MAX_WRITE_ROWS - rows->set_count
+                       - rows->removed_count,
+          .max_bytes = MAX_BATCH_BYTES - rows->bytes,
+          .max_row_bytes = jb_progress_row_limit (pool->options.bounds),
+          .obsolete = g_ptr_array_new_with_free_func (g_free) };
+  bool is_complete;
+
+  progress.rows
+      = talloc_array (batch, struct jb_progress_row, progress.max_count);
+  is_complete = jb_progress_collect (batch, job, &progress);
+  for (uint32_t i = 0; i < progress.count; i++)
+    add_set_row (pool, batch, rows, job, progress.rows[i].key_suffix,
+                 progress.rows[i].value);
+  add_obsolete_rows (pool, job, progress.obsolete);
+  g_ptr_array_free (progress.obsolete, TRUE);
+  return is_complete;
+}
+
+/* Add JOB to BATCH.  Return false if it has to be continued in the next
+   one.  */
+static bool
+add_job (struct jb_pool *pool, struct jb_write_batch *batch,
+         struct batch_rows *rows, struct jb_job *job)
+{
+  struct written_job *written = &batch->jobs[batch->job_count++];
+
+  written->job = job;
+  if (job->ended_at != 0)
+    {
+      written->kind = WRITTEN_END;
+      add_end (pool, batch, rows, job);
+      return true;
+    }
+  if (!job->stored)
+    {
+      written->kind = WRITTEN_DESCRIPTION;
+      add_set_row (pool, batch, rows, job, JB_KEY_SUFFIX_DESC,
+                   ba_codec_encode (batch, jb_job_desc_serialize, job->desc));
+      return true;
+    }
+  written->kind = WRITTEN_PROGRESS;
+  return add_progress (pool, batch, rows, job);
+}
+
+/* Remove as many of the obsolete rows as there is room for.  */
+static void
+add_removals (struct jb_pool *pool, struct jb_write_batch *batch,
+              struct batch_rows *rows)
+{
+  while (pool->obsolete_keys->len > 0
+         && rows->set_count + rows->removed_count
+                < JB_OWNERSHIP_MAX_WRITE_ROWS)
+    {
+      guint last = pool->obsolete_keys->len - 1;
+
+      rows->removed[rows->removed_count++] = (struct jb_row){
+        .table = JB_JOB_TABLE,
+        .partition = pool->partition,
+        .key
+        = talloc_strdup (batch, g_ptr_array_index (pool->obsolete_keys, last))
+      };
+      g_ptr_array_remove_index (pool->obsolete_keys, last);
+    }
+}
+
+void
+jb_pool_remove_row (struct jb_pool *pool, gchar *key)
+{
+  g_ptr_array_add (pool->obsolete_keys, key);
+}
+
+void
+jb_pool_write_dirty_jobs (struct jb_pool *pool, jb_time now)
+{
+  struct batch_rows rows;
   struct jb_write_batch *batch;
+  bool is_complete = true;
 
   if (pool->write_batch != NULL || now < jb_pool_write_due_at (pool)
       || jb_ownership_state (pool->ownership) != JB_OWNERSHIP_HELD)
     return;
+  rows.set_count = 0;
+  rows.removed_count = 0;
+  rows.bytes = 0;
   batch = talloc_zero (pool->ownership, struct jb_write_batch);
   batch->pool = pool;
   batch->created_at = now;
-  while (pool->dirty_jobs->len > 0
-         && set_count + removed_count + MAX_ROWS_PER_JOB
+  while (pool->dirty_jobs->len > 0 && is_complete
+         && batch->job_count < JB_OWNERSHIP_MAX_WRITE_ROWS
+         && rows.set_count + rows.removed_count + ROWS_PER_ENDED_JOB
                 <= JB_OWNERSHIP_MAX_WRITE_ROWS
-         && bytes < MAX_BATCH_BYTES)
+         && rows.bytes < MAX_BATCH_BYTES)
     {
       guint index = jb_pool_find_next_write (pool->dirty_jobs);
       struct jb_job *job = g_ptr_array_index (pool->dirty_jobs, index);
-      struct written_job *written = &batch->jobs[batch->job_count++];
 
-      g_ptr_array_remove_index (pool->dirty_jobs, index);
-      job->write_queued = false;
-      job->dirty = false;
-      written->job = job;
-      if (job->ended_at != 0)
-        {
-          written->kind = WRITTEN_END;
-          add_row (pool, batch, set, &set_count, job, JB_KEY_SUFFIX_END,
-                   encode_end (batch, job));
-          add_row (pool, batch, removed, &removed_count, job,
-                   JB_KEY_SUFFIX_DESC, no_value);
-          add_row (pool, batch, removed, &removed_count, job,
-                   JB_KEY_SUFFIX_PROGRESS, no_value);
-        }
-      else if (!job->stored)
-        {
-          written->kind = WRITTEN_DESCRIPTION;
-          add_row (pool, batch, set, &set_count, job, JB_KEY_SUFFIX_DESC,
-                   ba_codec_encode (batch, jb_job_desc_serialize, job->desc));
-        }
-      else
+      is_complete = add_job (pool, batch, &rows, job);
+      if (is_complete)
         {
-          written->kind = WRITTEN_PROGRESS;
-          add_row (pool, batch, set, &set_count, job, JB_KEY_SUFFIX_PROGRESS,
-                   jb_job_encode_progress (batch, job));
+          g_ptr_array_remove_index (pool->dirty_jobs, index);
+          job->write_queued = false;
+          job->dirty = false;
         }
-      bytes += set[set_count - 1].value.len;
     }
+  add_removals (pool, batch, &rows);
   if (pool->dirty_jobs->len == 0)
     {
       record_covered_ends (pool, batch);
       pool->dirty_since = 0;
     }
   pool->write_batch = batch;
-  jb_ownership_write (pool->ownership, now, set, set_count, removed,
-                      removed_count, handle_batch_written, batch);
+  jb_ownership_write (pool->ownership, now, rows.set, rows.set_count,
+                      rows.removed, rows.removed_count, handle_batch_written,
+                      batch);
 }
 
 jb_time
 jb_pool_write_due_at (const struct jb_pool *pool)
 {
-  if (pool->write_batch != NULL || pool->dirty_jobs->len == 0)
+  if (pool->write_batch != NULL
+      || (pool->dirty_jobs->len == 0 && pool->obsolete_keys->len == 0))
     return JB_NEVER;
   return pool->dirty_since + WRITE_BATCH_DELAY;
 }
--- a/packages/jobs/src/jb_pool_takeover.c
+++ b/packages/jobs/src/jb_pool_takeover.c
@@ -3,6 +3,7 @@
    task is started again.  */
 
 #include "jb_pool_internal.h"
+#include "jb_progress.h"
 #include "jb_takeover.h"
 
 #include <string.h>
@@ -90,7 +91,7 @@
                 row->key, NULL);
       return;
     }
-  if (strlen (row->key) != JB_JOB_ID_DIGITS + 2)
+  if (strlen (row->key) < JB_JOB_ID_DIGITS + 2)
     return;
   g_strlcpy (id, row->key, sizeof id);
   key_suffix = row->key + JB_JOB_ID_DIGITS;
@@ -114,6 +115,14 @@
     }
   else if (strcmp (key_suffix, JB_KEY_SUFFIX_PROGRESS) == 0 && job != NULL)
     valid = jb_job_apply_progress (job, row->value);
+  else if (jb_progress_is_segment (key_suffix) && job != NULL)
+    {
+      /* The previous owner removes the rows of segments after the end.  */
+      valid = job->ended_at != 0
+              || jb_progress_load_segment (job, key_suffix, row->value);
+      if (job->ended_at != 0)
+        jb_pool_remove_row (pool, g_strdup (row->key));
+    }
   if (!valid)
     jb_log (pool->options.driver, JB_LEVEL_ERROR, "row-unreadable", "table",
             JB_JOB_TABLE, "pool", pool->options.name, "key", row->key, NULL);
--- a/tests/sim/jobs/jw_store.c
+++ b/tests/sim/jobs/jw_store.c
@@ -11,7 +11,6 @@
 {
   MAX_ROWS_PER_READ = 50,
   BACKENDS_PER_PAGE = 5, /* few, so that all lists have several pages */
-  MAX_ROW_BYTES = 8192,  /* an eighth of the limit of the platform */
   MAX_TRANSACTION_BYTES = 750000, /* 1 MB as base64 */
   MAX_TRANSACTION_ROWS = 100,
   MSGPACK_FIXSTR = 0xa0 /* type of a short string; its length is added */
@@ -102,7 +101,7 @@
 
   for (uint32_t i = 0; i < write->set_count; i++)
     {
-      if (write->set_rows[i].value.len > MAX_ROW_BYTES)
+      if (write->set_rows[i].value.len > JW_MAX_ROW_BYTES)
         return false;
       bytes += write->set_rows[i].value.len;
     }
@@ -364,6 +363,22 @@
   return false;
 }
 
+uint32_t
+jw_count_rows (const struct jw_world *world, const char *table,
+               const char *prefix)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < world->rows->len; i++)
+    {
+      const struct jw_row *row = g_ptr_array_index (world->rows, i);
+
+      count += strcmp (row->table, table) == 0
+               && g_str_has_prefix (row->key, prefix);
+    }
+  return count;
+}
+
 /* Check that a wave reported as completed covers its hosts: every second one
    of the fleet (jw_start_wave).  */
 static void
--- a/tests/sim/jobs/jw_world.c
+++ b/tests/sim/jobs/jw_world.c
@@ -407,6 +407,7 @@
               .job_retention_ms = 120000,
               .remote_data_slowdown = 1.5,
               .max_host_commands_per_s = 64,
+              .max_row_bytes = JW_MAX_ROW_BYTES,
               .lookahead = world->options.lookahead,
               .disabled_safeguards = world->options.disabled_safeguards } };
 
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -22,7 +22,8 @@
   JW_MAX_HOST_COUNT = 64,
   JW_MAX_POOL_COUNT = 6,
   JW_ZONE_COUNT = 3,
-  JW_MAX_ATTEMPTS = 3, /* failed runs after which a task has failed */
+  JW_MAX_ROW_BYTES = 8192, /* an eighth of the limit of the platform */
+  JW_MAX_ATTEMPTS = 3,     /* failed runs after which a task has failed */
   /* A task may be given up after this number of crashes of backend servers
      where it was running.  */
   JW_MIN_CRASHES_TO_GIVE_UP = 2,
@@ -382,6 +383,10 @@
 /* Return whether the stored roster of any pool lists INSTANCE.  */
 bool jw_is_in_roster (const struct jw_world *world, const char *instance);
 
+/* Return the number of rows of TABLE whose keys begin with PREFIX.  */
+uint32_t jw_count_rows (const struct jw_world *world, const char *table,
+                        const char *prefix);
+
 /* ---- clients ---- */
 
 struct jw_job_options
