Keep a transaction that is invalid from blocking its pool

What callers see: if the store refuses one row of a pool for a reason that the owner doesn't know, all jobs of the pool stand still: new ones get 503, others stay `running', until the process ends, and with the next owner it begins again.

Cause: a transaction that the store refuses as invalid (400) is sent again unchanged, and all later ones wait for it.

Ruled out: to drop a transaction at the first such answer; a single one could come from something before the store, and jobs would fail without a cause.

Change: after three such answers a transaction is taken apart if others were merged into it, or else dropped with a log line, where its sender allows that: batches of jobs. Their jobs are then written one by one. A job whose progress is refused ends as failed, one whose description is refused wasn't accepted and gets 429. The end of a job is written until it is stored, since a cancelled job must not start again. Rows to be removed are kept until they have been. Checkpoints that are left out of a row are logged.

--- a/packages/jobs/include/jb_ownership.h
+++ b/packages/jobs/include/jb_ownership.h
@@ -91,6 +91,15 @@
                          const struct jb_row *removed, uint32_t removed_count,
                          jb_ownership_commit_callback *committed, void *data);
 
+/* As jb_ownership_write.  If the store refuses the transaction as invalid
+   several times, it is dropped, and REFUSED called with DATA: otherwise all
+   later ones would wait for it.  */
+void jb_ownership_write_unless_invalid (
+    struct jb_ownership *ownership, jb_time now, const struct jb_row *set,
+    uint32_t set_count, const struct jb_row *removed, uint32_t removed_count,
+    jb_ownership_commit_callback *committed,
+    jb_ownership_commit_callback *refused, void *data);
+
 /* Return whether a queued transaction is not yet known to be durable.  */
 bool jb_ownership_has_pending_writes (const struct jb_ownership *ownership);
 
--- a/packages/jobs/include/jb_progress.h
+++ b/packages/jobs/include/jb_progress.h
@@ -36,6 +36,7 @@
   size_t max_row_bytes;
   uint32_t count;
   size_t bytes;
+  uint32_t reduced_count;       /* number of them without long checkpoints */
   struct jb_progress_row *rows; /* max_count of them */
   /* With room for them, the suffixes of the keys of rows to be removed in this
      transaction or later.  They are owned by the array.  */
@@ -53,6 +54,9 @@
 bool jb_progress_collect (TALLOC_CTX *mem, struct jb_job *job,
                           struct jb_progress_rows *rows);
 
+/* The rows that were collected last may not be stored: write all again.  */
+void jb_progress_forget (struct jb_job *job);
+
 /* JOB has ended: add the suffixes of the keys of its segments' rows to
    OBSOLETE.  */
 void jb_progress_remove (struct jb_job *job, GPtrArray *obsolete);
--- a/packages/jobs/src/jb_ownership.c
+++ b/packages/jobs/src/jb_ownership.c
@@ -35,7 +35,10 @@
 {
   /* Transactions are merged up to this number of bytes in their rows.  One may
      have 1 MB, as text that is a third longer than its content.  */
-  MAX_MERGED_BYTES = 600000
+  MAX_MERGED_BYTES = 600000,
+  /* A transaction counts as invalid after this number of answers that say so:
+     a single one could come from something before the store.  */
+  INVALID_ANSWERS = 3
 };
 
 /* A queued transaction.  */
@@ -50,7 +53,16 @@
   uint32_t removed_count;
   uint64_t sequence; /* number since the claim, from 1 */
   jb_ownership_commit_callback *committed;
-  void *data; /* for `committed' */
+  jb_ownership_commit_callback *refused; /* NULL: it is sent again */
+  void *data;                            /* for `committed' and `refused' */
+  /* What it was queued with, before others became part of it, and that it must
+     stay so, because the store has refused them together.  */
+  struct jb_row own_owner_row;
+  uint64_t own_sequence;
+  uint32_t own_set_count;
+  uint32_t own_removed_count;
+  bool is_separate;
+  uint32_t invalid_answers; /* since it consists of the same transactions */
 };
 
 /* One attempt to execute a transaction.  */
@@ -393,6 +405,7 @@
 
 /* ---- writing ---- */
 
+static bool handle_invalid (struct jb_ownership *ownership, jb_time now);
 static void merge_waiting (struct jb_ownership *ownership);
 static void send_first (struct jb_ownership *ownership, jb_time now);
 
@@ -490,6 +503,8 @@
       handle_conflict (ownership, now, reply);
       return;
     }
+  if (reply->result == JB_RESULT_INVALID && handle_invalid (ownership, now))
+    return;
   /* A write that was not sent says nothing about the store.  */
   if (reply->result != JB_RESULT_NOT_SENT)
     record_failure (ownership, sent_at, reply->result == JB_RESULT_UNKNOWN);
@@ -555,14 +570,15 @@
   struct transaction **merged_end = &first->merged;
   size_t bytes = count_bytes (first);
 
-  while (first->next != NULL)
+  while (first->next != NULL && !first->is_separate)
     {
       struct transaction *next = first->next;
 
       bytes += count_bytes (next);
-      if (first->set_count + first->removed_count + next->set_count
-                  + next->removed_count
-              > JB_OWNERSHIP_MAX_WRITE_ROWS + 2
+      if (next->is_separate
+          || first->set_count + first->removed_count + next->set_count
+                     + next->removed_count
+                 > JB_OWNERSHIP_MAX_WRITE_ROWS + 2
           || bytes > MAX_MERGED_BYTES || have_common_rows (first, next))
         break;
       first->next = next->next;
@@ -609,6 +625,69 @@
                     write_replied, attempt);
 }
 
+/* Undo merge_waiting: the transactions that became part of the first one
+   follow it again.  */
+static void
+separate_first (struct jb_ownership *ownership)
+{
+  struct transaction *first = ownership->first;
+  struct transaction *last = first;
+
+  first->sequence = first->own_sequence;
+  first->set[0] = first->own_owner_row;
+  first->set_count = first->own_set_count;
+  first->removed_count = first->own_removed_count;
+  first->is_separate = true;
+  first->invalid_answers = 0;
+  for (struct transaction *t = first->merged; t != NULL; t = t->next)
+    {
+      talloc_steal (ownership, t);
+      t->is_separate = true;
+      last = t;
+    }
+  last->next = first->next;
+  first->next = first->merged;
+  first->merged = NULL;
+  if (last->next == NULL)
+    ownership->last = last;
+}
+
+/* The store has refused the first transaction as invalid.  Return false if it
+   has to be sent again nevertheless.  */
+static bool
+handle_invalid (struct jb_ownership *ownership, jb_time now)
+{
+  struct transaction *refused = ownership->first;
+  bool is_merged = refused->merged != NULL;
+
+  if ((!is_merged && refused->refused == NULL)
+      || ++refused->invalid_answers < INVALID_ANSWERS)
+    return false;
+  jb_log (ownership->options.driver, JB_LEVEL_ERROR, "store-write-invalid",
+          "duty", ownership->options.partition, "rows",
+          jb_itoa (refused->set_count + refused->removed_count), "first",
+          refused->set_count > 1 ? refused->set[1].key : NULL, "bytes",
+          jb_itoa ((int64_t)count_bytes (refused)), "action",
+          is_merged ? "its parts are sent separately" : "it is dropped", NULL);
+  if (is_merged)
+    separate_first (ownership);
+  else
+    {
+      ownership->first = refused->next;
+      if (ownership->first == NULL)
+        ownership->last = NULL;
+      refused->refused (refused->data, now);
+      talloc_free (refused);
+    }
+  ownership->may_be_committed = false;
+  if (ownership->first != NULL && !ownership->first_in_flight)
+    {
+      merge_waiting (ownership);
+      send_first (ownership, now);
+    }
+  return true;
+}
+
 /* Return a zeroed array, owned by MEM, with copies of the COUNT ROWS from
    index SKIPPED on.  */
 static struct jb_row *
@@ -636,6 +715,17 @@
                     const struct jb_row *set, uint32_t set_count,
                     const struct jb_row *removed, uint32_t removed_count,
                     jb_ownership_commit_callback *committed, void *data)
+{
+  jb_ownership_write_unless_invalid (ownership, now, set, set_count, removed,
+                                     removed_count, committed, NULL, data);
+}
+
+void
+jb_ownership_write_unless_invalid (
+    struct jb_ownership *ownership, jb_time now, const struct jb_row *set,
+    uint32_t set_count, const struct jb_row *removed, uint32_t removed_count,
+    jb_ownership_commit_callback *committed,
+    jb_ownership_commit_callback *refused, void *data)
 {
   struct transaction *transaction;
 
@@ -657,7 +747,12 @@
   transaction->removed = copy_rows (transaction, removed, removed_count, 0);
   transaction->removed_count = removed_count;
   transaction->committed = committed;
+  transaction->refused = refused;
   transaction->data = data;
+  transaction->own_owner_row = transaction->set[0];
+  transaction->own_sequence = transaction->sequence;
+  transaction->own_set_count = transaction->set_count;
+  transaction->own_removed_count = transaction->removed_count;
   if (ownership->last != NULL)
     ownership->last->next = transaction;
   else
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -310,6 +310,24 @@
   g_ptr_array_add (pool->active_jobs, job);
 }
 
+void
+jb_pool_refuse_job (struct jb_pool *pool, struct jb_job *job)
+{
+  for (const struct jb_waiter *w = job->waiters; w != NULL; w = w->next)
+    send_reply (pool, w->member, w->call,
+                w->kind == JB_REQUEST_CANCEL ? JB_ANSWER_NO_JOB
+                                             : JB_ANSWER_REFUSED,
+                0, 0, UNAVAILABLE_RETRY_AFTER_MS);
+  jb_count_event (pool->options.driver, JB_COUNT_REFUSED);
+  jb_log (pool->options.driver, JB_LEVEL_WARN, "job-refused", "job",
+          job->desc->id, "queue", job->desc->queue, "reason",
+          "the store refuses it", NULL);
+  g_hash_table_remove (pool->jobs, job->desc->id);
+  g_ptr_array_remove_fast (pool->active_jobs, job);
+  g_ptr_array_remove (pool->dirty_jobs, job);
+  talloc_free (job);
+}
+
 void
 jb_pool_open_due_occurrences (struct jb_pool *pool, struct jb_job *job,
                               jb_time now)
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -214,8 +214,12 @@
   GPtrArray *dirty_jobs; /* struct jb_job: changes that are not written */
   jb_time dirty_since;   /* time of the first such change; 0: there is none */
   struct jb_write_batch *write_batch; /* in flight, or NULL */
-  /* Keys of rows of JB_JOB_TABLE to be removed.  */
+  /* Keys of rows of JB_JOB_TABLE to be removed, the first of them by the batch
+     in flight.  */
   GPtrArray *obsolete_keys;
+  /* Number of batches that will contain one job only, because the store has
+     refused a batch as invalid.  */
+  uint32_t single_batches;
   /* Scheduling and periodic work.  */
   bool schedule_due;     /* something changed since the last cycle */
   jb_time next_schedule; /* earliest time of the next cycle */
@@ -711,6 +715,8 @@
 void jb_pool_end_job (struct jb_pool *pool, struct jb_job *job,
                       enum jb_job_state state, jb_time now,
                       const char *reason);
+/* Refuse JOB, which can't be stored and so wasn't accepted, and free it.  */
+void jb_pool_refuse_job (struct jb_pool *pool, struct jb_job *job);
 /* Answer the requests that wait for a state of JOB that is durable now.  */
 void jb_pool_answer_waiters (struct jb_pool *pool, struct jb_job *job,
                              jb_time now);
--- a/packages/jobs/src/jb_pool_store.c
+++ b/packages/jobs/src/jb_pool_store.c
@@ -54,6 +54,7 @@
   jb_time created_at;
   uint32_t job_count;
   struct written_job jobs[JB_OWNERSHIP_MAX_WRITE_ROWS];
+  uint32_t removal_count; /* of the pool's obsolete rows */
   uint32_t end_count;
   struct covered_end *ends;
 };
@@ -148,12 +149,61 @@
   jb_pool_answer_waiters (pool, job, now);
 }
 
+/* Forget the obsolete rows that BATCH has removed.  */
+static void
+finish_removals (struct jb_pool *pool, const struct jb_write_batch *batch)
+{
+  if (batch->removal_count > 0)
+    g_ptr_array_remove_range (pool->obsolete_keys, 0, batch->removal_count);
+}
+
+/* The store has refused what was written of a job as invalid, because of a
+   limit that this owner doesn't know.  */
+static void
+handle_job_refused (struct jb_pool *pool, const struct written_job *written,
+                    jb_time now)
+{
+  struct jb_job *job = written->job;
+
+  if (job->ended_at != 0)
+    jb_pool_mark_dirty (pool, job, now);
+  else if (written->kind == WRITTEN_DESCRIPTION)
+    jb_pool_refuse_job (pool, job);
+  else
+    jb_pool_end_job (pool, job, JB_JOB_FAILED, now,
+                     "the store refuses its progress");
+}
+
+/* The store has refused a batch as invalid.  Write its jobs one by one, or if
+   there was only one, end that, so that the others can be written.  */
+static void
+handle_batch_refused (void *data, jb_time now)
+{
+  struct jb_write_batch *batch = data;
+  struct jb_pool *pool = batch->pool;
+
+  pool->write_batch = NULL;
+  if (batch->job_count == 0)
+    finish_removals (pool, batch);
+  else if (batch->job_count == 1)
+    handle_job_refused (pool, &batch->jobs[0], now);
+  else
+    pool->single_batches = batch->job_count;
+  for (uint32_t i = 0; batch->job_count > 1 && i < batch->job_count; i++)
+    {
+      jb_progress_forget (batch->jobs[i].job);
+      jb_pool_mark_dirty (pool, batch->jobs[i].job, now);
+    }
+  talloc_free (batch);
+}
+
 static void
 handle_batch_written (void *data, jb_time now)
 {
   struct jb_write_batch *batch = data;
   struct jb_pool *pool = batch->pool;
 
+  finish_removals (pool, batch);
   pool->write_batch = NULL;
   for (uint32_t i = 0; i < batch->job_count; i++)
     handle_job_written (pool, &batch->jobs[i], now);
@@ -271,6 +321,10 @@
   progress.rows
       = talloc_array (batch, struct jb_progress_row, progress.max_count);
   is_complete = jb_progress_collect (batch, job, &progress);
+  if (progress.reduced_count > 0)
+    jb_log (pool->options.driver, JB_LEVEL_WARN, "checkpoints-not-stored",
+            "job", job->desc->id, "reason", "they are too large for a row",
+            "rows", jb_itoa (progress.reduced_count), NULL);
   for (uint32_t i = 0; i < progress.count; i++)
     add_set_row (pool, batch, rows, job, progress.rows[i].key_suffix,
                  progress.rows[i].value);
@@ -310,20 +364,14 @@
 add_removals (struct jb_pool *pool, struct jb_write_batch *batch,
               struct batch_rows *rows)
 {
-  while (pool->obsolete_keys->len > 0
+  while (batch->removal_count < pool->obsolete_keys->len
          && rows->set_count + rows->removed_count
                 < JB_OWNERSHIP_MAX_WRITE_ROWS)
-    {
-      guint last = pool->obsolete_keys->len - 1;
-
-      rows->removed[rows->removed_count++] = (struct jb_row){
-        .table = JB_JOB_TABLE,
-        .partition = pool->partition,
-        .key
-        = talloc_strdup (batch, g_ptr_array_index (pool->obsolete_keys, last))
-      };
-      g_ptr_array_remove_index (pool->obsolete_keys, last);
-    }
+    rows->removed[rows->removed_count++]
+        = (struct jb_row){ .table = JB_JOB_TABLE,
+                           .partition = pool->partition,
+                           .key = g_ptr_array_index (pool->obsolete_keys,
+                                                     batch->removal_count++) };
 }
 
 void
@@ -337,6 +385,8 @@
 {
   struct batch_rows rows;
   struct jb_write_batch *batch;
+  uint32_t max_jobs
+      = pool->single_batches > 0 ? 1 : JB_OWNERSHIP_MAX_WRITE_ROWS;
   bool is_complete = true;
 
   if (pool->write_batch != NULL || now < jb_pool_write_due_at (pool)
@@ -349,7 +399,7 @@
   batch->pool = pool;
   batch->created_at = now;
   while (pool->dirty_jobs->len > 0 && is_complete
-         && batch->job_count < JB_OWNERSHIP_MAX_WRITE_ROWS
+         && batch->job_count < max_jobs
          && rows.set_count + rows.removed_count + ROWS_PER_ENDED_JOB
                 <= JB_OWNERSHIP_MAX_WRITE_ROWS
          && rows.bytes < MAX_BATCH_BYTES)
@@ -365,16 +415,25 @@
           job->dirty = false;
         }
     }
-  add_removals (pool, batch, &rows);
+  if (pool->single_batches > 0)
+    pool->single_batches--;
+  else
+    add_removals (pool, batch, &rows);
   if (pool->dirty_jobs->len == 0)
     {
       record_covered_ends (pool, batch);
       pool->dirty_since = 0;
     }
   pool->write_batch = batch;
-  jb_ownership_write (pool->ownership, now, rows.set, rows.set_count,
-                      rows.removed, rows.removed_count, handle_batch_written,
-                      batch);
+  /* The end of a job is written until it is stored: it may have been
+     cancelled, and must not start again.  */
+  jb_ownership_write_unless_invalid (
+      pool->ownership, now, rows.set, rows.set_count, rows.removed,
+      rows.removed_count, handle_batch_written,
+      batch->job_count == 1 && batch->jobs[0].kind == WRITTEN_END
+          ? NULL
+          : handle_batch_refused,
+      batch);
 }
 
 jb_time
--- a/packages/jobs/src/jb_progress.c
+++ b/packages/jobs/src/jb_progress.c
@@ -72,12 +72,13 @@
    if their backend server and the owner of the pool are both lost.  */
 static struct ba_bytes
 encode_segment (TALLOC_CTX *mem, const struct jb_job *job, uint64_t number,
-                size_t max_row_bytes, bool *is_empty)
+                size_t max_row_bytes, bool *is_empty, bool *is_reduced)
 {
   struct ba_bytes value
       = jb_job_encode_segment (mem, job, number, SIZE_MAX, is_empty);
 
-  if (value.len <= max_row_bytes)
+  *is_reduced = value.len > max_row_bytes;
+  if (!*is_reduced)
     return value;
   talloc_free (value.data);
   return jb_job_encode_segment (
@@ -93,8 +94,9 @@
   struct stored_segment *stored
       = g_hash_table_lookup (job->progress->segments, &number);
   bool is_empty;
-  struct ba_bytes value
-      = encode_segment (mem, job, number, rows->max_row_bytes, &is_empty);
+  bool is_reduced;
+  struct ba_bytes value = encode_segment (
+      mem, job, number, rows->max_row_bytes, &is_empty, &is_reduced);
   uint64_t hash = ba_hash_bytes (value.data, value.len, 0);
   gchar *key_suffix;
 
@@ -115,6 +117,7 @@
       g_hash_table_add (job->progress->segments, stored);
     }
   stored->value_hash = hash;
+  rows->reduced_count += is_reduced;
   key_suffix = format_segment_suffix (number);
   add_row (mem, rows, key_suffix, value);
   g_free (key_suffix);
@@ -191,6 +194,20 @@
   return true;
 }
 
+void
+jb_progress_forget (struct jb_job *job)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  if (job->progress == NULL)
+    return;
+  job->progress->occurrences_hash = 0;
+  g_hash_table_iter_init (&iter, job->progress->segments);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    ((struct stored_segment *)key)->value_hash = 0;
+}
+
 void
 jb_progress_remove (struct jb_job *job, GPtrArray *obsolete)
 {
--- a/packages/jobs/tests/test_jb_ownership.c
+++ b/packages/jobs/tests/test_jb_ownership.c
@@ -17,6 +17,7 @@
   uint32_t writes;       /* number of write commands */
   uint32_t rows_set;     /* by the newest write command */
   uint32_t commits;
+  uint32_t refusals;
   uint32_t losses;
   struct ba_bytes owner; /* owner row of the newest write */
 };
@@ -63,6 +64,13 @@
   ((struct fixture *)data)->commits++;
 }
 
+static void
+count_refusal (void *data, jb_time now)
+{
+  (void)now;
+  ((struct fixture *)data)->refusals++;
+}
+
 /* Reply to the newest command with RESULT.  */
 static void
 reply (struct fixture *fixture, enum jb_reply_result result)
@@ -265,6 +273,68 @@
   talloc_free (mem);
 }
 
+/* Refuse the transaction that is in flight as invalid, until that counts.  */
+static void
+refuse_as_invalid (struct fixture *fixture, struct jb_ownership *ownership)
+{
+  for (int i = 0; i < 3; i++)
+    {
+      jb_ownership_run (ownership, NOW + 100 * JB_MS);
+      reply (fixture, JB_RESULT_INVALID);
+    }
+}
+
+/* A transaction that the store refuses as invalid, alone or merged with
+   others, keeps none of the others from being committed, in their order.  */
+static void
+test_invalid_transaction (void)
+{
+  TALLOC_CTX *mem = talloc_new (NULL);
+  struct fixture fixture = { 0 };
+  struct jb_ownership_options options = { .partition = "p",
+                                          .owner = "host",
+                                          .incarnation = 1,
+                                          .on_claimed = ignore_claim,
+                                          .on_lost = count_loss,
+                                          .data = &fixture };
+  struct jb_row row = { .table = "t", .partition = "p", .key = "c" };
+  struct jb_ownership *ownership;
+
+  fixture.driver = jb_driver_new (mem, &driver_ops, &fixture);
+  options.driver = fixture.driver;
+  ownership = jb_ownership_new (mem, &options);
+  jb_ownership_claim (ownership, NOW);
+  reply (&fixture, JB_RESULT_OK);
+  reply (&fixture, JB_RESULT_OK);
+  fixture.writes = 0;
+  write_row_with_key (&fixture, ownership, "a");
+  write_row_with_key (&fixture, ownership, "b");
+  jb_ownership_write_unless_invalid (ownership, NOW, &row, 1, NULL, 0,
+                                     count_commit, count_refusal, &fixture);
+  write_row_with_key (&fixture, ownership, "d");
+  reply (&fixture, JB_RESULT_OK);
+  CU_ASSERT_EQUAL (fixture.rows_set, 1 + 3);
+  refuse_as_invalid (&fixture, ownership);
+  CU_ASSERT_EQUAL (fixture.rows_set, 1 + 1); /* b */
+  write_row_with_key (&fixture, ownership, "e");
+  reply (&fixture, JB_RESULT_OK);
+  CU_ASSERT_EQUAL (fixture.commits, 2);
+  CU_ASSERT_EQUAL (fixture.rows_set, 1 + 1); /* c */
+  CU_ASSERT_EQUAL (fixture.refusals, 0);
+  refuse_as_invalid (&fixture, ownership);
+  CU_ASSERT_EQUAL (fixture.refusals, 1);
+  CU_ASSERT_EQUAL (fixture.commits, 2);
+  CU_ASSERT_EQUAL (fixture.rows_set, 1 + 1); /* d */
+  reply (&fixture, JB_RESULT_OK);
+  CU_ASSERT_EQUAL (fixture.commits, 3);
+  CU_ASSERT_EQUAL (fixture.writes, 10);
+  reply (&fixture, JB_RESULT_OK);
+  CU_ASSERT_EQUAL (fixture.commits, 4);
+  CU_ASSERT_EQUAL (fixture.losses, 0);
+  CU_ASSERT_FALSE (jb_ownership_has_pending_writes (ownership));
+  talloc_free (mem);
+}
+
 /* A successor asks whether the process has ended that the owner row names.  It
    must not ask about itself, nor about the owner of an earlier claim.  */
 static void
@@ -318,6 +388,7 @@
           { "the reply to a claim is late", test_late_reply_to_claim },
           { "the store is slow", test_slow_store },
           { "waiting transactions are merged", test_merged_transactions },
+          { "a transaction is invalid", test_invalid_transaction },
           { "the previous owner is known", test_previous_owner },
           { NULL, NULL } };
 
--- a/tests/sim/jobs/jw_store.c
+++ b/tests/sim/jobs/jw_store.c
@@ -90,8 +90,6 @@
   };
 }
 
-/* Carry out the write if all rows have the expected versions.  Otherwise the
-   result is JB_RESULT_CONFLICT, with the current versions of these rows.  */
 /* Return whether WRITE keeps the store's limits on the size of a row, and on
    the number of rows and bytes of a transaction.  */
 static bool
@@ -110,12 +108,33 @@
                 <= MAX_TRANSACTION_ROWS;
 }
 
+/* Return whether WRITE sets the row that the test has the store refuse.  */
+static bool
+sets_refused_row (const struct jw_world *world,
+                  const struct jb_command_write *write)
+{
+  for (uint32_t i = 0; i < write->set_count; i++)
+    if (world->refused_key != NULL
+        && strcmp (write->set_rows[i].key, world->refused_key) == 0)
+      return true;
+  return false;
+}
+
+/* Carry out the write if all rows have the expected versions.  Otherwise the
+   result is JB_RESULT_CONFLICT, with the current versions of these rows.  */
 static void
 write_rows (struct jw_world *world, const struct jb_command_write *write,
             struct jb_reply *reply)
 {
   guint at;
 
+  if (sets_refused_row (world, write))
+    {
+      world->refused_writes++;
+      reply->result = JB_RESULT_INVALID;
+      return;
+    }
+
   if (!keeps_limits (write))
     {
       jw_report_violation (world, "SIZE", "a transaction is too large");
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -299,6 +299,10 @@
   GRand *random;
   struct jw_host hosts[JW_MAX_HOST_COUNT];
   bool store_down;
+  /* The store refuses writes of the row with this key as invalid; NULL: of
+     none.  */
+  const char *refused_key;
+  uint32_t refused_writes; /* number of them */
   jb_time store_delay; /* of a command to the store, and again of its reply */
   GPtrArray *rows;     /* struct jw_row, sorted by name */
   /* Index of the entry host that last wrote rows of each pool, or -1.  */
--- a/tests/sim/jobs/test_wide_jobs.c
+++ b/tests/sim/jobs/test_wide_jobs.c
@@ -14,7 +14,8 @@
   BACKEND_CPU_MILLI = 500000,
   /* About 6 bytes for each task that is done: twice or more a row.  */
   TASK_COUNT = 4000,
-  TASK_CPU_MILLI = 1000
+  TASK_CPU_MILLI = 1000,
+  OTHER_COUNT = 20
 };
 
 static struct jw_world *
@@ -145,18 +146,80 @@
   jw_assert_and_free (world);
 }
 
+/* Return the ID of a job of short tasks, submitted beside others, while the
+   store refuses its row with KEY_SUFFIX.  */
+static const char *
+submit_beside_others (struct jw_world *world, const char *key_suffix)
+{
+  struct jw_job_options job = { .step_count = 3,
+                                .tasks_per_step = 10,
+                                .cpu_milli = 1000,
+                                .duration_ms = 300 };
+  const char *id = NULL;
+
+  for (int i = 0; i <= OTHER_COUNT; i++)
+    {
+      const char *submitted = jw_submit_job (world, &job);
+
+      if (i == OTHER_COUNT / 2)
+        id = submitted;
+    }
+  world->refused_key = talloc_asprintf (world, "%s%s", id, key_suffix);
+  return id;
+}
+
+/* A row that the store refuses, for a limit that isn't known, keeps all jobs
+   of the pool from being stored.  */
+static void
+test_refused_progress (void)
+{
+  for (uint32_t seed = 1; seed <= 10; seed++)
+    {
+      struct jw_world *world = create_world (seed);
+      const char *id = submit_beside_others (world, ".p");
+
+      jw_advance (world, 10 * JB_SECOND);
+      CU_ASSERT (world->refused_writes > 0 && world->refused_writes < 20);
+      jw_find_job (world, id)->always_fails = true;
+      jw_check_final_states (world);
+      CU_ASSERT_EQUAL (jw_find_job (world, id)->state, JB_JOB_FAILED);
+      jw_assert_and_free (world);
+    }
+}
+
+static void
+test_refused_description (void)
+{
+  for (uint32_t seed = 1; seed <= 10; seed++)
+    {
+      struct jw_world *world = create_world (seed);
+      const char *id = submit_beside_others (world, ".d");
+
+      jw_advance (world, 10 * JB_SECOND);
+      CU_ASSERT (world->refused_writes > 0);
+      CU_ASSERT_EQUAL (jw_sum_counter (world, JB_COUNT_ACCEPTED), OTHER_COUNT);
+      CU_ASSERT_FALSE (jw_find_job (world, id)->accepted);
+      CU_ASSERT_FALSE (jw_find_job (world, id)->started);
+      jw_check_final_states (world);
+      CU_ASSERT_EQUAL (count_rows (world, id), 0);
+      jw_assert_and_free (world);
+    }
+}
+
 int
 main (void)
 {
-  static const struct dp_test tests[]
-      = { { "a job with more progress than a row holds ends",
-            test_completion },
-          { "a job with more progress than a row holds is cancelled",
-            test_cancelling },
-          { "progress in several rows outlasts its owners", test_takeover },
-          { "a job with a description larger than a row is refused",
-            test_large_description },
-          { NULL, NULL } };
+  static const struct dp_test tests[] = {
+    { "a job with more progress than a row holds ends", test_completion },
+    { "a job with more progress than a row holds is cancelled",
+      test_cancelling },
+    { "progress in several rows outlasts its owners", test_takeover },
+    { "a job with a description larger than a row is refused",
+      test_large_description },
+    { "the store refuses the progress of a job", test_refused_progress },
+    { "the store refuses the description of a job", test_refused_description },
+    { NULL, NULL }
+  };
 
   return dp_test_main ("wide jobs", tests);
 }
