Refuse a description that can't be read, also without a reason

What callers see: nothing yet; a client API that passes neither a description nor an error would have ended the host.

Ruled out: that platform/ does so today; its errors always have a text.

Change: such a call is refused with a text of its own.

--- a/packages/jobs/src/jb_frontend.c
+++ b/packages/jobs/src/jb_frontend.c
@@ -314,7 +314,7 @@
   struct ba_bytes row;
 
   if (call->desc == NULL)
-    return error;
+    return error != NULL ? error : "the description of the job is invalid";
   error = jb_job_desc_check (call->desc);
   if (error != NULL)
     return error;
