Forget crashes before a task's newest checkpoint

Cause: a task that isn't long-running fails its job after four crashes of any kind, however far apart; the count was never set back.

Ruled out: early crashes (each run was proven) and waves (one backend server at a time). Not to count crashes of proven runs at all: a task that crashes its backend server a second after each start would do so for ever.

Change: crashes before the newest checkpoint of a task don't count to the limit of four. A task that crashes its backend server at some point of its work saves nothing beyond that, and is given up within the same number of crashes as before. The limit of early crashes is unchanged.

Tasks without checkpoints still fail after four crashes.

--- a/packages/jobs/include/jb_crash.h
+++ b/packages/jobs/include/jb_crash.h
@@ -18,6 +18,11 @@
    may by chance crash its backend server during a wave, and must be given up
    in the end.
 
+   Crashes before the newest checkpoint of a task don't count either: a long
+   task that saves its progress outlives several backend servers, and the
+   work between two checkpoints bounds how often that can be.  A task that
+   crashes its backend server at some point of its work doesn't get past it.
+
    Expected load: a tenth of the jobs of a pool have such a task, and each
    crash takes a dozen runs of other jobs with it.  The jobs of the latter must
    not fail, and few backend servers may crash for each of the former.  */
@@ -56,7 +61,8 @@
                        uint32_t count);
 
 /* Count a crash of the backend server of a run of TASK in PHASE.  IN_WAVE:
-   other backend servers crashed at the same time.  */
+   other backend servers crashed at the same time.  The crashes before are
+   forgotten if TASK has a new checkpoint since.  */
 void jb_crash_record (struct jb_task *task, enum jb_crash_phase phase,
                       bool in_wave);
 
--- a/packages/jobs/include/jb_job.h
+++ b/packages/jobs/include/jb_job.h
@@ -91,6 +91,8 @@
   /* Since when its tail latency exceeds its target; 0: it does not.  */
   jb_time over_target_since;
   char *checkpoint; /* newest one, or NULL */
+  /* The newest one when a crash was last counted, or NULL.  */
+  char *crash_checkpoint;
 };
 
 /* The answer of the policy service about which backend servers may run a
--- a/packages/jobs/src/jb_crash.c
+++ b/packages/jobs/src/jb_crash.c
@@ -35,9 +35,22 @@
   return size >= JB_CRASH_WAVE_SIZE;
 }
 
+/* Forget the crashes of TASK if it has saved progress since the last one.  */
+static void
+forget_crashes_before_progress (struct jb_task *task)
+{
+  if (task->checkpoint == NULL
+      || g_strcmp0 (task->checkpoint, task->crash_checkpoint) == 0)
+    return;
+  talloc_free (task->crash_checkpoint);
+  task->crash_checkpoint = talloc_strdup (task->group, task->checkpoint);
+  task->crashes = task->early_crashes;
+}
+
 void
 jb_crash_record (struct jb_task *task, enum jb_crash_phase phase, bool in_wave)
 {
+  forget_crashes_before_progress (task);
   if (in_wave && phase == JB_CRASH_LATE)
     return;
   task->crashes++;
--- a/packages/jobs/src/jb_job.c
+++ b/packages/jobs/src/jb_job.c
@@ -484,6 +484,7 @@
   return bytes;
 }
 
+/* Return the number of tasks of an occurrence of JOB, at least 1.  */
 static uint64_t
 count_tasks_of_occurrence (const struct jb_job *job)
 {
@@ -491,7 +492,7 @@
 
   for (uint32_t i = 0; i < job->desc->step_count; i++)
     count += job->desc->steps[i].task_count;
-  return count;
+  return MAX (count, 1);
 }
 
 uint64_t
@@ -590,12 +591,17 @@
 {
   struct jb_task_group *group
       = jb_job_find_group (job, saved->occurrence, saved->step);
+  struct jb_task *task;
 
   if (group == NULL || saved->index >= group->task_count)
     return;
-  group->tasks[saved->index].crashes = saved->crashes;
-  group->tasks[saved->index].early_crashes = saved->early_crashes;
-  group->tasks[saved->index].ever_started = true;
+  task = &group->tasks[saved->index];
+  task->crashes = saved->crashes;
+  task->early_crashes = saved->early_crashes;
+  task->ever_started = true;
+  /* It isn't stored which checkpoint was the newest at the last crash.  */
+  talloc_free (task->crash_checkpoint);
+  task->crash_checkpoint = talloc_strdup (group, task->checkpoint);
   job->ever_started = true;
 }
 
--- a/packages/jobs/tests/test_jb_crash.c
+++ b/packages/jobs/tests/test_jb_crash.c
@@ -76,6 +76,38 @@
   talloc_free (mem);
 }
 
+/* A long task that saves its progress between crashes is not given up, one
+   that gets no further is, within the same number of crashes.  A new owner
+   doesn't take the checkpoint that it has read for progress.  */
+static void
+test_progress_between_crashes (void)
+{
+  TALLOC_CTX *mem = talloc_new (NULL);
+  struct jb_backend *backend = talloc_zero (mem, struct jb_backend);
+  struct jb_job *job = make_job (mem, 1, false);
+  struct jb_job *copy = make_job (mem, 1, false);
+  struct jb_task *task = get_task (job, 0);
+
+  for (int i = 0; i < 10; i++)
+    {
+      talloc_free (task->checkpoint);
+      task->checkpoint = talloc_asprintf (task->group, "%016d", i);
+      crash (task, backend, JB_RUN_RUNNING, true);
+      CU_ASSERT_FALSE (jb_crash_gives_up (task));
+    }
+  for (int i = 0; i < 2; i++)
+    {
+      crash (task, backend, JB_RUN_RUNNING, true);
+      CU_ASSERT_FALSE (jb_crash_gives_up (task));
+    }
+  CU_ASSERT (jb_job_apply_progress (copy, jb_job_encode_progress (mem, job)));
+  task = get_task (copy, 0);
+  CU_ASSERT_FALSE (jb_crash_gives_up (task));
+  crash (task, backend, JB_RUN_RUNNING, true);
+  CU_ASSERT (jb_crash_gives_up (task));
+  talloc_free (mem);
+}
+
 /* Backend servers that were last heard at about the same time crashed at
    once, whether the others were heard before or after.  */
 static void
@@ -190,6 +222,7 @@
 {
   static const struct dp_test tests[]
       = { { "when a task is given up", test_giving_up },
+          { "progress between crashes", test_progress_between_crashes },
           { "waves are recognised", test_recognising_waves },
           { "crashes in waves", test_waves },
           { "long-running tasks", test_long_running },
