--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -86,6 +86,7 @@
   g_ptr_array_free (pool->backend_list, TRUE);
   g_ptr_array_free (pool->active_jobs, TRUE);
   g_ptr_array_free (pool->dirty_jobs, TRUE);
+  g_ptr_array_free (pool->obsolete_keys, TRUE);
   g_ptr_array_free (pool->deferred_requests, TRUE);
   g_ptr_array_free (pool->losses, TRUE);
   return 0;
@@ -118,6 +119,7 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   pool->active_jobs = g_ptr_array_new ();
   pool->dirty_jobs = g_ptr_array_new ();
+  pool->obsolete_keys = g_ptr_array_new_with_free_func (g_free);
   pool->deferred_requests = g_ptr_array_new ();
   pool->losses = g_ptr_array_new ();
   pool->doubts = jb_pool_doubts_new (pool);
@@ -309,6 +311,24 @@
   g_ptr_array_add (pool->active_jobs, job);
 }
 
+void
+jb_pool_refuse_job (struct jb_pool *pool, struct jb_job *job)
+{
+  for (const struct jb_waiter *w = job->waiters; w != NULL; w = w->next)
+    send_reply (pool, w->member, w->call,
+                w->kind == JB_REQUEST_CANCEL ? JB_ANSWER_NO_JOB
+                                             : JB_ANSWER_REFUSED,
+                0, 0, UNAVAILABLE_RETRY_AFTER_MS);
+  jb_count_event (pool->options.driver, JB_COUNT_REFUSED);
+  jb_log (pool->options.driver, JB_LEVEL_WARN, "job-refused", "job",
+          job->desc->id, "queue", job->desc->queue, "reason",
+          "the store refuses it", NULL);
+  g_hash_table_remove (pool->jobs, job->desc->id);
+  g_ptr_array_remove_fast (pool->active_jobs, job);
+  g_ptr_array_remove (pool->dirty_jobs, job);
+  talloc_free (job);
+}
+
 void
 jb_pool_open_due_occurrences (struct jb_pool *pool, struct jb_job *job,
                               jb_time now)
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -217,6 +217,12 @@
   GPtrArray *dirty_jobs; /* struct jb_job: changes that are not written */
   jb_time dirty_since;   /* time of the first such change; 0: there is none */
   struct jb_write_batch *write_batch; /* in flight, or NULL */
+  /* Keys of rows of JB_JOB_TABLE to be removed, the first of them by the batch
+     in flight.  */
+  GPtrArray *obsolete_keys;
+  /* Number of batches that will contain one job only, because the store has
+     refused a batch as invalid.  */
+  uint32_t single_batches;
   /* Scheduling and periodic work.  */
   bool schedule_due;     /* something changed since the last cycle */
   jb_time next_schedule; /* earliest time of the next cycle */
@@ -511,6 +517,9 @@
 /* Mark all processed ends of runs as stored if no change of a job waits to be
    written or is being written.  */
 void jb_pool_mark_ends_stored (struct jb_pool *pool, jb_time now);
+/* Remove the row with KEY, which is taken over, from JB_JOB_TABLE with or
+   after the next batch.  */
+void jb_pool_remove_row (struct jb_pool *pool, gchar *key);
 /* Return when the next batch is due, or JB_NEVER if there is nothing to write
    or a batch is in flight.  */
 jb_time jb_pool_write_due_at (const struct jb_pool *pool);
@@ -735,6 +744,8 @@
 void jb_pool_end_job (struct jb_pool *pool, struct jb_job *job,
                       enum jb_job_state state, jb_time now,
                       const char *reason);
+/* Refuse JOB, which can't be stored and so wasn't accepted, and free it.  */
+void jb_pool_refuse_job (struct jb_pool *pool, struct jb_job *job);
 /* Answer the requests that wait for a state of JOB that is durable now.  */
 void jb_pool_answer_waiters (struct jb_pool *pool, struct jb_job *job,
                              jb_time now);
