Send starts in doubt that can't be stored to the other hosts

Cause: the store had not answered host-1's writes of the pool since about 1010.9 (`job-unavailable ... since_ms=1108` at 1012.226), so no row of the start was stored. host-0 loads two tasks in doubt, not this one. Ruled out: a row that was written and not read (the writes fail until the takeover), and an entry that was settled too early (host-0 has none).

Change: while a row waits for the store for over 100 ms, or writes fail, the owner sends the entries that are not stored to all known members: each once per change, at most a message in 40 ms and 500 entries in it; and what is left when it loses or releases the pool. A host that claims the pool adds those of lower generations. Nothing waits for these messages, and a host of the previous version drops them as unreadable.

--- a/packages/jobs/include/jb_doubt.h
+++ b/packages/jobs/include/jb_doubt.h
@@ -43,6 +43,18 @@
   JB_MAX_STARTS_IN_DOUBT = 12 /* of one task */
 };
 
+/* What a successor is told of an entry.  */
+struct jb_doubt_entry
+{
+  char *task;
+  char *instance;
+  uint32_t run;
+  uint32_t sent;
+};
+
+void jb_doubt_entry_serialize (struct ba_codec *io,
+                               struct jb_doubt_entry *entry);
+
 struct jb_doubt
 {
   char *task;     /* name */
@@ -62,7 +74,8 @@
      higher one.  */
   bool run_closed;
   jb_time sent_at; /* of the start that was sent last */
-  bool stored;     /* a successor will know of it */
+  bool stored;     /* a row that lists it was queued */
+  bool shared;     /* the row is stored, or the other hosts were sent it */
 };
 
 struct jb_doubt_table;
--- a/packages/jobs/include/jb_driver.h
+++ b/packages/jobs/include/jb_driver.h
@@ -144,6 +144,8 @@
      copies that were sent to other hosts.  */
   JB_COUNT_CATALOG_READS_FAILED,
   JB_COUNT_CATALOGS_SENT,
+  /* Messages with starts in doubt that could not be stored.  */
+  JB_COUNT_DOUBT_MESSAGES_SENT,
   /* Changes of the partitions that this host owns.  */
   JB_COUNT_OWNERSHIP_CLAIMED,
   JB_COUNT_OWNERSHIP_LOST, /* to another host */
--- a/packages/jobs/include/jb_members.h
+++ b/packages/jobs/include/jb_members.h
@@ -119,6 +119,10 @@
                                               const struct jb_member *member),
                                void *data);
 
+/* Send BYTES, an encoded message, to all known members.  */
+void jb_members_send_to_all (const struct jb_members *members,
+                             struct ba_bytes bytes);
+
 /* Return whether this host is a coordinator.  */
 bool jb_members_is_coordinator (const struct jb_members *members);
 
--- a/packages/jobs/include/jb_msg.h
+++ b/packages/jobs/include/jb_msg.h
@@ -29,9 +29,12 @@
                            with that name has ended (see
                            jb_members_has_process_ended)
    JB_MSG_PROCESS_ENDED    the reply to a JB_MSG_PROCESS_QUERY; none is sent if
-                           the process has not ended  */
+                           the process has not ended
+   JB_MSG_DOUBTS           starts in doubt of a pool that its owner can't
+                           store, to all members; not repeated  */
 
 #include "jb_catalog.h"
+#include "jb_doubt.h"
 #include "jb_job_desc.h"
 #include "jb_driver.h"
 
@@ -51,6 +54,7 @@
   JB_MSG_ZONES,
   JB_MSG_PROCESS_QUERY,
   JB_MSG_PROCESS_ENDED,
+  JB_MSG_DOUBTS,
   JB_MSG_TYPE_COUNT
 };
 
@@ -239,6 +243,19 @@
   uint64_t incarnation;
 };
 
+enum
+{
+  JB_MSG_MAX_DOUBTS = 500 /* in one message, about 30 KB */
+};
+
+struct jb_msg_doubts
+{
+  char *pool;
+  uint32_t generation; /* of the sender's ownership */
+  uint32_t count;
+  struct jb_doubt_entry *entries;
+};
+
 struct jb_msg
 {
   uint32_t type; /* enum jb_msg_type */
@@ -257,6 +274,7 @@
     struct jb_msg_catalog_request catalog_request;
     struct jb_msg_zones zones;
     struct jb_msg_process process;
+    struct jb_msg_doubts doubts;
   } u;
 };
 
--- a/packages/jobs/include/jb_pool.h
+++ b/packages/jobs/include/jb_pool.h
@@ -13,6 +13,7 @@
 #include "jb_ownership.h"
 #include "jb_msg.h"
 #include "jb_job.h"
+#include "jb_peer_doubts.h"
 
 struct jb_pool;
 
@@ -45,6 +46,11 @@
      backend server INSTANCE.  */
   void (*evacuated) (void *data, jb_time now, struct jb_pool *pool,
                      const char *instance);
+  /* The starts in doubt that this host has received or sent, borrowed, and
+     how to send DOUBTS, borrowed, to all members; NULL: they are not sent.  */
+  const struct jb_peer_doubts *peer_doubts;
+  void (*send_doubts) (void *data, jb_time now,
+                       const struct jb_msg_doubts *doubts);
   void *data;
 };
 
@@ -69,6 +75,10 @@
    is of no further use and should be freed.  */
 bool jb_pool_has_ended (const struct jb_pool *pool);
 
+/* Send the starts in doubt that are neither stored nor sent yet.  To be called
+   before POOL is freed.  */
+void jb_pool_send_all_doubts (struct jb_pool *pool, jb_time now);
+
 /* Return the fencing token that POOL's commands carry.  */
 uint64_t jb_pool_fence (const struct jb_pool *pool);
 
--- a/packages/jobs/src/jb_doubt.c
+++ b/packages/jobs/src/jb_doubt.c
@@ -4,6 +4,15 @@
 
 #include <string.h>
 
+void
+jb_doubt_entry_serialize (struct ba_codec *io, struct jb_doubt_entry *entry)
+{
+  ba_codec_required_str (io, &entry->task);
+  ba_codec_required_str (io, &entry->instance);
+  ba_codec_u32 (io, &entry->run);
+  ba_codec_u32 (io, &entry->sent);
+}
+
 struct jb_doubt_table
 {
   GHashTable *entries; /* task name -> struct jb_doubt */
@@ -77,6 +86,7 @@
       = doubt->sent_at;
   doubt->sent++;
   doubt->stored = false;
+  doubt->shared = false;
   return doubt;
 }
 
--- a/packages/jobs/src/jb_driver.c
+++ b/packages/jobs/src/jb_driver.c
@@ -346,6 +346,7 @@
   [JB_COUNT_CATALOGS_SENT] = { "configuration_copies_sent", NULL },
   [JB_COUNT_OWNERSHIP_CLAIMED] = { "duties", "change=\"taken\"" },
   [JB_COUNT_OWNERSHIP_LOST] = { "duties", "change=\"deposed\"" },
+  [JB_COUNT_DOUBT_MESSAGES_SENT] = { "doubt_messages_sent", NULL },
   [JB_COUNT_OWNERSHIP_RELEASED] = { "duties", "change=\"released\"" },
   [JB_COUNT_HOST_MOVES] = { "host_orders", "kind=\"move\"" },
   [JB_COUNT_HOST_MAINTENANCE] = { "host_orders", "kind=\"maintenance\"" },
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -413,6 +413,37 @@
                 < MAX_STORE_ANSWER_AGE;
 }
 
+/* ---- starts in doubt ---- */
+
+/* Keep the entries of MESSAGE, which was received or sent at NOW.  */
+static void
+keep_doubts (struct jb_host *host, jb_time now,
+             const struct jb_msg_doubts *message)
+{
+  uint32_t ignored = jb_peer_doubts_add (host->peer_doubts, now, message);
+
+  if (ignored > 0)
+    jb_log (host->driver, JB_LEVEL_WARN, "starts-in-doubt-ignored", "pool",
+            message->pool, "tasks", jb_itoa (ignored), "reason",
+            "the table is full", NULL);
+}
+
+/* This host keeps them, too: it may claim the pool again.  */
+static void
+send_doubts (void *data, jb_time now, const struct jb_msg_doubts *doubts)
+{
+  struct jb_host *host = data;
+  struct jb_msg message = { .type = JB_MSG_DOUBTS, .u.doubts = *doubts };
+  struct ba_bytes bytes = jb_msg_encode (NULL, &message);
+
+  jb_count_event (host->driver, JB_COUNT_DOUBT_MESSAGES_SENT);
+  jb_members_send_to_all (host->members, bytes);
+  keep_doubts (host, now, doubts);
+  talloc_free (bytes.data);
+}
+
+/* ---- pools ---- */
+
 static void
 free_ended_ownerships (struct jb_host *host, jb_time now)
 {
@@ -428,6 +459,7 @@
 
       if (slot->pool == NULL || !jb_pool_has_ended (slot->pool))
         continue;
+      jb_pool_send_all_doubts (slot->pool, now);
       TALLOC_FREE (slot->pool);
       slot->next_claim = now + CLAIM_RETRY_DELAY;
       host->heartbeat_due = true;
@@ -458,6 +490,8 @@
                                      .state_changed = pool_state_changed,
                                      .has_process_ended = has_process_ended,
                                      .evacuated = jb_host_report_evacuated,
+                                     .peer_doubts = host->peer_doubts,
+                                     .send_doubts = send_doubts,
                                      .data = host };
 
   slot->pool = jb_pool_new (host, &options);
@@ -703,6 +737,7 @@
   host->zones = jb_zones_new (host);
   host->driver = jb_driver_new (host, ops, context);
   members.driver = host->driver;
+  host->peer_doubts = jb_peer_doubts_new (host);
   host->members = jb_members_new (host, now, &members);
   frontend.driver = host->driver;
   frontend.members = host->members;
@@ -799,6 +834,9 @@
     case JB_MSG_PROCESS_ENDED:
       jb_members_receive_process_ended (host->members, &message->u.process);
       break;
+    case JB_MSG_DOUBTS:
+      keep_doubts (host, now, &message->u.doubts);
+      break;
     case JB_MSG_TYPE_COUNT:
       break;
     }
@@ -856,6 +894,8 @@
   list_backends (host, now);
   request_catalog (host, now);
   jb_host_send_zones (host, now);
+  jb_peer_doubts_expire (host->peer_doubts, now,
+                         host->options.bounds.max_lease_ms);
   for (guint i = 0; i < host->pools->len; i++)
     {
       struct pool_slot *slot = g_ptr_array_index (host->pools, i);
--- a/packages/jobs/src/jb_host_internal.h
+++ b/packages/jobs/src/jb_host_internal.h
@@ -47,7 +47,8 @@
   uint64_t logged_zone_change; /* last change of a zone that was logged */
   uint64_t sent_zone_update;   /* last update of a zone that was sent */
   jb_time next_zone_message;
-  GPtrArray *pools;           /* struct pool_slot */
+  GPtrArray *pools;                   /* struct pool_slot */
+  struct jb_peer_doubts *peer_doubts; /* of all pools */
   struct jb_planner *planner; /* NULL: neither owned nor being claimed */
   jb_time next_planner_claim; /* earliest time to claim its partition */
   GPtrArray *waves;           /* struct requested_wave */
--- a/packages/jobs/src/jb_members.c
+++ b/packages/jobs/src/jb_members.c
@@ -790,6 +790,19 @@
     }
 }
 
+void
+jb_members_send_to_all (const struct jb_members *members,
+                        struct ba_bytes bytes)
+{
+  for (guint i = 0; i < members->all_members->len; i++)
+    {
+      const struct jb_member *member
+          = g_ptr_array_index (members->all_members, i);
+
+      jb_driver_send (members->options.driver, member->incarnation, bytes);
+    }
+}
+
 bool
 jb_members_is_coordinator (const struct jb_members *members)
 {
--- a/packages/jobs/src/jb_msg.c
+++ b/packages/jobs/src/jb_msg.c
@@ -139,6 +139,15 @@
                   serialize_org_share);
 }
 
+static void
+serialize_doubts (struct ba_codec *io, struct jb_msg_doubts *doubts)
+{
+  ba_codec_required_str (io, &doubts->pool);
+  ba_codec_u32 (io, &doubts->generation);
+  ba_codec_array (io, doubts->entries, doubts->count, JB_MSG_MAX_DOUBTS,
+                  jb_doubt_entry_serialize);
+}
+
 void
 jb_msg_serialize (struct ba_codec *io, struct jb_msg *message)
 {
@@ -187,6 +196,9 @@
       ba_codec_required_str (io, &message->u.process.name);
       ba_codec_u64 (io, &message->u.process.incarnation);
       break;
+    case JB_MSG_DOUBTS:
+      serialize_doubts (io, &message->u.doubts);
+      break;
     case JB_MSG_TYPE_COUNT:
       break;
     }
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -994,6 +994,7 @@
   jb_pool_schedule (pool, now);
   jb_pool_write_roster (pool, now);
   due = MIN (due, jb_pool_write_doubts (pool, now));
+  due = MIN (due, jb_pool_send_doubts (pool, now));
   jb_pool_write_dirty_jobs (pool, now);
   due = MIN (due, jb_pool_send_probes (pool, now));
   if (pool->schedule_due)
--- a/packages/jobs/src/jb_pool_doubt.c
+++ b/packages/jobs/src/jb_pool_doubt.c
@@ -4,9 +4,9 @@
 
    A row lists the starts that were not answered for STORE_AFTER, far longer
    than most answers take.  It is removed when none of them can have an effect
-   any more.  A successor doesn't know of a start without an answer that was
-   sent shortly before the owner ended, or while the store did not answer the
-   owner.  */
+   any more.  What the store does not take is sent to the other hosts
+   (jb_pool_peer_doubts.c).  A successor doesn't know of a start without an
+   answer that was sent shortly before the owner ended.  */
 
 #include "jb_pool_internal.h"
 
@@ -14,9 +14,7 @@
 
 #include <string.h>
 
-/* How long a start waits for its answer before it is stored, and the time
-   between two rows, so that one lists several starts.  */
-#define STORE_AFTER (25 * JB_MS)
+/* Time between two rows, so that one lists several starts.  */
 #define ROW_INTERVAL (40 * JB_MS)
 
 /* Time between starts of a task after JB_MAX_QUICK_STARTS of them.  */
@@ -60,38 +58,22 @@
   GPtrArray *held_ends; /* struct held_end */
   GPtrArray *rows;      /* struct doubt_row, in the order of their age */
   uint32_t row_number;  /* of the last one of this owner */
-  bool write_in_flight;
-  jb_time next_row; /* earliest time of the next row */
-};
-
-struct saved_doubt
-{
-  char *task;
-  char *instance;
-  uint32_t run;
-  uint32_t sent;
+  uint32_t writes_in_flight;
+  jb_time write_since; /* when the first of these was queued */
+  jb_time next_row;    /* earliest time of the next row */
 };
 
 struct saved_doubts
 {
   uint32_t count;
-  struct saved_doubt *doubts;
+  struct jb_doubt_entry *doubts;
 };
 
-static void
-serialize_saved_doubt (struct ba_codec *io, struct saved_doubt *doubt)
-{
-  ba_codec_required_str (io, &doubt->task);
-  ba_codec_required_str (io, &doubt->instance);
-  ba_codec_u32 (io, &doubt->run);
-  ba_codec_u32 (io, &doubt->sent);
-}
-
 static void
 serialize_saved_doubts (struct ba_codec *io, struct saved_doubts *saved)
 {
   ba_codec_array (io, saved->doubts, saved->count, MAX_DOUBTS_PER_ROW,
-                  serialize_saved_doubt);
+                  jb_doubt_entry_serialize);
 }
 
 static int
@@ -500,7 +482,7 @@
       return false;
     }
   doubt->stored = true;
-  saved->doubts[saved->count++] = (struct saved_doubt){
+  saved->doubts[saved->count++] = (struct jb_doubt_entry){
     .task = talloc_strdup (collection->mem, doubt->task),
     .instance = talloc_strdup (collection->mem, doubt->instance),
     .run = doubt->run,
@@ -509,13 +491,22 @@
   return false;
 }
 
+static bool
+mark_shared (void *data, struct jb_doubt *doubt)
+{
+  (void)data;
+  doubt->shared = doubt->shared || doubt->stored;
+  return false;
+}
+
 static void
 handle_rows_written (void *data, jb_time now)
 {
   struct jb_pool *pool = data;
 
   (void)now;
-  pool->doubts->write_in_flight = false;
+  if (--pool->doubts->writes_in_flight == 0)
+    jb_doubt_visit (pool->doubts->table, mark_shared, NULL);
 }
 
 /* Move the keys of the rows that list nothing any more to REMOVED.  Return
@@ -557,7 +548,7 @@
                                               JB_OWNERSHIP_MAX_WRITE_ROWS - 1);
 
   collection.saved.doubts
-      = talloc_array (scratch, struct saved_doubt, MAX_DOUBTS_PER_ROW);
+      = talloc_array (scratch, struct jb_doubt_entry, MAX_DOUBTS_PER_ROW);
   jb_doubt_visit (doubts->table, collect_doubt, &collection);
   if (collection.saved.count > 0)
     {
@@ -569,7 +560,8 @@
     }
   if (collection.saved.count + removed_count > 0)
     {
-      doubts->write_in_flight = true;
+      if (doubts->writes_in_flight++ == 0)
+        doubts->write_since = now;
       jb_ownership_write (pool->ownership, now, &row,
                           collection.saved.count > 0, removed, removed_count,
                           handle_rows_written, pool);
@@ -585,7 +577,7 @@
   const struct doubt_row *oldest
       = doubts->rows->len > 0 ? g_ptr_array_index (doubts->rows, 0) : NULL;
 
-  if (doubts->write_in_flight
+  if (doubts->writes_in_flight > 0
       || (jb_doubt_count (doubts->table) == 0
           && (oldest == NULL || now <= oldest->until))
       || jb_ownership_state (pool->ownership) != JB_OWNERSHIP_HELD)
@@ -593,8 +585,20 @@
   if (now < doubts->next_row)
     return doubts->next_row;
   doubts->next_row = now + ROW_INTERVAL;
-  return write_row (pool, now, now - STORE_AFTER) ? JB_NEVER
-                                                  : doubts->next_row;
+  return write_row (pool, now, now - JB_STORE_DOUBT_AFTER) ? JB_NEVER
+                                                           : doubts->next_row;
+}
+
+jb_time
+jb_pool_doubt_row_pending_since (const struct jb_pool *pool)
+{
+  return pool->doubts->writes_in_flight > 0 ? pool->doubts->write_since : 0;
+}
+
+struct jb_doubt_table *
+jb_pool_doubt_table (const struct jb_pool *pool)
+{
+  return pool->doubts->table;
 }
 
 static bool
@@ -653,6 +657,7 @@
       /* The former owner may have sent further ones.  */
       doubt->succeeded = true;
       doubt->stored = true;
+      doubt->shared = true;
     }
   talloc_free (scratch);
 }
@@ -671,6 +676,7 @@
 void
 jb_pool_mark_tasks_in_doubt (struct jb_pool *pool, jb_time now)
 {
+  jb_pool_load_peer_doubts (pool);
   jb_doubt_visit (pool->doubts->table, mark_task, pool);
   jb_pool_expire_doubts (pool, now);
   if (jb_doubt_count (pool->doubts->table) > 0)
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -151,6 +151,7 @@
   /* When this owner began to hand the pool over and sent its last command; 0:
      it has not.  Then why, and the row for its successor.  */
   jb_time handover_since;
+  jb_time next_doubt_message; /* earliest time of the next one */
   char *handover_reason;
   struct ba_bytes handover_runs;
   bool handover_row_queued;
@@ -367,6 +368,9 @@
 
 /* ---- jb_pool_doubt.c ---- */
 
+/* How long a start waits for its answer before it is stored.  */
+#define JB_STORE_DOUBT_AFTER (25 * JB_MS)
+
 struct jb_pool_doubts *jb_pool_doubts_new (TALLOC_CTX *mem);
 /* The current run of TASK is about to be started.  */
 void jb_pool_begin_start (struct jb_pool *pool, struct jb_task *task,
@@ -420,9 +424,22 @@
 /* Add the starts that ROW of a former owner lists.  */
 void jb_pool_load_doubts (struct jb_pool *pool, const struct jb_row *row,
                           jb_time now);
+/* Return since when a row waits to be stored, or 0 if none does.  */
+jb_time jb_pool_doubt_row_pending_since (const struct jb_pool *pool);
+/* Return the table of the starts in doubt, borrowed.  */
+struct jb_doubt_table *jb_pool_doubt_table (const struct jb_pool *pool);
 /* All rows were read: mark the tasks with starts in doubt.  */
 void jb_pool_mark_tasks_in_doubt (struct jb_pool *pool, jb_time now);
 
+/* ---- jb_pool_peer_doubts.c ---- */
+
+/* While the store does not answer, send the starts that were not answered and
+   are not stored to the other hosts.  Return when to call this next, or
+   JB_NEVER.  */
+jb_time jb_pool_send_doubts (struct jb_pool *pool, jb_time now);
+/* Add the starts of former owners that this host was sent.  */
+void jb_pool_load_peer_doubts (struct jb_pool *pool);
+
 /* ---- jb_pool_handover.c ---- */
 
 /* Return the task NAME, or NULL if it belongs to no job that goes on.  Its
--- /dev/null
+++ b/packages/jobs/src/jb_pool_peer_doubts.c
@@ -0,0 +1,135 @@
+/* Starts in doubt that the owner of a pool can't store, because the store does
+   not answer it: it sends them to the other hosts, and the next owner adds
+   those that it has received.  */
+
+#include "jb_pool_internal.h"
+
+#include <string.h>
+
+/* A row of starts that is not stored after this time is taken for one that
+   the store does not answer.  */
+#define STORE_SILENCE (100 * JB_MS)
+
+/* Time between two messages, so that one lists several starts.  */
+#define MESSAGE_INTERVAL (40 * JB_MS)
+
+struct collection
+{
+  struct jb_msg_doubts *message;
+  jb_time sent_before; /* only starts that were sent before */
+  bool is_incomplete;  /* others remain */
+};
+
+/* Add DOUBT to the message if it belongs there.  */
+static bool
+collect_doubt (void *data, struct jb_doubt *doubt)
+{
+  struct collection *collection = data;
+  struct jb_msg_doubts *message = collection->message;
+
+  if (doubt->shared)
+    return false;
+  if (message->count == JB_MSG_MAX_DOUBTS
+      || doubt->sent_at >= collection->sent_before)
+    {
+      collection->is_incomplete = true;
+      return false;
+    }
+  doubt->shared = true;
+  message->entries[message->count++]
+      = (struct jb_doubt_entry){ .task = doubt->task,
+                                 .instance = doubt->instance,
+                                 .run = doubt->run,
+                                 .sent = doubt->sent };
+  return false;
+}
+
+/* Send the next message, of starts that were sent before SENT_BEFORE.  Return
+   whether it is the last one.  */
+static bool
+send_message (struct jb_pool *pool, jb_time now, jb_time sent_before)
+{
+  struct jb_msg_doubts message
+      = { .pool = (char *)pool->options.name,
+          .generation = jb_ownership_generation (pool->ownership) };
+  struct collection collection
+      = { .message = &message, .sent_before = sent_before };
+
+  message.entries
+      = talloc_array (NULL, struct jb_doubt_entry, JB_MSG_MAX_DOUBTS);
+  jb_doubt_visit (jb_pool_doubt_table (pool), collect_doubt, &collection);
+  if (message.count > 0)
+    {
+      jb_log (pool->options.driver, JB_LEVEL_INFO, "starts-in-doubt-sent",
+              "pool", pool->options.name, "tasks", jb_itoa (message.count),
+              "generation", jb_itoa (message.generation), NULL);
+      pool->options.send_doubts (pool->options.data, now, &message);
+    }
+  talloc_free (message.entries);
+  return !collection.is_incomplete;
+}
+
+jb_time
+jb_pool_send_doubts (struct jb_pool *pool, jb_time now)
+{
+  jb_time row_pending_since = jb_pool_doubt_row_pending_since (pool);
+
+  if (pool->options.send_doubts == NULL
+      || jb_doubt_count (jb_pool_doubt_table (pool)) == 0
+      || jb_ownership_state (pool->ownership) != JB_OWNERSHIP_HELD)
+    return JB_NEVER;
+  if (jb_ownership_failing_since (pool->ownership) == 0)
+    {
+      if (row_pending_since == 0)
+        return JB_NEVER;
+      if (now < row_pending_since + STORE_SILENCE)
+        return row_pending_since + STORE_SILENCE;
+    }
+  if (now < pool->next_doubt_message)
+    return pool->next_doubt_message;
+  pool->next_doubt_message = now + MESSAGE_INTERVAL;
+  return send_message (pool, now, now - JB_STORE_DOUBT_AFTER)
+             ? JB_NEVER
+             : pool->next_doubt_message;
+}
+
+void
+jb_pool_send_all_doubts (struct jb_pool *pool, jb_time now)
+{
+  if (pool->options.send_doubts == NULL)
+    return;
+  while (!send_message (pool, now, JB_NEVER))
+    ;
+}
+
+static void
+load_doubt (void *data, const struct jb_peer_doubt *peer_doubt)
+{
+  struct jb_pool *pool = data;
+  const struct jb_doubt_entry *entry = &peer_doubt->entry;
+  struct jb_doubt_table *table = jb_pool_doubt_table (pool);
+  struct jb_doubt *doubt = jb_doubt_find (table, entry->task);
+
+  /* A later owner has stored a start with a higher number.  */
+  if (doubt != NULL && doubt->run > entry->run)
+    return;
+  /* A row may list it, too.  */
+  while (doubt == NULL || doubt->run != entry->run
+         || strcmp (doubt->instance, entry->instance) != 0
+         || doubt->sent < MIN (entry->sent, JB_MAX_STARTS_IN_DOUBT))
+    doubt = jb_doubt_add (table, entry->task, entry->run, entry->instance,
+                          peer_doubt->received_at);
+  /* The former owner may have sent further ones.  */
+  doubt->succeeded = true;
+}
+
+void
+jb_pool_load_peer_doubts (struct jb_pool *pool)
+{
+  if (pool->options.peer_doubts == NULL
+      || jb_pool_has_disabled (pool, JB_SAFEGUARD_DOUBT))
+    return;
+  jb_peer_doubts_visit (pool->options.peer_doubts, pool->options.name,
+                        jb_ownership_generation (pool->ownership), load_doubt,
+                        pool);
+}
--- a/tests/sim/jobs/jw_world.c
+++ b/tests/sim/jobs/jw_world.c
@@ -259,7 +259,8 @@
   struct jb_msg *message = jb_msg_decode (NULL, body);
   bool is_new = message != NULL
                 && (message->type == JB_MSG_PROCESS_QUERY
-                    || message->type == JB_MSG_PROCESS_ENDED);
+                    || message->type == JB_MSG_PROCESS_ENDED
+                    || message->type == JB_MSG_DOUBTS);
 
   talloc_free (message);
   return is_new;
