Pass starts in doubt on to hosts that were not alive

In both a third host had received the message.

Ruled out: owners that repeat their messages. In both cases the owner had ended, or was cut off, before the successor could be reached.

Entries have an age, so that passing them on doesn't prolong them, and the generation of the owner that sent the start.

--- a/packages/jobs/include/jb_msg.h
+++ b/packages/jobs/include/jb_msg.h
@@ -31,7 +31,8 @@
    JB_MSG_PROCESS_ENDED    the reply to a JB_MSG_PROCESS_QUERY; none is sent if
                            the process has not ended
    JB_MSG_DOUBTS           starts in doubt of a pool that its owner can't
-                           store, to all members; not repeated  */
+                           store, to all members, and once from coordinators
+                           to a member that was not alive  */
 
 #include "jb_catalog.h"
 #include "jb_doubt.h"
@@ -248,12 +249,18 @@
   JB_MSG_MAX_DOUBTS = 500 /* in one message, about 30 KB */
 };
 
+struct jb_msg_doubt
+{
+  struct jb_doubt_entry entry;
+  uint32_t generation; /* of the owner that has sent the start */
+  int64_t age_ms;      /* since the last start was sent, not more */
+};
+
 struct jb_msg_doubts
 {
   char *pool;
-  uint32_t generation; /* of the sender's ownership */
   uint32_t count;
-  struct jb_doubt_entry *entries;
+  struct jb_msg_doubt *entries;
 };
 
 struct jb_msg
--- a/packages/jobs/include/jb_peer_doubts.h
+++ b/packages/jobs/include/jb_peer_doubts.h
@@ -21,7 +21,7 @@
   char *pool;
   struct jb_doubt_entry entry;
   uint32_t generation; /* of the owner that has sent the start */
-  jb_time received_at; /* not before the start was sent */
+  jb_time sent_at;     /* upper bound of the time of the last start */
 };
 
 struct jb_peer_doubts;
@@ -33,8 +33,8 @@
 uint32_t jb_peer_doubts_count (const struct jb_peer_doubts *table);
 
 /* Add copies of the entries of MESSAGE, received at NOW.  An entry replaces
-   the one of the same task, unless that is of a later generation.  Return how
-   many were ignored because the table is full.  */
+   the one of the same task, unless that is of a later generation or of a later
+   start.  Return how many were ignored because the table is full.  */
 uint32_t jb_peer_doubts_add (struct jb_peer_doubts *table, jb_time now,
                              const struct jb_msg_doubts *message);
 
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -413,37 +413,6 @@
                 < MAX_STORE_ANSWER_AGE;
 }
 
-/* ---- starts in doubt ---- */
-
-/* Keep the entries of MESSAGE, which was received or sent at NOW.  */
-static void
-keep_doubts (struct jb_host *host, jb_time now,
-             const struct jb_msg_doubts *message)
-{
-  uint32_t ignored = jb_peer_doubts_add (host->peer_doubts, now, message);
-
-  if (ignored > 0)
-    jb_log (host->driver, JB_LEVEL_WARN, "starts-in-doubt-ignored", "pool",
-            message->pool, "tasks", jb_itoa (ignored), "reason",
-            "the table is full", NULL);
-}
-
-/* This host keeps them, too: it may claim the pool again.  */
-static void
-send_doubts (void *data, jb_time now, const struct jb_msg_doubts *doubts)
-{
-  struct jb_host *host = data;
-  struct jb_msg message = { .type = JB_MSG_DOUBTS, .u.doubts = *doubts };
-  struct ba_bytes bytes = jb_msg_encode (NULL, &message);
-
-  jb_count_event (host->driver, JB_COUNT_DOUBT_MESSAGES_SENT);
-  jb_members_send_to_all (host->members, bytes);
-  keep_doubts (host, now, doubts);
-  talloc_free (bytes.data);
-}
-
-/* ---- pools ---- */
-
 static void
 free_ended_ownerships (struct jb_host *host, jb_time now)
 {
@@ -491,7 +460,7 @@
                                      .has_process_ended = has_process_ended,
                                      .evacuated = jb_host_report_evacuated,
                                      .peer_doubts = host->peer_doubts,
-                                     .send_doubts = send_doubts,
+                                     .send_doubts = jb_host_send_doubts,
                                      .data = host };
 
   slot->pool = jb_pool_new (host, &options);
@@ -766,6 +735,18 @@
   jb_frontend_receive_call (host->frontend, now, number, call);
 }
 
+static void
+handle_heartbeat (struct jb_host *host, jb_time now, uint64_t from,
+                  const struct jb_msg_heartbeat *heartbeat)
+{
+  const struct jb_member *member = jb_members_find (host->members, from);
+  bool was_alive = member != NULL && jb_member_is_alive (member, now);
+
+  jb_members_receive_heartbeat (host->members, now, from, heartbeat);
+  if (!was_alive && from != host->options.incarnation)
+    jb_host_relay_doubts (host, now, from);
+}
+
 bool
 jb_host_receive_message (struct jb_host *host, jb_time now, uint64_t from,
                          struct ba_bytes bytes)
@@ -778,8 +759,7 @@
   switch ((enum jb_msg_type)message->type)
     {
     case JB_MSG_HEARTBEAT:
-      jb_members_receive_heartbeat (host->members, now, from,
-                                    &message->u.heartbeat);
+      handle_heartbeat (host, now, from, &message->u.heartbeat);
       break;
     case JB_MSG_REQUEST:
       handle_request (host, now, from, &message->u.request);
@@ -835,7 +815,7 @@
       jb_members_receive_process_ended (host->members, &message->u.process);
       break;
     case JB_MSG_DOUBTS:
-      keep_doubts (host, now, &message->u.doubts);
+      jb_host_keep_doubts (host, now, &message->u.doubts);
       break;
     case JB_MSG_TYPE_COUNT:
       break;
--- a/packages/jobs/src/jb_host_internal.h
+++ b/packages/jobs/src/jb_host_internal.h
@@ -97,6 +97,20 @@
 /* Return the number of partitions that this host owns or is claiming.  */
 uint32_t jb_host_ownership_count (const struct jb_host *host);
 
+/* ---- jb_host_doubts.c ---- */
+
+/* Keep the starts in doubt that MESSAGE lists, received at NOW.  */
+void jb_host_keep_doubts (struct jb_host *host, jb_time now,
+                          const struct jb_msg_doubts *message);
+
+/* Send DOUBTS to all members, and keep them.  DATA is this host.  */
+void jb_host_send_doubts (void *data, jb_time now,
+                          const struct jb_msg_doubts *doubts);
+
+/* If this host is a coordinator, send what it keeps to the member with
+   incarnation TO, which was not alive.  */
+void jb_host_relay_doubts (struct jb_host *host, jb_time now, uint64_t to);
+
 /* ---- jb_host_zones.c ---- */
 
 /* Begin, go on with or end the reading of the zones with REPLY, a page of what
--- a/packages/jobs/src/jb_msg.c
+++ b/packages/jobs/src/jb_msg.c
@@ -139,13 +139,20 @@
                   serialize_org_share);
 }
 
+static void
+serialize_doubt (struct ba_codec *io, struct jb_msg_doubt *doubt)
+{
+  jb_doubt_entry_serialize (io, &doubt->entry);
+  ba_codec_u32 (io, &doubt->generation);
+  ba_codec_i64 (io, &doubt->age_ms);
+}
+
 static void
 serialize_doubts (struct ba_codec *io, struct jb_msg_doubts *doubts)
 {
   ba_codec_required_str (io, &doubts->pool);
-  ba_codec_u32 (io, &doubts->generation);
   ba_codec_array (io, doubts->entries, doubts->count, JB_MSG_MAX_DOUBTS,
-                  jb_doubt_entry_serialize);
+                  serialize_doubt);
 }
 
 void
--- a/packages/jobs/src/jb_peer_doubts.c
+++ b/packages/jobs/src/jb_peer_doubts.c
@@ -7,6 +7,9 @@
 /* Time between two searches for entries that are over.  */
 #define EXPIRY_INTERVAL (1000 * JB_MS)
 
+/* Bound on the age of a start in a message.  */
+#define MAX_AGE_MS 3600000
+
 struct jb_peer_doubts
 {
   GHashTable *entries; /* a set of struct jb_peer_doubt, by pool and task */
@@ -54,15 +57,22 @@
   return g_hash_table_size (table->entries);
 }
 
-/* Add ENTRY of an owner of POOL.  Return false if the table is full.  */
+/* Return whether the entry OTHER of the same task replaces DOUBT.  */
 static bool
-add_entry (struct jb_peer_doubts *table, jb_time now, const char *pool,
-           uint32_t generation, const struct jb_doubt_entry *entry)
+is_newer (const struct jb_peer_doubt *other, const struct jb_peer_doubt *doubt)
 {
-  struct jb_peer_doubt key = { .pool = (char *)pool, .entry = *entry };
-  struct jb_peer_doubt *doubt = g_hash_table_lookup (table->entries, &key);
+  return other->generation > doubt->generation
+         || (other->generation == doubt->generation
+             && other->sent_at >= doubt->sent_at);
+}
 
-  if (doubt != NULL && doubt->generation > generation)
+/* Add a copy of ADDED.  Return false if the table is full.  */
+static bool
+add_entry (struct jb_peer_doubts *table, const struct jb_peer_doubt *added)
+{
+  struct jb_peer_doubt *doubt = g_hash_table_lookup (table->entries, added);
+
+  if (doubt != NULL && !is_newer (added, doubt))
     return true;
   if (doubt != NULL)
     {
@@ -72,12 +82,10 @@
   else if (g_hash_table_size (table->entries) >= JB_PEER_DOUBTS_MAX)
     return false;
   doubt = talloc_zero (table, struct jb_peer_doubt);
-  doubt->pool = talloc_strdup (doubt, pool);
-  doubt->entry = *entry;
-  doubt->entry.task = talloc_strdup (doubt, entry->task);
-  doubt->entry.instance = talloc_strdup (doubt, entry->instance);
-  doubt->generation = generation;
-  doubt->received_at = now;
+  *doubt = *added;
+  doubt->pool = talloc_strdup (doubt, added->pool);
+  doubt->entry.task = talloc_strdup (doubt, added->entry.task);
+  doubt->entry.instance = talloc_strdup (doubt, added->entry.instance);
   g_hash_table_add (table->entries, doubt);
   return true;
 }
@@ -89,9 +97,17 @@
   uint32_t ignored = 0;
 
   for (uint32_t i = 0; i < message->count; i++)
-    if (!add_entry (table, now, message->pool, message->generation,
-                    &message->entries[i]))
-      ignored++;
+    {
+      const struct jb_msg_doubt *listed = &message->entries[i];
+      struct jb_peer_doubt added
+          = { .pool = message->pool,
+              .entry = listed->entry,
+              .generation = listed->generation,
+              .sent_at = now - CLAMP (listed->age_ms, 0, MAX_AGE_MS) * JB_MS };
+
+      if (!add_entry (table, &added))
+        ignored++;
+    }
   return ignored;
 }
 
@@ -109,7 +125,7 @@
   table->next_expiry = now + EXPIRY_INTERVAL;
   g_hash_table_iter_init (&iter, table->entries);
   while (g_hash_table_iter_next (&iter, &key, NULL))
-    if (now - ((struct jb_peer_doubt *)key)->received_at > max_age)
+    if (now - ((struct jb_peer_doubt *)key)->sent_at > max_age)
       {
         g_hash_table_iter_remove (&iter);
         talloc_free (key);
--- a/packages/jobs/src/jb_pool_peer_doubts.c
+++ b/packages/jobs/src/jb_pool_peer_doubts.c
@@ -16,6 +16,8 @@
 struct collection
 {
   struct jb_msg_doubts *message;
+  uint32_t generation;
+  jb_time now;
   jb_time sent_before; /* only starts that were sent before */
   bool is_incomplete;  /* others remain */
 };
@@ -37,10 +39,13 @@
     }
   doubt->shared = true;
   message->entries[message->count++]
-      = (struct jb_doubt_entry){ .task = doubt->task,
-                                 .instance = doubt->instance,
-                                 .run = doubt->run,
-                                 .sent = doubt->sent };
+      = (struct jb_msg_doubt){ .entry = { .task = doubt->task,
+                                          .instance = doubt->instance,
+                                          .run = doubt->run,
+                                          .sent = doubt->sent },
+                               .generation = collection->generation,
+                               .age_ms
+                               = (collection->now - doubt->sent_at) / JB_MS };
   return false;
 }
 
@@ -49,20 +54,21 @@
 static bool
 send_message (struct jb_pool *pool, jb_time now, jb_time sent_before)
 {
-  struct jb_msg_doubts message
-      = { .pool = (char *)pool->options.name,
-          .generation = jb_ownership_generation (pool->ownership) };
+  struct jb_msg_doubts message = { .pool = (char *)pool->options.name };
   struct collection collection
-      = { .message = &message, .sent_before = sent_before };
+      = { .message = &message,
+          .generation = jb_ownership_generation (pool->ownership),
+          .now = now,
+          .sent_before = sent_before };
 
   message.entries
-      = talloc_array (NULL, struct jb_doubt_entry, JB_MSG_MAX_DOUBTS);
+      = talloc_array (NULL, struct jb_msg_doubt, JB_MSG_MAX_DOUBTS);
   jb_doubt_visit (jb_pool_doubt_table (pool), collect_doubt, &collection);
   if (message.count > 0)
     {
       jb_log (pool->options.driver, JB_LEVEL_INFO, "starts-in-doubt-sent",
               "pool", pool->options.name, "tasks", jb_itoa (message.count),
-              "generation", jb_itoa (message.generation), NULL);
+              "generation", jb_itoa (collection.generation), NULL);
       pool->options.send_doubts (pool->options.data, now, &message);
     }
   talloc_free (message.entries);
@@ -118,7 +124,7 @@
          || strcmp (doubt->instance, entry->instance) != 0
          || doubt->sent < MIN (entry->sent, JB_MAX_STARTS_IN_DOUBT))
     doubt = jb_doubt_add (table, entry->task, entry->run, entry->instance,
-                          peer_doubt->received_at);
+                          peer_doubt->sent_at);
   /* The former owner may have sent further ones.  */
   doubt->succeeded = true;
 }
--- a/packages/jobs/tests/test_jb_peer_doubts.c
+++ b/packages/jobs/tests/test_jb_peer_doubts.c
@@ -19,12 +19,10 @@
 add (struct jb_peer_doubts *table, jb_time now, const char *pool,
      uint32_t generation, const char *task, uint32_t run)
 {
-  struct jb_doubt_entry entry
-      = { .task = (char *)task, .instance = "i-1", .run = run, .sent = 2 };
-  struct jb_msg_doubts message = { .pool = (char *)pool,
-                                   .generation = generation,
-                                   .count = 1,
-                                   .entries = &entry };
+  struct jb_msg_doubt entry
+      = { { (char *)task, "i-1", run, 2 }, .generation = generation };
+  struct jb_msg_doubts message
+      = { .pool = (char *)pool, .count = 1, .entries = &entry };
 
   CU_ASSERT_EQUAL (jb_peer_doubts_add (table, now, &message), 0);
 }
@@ -33,7 +31,7 @@
 {
   uint32_t count;
   uint32_t run;
-  jb_time received_at;
+  jb_time sent_at;
 };
 
 static void
@@ -43,7 +41,7 @@
 
   result->count++;
   result->run = doubt->entry.run;
-  result->received_at = doubt->received_at;
+  result->sent_at = doubt->sent_at;
 }
 
 static struct result
@@ -64,7 +62,7 @@
 
   add (table, NOW, "a", 3, TASK, 30001);
   CU_ASSERT_EQUAL (find (table, "a", 4).count, 1);
-  CU_ASSERT_EQUAL (find (table, "a", 4).received_at, NOW);
+  CU_ASSERT_EQUAL (find (table, "a", 4).sent_at, NOW);
   CU_ASSERT_EQUAL (find (table, "a", 3).count, 0);
   CU_ASSERT_EQUAL (find (table, "b", 4).count, 0);
   talloc_free (table);
@@ -81,7 +79,7 @@
   add (table, NOW + JB_SECOND, "a", 3, TASK, 30002);
   CU_ASSERT_EQUAL (find (table, "a", 9).count, 1);
   CU_ASSERT_EQUAL (find (table, "a", 9).run, 30002);
-  CU_ASSERT_EQUAL (find (table, "a", 9).received_at, NOW + JB_SECOND);
+  CU_ASSERT_EQUAL (find (table, "a", 9).sent_at, NOW + JB_SECOND);
   add (table, NOW, "a", 2, TASK, 20001);
   CU_ASSERT_EQUAL (find (table, "a", 9).run, 30002);
   add (table, NOW, "a", 4, TASK, 40001);
@@ -91,6 +89,25 @@
   talloc_free (table);
 }
 
+/* An entry that another host passes on must not last longer, nor replace a
+   later start.  */
+static void
+test_age (void)
+{
+  struct jb_peer_doubts *table = jb_peer_doubts_new (NULL);
+  struct jb_msg_doubt entry
+      = { { TASK, "i-1", 30001, 1 }, .generation = 3, .age_ms = 2000 };
+  struct jb_msg_doubts message
+      = { .pool = "a", .count = 1, .entries = &entry };
+
+  jb_peer_doubts_add (table, NOW, &message);
+  CU_ASSERT_EQUAL (find (table, "a", 4).sent_at, NOW - 2 * JB_SECOND);
+  add (table, NOW - JB_SECOND, "a", 3, TASK, 30002);
+  jb_peer_doubts_add (table, NOW, &message);
+  CU_ASSERT_EQUAL (find (table, "a", 4).run, 30002);
+  talloc_free (table);
+}
+
 /* An entry must stay until its start and the lease that it grants are over,
    and no longer.  */
 static void
@@ -113,9 +130,9 @@
 test_bounded_size (void)
 {
   struct jb_peer_doubts *table = jb_peer_doubts_new (NULL);
-  struct jb_doubt_entry entry = { .task = "more", .instance = "i-1" };
+  struct jb_msg_doubt entry = { { "more", "i-1", 1, 1 }, .generation = 1 };
   struct jb_msg_doubts message
-      = { .pool = "a", .generation = 1, .count = 1, .entries = &entry };
+      = { .pool = "a", .count = 1, .entries = &entry };
   char name[32];
 
   for (uint32_t i = 0; i < JB_PEER_DOUBTS_MAX; i++)
@@ -134,12 +151,12 @@
 test_message (void)
 {
   TALLOC_CTX *mem = talloc_new (NULL);
-  struct jb_doubt_entry entries[]
-      = { { TASK, "i-1", 30001, 1 }, { TASK "1", "i-2", 30002, 12 } };
+  struct jb_msg_doubt entries[]
+      = { { { TASK, "i-1", 30001, 1 }, 3, 0 },
+          { { TASK "1", "i-2", 30002, 12 }, 4, 70 } };
   struct jb_msg message
       = { .type = JB_MSG_DOUBTS,
-          .u.doubts
-          = { .pool = "a", .generation = 3, .count = 2, .entries = entries } };
+          .u.doubts = { .pool = "a", .count = 2, .entries = entries } };
   struct ba_bytes bytes = jb_msg_encode (mem, &message);
   struct jb_msg *decoded = jb_msg_decode (mem, bytes);
 
@@ -148,12 +165,13 @@
     return;
   CU_ASSERT_EQUAL (decoded->type, JB_MSG_DOUBTS);
   CU_ASSERT_STRING_EQUAL (decoded->u.doubts.pool, "a");
-  CU_ASSERT_EQUAL (decoded->u.doubts.generation, 3);
   CU_ASSERT_EQUAL_FATAL (decoded->u.doubts.count, 2);
-  CU_ASSERT_STRING_EQUAL (decoded->u.doubts.entries[1].task, TASK "1");
-  CU_ASSERT_STRING_EQUAL (decoded->u.doubts.entries[1].instance, "i-2");
-  CU_ASSERT_EQUAL (decoded->u.doubts.entries[1].run, 30002);
-  CU_ASSERT_EQUAL (decoded->u.doubts.entries[1].sent, 12);
+  CU_ASSERT_STRING_EQUAL (decoded->u.doubts.entries[1].entry.task, TASK "1");
+  CU_ASSERT_STRING_EQUAL (decoded->u.doubts.entries[1].entry.instance, "i-2");
+  CU_ASSERT_EQUAL (decoded->u.doubts.entries[1].entry.run, 30002);
+  CU_ASSERT_EQUAL (decoded->u.doubts.entries[1].entry.sent, 12);
+  CU_ASSERT_EQUAL (decoded->u.doubts.entries[1].generation, 4);
+  CU_ASSERT_EQUAL (decoded->u.doubts.entries[1].age_ms, 70);
   for (size_t len = 0; len < bytes.len; len++)
     CU_ASSERT_PTR_NULL (
         jb_msg_decode (mem, (struct ba_bytes){ bytes.data, len }));
@@ -167,6 +185,7 @@
       = { { "entries belong to a pool and a generation",
             test_pool_and_generation },
           { "the newest entry of the last owner counts", test_replacement },
+          { "an entry that was passed on has an age", test_age },
           { "an entry is kept until its start is over", test_expiry },
           { "the table is bounded", test_bounded_size },
           { "a message carries all members", test_message },
--- a/tests/sim/jobs/test_doubts_without_store.c
+++ b/tests/sim/jobs/test_doubts_without_store.c
@@ -15,6 +15,10 @@
 /* Time between the start and the end of its owner.  */
 #define OUTAGE_TIME (500 * JB_MS)
 
+/* Time in which a host that has started is heard by the others, but these
+   don't claim the pool of one that has ended.  */
+#define RELAY_TIME (800 * JB_MS)
+
 /* A cut of this length lasts until the list has shown that the backend server
    drains.  */
 #define CUT_TIME (1500 * JB_MS)
@@ -131,6 +135,33 @@
     }
 }
 
+/* The same when the next owner was not up while the owner sent its message,
+   and another host, which ends before it could claim the pool, passes that
+   on.  */
+static void
+test_successor_starts_later (void)
+{
+  for (uint32_t seed = 1; seed <= SEEDS; seed++)
+    {
+      uint32_t owner;
+      struct jw_world *world = create_world (seed, 3, 1500, &owner);
+      uint32_t relay = (owner + 1) % 3;
+      uint32_t successor = (owner + 2) % 3;
+
+      world->hosts[owner].store_unreachable = true;
+      jw_host_kill (world, successor);
+      jw_advance (world, OUTAGE_TIME);
+      jw_host_kill (world, owner);
+      jw_host_start (world, successor);
+      jw_advance (world, RELAY_TIME);
+      CU_ASSERT_NOT_EQUAL (jw_pool_owner (world, 0), (int)relay);
+      jw_host_kill (world, relay);
+      restart_before_late_start (world);
+      CU_ASSERT_EQUAL (jw_pool_owner (world, 0), (int)successor);
+      jw_check_and_free (world);
+    }
+}
+
 /* While the store answers, the rows are enough: no message is sent, also when
    the pool is handed over.  */
 static void
@@ -160,6 +191,7 @@
       = { { "a task moves after a takeover", test_task_moves },
           { "a task ends after a takeover", test_task_ends },
           { "the owner claims its pool again", test_owner_claims_again },
+          { "the next owner starts later", test_successor_starts_later },
           { "no messages while the store answers",
             test_no_messages_with_store },
           { NULL, NULL } };
