--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -428,6 +428,7 @@
 
       if (slot->pool == NULL || !jb_pool_has_ended (slot->pool))
         continue;
+      jb_pool_send_all_doubts (slot->pool, now);
       TALLOC_FREE (slot->pool);
       slot->next_claim = now + CLAIM_RETRY_DELAY;
       host->heartbeat_due = true;
@@ -458,6 +459,8 @@
                                      .state_changed = pool_state_changed,
                                      .has_process_ended = has_process_ended,
                                      .evacuated = jb_host_report_evacuated,
+                                     .peer_doubts = host->peer_doubts,
+                                     .send_doubts = jb_host_send_doubts,
                                      .data = host };
 
   slot->pool = jb_pool_new (host, &options);
@@ -704,6 +707,7 @@
   host->zones = jb_zones_new (host);
   host->driver = jb_driver_new (host, ops, context);
   members.driver = host->driver;
+  host->peer_doubts = jb_peer_doubts_new (host);
   host->members = jb_members_new (host, now, &members);
   frontend.driver = host->driver;
   frontend.members = host->members;
@@ -732,6 +736,18 @@
   jb_frontend_receive_call (host->frontend, now, number, call);
 }
 
+static void
+handle_heartbeat (struct jb_host *host, jb_time now, uint64_t from,
+                  const struct jb_msg_heartbeat *heartbeat)
+{
+  const struct jb_member *member = jb_members_find (host->members, from);
+  bool was_alive = member != NULL && jb_member_is_alive (member, now);
+
+  jb_members_receive_heartbeat (host->members, now, from, heartbeat);
+  if (!was_alive && from != host->options.incarnation)
+    jb_host_relay_doubts (host, now, from);
+}
+
 bool
 jb_host_receive_message (struct jb_host *host, jb_time now, uint64_t from,
                          struct ba_bytes bytes)
@@ -744,8 +760,7 @@
   switch ((enum jb_msg_type)message->type)
     {
     case JB_MSG_HEARTBEAT:
-      jb_members_receive_heartbeat (host->members, now, from,
-                                    &message->u.heartbeat);
+      handle_heartbeat (host, now, from, &message->u.heartbeat);
       break;
     case JB_MSG_REQUEST:
       handle_request (host, now, from, &message->u.request);
@@ -800,6 +815,9 @@
     case JB_MSG_PROCESS_ENDED:
       jb_members_receive_process_ended (host->members, &message->u.process);
       break;
+    case JB_MSG_DOUBTS:
+      jb_host_keep_doubts (host, now, &message->u.doubts);
+      break;
     case JB_MSG_TYPE_COUNT:
       break;
     }
@@ -857,6 +875,8 @@
   list_backends (host, now);
   request_catalog (host, now);
   jb_host_send_zones (host, now);
+  jb_peer_doubts_expire (host->peer_doubts, now,
+                         host->options.bounds.max_lease_ms);
   for (guint i = 0; i < host->pools->len; i++)
     {
       struct pool_slot *slot = g_ptr_array_index (host->pools, i);
