--- a/packages/jobs/include/jb_doubt.h
+++ b/packages/jobs/include/jb_doubt.h
@@ -61,9 +61,10 @@
   char *instance; /* of the backend server */
   uint32_t run;   /* number in the start that was sent last */
   uint32_t sent;  /* starts that may still be carried out */
-  /* Upper bounds of the times at which they were sent, in ascending order: of
-     the last ones, if there are more.  */
+  /* When they were sent, in ascending order: of the last ones, if there were
+     more.  */
   jb_time sent_times[JB_MAX_STARTS_IN_DOUBT];
+  jb_time first_sent_at; /* of run number `run' */
   /* Some are not counted any more, because their time is over.  Which start
      has led to a run that is listed isn't known then.  */
   bool some_expired;
@@ -95,11 +96,12 @@
                                uint32_t run, const char *instance,
                                jb_time sent_at);
 
-/* Record that a start of run number RUN of TASK on INSTANCE has SUCCEEDED, was
-   refused or was not sent, so it is not carried out later.  Return whether
-   that was the last one in doubt.  */
+/* Record that the start of run number RUN of TASK on INSTANCE that was sent at
+   SENT_AT has SUCCEEDED, was refused or was not sent, so it is not carried out
+   later.  Return whether that was the last one in doubt.  */
 bool jb_doubt_answer (struct jb_doubt_table *table, const char *task,
-                      uint32_t run, const char *instance, bool succeeded);
+                      uint32_t run, const char *instance, jb_time sent_at,
+                      bool succeeded);
 
 /* Record that INSTANCE has listed run number RUN of TASK.  Return whether
    nothing of TASK is in doubt any more because of that.  */
--- a/packages/jobs/src/jb_doubt.c
+++ b/packages/jobs/src/jb_doubt.c
@@ -47,12 +47,15 @@
   return g_hash_table_lookup (table->entries, task);
 }
 
-/* Remove the first of the COUNT times of DOUBT.  */
+/* Stop counting the start with INDEX of those of DOUBT.  */
 static void
-drop_first_time (struct jb_doubt *doubt, uint32_t count)
+drop_start (struct jb_doubt *doubt, uint32_t index)
 {
-  memmove (doubt->sent_times, doubt->sent_times + 1,
-           (count - 1) * sizeof *doubt->sent_times);
+  doubt->sent--;
+  memmove (&doubt->sent_times[index], &doubt->sent_times[index + 1],
+           (doubt->sent - index) * sizeof *doubt->sent_times);
+  if (doubt->sent > 0)
+    doubt->sent_at = doubt->sent_times[doubt->sent - 1];
 }
 
 struct jb_doubt *
@@ -77,14 +80,13 @@
       doubt->run_closed = false;
       doubt->succeeded = false;
       doubt->some_expired = false;
+      doubt->first_sent_at = sent_at;
     }
   doubt->run = run;
   doubt->sent_at = MAX (doubt->sent_at, sent_at);
-  if (doubt->sent >= JB_MAX_STARTS_IN_DOUBT)
-    drop_first_time (doubt, JB_MAX_STARTS_IN_DOUBT);
-  doubt->sent_times[MIN (doubt->sent, JB_MAX_STARTS_IN_DOUBT - 1)]
-      = doubt->sent_at;
-  doubt->sent++;
+  if (doubt->sent == JB_MAX_STARTS_IN_DOUBT)
+    drop_start (doubt, 0);
+  doubt->sent_times[doubt->sent++] = doubt->sent_at;
   doubt->stored = false;
   doubt->shared = false;
   return doubt;
@@ -111,18 +113,18 @@
 
 bool
 jb_doubt_answer (struct jb_doubt_table *table, const char *task, uint32_t run,
-                 const char *instance, bool succeeded)
+                 const char *instance, jb_time sent_at, bool succeeded)
 {
   struct jb_doubt *doubt = find_start (table, task, run, instance);
+  uint32_t index = 0;
 
   if (doubt == NULL)
     return false;
   doubt->succeeded = doubt->succeeded || succeeded;
-  /* Which of them it was isn't known: the others were sent not later than the
-     remaining times say.  */
-  if (doubt->sent <= JB_MAX_STARTS_IN_DOUBT)
-    drop_first_time (doubt, doubt->sent);
-  if (--doubt->sent > 0)
+  while (index < doubt->sent && doubt->sent_times[index] != sent_at)
+    index++;
+  drop_start (doubt, index < doubt->sent ? index : 0);
+  if (doubt->sent > 0)
     return false;
   remove_entry (table, doubt);
   return true;
@@ -145,10 +147,9 @@
 void
 jb_doubt_expire_starts (struct jb_doubt *doubt, jb_time now)
 {
-  while (doubt->sent > 1 && doubt->sent <= JB_MAX_STARTS_IN_DOUBT
-         && now >= doubt->sent_times[0] + JB_MAX_COMMAND_DELAY)
+  while (doubt->sent > 1 && now >= doubt->sent_times[0] + JB_MAX_COMMAND_DELAY)
     {
-      drop_first_time (doubt, doubt->sent--);
+      drop_start (doubt, 0);
       doubt->some_expired = true;
     }
 }
--- a/packages/jobs/src/jb_pool_doubt.c
+++ b/packages/jobs/src/jb_pool_doubt.c
@@ -128,10 +128,12 @@
 
 void
 jb_pool_start_answered (struct jb_pool *pool, const char *task, uint32_t run,
-                        struct jb_backend *backend, bool succeeded)
+                        struct jb_backend *backend, jb_time sent_at,
+                        bool succeeded)
 {
-  count_settled (backend, jb_doubt_answer (pool->doubts->table, task, run,
-                                           backend->instance, succeeded));
+  count_settled (backend,
+                 jb_doubt_answer (pool->doubts->table, task, run,
+                                  backend->instance, sent_at, succeeded));
 }
 
 struct jb_doubt *
@@ -147,6 +149,14 @@
   return doubt;
 }
 
+/* Return whether backend servers of POOL restart under their names.  */
+static bool
+restarts_occur (const struct jb_pool *pool, jb_time now)
+{
+  return pool->restart_seen_at != 0
+         && now - pool->restart_seen_at <= RESTART_MEMORY;
+}
+
 /* Return whether TASK may be started beside the starts of DOUBT.  The same
    number is the same run.  A backend server refuses these starts if their
    number is closed there, but after a restart it carries them out, and one
@@ -156,13 +166,15 @@
                   const struct jb_doubt *doubt, jb_time now)
 {
   return (!doubt->run_closed && doubt->run >= task->run)
-         || jb_task_step (task)->gang || pool->restart_seen_at == 0
-         || now - pool->restart_seen_at > RESTART_MEMORY;
+         || !restarts_occur (pool, now);
 }
 
 bool
 jb_pool_may_repeat (const struct jb_doubt *doubt, jb_time now)
 {
+  /* If none has been carried out by now, the task had better go elsewhere.  */
+  if (now - doubt->first_sent_at >= JB_MAX_COMMAND_DELAY)
+    return false;
   return doubt->sent < JB_MAX_QUICK_STARTS
          || (doubt->sent < JB_MAX_STARTS_IN_DOUBT
              && now - doubt->sent_at >= REPEAT_INTERVAL);
@@ -204,7 +216,7 @@
 
   if (doubt == NULL || (doubt->run == task->run && doubt->run_closed))
     return true;
-  if (backend == NULL)
+  if (backend == NULL || restarts_occur (pool, now))
     return false;
   if (doubt->sent_at >= backend->fence_raised_at)
     {
@@ -377,7 +389,8 @@
     return true;
   return !backend->listed
          && backend->unanswered_probes >= JB_SILENT_AFTER_PROBES
-         && jb_backend_leases_have_expired (backend, now);
+         && jb_backend_leases_have_expired (backend, now)
+         && (!restarts_occur (pool, now) || now >= jb_doubt_until (doubt));
 }
 
 /* Remove DOUBT if it is over, else count it at its backend server.  */
--- a/packages/jobs/src/jb_pool_handover.c
+++ b/packages/jobs/src/jb_pool_handover.c
@@ -120,9 +120,17 @@
   struct jb_pool *pool = data;
 
   (void)sent_at;
-  /* Without the rows, this owner waits as long as after any predecessor.  */
-  for (uint32_t i = 0; reply->result == JB_RESULT_OK && i < reply->row_count;
-       i++)
+  if (pool->stage != JB_STAGE_LOADING)
+    return;
+  /* Without the rows, starts in doubt are not known.  */
+  if (reply->result != JB_RESULT_OK)
+    {
+      jb_log (pool->options.driver, JB_LEVEL_WARN, "store-read-failed", "pool",
+              pool->options.name, NULL);
+      jb_pool_release (pool, now, "the pool's rows can't be read");
+      return;
+    }
+  for (uint32_t i = 0; i < reply->row_count; i++)
     {
       const struct jb_row *row = &reply->rows[i];
 
@@ -134,11 +142,10 @@
         jb_pool_load_leases (pool, row, now);
     }
   /* It may raise the generation above that of the other row.  */
-  for (uint32_t i = 0; reply->result == JB_RESULT_OK && i < reply->row_count;
-       i++)
+  for (uint32_t i = 0; i < reply->row_count; i++)
     if (strcmp (reply->rows[i].key, RUNS_KEY) == 0)
       load_runs (pool, now, reply->rows[i].value);
-  if (reply->result == JB_RESULT_OK && reply->next_page != NULL)
+  if (reply->next_page != NULL)
     {
       read_page (pool, now, reply->next_page);
       return;
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -385,11 +385,11 @@
 /* The current run of TASK is about to be started.  */
 void jb_pool_begin_start (struct jb_pool *pool, struct jb_task *task,
                           jb_time now);
-/* A start of run number RUN of TASK on BACKEND has SUCCEEDED, was refused or
-   was not sent.  */
+/* The start of run number RUN of TASK on BACKEND that was sent at SENT_AT has
+   SUCCEEDED, was refused or was not sent.  */
 void jb_pool_start_answered (struct jb_pool *pool, const char *task,
                              uint32_t run, struct jb_backend *backend,
-                             bool succeeded);
+                             jb_time sent_at, bool succeeded);
 /* Return the entry of TASK if a start of it is in doubt, else NULL.  */
 struct jb_doubt *jb_pool_find_doubt (const struct jb_pool *pool,
                                      struct jb_task *task);
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -240,6 +240,7 @@
   uint64_t fence;
   struct jb_task_ref ref;
   uint32_t run;
+  jb_time sent_at;
 };
 
 static void
@@ -408,7 +409,7 @@
   jb_pool_note_result (pool, backend, now, sent_at, 0, true, reply->result);
   if (reply->result != JB_RESULT_UNKNOWN)
     jb_pool_start_answered (pool, jb_task_ref_name (&start->ref, name),
-                            start->run, backend,
+                            start->run, backend, start->sent_at,
                             reply->result == JB_RESULT_OK);
   start->task = task;
   if (task == NULL || start->incarnation != backend->incarnation)
@@ -490,6 +491,7 @@
   start->incarnation = backend->incarnation;
   start->fence = command.backend.fence;
   start->run = task->run;
+  start->sent_at = now;
   task->sent_by_owner = true;
   backend->starts_in_flight++;
   if (backend->awaited_since == 0)
--- a/packages/jobs/tests/test_jb_doubt.c
+++ b/packages/jobs/tests/test_jb_doubt.c
@@ -32,7 +32,7 @@
 {
   struct jb_doubt_table *table = table_with_starts (1);
 
-  jb_doubt_answer (table, TASK, RUN, "i-1", true);
+  jb_doubt_answer (table, TASK, RUN, "i-1", SENT_AT, true);
   CU_ASSERT_PTR_NULL (jb_doubt_find (table, TASK));
   CU_ASSERT_EQUAL (jb_doubt_count (table), 0);
   talloc_free (table);
@@ -44,7 +44,7 @@
 {
   struct jb_doubt_table *table = table_with_starts (2);
 
-  jb_doubt_answer (table, TASK, RUN, "i-1", true);
+  jb_doubt_answer (table, TASK, RUN, "i-1", SENT_AT, true);
   CU_ASSERT_PTR_NOT_NULL (jb_doubt_find (table, TASK));
   /* The run that is listed is that of the answered start.  */
   jb_doubt_settle (table, TASK, RUN, "i-1");
@@ -52,6 +52,18 @@
   talloc_free (table);
 }
 
+/* A start that was refused does not prolong the doubt of the one before.  */
+static void
+test_repeat_refused (void)
+{
+  struct jb_doubt_table *table = table_with_starts (2);
+
+  jb_doubt_answer (table, TASK, RUN, "i-1", SENT_AT + JB_SECOND, false);
+  CU_ASSERT_EQUAL (jb_doubt_until (jb_doubt_find (table, TASK)),
+                   SENT_AT + JB_MAX_COMMAND_DELAY);
+  talloc_free (table);
+}
+
 /* A run that is listed settles the only start of it.  */
 static void
 test_listed (void)
@@ -83,7 +95,7 @@
   CU_ASSERT_EQUAL (doubt->sent, 1);
   jb_doubt_settle (table, TASK, RUN, "i-1");
   CU_ASSERT_PTR_NOT_NULL (jb_doubt_find (table, TASK));
-  jb_doubt_answer (table, TASK, RUN, "i-1", true);
+  jb_doubt_answer (table, TASK, RUN, "i-1", SENT_AT, true);
   CU_ASSERT_PTR_NULL (jb_doubt_find (table, TASK));
   talloc_free (table);
 }
@@ -97,7 +109,7 @@
   jb_doubt_settle (table, TASK, RUN, "i-1");
   CU_ASSERT_PTR_NOT_NULL (jb_doubt_find (table, TASK));
   /* A refused repeat has started nothing, so it is the first one's.  */
-  jb_doubt_answer (table, TASK, RUN, "i-1", false);
+  jb_doubt_answer (table, TASK, RUN, "i-1", SENT_AT, false);
   jb_doubt_settle (table, TASK, RUN, "i-1");
   CU_ASSERT_PTR_NULL (jb_doubt_find (table, TASK));
   talloc_free (table);
@@ -114,7 +126,7 @@
   doubt = jb_doubt_add (table, TASK, RUN + 1, "i-1", SENT_AT);
   CU_ASSERT_FALSE (doubt->run_closed);
   CU_ASSERT_EQUAL (doubt->sent, 2);
-  jb_doubt_answer (table, TASK, RUN, "i-1", true);
+  jb_doubt_answer (table, TASK, RUN, "i-1", SENT_AT, true);
   CU_ASSERT_EQUAL (doubt->sent, 2);
   talloc_free (table);
 }
@@ -165,6 +177,7 @@
   static const struct dp_test tests[]
       = { { "answered", test_answered },
           { "the answer to a repeat", test_repeat_answered },
+          { "repeat refused", test_repeat_refused },
           { "starts whose time is over", test_expired_starts },
           { "listed", test_listed },
           { "listed after a repeat", test_listed_after_repeat },
