Send starts without an answer again for a minute, not for 12.5 s

Cause: the limit was meant for backend servers that never carry a start out, but a full one looks the same as long as orders are late. Change: the limit is a minute.

--- a/packages/jobs/src/jb_pool_doubt.c
+++ b/packages/jobs/src/jb_pool_doubt.c
@@ -20,6 +20,10 @@
 /* Time between starts of a task after JB_MAX_QUICK_STARTS of them.  */
 #define REPEAT_INTERVAL (1000 * JB_MS)
 
+/* Time after the first start of a run after which no further ones are sent.
+   While orders are late, a full backend server refuses them unseen.  */
+#define MAX_REPEAT_TIME (60 * JB_SECOND)
+
 /* How long after a backend server has restarted under its instance name others
    are expected to do so.  */
 #define RESTART_MEMORY (60 * JB_SECOND)
@@ -173,7 +177,7 @@
 jb_pool_may_repeat (const struct jb_doubt *doubt, jb_time now)
 {
   /* If none has been carried out by now, the task had better go elsewhere.  */
-  if (now - doubt->first_sent_at >= JB_MAX_COMMAND_DELAY)
+  if (now - doubt->first_sent_at >= MAX_REPEAT_TIME)
     return false;
   return doubt->sent < JB_MAX_QUICK_STARTS
          || (doubt->sent < JB_MAX_STARTS_IN_DOUBT
