Send no SIGHUP to a process that is still being loaded

Cause: the program blocks SIGHUP as the first thing in main, so it was killed before that, while it was being loaded. No program can handle a signal then. Change: the same time holds for SIGHUP.

--- a/soak/ps_harness.c
+++ b/soak/ps_harness.c
@@ -38,7 +38,7 @@
 
 /* A process that is still being loaded has no signal handlers yet.  If it is
    told to stop within this time after its start and a signal kills it, that is
-   not a crash.  */
+   not a crash.  It is not told to read its settings again.  */
 #define PROGRAM_LOAD_TIME (100 * JB_MS)
 
 /* An HTTP request of an entry host that waits for the simulation's reply.  */
@@ -442,6 +442,10 @@
   reap_host (harness, index, WNOHANG);
   if (harness->pids[index] == 0)
     return;
+  /* Before main has begun, no program can handle it.  */
+  if (signal_number == SIGHUP
+      && unix_now (harness) - harness->started_at[index] < PROGRAM_LOAD_TIME)
+    return;
   if (signal_number == SIGTERM)
     {
       harness->stop_requested[index] = true;
