Let the soak of processes wait for all tasks of long-running jobs

Cause: the recovery phase of the soak of processes ended as soon as all other jobs had ended, after 12 s at the least, while a simulation always waits for 80 s. The check of long-running jobs thus depended on when the others ended. Change: the phase ends once these jobs have all their tasks running and the maintenance wave has ended, after at most 80 s as before; the check is the same.

--- a/tests/sim/jobs/jw_clients.c
+++ b/tests/sim/jobs/jw_clients.c
@@ -345,8 +345,16 @@
       send_call (world, value, JB_CALL_QUERY);
 }
 
+/* Return whether every task of JOB, a long-running one, runs.  */
+static bool
+do_all_tasks_run (struct jw_world *world, const struct jw_job *job)
+{
+  return jw_count_running_tasks (world, job->desc->id)
+         >= job->desc->steps[0].task_count;
+}
+
 bool
-jw_have_all_jobs_ended (struct jw_world *world)
+jw_have_all_jobs_settled (struct jw_world *world)
 {
   GHashTableIter iter;
   gpointer value;
@@ -356,9 +364,11 @@
     {
       const struct jw_job *job = value;
 
-      if (job->accepted && !job->cancel_sent
-          && !jb_job_desc_is_long_running (job->desc)
-          && (!job->state_known || job->state < JB_JOB_COMPLETED))
+      if (!job->accepted || job->cancel_sent)
+        continue;
+      if (jb_job_desc_is_long_running (job->desc)
+              ? !do_all_tasks_run (world, job)
+              : !job->state_known || job->state < JB_JOB_COMPLETED)
         return false;
     }
   return true;
@@ -396,9 +406,7 @@
         jw_report_violation (world, "LOST",
                              "job %s is %s instead of completed",
                              job->desc->id, jb_job_state_name (job->state));
-      else if (long_running
-               && jw_count_running_tasks (world, job->desc->id)
-                      < job->desc->steps[0].task_count)
+      else if (long_running && !do_all_tasks_run (world, job))
         jw_report_violation (world, "LOST", "job %s: %u of %u tasks run",
                              job->desc->id,
                              jw_count_running_tasks (world, job->desc->id),
--- a/tests/sim/jobs/jw_soak.c
+++ b/tests/sim/jobs/jw_soak.c
@@ -10,8 +10,8 @@
 #define RECOVERY_PHASE (80 * JB_SECOND)
 
 /* With external hosts, in real time, the fault phase is shorter, and the
-   recovery phase ends as soon as all jobs have ended, but not before all
-   injected faults are over.  */
+   recovery phase ends as soon as all jobs have settled and the maintenance
+   wave has ended, but not before all injected faults are over.  */
 #define EXTERNAL_FAULT_PHASE (12 * JB_SECOND)
 #define EXTERNAL_MIN_RECOVERY_PHASE (12 * JB_SECOND)
 #define QUERY_INTERVAL (2 * JB_SECOND)
@@ -633,6 +633,13 @@
     }
 }
 
+static bool
+has_recovered (struct jw_world *world)
+{
+  return jw_have_all_jobs_settled (world)
+         && (world->wave_version == 0 || world->wave_completed);
+}
+
 static void
 run_recovery_phase (struct jw_world *world)
 {
@@ -644,7 +651,7 @@
       return;
     }
   jw_advance (world, EXTERNAL_MIN_RECOVERY_PHASE);
-  while (world->now < end && !jw_have_all_jobs_ended (world))
+  while (world->now < end && !has_recovered (world))
     {
       jw_query_all_jobs (world);
       jw_advance (world, QUERY_INTERVAL);
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -432,9 +432,9 @@
    as the time advances, are checked.  */
 void jw_query_all_jobs (struct jw_world *world);
 
-/* Return whether every accepted job that is neither long-running nor being
-   cancelled was last reported as ended.  */
-bool jw_have_all_jobs_ended (struct jw_world *world);
+/* Return whether every accepted job that is not being cancelled was last
+   reported as ended or, if it is long-running, has all its tasks running.  */
+bool jw_have_all_jobs_settled (struct jw_world *world);
 
 /* Query all jobs, advance the time by 3 s, and report a violation for every
    accepted job whose final state is wrong.  */
--- a/tests/sim/jobs/test_jobs.c
+++ b/tests/sim/jobs/test_jobs.c
@@ -142,6 +142,32 @@
   jw_check_and_free (world);
 }
 
+/* The recovery phase of the soak must not end while a task of a long-running
+   job waits for a start in doubt: the job is not settled until all its tasks
+   run.  */
+static void
+test_long_running_jobs_settle (void)
+{
+  struct jw_world *world = jw_create_world (&small_fleet);
+  struct jw_job_options long_running_job = { .pool = 0,
+                                             .step_count = 1,
+                                             .tasks_per_step = 3,
+                                             .cpu_milli = 1000,
+                                             .duration_ms = 500,
+                                             .long_running = true,
+                                             .max_unavailable = 1 };
+
+  jw_submit_job (world, &long_running_job);
+  jw_advance (world, 2 * JB_SECOND);
+  CU_ASSERT (jw_have_all_jobs_settled (world));
+  jw_backend_crash (world, jw_find_backend (world, 0, 0), false);
+  jw_backend_crash (world, jw_find_backend (world, 0, 1), false);
+  CU_ASSERT_FALSE (jw_have_all_jobs_settled (world));
+  jw_advance (world, 20 * JB_SECOND);
+  CU_ASSERT (jw_have_all_jobs_settled (world));
+  jw_check_and_free (world);
+}
+
 /* While no entry host reaches the store, pools must keep their owners, also
    afterwards.  */
 static void
@@ -366,7 +392,7 @@
       jw_advance (world, 3 * JB_SECOND);
       jw_query_all_jobs (world);
       jw_advance (world, 500 * JB_MS);
-      CU_ASSERT (jw_have_all_jobs_ended (world));
+      CU_ASSERT (jw_have_all_jobs_settled (world));
       jw_advance (world, 12 * JB_SECOND);
       jw_check_and_free (world);
     }
@@ -655,6 +681,7 @@
     { "the owner is frozen", test_owner_frozen },
     { "the owner is cut off from the store", test_owner_cut_off_from_store },
     { "registrations expire in a store outage", test_registrations_expire },
+    { "long-running jobs settle", test_long_running_jobs_settle },
     { "store outage", test_store_outage },
     { "failures are listed in any order", test_failures_out_of_order },
     { "scheduled jobs across a restart", test_schedule_across_restart },
