Don't count a crash that was before the start of a run

Cause: idle backend servers aren't probed, so a start is the first command to one that has crashed, and its successor at the address answers it. The run was counted as lost in the crash. A task that meets four such backend servers in a row, within 30 ms, fails its job. Ruled out: ends that are counted twice; a trace shows run-lost and backend-crashed for three of four starts of one task within 20 ms, and no end. Change: a run whose first start still awaits its answer when another instance answers has not been started, so it isn't remembered as lost in a crash.

--- a/packages/jobs/src/jb_pool_crash.c
+++ b/packages/jobs/src/jb_pool_crash.c
@@ -71,7 +71,19 @@
   return cause != JB_LOSS_RESTARTED || task->reported_at != now;
 }
 
-/* Remember the runs on BACKEND that are lost by CAUSE.  */
+/* Return whether the run of TASK, which is lost by CAUSE, may have been on its
+   backend server when that crashed.  If another instance answers while the
+   first start of the run awaits its answer, the crash was before: none takes
+   so little time to be replaced.  */
+static bool
+may_have_crashed (const struct jb_task *task, enum jb_loss_cause cause)
+{
+  return cause != JB_LOSS_REPLACED || task->state != JB_RUN_STARTING
+         || task->last_attempt_at != 0;
+}
+
+/* Remember the runs on BACKEND that are lost by CAUSE and may have crashed
+   it.  */
 static void
 add_loss (struct jb_pool *pool, const struct jb_backend *backend, jb_time now,
           enum jb_loss_cause cause)
@@ -89,13 +101,16 @@
       struct lost_run *run = &loss->runs[loss->count];
       char name[JB_TASK_NAME_SIZE];
 
-      if (!is_lost (task, cause, now))
+      if (!is_lost (task, cause, now) || !may_have_crashed (task, cause))
         continue;
       run->phase = jb_crash_phase_of (task);
       if (jb_task_ref_parse (jb_task_name (task, name), &run->ref))
         loss->count++;
     }
-  g_ptr_array_add (pool->losses, loss);
+  if (loss->count == 0)
+    talloc_free (loss);
+  else
+    g_ptr_array_add (pool->losses, loss);
 }
 
 /* Return whether LOSS belongs to a wave.  The others may not be known to have
