Log unclaimed answers to starts, and the end of a start's doubt

An answer that no task claims is logged with its result, and the end of a doubt with its reason. No decision changes.

--- a/packages/jobs/src/jb_pool_doubt.c
+++ b/packages/jobs/src/jb_pool_doubt.c
@@ -432,6 +432,16 @@
              : JB_RUN_LEASE_MS;
 }
 
+static void
+log_end (const struct jb_pool *pool, const struct jb_doubt *doubt, jb_time now,
+         const char *reason)
+{
+  jb_log (pool->options.driver, JB_LEVEL_INFO, "start-doubt-ended", "task",
+          doubt->task, "run", jb_itoa (doubt->run), "backend", doubt->instance,
+          "sent", jb_itoa (doubt->sent), "age_ms",
+          jb_itoa ((now - doubt->sent_at) / JB_MS), "reason", reason, NULL);
+}
+
 /* Remove DOUBT if it is over, else count it at its backend server.  */
 static bool
 expire_doubt (void *data, struct jb_doubt *doubt)
@@ -447,9 +457,16 @@
   if (jb_doubt_is_over (doubt, visit->now,
                         backend != NULL ? backend->asked_at : 0,
                         longest_late_lease_ms (pool, visit->now),
-                        backend != NULL ? backend->lease : NULL)
-      || is_gone (pool, backend, doubt, visit->now))
-    return true;
+                        backend != NULL ? backend->lease : NULL))
+    {
+      log_end (pool, doubt, visit->now, "its starts can't be carried out");
+      return true;
+    }
+  if (is_gone (pool, backend, doubt, visit->now))
+    {
+      log_end (pool, doubt, visit->now, "its backend server is gone");
+      return true;
+    }
   if (backend != NULL && jb_doubt_sent_count (doubt) > 0)
     backend->doubt_count++;
   return false;
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -392,6 +392,23 @@
   jb_pool_handle_run_update (pool, task, now);
 }
 
+/* Log REPLY to START, whose run has no task any more, or which was sent to the
+   previous incarnation of the backend server.  */
+static void
+log_unclaimed_reply (const struct start_request *start, jb_time now,
+                     const struct jb_reply *reply)
+{
+  char name[JB_TASK_NAME_SIZE];
+
+  jb_log (start->pool->options.driver, JB_LEVEL_INFO, "start-reply-unclaimed",
+          "task", jb_task_ref_name (&start->ref, name), "run",
+          jb_itoa (start->run), "backend", start->backend->instance, "result",
+          jb_itoa (reply->result), "age_ms",
+          jb_itoa ((now - start->sent_at) / JB_MS), "restarted",
+          start->incarnation != start->backend->incarnation ? "yes" : "no",
+          NULL);
+}
+
 static void
 handle_start_reply (void *data, jb_time now, jb_time sent_at,
                     const struct jb_reply *reply)
@@ -418,6 +435,7 @@
     {
       /* The run ended before its start was answered, or in which incarnation
          of the backend server the start was carried out isn't known.  */
+      log_unclaimed_reply (start, now, reply);
       talloc_free (start);
       return;
     }
