Test: a start that is answered after its run was given up

A task is assigned to a backend server that was idle for longer than any lease lasts. The start waits until it is stored, a probe beside it is not answered, and the run is given up while the start is in flight. The emulator could not do this: its backend servers answered within 3 ms or not at all, so replies of backend servers can be delayed now.

--- a/tests/sim/jobs/jw_backend.c
+++ b/tests/sim/jobs/jw_backend.c
@@ -199,8 +199,9 @@
     return;
   reply.mem = talloc_new (NULL);
   list_runs (world, probe->backend, &reply);
-  jw_schedule_reply (probe->host, probe->epoch, probe->number,
-                     world->now + JW_ONE_WAY_LATENCY_US, &reply);
+  jw_schedule_reply (
+      probe->host, probe->epoch, probe->number,
+      world->now + JW_ONE_WAY_LATENCY_US + world->backend_reply_delay, &reply);
 }
 
 static void
--- a/tests/sim/jobs/jw_commands.c
+++ b/tests/sim/jobs/jw_commands.c
@@ -236,7 +236,10 @@
         reply_at = transfer_store_reply (in_flight, reply_at, &reply);
     }
   else if (is_backend_command (in_flight->command.kind))
-    jw_backend_execute (world, &in_flight->command, &reply);
+    {
+      jw_backend_execute (world, &in_flight->command, &reply);
+      reply_at += world->backend_reply_delay;
+    }
   else
     jw_fleet_execute (world, &in_flight->command, &reply);
   if (in_flight->gets_reply && reply.result != JB_RESULT_UNKNOWN
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -306,6 +306,7 @@
   const char *refused_key;
   uint32_t refused_writes; /* number of them */
   jb_time store_delay; /* of a command to the store, and again of its reply */
+  jb_time backend_reply_delay; /* of the replies of backend servers */
   GPtrArray *rows;     /* struct jw_row, sorted by name */
   /* Index of the entry host that last wrote rows of each pool, or -1.  */
   int last_writers[JW_MAX_POOL_COUNT];
