Keep a start in doubt that is answered after its run was given up

Callers saw one task run twice at the same time. A run is given up when a probe that was sent after the end of its lease is not answered. On a backend server that has been idle the last lease ended long ago, so that this holds for any probe, also for one that was sent beside the start. When the start was then answered with success, nothing of it was in doubt any more, and no task claimed the run: the task started on another backend server.

Ruled out for this case: a start that was taken for unsent (no such answer), and a doubt that ended by its time (12.5 s).

An answer of success to a start whose run has no task leaves the start in doubt now. The backend server is probed at once, and lists the run; then the task takes it over, or it is stopped if the job has ended. Until then the task starts nowhere else, as with any start in doubt. This holds for every reason to give a run up while its start is in flight.

--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -392,6 +392,16 @@
   jb_pool_handle_run_update (pool, task, now);
 }
 
+/* The run of START is active, but it was given up before this answer.  Leave
+   the start in doubt, so that its task starts nowhere else until the backend
+   server has listed the run.  */
+static void
+keep_in_doubt (const struct start_request *start, jb_time now)
+{
+  start->backend->probe_urgent = true;
+  start->backend->next_probe = MIN (start->backend->next_probe, now);
+}
+
 /* Log REPLY to START, whose run has no task any more, or which was sent to the
    previous incarnation of the backend server.  */
 static void
@@ -426,7 +436,9 @@
           || backend->starts_in_flight == 0))
     backend->awaited_since = 0;
   jb_pool_note_result (backend, now, &start->grant, reply->result);
-  if (reply->result != JB_RESULT_UNKNOWN)
+  if (reply->result == JB_RESULT_OK && task == NULL)
+    keep_in_doubt (start, now);
+  else if (reply->result != JB_RESULT_UNKNOWN)
     jb_pool_start_answered (pool, jb_task_ref_name (&start->ref, name),
                             start->run, backend, start->sent_at,
                             reply->result == JB_RESULT_OK);
