Don't take the refusal of a start's second sending for that of the first

Callers saw a task run twice, also after it was done. libcurl repeats a request on its own when a reused connection fails before the answer begins. When the first sending of a start had been carried out and its answer was lost, the second one could be refused: the lease that it asks for was over. The owner took the refusal for proof that nothing had been done, and started the task elsewhere.

The client counts how often it began to send a request, and the reply says if that was more than once. A refusal then leaves the start unanswered, a success leaves the other sending in doubt, and neither a grant nor an acknowledgement in such a command counts as settled. A start is still repeated by libcurl: with no_retry each connection that a backend server has closed would cost a probe and another start.

The emulator can send commands twice, and refuses a lease that is over also when the run is there, as the platform does. test_ht_client checks the count.

--- a/packages/http/include/ht_client.h
+++ b/packages/http/include/ht_client.h
@@ -32,6 +32,9 @@
 {
   int64_t submitted_us;
   int64_t sent_us; /* when libcurl began to send the request; 0: it did not */
+  /* How often it did: it repeats a request when a reused connection fails, as
+     long as no_retry is not set.  */
+  unsigned sendings;
   /* The time was over before the client began to connect, because its thread
      was late or all connections to the server were in use, or too many
      requests waited for one.  So the result, HT_RESULT_NOT_SENT, says nothing
--- a/packages/http/src/ht_client.c
+++ b/packages/http/src/ht_client.c
@@ -382,6 +382,7 @@
   struct ht_exchange *e = data;
 
   e->times.sent_us = ba_clock_now_us ();
+  e->times.sendings++;
   begin_step (e);
   return CURL_PREREQFUNC_OK;
 }
--- a/packages/http/tests/test_ht_client.c
+++ b/packages/http/tests/test_ht_client.c
@@ -267,6 +267,7 @@
   _Atomic bool ended;
   enum ht_result result;
   unsigned status;
+  unsigned sendings;
   GString *body;
   char *headers;
 };
@@ -299,9 +300,9 @@
 {
   struct result *r = context;
 
-  (void)exchange;
   r->result = result;
   r->status = status;
+  r->sendings = ht_exchange_times (exchange)->sendings;
   atomic_store (&r->ended, true);
 }
 
@@ -626,8 +627,9 @@
   free_result (&r);
   r = send_request ("POST", body, no_retry, url, 5000);
   *result = r.result;
-  free_result (&r);
   received = atomic_load (&request_count) - 1;
+  CU_ASSERT_EQUAL (r.sendings, received);
+  free_result (&r);
   tear_down ();
   return received;
 }
--- a/packages/jobs/include/jb_command.h
+++ b/packages/jobs/include/jb_command.h
@@ -340,6 +340,9 @@
   uint32_t backend_count;
   struct jb_host_entry *hosts;
   uint32_t host_count;
+  /* The command was sent more than once, and this is the reply to the last
+     sending.  The others may have been carried out, or may still be.  */
+  bool resent;
   /* Reply of a backend server.  */
   enum jb_refusal refusal;
   int64_t backend_clock_ms; /* backend server's clock; leases refer to it */
--- a/packages/jobs/include/jb_doubt.h
+++ b/packages/jobs/include/jb_doubt.h
@@ -78,9 +78,10 @@
      more.  */
   jb_time sent_times[JB_MAX_STARTS_IN_DOUBT];
   jb_time first_sent_at; /* of run number `run' */
-  /* Some are not counted any more, because their time is over.  Which start
-     has led to a run that is listed isn't known then.  */
-  bool some_expired;
+  /* Some are not counted any more, because their time is over, or one was sent
+     more than once.  Which start has led to a run that is listed isn't known
+     then.  */
+  bool is_ambiguous;
   /* A start of run number `run' has succeeded, so that the run is listed does
      not tell of another one.  */
   bool succeeded;
@@ -130,6 +131,13 @@
                       uint32_t run, const char *instance, jb_time sent_at,
                       bool succeeded);
 
+/* Record that the start of run number RUN of TASK on INSTANCE that was sent at
+   SENT_AT has been sent more than once, not after NOW, and that one sending
+   has SUCCEEDED.  The others may still be carried out.  */
+void jb_doubt_note_resent (struct jb_doubt_table *table, const char *task,
+                           uint32_t run, const char *instance, jb_time sent_at,
+                           jb_time now, bool succeeded);
+
 /* Record that the last start of DOUBT, of TABLE, which was queued, won't be
    sent.  DOUBT is freed if no other start was.  */
 void jb_doubt_cancel (struct jb_doubt_table *table, struct jb_doubt *doubt);
--- a/packages/jobs/src/jb_doubt.c
+++ b/packages/jobs/src/jb_doubt.c
@@ -87,7 +87,7 @@
     {
       doubt->run_closed = false;
       doubt->succeeded = false;
-      doubt->some_expired = false;
+      doubt->is_ambiguous = false;
       doubt->first_sent_at = sent_at;
     }
   doubt->run = run;
@@ -116,7 +116,7 @@
     .task = talloc_strdup (mem, doubt->task),
     .instance = talloc_strdup (mem, doubt->instance),
     .run = doubt->run,
-    .sent = doubt->sent + (doubt->succeeded || doubt->some_expired)
+    .sent = doubt->sent + (doubt->succeeded || doubt->is_ambiguous)
   };
 }
 
@@ -164,6 +164,24 @@
   return true;
 }
 
+void
+jb_doubt_note_resent (struct jb_doubt_table *table, const char *task,
+                      uint32_t run, const char *instance, jb_time sent_at,
+                      jb_time now, bool succeeded)
+{
+  struct jb_doubt *doubt = find_start (table, task, run, instance);
+
+  if (doubt == NULL)
+    return;
+  doubt->is_ambiguous = true;
+  doubt->succeeded = doubt->succeeded || succeeded;
+  /* They remain in ascending order.  */
+  for (uint32_t i = 0; i < doubt->sent; i++)
+    if (doubt->sent_times[i] >= sent_at)
+      doubt->sent_times[i] = MAX (doubt->sent_times[i], now);
+  doubt->sent_at = doubt->sent_times[doubt->sent - 1];
+}
+
 void
 jb_doubt_cancel (struct jb_doubt_table *table, struct jb_doubt *doubt)
 {
@@ -181,7 +199,7 @@
 
   /* Which of several starts was carried out isn't known.  */
   if (doubt == NULL || doubt->sent != 1 || doubt->is_queued || doubt->succeeded
-      || doubt->some_expired)
+      || doubt->is_ambiguous)
     return false;
   remove_entry (table, doubt);
   return true;
@@ -193,7 +211,7 @@
   while (doubt->sent > 1 && now >= doubt->sent_times[0] + JB_MAX_COMMAND_DELAY)
     {
       drop_start (doubt, 0);
-      doubt->some_expired = true;
+      doubt->is_ambiguous = true;
     }
 }
 
--- a/packages/jobs/src/jb_pool_doubt.c
+++ b/packages/jobs/src/jb_pool_doubt.c
@@ -167,6 +167,15 @@
   jb_pool_note_list_changed (pool);
 }
 
+void
+jb_pool_start_resent (struct jb_pool *pool, const char *task, uint32_t run,
+                      const struct jb_backend *backend, jb_time sent_at,
+                      jb_time now, bool succeeded)
+{
+  jb_doubt_note_resent (pool->doubts->table, task, run, backend->instance,
+                        sent_at, now, succeeded);
+}
+
 struct jb_doubt *
 jb_pool_find_doubt (const struct jb_pool *pool, struct jb_task *task)
 {
@@ -763,7 +772,7 @@
 is_only_start (const struct jb_pool *pool, const struct jb_doubt *doubt)
 {
   return pool->stage != JB_STAGE_ACTIVE && doubt->sent == 1
-         && !doubt->is_queued && !doubt->succeeded && !doubt->some_expired;
+         && !doubt->is_queued && !doubt->succeeded && !doubt->is_ambiguous;
 }
 
 /* Mark the task of DOUBT, if its job goes on.  Return whether the only start
--- a/packages/jobs/src/jb_pool_grant.c
+++ b/packages/jobs/src/jb_pool_grant.c
@@ -83,14 +83,20 @@
 
 void
 jb_pool_note_result (struct jb_backend *backend, jb_time now,
-                     const struct jb_grant *grant, enum jb_reply_result result)
+                     const struct jb_grant *grant,
+                     const struct jb_reply *reply)
 {
-  switch (result)
+  /* Another sending may still be carried out.  */
+  uint64_t answered_grant = reply->resent ? 0 : grant->number;
+
+  switch (reply->result)
     {
     case JB_RESULT_UNKNOWN:
       return;
     case JB_RESULT_NOT_SENT:
     case JB_RESULT_REFUSED:
+      if (reply->resent)
+        return;
       if (grant->number != 0)
         jb_lease_remove_grant (backend->lease, grant->number);
       if (grant->is_full && grant->sent_at == backend->grant_sent_at)
@@ -98,10 +104,10 @@
       return;
     default:
       backend->answered_at = now;
-      jb_lease_answer (backend->lease, grant->number, now);
+      jb_lease_answer (backend->lease, answered_grant, now);
       if (grant->sent_at >= backend->grant_sent_at)
         backend->grant_open = false;
-      if (grant->is_full && result == JB_RESULT_OK)
+      if (grant->is_full && reply->result == JB_RESULT_OK)
         backend->granted_at = MAX (backend->granted_at, grant->sent_at);
     }
 }
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -448,6 +448,11 @@
 void jb_pool_start_answered (struct jb_pool *pool, const char *task,
                              uint32_t run, struct jb_backend *backend,
                              jb_time sent_at, bool succeeded);
+/* That start was sent more than once, not after NOW, and one sending has
+   SUCCEEDED.  */
+void jb_pool_start_resent (struct jb_pool *pool, const char *task,
+                           uint32_t run, const struct jb_backend *backend,
+                           jb_time sent_at, jb_time now, bool succeeded);
 /* Return the entry of TASK if a start of it is in doubt, else NULL.  */
 struct jb_doubt *jb_pool_find_doubt (const struct jb_pool *pool,
                                      struct jb_task *task);
@@ -702,11 +707,10 @@
    one where the lease lasts, or while a full one has no answer.  */
 struct jb_grant jb_pool_grant_start (struct jb_backend *backend, jb_time now,
                                      int64_t *until_ms);
-/* A command to BACKEND with GRANT, which may be none, has the result RESULT.
- */
+/* REPLY is that to a command to BACKEND with GRANT, which may be none.  */
 void jb_pool_note_result (struct jb_backend *backend, jb_time now,
                           const struct jb_grant *grant,
-                          enum jb_reply_result result);
+                          const struct jb_reply *reply);
 /* Add the backend servers that are due for a grant now to DUE: those of a
    group each half a second, and those that are overdue.  Return when to call
    this next.  */
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -593,9 +593,9 @@
   else
     backend->probes_in_flight--;
   if (probe->acked_end != 0 && reply->result != JB_RESULT_UNKNOWN
-      && probe->fence == jb_pool_fence_at (pool, backend))
+      && !reply->resent && probe->fence == jb_pool_fence_at (pool, backend))
     backend->open_acks--;
-  jb_pool_note_result (backend, now, &probe->grant, reply->result);
+  jb_pool_note_result (backend, now, &probe->grant, reply);
   if (probe->incarnation != backend->incarnation)
     {
       talloc_free (probe);
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -117,7 +117,7 @@
       = jb_pool_find_run (stop->pool, &stop->ref, backend, stop->run);
 
   jb_pool_note_result (backend, now, &(struct jb_grant){ .sent_at = sent_at },
-                       reply->result);
+                       reply);
   if (stop->incarnation != backend->incarnation)
     {
       talloc_free (stop);
@@ -299,8 +299,8 @@
           "task", jb_task_name (start->task, name), "run",
           jb_itoa (start->run), "backend", start->backend->instance,
           "sent_after_ms", jb_itoa (reply->sent_after_ms), "awaited_ms",
-          jb_itoa (reply->awaited_ms), "born",
-          jb_itoa (start->backend->started_unix_ms), NULL);
+          jb_itoa (reply->awaited_ms), "resent", reply->resent ? "yes" : "no",
+          "born", jb_itoa (start->backend->started_unix_ms), NULL);
   jb_count_event (start->pool->options.driver, JB_COUNT_START_UNKNOWN);
   if (jb_pool_has_disabled (start->pool, JB_SAFEGUARD_UNCONFIRMED_STARTS))
     {
@@ -419,6 +419,17 @@
           NULL);
 }
 
+/* Return the result of a start with REPLY.  That the last of several sendings
+   was refused does not tell what became of the others.  */
+static enum jb_reply_result
+start_result (const struct jb_reply *reply)
+{
+  return reply->resent && reply->result != JB_RESULT_OK
+                 && reply->result != JB_RESULT_GONE
+             ? JB_RESULT_UNKNOWN
+             : reply->result;
+}
+
 static void
 handle_start_reply (void *data, jb_time now, jb_time sent_at,
                     const struct jb_reply *reply)
@@ -428,6 +439,7 @@
   struct jb_backend *backend = start->backend;
   struct jb_task *task
       = jb_pool_find_run (pool, &start->ref, backend, start->run);
+  enum jb_reply_result result = start_result (reply);
   char name[JB_TASK_NAME_SIZE];
 
   backend->starts_in_flight--;
@@ -435,13 +447,18 @@
       && (reply->result != JB_RESULT_NOT_SENT
           || backend->starts_in_flight == 0))
     backend->awaited_since = 0;
-  jb_pool_note_result (backend, now, &start->grant, reply->result);
-  if (reply->result == JB_RESULT_OK && task == NULL)
+  jb_pool_note_result (backend, now, &start->grant, reply);
+  if (reply->resent)
+    jb_pool_start_resent (pool, jb_task_ref_name (&start->ref, name),
+                          start->run, backend, start->sent_at, now,
+                          result == JB_RESULT_OK);
+  if (result == JB_RESULT_OK && task == NULL)
     keep_in_doubt (start, now);
-  else if (reply->result != JB_RESULT_UNKNOWN)
+  else if (result != JB_RESULT_UNKNOWN
+           && !(result == JB_RESULT_OK && reply->resent))
     jb_pool_start_answered (pool, jb_task_ref_name (&start->ref, name),
                             start->run, backend, start->sent_at,
-                            reply->result == JB_RESULT_OK);
+                            result == JB_RESULT_OK);
   start->task = task;
   if (task == NULL || start->incarnation != backend->incarnation)
     {
@@ -451,7 +468,7 @@
       talloc_free (start);
       return;
     }
-  switch (reply->result)
+  switch (result)
     {
     case JB_RESULT_OK:
       if (task->state == JB_RUN_STARTING || task->state == JB_RUN_RUNNING)
--- a/packages/server/src/sv_job_server.c
+++ b/packages/server/src/sv_job_server.c
@@ -189,6 +189,7 @@
         (const char *)pending->body->data, pending->body->len, &event->reply);
   else
     set_unanswered (&event->reply, exchange, result);
+  event->reply.resent = ht_exchange_times (exchange)->sendings > 1;
   push_event (server, event);
   g_byte_array_free (pending->body, TRUE);
   talloc_free (pending);
--- a/tests/sim/jobs/jw_backend.c
+++ b/tests/sim/jobs/jw_backend.c
@@ -453,7 +453,9 @@
   int behaviour = 0;
 
   reply->backend_clock_ms = jw_backend_clock_ms (backend, world->now);
-  if (run != NULL)
+  /* A run that is there already is no reason to accept a lease that is over.
+   */
+  if (run != NULL && from->lease_until_ms > reply->backend_clock_ms)
     {
       extend_lease (world, backend, from->lease_until_ms);
       return;
--- a/tests/sim/jobs/jw_commands.c
+++ b/tests/sim/jobs/jw_commands.c
@@ -19,6 +19,9 @@
 #define MIN_LEASE_DELAY_MS 2000
 #define MAX_LEASE_DELAY_MS 12000
 
+/* The HTTP client sends a command again when the connection is closed.  */
+#define MAX_RESEND_DELAY_MS 1000
+
 enum
 {
   STORE_BYTES_PER_QUEUE = 270 /* in the store's answer with a configuration */
@@ -33,6 +36,7 @@
   bool gets_reply;
   bool delayed;
   bool has_late_lease;
+  bool resent;      /* the second sending of a command */
   int64_t lease_ms; /* time left of a late lease when it was sent */
   jb_time sent_at;
 };
@@ -242,6 +246,7 @@
     }
   else
     jw_fleet_execute (world, &in_flight->command, &reply);
+  reply.resent = in_flight->resent;
   if (in_flight->gets_reply && reply.result != JB_RESULT_UNKNOWN
       && reply_at != JB_NEVER)
     jw_schedule_reply (in_flight->host, in_flight->epoch, in_flight->number,
@@ -279,6 +284,46 @@
   in_flight->has_late_lease = true;
 }
 
+/* Return how long after COMMAND the HTTP client sends it again since the
+   answer to the first sending is lost, or 0 if it does not.  */
+static jb_time
+choose_resend_delay (struct jw_world *world, const struct jb_command *command)
+{
+  struct jw_delayed_command *delayed = &world->delayed_command;
+  jb_time delay = delayed->delay;
+
+  if (delayed->is_resent && delay != 0 && command->kind == delayed->kind)
+    {
+      delayed->delay = 0;
+      delayed->backend = jw_find_target (world, &command->backend);
+      delayed->delivered_at = world->now + JW_ONE_WAY_LATENCY_US + delay;
+      return delay;
+    }
+  if (world->resend_permille == 0 || !is_backend_command (command->kind)
+      || g_rand_int_range (world->resend_random, 0, 1000)
+             >= (gint32)world->resend_permille)
+    return 0;
+  return g_rand_int_range (world->resend_random, 1, MAX_RESEND_DELAY_MS)
+         * JB_MS;
+}
+
+/* Let IN_FLIGHT arrive at ARRIVAL without an answer, and again after DELAY
+   with one.  */
+static void
+send_twice (struct jw_world *world, struct in_flight_command *in_flight,
+            jb_time arrival, jb_time delay)
+{
+  struct in_flight_command *first
+      = talloc_zero (NULL, struct in_flight_command);
+
+  *first = *in_flight;
+  copy_command (first, &in_flight->command);
+  first->gets_reply = false;
+  in_flight->resent = true;
+  jw_schedule (world, arrival, deliver_command, first);
+  jw_schedule (world, arrival + delay, deliver_command, in_flight);
+}
+
 /* Delay IN_FLIGHT, which would arrive at ARRIVAL, if it is the command that a
    test delays.  Return whether it was.  */
 static bool
@@ -288,7 +333,8 @@
   struct jw_delayed_command *delayed = &world->delayed_command;
   const int64_t *lease_until_ms = find_lease (&in_flight->command);
 
-  if (delayed->delay == 0 || in_flight->command.kind != delayed->kind
+  if (delayed->delay == 0 || delayed->is_resent
+      || in_flight->command.kind != delayed->kind
       || (delayed->with_lease && lease_until_ms == NULL))
     return false;
   in_flight->gets_reply = false;
@@ -354,6 +400,7 @@
   struct in_flight_command *in_flight
       = talloc_zero (NULL, struct in_flight_command);
   struct jb_reply timed_out = { .result = JB_RESULT_UNKNOWN };
+  jb_time resend_delay = choose_resend_delay (world, command);
   jb_time arrival = world->now
                     + (to_store ? STORE_LATENCY + world->store_delay
                                 : JW_ONE_WAY_LATENCY_US);
@@ -378,11 +425,18 @@
       = !unreachable && !jw_random_permille (world, loss_permille);
   copy_command (in_flight, command);
   remove_new_rows (in_flight);
-  /* The host gets this reply when the command's timeout has passed; it ignores
-     the reply if another one came first.  */
+  /* The host gets this reply when the command's timeout has passed, which
+     begins anew with each sending; it ignores the reply if another one came
+     first.  */
   timed_out.mem = talloc_new (NULL);
   jw_schedule_reply (host, host->epoch, number,
-                     world->now + command->timeout_ms * JB_MS, &timed_out);
+                     world->now + resend_delay + command->timeout_ms * JB_MS,
+                     &timed_out);
+  if (resend_delay > 0 && in_flight->gets_reply)
+    {
+      send_twice (world, in_flight, arrival, resend_delay);
+      return;
+    }
   if (delay_for_test (world, in_flight, arrival))
     return;
   if (!unreachable && delay_lease (world, in_flight))
--- a/tests/sim/jobs/jw_world.c
+++ b/tests/sim/jobs/jw_world.c
@@ -670,6 +670,7 @@
   world->events = g_sequence_new (NULL);
   world->random = g_rand_new_with_seed (options->seed);
   world->late_lease_random = g_rand_new_with_seed (options->seed);
+  world->resend_random = g_rand_new_with_seed (options->seed);
   world->tasks = g_hash_table_new (g_str_hash, g_str_equal);
   world->jobs = g_hash_table_new (g_str_hash, g_str_equal);
   world->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
@@ -720,5 +721,6 @@
   g_hash_table_destroy (world->calls);
   g_rand_free (world->random);
   g_rand_free (world->late_lease_random);
+  g_rand_free (world->resend_random);
   talloc_free (world);
 }
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -171,8 +171,11 @@
 struct jw_delayed_command
 {
   enum jb_command_kind kind;
-  bool with_lease;            /* only a command that asks for a lease */
-  jb_time delay;              /* 0: none is delayed */
+  bool with_lease; /* only a command that asks for a lease */
+  jb_time delay;   /* 0: none is delayed */
+  /* It is carried out in time, and its answer is lost.  What is delayed is a
+     second sending by the HTTP client, whose answer arrives.  */
+  bool is_resent;
   struct jw_backend *backend; /* of the last one that was delayed, or NULL */
   jb_time delivered_at;       /* when that one is carried out */
 };
@@ -307,7 +310,7 @@
   uint32_t refused_writes; /* number of them */
   jb_time store_delay; /* of a command to the store, and again of its reply */
   jb_time backend_reply_delay; /* of the replies of backend servers */
-  GPtrArray *rows;     /* struct jw_row, sorted by name */
+  GPtrArray *rows;             /* struct jw_row, sorted by name */
   /* Index of the entry host that last wrote rows of each pool, or -1.  */
   int last_writers[JW_MAX_POOL_COUNT];
   uint64_t version; /* of the last write to the store */
@@ -337,6 +340,10 @@
      of its own, so that a seed gives the same other faults as without.  */
   uint32_t late_lease_permille;
   GRand *late_lease_random;
+  /* The same for a command to a backend server that the HTTP client sends a
+     second time since the answer to the first one was lost.  */
+  uint32_t resend_permille;
+  GRand *resend_random;
   bool delivering_late_lease;
   /* The entry host that sent the command being delivered, and when.  */
   const struct jw_host *sender;
