Don't give a run up for its lease while its start is in flight

A start that is carried out opens a lease, also where the last one ended long ago. So the end of that lease tells nothing of a run whose start is in flight: a probe beside it that is not answered is no proof that the run has ended. The run was given up all the same, counted as lost in a crash, and the backend server was left out of the roster while it was about to start a run, so that a successor would not have waited for it.

Without an answer the next probe that fails gives it up, as before. A start that still waits to be sent is given up at once, as before.

--- a/packages/jobs/src/jb_pool_crash.c
+++ b/packages/jobs/src/jb_pool_crash.c
@@ -64,10 +64,15 @@
 }
 
 /* Return whether the run of TASK is lost by CAUSE: after a restart, all but
-   those that the answer processed at NOW lists.  */
+   those that the answer processed at NOW lists; if its lease has expired, not
+   while its start is in flight, which may have opened another.  */
 static bool
-is_lost (const struct jb_task *task, enum jb_loss_cause cause, jb_time now)
+is_lost (const struct jb_pool *pool, struct jb_task *task,
+         enum jb_loss_cause cause, jb_time now)
 {
+  if (cause == JB_LOSS_LEASE_EXPIRED)
+    return task->state != JB_RUN_STARTING
+           || jb_pool_is_start_unsent (pool, task);
   return cause != JB_LOSS_RESTARTED || task->reported_at != now;
 }
 
@@ -95,14 +100,14 @@
   loss->heard_at = backend->clock_received_at;
   loss->lost_at = now;
   loss->runs = talloc_array (loss, struct lost_run, backend->task_count);
-  for (const struct jb_task *task = backend->tasks; task != NULL;
+  for (struct jb_task *task = backend->tasks; task != NULL;
        task = task->next_on_backend)
     {
       struct lost_run *run = &loss->runs[loss->count];
       char name[JB_TASK_NAME_SIZE];
 
-      if (!is_lost (task, cause, now) || !may_have_crashed (task, cause)
-          || jb_pool_is_start_unsent (pool, (struct jb_task *)task))
+      if (!is_lost (pool, task, cause, now) || !may_have_crashed (task, cause)
+          || jb_pool_is_start_unsent (pool, task))
         continue;
       run->phase = jb_crash_phase_of (task);
       if (jb_task_ref_parse (jb_task_name (task, name), &run->ref))
@@ -297,9 +302,9 @@
   /* A backend server that leaves ends the runs that it still has.  */
   bool is_planned = backend->draining || now < backend->cordoned_until;
 
-  for (const struct jb_task *task = backend->tasks; task != NULL;
+  for (struct jb_task *task = backend->tasks; task != NULL;
        task = task->next_on_backend)
-    count += is_lost (task, cause, now);
+    count += is_lost (pool, task, cause, now);
   if (count > 0 && !is_planned)
     add_loss (pool, backend, now, cause);
   for (struct jb_task *task = backend->tasks; task != NULL; task = next)
@@ -307,7 +312,7 @@
       char name[JB_TASK_NAME_SIZE];
 
       next = task->next_on_backend;
-      if (!is_lost (task, cause, now))
+      if (!is_lost (pool, task, cause, now))
         continue;
       jb_count_event (pool->options.driver, JB_COUNT_END_VANISHED);
       jb_log (pool->options.driver, JB_LEVEL_INFO, "run-lost", "task",
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -550,8 +550,11 @@
           || jb_pool_has_disabled (pool, JB_SAFEGUARD_LEASE_EXPIRY)))
     {
       jb_pool_clear_lost_runs (pool, backend, now, JB_LOSS_LEASE_EXPIRED);
-      jb_pool_remove_from_roster (pool, backend);
-      backend->next_probe = now + EXPIRED_RETRY_INTERVAL;
+      if (backend->task_count == 0)
+        {
+          jb_pool_remove_from_roster (pool, backend);
+          backend->next_probe = now + EXPIRED_RETRY_INTERVAL;
+        }
     }
   /* During the scan jobs wait for its answer, which may just have been lost.
    */
