--- a/packages/jobs/src/jb_pool_doubt.c
+++ b/packages/jobs/src/jb_pool_doubt.c
@@ -441,13 +441,19 @@
              : JB_RUN_LEASE_MS;
 }
 
+/* Log that DOUBT ends.  That BACKEND has answered after all its starts is the
+   usual case.  */
 static void
-log_end (const struct jb_pool *pool, const struct jb_doubt *doubt, jb_time now,
-         const char *reason)
+log_end (const struct jb_pool *pool, const struct jb_backend *backend,
+         const struct jb_doubt *doubt, jb_time now, const char *reason)
 {
-  jb_log (pool->options.driver, JB_LEVEL_INFO, "start-doubt-ended", "task",
-          doubt->task, "run", jb_itoa (doubt->run), "backend", doubt->instance,
-          "sent", jb_itoa (doubt->sent), "age_ms",
+  bool is_usual
+      = backend != NULL && backend->asked_at >= jb_doubt_until (doubt);
+
+  jb_log (pool->options.driver, is_usual ? JB_LEVEL_DEBUG : JB_LEVEL_INFO,
+          "start-doubt-ended", "task", doubt->task, "run",
+          jb_itoa (doubt->run), "backend", doubt->instance, "sent",
+          jb_itoa (doubt->sent), "age_ms",
           jb_itoa ((now - doubt->sent_at) / JB_MS), "reason", reason, NULL);
 }
 
@@ -468,12 +474,13 @@
                         longest_late_lease_ms (pool, visit->now),
                         backend != NULL ? backend->lease : NULL))
     {
-      log_end (pool, doubt, visit->now, "its starts can't be carried out");
+      log_end (pool, backend, doubt, visit->now,
+               "its starts can't be carried out");
       return true;
     }
   if (is_gone (pool, backend, doubt, visit->now))
     {
-      log_end (pool, doubt, visit->now, "its backend server is gone");
+      log_end (pool, backend, doubt, visit->now, "its backend server is gone");
       return true;
     }
   if (backend != NULL && jb_doubt_sent_count (doubt) > 0)
--- a/packages/jobs/tests/test_jb_doubt.c
+++ b/packages/jobs/tests/test_jb_doubt.c
@@ -64,6 +64,28 @@
   talloc_free (table);
 }
 
+/* Of a start that was sent twice, one sending may still be carried out, and
+   the run that is listed may be that of the other.  */
+static void
+test_resent (void)
+{
+  struct jb_doubt_table *table = table_with_starts (2);
+  const struct jb_doubt *doubt = jb_doubt_find (table, TASK);
+  jb_time resent_at = SENT_AT + 3 * JB_SECOND;
+
+  jb_doubt_note_resent (table, TASK, RUN, "i-1", SENT_AT + JB_SECOND,
+                        resent_at, false);
+  CU_ASSERT_EQUAL (jb_doubt_until (doubt), resent_at + JB_MAX_COMMAND_DELAY);
+  jb_doubt_answer (table, TASK, RUN, "i-1", SENT_AT, false);
+  jb_doubt_settle (table, TASK, RUN, "i-1");
+  CU_ASSERT_PTR_EQUAL (jb_doubt_find (table, TASK), doubt);
+  CU_ASSERT_EQUAL (jb_doubt_get_entry (table, doubt).sent, 2);
+  CU_ASSERT_FALSE (doubt->succeeded);
+  jb_doubt_note_resent (table, TASK, RUN, "i-1", resent_at, resent_at, true);
+  CU_ASSERT_TRUE (doubt->succeeded);
+  talloc_free (table);
+}
+
 /* A run that is listed settles the only start of it.  */
 static void
 test_listed (void)
@@ -205,6 +227,7 @@
           { "the answer to a repeat", test_repeat_answered },
           { "repeat refused", test_repeat_refused },
           { "starts whose time is over", test_expired_starts },
+          { "sent twice", test_resent },
           { "listed", test_listed },
           { "listed after a repeat", test_listed_after_repeat },
           { "the answer to a former run", test_answer_of_former_run },
