Count grants after a late start before a backend server is taken for gone

A start in doubt on a backend server that is neither listed nor heard ended one lease after the last moment at which it could be carried out. The end of the known lease was checked beside it, but that is the end of a lease that expired long before: a grant that was sent after the start, and is carried out after it, extends the lease that the start has opened. Then the task started elsewhere while its run was active. The other rule for the end of a doubt counts such grants already; this one does now, by the same function.

--- a/packages/jobs/src/jb_pool_doubt.c
+++ b/packages/jobs/src/jb_pool_doubt.c
@@ -419,15 +419,16 @@
       = backend == NULL
             ? pool->stage == JB_STAGE_ACTIVE && pool->list_number > 0
             : !backend->listed
-                  && backend->unanswered_probes >= JB_SILENT_AFTER_PROBES
-                  && jb_backend_leases_have_expired (backend, now);
+                  && backend->unanswered_probes >= JB_SILENT_AFTER_PROBES;
+  jb_time end
+      = jb_doubt_until (doubt) + jb_backend_lease_time (JB_RUN_LEASE_MS);
 
   if (backend != NULL && backend->draining && is_barred (backend, doubt)
       && doubt->sent_at < backend->restart_seen_at)
     return true;
-  return is_unheard
-         && now >= jb_doubt_until (doubt)
-                       + jb_backend_lease_time (JB_RUN_LEASE_MS);
+  if (backend != NULL)
+    end = jb_lease_end (backend->lease, end);
+  return is_unheard && now >= end;
 }
 
 /* Return the longest lease that a late start may get.  Its time is one of the
--- a/tests/sim/jobs/jw_commands.c
+++ b/tests/sim/jobs/jw_commands.c
@@ -335,7 +335,10 @@
 
   if (delayed->delay == 0 || delayed->is_resent
       || in_flight->command.kind != delayed->kind
-      || (delayed->with_lease && lease_until_ms == NULL))
+      || (delayed->with_lease && lease_until_ms == NULL)
+      || (delayed->target != NULL
+          && jw_find_target (world, &in_flight->command.backend)
+                 != delayed->target))
     return false;
   in_flight->gets_reply = false;
   in_flight->delayed = true;
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -171,8 +171,9 @@
 struct jw_delayed_command
 {
   enum jb_command_kind kind;
-  bool with_lease; /* only a command that asks for a lease */
-  jb_time delay;   /* 0: none is delayed */
+  bool with_lease;           /* only a command that asks for a lease */
+  struct jw_backend *target; /* only a command to this one, unless NULL */
+  jb_time delay;             /* 0: none is delayed */
   /* It is carried out in time, and its answer is lost.  What is delayed is a
      second sending by the HTTP client, whose answer arrives.  */
   bool is_resent;
--- a/tests/sim/jobs/test_late_start_of_unlisted_backend.c
+++ b/tests/sim/jobs/test_late_start_of_unlisted_backend.c
@@ -6,9 +6,12 @@
 
 enum
 {
-  SEEDS = 6
+  SEEDS = 6,
+  PHASES = 8 /* of a job's arrival between two grants */
 };
 
+#define PHASE_INTERVAL (100 * JB_MS)
+
 #define TASK_DURATION_MS 9000
 
 /* How late the start is carried out: after the backend server has left the
@@ -55,12 +58,73 @@
     }
 }
 
+/* A start and a grant that was sent after it, both carried out as late as
+   possible.  */
+#define LAST_START_DELAY (12400 * JB_MS)
+#define LAST_GRANT_DELAY (12450 * JB_MS)
+
+/* Two runs at the same time: the grant extends the lease that the late start
+   has opened, after its backend server was taken for gone.  */
+static void
+test_late_grant_after_late_start (void)
+{
+  for (uint32_t i = 0; i < SEEDS * PHASES; i++)
+    {
+      struct jw_options options
+          = { .seed = 1 + i / PHASES,
+              .hosts = 3,
+              .pools = 1,
+              .backends = 3,
+              .backend_cpu_milli = 8000,
+              .late_leases = JW_LATE_LEASES_FROM_ARRIVAL };
+      struct jw_job_options others = { .step_count = 1,
+                                       .tasks_per_step = 12,
+                                       .cpu_milli = 1000,
+                                       .duration_ms = 6000 };
+      struct jw_job_options job = { .step_count = 1,
+                                    .tasks_per_step = 1,
+                                    .cpu_milli = 1000,
+                                    .duration_ms = TASK_DURATION_MS };
+      struct jw_world *world = jw_create_world (&options);
+      struct jw_backend *backend;
+
+      jw_submit_job (world, &others);
+      jw_advance (world, JB_SECOND + i % PHASES * PHASE_INTERVAL);
+      world->delayed_command
+          = (struct jw_delayed_command){ .kind = JB_COMMAND_START_TASK,
+                                         .delay = LAST_START_DELAY };
+      jw_submit_job (world, &job);
+      jw_advance (world, 30 * JB_MS);
+      backend = world->delayed_command.backend;
+      CU_ASSERT_PTR_NOT_NULL_FATAL (backend);
+      if (backend == NULL)
+        return; /* clang-tidy does not know that the assertion ends the test */
+      world->delayed_command
+          = (struct jw_delayed_command){ .kind = JB_COMMAND_PROBE,
+                                         .with_lease = true,
+                                         .target = backend,
+                                         .delay = LAST_GRANT_DELAY };
+      for (int ms = 0; ms < 440 && world->delayed_command.delay != 0; ms++)
+        jw_advance (world, JB_MS);
+      world->delayed_command.delay = 0;
+      backend->unreachable = true;
+      backend->unlisted = true;
+      jw_advance (world, 25 * JB_SECOND);
+      backend->unreachable = false;
+      backend->unlisted = false;
+      jw_advance (world, 40 * JB_SECOND);
+      jw_check_and_free (world);
+    }
+}
+
 int
 main (void)
 {
   static const struct dp_test tests[]
       = { { "a late start after its backend server has left the list",
             test_late_start_after_unlisting },
+          { "a late grant after a late start",
+            test_late_grant_after_late_start },
           { NULL, NULL } };
 
   return dp_test_main ("late starts of unlisted backend servers", tests);
