--- a/tests/sim/jobs/jw_mix.c
+++ b/tests/sim/jobs/jw_mix.c
@@ -80,6 +80,9 @@
     case JW_KIND_SIGNALS:
       soak->signal_series = true;
       break;
+    case JW_KIND_SLOW_REPLIES:
+      soak->slow_replies = true;
+      break;
     case JW_KIND_COUNT:
       break;
     }
@@ -132,6 +135,7 @@
     { soak->speculative_steps, " --speculative" },
     { soak->lookahead, " --lookahead" },
     { soak->signal_series, " --signals" },
+    { soak->slow_replies, " --slow-replies" },
   };
   char *text = talloc_strdup (mem, "");
 
--- a/tests/sim/jobs/jw_mix.h
+++ b/tests/sim/jobs/jw_mix.h
@@ -21,12 +21,13 @@
   JW_KIND_SPECULATIVE,
   JW_KIND_LOOKAHEAD,
   JW_KIND_SIGNALS,
+  JW_KIND_SLOW_REPLIES,
   JW_KIND_COUNT
 };
 
-/* Usual number of kinds in one run.  With 5 of 13, each pair is in an eighth
+/* Usual number of kinds in one run.  With 5 of 13, each pair was in an eighth
    of all runs: the fault of two kinds in the incident "commands that outlive
-   their target" then shows in 7 of 200 runs, with 3 kinds in none.  */
+   their target" then showed in 7 of 200 runs, with 3 kinds in none.  */
 #define JW_DEFAULT_MIX 5
 
 /* Set of all kinds; the kind K is bit K.  */
--- a/tests/sim/jobs/jw_soak.c
+++ b/tests/sim/jobs/jw_soak.c
@@ -61,8 +61,20 @@
 /* Longest time between two signals to entry hosts.  */
 #define MAX_SIGNAL_GAP_MS 1500
 
+/* Longest additional time for a reply of a backend server, which is just in
+   time for a start, and for one of the store, and longest time between two
+   changes of both.  */
+#define MAX_REPLY_DELAY_MS 295
+#define MAX_STORE_DELAY_MS 200
+#define MAX_REPLY_DELAY_GAP_MS 1500
+
+/* Share of the commands to backend servers that are then sent twice.  */
+#define RESEND_PERMILLE 20
+
 enum
 {
+  BACKENDS = 4,       /* in each pool */
+  MANY_BACKENDS = 12, /* so many that some are idle for long */
   REPEATS_PER_QUEUE_MOVE = 12,
   MAX_LONG_RUNNING_JOBS = 3,
   SILENT_BACKENDS_PER_GROUP_CUT = 3
@@ -521,6 +533,23 @@
   schedule_step (world, gap_ms * JB_MS, next_signal, cycle);
 }
 
+/* Let the replies of backend servers and of the store take another time.  */
+static void
+next_reply_delay (struct jw_world *world, void *data)
+{
+  struct fault_cycle *cycle = *(struct fault_cycle **)data;
+  bool is_over = world->now >= cycle->until;
+  int backend_ms = g_rand_int_range (cycle->random, 0, MAX_REPLY_DELAY_MS);
+  int store_ms = g_rand_int_range (cycle->random, 0, MAX_STORE_DELAY_MS);
+  int gap_ms = g_rand_int_range (cycle->random, 50, MAX_REPLY_DELAY_GAP_MS);
+
+  world->backend_reply_delay = is_over ? 0 : backend_ms * JB_MS;
+  world->store_delay = is_over ? 0 : store_ms * JB_MS;
+  world->resend_permille = is_over ? 0 : RESEND_PERMILLE;
+  if (!is_over)
+    schedule_step (world, gap_ms * JB_MS, next_reply_delay, cycle);
+}
+
 static void
 inject_backend_fault (struct jw_world *world)
 {
@@ -666,7 +695,7 @@
           .hosts = 3 + soak->seed % 4 + soak->more_hosts,
           .small_hosts = soak->small_hosts,
           .pools = 2,
-          .backends = 4,
+          .backends = soak->slow_replies ? MANY_BACKENDS : BACKENDS,
           .backend_cpu_milli = 12000,
           .no_overload_guard = soak->no_overload_guard,
           .org_cpu_limit_milli = soak->seed % 3 == 0 ? 26000 : 0,
@@ -703,6 +732,8 @@
     begin_fault_cycle (world, soak->seed, end, next_order);
   if (soak->signal_series)
     begin_fault_cycle (world, soak->seed, end, next_signal);
+  if (soak->slow_replies)
+    begin_fault_cycle (world, soak->seed, end, next_reply_delay);
   while (world->now < end)
     {
       uint32_t kind = random_below (world, 100);
--- a/tests/sim/jobs/jw_soak.h
+++ b/tests/sim/jobs/jw_soak.h
@@ -21,6 +21,8 @@
   bool evacuate_zones;    /* and take them back, again and again */
   bool speculative_steps; /* in a third of the jobs */
   bool signal_series;     /* of all kinds to entry hosts, one upon another */
+  bool slow_replies;      /* of backend servers, many of which are idle, and of
+                             the store */
   uint32_t more_hosts;    /* entry hosts beyond the usual 3 to 6 */
   uint32_t small_hosts;   /* as in struct jw_options */
   bool verbose;
--- a/tests/sim/jobs/soak_jobs.c
+++ b/tests/sim/jobs/soak_jobs.c
@@ -54,6 +54,11 @@
   { "signals", 'i', NULL, 0,
     "Send signals to entry hosts, also to those that are frozen or stopping",
     0 },
+  { "slow-replies", 'w', NULL, 0,
+    "Let replies of the store and of backend servers, of which there are "
+    "more, "
+    "take up to 0.3 s",
+    0 },
   { "more-hosts", 'm', "N", 0, "Entry hosts beyond the usual 3 to 6 (0)", 0 },
   { "small-hosts", 'l', "N", 0,
     "Entry hosts with a small share of a processor, the others have a large "
@@ -124,6 +129,9 @@
     case 'i':
       soak->signal_series = true;
       break;
+    case 'w':
+      soak->slow_replies = true;
+      break;
     case 'm':
       soak->more_hosts
           = MIN ((uint32_t)strtoul (value, NULL, 10), JW_MAX_HOST_COUNT - 6);
