End a start's doubt by one rule, whether its backend server is listed or not

A start in doubt ends when the longest lease has expired since it could be carried out, with all that grants may have added. For a backend server that was neither listed nor heard a second rule ended it earlier, after the usual lease. In a pool where restarts occur that is too early: the lease of the start is a time on the clock of the former incarnation, and so as long as possible on that of the next one. The task started elsewhere while its run was active.

Found by a reviewer. That a backend server isn't listed proves nothing here, so the second rule is dropped: what remains is a backend server that drains.

--- a/packages/jobs/include/jb_doubt.h
+++ b/packages/jobs/include/jb_doubt.h
@@ -17,7 +17,7 @@
      asked for its runs after that;
    - or, if it does not answer, the longest lease has expired since then, with
      all that grants without an answer may have added to it;
-   - or its instance will not come back.
+   - or its instance will not come back: it is replaced, or about to leave.
 
    An end of a run whose task has another start in doubt is held back: it is
    not acknowledged before.  The backend server may lose it by a restart, and
--- a/packages/jobs/src/jb_pool_doubt.c
+++ b/packages/jobs/src/jb_pool_doubt.c
@@ -405,30 +405,16 @@
   pool->schedule_due = true;
 }
 
-/* Return whether BACKEND, the one of DOUBT, is gone: its time for late starts
-   and their leases is over while nobody hears it.  One that is only missing in
-   the platform's list may be cut off and carry out what it has received.  Or
-   it will be gone before it could restart once more: it drains, and has
-   restarted since the start was sent and answered a command that bars that.
-   BACKEND is NULL if it isn't known.  */
+/* Return whether BACKEND, the one of DOUBT, will be gone before it could
+   restart once more: it drains, and has restarted since the start was sent and
+   answered a command that bars that.  That it is only missing in the
+   platform's list proves nothing: it may be cut off and carry out what it has
+   received.  BACKEND is NULL if it isn't known.  */
 static bool
-is_gone (const struct jb_pool *pool, const struct jb_backend *backend,
-         const struct jb_doubt *doubt, jb_time now)
-{
-  bool is_unheard
-      = backend == NULL
-            ? pool->stage == JB_STAGE_ACTIVE && pool->list_number > 0
-            : !backend->listed
-                  && backend->unanswered_probes >= JB_SILENT_AFTER_PROBES;
-  jb_time end
-      = jb_doubt_until (doubt) + jb_backend_lease_time (JB_RUN_LEASE_MS);
-
-  if (backend != NULL && backend->draining && is_barred (backend, doubt)
-      && doubt->sent_at < backend->restart_seen_at)
-    return true;
-  if (backend != NULL)
-    end = jb_lease_end (backend->lease, end);
-  return is_unheard && now >= end;
+is_leaving (const struct jb_backend *backend, const struct jb_doubt *doubt)
+{
+  return backend != NULL && backend->draining && is_barred (backend, doubt)
+         && doubt->sent_at < backend->restart_seen_at;
 }
 
 /* Return the longest lease that a late start may get.  Its time is one of the
@@ -479,9 +465,10 @@
                "its starts can't be carried out");
       return true;
     }
-  if (is_gone (pool, backend, doubt, visit->now))
+  if (is_leaving (backend, doubt))
     {
-      log_end (pool, backend, doubt, visit->now, "its backend server is gone");
+      log_end (pool, backend, doubt, visit->now,
+               "its backend server is leaving");
       return true;
     }
   if (backend != NULL && jb_doubt_sent_count (doubt) > 0)
