Don't settle a start by a listed run while the start is in flight

A run that a backend server lists settles the only start of it. While the start has no reply yet it isn't known to be the only one: libcurl may be about to send it again. The entry was removed, the reply found none, and the second sending, which the next incarnation of the backend server carried out, was nobody's: two runs at the same time.

Such a run settles the start once it has a result; an answer of success does so anyway.

--- a/packages/jobs/include/jb_doubt.h
+++ b/packages/jobs/include/jb_doubt.h
@@ -90,9 +90,12 @@
   bool run_closed;
   jb_time sent_at; /* of the start that was sent last */
   bool is_queued;  /* that one is counted already, and waits to be sent */
-  bool stored;     /* a row that lists it was queued */
-  bool shared;     /* the row is stored */
-  bool told;       /* the other hosts were sent it */
+  /* When the last start was sent whose result isn't known yet, which may be
+     that it was sent more than once; 0: there is none.  */
+  jb_time in_flight_since;
+  bool stored; /* a row that lists it was queued */
+  bool shared; /* the row is stored */
+  bool told;   /* the other hosts were sent it */
 };
 
 struct jb_doubt_table;
@@ -131,6 +134,12 @@
                       uint32_t run, const char *instance, jb_time sent_at,
                       bool succeeded);
 
+/* The command with the start of run number RUN of TASK on INSTANCE that was
+   sent at SENT_AT has a result, which may be that it was not answered.  */
+void jb_doubt_note_result (struct jb_doubt_table *table, const char *task,
+                           uint32_t run, const char *instance,
+                           jb_time sent_at);
+
 /* Record that the start of run number RUN of TASK on INSTANCE that was sent at
    SENT_AT has been sent more than once, not after NOW, and that one sending
    has SUCCEEDED.  The others may still be carried out.  */
--- a/packages/jobs/src/jb_doubt.c
+++ b/packages/jobs/src/jb_doubt.c
@@ -89,6 +89,7 @@
       doubt->succeeded = false;
       doubt->is_ambiguous = false;
       doubt->first_sent_at = sent_at;
+      doubt->in_flight_since = 0;
     }
   doubt->run = run;
   doubt->sent_at = MAX (doubt->sent_at, sent_at);
@@ -107,6 +108,7 @@
   doubt->sent_at = MAX (doubt->sent_at, now);
   doubt->sent_times[doubt->sent - 1] = doubt->sent_at;
   doubt->is_queued = false;
+  doubt->in_flight_since = doubt->sent_at;
 }
 
 struct jb_doubt_entry
@@ -164,6 +166,16 @@
   return true;
 }
 
+void
+jb_doubt_note_result (struct jb_doubt_table *table, const char *task,
+                      uint32_t run, const char *instance, jb_time sent_at)
+{
+  struct jb_doubt *doubt = find_start (table, task, run, instance);
+
+  if (doubt != NULL && doubt->in_flight_since <= sent_at)
+    doubt->in_flight_since = 0;
+}
+
 void
 jb_doubt_note_resent (struct jb_doubt_table *table, const char *task,
                       uint32_t run, const char *instance, jb_time sent_at,
@@ -198,7 +210,8 @@
   struct jb_doubt *doubt = find_start (table, task, run, instance);
 
   /* Which of several starts was carried out isn't known.  */
-  if (doubt == NULL || doubt->sent != 1 || doubt->is_queued || doubt->succeeded
+  if (doubt == NULL || doubt->sent != 1 || doubt->is_queued
+      || doubt->in_flight_since != 0 || doubt->succeeded
       || doubt->is_ambiguous)
     return false;
   remove_entry (table, doubt);
--- a/packages/jobs/src/jb_pool_doubt.c
+++ b/packages/jobs/src/jb_pool_doubt.c
@@ -167,6 +167,14 @@
   jb_pool_note_list_changed (pool);
 }
 
+void
+jb_pool_start_returned (struct jb_pool *pool, const char *task, uint32_t run,
+                        const struct jb_backend *backend, jb_time sent_at)
+{
+  jb_doubt_note_result (pool->doubts->table, task, run, backend->instance,
+                        sent_at);
+}
+
 void
 jb_pool_start_resent (struct jb_pool *pool, const char *task, uint32_t run,
                       const struct jb_backend *backend, jb_time sent_at,
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -448,6 +448,11 @@
 void jb_pool_start_answered (struct jb_pool *pool, const char *task,
                              uint32_t run, struct jb_backend *backend,
                              jb_time sent_at, bool succeeded);
+/* The command with that start has a result, which may be that it was not
+   answered.  */
+void jb_pool_start_returned (struct jb_pool *pool, const char *task,
+                             uint32_t run, const struct jb_backend *backend,
+                             jb_time sent_at);
 /* That start was sent more than once, not after NOW, and one sending has
    SUCCEEDED.  */
 void jb_pool_start_resent (struct jb_pool *pool, const char *task,
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -448,16 +448,16 @@
           || backend->starts_in_flight == 0))
     backend->awaited_since = 0;
   jb_pool_note_result (backend, now, &start->grant, reply);
+  jb_task_ref_name (&start->ref, name);
+  jb_pool_start_returned (pool, name, start->run, backend, start->sent_at);
   if (reply->resent)
-    jb_pool_start_resent (pool, jb_task_ref_name (&start->ref, name),
-                          start->run, backend, start->sent_at, now,
+    jb_pool_start_resent (pool, name, start->run, backend, start->sent_at, now,
                           result == JB_RESULT_OK);
   if (result == JB_RESULT_OK && task == NULL)
     keep_in_doubt (start, now);
   else if (result != JB_RESULT_UNKNOWN
            && !(result == JB_RESULT_OK && reply->resent))
-    jb_pool_start_answered (pool, jb_task_ref_name (&start->ref, name),
-                            start->run, backend, start->sent_at,
+    jb_pool_start_answered (pool, name, start->run, backend, start->sent_at,
                             result == JB_RESULT_OK);
   start->task = task;
   if (task == NULL || start->incarnation != backend->incarnation)
--- a/packages/jobs/tests/test_jb_doubt.c
+++ b/packages/jobs/tests/test_jb_doubt.c
@@ -100,6 +100,21 @@
   talloc_free (table);
 }
 
+/* A start may turn out to have been sent twice after its run was listed.  */
+static void
+test_listed_in_flight (void)
+{
+  struct jb_doubt_table *table = table_with_starts (1);
+
+  jb_doubt_send (jb_doubt_find (table, TASK), SENT_AT);
+  jb_doubt_settle (table, TASK, RUN, "i-1");
+  CU_ASSERT_PTR_NOT_NULL (jb_doubt_find (table, TASK));
+  jb_doubt_note_result (table, TASK, RUN, "i-1", SENT_AT);
+  jb_doubt_settle (table, TASK, RUN, "i-1");
+  CU_ASSERT_PTR_NULL (jb_doubt_find (table, TASK));
+  talloc_free (table);
+}
+
 /* Starts whose time is over don't count, but one that is listed doesn't settle
    those that are left: it may be the run of an expired one.  */
 static void
@@ -228,6 +243,7 @@
           { "repeat refused", test_repeat_refused },
           { "starts whose time is over", test_expired_starts },
           { "sent twice", test_resent },
+          { "listed in flight", test_listed_in_flight },
           { "listed", test_listed },
           { "listed after a repeat", test_listed_after_repeat },
           { "the answer to a former run", test_answer_of_former_run },
--- a/tests/sim/jobs/test_commands_sent_twice.c
+++ b/tests/sim/jobs/test_commands_sent_twice.c
@@ -60,11 +60,58 @@
     }
 }
 
+#define LATE_RESEND_DELAY (11 * JB_SECOND)
+#define LISTED_TIME (2500 * JB_MS)
+
+/* Two runs at the same time: the first sending of a start is carried out and
+   its run is listed, which settles the start, before the reply tells that it
+   was sent twice.  The backend server restarts and is cut off, the run is
+   given up when its lease has expired, and the next incarnation carries out
+   the second sending.  */
+static void
+test_listed_before_reply (void)
+{
+  for (uint32_t seed = 1; seed <= SEEDS; seed++)
+    {
+      struct jw_options options = { .seed = seed,
+                                    .hosts = 3,
+                                    .pools = 1,
+                                    .backends = 6,
+                                    .backend_cpu_milli = 8000 };
+      struct jw_job_options job = { .step_count = 1,
+                                    .tasks_per_step = 1,
+                                    .cpu_milli = 1000,
+                                    .duration_ms = 9000 };
+      struct jw_world *world = jw_create_world (&options);
+      struct jw_backend *backend;
+
+      world->delayed_command
+          = (struct jw_delayed_command){ .kind = JB_COMMAND_START_TASK,
+                                         .delay = LATE_RESEND_DELAY,
+                                         .is_resent = true };
+      jw_submit_job (world, &job);
+      jw_advance (world, LISTED_TIME);
+      backend = world->delayed_command.backend;
+      CU_ASSERT_PTR_NOT_NULL_FATAL (backend);
+      if (backend == NULL)
+        return; /* clang-tidy does not know that the assertion ends the test */
+      backend->unreachable = true;
+      jw_backend_restart (world, backend);
+      /* Nothing else reaches it before the second sending.  */
+      jw_advance (world,
+                  world->delayed_command.delivered_at - world->now - JB_MS);
+      backend->unreachable = false;
+      jw_advance (world, 40 * JB_SECOND);
+      jw_check_and_free (world);
+    }
+}
+
 int
 main (void)
 {
   static const struct dp_test tests[]
       = { { "the second sending of a start is refused", test_refused_start },
+          { "the run is listed before the reply", test_listed_before_reply },
           { NULL, NULL } };
 
   return dp_test_main ("commands sent twice", tests);
