Count a grant that was sent twice from its last sending

A grant may be carried out until a fixed time after it was sent. One that libcurl has sent again may be so by as much later as the second sending was, so that the bound of the lease ended 0.25 to 0.6 s too early.

--- a/packages/jobs/include/jb_lease.h
+++ b/packages/jobs/include/jb_lease.h
@@ -39,6 +39,9 @@
 /* The grant NUMBER was not sent after all.  */
 void jb_lease_remove_grant (struct jb_lease *lease, uint64_t number);
 
+/* The grant NUMBER has been sent again, not after NOW.  */
+void jb_lease_resend (struct jb_lease *lease, uint64_t number, jb_time now);
+
 /* The backend server has answered a command, as is known at NOW; NUMBER is
    the grant in it, or 0.  A grant that was sent before and has no answer may
    have been carried out by now.  */
--- a/packages/jobs/src/jb_lease.c
+++ b/packages/jobs/src/jb_lease.c
@@ -140,6 +140,21 @@
       }
 }
 
+void
+jb_lease_resend (struct jb_lease *lease, uint64_t number, jb_time now)
+{
+  for (uint32_t i = 0; i < lease->count; i++)
+    if (lease->grants[i].number == number)
+      {
+        struct grant grant = lease->grants[i];
+
+        remove_at (lease, i);
+        grant.sent_at = MAX (grant.sent_at, now);
+        insert (lease, &grant);
+        return;
+      }
+}
+
 void
 jb_lease_answer (struct jb_lease *lease, uint64_t number, jb_time now)
 {
--- a/packages/jobs/src/jb_pool_grant.c
+++ b/packages/jobs/src/jb_pool_grant.c
@@ -89,6 +89,8 @@
   /* Another sending may still be carried out.  */
   uint64_t answered_grant = reply->resent ? 0 : grant->number;
 
+  if (reply->resent)
+    jb_lease_resend (backend->lease, grant->number, now);
   switch (reply->result)
     {
     case JB_RESULT_UNKNOWN:
--- a/packages/jobs/tests/test_jb_lease.c
+++ b/packages/jobs/tests/test_jb_lease.c
@@ -279,6 +279,25 @@
   CU_ASSERT (search (3) > 0);
 }
 
+/* A grant that was sent again may be carried out later by as much.  */
+static void
+test_resent (void)
+{
+  struct jb_lease *lease = jb_lease_new (NULL);
+  jb_time resent_at = SENT_AT + JB_SECOND;
+  uint64_t number = jb_lease_add_grant (lease, SENT_AT, LENGTH);
+
+  jb_lease_resend (lease, number, resent_at);
+  CU_ASSERT_EQUAL (
+      jb_lease_waiting_since (lease, SENT_AT + JB_MAX_COMMAND_DELAY + 1),
+      resent_at);
+  CU_ASSERT_EQUAL (
+      jb_lease_waiting_since (lease, resent_at + JB_MAX_COMMAND_DELAY + 1), 0);
+  jb_lease_resend (lease, number + 1, resent_at + JB_SECOND);
+  CU_ASSERT_EQUAL (jb_lease_waiting_since (lease, resent_at), resent_at);
+  talloc_free (lease);
+}
+
 /* The bound is not wider than needed: some order of three grants without
    answers reaches it.  */
 static void
@@ -309,6 +328,7 @@
           { "not sent", test_not_sent },
           { "expired grants", test_expired },
           { "lengthened grants", test_lengthened },
+          { "sent again", test_resent },
           { "all orders", test_all_orders },
           { "the bound is reached", test_reached },
           { NULL, NULL } };
