--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -252,6 +252,7 @@
   struct jb_pool *pool = start->pool;
   struct jb_backend *backend = start->backend;
   enum jb_counter counter = JB_COUNT_START_UNHEALTHY;
+  char name[JB_TASK_NAME_SIZE];
 
   switch (reply->refusal)
     {
@@ -282,10 +283,10 @@
       break;
     }
   jb_count_event (pool->options.driver, counter);
-  jb_log (pool->options.driver, JB_LEVEL_INFO, "start-refused", "job",
-          start->task->group->job->desc->id, "backend", backend->instance,
-          "reason", jb_itoa (reply->refusal), "result",
-          jb_itoa (reply->result), NULL);
+  jb_log (pool->options.driver, JB_LEVEL_INFO, "start-refused", "task",
+          jb_task_name (start->task, name), "run", jb_itoa (start->run),
+          "backend", backend->instance, "reason", jb_itoa (reply->refusal),
+          "result", jb_itoa (reply->result), NULL);
 }
 
 /* Handle a start without an answer: it may be carried out later.  */
