Give a pool without backend servers a host for its jobs

All its hosts have been lent to pool-0; from 1052 s on the planner parks idle hosts of pool-0 in the standby pool and moves none to pool-1. Cause: the sixth planner (claim at 1027.8 s) has had no report of a backend server of pool-1. So it doesn't know the capacity of its hosts, and for such a pool no host was counted as missing, whatever waits there. The same follows from two more rules: what is missing is rounded, so less than half a host is none, and a pool that never had a host may grow to three times no hosts. Ruled out: the moves of the queues (only the jobs of pool-1 itself wait), the reports (the planner has 230 cores of waiting tasks of pool-1 all the time), and the donors (pool-0 has idle hosts beyond its home hosts from 1052 s on). Change: a pool in which tasks have waited for 0.6 s, with no capacity and no host on its way, lacks one host. Only then another pool may give an idle home host, unless it is its last. A pool whose capacity is used up by long-running tasks, with no finite one running, gets a host for less than half of one. Conclusion: what the planner learns from reports must not be a condition for the first host, since only a host brings the report.

--- a/packages/jobs/src/jb_rebalance.c
+++ b/packages/jobs/src/jb_rebalance.c
@@ -26,9 +26,11 @@
 /* A pool grows to at most this multiple of the capacity of its home hosts.  */
 #define GROWTH_LIMIT_FACTOR 3
 
-/* A pool with fewer hosts than its home hosts gets more of them back when
-   tasks have waited for this long although enough CPU is free.  */
-#define MAX_WAIT_WITH_FREE_CPU (600 * JB_MS)
+/* When tasks have waited for this long, a pool with fewer hosts than its home
+   hosts gets more of them back although enough CPU is free, and one in which
+   no task ends that would make room gets a host although it lacks less than
+   half of one.  */
+#define MAX_WAIT (600 * JB_MS)
 
 /* A home host is parked only if its pool's next surge is further away than
    this, because moving it away and back costs as much as keeping it in the
@@ -39,6 +41,29 @@
    tasks and for this multiple of what its finite tasks use.  */
 #define DONOR_RESERVE_FACTOR 2
 
+/* Return whether tasks have been waiting in POOL for MAX_WAIT.  */
+static bool
+has_waited (const struct jb_rebalance_pool *pool, jb_time now)
+{
+  return pool->waiting_since != 0 && now - pool->waiting_since > MAX_WAIT;
+}
+
+/* Return whether tasks wait in POOL although none can start there: it has no
+   backend server that is fit for work, and none is on its way.  */
+static bool
+is_stuck (const struct jb_rebalance_pool *pool, jb_time now)
+{
+  return pool->known && !pool->standby && has_waited (pool, now)
+         && pool->capacity_cpu_milli <= 0 && pool->incoming_hosts == 0;
+}
+
+/* Return the largest number of hosts that POOL may grow to.  */
+static uint32_t
+max_host_count (const struct jb_rebalance_pool *pool)
+{
+  return GROWTH_LIMIT_FACTOR * MAX (pool->home_hosts, 1);
+}
+
 /* Return how many more hosts POOL needs for its running and waiting tasks, for
    the work that keeps arriving, or for a surge that is about to start,
    whichever needs most.  */
@@ -48,10 +73,14 @@
   int64_t capacity = pool->capacity_cpu_milli
                      + (int64_t)pool->incoming_hosts * pool->host_cpu_milli;
   int64_t demand = pool->finite_cpu_milli + pool->waiting_cpu_milli;
+  uint32_t missing_hosts;
   int64_t missing;
 
-  if (!pool->known || pool->standby || pool->host_cpu_milli <= 0)
+  if (!pool->known || pool->standby)
     return 0;
+  /* The first host tells the capacity of further ones.  */
+  if (pool->host_cpu_milli <= 0)
+    return is_stuck (pool, now) && pool->hosts < max_host_count (pool) ? 1 : 0;
   demand
       = MAX (demand, MIN (pool->arriving_cpu_milli,
                           ARRIVING_LIMIT_FACTOR * pool->capacity_cpu_milli));
@@ -59,20 +88,34 @@
       && now < pool->next_surge + SURGE_OVERDUE_AFTER)
     demand = MAX (demand, pool->surge_peak_cpu_milli);
   missing = demand + pool->long_running_cpu_milli - capacity;
-  missing = MIN (missing,
-                 GROWTH_LIMIT_FACTOR * pool->home_hosts * pool->host_cpu_milli
-                     - capacity);
+  missing
+      = MIN (missing, max_host_count (pool) * pool->host_cpu_milli - capacity);
   /* Tasks that wait although enough CPU is free fit on no host that the pool
      has left, because of their memory or of other tasks there.  */
-  if (missing <= 0 && pool->waiting_since != 0
-      && now - pool->waiting_since > MAX_WAIT_WITH_FREE_CPU
+  if (missing <= 0 && has_waited (pool, now)
       && pool->hosts + pool->incoming_hosts < pool->home_hosts)
     return MIN ((uint32_t)(pool->waiting_cpu_milli / pool->host_cpu_milli) + 1,
                 pool->home_hosts - pool->hosts - pool->incoming_hosts);
   if (missing <= 0)
     return 0;
-  return (uint32_t)((missing + pool->host_cpu_milli / 2)
-                    / pool->host_cpu_milli);
+  missing_hosts = (uint32_t)((missing + pool->host_cpu_milli / 2)
+                             / pool->host_cpu_milli);
+  /* With no finite task running, none ends and makes room.  */
+  if (missing_hosts == 0 && has_waited (pool, now)
+      && pool->finite_cpu_milli == 0)
+    return 1;
+  return missing_hosts;
+}
+
+/* Return whether the other hosts of POOL, which is no standby pool, suffice
+   for its tasks.  */
+static bool
+can_spare_host (const struct jb_rebalance_pool *pool)
+{
+  return pool->known && pool->waiting_cpu_milli == 0
+         && pool->capacity_cpu_milli - pool->host_cpu_milli
+                >= DONOR_RESERVE_FACTOR * pool->finite_cpu_milli
+                       + pool->long_running_cpu_milli;
 }
 
 /* Return whether a host may leave POOL.  */
@@ -87,22 +130,27 @@
 
   if (pool->standby)
     return true;
-  return pool->known && pool->waiting_cpu_milli == 0
+  return can_spare_host (pool)
          && (pool->hosts > pool->home_hosts
-             || (surge_is_distant && pool->hosts > 1))
-         && pool->capacity_cpu_milli - pool->host_cpu_milli
-                >= DONOR_RESERVE_FACTOR * pool->finite_cpu_milli
-                       + pool->long_running_cpu_milli;
+             || (surge_is_distant && pool->hosts > 1));
 }
 
-/* Return how suitable a host of POOL is for a move; higher is better.  A
-   borrowed host that idles costs more than one in a standby pool.  */
+/* Return how suitable a host of FROM is for a move to TO; higher is better, 0
+   means that it may not move.  A borrowed host that idles costs more than one
+   in a standby pool.  The pools that keep their hosts give one to a pool
+   that is stuck, unless it is their last.  */
 static int
-donor_preference (const struct jb_rebalance_pool *pool)
+donor_preference (const struct jb_rebalance_pool *from,
+                  const struct jb_rebalance_pool *to, jb_time now)
 {
-  if (pool->standby)
-    return 2;
-  return pool->hosts > pool->home_hosts ? 3 : 1;
+  if (can_donate_host (from, now))
+    {
+      if (from->standby)
+        return 3;
+      return from->hosts > from->home_hosts ? 4 : 2;
+    }
+  return is_stuck (to, now) && from->hosts > 1 && can_spare_host (from) ? 1
+                                                                        : 0;
 }
 
 /* Return the index of the host to move to the pool with index TO, or
@@ -114,18 +162,21 @@
               const bool *chosen, jb_time now)
 {
   uint32_t best = host_count;
+  int best_preference = 0;
 
   for (uint32_t i = 0; i < host_count; i++)
     {
-      const struct jb_rebalance_pool *pool = &pools[hosts[i].pool];
+      int preference;
 
       if (chosen[i] || !hosts[i].available || !hosts[i].idle
-          || hosts[i].pool == to || !can_donate_host (pool, now))
+          || hosts[i].pool == to)
         continue;
-      if (best == host_count
-          || donor_preference (pool)
-                 > donor_preference (&pools[hosts[best].pool]))
-        best = i;
+      preference = donor_preference (&pools[hosts[i].pool], &pools[to], now);
+      if (preference > best_preference)
+        {
+          best = i;
+          best_preference = preference;
+        }
     }
   return best;
 }
--- a/packages/jobs/tests/test_jb_policies.c
+++ b/packages/jobs/tests/test_jb_policies.c
@@ -248,6 +248,73 @@
       jb_rebalance_decide (pools, 2, hosts, 2, 10 * JB_SECOND, moves, 4), 0);
 }
 
+/* A pool without any backend server must get a host for its waiting tasks,
+   although no report has told the capacity of its hosts (a new planner doesn't
+   know it), although its tasks need less than half a host, and although it
+   never had hosts and all others are home hosts of their pool.  Otherwise its
+   jobs wait for ever.  */
+static void
+test_rebalance_empty_pool (void)
+{
+  struct jb_rebalance_pool pools[2] = { { .known = true,
+                                          .home_hosts = 4,
+                                          .waiting_cpu_milli = 200000,
+                                          .waiting_since = 9 * JB_SECOND },
+                                        idle_pool };
+  struct jb_rebalance_host hosts[2]
+      = { { .pool = 1, .idle = true, .available = true },
+          { .pool = 1, .idle = true, .available = true } };
+  struct jb_host_move moves[4];
+
+  pools[1].home_hosts = 5;
+  CU_ASSERT_EQUAL (
+      jb_rebalance_decide (pools, 2, hosts, 2, 10 * JB_SECOND, moves, 4), 1);
+  CU_ASSERT_EQUAL (moves[0].to, 0);
+  pools[0].host_cpu_milli = 10000;
+  pools[0].waiting_cpu_milli = 1000;
+  CU_ASSERT_EQUAL (
+      jb_rebalance_decide (pools, 2, hosts, 2, 10 * JB_SECOND, moves, 4), 1);
+  pools[0].home_hosts = 0;
+  pools[1].home_hosts = 9;
+  CU_ASSERT_EQUAL (
+      jb_rebalance_decide (pools, 2, hosts, 2, 10 * JB_SECOND, moves, 4), 1);
+  /* Not before the tasks have waited for a while, not while a host is on its
+     way, and not the last host of another pool.  */
+  CU_ASSERT_EQUAL (
+      jb_rebalance_decide (pools, 2, hosts, 2, 9500 * JB_MS, moves, 4), 0);
+  pools[0].incoming_hosts = 1;
+  CU_ASSERT_EQUAL (
+      jb_rebalance_decide (pools, 2, hosts, 2, 10 * JB_SECOND, moves, 4), 0);
+  pools[0].incoming_hosts = 0;
+  pools[1].hosts = 1;
+  CU_ASSERT_EQUAL (
+      jb_rebalance_decide (pools, 2, hosts, 2, 10 * JB_SECOND, moves, 4), 0);
+}
+
+/* A pool whose long-running tasks take up all its hosts must get a host for a
+   waiting task of less than half a host: no task ends that would make room. */
+static void
+test_rebalance_full_pool (void)
+{
+  struct jb_rebalance_pool pools[2]
+      = { idle_pool,
+          { .standby = true, .hosts = 2, .host_cpu_milli = 10000 } };
+  struct jb_rebalance_host hosts[2]
+      = { { .pool = 1, .idle = true, .available = true },
+          { .pool = 1, .idle = true, .available = true } };
+  struct jb_host_move moves[4];
+
+  pools[0].long_running_cpu_milli = 90000;
+  pools[0].waiting_cpu_milli = 1000;
+  pools[0].waiting_since = 9 * JB_SECOND;
+  CU_ASSERT_EQUAL (
+      jb_rebalance_decide (pools, 2, hosts, 2, 10 * JB_SECOND, moves, 4), 1);
+  pools[0].long_running_cpu_milli = 80000;
+  pools[0].finite_cpu_milli = 10000;
+  CU_ASSERT_EQUAL (
+      jb_rebalance_decide (pools, 2, hosts, 2, 10 * JB_SECOND, moves, 4), 0);
+}
+
 /* Hosts must move to a pool before a forecast surge begins, and to the standby
    pool when the next surge is far away.  */
 static void
@@ -566,6 +633,10 @@
     { "no host moves away while tasks wait", test_rebalance_waiting },
     { "tasks that fit on no host left get hosts back",
       test_rebalance_unplaceable },
+    { "a pool without backend servers gets a host",
+      test_rebalance_empty_pool },
+    { "a pool full of long-running tasks gets a host",
+      test_rebalance_full_pool },
     { "hosts move ahead of a surge", test_rebalance_ahead },
     { "idle hosts of calm pools are maintained first", test_wave },
     { "best-effort tasks slow down for services", test_throttle },
