Report tasks that take no capacity as waiting if a pool has none

Seen: found while the case of a pool without backend servers was traced: a job there whose tasks need no CPU, or are best effort, is pending for ever. Cause: the load that a pool reports counts the CPU of its waiting tasks, that of best-effort tasks not at all. With 0, the planner takes the pool for one where nothing waits, and gives it no host. Ruled out: pools with backend servers. There such tasks start, and the report is unchanged. Change: in a pool without capacity, each waiting task counts for at least a thousandth of a core, which brings one host. Conclusion: the report mixes how much is wanted with whether anything is.

--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -857,6 +857,39 @@
   jb_pool_finish_scan_if_complete (pool, now);
 }
 
+/* Return the CPU, in thousandths of a core, that the tasks of POOL want that
+   are ready to start.  Best-effort tasks use what others leave; but if the
+   pool HAS_NO_CAPACITY, each task counts for more than nothing, or the planner
+   would take the pool for one where none waits.  */
+static int64_t
+sum_waiting (const struct jb_pool *pool, bool has_no_capacity)
+{
+  int64_t sum = 0;
+
+  for (guint i = 0; i < pool->active_jobs->len; i++)
+    {
+      const struct jb_job *job = g_ptr_array_index (pool->active_jobs, i);
+
+      for (guint j = 0; job->ended_at == 0 && j < job->groups->len; j++)
+        {
+          const struct jb_task_group *group
+              = g_ptr_array_index (job->groups, j);
+          const struct jb_step *step = jb_task_group_step (group);
+          int64_t cpu_milli
+              = step->best_effort ? 0 : step->resources.cpu_milli;
+
+          if (has_no_capacity)
+            cpu_milli = MAX (cpu_milli, 1);
+          if (group->ready
+              && group->task_count > group->done_count + group->active_runs)
+            sum += (int64_t)(group->task_count - group->done_count
+                             - group->active_runs)
+                   * cpu_milli;
+        }
+    }
+  return sum;
+}
+
 void
 jb_pool_get_load (struct jb_pool *pool, TALLOC_CTX *mem, jb_time now,
                   struct jb_msg_load *load)
@@ -894,24 +927,7 @@
             load->finite_cpu_milli += step->resources.cpu_milli;
         }
     }
-  for (guint i = 0; i < pool->active_jobs->len; i++)
-    {
-      const struct jb_job *job = g_ptr_array_index (pool->active_jobs, i);
-
-      for (guint j = 0; job->ended_at == 0 && j < job->groups->len; j++)
-        {
-          const struct jb_task_group *group
-              = g_ptr_array_index (job->groups, j);
-          const struct jb_step *step = jb_task_group_step (group);
-
-          if (group->ready && !step->best_effort
-              && group->task_count > group->done_count + group->active_runs)
-            load->waiting_cpu_milli
-                += (int64_t)(group->task_count - group->done_count
-                             - group->active_runs)
-                   * step->resources.cpu_milli;
-        }
-    }
+  load->waiting_cpu_milli = sum_waiting (pool, capacity.cpu_milli <= 0);
   load->unfinished_work_cpu_milli_ms = unfinished_work (pool);
   load->arriving_cpu_milli = recent_cpu_demand (pool, now);
 }
--- a/tests/sim/jobs/jw_clients.c
+++ b/tests/sim/jobs/jw_clients.c
@@ -294,6 +294,7 @@
       step->resources.memory_mb = 100;
       step->estimate_ms = options->duration_ms;
       step->long_running = options->long_running;
+      step->best_effort = options->best_effort;
       step->max_unavailable = options->max_unavailable;
       step->gang = options->gang;
       step->speculative = options->speculative && i == 0;
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -409,6 +409,7 @@
   bool crashes_backends; /* the first task crashes each backend server that
                             starts it */
   bool long_running;
+  bool best_effort; /* its tasks use what others leave */
   uint32_t max_unavailable;
   bool gang;
   bool
--- a/tests/sim/jobs/test_empty_pool.c
+++ b/tests/sim/jobs/test_empty_pool.c
@@ -33,15 +33,17 @@
   return world;
 }
 
-/* Submit a job with TASKS tasks to the empty pool, and check that it
-   completes.  */
+/* Submit a job of one step with TASKS tasks to the empty pool, each of which
+   needs CPU_MILLI, and check that it completes.  */
 static void
-check_job (struct jw_world *world, uint32_t tasks)
+check_job (struct jw_world *world, uint32_t tasks, int64_t cpu_milli,
+           bool best_effort)
 {
   struct jw_job_options job = { .pool = EMPTY_POOL,
                                 .step_count = 1,
                                 .tasks_per_step = tasks,
-                                .cpu_milli = 1000,
+                                .cpu_milli = cpu_milli,
+                                .best_effort = best_effort,
                                 .duration_ms = 300 };
 
   jw_submit_job (world, &job);
@@ -55,7 +57,19 @@
 test_small_job (void)
 {
   for (uint32_t seed = 1; seed <= SEED_COUNT; seed++)
-    check_job (create_world_with_empty_pool (seed), 1);
+    check_job (create_world_with_empty_pool (seed), 1, 1000, false);
+}
+
+/* A job that needs no processor, or only what other tasks leave, waits for
+   ever, since it takes no capacity.  */
+static void
+test_job_without_demand (void)
+{
+  for (uint32_t seed = 1; seed <= SEED_COUNT; seed++)
+    {
+      check_job (create_world_with_empty_pool (seed), 3, 0, false);
+      check_job (create_world_with_empty_pool (seed), 3, 1000, true);
+    }
 }
 
 /* A new planner, which has had no report of the capacity of the pool's hosts,
@@ -71,7 +85,7 @@
       CU_ASSERT_FATAL (planner >= 0);
       jw_host_kill (world, (uint32_t)planner);
       jw_advance (world, 5 * JB_SECOND);
-      check_job (world, 40);
+      check_job (world, 40, 1000, false);
     }
 }
 
@@ -80,6 +94,8 @@
 {
   static const struct dp_test tests[]
       = { { "a small job of an empty pool waits for ever", test_small_job },
+          { "a job that takes no capacity waits for ever",
+            test_job_without_demand },
           { "a new planner gives an empty pool no host", test_new_planner },
           { NULL, NULL } };
 
