Don't count hosts that leave a pool as its own

Cause: a host that is being evacuated for a move counted both in its pool and in the target pool until it was away. So at each rebalancing, 100 ms apart, a pool still seemed to have the hosts that it had given away before, and gave more: its last one, or its home hosts after the borrowed ones. Ruled out: one decision that takes too many; jb_rebalance_decide subtracts the hosts that it moves. Change: such a host counts in the target pool only. Tests: test_jb_planner_rebalance. A pool with two hosts beyond its four home hosts has to return two: before, it gave away all six within 2 s; now two.

--- a/packages/jobs/src/jb_planner_rebalance.c
+++ b/packages/jobs/src/jb_planner_rebalance.c
@@ -181,9 +181,10 @@
     }
 }
 
-/* Add HOST and count it in its pool, and in its target pool if it is to move.
-   A host that is away for a move is only counted in the target pool, and one
-   of an evacuated zone in none.  */
+/* Add HOST and count it in its pool, or in its target pool if it is to move.
+   One of an evacuated zone is counted in none.  A host that is being evacuated
+   for a move must not count in its pool: a pool would give away more hosts
+   than it can spare, while it still seems to have them.  */
 static void
 add_host (struct jb_planner *planner, jb_time now,
           struct rebalance_input *input, struct fleet_host *host)
@@ -204,22 +205,16 @@
       host->idle_since = 0;
       return;
     }
-  if (host->purpose == PURPOSE_MOVE && host->phase == PHASE_AWAY)
-    {
-      uint32_t to = pool_index (input->catalog, host->target_pool);
-
-      if (to < input->catalog->pool_count)
-        input->pools[to].incoming_hosts++;
-      return;
-    }
   if (host->purpose == PURPOSE_MOVE)
     {
       uint32_t to = pool_index (input->catalog, host->target_pool);
 
       if (to < input->catalog->pool_count)
         input->pools[to].incoming_hosts++;
+      if (host->phase == PHASE_AWAY)
+        return;
     }
-  if (host->state == JB_HOST_UP)
+  else if (host->state == JB_HOST_UP)
     pool->hosts++;
   /* A predecessor has moved it, and it is listed in its new pool.  */
   else if (host->state == JB_HOST_MOVING && host->purpose == PURPOSE_NONE)
