Hand the ages of starts in doubt over with a pool

Operators saw a task that lasts wait for 25 s with room free (LOST). Its start had gone to a backend server that had just crashed, and 8 s later its owner stopped as planned. The successor counted the 12.5 s in which a start may be carried out, and the lease after them, from the takeover, since it can't know when its predecessor sent the start.

An owner that hands a pool over has sent its last command, so it writes how old each start in doubt is, in the transaction of its last row. The successor takes the ages only if it finds that row, of its predecessor. After any other end of an owner starts count from the takeover, as before: it may have sent one just before.

--- a/packages/jobs/include/jb_doubt.h
+++ b/packages/jobs/include/jb_doubt.h
@@ -156,6 +156,9 @@
 bool jb_doubt_settle (struct jb_doubt_table *table, const char *task,
                       uint32_t run, const char *instance);
 
+/* No start of DOUBT was sent after SENT_AT, which was not known before.  */
+void jb_doubt_limit_age (struct jb_doubt *doubt, jb_time sent_at);
+
 /* Stop counting those starts of DOUBT, except the last one, that can't be
    carried out any more at NOW.  */
 void jb_doubt_expire_starts (struct jb_doubt *doubt, jb_time now);
--- a/packages/jobs/src/jb_doubt.c
+++ b/packages/jobs/src/jb_doubt.c
@@ -218,6 +218,15 @@
   return true;
 }
 
+void
+jb_doubt_limit_age (struct jb_doubt *doubt, jb_time sent_at)
+{
+  for (uint32_t i = 0; i < doubt->sent; i++)
+    doubt->sent_times[i] = MIN (doubt->sent_times[i], sent_at);
+  doubt->sent_at = MIN (doubt->sent_at, sent_at);
+  doubt->first_sent_at = MIN (doubt->first_sent_at, sent_at);
+}
+
 void
 jb_doubt_expire_starts (struct jb_doubt *doubt, jb_time now)
 {
--- a/packages/jobs/src/jb_pool_handover.c
+++ b/packages/jobs/src/jb_pool_handover.c
@@ -17,6 +17,9 @@
 #define SETTLED_KEY "settled"
 /* Written by an owner that stops as planned.  */
 #define RUNS_KEY "runs"
+/* Written with it: ages of starts in doubt.  Its key follows that of the other
+   row and those of the starts.  */
+#define START_AGES_KEY "start-ages"
 
 #define STORE_READ_TIMEOUT_MS 1500
 
@@ -149,6 +152,9 @@
   for (uint32_t i = 0; i < reply->row_count; i++)
     if (strcmp (reply->rows[i].key, RUNS_KEY) == 0)
       load_runs (pool, now, reply->rows[i].value);
+    else if (strcmp (reply->rows[i].key, START_AGES_KEY) == 0
+             && pool->predecessor.has_handed_over)
+      jb_pool_load_doubt_ages (pool, reply->rows[i].value, now);
   if (reply->next_page != NULL)
     {
       read_page (pool, now, reply->next_page);
@@ -339,13 +345,21 @@
 static void
 write_runs (struct jb_pool *pool, jb_time now)
 {
-  struct jb_row row = { .table = JB_HANDOVER_TABLE,
-                        .partition = pool->partition,
-                        .key = RUNS_KEY,
-                        .value = pool->handover_runs };
-
-  jb_ownership_write (pool->ownership, now, &row, 1, NULL, 0,
+  TALLOC_CTX *scratch = talloc_new (NULL);
+  struct jb_row rows[]
+      = { { .table = JB_HANDOVER_TABLE,
+            .partition = pool->partition,
+            .key = RUNS_KEY,
+            .value = pool->handover_runs },
+          { .table = JB_HANDOVER_TABLE,
+            .partition = pool->partition,
+            .key = START_AGES_KEY,
+            .value = jb_pool_encode_doubt_ages (pool, scratch, now) } };
+  bool has_doubts = jb_doubt_count (jb_pool_doubt_table (pool)) > 0;
+
+  jb_ownership_write (pool->ownership, now, rows, has_doubts ? 2 : 1, NULL, 0,
                       handle_runs_written, pool);
+  talloc_free (scratch);
 }
 
 /* Encode what may run on silent backend servers.  Return whether a row can
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -502,6 +502,13 @@
 /* Add the starts that ROW of a former owner lists.  */
 void jb_pool_load_doubts (struct jb_pool *pool, const struct jb_row *row,
                           jb_time now);
+/* Return a row value with the ages of the starts in doubt at NOW, when the
+   last command was sent, owned by MEM.  */
+struct ba_bytes jb_pool_encode_doubt_ages (const struct jb_pool *pool,
+                                           TALLOC_CTX *mem, jb_time now);
+/* Take up the ages that the predecessor has left in VALUE, read at NOW.  */
+void jb_pool_load_doubt_ages (struct jb_pool *pool, struct ba_bytes value,
+                              jb_time now);
 /* Return since when a row waits to be stored, or 0 if none does.  */
 jb_time jb_pool_doubt_row_pending_since (const struct jb_pool *pool);
 /* Return the table of the starts in doubt, borrowed.  */
