Start tasks in doubt only within their organisation's share

Cause: an owner of a pool started a task with a start in doubt without looking at the share, since such a task counts as used already. That holds only for starts of its own. Ruled out: the planner's proof that former shares have ended. Change: a task in doubt starts if it fits in the share beside all that is used except by tasks in doubt that have no run. These still count against tasks that are not in doubt. After a takeover such tasks now wait for the shares, as others do.

--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -106,6 +106,8 @@
   /* Of that, by runs of previous owners that may be on silent backend servers
      beside others of the same tasks, until the scan has ended.  */
   struct jb_resources copies;
+  /* Of `used', by tasks without a run that a start in doubt may give one.  */
+  struct jb_resources in_doubt;
   struct jb_resources wanted; /* by tasks that are ready to start */
   struct jb_resources share; /* the pool's share of the organisation's quota */
   /* Whether it has a quota in the version of the catalog `quota_version'; 0:
@@ -855,6 +857,13 @@
    If not, the next report to the planner is sent sooner.  */
 bool jb_pool_check_share (struct jb_pool *pool, struct jb_job *job,
                           const struct jb_resources *resources);
+/* The same for a task of JOB with a start in doubt, or a gang with several.
+   It counts as used already, but may exceed the share: an owner can learn of a
+   start by its predecessor after it has given the share to other tasks.  So it
+   must fit beside the tasks that run.  Others in doubt are left out: if they
+   exceed the share together, some of them can start nevertheless.  */
+bool jb_pool_check_share_in_doubt (struct jb_pool *pool, struct jb_job *job,
+                                   const struct jb_resources *resources);
 /* Return whether JOB's organisation, which must not be NULL, stays within the
    pool's share of its quota even if all of its tasks that are ready start. The
    usage must have been recounted just before.  */
--- a/packages/jobs/src/jb_pool_quota.c
+++ b/packages/jobs/src/jb_pool_quota.c
@@ -102,9 +102,12 @@
   return org_usage->has_quota;
 }
 
-bool
-jb_pool_check_share (struct jb_pool *pool, struct jb_job *job,
-                     const struct jb_resources *resources)
+/* Return whether JOB's organisation stays within the pool's share of its quota
+   if it uses RESOURCES in addition.  What tasks with starts in doubt use is
+   left out if WITHOUT_DOUBT.  */
+static bool
+check_share (struct jb_pool *pool, struct jb_job *job,
+             const struct jb_resources *resources, bool without_doubt)
 {
   struct jb_pool_org_usage *org_usage;
   struct jb_resources sum;
@@ -116,6 +119,8 @@
   if (!has_quota (pool, org_usage))
     return true;
   sum = org_usage->used;
+  if (without_doubt)
+    jb_resources_subtract (&sum, &org_usage->in_doubt);
   jb_resources_add (&sum, resources);
   if (jb_resources_fit (&sum, &org_usage->share))
     return true;
@@ -123,6 +128,20 @@
   return false;
 }
 
+bool
+jb_pool_check_share (struct jb_pool *pool, struct jb_job *job,
+                     const struct jb_resources *resources)
+{
+  return check_share (pool, job, resources, false);
+}
+
+bool
+jb_pool_check_share_in_doubt (struct jb_pool *pool, struct jb_job *job,
+                              const struct jb_resources *resources)
+{
+  return check_share (pool, job, resources, true);
+}
+
 bool
 jb_pool_covers_demand (struct jb_pool *pool, struct jb_job *job)
 {
@@ -160,25 +179,27 @@
   return count;
 }
 
-/* Return how many tasks of GROUP have no run that is known, but may have one
-   on a silent backend server.  */
-/* Return the number of tasks of GROUP without a known run that may have one:
-   a former owner has left it on a silent backend server, or a start is in
-   doubt.  */
-static uint32_t
+/* Count the tasks of GROUP without a known run that may have one: in AWAITED
+   those of which a former owner has left a run on a silent backend server, in
+   DOUBTFUL others with a start in doubt.  */
+static void
 count_possible_runs (const struct jb_pool *pool,
-                     const struct jb_task_group *group)
+                     const struct jb_task_group *group, uint32_t *awaited,
+                     uint32_t *doubtful)
 {
-  uint32_t count = 0;
-
+  *awaited = 0;
+  *doubtful = 0;
   for (uint32_t i = 0; i < group->task_count; i++)
     {
       struct jb_task *task = &group->tasks[i];
 
-      if (task->state == JB_RUN_NONE && !task->done)
-        count += task->is_awaited || jb_pool_find_doubt (pool, task) != NULL;
+      if (task->state != JB_RUN_NONE || task->done)
+        continue;
+      if (task->is_awaited)
+        ++*awaited;
+      else
+        *doubtful += jb_pool_find_doubt (pool, task) != NULL;
     }
-  return count;
 }
 
 /* Add what the tasks of JOB use and want to ORG_USAGE.  */
@@ -204,10 +225,14 @@
         add_multiple (&org_usage->used, resources, waiting);
       else if (group->ready)
         {
-          int64_t possible = count_possible_runs (pool, group);
-
-          add_multiple (&org_usage->used, resources, possible);
-          add_multiple (&org_usage->wanted, resources, waiting - possible);
+          uint32_t awaited;
+          uint32_t doubtful;
+
+          count_possible_runs (pool, group, &awaited, &doubtful);
+          add_multiple (&org_usage->used, resources, awaited + doubtful);
+          add_multiple (&org_usage->in_doubt, resources, doubtful);
+          add_multiple (&org_usage->wanted, resources,
+                        waiting - awaited - doubtful);
         }
     }
 }
@@ -224,6 +249,7 @@
       struct jb_pool_org_usage *org_usage = value;
 
       org_usage->used = org_usage->copies;
+      org_usage->in_doubt = (struct jb_resources){ 0 };
       org_usage->wanted = (struct jb_resources){ 0 };
     }
   for (guint i = 0; i < pool->active_jobs->len; i++)
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -800,9 +800,9 @@
 
       if (!is_startable (pool, task, now))
         continue;
-      /* What is in doubt counts as used already.  */
-      if (jb_pool_find_doubt (pool, task) == NULL
-          && !jb_pool_check_share (pool, group->job, &resources))
+      if (!(jb_pool_find_doubt (pool, task) != NULL
+                ? jb_pool_check_share_in_doubt (pool, group->job, &resources)
+                : jb_pool_check_share (pool, group->job, &resources)))
         break;
       backend = choose_backend (pool, task, room, now);
       if (backend == NULL && task->in_doubt)
