Count a gang with starts in doubt once against its organisation's share

Cause: the gang was compared with the share as if nothing of it counted as used, but its members in doubt do. Change: members in doubt must fit beside what runs, as other tasks in doubt do; only the other members must fit beside everything that is used.

--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -819,6 +819,36 @@
   return started;
 }
 
+/* Return the resources that COUNT tasks of GROUP need.  */
+static struct jb_resources
+sum_resources (const struct jb_task_group *group, uint32_t count)
+{
+  struct jb_resources resources = jb_task_group_step (group)->resources;
+
+  resources.cpu_milli *= count;
+  resources.memory_mb *= count;
+  resources.accelerators *= count;
+  return resources;
+}
+
+/* Return whether the gang GROUP may start within the share of its
+   organisation.  What its members in doubt need is part of what the
+   organisation uses.  */
+static bool
+check_share_of_gang (struct jb_pool *pool, const struct jb_task_group *group)
+{
+  struct jb_resources all = sum_resources (group, group->task_count);
+  struct jb_resources others;
+  uint32_t in_doubt = 0;
+
+  for (uint32_t i = 0; i < group->task_count; i++)
+    in_doubt += jb_pool_find_doubt (pool, &group->tasks[i]) != NULL;
+  others = sum_resources (group, group->task_count - in_doubt);
+  return (in_doubt == group->task_count
+          || jb_pool_check_share (pool, group->job, &others))
+         && jb_pool_check_share_in_doubt (pool, group->job, &all);
+}
+
 /* Start all tasks of the gang GROUP if all fit at the same time, else none.
    Return the number of started tasks.  ROOM is that of this cycle.  */
 static uint32_t
@@ -828,20 +858,17 @@
   /* What finds no room beside other tasks of the gang may find some after they
      were given up, so only what the first one finds counts for others.  */
   struct jb_place_room room_of_gang;
-  struct jb_resources resources = jb_task_group_step (group)->resources;
+  struct jb_resources resources = sum_resources (group, group->task_count);
   uint32_t run = 0;
   uint32_t placed = 0;
 
-  resources.cpu_milli *= group->task_count;
-  resources.memory_mb *= group->task_count;
-  resources.accelerators *= group->task_count;
   if (group->active_runs > 0) /* all previous runs must end first */
     return 0;
   for (uint32_t i = 0; i < group->task_count; i++)
     if (!is_startable (pool, &group->tasks[i], now)
         || !jb_pool_try_renumber (pool, &group->tasks[i], now))
       return 0;
-  if (!jb_pool_check_share (pool, group->job, &resources))
+  if (!check_share_of_gang (pool, group))
     return 0;
   while (placed < group->task_count)
     {
--- a/tests/sim/jobs/test_shares_in_doubt.c
+++ b/tests/sim/jobs/test_shares_in_doubt.c
@@ -74,12 +74,13 @@
    backend server, and advance until it is accepted.  Return the index of the
    owner of the pool.  */
 static uint32_t
-submit_unanswered (struct jw_world *world, const char **id)
+submit_unanswered (struct jw_world *world, bool gang, const char **id)
 {
   struct jw_job_options job = { .step_count = 1,
                                 .tasks_per_step = TASKS_IN_DOUBT,
                                 .cpu_milli = 1000,
-                                .duration_ms = TASK_DURATION_MS };
+                                .duration_ms = TASK_DURATION_MS,
+                                .gang = gang };
   jb_time limit = world->now + START_TIME;
   int owner = jw_pool_owner (world, 0);
 
@@ -102,7 +103,7 @@
       const char *other;
       const char *id;
       struct jw_world *world = create_world (seed, BACKENDS, &other);
-      uint32_t owner = submit_unanswered (world, &id);
+      uint32_t owner = submit_unanswered (world, false, &id);
 
       jw_advance (world, START_TIME);
       lower_limit (world, BACKENDS * 1000);
@@ -127,7 +128,7 @@
       const char *other;
       const char *id;
       struct jw_world *world = create_world (seed, BACKENDS, &other);
-      uint32_t owner = submit_unanswered (world, &id);
+      uint32_t owner = submit_unanswered (world, false, &id);
 
       jw_cut_group (world, owner, HOSTS - 1);
       lower_limit (world, BACKENDS * 1000);
@@ -153,7 +154,7 @@
     {
       const char *id;
       struct jw_world *world = create_world (seed, 0, NULL);
-      uint32_t owner = submit_unanswered (world, &id);
+      uint32_t owner = submit_unanswered (world, false, &id);
 
       jw_advance (world, START_TIME);
       lower_limit (world, TASKS_IN_DOUBT / 2 * 1000);
@@ -163,6 +164,25 @@
     }
 }
 
+/* A gang whose starts are in doubt is counted twice: it waits until twice its
+   size fits in the share.  */
+static void
+test_gang_in_doubt (void)
+{
+  for (uint32_t seed = 1; seed <= SEEDS; seed++)
+    {
+      const char *id;
+      struct jw_world *world = create_world (seed, 0, NULL);
+      uint32_t owner = submit_unanswered (world, true, &id);
+
+      jw_advance (world, START_TIME);
+      lower_limit (world, TASKS_IN_DOUBT * 1000 + 500);
+      jw_host_kill (world, owner);
+      jw_advance (world, RUN_TIME);
+      jw_check_and_free (world);
+    }
+}
+
 int
 main (void)
 {
@@ -170,6 +190,7 @@
       = { { "stored starts", test_stored_starts },
           { "starts told late", test_starts_told_late },
           { "only starts in doubt", test_only_starts_in_doubt },
+          { "a gang in doubt", test_gang_in_doubt },
           { NULL, NULL } };
 
   return dp_test_main ("shares in doubt", tests);
