Hand the ages of starts over also while a pool is taken over

An owner with starts in doubt writes their ages whenever it stops as planned. The row stands for itself: its generation says that it is the predecessor's, and it is written after the owner's last command. A start that a former owner may still send has no age in it.

--- a/packages/jobs/src/jb_pool_doubt.c
+++ b/packages/jobs/src/jb_pool_doubt.c
@@ -809,13 +809,15 @@
   jb_time now;
 };
 
+/* Add the age of DOUBT, unless a former owner may still send the start.  */
 static bool
 collect_age (void *data, struct jb_doubt *doubt)
 {
   struct age_collection *collection = data;
   struct saved_ages *saved = &collection->saved;
 
-  if (jb_doubt_sent_count (doubt) > 0 && saved->count < collection->limit)
+  if (jb_doubt_sent_count (doubt) > 0 && doubt->sent_at <= collection->now
+      && saved->count < collection->limit)
     saved->ages[saved->count++] = (struct saved_age){
       .task = doubt->task,
       .run = doubt->run,
--- a/packages/jobs/src/jb_pool_handover.c
+++ b/packages/jobs/src/jb_pool_handover.c
@@ -17,8 +17,8 @@
 #define SETTLED_KEY "settled"
 /* Written by an owner that stops as planned.  */
 #define RUNS_KEY "runs"
-/* Written with it: ages of starts in doubt.  Its key follows that of the other
-   row and those of the starts.  */
+/* Written by each owner that stops as planned: ages of the starts in doubt.
+   Its key follows those of the rows with the starts.  */
 #define START_AGES_KEY "start-ages"
 
 #define STORE_READ_TIMEOUT_MS 1500
@@ -152,8 +152,7 @@
   for (uint32_t i = 0; i < reply->row_count; i++)
     if (strcmp (reply->rows[i].key, RUNS_KEY) == 0)
       load_runs (pool, now, reply->rows[i].value);
-    else if (strcmp (reply->rows[i].key, START_AGES_KEY) == 0
-             && pool->predecessor.has_handed_over)
+    else if (strcmp (reply->rows[i].key, START_AGES_KEY) == 0)
       jb_pool_load_doubt_ages (pool, reply->rows[i].value, now);
   if (reply->next_page != NULL)
     {
@@ -341,23 +340,35 @@
   release (pool, now);
 }
 
-/* Queue the last transaction, unless there is too much for a row.  */
+static bool
+has_doubts (const struct jb_pool *pool)
+{
+  return jb_doubt_count (jb_pool_doubt_table (pool)) > 0;
+}
+
+/* Queue the last transaction.  */
 static void
-write_runs (struct jb_pool *pool, jb_time now)
+write_last_rows (struct jb_pool *pool, jb_time now)
 {
   TALLOC_CTX *scratch = talloc_new (NULL);
-  struct jb_row rows[]
-      = { { .table = JB_HANDOVER_TABLE,
-            .partition = pool->partition,
-            .key = RUNS_KEY,
-            .value = pool->handover_runs },
-          { .table = JB_HANDOVER_TABLE,
-            .partition = pool->partition,
-            .key = START_AGES_KEY,
-            .value = jb_pool_encode_doubt_ages (pool, scratch, now) } };
-  bool has_doubts = jb_doubt_count (jb_pool_doubt_table (pool)) > 0;
-
-  jb_ownership_write (pool->ownership, now, rows, has_doubts ? 2 : 1, NULL, 0,
+  struct jb_row row
+      = { .table = JB_HANDOVER_TABLE, .partition = pool->partition };
+  struct jb_row rows[2];
+  uint32_t count = 0;
+
+  if (has_doubts (pool))
+    {
+      row.key = START_AGES_KEY;
+      row.value = jb_pool_encode_doubt_ages (pool, scratch, now);
+      rows[count++] = row;
+    }
+  if (pool->handover_runs.len > 0)
+    {
+      row.key = RUNS_KEY;
+      row.value = pool->handover_runs;
+      rows[count++] = row;
+    }
+  jb_ownership_write (pool->ownership, now, rows, count, NULL, 0,
                       handle_runs_written, pool);
   talloc_free (scratch);
 }
@@ -403,8 +414,9 @@
     return;
   pool->handover_reason = talloc_strdup (pool, reason);
   jb_pool_cancel_queued_starts (pool);
-  if (pool->stage != JB_STAGE_ACTIVE || !jb_pool_may_command (pool, now)
-      || !collect_runs (pool, now))
+  if (!jb_pool_may_command (pool, now)
+      || !((pool->stage == JB_STAGE_ACTIVE && collect_runs (pool, now))
+           || has_doubts (pool)))
     {
       release (pool, now);
       return;
@@ -442,7 +454,7 @@
       jb_pool_write_all_doubts (pool, now);
       jb_pool_remove_start_rows (pool, now);
       jb_pool_write_last_leases (pool, now);
-      write_runs (pool, now);
+      write_last_rows (pool, now);
     }
   return deadline;
 }
