Tell the other hosts again of starts after a silence

Two runs of one task: an owner that was cut off from the store and most hosts sent a start a moment after it could reach them again. Another host had claimed the pool meanwhile and run the task, and did not know of that start.

Cause: without the store, a start is sent once heartbeats show that the other hosts have heard this one after it had told them of the start. The message had been lost in the cut, and heartbeats after the cut were taken for the proof that it had arrived. The heartbeats of most hosts can come before the one that shows the claim. Entries without an answer, too, were marked as told and not sent again.

Ruled out: the witness, which is not used while the store does not answer.

Change: if the other hosts have not heard an owner for more than 0.5 s, over two heartbeat intervals, all that was told without the store counts as not told and is sent again; starts that wait need a heartbeat after that. Losses in shorter silences are not noticed.

Not changed: an owner that is heard again within its validity extends that by these heartbeats, though another host may have claimed the pool in the silence.

--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -18,6 +18,11 @@
    moment after it has recovered.  */
 #define UNLISTED_GRACE_PERIOD (2500 * JB_MS)
 
+/* If the other hosts have not heard this one for longer than this, which is
+   more than two heartbeat intervals, what it sent them meanwhile may be
+   lost.  */
+#define MAX_HEARD_GAP (500 * JB_MS)
+
 /* Time since the store last confirmed the ownership after which it is asked to
    confirm it again.  */
 #define OWNERSHIP_VERIFY_AFTER (800 * JB_MS)
@@ -177,8 +182,14 @@
 jb_pool_confirm_ownership (struct jb_pool *pool, jb_time now,
                            jb_time unclaimed_until)
 {
-  if (now < jb_pool_ownership_valid_until (pool))
-    pool->unclaimed_until = MAX (pool->unclaimed_until, unclaimed_until);
+  if (now >= jb_pool_ownership_valid_until (pool))
+    return;
+  if (unclaimed_until > pool->unclaimed_until + MAX_HEARD_GAP)
+    {
+      jb_pool_repeat_doubts (pool);
+      jb_pool_repeat_queued_starts (pool);
+    }
+  pool->unclaimed_until = MAX (pool->unclaimed_until, unclaimed_until);
 }
 
 void
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -526,6 +526,9 @@
 /* Store the starts that wait, or without the store tell the other hosts of
    them and send them.  Return when to call this next, or JB_NEVER.  */
 jb_time jb_pool_run_starts (struct jb_pool *pool, jb_time now);
+/* Tell the other hosts again of the starts that wait, before they are sent
+   without the store.  */
+void jb_pool_repeat_queued_starts (struct jb_pool *pool);
 /* Send none of the starts that wait.  */
 void jb_pool_cancel_queued_starts (struct jb_pool *pool);
 /* Remove the rows, if all starts in them are listed in other rows.  */
@@ -612,6 +615,8 @@
    are not stored to the other hosts.  Return when to call this next, or
    JB_NEVER.  */
 jb_time jb_pool_send_doubts (struct jb_pool *pool, jb_time now);
+/* Send all of them again: the other hosts may not have received them.  */
+void jb_pool_repeat_doubts (struct jb_pool *pool);
 /* Add the starts of former owners that this host was sent.  */
 void jb_pool_load_peer_doubts (struct jb_pool *pool);
 
--- a/packages/jobs/src/jb_pool_peer_doubts.c
+++ b/packages/jobs/src/jb_pool_peer_doubts.c
@@ -102,6 +102,20 @@
     ;
 }
 
+static bool
+mark_untold (void *data, struct jb_doubt *doubt)
+{
+  (void)data;
+  doubt->told = false;
+  return false;
+}
+
+void
+jb_pool_repeat_doubts (struct jb_pool *pool)
+{
+  jb_doubt_visit (jb_pool_doubt_table (pool), mark_untold, NULL);
+}
+
 static void
 load_doubt (void *data, const struct jb_peer_doubt *peer_doubt)
 {
--- a/packages/jobs/src/jb_pool_starts.c
+++ b/packages/jobs/src/jb_pool_starts.c
@@ -18,6 +18,7 @@
    While the store does not answer, the other hosts are told of the start
    first.  It is sent when their heartbeats show that they have heard this host
    after that, and so know of the start, and that none has claimed the pool.
+   If they have not heard it for a while before, they are told again.
 
    Expected load: while many tasks start, a message of up to 2 KB for each
    scheduling cycle, or a row each 20 ms.  A start waits up to 10 ms, with the
@@ -542,6 +543,24 @@
     }
 }
 
+static void
+note_untold (const GPtrArray *starts)
+{
+  for (guint i = 0; i < starts->len; i++)
+    {
+      struct queued_start *start = g_ptr_array_index (starts, i);
+
+      start->sent_to_all_at = 0;
+    }
+}
+
+void
+jb_pool_repeat_queued_starts (struct jb_pool *pool)
+{
+  note_untold (pool->starts->writing);
+  note_untold (pool->starts->queued);
+}
+
 /* Tell the other hosts of the starts that wait, and send those that they know
    of.  Return when to do that next, or JB_NEVER.  */
 static jb_time
--- a/tests/sim/jobs/test_starts_of_former_owners.c
+++ b/tests/sim/jobs/test_starts_of_former_owners.c
@@ -9,7 +9,8 @@
 enum
 {
   SEEDS = 6,
-  HOSTS = 5
+  HOSTS = 5,
+  MANY_JOBS = 40
 };
 
 #define TASK_DURATION_MS 9000
@@ -25,6 +26,13 @@
 #define MAX_CLAIM_TIME (3 * JB_SECOND)
 #define CUT_TIME (2 * JB_SECOND)
 
+/* Time from the claim of the next owner until the former one can reach the
+   others again, and from then until one of its starts is delayed, so that the
+   next one has started its tasks; and the delay, within the next one's run of
+   the task.  */
+#define HEAL_DELAY (60 * JB_MS)
+#define SHORT_START_DELAY (1 * JB_SECOND)
+
 /* Time in which the second task of a job starts.  */
 #define NEXT_START_TIME (4 * JB_SECOND)
 
@@ -112,6 +120,20 @@
   return jw_pool_owner (world, 0);
 }
 
+/* Advance until another host than OWNER has claimed the pool.  Return whether
+   one has.  */
+static bool
+wait_for_next_owner (struct jw_world *world, uint32_t owner)
+{
+  jb_time until = world->now + MAX_CLAIM_TIME;
+
+  for (; world->now < until; jw_advance (world, JB_MS))
+    for (uint32_t i = 0; i < HOSTS; i++)
+      if (i != owner && jb_host_owns_pool (world->hosts[i].host, "pool-0"))
+        return true;
+  return false;
+}
+
 /* The same, and while the next owner takes the pool over, another entry host,
    perhaps the witness, is cut off from the others: what it keeps arrives after
    the task could have been started elsewhere.  */
@@ -210,6 +232,64 @@
     }
 }
 
+/* Submit jobs whose first tasks end in the first half second after the claim
+   of the next owner, if the owner is cut off a second after that.  */
+static void
+submit_many_jobs (struct jw_world *world)
+{
+  for (int i = 0; i < MANY_JOBS; i++)
+    {
+      struct jw_job_options job = { .step_count = 2,
+                                    .tasks_per_step = 1,
+                                    .cpu_milli = 100,
+                                    .duration_ms = 1600 + 16 * i };
+
+      jw_submit_job (world, &job);
+    }
+}
+
+/* The same with an owner that reaches all hosts again a moment after another
+   one has claimed the pool and started its tasks.  It has told them of starts
+   while it was cut off, and must not take that for received because they hear
+   it now.  */
+static void
+check_healed_cut (uint32_t seed, uint32_t distance)
+{
+  struct jw_world *world = create_world (seed);
+  struct jw_delayed_command *delayed = &world->delayed_command;
+  int owner = jw_pool_owner (world, 0);
+  struct jw_host *other;
+
+  CU_ASSERT_FATAL (owner >= 0);
+  other = &world->hosts[((uint32_t)owner + distance) % HOSTS];
+  submit_many_jobs (world);
+  jw_advance (world, JB_SECOND);
+  world->hosts[owner].in_cut_group = true;
+  other->in_cut_group = true;
+  CU_ASSERT_FATAL (wait_for_next_owner (world, (uint32_t)owner));
+  jw_advance (world, HEAL_DELAY);
+  world->hosts[owner].in_cut_group = false;
+  other->in_cut_group = false;
+  jw_advance (world, HEAL_DELAY);
+  *delayed = (struct jw_delayed_command){ .kind = JB_COMMAND_START_TASK,
+                                          .delay = SHORT_START_DELAY };
+  if (wait_for_start (world, JB_SECOND) != NULL)
+    {
+      jw_advance (world, delayed->delivered_at - JB_MS - world->now);
+      jw_backend_restart (world, delayed->backend);
+    }
+  jw_advance (world, 20 * JB_SECOND);
+  jw_check_and_free (world);
+}
+
+static void
+test_owner_heard_again_after_claim (void)
+{
+  for (uint32_t seed = 1; seed <= SEEDS; seed++)
+    for (uint32_t distance = 1; distance < HOSTS; distance++)
+      check_healed_cut (seed, distance);
+}
+
 /* The same if no host reaches the store, and the owner is killed soon after it
    has sent the start.  */
 static void
@@ -253,6 +333,8 @@
           { "owner cut off with another host",
             test_owner_cut_off_with_another_host },
           { "owner cut off", test_owner_cut_off },
+          { "owner heard again after a claim",
+            test_owner_heard_again_after_claim },
           { "owner killed in an outage", test_owner_killed_in_outage },
           { NULL, NULL } };
 
