Pass on lists of starts that a witness refuses

A former owner may send starts without waiting for its witness for 80 ms after the last reply. If the new owner's query reached the witness within that time, lists that came later were refused, and the new owner did not know of their starts, although it had the reply of the witness. And a witness replied to the list of a former owner without keeping it, if the list of the new owner had come before its query.

Found by reading.

Change: a witness refuses former owners from the first list or query of a newer one on. For 100 ms after its last reply to a former owner it passes refused lists on to the new one, and its answers are marked as not the last one: the new owner asks again. After a kill, the claim comes 0.7 s or more after that reply, and nothing changes.

--- a/packages/jobs/include/jb_msg.h
+++ b/packages/jobs/include/jb_msg.h
@@ -292,6 +292,8 @@
 struct jb_msg_starts_left
 {
   uint32_t query_generation;   /* of the owner that has asked */
+  bool is_last;                /* no former owner sends starts any more because
+                                  of what this host has replied to it */
   struct jb_msg_starts starts; /* generation 0: there is no list */
 };
 
--- a/packages/jobs/src/jb_host_starts.c
+++ b/packages/jobs/src/jb_host_starts.c
@@ -1,8 +1,9 @@
 /* Starts that the owners of pools are about to send: this host keeps the last
    list of each owner that has chosen it as a witness, and tells a new owner of
-   the pool.  After that it accepts none of former owners, so that these send
-   nothing which the new owner doesn't know of.  If the new owner's first list
-   arrives before its query, that one gets the list which is replaced.
+   the pool.  After that it replies to none of former owners, so that these
+   soon send nothing which the new owner doesn't know of.  If the new owner's
+   first list arrives before its query, that one gets the list which is
+   replaced.
 
    Expected load: for each pool up to 100 lists a second of some entries each,
    at one host.  */
@@ -14,6 +15,11 @@
 
 #include <string.h>
 
+/* How long after a reply a former owner may still send starts of lists that
+   are refused (CONFIRMED_TIME of jb_pool_starts.c), and these lists take to
+   arrive.  They are passed on to the new owner.  */
+#define SETTLE_TIME (100 * JB_MS)
+
 /* The last list for a pool.  */
 struct kept_starts
 {
@@ -24,6 +30,9 @@
   /* Lists of generations below this are refused.  */
   uint32_t lowest_generation;
   uint32_t told_generation; /* of the owner that was sent it last; 0: none */
+  uint64_t owner;           /* of the lowest generation; 0: it is this host */
+  jb_time replied_at;       /* to a list, last; 0: never */
+  jb_time settled_at;       /* when all lists that matter have arrived */
 };
 
 static struct kept_starts *
@@ -127,6 +136,7 @@
   struct jb_msg message
       = { .type = JB_MSG_STARTS_LEFT,
           .u.starts_left = { .query_generation = generation,
+                             .is_last = now >= kept->settled_at,
                              .starts = { .pool = kept->pool } } };
 
   if (has_list_for (host, kept, now, generation))
@@ -138,6 +148,33 @@
   send_message (host, to, &message);
 }
 
+/* Send STARTS, a list that is refused, to the owner of the pool of KEPT.  */
+static void
+pass_on (struct jb_host *host, const struct kept_starts *kept,
+         const struct jb_msg_starts *starts)
+{
+  struct jb_msg message
+      = { .type = JB_MSG_STARTS_LEFT,
+          .u.starts_left = { .query_generation = kept->lowest_generation,
+                             .starts = *starts } };
+
+  send_message (host, kept->owner, &message);
+}
+
+/* The member OWNER, or 0 if it is this host, has claimed the pool of KEPT with
+   GENERATION: refuse the lists of owners before.  */
+static void
+refuse_former_owners (struct kept_starts *kept, uint32_t generation,
+                      uint64_t owner)
+{
+  if (generation <= kept->lowest_generation)
+    return;
+  kept->lowest_generation = generation;
+  kept->owner = owner;
+  if (kept->replied_at != 0)
+    kept->settled_at = kept->replied_at + SETTLE_TIME;
+}
+
 void
 jb_host_handle_starts (struct jb_host *host, jb_time now, uint64_t from,
                        const struct jb_msg_starts *starts)
@@ -152,7 +189,12 @@
   if (pool != NULL && jb_pool_handle_left_starts (pool, now, starts))
     return;
   if (starts->generation < kept->lowest_generation)
-    return;
+    {
+      if (kept->owner != 0 && now < kept->settled_at)
+        pass_on (host, kept, starts);
+      return;
+    }
+  refuse_former_owners (kept, starts->generation, from);
   if (kept->message == NULL || is_newer (starts, &kept->message->u.starts))
     {
       if (has_list_for (host, kept, now, starts->generation)
@@ -160,8 +202,10 @@
         send_left (host, now, from, kept, starts->generation);
       keep (kept, now, starts);
     }
-  if (starts->wants_reply)
-    send_message (host, from, &reply);
+  if (!starts->wants_reply)
+    return;
+  kept->replied_at = now;
+  send_message (host, from, &reply);
 }
 
 void
@@ -170,7 +214,7 @@
 {
   struct kept_starts *kept = get_kept (host, query->pool);
 
-  kept->lowest_generation = MAX (kept->lowest_generation, query->generation);
+  refuse_former_owners (kept, query->generation, from);
   if (query->wants_reply || has_list_for (host, kept, now, query->generation))
     send_left (host, now, from, kept, query->generation);
 }
@@ -216,7 +260,7 @@
   bytes = jb_msg_encode (NULL, &message);
   jb_members_send_to_all (host->members, bytes);
   talloc_free (bytes.data);
-  kept->lowest_generation = MAX (kept->lowest_generation, generation);
+  refuse_former_owners (kept, generation, 0);
   if (slot != NULL && slot->pool != NULL
       && has_list_for (host, kept, now, generation))
     {
--- a/packages/jobs/src/jb_msg.c
+++ b/packages/jobs/src/jb_msg.c
@@ -226,6 +226,7 @@
       break;
     case JB_MSG_STARTS_LEFT:
       ba_codec_u32 (io, &message->u.starts_left.query_generation);
+      ba_codec_bool (io, &message->u.starts_left.is_last);
       serialize_starts (io, &message->u.starts_left.starts);
       break;
     case JB_MSG_TYPE_COUNT:
--- a/packages/jobs/src/jb_pool_witness.c
+++ b/packages/jobs/src/jb_pool_witness.c
@@ -231,7 +231,8 @@
   if (left->starts.generation != 0
       && !jb_pool_handle_left_starts (pool, now, &left->starts))
     return;
-  if (left->query_generation != jb_ownership_generation (pool->ownership))
+  if (left->query_generation != jb_ownership_generation (pool->ownership)
+      || !left->is_last)
     return;
   for (guint i = witnesses->awaited->len; i-- > 0;)
     {
