--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -18,6 +18,11 @@
    moment after it has recovered.  */
 #define UNLISTED_GRACE_PERIOD (2500 * JB_MS)
 
+/* If the other hosts have not heard this one for longer than this, which is
+   more than two heartbeat intervals, what it sent them meanwhile may be
+   lost.  */
+#define MAX_HEARD_GAP (500 * JB_MS)
+
 /* Time since the store last confirmed the ownership after which it is asked to
    confirm it again.  */
 #define OWNERSHIP_VERIFY_AFTER (800 * JB_MS)
@@ -124,6 +129,7 @@
   pool->losses = g_ptr_array_new ();
   pool->doubts = jb_pool_doubts_new (pool);
   pool->starts = jb_pool_starts_new (pool);
+  pool->witnesses = jb_pool_witnesses_new (pool);
   pool->leases = jb_pool_leases_new (pool);
   talloc_set_destructor (pool, pool_destroy);
   return pool;
@@ -176,8 +182,14 @@
 jb_pool_confirm_ownership (struct jb_pool *pool, jb_time now,
                            jb_time unclaimed_until)
 {
-  if (now < jb_pool_ownership_valid_until (pool))
-    pool->unclaimed_until = MAX (pool->unclaimed_until, unclaimed_until);
+  if (now >= jb_pool_ownership_valid_until (pool))
+    return;
+  if (unclaimed_until > pool->unclaimed_until + MAX_HEARD_GAP)
+    {
+      jb_pool_repeat_doubts (pool);
+      jb_pool_repeat_queued_starts (pool);
+    }
+  pool->unclaimed_until = MAX (pool->unclaimed_until, unclaimed_until);
 }
 
 void
@@ -1029,6 +1041,7 @@
   if (jb_pool_is_handing_over (pool))
     return MIN (due, jb_pool_run_handover (pool, now));
   jb_pool_query_witnesses (pool, now);
+  due = MIN (due, jb_pool_query_awaited_witnesses (pool, now));
   jb_pool_check_predecessor (pool, now);
   jb_pool_write_settled (pool, now);
   jb_pool_update_queues (pool, now);
--- a/tests/sim/jobs/test_shares_in_doubt.c
+++ b/tests/sim/jobs/test_shares_in_doubt.c
@@ -22,7 +22,7 @@
 
 /* Time in which the next owner has claimed the pool and knows its runs, also
    if it waits for leases of the former one to expire.  */
-#define TAKEOVER_TIME (10 * JB_SECOND)
+#define TAKEOVER_TIME (12 * JB_SECOND)
 
 /* Time in which the next owner has learned of the starts of the former one,
    and has tried to send them.  */
