Test clients that hold their connections and bodies

Operators saw a process run out of memory under clients that don't behave. They check that the process lives, that memory at its peak and descriptors stay under a bound, and that one ordinary request is answered meanwhile.

Ruled out as the cause of the missing answer: memory alone; headers and chunks of one byte stay under the bound and show it, too.

--- a/Makefile
+++ b/Makefile
@@ -61,6 +61,7 @@
 process-test: build
 	BIN=$(BUILD) bash tests/process/run.sh
 	BIN=$(BUILD) bash tests/process/jobs.sh
+	BIN=$(BUILD) bash tests/process/clients.sh
 	$(BUILD)/soak/process_soak --stops --network 88 --directory run/stops \
 	  --program $(BUILD)/programs/dogwoodpulleyd
 	$(MAKE) process-soak SEED=8 RUNS=2
--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -12,8 +12,8 @@
 # there.
 #
 # Variables that override settings of the entry hosts: SITE_LOG_LEVEL,
-# SITE_MAX_DEADLINE_MS, SITE_LAME_DUCK_MS, and SITE_RECORD (not empty: record
-# the session to entry-N.session).
+# SITE_MAX_DEADLINE_MS, SITE_MAX_REQUESTS, SITE_LAME_DUCK_MS, and SITE_RECORD
+# (not empty: record the session to entry-N.session).
 
 BIN=${BIN:-build}
 
@@ -53,6 +53,7 @@
   level: ${SITE_LOG_LEVEL:-info}
 requests:
   max_deadline_ms: ${SITE_MAX_DEADLINE_MS:-15000}
+  max_requests: ${SITE_MAX_REQUESTS:-4096}
 timing:
   lame_duck_ms: ${SITE_LAME_DUCK_MS:-1000}
 ${SITE_RECORD:+record: $SITE_DIR/entry-$i.session}
--- a/soak/process_soak.c
+++ b/soak/process_soak.c
@@ -4,7 +4,8 @@
    Each seed mixes JW_DEFAULT_MIX kinds of fault and load, as jw_mix_kinds
    does, and every tenth has many entry hosts.
 
-   Or plays a fixed scenario: process_soak --demo, process_soak --stops
+   Or plays a fixed scenario: process_soak --demo, process_soak --stops,
+   process_soak --idle
 
    Exit status 0 if there was neither a violation nor a crash.  After the first
    seed that fails, the program ends and leaves the logs in the directory.  */
@@ -44,7 +45,9 @@
   bool plain;
   bool demo;
   bool stops;
+  bool idle;
   bool keep;
+  uint32_t hosts; /* of the fixed scenarios */
 };
 
 static const struct argp_option options[] = {
@@ -60,6 +63,11 @@
   { "demo", 'D', NULL, 0, "Demonstrate jobs while entry hosts fail", 0 },
   { "stops", 'S', NULL, 0,
     "Stop entry hosts in turn, as planned, while the store is slow", 0 },
+  { "idle", 'i', NULL, 0, "Run entry hosts without load until interrupted",
+    0 },
+  { "hosts", 'h', "N", 0, "Entry hosts of a fixed scenario (3)", 0 },
+  { "memory-mb", 'M', "N", 0, "limits.memoryMb of each entry host (260)", 0 },
+  { "descriptors", 'F', "N", 0, "limits.maxFds of each entry host (4096)", 0 },
   { "keep", 'k', NULL, 0, "After the demo, run until interrupted", 0 },
   { 0 }
 };
@@ -103,6 +111,21 @@
     case 'S':
       arguments->stops = true;
       return 0;
+    case 'i':
+      arguments->idle = true;
+      arguments->keep = true;
+      return 0;
+    case 'h':
+      arguments->hosts = (uint32_t)strtoul (value, NULL, 10);
+      if (arguments->hosts < 1 || arguments->hosts > JW_MAX_HOST_COUNT)
+        argp_error (state, "--hosts takes 1 to %d", (int)JW_MAX_HOST_COUNT);
+      return 0;
+    case 'M':
+      arguments->harness.memory_mb = (uint32_t)strtoul (value, NULL, 10);
+      return 0;
+    case 'F':
+      arguments->harness.max_descriptors = (uint32_t)strtoul (value, NULL, 10);
+      return 0;
     case 'k':
       arguments->keep = true;
       return 0;
@@ -362,7 +385,7 @@
   struct ps_harness *harness = open_harness (arguments);
   struct jw_options world_options
       = { .seed = arguments->seed,
-          .hosts = 3,
+          .hosts = arguments->hosts,
           .pools = 2,
           .backends = 5,
           .backend_cpu_milli = 12000,
@@ -377,6 +400,8 @@
   ps_harness_set_world (harness, world);
   if (arguments->stops)
     run_stops_scenario (world);
+  else if (arguments->idle)
+    jw_advance (world, 4 * JB_SECOND);
   else
     run_demo_scenario (world);
   failures = world->violations;
@@ -390,7 +415,10 @@
   failures += ps_harness_take_crash_count (harness);
   talloc_free (harness);
   printf ("%s of jobs: %u violations or crashes\n",
-          arguments->stops ? "stops" : "demo", failures);
+          arguments->stops  ? "stops"
+          : arguments->idle ? "idle"
+                            : "demo",
+          failures);
   return failures == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
@@ -403,11 +431,15 @@
   struct arguments arguments
       = { .harness = { .program = "build/programs/dogwoodpulleyd",
                        .directory = "run/soak",
-                       .network = 90 },
+                       .network = 90,
+                       .memory_mb = 260,
+                       .max_descriptors = 4096 },
+          .hosts = 3,
           .seed = 1,
           .runs = 1 };
 
   argp_parse (&argp, argc, argv, 0, NULL, &arguments);
-  return arguments.demo || arguments.stops ? run_scenario (&arguments)
-                                           : run_seeds (&arguments);
+  return arguments.demo || arguments.stops || arguments.idle
+             ? run_scenario (&arguments)
+             : run_seeds (&arguments);
 }
--- a/soak/ps_harness.c
+++ b/soak/ps_harness.c
@@ -353,7 +353,9 @@
           .ip = talloc_asprintf (mem, "%s.%d", prefix, HOST_ADDRESS_BYTE),
           .store_address = store,
           .machines_address = store,
-          .grace_s = HOST_STOP_GRACE_S };
+          .grace_s = HOST_STOP_GRACE_S,
+          .memory_mb = harness->options.memory_mb,
+          .max_descriptors = harness->options.max_descriptors };
   GError *error = NULL;
 
   if (!g_file_set_contents (file, pf_standin_encode_settings (mem, &node), -1,
--- a/soak/ps_harness.h
+++ b/soak/ps_harness.h
@@ -17,6 +17,9 @@
   const char *program;   /* path of dogwoodpulleyd */
   const char *directory; /* for settings files and logs */
   uint32_t network;      /* second byte of all addresses, 1 to 254 */
+  /* Limits in the settings of each entry host.  */
+  uint32_t memory_mb;
+  uint32_t max_descriptors;
 };
 
 struct ps_harness;
