Let the test of held connections wait for its crowd

The ordinary request was sent after 5 s at the latest, whether the crowd was there or not. That it came first there is likely, not shown. crowd_client now says when all of its connections are established, and the test waits for that and checks it.

--- a/tests/process/clients.sh
+++ b/tests/process/clients.sh
@@ -62,6 +62,12 @@
   shift 6
   "$BIN/tests/tools/crowd_client" "$@" > "$RUN_DIR/crowd" 2>&1 &
   crowd=$!
+  # The ordinary request must come after the crowd, however late that is.
+  for _ in $(seq 600); do
+    grep -q '^opened' "$RUN_DIR/crowd" && break
+    sleep 0.1
+  done
+  check "the crowd has its connections" grep -q '^opened' "$RUN_DIR/crowd"
   # Those connections that the server doesn't read from may never send all.
   for _ in $(seq 50); do
     grep -q '^sent' "$RUN_DIR/crowd" && break
--- a/tests/tools/crowd_client.c
+++ b/tests/tools/crowd_client.c
@@ -3,7 +3,8 @@
 
    Usage: crowd_client OPTIONS...  (see --help)
 
-   Prints "sent SENT closed CLOSED" once each connection has sent all that it
+   Prints "opened" once each connection has been established, and then "sent
+   SENT closed CLOSED" once each connection has sent all that it
    has to send or was closed by the server, and then holds the others open
    until a signal ends it.  */
 
@@ -213,6 +214,7 @@
 struct connection
 {
   int fd; /* -1: closed */
+  bool opened;
   size_t sent;
 };
 
@@ -247,6 +249,7 @@
   char response[4096];
   ssize_t count;
 
+  connection->opened = true;
   if (events & (POLLERR | POLLHUP))
     {
       close_connection (connection);
@@ -279,6 +282,7 @@
   struct connection *connections = g_new0 (struct connection, count);
   struct pollfd *fds = g_new0 (struct pollfd, count);
   GString *request = create_request (arguments);
+  bool opened_reported = false;
   bool reported = false;
 
   for (unsigned i = 0; i < count; i++)
@@ -287,6 +291,7 @@
     {
       unsigned sending = 0;
       unsigned closed = 0;
+      unsigned opened = 0;
 
       for (unsigned i = 0; i < count; i++)
         {
@@ -294,9 +299,16 @@
 
           fds[i].fd = connections[i].fd;
           fds[i].events = (short)(POLLIN | (unsent ? POLLOUT : 0));
+          opened += connections[i].opened;
           closed += connections[i].fd < 0;
           sending += connections[i].fd >= 0 && unsent;
         }
+      if (opened == count && !opened_reported)
+        {
+          printf ("opened\n");
+          fflush (stdout);
+          opened_reported = true;
+        }
       if (sending == 0 && !reported)
         {
           printf ("sent %u closed %u\n", count - closed, closed);
