Bound the connections and the memory that clients hold

What callers saw: with clients that send most of a body or of a header and stay, an entry host gave ordinary requests no answer, and its process grew until it was out of memory (532 to 585 MB with 1,900 connections, where the machine has 260).

Cause: the limit of a body held for each body, times all connections. When all connections were taken, nothing gave way: a connection was idle only after 60 s, and each byte began that anew. A body over its limit was read to an end that never came. Buffers of bodies doubled, and stayed beside what was parsed of them.

Ruled out: memory as the cause of the missing answers, since headers and chunks of one byte show these, too; a time-out alone as the mend, since a crowd can come back faster than any time-out that a slow but honest client can meet.

Change: ht_admission decides, without input, output or clock, which connection is closed: the one that has been longest without completing a request. Three eighths of the machine's memory (limits. memoryMb, or the new requests.memory_mb) are divided between connections and bodies; bodies of requests that wait may take half of theirs, and further ones are refused as not run. Header and body have a time for the whole of them. A body that announces too much is refused before it is read, and other bodies over the limit are read, without being kept, for 2 s or up to twice the limit. Bodies are held in blocks (ht_body), and servers that parse them free them. Metrics and a log line a second say whom a server has turned away.

--- a/packages/config/include/cf_settings.h
+++ b/packages/config/include/cf_settings.h
@@ -46,6 +46,8 @@
   int64_t default_deadline_ms; /* of requests that do not specify one */
   int64_t max_deadline_ms;     /* longest that a request may specify */
   int64_t max_requests;        /* held at once, waiting or running */
+  int64_t memory_mb; /* of the machine, of which three eighths are for
+                        headers and bodies of requests */
 };
 
 struct cf_timing_settings
--- a/packages/config/src/cf_settings.c
+++ b/packages/config/src/cf_settings.c
@@ -46,6 +46,8 @@
     INTEGER (10, 3600000, 30000) },
   { FIELD (struct cf_request_settings, max_requests),
     INTEGER (16, 65536, 4096) },
+  { FIELD (struct cf_request_settings, memory_mb),
+    INTEGER (64, 1048576, 512) },
 };
 
 static const struct cf_field timing_fields[] = {
--- a/packages/http/include/ht_server.h
+++ b/packages/http/include/ht_server.h
@@ -6,7 +6,10 @@
 
    A request and its response together are a call.  All threads refer to a call
    by its ID; every function that takes an ID may be called from any thread and
-   does nothing when that call has ended.  */
+   does nothing when that call has ended.
+
+   The memory and the connections of a server are bounded; ht_admission.h says
+   which client is turned away.  */
 
 #include "ba_error.h"
 
@@ -17,6 +20,19 @@
 
 struct ht_server;
 
+/* Why a client was turned away.  */
+enum ht_rejection
+{
+  HT_REJECTION_CONNECTIONS, /* closed: too many connections */
+  HT_REJECTION_MEMORY,      /* closed: too many bytes */
+  HT_REJECTION_TIMEOUT,     /* closed: the request took too long to arrive, or
+                               none came */
+  HT_REJECTION_TOO_LARGE,   /* the body was over the limit */
+  HT_REJECTION_OVERLOADED,  /* refused as not run: too many bytes in requests
+                               that wait for their responses */
+  HT_REJECTION_COUNT
+};
+
 /* A completely received request that waits for its response.  The pointers are
    borrowed.  */
 struct ht_call
@@ -35,7 +51,8 @@
      refused with status 503, reason `overloaded'.  */
   bool (*request) (void *context, const struct ht_call *call);
   /* Called instead of `request' if the request body is larger than
-     max_body_bytes.  The handler has to respond to the call.  */
+     max_body_bytes.  The handler has to respond to the call before it
+     returns.  The body of CALL is empty.  */
   void (*too_large) (void *context, const struct ht_call *call);
   /* The client of a call that waits for its response has closed the
      connection.  Called on a server thread or on the thread that polls for
@@ -54,9 +71,14 @@
   unsigned max_connections;
   size_t max_body_bytes;      /* of a request body */
   size_t header_memory_bytes; /* for request headers, per connection */
-  bool no_disconnect_watch;   /* don't poll waiting connections for a closed
-                                 peer; `disconnected' is then called only
-                                 when libmicrohttpd ends the call */
+  /* For the headers and bodies of all requests together; at most three
+     quarters of it limit the number of connections.  */
+  size_t memory_bytes;
+  bool drop_bodies;         /* free the body of a request when its handler has
+                               returned; ht_call_copy_request then finds none */
+  bool no_disconnect_watch; /* don't poll waiting connections for a closed
+                               peer; `disconnected' is then called only
+                               when libmicrohttpd ends the call */
   const struct ht_server_handlers *handlers; /* borrowed */
   void *context;                             /* passed to each handler */
   struct ht_server **server_out; /* if not NULL, set to the new server before
@@ -73,6 +95,24 @@
    after their current response.  */
 void ht_server_stop_accepting (struct ht_server *server);
 
+/* Close the connections whose clients take too long to send a request.  To be
+   called about once a second, by any thread.  */
+void ht_server_close_overdue (struct ht_server *server);
+
+/* What a server holds, and whom it has turned away since it started.  */
+struct ht_server_usage
+{
+  unsigned connections;
+  size_t body_bytes; /* of requests, each byte counted twice */
+  uint64_t rejections[HT_REJECTION_COUNT];
+};
+
+void ht_server_get_usage (struct ht_server *server,
+                          struct ht_server_usage *usage);
+
+/* Return the name of REJECTION in metrics and logs, a static string.  */
+const char *ht_rejection_name (enum ht_rejection rejection);
+
 /* Return the number of calls that have not ended.  */
 unsigned ht_server_call_count (struct ht_server *server);
 
--- a/packages/http/src/ht_server.c
+++ b/packages/http/src/ht_server.c
@@ -1,6 +1,9 @@
 #include "ht_server.h"
 
 #include "ba_address.h"
+#include "ba_clock.h"
+#include "ht_admission.h"
+#include "ht_body.h"
 
 #include <glib.h>
 #include <microhttpd.h>
@@ -10,6 +13,7 @@
 #include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 enum
 {
@@ -18,7 +22,25 @@
   MAX_STREAM_BUFFER_BYTES = 256 * 1024,
   STREAM_BLOCK_BYTES = 32 * 1024, /* read from that buffer at a time */
   IDLE_CONNECTION_TIMEOUT_S = 60,
-  DISCONNECT_POLL_INTERVAL_MS = 100
+  DISCONNECT_POLL_INTERVAL_MS = 100,
+  /* Time for the whole header of a request.  It is sent at once, in one or a
+     few packets, and its deadline is a few seconds.  */
+  HEADER_TIMEOUT_S = 10,
+  /* Time for the whole body: the longest deadline of a request, and the time
+     that the largest body takes over the slowest link that is expected.  */
+  BODY_TIMEOUT_S = 30,
+  SLOWEST_BYTES_PER_S = 64 * 1024,
+  /* A body that exceeds its limit without having announced it is read for so
+     long, and to at most twice the limit, so that the client can get the
+     response.  */
+  DISCARD_TIMEOUT_S = 2,
+  /* Far longer than clients that send a request at once take.  */
+  STALLED_AFTER_S = 1,
+  /* Allocated for each connection besides the memory for headers.  */
+  CONNECTION_OVERHEAD_BYTES = 4096,
+  /* Connections that are chosen to be closed, or were just accepted, beyond
+     max_connections: so many that libmicrohttpd goes on accepting.  */
+  SPARE_CONNECTIONS_PER_THREAD = 64
 };
 
 enum call_phase
@@ -30,10 +52,20 @@
   PHASE_RESPONSE_STREAMING
 };
 
+/* An open connection, from the time at which libmicrohttpd accepts it until
+   just before it closes the socket; protected by the server's lock.  */
+struct connection
+{
+  struct ht_admitted admitted; /* must be first */
+  int fd;
+  struct call *call; /* whose request is received or answered, or NULL */
+};
+
 struct call
 {
   uint64_t id;
   struct ht_server *server;
+  struct connection *client;
   int reference_count; /* the connection and threads that use the call;
                           protected by the server's lock */
   GMutex lock;
@@ -41,10 +73,14 @@
   int fd;                            /* socket of the connection */
   enum call_phase phase;
   bool disconnect_reported; /* don't call `disconnected' any more */
-  bool too_large;           /* max_body_bytes exceeded: BODY is incomplete */
+  bool suspended; /* until there is a response; protected by `lock' */
+  bool too_large; /* max_body_bytes exceeded: BODY is empty */
   char *method;
   char *target;
-  GByteArray *body;
+  struct ht_body body; /* protected by the server's lock until the request is
+                          complete */
+  size_t body_limit;   /* max_body_bytes, or less if it was announced */
+  size_t discarded_bytes;          /* of a body that is too large */
   struct ht_request_copy *request; /* only its header fields are set */
   struct MHD_Response *response;
   unsigned status;
@@ -61,15 +97,194 @@
 {
   struct ht_server_options options;
   struct MHD_Daemon *daemon;
-  GMutex lock;       /* protects CALLS and their reference counts */
+  GMutex lock; /* protects CALLS, their reference counts, ADMISSION and
+                  REJECTIONS */
+  struct ht_admission *admission;
+  uint64_t rejections[HT_REJECTION_COUNT];
   GHashTable *calls; /* ID -> call */
   _Atomic uint64_t last_id;
   _Atomic bool stopping;
   GThread *disconnect_watcher;
 };
 
+/* ---- limits of connections and memory ---- */
+
+/* Count a client that is turned away because of REASON.  */
+static void
+count_rejection (struct ht_server *server, enum ht_rejection reason)
+{
+  g_mutex_lock (&server->lock);
+  server->rejections[reason]++;
+  g_mutex_unlock (&server->lock);
+}
+
+/* Have libmicrohttpd close the connection of ADMITTED, because of REASON.  Its
+   thread sees the end of the stream, but perhaps not before others have
+   received much more, so free the body at once.  The server must be
+   locked.  */
+static void
+begin_close (struct ht_server *server, struct ht_admitted *admitted,
+             enum ht_rejection reason)
+{
+  struct connection *client = (struct connection *)admitted;
+
+  server->rejections[reason]++;
+  if (client->call != NULL)
+    ht_body_clear (&client->call->body);
+  shutdown (client->fd, SHUT_RDWR);
+}
+
+/* Close the connections that there is no room for.  The server must be
+   locked.  */
+static void
+close_victims (struct ht_server *server, int64_t now)
+{
+  struct ht_admitted *victim;
+  enum ht_rejection reason;
+
+  while ((victim = ht_admission_next_victim (server->admission, now, &reason))
+         != NULL)
+    begin_close (server, victim, reason);
+}
+
+void
+ht_server_close_overdue (struct ht_server *server)
+{
+  int64_t now = ba_clock_now_us ();
+  struct ht_admitted *overdue;
+
+  g_mutex_lock (&server->lock);
+  while ((overdue = ht_admission_next_overdue (server->admission, now))
+         != NULL)
+    begin_close (server, overdue, HT_REJECTION_TIMEOUT);
+  g_mutex_unlock (&server->lock);
+}
+
+/* MHD_OPTION_NOTIFY_CONNECTION: libmicrohttpd has accepted CONNECTION, or is
+   about to close its socket.  */
+static void
+connection_changed (void *context, struct MHD_Connection *connection,
+                    void **socket_context,
+                    enum MHD_ConnectionNotificationCode code)
+{
+  struct ht_server *server = context;
+  struct connection *client = *socket_context;
+  int64_t now = ba_clock_now_us ();
+
+  g_mutex_lock (&server->lock);
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    {
+      client = g_new0 (struct connection, 1);
+      client->fd = MHD_get_connection_info (connection,
+                                            MHD_CONNECTION_INFO_CONNECTION_FD)
+                       ->connect_fd;
+      *socket_context = client;
+      ht_admission_open (server->admission, &client->admitted, now);
+      close_victims (server, now);
+    }
+  else if (client != NULL)
+    {
+      ht_admission_close (server->admission, &client->admitted);
+      g_free (client);
+      *socket_context = NULL;
+    }
+  g_mutex_unlock (&server->lock);
+}
+
+/* The connection of CALL enters STATE.  */
+static void
+enter_state (struct call *call, enum ht_connection_state state)
+{
+  struct ht_server *server = call->server;
+
+  g_mutex_lock (&server->lock);
+  ht_admission_enter (server->admission, &call->client->admitted, state,
+                      ba_clock_now_us ());
+  g_mutex_unlock (&server->lock);
+}
+
+/* Let the connection of CALL, whose request is complete, wait for its
+   response.  Set REFUSED if there are too many bodies for that.  Return false
+   if the connection is to be closed.  */
+static bool
+begin_wait (struct call *call, bool *refused)
+{
+  struct ht_server *server = call->server;
+  struct ht_admitted *admitted = &call->client->admitted;
+  bool open;
+
+  g_mutex_lock (&server->lock);
+  open = admitted->state != HT_CONNECTION_CLOSING;
+  *refused = !ht_admission_may_wait (server->admission, admitted);
+  if (*refused)
+    {
+      server->rejections[HT_REJECTION_OVERLOADED]++;
+      ht_admission_set_body (server->admission, admitted, 0);
+    }
+  ht_admission_enter (server->admission, admitted, HT_CONNECTION_WAITING,
+                      ba_clock_now_us ());
+  g_mutex_unlock (&server->lock);
+  return open;
+}
+
+void
+ht_server_get_usage (struct ht_server *server, struct ht_server_usage *usage)
+{
+  g_mutex_lock (&server->lock);
+  usage->connections = ht_admission_count (server->admission);
+  usage->body_bytes = ht_admission_body_bytes (server->admission);
+  memcpy (usage->rejections, server->rejections, sizeof usage->rejections);
+  g_mutex_unlock (&server->lock);
+}
+
+const char *
+ht_rejection_name (enum ht_rejection rejection)
+{
+  static const char *const names[]
+      = { [HT_REJECTION_CONNECTIONS] = "connections",
+          [HT_REJECTION_MEMORY] = "memory",
+          [HT_REJECTION_TIMEOUT] = "timeout",
+          [HT_REJECTION_TOO_LARGE] = "too-large",
+          [HT_REJECTION_OVERLOADED] = "overloaded" };
+
+  return names[rejection];
+}
+
 /* ---- calls ---- */
 
+/* Append LEN bytes, for which there is room in the limit, to the body, and
+   close connections if all bodies take too much.  The server must be
+   locked.  */
+static void
+append_body (struct call *call, const void *data, size_t len)
+{
+  struct ht_server *server = call->server;
+  struct ht_admitted *admitted = &call->client->admitted;
+  size_t left = call->body_limit - call->body.len;
+
+  ht_admission_set_body (server->admission, admitted,
+                         ht_body_capacity_with (&call->body, len, left));
+  close_victims (server, ba_clock_now_us ());
+  if (admitted->state != HT_CONNECTION_CLOSING)
+    ht_body_append (&call->body, data, len, left);
+}
+
+/* The body of CALL exceeds its limit: hold it no more.  The server must be
+   locked.  */
+static void
+begin_discard (struct call *call)
+{
+  struct ht_server *server = call->server;
+  struct ht_admitted *admitted = &call->client->admitted;
+
+  call->too_large = true;
+  server->rejections[HT_REJECTION_TOO_LARGE]++;
+  ht_body_clear (&call->body);
+  ht_admission_set_body (server->admission, admitted, 0);
+  ht_admission_enter (server->admission, admitted, HT_CONNECTION_DISCARDING,
+                      ba_clock_now_us ());
+}
+
 /* Drop a reference to CALL and free it with the last one.  */
 static void
 call_release (struct call *call)
@@ -83,7 +298,7 @@
   g_mutex_unlock (&call->server->lock);
   if (!last)
     return;
-  g_byte_array_free (call->body, TRUE);
+  ht_body_clear (&call->body);
   g_byte_array_free (call->stream, TRUE);
   g_mutex_clear (&call->lock);
   talloc_free (call);
@@ -117,7 +332,10 @@
   call->reference_count = 1;
   call->connection = connection;
   call->target = talloc_strdup (call, target);
-  call->body = g_byte_array_new ();
+  call->client = MHD_get_connection_info (connection,
+                                          MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+                     ->socket_context;
+  call->body_limit = server->options.max_body_bytes;
   call->stream = g_byte_array_new ();
   call->fd
       = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)
@@ -125,7 +343,9 @@
   g_mutex_init (&call->lock);
   g_mutex_lock (&server->lock);
   g_hash_table_insert (server->calls, &call->id, call);
+  call->client->call = call;
   g_mutex_unlock (&server->lock);
+  enter_state (call, HT_CONNECTION_HEADER);
   return call;
 }
 
@@ -144,13 +364,13 @@
   return MHD_YES;
 }
 
-/* Return CALL in the form that handlers get.  Its pointers are borrowed from
-   CALL.  */
+/* Return CALL, whose body is complete, in the form that handlers get.  Its
+   pointers are borrowed from CALL.  */
 static struct ht_call
-call_view (const struct call *call)
+call_view (struct call *call)
 {
   struct ht_call view = { call->id, call->method, call->target,
-                          call->body->data, call->body->len };
+                          ht_body_join (&call->body), call->body.len };
 
   return view;
 }
@@ -182,20 +402,99 @@
       "\"status\": 503, \"reason\": \"overloaded\", \"run\": \"not-run\", "
       "\"retry_after_ms\": 1000}\n";
 
+static void
+copy_header (struct call *call)
+{
+  call->request = talloc_zero (call, struct ht_request_copy);
+  MHD_get_connection_values (call->connection, MHD_HEADER_KIND, copy_field,
+                             call->request);
+}
+
+/* Have the handler respond to a request whose body announces more than the
+   limit, and queue the response: libmicrohttpd then closes the connection
+   without reading the body.  */
+static enum MHD_Result
+refuse_announced_body (struct call *call)
+{
+  struct ht_server *server = call->server;
+  struct ht_call view = call_view (call);
+  bool refused;
+
+  count_rejection (server, HT_REJECTION_TOO_LARGE);
+  copy_header (call);
+  if (!begin_wait (call, &refused))
+    return MHD_NO;
+  g_mutex_lock (&call->lock);
+  call->phase = PHASE_AWAITING_RESPONSE;
+  g_mutex_unlock (&call->lock);
+  server->options.handlers->too_large (server->options.context, &view);
+  return call->response != NULL ? queue_response (call) : MHD_NO;
+}
+
+/* The header of the request is complete.  */
+static enum MHD_Result
+begin_body (struct call *call)
+{
+  const char *announced = MHD_lookup_connection_value (
+      call->connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
+  /* libmicrohttpd refuses what is not a number.  */
+  guint64 length
+      = announced != NULL ? g_ascii_strtoull (announced, NULL, 10) : 0;
+
+  if (length > call->body_limit)
+    return refuse_announced_body (call);
+  if (announced != NULL)
+    call->body_limit = (size_t)length;
+  enter_state (call, HT_CONNECTION_BODY);
+  return MHD_YES;
+}
+
+/* Receive LEN bytes of the body.  Fail if the connection is to be closed.  */
+static enum MHD_Result
+receive_body (struct call *call, const void *data, size_t len)
+{
+  struct ht_server *server = call->server;
+  const struct ht_admitted *admitted = &call->client->admitted;
+  bool open;
+
+  g_mutex_lock (&server->lock);
+  open = admitted->state != HT_CONNECTION_CLOSING;
+  if (open && call->too_large)
+    {
+      call->discarded_bytes += len;
+      open = call->discarded_bytes <= server->options.max_body_bytes;
+    }
+  else if (open)
+    {
+      if (len <= call->body_limit - call->body.len)
+        append_body (call, data, len);
+      else
+        begin_discard (call);
+      open = admitted->state != HT_CONNECTION_CLOSING;
+    }
+  g_mutex_unlock (&server->lock);
+  return open ? MHD_YES : MHD_NO;
+}
+
 /* Suspend the connection and pass the complete request to its handler.  */
 static enum MHD_Result
 dispatch_request (struct call *call)
 {
   struct ht_server *server = call->server;
   const struct ht_server_handlers *handlers = server->options.handlers;
-  struct ht_call view = call_view (call);
+  struct ht_call view;
   uint64_t id = call->id;
-
-  call->request = talloc_zero (call, struct ht_request_copy);
-  MHD_get_connection_values (call->connection, MHD_HEADER_KIND, copy_field,
-                             call->request);
+  bool refused;
+
+  if (!begin_wait (call, &refused))
+    return MHD_NO;
+  if (refused)
+    ht_body_clear (&call->body);
+  view = call_view (call);
+  copy_header (call);
   g_mutex_lock (&call->lock);
   call->phase = PHASE_AWAITING_RESPONSE;
+  call->suspended = true;
   MHD_suspend_connection (call->connection);
   g_mutex_unlock (&call->lock);
   /* Another thread may respond, and thereby end the call, before the handler
@@ -203,10 +502,12 @@
   call = call_acquire (server, id);
   if (call->too_large)
     handlers->too_large (server->options.context, &view);
-  else if (!handlers->request (server->options.context, &view))
+  else if (refused || !handlers->request (server->options.context, &view))
     ht_call_respond (server, id, 503, overload_fields,
                      G_N_ELEMENTS (overload_fields), overload_body,
                      sizeof overload_body - 1);
+  if (server->options.drop_bodies)
+    ht_body_clear (&call->body);
   call_release (call);
   return MHD_YES;
 }
@@ -222,24 +523,18 @@
                  size_t *data_len, void **state)
 {
   struct call *call = *state;
+  size_t len = *data_len;
 
   (void)connection;
   if (call->method == NULL)
     {
       call->method = talloc_strdup (call, method);
-      return MHD_YES;
+      return begin_body (call);
     }
-  if (*data_len > 0)
+  if (len > 0)
     {
-      size_t room = call->server->options.max_body_bytes - call->body->len;
-
-      if (*data_len > room)
-        call->too_large = true;
-      else if (!call->too_large)
-        g_byte_array_append (call->body, (const guint8 *)data,
-                             (guint)*data_len);
       *data_len = 0;
-      return MHD_YES;
+      return receive_body (call, data, len);
     }
   if (call->phase == PHASE_RECEIVING)
     return dispatch_request (call);
@@ -277,6 +572,12 @@
   g_mutex_unlock (&call->lock);
   if (unsent_response != NULL)
     MHD_destroy_response (unsent_response);
+  g_mutex_lock (&server->lock);
+  call->client->call = NULL;
+  ht_admission_set_body (server->admission, &call->client->admitted, 0);
+  ht_admission_enter (server->admission, &call->client->admitted,
+                      HT_CONNECTION_IDLE, ba_clock_now_us ());
+  g_mutex_unlock (&server->lock);
   if (report_disconnect)
     server->options.handlers->disconnected (server->options.context, call->id);
   if (writable && server->options.handlers->writable != NULL)
@@ -310,7 +611,9 @@
       call->status = status;
       call->phase = phase;
       set = true;
-      MHD_resume_connection (call->connection);
+      if (call->suspended)
+        MHD_resume_connection (call->connection);
+      call->suspended = false;
     }
   g_mutex_unlock (&call->lock);
   if (!set)
@@ -489,8 +792,9 @@
   copy = talloc_zero (mem, struct ht_request_copy);
   copy->method = talloc_strdup (copy, call->method);
   copy->target = talloc_strdup (copy, call->target);
-  copy->body = talloc_memdup (copy, call->body->data, call->body->len);
-  copy->body_len = call->body->len;
+  copy->body
+      = talloc_memdup (copy, ht_body_join (&call->body), call->body.len);
+  copy->body_len = call->body.len;
   for (size_t i = 0; i < call->request->field_count; i++)
     copy_field (copy, MHD_HEADER_KIND, call->request->fields[i].name,
                 call->request->fields[i].value);
@@ -594,9 +898,9 @@
 
       g_mutex_lock (&call->lock);
       if (call->connection != NULL
-          && (call->phase == PHASE_AWAITING_RESPONSE
-              || call->reader_suspended))
+          && (call->suspended || call->reader_suspended))
         {
+          call->suspended = false;
           call->phase = PHASE_RESPONSE_COMPLETE;
           call->reader_suspended = false;
           call->body_ended = true;
@@ -620,6 +924,28 @@
   return 0;
 }
 
+static struct ht_admission *
+create_admission (struct ht_server *server)
+{
+  const struct ht_server_options *options = &server->options;
+  struct ht_admission_options admission
+      = { .idle_timeout_us = IDLE_CONNECTION_TIMEOUT_S * G_USEC_PER_SEC,
+          .header_timeout_us = HEADER_TIMEOUT_S * G_USEC_PER_SEC,
+          .body_timeout_us
+          = (BODY_TIMEOUT_S
+             + (int64_t)(options->max_body_bytes / SLOWEST_BYTES_PER_S))
+            * G_USEC_PER_SEC,
+          .discard_timeout_us = DISCARD_TIMEOUT_S * G_USEC_PER_SEC,
+          .stalled_after_us = STALLED_AFTER_S * G_USEC_PER_SEC };
+
+  ht_admission_divide (&admission, options->memory_bytes,
+                       options->header_memory_bytes
+                           + CONNECTION_OVERHEAD_BYTES,
+                       options->max_connections, options->max_body_bytes);
+  server->options.max_connections = admission.max_connections;
+  return ht_admission_new (server, &admission);
+}
+
 struct ht_server *
 ht_server_new (TALLOC_CTX *mem, const struct ht_server_options *options,
                GError **error)
@@ -629,6 +955,7 @@
 
   server->options = *options;
   server->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
+  server->admission = create_admission (server);
   g_mutex_init (&server->lock);
   if (options->server_out != NULL)
     *options->server_out = server;
@@ -638,11 +965,14 @@
             | MHD_ALLOW_SUSPEND_RESUME,
         0, NULL, NULL, receive_request, server, MHD_OPTION_SOCK_ADDR, &address,
         MHD_OPTION_THREAD_POOL_SIZE, options->threads,
-        MHD_OPTION_CONNECTION_LIMIT, options->max_connections,
+        MHD_OPTION_CONNECTION_LIMIT,
+        server->options.max_connections
+            + options->threads * SPARE_CONNECTIONS_PER_THREAD,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, options->header_memory_bytes,
         MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_CONNECTION_TIMEOUT_S,
         MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_URI_LOG_CALLBACK,
         call_new, server, MHD_OPTION_NOTIFY_COMPLETED, call_ended, server,
+        MHD_OPTION_NOTIFY_CONNECTION, connection_changed, server,
         MHD_OPTION_END);
   else
     errno = EINVAL;
--- a/packages/server/include/sv_job_server.h
+++ b/packages/server/include/sv_job_server.h
@@ -32,6 +32,7 @@
   size_t max_body_bytes;         /* of a client's request */
   uint32_t cpu_share_milli;      /* thousandths of a core; 0: not known */
   unsigned max_connections;      /* of clients */
+  size_t client_memory_bytes;    /* for their connections and bodies */
   struct jb_bounds bounds;
   struct cf_log_settings log;
 };
--- a/packages/server/src/sv_admin.c
+++ b/packages/server/src/sv_admin.c
@@ -12,6 +12,9 @@
   MAX_CONNECTIONS = 64,
   MAX_BODY_BYTES = 16 * 1024 * 1024,
   HEADER_MEMORY_BYTES = 32 * 1024, /* for each connection */
+  /* For all connections and bodies: two of the largest bodies, each with what
+     is parsed of it, and the headers.  */
+  MEMORY_BYTES = 68 * 1024 * 1024,
   HTTP_CLIENT_CLOSED_REQUEST = 499 /* no standard status; no client gets it */
 };
 
@@ -400,6 +403,12 @@
   .disconnected = handle_disconnect,
 };
 
+struct ht_server *
+sv_admin_http_server (struct sv_admin *admin)
+{
+  return admin->server;
+}
+
 struct sv_admin *
 sv_admin_new (TALLOC_CTX *mem, const struct sv_admin_options *options,
               GError **error)
@@ -411,6 +420,8 @@
     .max_connections = MAX_CONNECTIONS,
     .max_body_bytes = MAX_BODY_BYTES,
     .header_memory_bytes = HEADER_MEMORY_BYTES,
+    .memory_bytes = MEMORY_BYTES,
+    .drop_bodies = true,
     .handlers = &handlers,
     .context = admin,
     .server_out = &admin->server,
--- a/packages/server/src/sv_admin.h
+++ b/packages/server/src/sv_admin.h
@@ -33,6 +33,9 @@
                                const struct sv_admin_options *options,
                                GError **error);
 
+/* Return the HTTP server for operators, borrowed from ADMIN.  */
+struct ht_server *sv_admin_http_server (struct sv_admin *admin);
+
 /* Answer CALL, which requested the status, with STATUS.  */
 void sv_admin_send_status (struct sv_admin *admin, uint64_t call,
                            const struct co_status *status);
--- a/packages/server/src/sv_frontend.c
+++ b/packages/server/src/sv_frontend.c
@@ -12,7 +12,10 @@
 enum
 {
   MAX_IDEMPOTENCY_KEY_BYTES = 200,
-  SERVER_THREAD_COUNT = 2
+  SERVER_THREAD_COUNT = 2,
+  /* Part of the machine's memory for connections and bodies of requests.  The
+     rest is for the core, responses and what the allocator keeps.  */
+  MEMORY_EIGHTHS = 3
 };
 
 static const char queue_prefix[] = "/q/";
@@ -311,6 +314,8 @@
   http_server.max_body_bytes = (size_t)settings->requests.max_body_kb * 1024;
   http_server.header_memory_bytes
       = (size_t)settings->requests.max_header_kb * 1024;
+  http_server.memory_bytes = (size_t)settings->requests.memory_mb * 1024 * 1024
+                             / 8 * MEMORY_EIGHTHS;
   http_server.handlers = &handlers;
   http_server.context = frontend;
   http_server.server_out = &frontend->http_server;
--- a/packages/server/src/sv_job_server.c
+++ b/packages/server/src/sv_job_server.c
@@ -5,6 +5,7 @@
 #include "ht_server.h"
 #include "jb_view.h"
 #include "pr_link.h"
+#include "sv_connections.h"
 #include "sv_log.h"
 #include "sv_signals.h"
 #include "sv_supervisor.h"
@@ -34,6 +35,8 @@
   HEADER_MEMORY_BYTES = 32 * 1024, /* for each connection */
   MAX_CONTROL_CONNECTIONS = 32,    /* to the readiness and the admin server
                                       each */
+  /* For the connections to each of these; their requests have no body.  */
+  CONTROL_MEMORY_BYTES = 2 * 1024 * 1024,
   SUPERVISION_INTERVAL_MS = 500,
   MAX_EVENT_WAIT_MS = 1000,
   SETTINGS_CHECK_INTERVAL_MS = 1000,
@@ -87,7 +90,8 @@
   GHashTable *log_limits;
   struct ht_server *client_server;
   struct ht_server *readiness_server;
-  struct ht_server *admin_server; /* or NULL */
+  struct ht_server *admin_server;       /* or NULL */
+  struct sv_connections connections[3]; /* of these servers */
   struct ht_client *http_client;
   struct pr_link *peer_link;
   struct ba_ring *event_ring;
@@ -518,6 +522,10 @@
   text = talloc_strdup_append_buffer (
       text, ba_counter_format (scratch, pr_link_counters (server->peer_link),
                                PR_COUNTER_COUNT));
+  text = talloc_strdup_append_buffer (
+      text, sv_connections_format_metrics (server->connections,
+                                           G_N_ELEMENTS (server->connections),
+                                           scratch));
   answer_text (server->admin_server, call->id, 200, text);
   talloc_free (scratch);
   return true;
@@ -794,7 +802,7 @@
 static struct ht_server *
 open_server (struct sv_job_server *server, const char *address,
              unsigned max_connections, size_t max_body_bytes,
-             const struct ht_server_handlers *handlers,
+             size_t memory_bytes, const struct ht_server_handlers *handlers,
              struct ht_server **server_out, GError **error)
 {
   struct ht_server_options options
@@ -803,6 +811,8 @@
           .max_connections = max_connections,
           .max_body_bytes = max_body_bytes,
           .header_memory_bytes = HEADER_MEMORY_BYTES,
+          .memory_bytes = memory_bytes,
+          .drop_bodies = true,
           .no_disconnect_watch = true,
           .handlers = handlers,
           .context = server,
@@ -829,20 +839,22 @@
   const struct sv_job_server_settings *settings = server->options.settings;
 
   if (open_server (server, settings->client_address, settings->max_connections,
-                   settings->max_body_bytes, &client_handlers,
-                   &server->client_server, error)
+                   settings->max_body_bytes, settings->client_memory_bytes,
+                   &client_handlers, &server->client_server, error)
       == NULL)
     return false;
   if (open_server (server, settings->readiness_address,
-                   MAX_CONTROL_CONNECTIONS, 0, &readiness_handlers,
-                   &server->readiness_server, error)
+                   MAX_CONTROL_CONNECTIONS, 0, CONTROL_MEMORY_BYTES,
+                   &readiness_handlers, &server->readiness_server, error)
       == NULL)
     return false;
-  return settings->admin_address == NULL
-         || open_server (server, settings->admin_address,
-                         MAX_CONTROL_CONNECTIONS, 0, &admin_handlers,
-                         &server->admin_server, error)
-                != NULL;
+  if (settings->admin_address != NULL
+      && open_server (server, settings->admin_address, MAX_CONTROL_CONNECTIONS,
+                      0, CONTROL_MEMORY_BYTES, &admin_handlers,
+                      &server->admin_server, error)
+             == NULL)
+    return false;
+  return true;
 }
 
 static bool
@@ -914,6 +926,13 @@
   server->log_limits = g_hash_table_new (g_str_hash, g_str_equal);
   server->event_ring = ba_ring_new (server, EVENT_RING_CAPACITY);
   server->http_client = ht_client_new (server, &client);
+  server->connections[0]
+      = (struct sv_connections){ &server->client_server, "clients", { 0 } };
+  server->connections[1] = (struct sv_connections){ &server->readiness_server,
+                                                    "readiness",
+                                                    { 0 } };
+  server->connections[2]
+      = (struct sv_connections){ &server->admin_server, "admin", { 0 } };
   if (!create_host (server, error) || !open_servers (server, error))
     {
       talloc_free (server);
@@ -1017,6 +1036,9 @@
           next_settings_check
               = ba_clock_now_us () + SETTINGS_CHECK_INTERVAL_MS * JB_MS;
           reload_settings (server);
+          sv_connections_check (server->connections,
+                                G_N_ELEMENTS (server->connections),
+                                server->log);
         }
       failed_thread = sv_supervisor_check (server->supervisor);
     }
--- a/packages/server/src/sv_request_server.c
+++ b/packages/server/src/sv_request_server.c
@@ -5,6 +5,7 @@
 #include "pl_platform.h"
 #include "pr_peers.h"
 #include "sv_admin.h"
+#include "sv_connections.h"
 #include "sv_response.h"
 #include "sv_proxy.h"
 #include "sv_frontend.h"
@@ -28,6 +29,7 @@
 {
   SUPERVISION_INTERVAL_MS = 100,
   HOST_LIST_INTERVAL_MS = 1000,
+  CONNECTION_CHECK_INTERVAL_MS = 1000,
   /* A backend server accepts 64 connections, shared by 9 entry hosts.  */
   MAX_CONNECTIONS_PER_BACKEND = 7,
   /* At the end of a planned stop, the wait for responses in flight.  */
@@ -48,6 +50,8 @@
   struct sv_frontend *frontend;
   struct sv_proxy *proxy;
   struct sv_admin *admin;
+  struct ht_server *http_servers[2]; /* of `frontend' and `admin' */
+  struct sv_connections connections[2];
   struct pr_peers *peers;
   struct pl_platform *platform;
   struct sv_supervisor *supervisor;
@@ -225,11 +229,13 @@
                                    sv_log_lost_count (server->log) };
 
   return talloc_asprintf (
-      mem, "%s%s%s%s", ba_counter_format (mem, &lost_lines, 1),
+      mem, "%s%s%s%s%s", ba_counter_format (mem, &lost_lines, 1),
       sv_core_loop_format_metrics (server->core_loop, mem),
       sv_frontend_format_metrics (server->frontend, mem),
       ba_counter_format (mem, pr_peers_counters (server->peers),
-                         PR_COUNTER_COUNT));
+                         PR_COUNTER_COUNT),
+      sv_connections_format_metrics (server->connections,
+                                     G_N_ELEMENTS (server->connections), mem));
 }
 
 static void
@@ -319,13 +325,21 @@
   server->peers = pr_peers_new (server, &peers, error);
   if (server->peers == NULL)
     return false;
+  server->connections[0]
+      = (struct sv_connections){ &server->http_servers[0], "clients", { 0 } };
+  server->connections[1]
+      = (struct sv_connections){ &server->http_servers[1], "admin", { 0 } };
   server->frontend = sv_frontend_new (server, &frontend, error);
   if (server->frontend == NULL)
     return false;
+  server->http_servers[0] = sv_frontend_http_server (server->frontend);
   sv_proxy_set_client_server (server->proxy,
                               sv_frontend_http_server (server->frontend));
   server->admin = sv_admin_new (server, &admin, error);
-  return server->admin != NULL;
+  if (server->admin == NULL)
+    return false;
+  server->http_servers[1] = sv_admin_http_server (server->admin);
+  return true;
 }
 
 static void
@@ -464,11 +478,27 @@
   server->platform->ops->list_hosts (server->platform);
 }
 
+/* Check the connections of clients if the time NEXT_DUE_US has come, and set
+   the next time.  */
+static void
+check_connections_if_due (struct sv_request_server *server,
+                          int64_t *next_due_us)
+{
+  int64_t now = ba_clock_now_us ();
+
+  if (now < *next_due_us)
+    return;
+  *next_due_us = now + CONNECTION_CHECK_INTERVAL_MS * 1000;
+  sv_connections_check (server->connections,
+                        G_N_ELEMENTS (server->connections), server->log);
+}
+
 int
 sv_request_server_run (struct sv_request_server *server)
 {
   struct pollfd signal_poll = { .fd = server->signal_fd, .events = POLLIN };
   int64_t next_host_list_us = 0;
+  int64_t next_connection_check_us = 0;
   bool stopping = false;
   const char *failed_thread = NULL;
 
@@ -491,6 +521,7 @@
             begin_stop (server);
           }
       list_hosts_if_due (server, &next_host_list_us);
+      check_connections_if_due (server, &next_connection_check_us);
       failed_thread = sv_supervisor_check (server->supervisor);
     }
   if (failed_thread != NULL)
--- a/tests/process/clients.sh
+++ b/tests/process/clients.sh
@@ -60,6 +60,7 @@
 check_crowd () {
   local pid=$1 memory_mb=$2 descriptors=$3 status=$4 request=$5 crowd actual
   shift 6
+  : > "$RUN_DIR/crowd"
   "$BIN/tests/tools/crowd_client" "$@" > "$RUN_DIR/crowd" 2>&1 &
   crowd=$!
   # The ordinary request must come after the crowd, however late that is.
@@ -77,6 +78,7 @@
   check "an ordinary request is answered" [ "$actual" = "$status" ]
   check "the crowd is still there" kill -0 $crowd
   check "the process lives" kill -0 "$pid"
+  echo "    process: $(peak_mb "$pid") MB, $(descriptor_count "$pid") descriptors; crowd: $(paste -sd" " "$RUN_DIR/crowd")"
   check "memory at its peak is under its bound" [ "$(peak_mb "$pid")" -le "$memory_mb" ]
   check "descriptors are under their bound" [ "$(descriptor_count "$pid")" -le "$descriptors" ]
   kill $crowd
