--- a/packages/http/src/ht_body.c
+++ b/packages/http/src/ht_body.c
@@ -96,22 +96,19 @@
   struct ht_body whole = { 0 };
   struct ht_body_block *to;
 
-  if (body->head == NULL)
-    return NULL;
-  if (body->head != body->tail)
+  if (body->head == NULL || body->head == body->tail)
+    return body->head != NULL ? body->head->data : NULL;
+  to = add_block (&whole, body->len);
+  for (const struct ht_body_block *block = body->head; block != NULL;
+       block = block->next)
     {
-      to = add_block (&whole, body->len);
-      for (const struct ht_body_block *block = body->head; block != NULL;
-           block = block->next)
-        {
-          memcpy (to->data + to->len, block->data, block->len);
-          to->len += block->len;
-        }
-      whole.len = body->len;
-      ht_body_clear (body);
-      *body = whole;
+      memcpy (to->data + to->len, block->data, block->len);
+      to->len += block->len;
     }
-  return body->head->data;
+  whole.len = body->len;
+  ht_body_clear (body);
+  *body = whole;
+  return to->data;
 }
 
 void
