Return the memory that closed connections had to the system

Cause: jemalloc returns freed pages 10 s after, and only when the thread that freed them uses the allocator again; the thread that had served the crowd has nothing to do then. Ruled out: bodies or connections that stay, by the metrics and test_ht_server (usage after the end).

Change: freed pages go back after 1 s, and once a second for all threads.

--- a/packages/server/src/sv_connections.c
+++ b/packages/server/src/sv_connections.c
@@ -1,6 +1,7 @@
 #include "sv_connections.h"
 
 #include "ba_counter.h"
+#include "ba_memory.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -49,6 +50,7 @@
   for (size_t i = 0; i < count; i++)
     if (*list[i].server != NULL)
       check_server (&list[i], log);
+  ba_memory_return_freed ();
 }
 
 char *
--- a/packages/server/src/sv_connections.h
+++ b/packages/server/src/sv_connections.h
@@ -17,7 +17,8 @@
 };
 
 /* Close overdue connections of the COUNT servers in LIST, and log one line for
-   each server that has turned clients away since the last call.  To be called
+   each server that has turned clients away since the last call.  Return the
+   memory that closed connections had to the system.  To be called
    about once a second, always by the same thread.  */
 void sv_connections_check (struct sv_connections *list, size_t count,
                            struct sv_log *log);
--- a/programs/dogwoodpulleyd.c
+++ b/programs/dogwoodpulleyd.c
@@ -14,6 +14,11 @@
   EXIT_CANNOT_START = 3
 };
 
+/* Read by jemalloc: return freed memory to the system after 1 s rather than
+   10, so that what a crowd of clients has taken is soon free for others.  */
+extern const char *malloc_conf;
+const char *malloc_conf = "dirty_decay_ms:1000,muzzy_decay_ms:0";
+
 const char *argp_program_version = "dogwoodpulleyd " DP_VERSION;
 
 static const char doc[]
