--- a/packages/http/include/ht_server.h
+++ b/packages/http/include/ht_server.h
@@ -8,8 +8,8 @@
    by its ID; every function that takes an ID may be called from any thread and
    does nothing when that call has ended.
 
-   The memory and the connections of a server are bounded; ht_admission.h says
-   which client is turned away.  */
+   The memory and the connections of a server are bounded; src/ht_admission.h
+   says which client is turned away.  */
 
 #include "ba_error.h"
 
