--- a/packages/jobs/src/jb_pool_doubt.c
+++ b/packages/jobs/src/jb_pool_doubt.c
@@ -842,15 +842,19 @@
 }
 
 void
-jb_pool_load_doubt_ages (struct jb_pool *pool, struct ba_bytes value,
+jb_pool_load_doubt_ages (struct jb_pool *pool, const struct jb_row *row,
                          jb_time now)
 {
   struct saved_ages saved = { 0 };
   TALLOC_CTX *scratch = talloc_new (NULL);
   struct ba_codec io;
 
-  ba_codec_init_reader (&io, scratch, value);
+  ba_codec_init_reader (&io, scratch, row->value);
   serialize_saved_ages (&io, &saved);
+  if (!ba_codec_is_complete (&io))
+    jb_log (pool->options.driver, JB_LEVEL_ERROR, "row-unreadable", "table",
+            JB_HANDOVER_TABLE, "pool", pool->options.name, "key", row->key,
+            NULL);
   if (!ba_codec_is_complete (&io)
       || saved.generation + 1 != pool->predecessor.generation)
     saved.count = 0;
--- a/packages/jobs/src/jb_pool_handover.c
+++ b/packages/jobs/src/jb_pool_handover.c
@@ -155,7 +155,7 @@
     if (strcmp (reply->rows[i].key, RUNS_KEY) == 0)
       load_runs (pool, now, reply->rows[i].value);
     else if (strcmp (reply->rows[i].key, START_AGES_KEY) == 0)
-      jb_pool_load_doubt_ages (pool, reply->rows[i].value, now);
+      jb_pool_load_doubt_ages (pool, &reply->rows[i], now);
   if (reply->next_page != NULL)
     {
       read_page (pool, now, reply->next_page);
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -512,8 +512,8 @@
    last command was sent, owned by MEM.  */
 struct ba_bytes jb_pool_encode_doubt_ages (const struct jb_pool *pool,
                                            TALLOC_CTX *mem, jb_time now);
-/* Take up the ages that the predecessor has left in VALUE, read at NOW.  */
-void jb_pool_load_doubt_ages (struct jb_pool *pool, struct ba_bytes value,
+/* Take up the ages that the predecessor has left in ROW, read at NOW.  */
+void jb_pool_load_doubt_ages (struct jb_pool *pool, const struct jb_row *row,
                               jb_time now);
 /* Return since when a row waits to be stored, or 0 if none does.  */
 jb_time jb_pool_doubt_row_pending_since (const struct jb_pool *pool);
