--- a/packages/jobs/include/jb_backend.h
+++ b/packages/jobs/include/jb_backend.h
@@ -179,13 +179,9 @@
 int64_t jb_backend_grant_lease (struct jb_backend *backend, jb_time now,
                                 int64_t lease_ms, uint64_t *number);
 
-/* Return whether every lease has expired, however late the grants without an
-   answer are carried out, even on the slowest allowed clock.  */
-bool jb_backend_leases_have_expired (const struct jb_backend *backend,
-                                     jb_time now);
-
-/* Return the time, by the driver's clock, after which
-   jb_backend_leases_have_expired is true.  */
+/* Return the time, by the driver's clock, after which every lease has expired,
+   however late the grants without an answer are carried out, even on the
+   slowest allowed clock.  */
 jb_time jb_backend_leases_expire_at (const struct jb_backend *backend);
 
 /* Return how long a lease of LEASE_MS, on a backend server's clock, lasts at
--- a/packages/jobs/src/jb_backend.c
+++ b/packages/jobs/src/jb_backend.c
@@ -102,12 +102,6 @@
   return jb_lease_end (backend->lease, 0);
 }
 
-bool
-jb_backend_leases_have_expired (const struct jb_backend *backend, jb_time now)
-{
-  return now > jb_backend_leases_expire_at (backend);
-}
-
 jb_time
 jb_backend_lease_time (int64_t lease_ms)
 {
--- a/packages/jobs/tests/test_jb_job.c
+++ b/packages/jobs/tests/test_jb_job.c
@@ -125,6 +125,12 @@
   talloc_free (mem);
 }
 
+static bool
+leases_have_expired (const struct jb_backend *backend, jb_time now)
+{
+  return now > jb_backend_leases_expire_at (backend);
+}
+
 /* A task must not be started elsewhere while it may still run under its lease:
    a lease has expired only when it has on the slowest allowed clock, and each
    request for a longer lease counts, answered or not.  A start time that was
@@ -142,18 +148,13 @@
   jb_backend_record_clock (backend, now, 5000);
   CU_ASSERT_EQUAL (jb_backend_grant_lease (backend, now, 3000, &grant), 8000);
   jb_lease_answer (backend->lease, grant, now);
-  CU_ASSERT_FALSE (
-      jb_backend_leases_have_expired (backend, now + 3050 * JB_MS));
-  CU_ASSERT_TRUE (
-      jb_backend_leases_have_expired (backend, now + 3200 * JB_MS));
+  CU_ASSERT_FALSE (leases_have_expired (backend, now + 3050 * JB_MS));
+  CU_ASSERT_TRUE (leases_have_expired (backend, now + 3200 * JB_MS));
   CU_ASSERT_EQUAL (
       jb_backend_grant_lease (backend, now + JB_SECOND, 3000, &grant), 9000);
-  CU_ASSERT_FALSE (
-      jb_backend_leases_have_expired (backend, now + 3200 * JB_MS));
-  CU_ASSERT_FALSE (
-      jb_backend_leases_have_expired (backend, now + 6200 * JB_MS));
-  CU_ASSERT_TRUE (
-      jb_backend_leases_have_expired (backend, now + 6300 * JB_MS));
+  CU_ASSERT_FALSE (leases_have_expired (backend, now + 3200 * JB_MS));
+  CU_ASSERT_FALSE (leases_have_expired (backend, now + 6200 * JB_MS));
+  CU_ASSERT_TRUE (leases_have_expired (backend, now + 6300 * JB_MS));
   backend->started_unix_ms = 10;
   CU_ASSERT_FALSE (jb_backend_has_restarted (backend, 0));
   CU_ASSERT_TRUE (jb_backend_has_restarted (backend, 11));
