--- a/packages/http/tests/test_ht_server.c
+++ b/packages/http/tests/test_ht_server.c
@@ -1,28 +1,23 @@
 #include "ht_server.h"
 
+#include "dp_socket.h"
 #include "dp_test.h"
 
-#include <arpa/inet.h>
 #include <glib.h>
-#include <netinet/in.h>
-#include <errno.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 /* Each test starts a server with small limits on a port that the kernel
    chooses, and sends it requests over sockets of its own.  No test depends on
-   how fast they are answered; RECEIVE_TIMEOUT_S only keeps a test from
-   hanging.  */
+   how fast they are answered.  */
 
 enum
 {
   MAX_CONNECTIONS = 4,
   MAX_BODY_BYTES = 20000,
-  HEADER_MEMORY_BYTES = 8192,
-  RECEIVE_TIMEOUT_S = 30
+  HEADER_MEMORY_BYTES = 8192
 };
 
 static char address[32];
@@ -64,23 +59,6 @@
         .too_large = handle_too_large,
         .disconnected = ignore_disconnect };
 
-static void
-choose_address (void)
-{
-  socklen_t len = sizeof socket_address;
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-
-  socket_address.sin_family = AF_INET;
-  socket_address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  socket_address.sin_port = 0;
-  CU_ASSERT_EQUAL_FATAL (bind (fd, (struct sockaddr *)&socket_address, len),
-                         0);
-  getsockname (fd, (struct sockaddr *)&socket_address, &len);
-  close (fd);
-  snprintf (address, sizeof address, "127.0.0.1:%u",
-            ntohs (socket_address.sin_port));
-}
-
 static void
 start_server (void)
 {
@@ -97,7 +75,7 @@
           .handlers = &handlers,
           .server_out = &server };
 
-  choose_address ();
+  socket_address = dp_choose_address (address, sizeof address);
   atomic_store (&request_count, 0);
   atomic_store (&respond_at_once, true);
   CU_ASSERT_PTR_NOT_NULL_FATAL (ht_server_new (NULL, &options, NULL));
@@ -109,41 +87,12 @@
   TALLOC_FREE (server);
 }
 
-static int
-open_connection (void)
-{
-  struct timeval timeout = { .tv_sec = RECEIVE_TIMEOUT_S };
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-
-  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
-  CU_ASSERT_EQUAL (
-      connect (fd, (struct sockaddr *)&socket_address, sizeof socket_address),
-      0);
-  return fd;
-}
-
-static void
-send_text (int fd, const char *text)
-{
-  size_t len = strlen (text);
-
-  while (len > 0)
-    {
-      ssize_t count = send (fd, text, len, MSG_NOSIGNAL);
-
-      if (count <= 0)
-        return; /* the server has closed the connection */
-      text += count;
-      len -= (size_t)count;
-    }
-}
-
 static void
 send_body (int fd, size_t len)
 {
   char *body = g_strnfill (len, 'x');
 
-  send_text (fd, body);
+  dp_send_text (fd, body);
   g_free (body);
 }
 
@@ -154,7 +103,7 @@
   char *text = g_strdup_printf (
       "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %zu\r\n\r\n", len);
 
-  send_text (fd, text);
+  dp_send_text (fd, text);
   g_free (text);
 }
 
@@ -165,46 +114,11 @@
   char *text = g_strdup_printf ("%zx\r\n%s\r\n", chunk_len, chunk);
 
   for (size_t i = 0; i < count; i++)
-    send_text (fd, text);
+    dp_send_text (fd, text);
   g_free (text);
   g_free (chunk);
 }
 
-/* Read what the server sends until TEXT is in it.  Return false when it closes
-   the connection before, or sends nothing.  */
-static bool
-receive_text (int fd, const char *text)
-{
-  char buffer[4096];
-  size_t len = 0;
-
-  while (len < sizeof buffer - 1)
-    {
-      ssize_t count = recv (fd, buffer + len, sizeof buffer - 1 - len, 0);
-
-      if (count <= 0)
-        return false;
-      len += (size_t)count;
-      buffer[len] = '\0';
-      if (strstr (buffer, text) != NULL)
-        return true;
-    }
-  return false;
-}
-
-/* Return whether the server has closed the connection, also by a reset, and
-   has sent nothing more.  */
-static bool
-is_closed (int fd)
-{
-  char buffer[4096];
-  ssize_t count;
-
-  while ((count = recv (fd, buffer, sizeof buffer, 0)) > 0)
-    ;
-  return count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
 static uint64_t
 rejection_count (enum ht_rejection reason)
 {
@@ -222,19 +136,19 @@
   int fd;
 
   start_server ();
-  fd = open_connection ();
+  fd = dp_connect (&socket_address);
   send_header (fd, MAX_BODY_BYTES);
   send_body (fd, MAX_BODY_BYTES);
-  CU_ASSERT_TRUE (receive_text (fd, "ok"));
+  CU_ASSERT_TRUE (dp_receive_text (fd, "ok"));
   CU_ASSERT_EQUAL (atomic_load (&last_body_len), MAX_BODY_BYTES);
-  send_text (fd, "POST / HTTP/1.1\r\nHost: x\r\n"
-                 "Transfer-Encoding: chunked\r\n\r\n");
+  dp_send_text (fd, "POST / HTTP/1.1\r\nHost: x\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n");
   send_chunks (fd, MAX_BODY_BYTES / 10, 10);
-  send_text (fd, "0\r\n\r\n");
-  CU_ASSERT_TRUE (receive_text (fd, "ok"));
+  dp_send_text (fd, "0\r\n\r\n");
+  CU_ASSERT_TRUE (dp_receive_text (fd, "ok"));
   CU_ASSERT_EQUAL (atomic_load (&last_body_len), MAX_BODY_BYTES);
-  send_text (fd, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
-  CU_ASSERT_TRUE (receive_text (fd, "ok"));
+  dp_send_text (fd, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  CU_ASSERT_TRUE (dp_receive_text (fd, "ok"));
   CU_ASSERT_EQUAL (atomic_load (&last_body_len), 0);
   CU_ASSERT_EQUAL (atomic_load (&request_count), 3);
   close (fd);
@@ -249,10 +163,10 @@
   int fd;
 
   start_server ();
-  fd = open_connection ();
+  fd = dp_connect (&socket_address);
   send_header (fd, MAX_BODY_BYTES + 1);
-  CU_ASSERT_TRUE (receive_text (fd, " 413 "));
-  CU_ASSERT_TRUE (is_closed (fd));
+  CU_ASSERT_TRUE (dp_receive_text (fd, " 413 "));
+  CU_ASSERT_TRUE (dp_is_closed (fd));
   CU_ASSERT_EQUAL (rejection_count (HT_REJECTION_TOO_LARGE), 1);
   CU_ASSERT_EQUAL (atomic_load (&request_count), 0);
   close (fd);
@@ -267,18 +181,18 @@
   int fd;
 
   start_server ();
-  fd = open_connection ();
-  send_text (fd, "POST / HTTP/1.1\r\nHost: x\r\n"
-                 "Transfer-Encoding: chunked\r\n\r\n");
+  fd = dp_connect (&socket_address);
+  dp_send_text (fd, "POST / HTTP/1.1\r\nHost: x\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n");
   send_chunks (fd, 1, MAX_BODY_BYTES + 1);
-  send_text (fd, "0\r\n\r\n");
-  CU_ASSERT_TRUE (receive_text (fd, " 413 "));
+  dp_send_text (fd, "0\r\n\r\n");
+  CU_ASSERT_TRUE (dp_receive_text (fd, " 413 "));
   close (fd);
-  fd = open_connection ();
-  send_text (fd, "POST / HTTP/1.1\r\nHost: x\r\n"
-                 "Transfer-Encoding: chunked\r\n\r\n");
+  fd = dp_connect (&socket_address);
+  dp_send_text (fd, "POST / HTTP/1.1\r\nHost: x\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n");
   send_chunks (fd, 40, MAX_BODY_BYTES / 10);
-  CU_ASSERT_TRUE (is_closed (fd));
+  CU_ASSERT_TRUE (dp_is_closed (fd));
   CU_ASSERT_EQUAL (rejection_count (HT_REJECTION_TOO_LARGE), 2);
   CU_ASSERT_EQUAL (atomic_load (&request_count), 0);
   close (fd);
@@ -295,19 +209,19 @@
 
   start_server ();
   atomic_store (&respond_at_once, false);
-  first = open_connection ();
-  second = open_connection ();
+  first = dp_connect (&socket_address);
+  second = dp_connect (&socket_address);
   send_header (first, MAX_BODY_BYTES);
   send_body (first, MAX_BODY_BYTES);
   while (atomic_load (&request_count) == 0)
     g_usleep (1000);
   send_header (second, MAX_BODY_BYTES);
   send_body (second, MAX_BODY_BYTES);
-  CU_ASSERT_TRUE (receive_text (second, "Dogwoodpulley-Run: not-run"));
+  CU_ASSERT_TRUE (dp_receive_text (second, "Dogwoodpulley-Run: not-run"));
   CU_ASSERT_EQUAL (atomic_load (&request_count), 1);
   CU_ASSERT_EQUAL (rejection_count (HT_REJECTION_OVERLOADED), 1);
   ht_call_respond (server, atomic_load (&last_id), 200, NULL, 0, "ok", 2);
-  CU_ASSERT_TRUE (receive_text (first, "ok"));
+  CU_ASSERT_TRUE (dp_receive_text (first, "ok"));
   close (first);
   close (second);
   stop_server ();
@@ -324,14 +238,14 @@
   start_server ();
   for (int i = 0; i < MAX_CONNECTIONS; i++)
     {
-      stalled[i] = open_connection ();
+      stalled[i] = dp_connect (&socket_address);
       send_header (stalled[i], 100);
     }
-  fd = open_connection ();
+  fd = dp_connect (&socket_address);
   send_header (fd, 2);
   send_body (fd, 2);
-  CU_ASSERT_TRUE (receive_text (fd, "ok"));
-  CU_ASSERT_TRUE (is_closed (stalled[0]));
+  CU_ASSERT_TRUE (dp_receive_text (fd, "ok"));
+  CU_ASSERT_TRUE (dp_is_closed (stalled[0]));
   CU_ASSERT_EQUAL (rejection_count (HT_REJECTION_CONNECTIONS), 1);
   for (int i = 0; i < MAX_CONNECTIONS; i++)
     close (stalled[i]);
@@ -356,7 +270,7 @@
   start_server ();
   for (int i = 0; i < CLIENT_COUNT; i++)
     {
-      fds[i] = open_connection ();
+      fds[i] = dp_connect (&socket_address);
       send_header (fds[i], MAX_BODY_BYTES);
       send_body (fds[i], SENT_BYTES);
     }
--- a/packages/server/tests/test_sv_job_server.c
+++ b/packages/server/tests/test_sv_job_server.c
@@ -1,18 +1,14 @@
 #include "sv_job_server.h"
 
 #include "ba_clock.h"
+#include "dp_socket.h"
 #include "dp_test.h"
 #include "sv_signals.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <poll.h>
 #include <signal.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 /* Runs a job server on loopback, sends it SIGTERM and requests of which the
@@ -28,8 +24,7 @@
 {
   GRACE_MS = 4000,
   DRAIN_MS = 2000, /* from SIGTERM until the balancer has noticed */
-  MAX_REQUEST_COUNT = 64,
-  RECEIVE_TIMEOUT_S = 30
+  MAX_REQUEST_COUNT = 64
 };
 
 static const char *const first_half = "GET /%d HTTP/1.1\r\nHost: x\r\n";
@@ -115,22 +110,6 @@
   return NULL;
 }
 
-/* Write an address with a free port to TEXT, which has SIZE bytes.  */
-static struct sockaddr_in
-choose_address (char *text, size_t size)
-{
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  socklen_t len = sizeof address;
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  CU_ASSERT_EQUAL_FATAL (bind (fd, (struct sockaddr *)&address, len), 0);
-  getsockname (fd, (struct sockaddr *)&address, &len);
-  close (fd);
-  snprintf (text, size, "127.0.0.1:%u", ntohs (address.sin_port));
-  return address;
-}
-
 static gpointer
 run_server (gpointer data)
 {
@@ -150,9 +129,9 @@
                                            .reload_settings = keep_settings };
   GError *error = NULL;
 
-  client_address = choose_address (client, sizeof client);
-  choose_address (readiness, sizeof readiness);
-  choose_address (peer, sizeof peer);
+  client_address = dp_choose_address (client, sizeof client);
+  dp_choose_address (readiness, sizeof readiness);
+  dp_choose_address (peer, sizeof peer);
   settings = (struct sv_job_server_settings){ .name = "entry-0",
                                               .zone = "zone",
                                               .client_address = client,
@@ -174,63 +153,15 @@
 
 /* ---- clients ---- */
 
-static int
-open_connection (void)
-{
-  struct timeval timeout = { .tv_sec = RECEIVE_TIMEOUT_S };
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-
-  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
-  CU_ASSERT_EQUAL (
-      connect (fd, (struct sockaddr *)&client_address, sizeof client_address),
-      0);
-  return fd;
-}
-
-static void
-send_text (int fd, const char *text)
-{
-  (void)!send (fd, text, strlen (text), MSG_NOSIGNAL);
-}
-
 static void
 send_first_half (int fd, int number)
 {
   char *text = g_strdup_printf (first_half, number);
 
-  send_text (fd, text);
+  dp_send_text (fd, text);
   g_free (text);
 }
 
-/* Read a response from FD.  Return whether it is complete.  */
-static bool
-receive_response (int fd)
-{
-  char buffer[4096];
-  size_t len = 0;
-  ssize_t count;
-
-  while (len < sizeof buffer - 1
-         && (count = recv (fd, buffer + len, sizeof buffer - 1 - len, 0)) > 0)
-    {
-      const char *body;
-      const char *field;
-
-      len += (size_t)count;
-      buffer[len] = '\0';
-      body = strstr (buffer, "\r\n\r\n");
-      if (body == NULL)
-        continue;
-      field = strcasestr (buffer, "\r\ncontent-length:");
-      if (strncmp (buffer, "HTTP/1.1 ", strlen ("HTTP/1.1 ")) == 0
-          && field != NULL
-          && (size_t)(buffer + len - body - 4)
-                 >= strtoul (field + strlen ("\r\ncontent-length:"), NULL, 10))
-        return true;
-    }
-  return false;
-}
-
 /* ---- tests ---- */
 
 /* Requests that were begun before SIGTERM are completed when the host is about
@@ -253,7 +184,7 @@
 
   for (int i = 0; i < COUNT; i++)
     {
-      fds[i] = open_connection ();
+      fds[i] = dp_connect (&client_address);
       send_first_half (fds[i], i);
     }
   kill (getpid (), SIGTERM);
@@ -262,10 +193,10 @@
   atomic_store (&slow_answer_ms, LATE_MS);
   atomic_store (&slow_answer_count, 1);
   for (int i = 0; i < COUNT; i++)
-    send_text (fds[i], "\r\n");
+    dp_send_text (fds[i], "\r\n");
   for (int i = 0; i < COUNT; i++)
     {
-      answered += receive_response (fds[i]);
+      answered += dp_receive_response (fds[i]) != 0;
       close (fds[i]);
     }
   CU_ASSERT_EQUAL (answered, COUNT);
@@ -292,7 +223,7 @@
 
   for (int i = 0; i < COUNT; i++)
     {
-      fds[i] = open_connection ();
+      fds[i] = dp_connect (&client_address);
       send_first_half (fds[i], i);
     }
   kill (getpid (), SIGTERM);
@@ -300,10 +231,10 @@
   atomic_store (&slow_answer_ms, LATE_MS);
   atomic_store (&slow_answer_count, 1);
   for (int i = 0; i < COUNT; i++)
-    send_text (fds[i], "\r\n");
+    dp_send_text (fds[i], "\r\n");
   for (int i = 0; i < COUNT; i++)
     {
-      answered += receive_response (fds[i]);
+      answered += dp_receive_response (fds[i]) != 0;
       close (fds[i]);
     }
   CU_ASSERT_EQUAL (answered, COUNT);
@@ -325,18 +256,18 @@
 run_idle_client (gpointer data)
 {
   struct idle_client *client = data;
-  int fd = open_connection ();
+  int fd = dp_connect (&client_address);
   int64_t now;
 
   send_first_half (fd, MAX_REQUEST_COUNT);
-  send_text (fd, "\r\n");
-  client->was_answered = receive_response (fd);
+  dp_send_text (fd, "\r\n");
+  client->was_answered = dp_receive_response (fd) != 0;
   now = ba_clock_now_us ();
   if (client->send_at > now)
     g_usleep ((gulong)(client->send_at - now));
   send_first_half (fd, client->number);
-  send_text (fd, "\r\n");
-  client->answered = receive_response (fd);
+  dp_send_text (fd, "\r\n");
+  client->answered = dp_receive_response (fd) != 0;
   close (fd);
   return NULL;
 }
