Move the events of the job server to a module

The types of events and the ring between the input/output threads and the event loop become sv_event_queue, so that the ring can be divided by kinds of events and tested without a server. Events carry the time when they were queued, which nothing uses yet, and those left at the end are freed. No other change of behaviour.

--- a/packages/server/src/sv_job_server.c
+++ b/packages/server/src/sv_job_server.c
@@ -1,11 +1,10 @@
 #include "sv_job_server.h"
 
 #include "ba_clock.h"
-#include "ba_ring.h"
 #include "ht_server.h"
-#include "jb_view.h"
 #include "pr_link.h"
 #include "sv_connections.h"
+#include "sv_event_queue.h"
 #include "sv_log.h"
 #include "sv_signals.h"
 #include "sv_supervisor.h"
@@ -24,7 +23,6 @@
 
 enum
 {
-  EVENT_RING_CAPACITY = 16384,
   MAX_EVENTS_PER_ITERATION = 64, /* between two calls of jb_host_run */
   HTTP_CLIENT_RING_CAPACITY = 8192,
   MAX_CONNECTIONS_PER_SERVER = 6, /* to one backend server or the store */
@@ -56,32 +54,6 @@
    answer is read, and no lease is extended.  */
 #define LATE_ITERATION_TIME (250 * JB_MS)
 
-enum event_type
-{
-  EVENT_CLIENT_CALL,
-  EVENT_COMMAND_REPLY,
-  EVENT_PEER_MESSAGE,
-  EVENT_VIEW_REQUEST,
-  EVENT_STOP,
-  EVENT_NEW_BOUNDS
-};
-
-/* Input of the decision code, queued for the event loop; a talloc chunk
-   without parent.  Only the members that belong to the type are set.  */
-struct event
-{
-  enum event_type type;
-  /* Number of the call or command, or incarnation of the sending member.  */
-  uint64_t number;
-  struct jb_call call;
-  struct jb_reply reply;
-  struct ba_bytes message; /* from a peer */
-  struct jb_bounds bounds;
-  jb_time grace; /* of a planned stop */
-  enum jb_view_topic topic;
-  char *job_id; /* for a view of one job, or NULL */
-};
-
 struct sv_job_server
 {
   struct sv_job_server_options options;
@@ -94,7 +66,7 @@
   struct sv_connections connections[3]; /* of these servers */
   struct ht_client *http_client;
   struct pr_link *peer_link;
-  struct ba_ring *event_ring;
+  struct sv_event_queue *event_queue;
   struct jb_host *host; /* the decision code; event loop only */
   struct sv_supervisor *supervisor;
   int signal_fd;
@@ -106,22 +78,16 @@
   _Atomic bool event_loop_stopping;
   GMutex metrics_lock;
   struct jb_metrics metrics; /* copy of the decision code's; under the lock */
-  /* Events dropped because the ring was full.  */
-  _Atomic uint64_t dropped_event_count;
   /* Iterations of the event loop longer than LATE_ITERATION_TIME.  */
   _Atomic uint64_t late_iteration_count;
 };
 
 /* Queue EVENT for the event loop.  Return false, having freed it, when the
-   ring is full.  Any thread.  */
+   queue is full.  Any thread.  */
 static bool
 push_event (struct sv_job_server *server, struct event *event)
 {
-  if (ba_ring_push (server->event_ring, event))
-    return true;
-  atomic_fetch_add (&server->dropped_event_count, 1);
-  talloc_free (event);
-  return false;
+  return sv_event_queue_push (server->event_queue, ba_clock_now_us (), event);
 }
 
 static int64_t
@@ -517,7 +483,7 @@
       "# TYPE dogwoodpulley_peer_buffered_bytes gauge\n"
       "dogwoodpulley_peer_buffered_bytes %" G_GSIZE_FORMAT "\n",
       sv_log_lost_count (server->log),
-      atomic_load (&server->dropped_event_count),
+      sv_event_queue_dropped (server->event_queue),
       atomic_load (&server->late_iteration_count),
       pr_link_buffered_bytes (server->peer_link));
   text = talloc_strdup_append_buffer (
@@ -726,7 +692,7 @@
 {
   struct sv_job_server *server = data;
   struct pollfd p
-      = { .fd = ba_ring_fd (server->event_ring), .events = POLLIN };
+      = { .fd = sv_event_queue_fd (server->event_queue), .events = POLLIN };
   jb_time wakeup = 0;
 
   while (!atomic_load (&server->event_loop_stopping))
@@ -740,7 +706,7 @@
 
       poll (&p, 1, (int)wait_ms);
       heartbeat (context);
-      ba_ring_reset_fd (server->event_ring);
+      sv_event_queue_reset_fd (server->event_queue);
       start = ba_clock_now_us ();
       now = start;
       jb_host_set_unix_origin (server->host, unix_time_ms () * JB_MS - now);
@@ -749,7 +715,7 @@
          of the backend server would seem to be further ahead than it is, and a
          lease would last longer there than calculated here.  */
       while (processed < MAX_EVENTS_PER_ITERATION
-             && (event = ba_ring_pop (server->event_ring)) != NULL)
+             && (event = sv_event_queue_pop (server->event_queue)) != NULL)
         {
           process_event (server, ba_clock_now_us (), event);
           processed++;
@@ -757,7 +723,7 @@
       now = ba_clock_now_us ();
       wakeup = jb_host_run (server->host, now);
       if (processed == MAX_EVENTS_PER_ITERATION)
-        wakeup = now; /* don't wait: the ring may hold more events, and its
+        wakeup = now; /* don't wait: the queue may hold more events, and its
                          descriptor was reset */
       stop_accepting_if_drained (server, now);
       publish_state (server, now);
@@ -771,7 +737,7 @@
   struct sv_job_server *server = data;
 
   atomic_store (&server->event_loop_stopping, true);
-  ba_ring_wake (server->event_ring);
+  sv_event_queue_wake (server->event_queue);
 }
 
 static void
@@ -925,7 +891,7 @@
       = sv_log_new (server, &options->settings->log, options->settings->name);
   /* The keys are not copied: names of log events are string literals.  */
   server->log_limits = g_hash_table_new (g_str_hash, g_str_equal);
-  server->event_ring = ba_ring_new (server, EVENT_RING_CAPACITY);
+  server->event_queue = sv_event_queue_new (server);
   server->http_client = ht_client_new (server, &client);
   server->connections[0]
       = (struct sv_connections){ &server->client_server, "clients", { 0 } };
