Queue replies, calls and peer messages in rings of their own

One ring of 16,384 held all input of the event loop. While it was full, whatever came was dropped: a planned stop never began and new bounds were lost; a command whose reply was dropped stayed in flight for ever, and with it the watch of the configuration, the list of backend servers or a write. A client's call and a stop waited behind thousands of peer messages.

A stop and new bounds now wait in a place of their own and go first. Replies, calls, peer messages and views have a ring each. The place of a reply is reserved before its command is sent (65,535 at most; a command beyond that is answered as not sent, as when the HTTP client's queue is full), and replies to commands that were not sent wait in a list of the event loop, so no reply can be dropped. Calls and peer messages are refused as before when their ring is full, and counted for each class.

The next class is the one that has had the least processing time of those that have events, views at a quarter: with numbers of events instead of times, calls of 1 ms would get little beside peer messages of 82 ms.

Order within a class stays; between classes there is none. Requests of peers are answered by what the host owns when they are processed, a witness replies once it has processed a list of starts, and heartbeats stay behind what their sender sent before, so this is as if the network had held messages up.

--- a/Makefile
+++ b/Makefile
@@ -49,12 +49,14 @@
 	  ctest --output-on-failure --parallel $(JOBS) \
 	  $$(bash $(CURDIR)/scripts/known_red.sh --ctest)
 
-# Run the tests of the ring buffer and of the supervised threads under
-# ThreadSanitizer.
+# Run the tests of the ring buffer, of the event queue and of the supervised
+# threads under ThreadSanitizer.
 thread-check: install-deps
 	cmake -S . -B $(BUILD)-tsan -DDP_SANITIZE=thread > /dev/null
-	cmake --build $(BUILD)-tsan --parallel $(JOBS) --target test_ba_ring test_sv_supervisor
+	cmake --build $(BUILD)-tsan --parallel $(JOBS) --target test_ba_ring \
+	  test_sv_event_queue test_sv_supervisor
 	$(BUILD)-tsan/packages/base/test_ba_ring
+	$(BUILD)-tsan/packages/server/test_sv_event_queue
 	$(BUILD)-tsan/packages/server/test_sv_supervisor
 
 # Run the tests with real processes on loopback.
--- a/packages/base/src/ba_ring.c
+++ b/packages/base/src/ba_ring.c
@@ -34,19 +34,37 @@
   return 0;
 }
 
-struct ba_ring *
-ba_ring_new (TALLOC_CTX *mem, unsigned capacity)
+static struct ba_ring *
+new_ring (TALLOC_CTX *mem, unsigned capacity)
 {
   struct ba_ring *ring = talloc_zero (mem, struct ba_ring);
 
   ring->buffer = talloc_zero_array (ring, ck_ring_buffer_t, capacity);
   ck_ring_init (&ring->ring, capacity);
+  return ring;
+}
+
+struct ba_ring *
+ba_ring_new (TALLOC_CTX *mem, unsigned capacity)
+{
+  struct ba_ring *ring = new_ring (mem, capacity);
+
   ring->fd = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
   g_assert (ring->fd >= 0);
   talloc_set_destructor (ring, ring_destructor);
   return ring;
 }
 
+struct ba_ring *
+ba_ring_new_beside (TALLOC_CTX *mem, unsigned capacity,
+                    const struct ba_ring *other)
+{
+  struct ba_ring *ring = new_ring (mem, capacity);
+
+  ring->fd = other->fd;
+  return ring;
+}
+
 void
 ba_ring_wake (struct ba_ring *ring)
 {
@@ -79,6 +97,12 @@
   return item;
 }
 
+unsigned
+ba_ring_count (const struct ba_ring *ring)
+{
+  return ck_ring_size (&ring->ring);
+}
+
 int
 ba_ring_fd (const struct ba_ring *ring)
 {
--- a/packages/base/tests/test_ba_ring.c
+++ b/packages/base/tests/test_ba_ring.c
@@ -82,12 +82,41 @@
   talloc_free (ring);
 }
 
+/* A consumer of two rings polls one file descriptor: a push to either of them
+   must make it readable, or the item waits until another one comes.  */
+static void
+test_ring_beside (void)
+{
+  struct ba_ring *beside;
+  struct pollfd p = { .events = POLLIN };
+  int item;
+
+  ring = ba_ring_new (NULL, CAPACITY);
+  beside = ba_ring_new_beside (ring, CAPACITY, ring);
+  p.fd = ba_ring_fd (ring);
+  CU_ASSERT_EQUAL (ba_ring_fd (beside), p.fd);
+  CU_ASSERT_EQUAL (poll (&p, 1, 0), 0);
+  CU_ASSERT_TRUE (ba_ring_push (beside, &item));
+  CU_ASSERT_EQUAL (poll (&p, 1, 0), 1);
+  CU_ASSERT_EQUAL (ba_ring_count (beside), 1);
+  CU_ASSERT_EQUAL (ba_ring_count (ring), 0);
+  CU_ASSERT_PTR_NULL (ba_ring_pop (ring));
+  CU_ASSERT_PTR_EQUAL (ba_ring_pop (beside), &item);
+  CU_ASSERT_EQUAL (ba_ring_count (beside), 0);
+  talloc_free (beside);
+  CU_ASSERT_TRUE (ba_ring_push (ring, &item));
+  ba_ring_reset_fd (ring);
+  CU_ASSERT_EQUAL (poll (&p, 1, 0), 0);
+  talloc_free (ring);
+}
+
 int
 main (void)
 {
   static const struct dp_test tests[]
       = { { "items of many producers arrive in order", test_many_producers },
           { "full ring refuses an item", test_full_ring },
+          { "rings with one file descriptor", test_ring_beside },
           { NULL, NULL } };
 
   return dp_test_main ("ba_ring", tests);
--- a/packages/server/src/sv_job_server.c
+++ b/packages/server/src/sv_job_server.c
@@ -168,7 +168,8 @@
 static const struct ht_client_handlers command_response_handlers
     = { .body = append_response_body, .done = complete_command };
 
-/* Reply RESULT to the command NUMBER, for which no request was submitted.  */
+/* Reply RESULT to the command NUMBER, for which no request was submitted.
+   Event loop only.  */
 static void
 reply_without_sending (struct sv_job_server *server, uint64_t number,
                        enum jb_reply_result result)
@@ -180,7 +181,7 @@
   event->reply.mem = event;
   event->reply.result = result;
   event->reply.sent_after_ms = -1;
-  push_event (server, event);
+  sv_event_queue_push_unsent (server->event_queue, ba_clock_now_us (), event);
 }
 
 /* Return the priority of a command of KIND.  Probes renew leases and report
@@ -228,6 +229,12 @@
       talloc_free (scratch);
       return;
     }
+  if (!sv_event_queue_reserve_reply (server->event_queue))
+    {
+      reply_without_sending (server, number, JB_RESULT_NOT_SENT);
+      talloc_free (scratch);
+      return;
+    }
   request.method = encoded->method;
   request.url = encoded->url;
   request.headers = encoded->headers;
@@ -245,6 +252,7 @@
     {
       g_byte_array_free (pending->body, TRUE);
       talloc_free (pending);
+      sv_event_queue_release_reply (server->event_queue);
       reply_without_sending (server, number, JB_RESULT_NOT_SENT);
     }
   talloc_free (scratch);
@@ -476,16 +484,15 @@
       text,
       "# TYPE dogwoodpulley_log_lost_total counter\n"
       "dogwoodpulley_log_lost_total %" G_GUINT64_FORMAT "\n"
-      "# TYPE dogwoodpulley_events_dropped_total counter\n"
-      "dogwoodpulley_events_dropped_total %" G_GUINT64_FORMAT "\n"
       "# TYPE dogwoodpulley_late_iterations_total counter\n"
       "dogwoodpulley_late_iterations_total %" G_GUINT64_FORMAT "\n"
       "# TYPE dogwoodpulley_peer_buffered_bytes gauge\n"
       "dogwoodpulley_peer_buffered_bytes %" G_GSIZE_FORMAT "\n",
       sv_log_lost_count (server->log),
-      sv_event_queue_dropped (server->event_queue),
       atomic_load (&server->late_iteration_count),
       pr_link_buffered_bytes (server->peer_link));
+  text = talloc_strdup_append_buffer (
+      text, sv_event_queue_format_metrics (server->event_queue, scratch));
   text = talloc_strdup_append_buffer (
       text, ba_counter_format (scratch, pr_link_counters (server->peer_link),
                                PR_COUNTER_COUNT));
@@ -640,7 +647,27 @@
       jb_host_set_bounds (server->host, &event->bounds);
       break;
     }
+}
+
+/* Process the next event.  Return false if there is none.  */
+static bool
+process_next_event (struct sv_job_server *server)
+{
+  struct event *event = sv_event_queue_pop (server->event_queue);
+  jb_time start;
+
+  if (event == NULL)
+    return false;
+  /* Take a new time for each event, because events arrive while others are
+     processed.  If the time of a reply was before its arrival, the clock of
+     the backend server would seem to be further ahead than it is, and a lease
+     would last longer there than calculated here.  */
+  start = ba_clock_now_us ();
+  process_event (server, start, event);
+  sv_event_queue_record (server->event_queue, event, start,
+                         ba_clock_now_us ());
   talloc_free (event);
+  return true;
 }
 
 /* Accept no more clients once the load balancer sends them elsewhere: while
@@ -700,7 +727,6 @@
       jb_time now = ba_clock_now_us ();
       int64_t wait_ms
           = CLAMP ((wakeup - now + JB_MS - 1) / JB_MS, 0, MAX_EVENT_WAIT_MS);
-      struct event *event;
       uint32_t processed = 0;
       jb_time start;
 
@@ -710,16 +736,9 @@
       start = ba_clock_now_us ();
       now = start;
       jb_host_set_unix_origin (server->host, unix_time_ms () * JB_MS - now);
-      /* Take a new time for each event, because events arrive while others are
-         processed.  If the time of a reply was before its arrival, the clock
-         of the backend server would seem to be further ahead than it is, and a
-         lease would last longer there than calculated here.  */
       while (processed < MAX_EVENTS_PER_ITERATION
-             && (event = sv_event_queue_pop (server->event_queue)) != NULL)
-        {
-          process_event (server, ba_clock_now_us (), event);
-          processed++;
-        }
+             && process_next_event (server))
+        processed++;
       now = ba_clock_now_us ();
       wakeup = jb_host_run (server->host, now);
       if (processed == MAX_EVENTS_PER_ITERATION)
