Bound the time of an iteration of the event loop, and say what was slow

An iteration processed up to 64 events, however long they took, before it did what is due: at 82 ms an event, heartbeats, answers at the deadline and the end of a stop waited for 5.2 s. An iteration now ends after 64 events or 20 ms, and goes on without waiting if events are left. Where doing what is due takes longer than that, events get as much time as it took, up to 200 ms, so that they always get half of the loop.

event-loop-late said only how many events took how long. It now has the event that took longest, the type of the message if it came from another host, its time, and how many events wait.

--- a/packages/jobs/include/jb_msg.h
+++ b/packages/jobs/include/jb_msg.h
@@ -332,4 +332,12 @@
    a valid encoding.  */
 struct jb_msg *jb_msg_decode (TALLOC_CTX *mem, struct ba_bytes bytes);
 
+/* Return the type of the message that BYTES encode, without decoding the rest,
+   or JB_MSG_TYPE_COUNT if it is not valid.  */
+enum jb_msg_type jb_msg_peek_type (struct ba_bytes bytes);
+
+/* Return the name of TYPE in logs, a static string; that of JB_MSG_TYPE_COUNT
+   is "unreadable".  */
+const char *jb_msg_type_name (enum jb_msg_type type);
+
 #endif
--- a/packages/jobs/src/jb_msg.c
+++ b/packages/jobs/src/jb_msg.c
@@ -254,3 +254,42 @@
     TALLOC_FREE (message);
   return message;
 }
+
+enum jb_msg_type
+jb_msg_peek_type (struct ba_bytes bytes)
+{
+  struct ba_codec io;
+  uint32_t type = 0;
+
+  ba_codec_init_reader (&io, NULL, bytes);
+  ba_codec_enum (&io, &type, JB_MSG_TYPE_COUNT);
+  return io.failed ? JB_MSG_TYPE_COUNT : type;
+}
+
+const char *
+jb_msg_type_name (enum jb_msg_type type)
+{
+  static const char *const names[]
+      = { [JB_MSG_HEARTBEAT] = "heartbeat",
+          [JB_MSG_REQUEST] = "request",
+          [JB_MSG_REPLY] = "reply",
+          [JB_MSG_CATALOG] = "catalog",
+          [JB_MSG_EVACUATE] = "evacuate",
+          [JB_MSG_EVACUATE_STATUS] = "evacuate-status",
+          [JB_MSG_POOL_LOAD] = "pool-load",
+          [JB_MSG_HOST_ARRIVING] = "host-arriving",
+          [JB_MSG_QUOTA_USAGE] = "quota-usage",
+          [JB_MSG_QUOTA_SHARES] = "quota-shares",
+          [JB_MSG_CATALOG_REQUEST] = "catalog-request",
+          [JB_MSG_ZONES] = "zones",
+          [JB_MSG_PROCESS_QUERY] = "process-query",
+          [JB_MSG_PROCESS_ENDED] = "process-ended",
+          [JB_MSG_DOUBTS] = "doubts",
+          [JB_MSG_STARTS] = "starts",
+          [JB_MSG_STARTS_KEPT] = "starts-kept",
+          [JB_MSG_STARTS_QUERY] = "starts-query",
+          [JB_MSG_STARTS_LEFT] = "starts-left",
+          [JB_MSG_TYPE_COUNT] = "unreadable" };
+
+  return names[type];
+}
--- a/packages/server/src/sv_job_server.c
+++ b/packages/server/src/sv_job_server.c
@@ -6,6 +6,7 @@
 #include "sv_connections.h"
 #include "sv_event_queue.h"
 #include "sv_log.h"
+#include "sv_loop_report.h"
 #include "sv_signals.h"
 #include "sv_supervisor.h"
 
@@ -50,9 +51,12 @@
 #define RESPONSE_FLUSH_US (250 * JB_MS)
 #define MAX_RESPONSE_FLUSH_US (400 * JB_MS)
 
-/* An iteration of the event loop that takes longer is late: meanwhile no
-   answer is read, and no lease is extended.  */
-#define LATE_ITERATION_TIME (250 * JB_MS)
+/* An iteration processes events for this time at least, as far as there are
+   any, and then does what is due.  If that takes longer, the next iteration
+   processes events for as long, so that these get half of the time, but for
+   the second time at most.  */
+#define MIN_EVENT_TIME (20 * JB_MS)
+#define MAX_EVENT_TIME (200 * JB_MS)
 
 struct sv_job_server
 {
@@ -78,7 +82,8 @@
   _Atomic bool event_loop_stopping;
   GMutex metrics_lock;
   struct jb_metrics metrics; /* copy of the decision code's; under the lock */
-  /* Iterations of the event loop longer than LATE_ITERATION_TIME.  */
+  struct sv_loop_report loop_report; /* event loop only */
+  /* Iterations of the event loop longer than SV_LATE_TIME.  */
   _Atomic uint64_t late_iteration_count;
 };
 
@@ -655,6 +660,7 @@
 {
   struct event *event = sv_event_queue_pop (server->event_queue);
   jb_time start;
+  jb_time end;
 
   if (event == NULL)
     return false;
@@ -664,8 +670,9 @@
      would last longer there than calculated here.  */
   start = ba_clock_now_us ();
   process_event (server, start, event);
-  sv_event_queue_record (server->event_queue, event, start,
-                         ba_clock_now_us ());
+  end = ba_clock_now_us ();
+  sv_event_queue_record (server->event_queue, event, start, end);
+  sv_loop_report_event (&server->loop_report, event, start, end);
   talloc_free (event);
   return true;
 }
@@ -695,23 +702,17 @@
   g_mutex_unlock (&server->metrics_lock);
 }
 
-/* Count and log an iteration of the event loop that began at START, processed
-   EVENT_COUNT events until PROCESSED_AT, and is late.  */
-static void
-report_late_iteration (struct sv_job_server *server, jb_time start,
-                       jb_time processed_at, uint32_t event_count)
+/* Process events, MAX_EVENTS_PER_ITERATION at most, and none after the time
+   END.  Return false if none is left.  */
+static bool
+process_events (struct sv_job_server *server, jb_time end)
 {
-  jb_time now = ba_clock_now_us ();
-  const struct jb_log_field fields[]
-      = { { "ms", jb_itoa ((now - start) / JB_MS) },
-          { "events", jb_itoa (event_count) },
-          { "events_ms", jb_itoa ((processed_at - start) / JB_MS) } };
-
-  if (now - start < LATE_ITERATION_TIME)
-    return;
-  atomic_fetch_add (&server->late_iteration_count, 1);
-  log_event (server, JB_LEVEL_WARN, "event-loop-late", fields,
-             G_N_ELEMENTS (fields));
+  for (unsigned i = 0; i < MAX_EVENTS_PER_ITERATION; i++)
+    if (!process_next_event (server))
+      return false;
+    else if (ba_clock_now_us () >= end)
+      return true;
+  return true;
 }
 
 static void
@@ -721,32 +722,35 @@
   struct pollfd p
       = { .fd = sv_event_queue_fd (server->event_queue), .events = POLLIN };
   jb_time wakeup = 0;
+  jb_time event_time = MIN_EVENT_TIME;
 
   while (!atomic_load (&server->event_loop_stopping))
     {
-      jb_time now = ba_clock_now_us ();
+      jb_time start = ba_clock_now_us ();
       int64_t wait_ms
-          = CLAMP ((wakeup - now + JB_MS - 1) / JB_MS, 0, MAX_EVENT_WAIT_MS);
-      uint32_t processed = 0;
-      jb_time start;
+          = CLAMP ((wakeup - start + JB_MS - 1) / JB_MS, 0, MAX_EVENT_WAIT_MS);
+      jb_time processed_at;
+      jb_time now;
+      bool events_left;
 
       poll (&p, 1, (int)wait_ms);
       heartbeat (context);
       sv_event_queue_reset_fd (server->event_queue);
       start = ba_clock_now_us ();
-      now = start;
-      jb_host_set_unix_origin (server->host, unix_time_ms () * JB_MS - now);
-      while (processed < MAX_EVENTS_PER_ITERATION
-             && process_next_event (server))
-        processed++;
+      sv_loop_report_begin (&server->loop_report, start);
+      jb_host_set_unix_origin (server->host, unix_time_ms () * JB_MS - start);
+      events_left = process_events (server, start + event_time);
+      processed_at = ba_clock_now_us ();
+      wakeup = jb_host_run (server->host, processed_at);
+      if (events_left)
+        wakeup = processed_at; /* don't wait: the descriptor was reset */
+      stop_accepting_if_drained (server, processed_at);
+      publish_state (server, processed_at);
       now = ba_clock_now_us ();
-      wakeup = jb_host_run (server->host, now);
-      if (processed == MAX_EVENTS_PER_ITERATION)
-        wakeup = now; /* don't wait: the queue may hold more events, and its
-                         descriptor was reset */
-      stop_accepting_if_drained (server, now);
-      publish_state (server, now);
-      report_late_iteration (server, start, now, processed);
+      event_time = CLAMP (now - processed_at, MIN_EVENT_TIME, MAX_EVENT_TIME);
+      if (sv_loop_report_end (&server->loop_report, server->event_queue,
+                              processed_at, now))
+        atomic_fetch_add (&server->late_iteration_count, 1);
     }
 }
 
@@ -911,6 +915,8 @@
   /* The keys are not copied: names of log events are string literals.  */
   server->log_limits = g_hash_table_new (g_str_hash, g_str_equal);
   server->event_queue = sv_event_queue_new (server);
+  server->loop_report
+      = (struct sv_loop_report){ .log = log_event, .context = server };
   server->http_client = ht_client_new (server, &client);
   server->connections[0]
       = (struct sv_connections){ &server->client_server, "clients", { 0 } };
