Count a client's deadline from when its call was read

The deadline and the wait for an owner counted from when the event loop got to the call. On a late host the client had given up before its answer came, and calls whose time was over were carried out all the same: the job ran without its client knowing it, and its processing delayed the other calls.

struct jb_call now has the time when it was read. A call that is reached after its time to answer is refused as not run.

--- a/packages/jobs/include/jb_frontend.h
+++ b/packages/jobs/include/jb_frontend.h
@@ -21,7 +21,9 @@
   const char *host;         /* of the URL; may be NULL */
   const char *path;         /* of the URL */
   const char *key;          /* API key; may be NULL */
-  int64_t deadline_ms;      /* time to answer in, from now; 0: not specified */
+  int64_t deadline_ms;      /* time to answer in, from when the call was read;
+                               0: not specified */
+  jb_time read_at;          /* 0: now */
   int64_t received_ms;      /* Unix time */
   struct jb_job_desc *desc; /* for JB_CALL_SUBMIT; NULL: invalid */
   const char *desc_error;   /* why it is invalid, if `desc' is NULL */
--- a/packages/jobs/src/jb_frontend.c
+++ b/packages/jobs/src/jb_frontend.c
@@ -254,16 +254,26 @@
           const struct jb_call *call, const struct jb_queue *queue,
           const struct jb_org *org, const char *id)
 {
-  struct pending_call *pending_call
-      = talloc_zero (frontend, struct pending_call);
-  struct jb_msg_request *request = &pending_call->request;
+  struct pending_call *pending_call;
+  struct jb_msg_request *request;
   int64_t deadline_ms
       = call->deadline_ms > 0 ? call->deadline_ms : DEFAULT_DEADLINE_MS;
+  jb_time received_at = call->read_at != 0 ? call->read_at : now;
+  jb_time deadline
+      = received_at
+        + MAX (deadline_ms - ANSWER_MARGIN_MS, deadline_ms / 2) * JB_MS;
 
+  if (now >= deadline)
+    {
+      reject_call (frontend, number, call, JB_ANSWER_UNAVAILABLE,
+                   "this host was late, and the time to answer is over");
+      return;
+    }
+  pending_call = talloc_zero (frontend, struct pending_call);
+  request = &pending_call->request;
   pending_call->number = number;
-  pending_call->received_at = now;
-  pending_call->deadline
-      = now + MAX (deadline_ms - ANSWER_MARGIN_MS, deadline_ms / 2) * JB_MS;
+  pending_call->received_at = received_at;
+  pending_call->deadline = deadline;
   request->call
       = frontend->request_number_offset + number * MAX_REQUESTS_PER_CALL;
   request->queue = talloc_strdup (pending_call, queue->name);
--- a/packages/server/src/sv_job_server.c
+++ b/packages/server/src/sv_job_server.c
@@ -632,6 +632,7 @@
   switch (event->type)
     {
     case EVENT_CLIENT_CALL:
+      event->call.read_at = event->received_at;
       jb_host_receive_call (server->host, now, event->number, &event->call);
       break;
     case EVENT_COMMAND_REPLY:
