Count what a heartbeat proves from when it arrived

The time when another host last received a heartbeat of this one, by which an owner without the store knows that nobody claims its pools and that all hosts know of a start, was taken from when this host got to the reply heartbeat, less the age in it; the age in turn counted from when the other host got to the heartbeat. With late event loops both are overstated by the time in the queue: an owner goes on for that long while others may have claimed its pools, and sends starts of which another host has the message only in its queue, though HEARTBEAT_MARGIN allows for 40 ms in all. Replies to commands no longer wait behind messages, so such a host could be the next owner before it has read the message.

Both now count from the arrival of the last heartbeat that was processed, before which all earlier messages of its sender were. The time of the store's last answer to another host does, too. Whether a member is alive still counts from the processing, since a wait in this host is no silence of the member.

test_jb_members, "a heartbeat that has waited": with the time of processing 3 of its checks fail, with the arrival none.

--- a/packages/jobs/include/jb_members.h
+++ b/packages/jobs/include/jb_members.h
@@ -20,7 +20,11 @@
   /* Content of its last heartbeat, and when that was received.  */
   uint32_t cpu_share_milli;  /* of one processor, in thousandths; 0: unknown */
   jb_time last_heartbeat_at; /* 0: never */
-  jb_time alive_since;       /* see jb_members_find_successor */
+  /* When that heartbeat arrived at this host, which may have processed it
+     later.  What it says is about that time, and all that the member sent
+     before has been processed.  */
+  jb_time last_heartbeat_arrived_at;
+  jb_time alive_since; /* see jb_members_find_successor */
   bool stopping;
   bool store_reachable;
   jb_time store_answered_at; /* when the store last answered it; 0: never */
@@ -67,9 +71,11 @@
                                    const struct jb_members_options *options);
 
 /* Process HEARTBEAT, which is borrowed, of the member with the incarnation
-   FROM.  */
+   FROM.  It arrived at ARRIVED_AT and has waited since.  The member counts as
+   alive from NOW on, since a wait in this host is no silence of the member;
+   for what the heartbeat proves about others, the arrival counts.  */
 void jb_members_receive_heartbeat (struct jb_members *members, jb_time now,
-                                   uint64_t from,
+                                   jb_time arrived_at, uint64_t from,
                                    const struct jb_msg_heartbeat *heartbeat);
 
 /* Send this host's heartbeat with STATUS now, even if it is not due yet, so
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -771,20 +771,21 @@
 }
 
 static void
-handle_heartbeat (struct jb_host *host, jb_time now, uint64_t from,
-                  const struct jb_msg_heartbeat *heartbeat)
+handle_heartbeat (struct jb_host *host, jb_time now, jb_time arrived_at,
+                  uint64_t from, const struct jb_msg_heartbeat *heartbeat)
 {
   const struct jb_member *member = jb_members_find (host->members, from);
   bool was_alive = member != NULL && jb_member_is_alive (member, now);
 
-  jb_members_receive_heartbeat (host->members, now, from, heartbeat);
+  jb_members_receive_heartbeat (host->members, now, arrived_at, from,
+                                heartbeat);
   if (!was_alive && from != host->options.incarnation)
     jb_host_relay_doubts (host, now, from);
 }
 
 bool
-jb_host_receive_message (struct jb_host *host, jb_time now, uint64_t from,
-                         struct ba_bytes bytes)
+jb_host_receive_message (struct jb_host *host, jb_time now, jb_time arrived_at,
+                         uint64_t from, struct ba_bytes bytes)
 {
   struct jb_msg *message = jb_msg_decode (NULL, bytes);
 
@@ -794,7 +795,7 @@
   switch ((enum jb_msg_type)message->type)
     {
     case JB_MSG_HEARTBEAT:
-      handle_heartbeat (host, now, from, &message->u.heartbeat);
+      handle_heartbeat (host, now, arrived_at, from, &message->u.heartbeat);
       break;
     case JB_MSG_REQUEST:
       handle_request (host, now, from, &message->u.request);
--- a/packages/jobs/src/jb_members.c
+++ b/packages/jobs/src/jb_members.c
@@ -383,7 +383,7 @@
 
 void
 jb_members_receive_heartbeat (struct jb_members *members, jb_time now,
-                              uint64_t from,
+                              jb_time arrived_at, uint64_t from,
                               const struct jb_msg_heartbeat *heartbeat)
 {
   struct jb_member *member;
@@ -399,11 +399,12 @@
       || now - member->last_heartbeat_at > MAX_INTERRUPTION)
     member->alive_since = now;
   member->last_heartbeat_at = now;
+  member->last_heartbeat_arrived_at = arrived_at;
   member->cpu_share_milli = heartbeat->cpu_share_milli;
   member->stopping = heartbeat->stopping;
   member->store_answered_at
       = heartbeat->store_answer_age_ms >= 0
-            ? now - heartbeat->store_answer_age_ms * JB_MS
+            ? arrived_at - heartbeat->store_answer_age_ms * JB_MS
             : 0;
   member->store_reachable = heartbeat->store_reachable;
   member->catalog_version = heartbeat->catalog_version;
@@ -558,7 +559,8 @@
       if (is_reported (member, now))
         heartbeat->peers[heartbeat->peer_count++]
             = (struct jb_msg_heartbeat_age){
-                member->incarnation, (now - member->last_heartbeat_at) / JB_MS
+                member->incarnation,
+                (now - member->last_heartbeat_arrived_at) / JB_MS
               };
     }
   return jb_msg_encode (mem, &message);
@@ -894,7 +896,8 @@
 {
   for (uint32_t i = 0; i < member->peer_count; i++)
     if (member->peers[i].incarnation == members->options.incarnation)
-      return member->last_heartbeat_at - member->peers[i].age_ms * JB_MS;
+      return member->last_heartbeat_arrived_at
+             - member->peers[i].age_ms * JB_MS;
   return 0;
 }
 
--- a/packages/jobs/tests/test_jb_members.c
+++ b/packages/jobs/tests/test_jb_members.c
@@ -60,7 +60,7 @@
   struct jb_reply reply = { .result = JB_RESULT_OK };
   bool claim;
 
-  jb_members_receive_heartbeat (members, NOW - 1, 2, &heartbeat);
+  jb_members_receive_heartbeat (members, NOW - 1, NOW - 1, 2, &heartbeat);
   (void)jb_members_run (members, NOW - 1, &self);
   for (uint64_t number = 1; number <= last; number++)
     jb_driver_receive_reply (driver, NOW - 1, number, &reply);
@@ -103,7 +103,7 @@
 
   for (jb_time when = NOW - 5 * JB_SECOND; when <= NOW; when += 200 * JB_MS)
     if (when >= silence_end || when <= silence_end - silence)
-      jb_members_receive_heartbeat (members, when, 2, &heartbeat);
+      jb_members_receive_heartbeat (members, when, when, 2, &heartbeat);
   (void)jb_members_run (members, NOW, &self);
   result = jb_members_find_successor (members, NOW, &self, 0) != NULL;
   talloc_free (mem);
@@ -212,17 +212,19 @@
       = { .name = "other", .address = "10.0.0.2:1", .zone = "b" };
   struct jb_msg_process process = { (char *)"other", 7 };
 
-  jb_members_receive_heartbeat (members, NOW, 5, &heartbeat);
+  jb_members_receive_heartbeat (members, NOW, NOW, 5, &heartbeat);
   CU_ASSERT_FALSE (jb_members_has_process_ended (members, "other", 7));
   CU_ASSERT_EQUAL (sent.queries, 1);
   CU_ASSERT_EQUAL (sent.to, 5);
   CU_ASSERT_FALSE (jb_members_has_process_ended (members, "other", 7));
   CU_ASSERT_EQUAL (sent.queries, 1);
-  jb_members_receive_heartbeat (members, NOW + 200 * JB_MS, 5, &heartbeat);
+  jb_members_receive_heartbeat (members, NOW + 200 * JB_MS, NOW + 200 * JB_MS,
+                                5, &heartbeat);
   CU_ASSERT_EQUAL (sent.queries, 2);
   CU_ASSERT_FALSE (jb_members_has_process_ended (members, "other", 7));
   /* The process itself is not asked.  */
-  jb_members_receive_heartbeat (members, NOW + 400 * JB_MS, 7, &heartbeat);
+  jb_members_receive_heartbeat (members, NOW + 400 * JB_MS, NOW + 400 * JB_MS,
+                                7, &heartbeat);
   CU_ASSERT_EQUAL (sent.queries, 2);
   jb_members_receive_process_ended (members, &process);
   CU_ASSERT (jb_members_has_process_ended (members, "other", 7));
@@ -267,8 +269,8 @@
   CU_ASSERT_FALSE (jb_members_has_process_ended (members, "other", 7));
   CU_ASSERT_EQUAL (sent.queries, 0);
   for (int i = 0; i < 1000; i++)
-    jb_members_receive_heartbeat (members, NOW + i * 200 * JB_MS, 5,
-                                  &heartbeat);
+    jb_members_receive_heartbeat (members, NOW + i * 200 * JB_MS,
+                                  NOW + i * 200 * JB_MS, 5, &heartbeat);
   CU_ASSERT (sent.queries > 0 && sent.queries <= 20);
   talloc_free (mem);
 }
@@ -290,7 +292,7 @@
                                             .peers = &own };
 
       g_snprintf (name, sizeof name, "host-%zu", i);
-      jb_members_receive_heartbeat (members, NOW, 2 + i, &heartbeat);
+      jb_members_receive_heartbeat (members, NOW, NOW, 2 + i, &heartbeat);
     }
 }
 
@@ -335,6 +337,70 @@
   talloc_free (mem);
 }
 
+/* Keep the last heartbeat that was sent in CONTEXT, a struct jb_msg *.  */
+static void
+keep_heartbeat (void *context, uint64_t member, struct ba_bytes message)
+{
+  struct jb_msg **last = context;
+  struct jb_msg *decoded = jb_msg_decode (NULL, message);
+
+  (void)member;
+  if (decoded != NULL && decoded->type == JB_MSG_HEARTBEAT)
+    {
+      talloc_free (*last);
+      *last = talloc_steal (NULL, decoded);
+    }
+  else
+    talloc_free (decoded);
+}
+
+/* A heartbeat that has waited in this host proves nothing about the time
+   since: an owner without the store would go on for that long while others
+   claim its pools, and send starts of which the other hosts have not heard.
+   But the wait is no silence of its sender.  */
+static void
+test_heartbeat_that_waited (void)
+{
+  static const struct jb_driver_ops ops = { .submit = ignore_command,
+                                            .send = keep_heartbeat,
+                                            .set_members = ignore_members,
+                                            .log = ignore_log };
+  TALLOC_CTX *mem = talloc_new (NULL);
+  struct jb_msg *sent = NULL;
+  struct jb_driver *driver = jb_driver_new (mem, &ops, &sent);
+  struct jb_members_options options = { .driver = driver,
+                                        .name = "own",
+                                        .address = "10.0.0.1:1",
+                                        .zone = "a",
+                                        .incarnation = 1 };
+  struct jb_members *members = jb_members_new (mem, NOW, &options);
+  struct jb_msg_heartbeat_age own = { 1, 100 };
+  struct jb_msg_ownership owned = { (char *)"pool/x", 3 };
+  struct jb_msg_heartbeat heartbeat = { .name = "other",
+                                        .address = "10.0.0.2:1",
+                                        .zone = "b",
+                                        .store_reachable = true,
+                                        .store_answer_age_ms = 30,
+                                        .ownerships = &owned,
+                                        .ownership_count = 1,
+                                        .peer_count = 1,
+                                        .peers = &own };
+  struct jb_self_status self = { .store_reachable = true };
+
+  jb_members_receive_heartbeat (members, NOW, NOW - 2000 * JB_MS, 2,
+                                &heartbeat);
+  CU_ASSERT_TRUE (
+      jb_member_is_alive (jb_members_find (members, 2), NOW + 900 * JB_MS));
+  CU_ASSERT_EQUAL (jb_members_unclaimed_until (members), NOW - 2100 * JB_MS);
+  CU_ASSERT_EQUAL (jb_members_find (members, 2)->store_answered_at,
+                   NOW - 2030 * JB_MS);
+  jb_members_send_heartbeat (members, NOW + 50 * JB_MS, &self);
+  CU_ASSERT (sent != NULL && sent->u.heartbeat.peer_count == 1
+             && sent->u.heartbeat.peers[0].age_ms == 2050);
+  talloc_free (sent);
+  talloc_free (mem);
+}
+
 int
 main (void)
 {
@@ -346,6 +412,7 @@
             test_unreported_share },
           { "a late host hands its pool over", test_silence_before_handover },
           { "up to when no other host has claimed", test_unclaimed_until },
+          { "a heartbeat that has waited", test_heartbeat_that_waited },
           { "the end of a former process", test_ended_process },
           { "a query about a former process", test_process_query },
           { "a query without a reply", test_process_query_without_reply },
--- a/packages/server/src/sv_event_queue.h
+++ b/packages/server/src/sv_event_queue.h
@@ -16,7 +16,9 @@
    Order: the events of one class from one thread keep theirs, so the messages
    of one peer do.  Between classes there is none: a message of a peer may be
    processed after a reply, a call or a stop that came later, as if the network
-   had held it up, and a view or a stop before what came earlier.
+   had held it up, and a view or a stop before what came earlier.  The decision
+   code must therefore not take the time of processing for that of arrival:
+   events carry the latter.
 
    Expected load: some thousand events a second, at 10 us to 100 ms of
    processing time each.  While the event loop is late, a second of it brings
--- a/packages/server/src/sv_job_server.c
+++ b/packages/server/src/sv_job_server.c
@@ -639,8 +639,8 @@
       jb_host_receive_reply (server->host, now, event->number, &event->reply);
       break;
     case EVENT_PEER_MESSAGE:
-      if (!jb_host_receive_message (server->host, now, event->number,
-                                    event->message))
+      if (!jb_host_receive_message (server->host, now, event->received_at,
+                                    event->number, event->message))
         sv_log (server->log, CF_LOG_WARN, "message-unreadable", NULL);
       break;
     case EVENT_VIEW_REQUEST:
