--- a/packages/server/src/sv_job_server.c
+++ b/packages/server/src/sv_job_server.c
@@ -1,12 +1,12 @@
 #include "sv_job_server.h"
 
 #include "ba_clock.h"
-#include "ba_ring.h"
 #include "ht_server.h"
-#include "jb_view.h"
 #include "pr_link.h"
 #include "sv_connections.h"
+#include "sv_event_queue.h"
 #include "sv_log.h"
+#include "sv_loop_report.h"
 #include "sv_signals.h"
 #include "sv_supervisor.h"
 
@@ -24,7 +24,6 @@
 
 enum
 {
-  EVENT_RING_CAPACITY = 16384,
   MAX_EVENTS_PER_ITERATION = 64, /* between two calls of jb_host_run */
   HTTP_CLIENT_RING_CAPACITY = 8192,
   MAX_CONNECTIONS_PER_SERVER = 6, /* to one backend server or the store */
@@ -52,35 +51,12 @@
 #define RESPONSE_FLUSH_US (250 * JB_MS)
 #define MAX_RESPONSE_FLUSH_US (400 * JB_MS)
 
-/* An iteration of the event loop that takes longer is late: meanwhile no
-   answer is read, and no lease is extended.  */
-#define LATE_ITERATION_TIME (250 * JB_MS)
-
-enum event_type
-{
-  EVENT_CLIENT_CALL,
-  EVENT_COMMAND_REPLY,
-  EVENT_PEER_MESSAGE,
-  EVENT_VIEW_REQUEST,
-  EVENT_STOP,
-  EVENT_NEW_BOUNDS
-};
-
-/* Input of the decision code, queued for the event loop; a talloc chunk
-   without parent.  Only the members that belong to the type are set.  */
-struct event
-{
-  enum event_type type;
-  /* Number of the call or command, or incarnation of the sending member.  */
-  uint64_t number;
-  struct jb_call call;
-  struct jb_reply reply;
-  struct ba_bytes message; /* from a peer */
-  struct jb_bounds bounds;
-  jb_time grace; /* of a planned stop */
-  enum jb_view_topic topic;
-  char *job_id; /* for a view of one job, or NULL */
-};
+/* An iteration processes events for this time at least, as far as there are
+   any, and then does what is due.  If that takes longer, the next iteration
+   processes events for as long, so that these get half of the time, but for
+   the second time at most.  */
+#define MIN_EVENT_TIME (20 * JB_MS)
+#define MAX_EVENT_TIME (200 * JB_MS)
 
 struct sv_job_server
 {
@@ -94,7 +70,7 @@
   struct sv_connections connections[3]; /* of these servers */
   struct ht_client *http_client;
   struct pr_link *peer_link;
-  struct ba_ring *event_ring;
+  struct sv_event_queue *event_queue;
   struct jb_host *host; /* the decision code; event loop only */
   struct sv_supervisor *supervisor;
   int signal_fd;
@@ -106,22 +82,17 @@
   _Atomic bool event_loop_stopping;
   GMutex metrics_lock;
   struct jb_metrics metrics; /* copy of the decision code's; under the lock */
-  /* Events dropped because the ring was full.  */
-  _Atomic uint64_t dropped_event_count;
-  /* Iterations of the event loop longer than LATE_ITERATION_TIME.  */
+  struct sv_loop_report loop_report; /* event loop only */
+  /* Iterations of the event loop longer than SV_LATE_TIME.  */
   _Atomic uint64_t late_iteration_count;
 };
 
 /* Queue EVENT for the event loop.  Return false, having freed it, when the
-   ring is full.  Any thread.  */
+   queue is full.  Any thread.  */
 static bool
 push_event (struct sv_job_server *server, struct event *event)
 {
-  if (ba_ring_push (server->event_ring, event))
-    return true;
-  atomic_fetch_add (&server->dropped_event_count, 1);
-  talloc_free (event);
-  return false;
+  return sv_event_queue_push (server->event_queue, ba_clock_now_us (), event);
 }
 
 static int64_t
@@ -202,7 +173,8 @@
 static const struct ht_client_handlers command_response_handlers
     = { .body = append_response_body, .done = complete_command };
 
-/* Reply RESULT to the command NUMBER, for which no request was submitted.  */
+/* Reply RESULT to the command NUMBER, for which no request was submitted.
+   Event loop only.  */
 static void
 reply_without_sending (struct sv_job_server *server, uint64_t number,
                        enum jb_reply_result result)
@@ -214,7 +186,7 @@
   event->reply.mem = event;
   event->reply.result = result;
   event->reply.sent_after_ms = -1;
-  push_event (server, event);
+  sv_event_queue_push_unsent (server->event_queue, ba_clock_now_us (), event);
 }
 
 /* Return the priority of a command of KIND.  Probes renew leases and report
@@ -262,6 +234,12 @@
       talloc_free (scratch);
       return;
     }
+  if (!sv_event_queue_reserve_reply (server->event_queue))
+    {
+      reply_without_sending (server, number, JB_RESULT_NOT_SENT);
+      talloc_free (scratch);
+      return;
+    }
   request.method = encoded->method;
   request.url = encoded->url;
   request.headers = encoded->headers;
@@ -279,6 +257,7 @@
     {
       g_byte_array_free (pending->body, TRUE);
       talloc_free (pending);
+      sv_event_queue_release_reply (server->event_queue);
       reply_without_sending (server, number, JB_RESULT_NOT_SENT);
     }
   talloc_free (scratch);
@@ -510,16 +489,15 @@
       text,
       "# TYPE dogwoodpulley_log_lost_total counter\n"
       "dogwoodpulley_log_lost_total %" G_GUINT64_FORMAT "\n"
-      "# TYPE dogwoodpulley_events_dropped_total counter\n"
-      "dogwoodpulley_events_dropped_total %" G_GUINT64_FORMAT "\n"
       "# TYPE dogwoodpulley_late_iterations_total counter\n"
       "dogwoodpulley_late_iterations_total %" G_GUINT64_FORMAT "\n"
       "# TYPE dogwoodpulley_peer_buffered_bytes gauge\n"
       "dogwoodpulley_peer_buffered_bytes %" G_GSIZE_FORMAT "\n",
       sv_log_lost_count (server->log),
-      atomic_load (&server->dropped_event_count),
       atomic_load (&server->late_iteration_count),
       pr_link_buffered_bytes (server->peer_link));
+  text = talloc_strdup_append_buffer (
+      text, sv_event_queue_format_metrics (server->event_queue, scratch));
   text = talloc_strdup_append_buffer (
       text, ba_counter_format (scratch, pr_link_counters (server->peer_link),
                                PR_COUNTER_COUNT));
@@ -654,14 +632,15 @@
   switch (event->type)
     {
     case EVENT_CLIENT_CALL:
+      event->call.read_at = event->received_at;
       jb_host_receive_call (server->host, now, event->number, &event->call);
       break;
     case EVENT_COMMAND_REPLY:
       jb_host_receive_reply (server->host, now, event->number, &event->reply);
       break;
     case EVENT_PEER_MESSAGE:
-      if (!jb_host_receive_message (server->host, now, event->number,
-                                    event->message))
+      if (!jb_host_receive_message (server->host, now, event->received_at,
+                                    event->number, event->message))
         sv_log (server->log, CF_LOG_WARN, "message-unreadable", NULL);
       break;
     case EVENT_VIEW_REQUEST:
@@ -674,7 +653,29 @@
       jb_host_set_bounds (server->host, &event->bounds);
       break;
     }
+}
+
+/* Process the next event.  Return false if there is none.  */
+static bool
+process_next_event (struct sv_job_server *server)
+{
+  struct event *event = sv_event_queue_pop (server->event_queue);
+  jb_time start;
+  jb_time end;
+
+  if (event == NULL)
+    return false;
+  /* Take a new time for each event, because events arrive while others are
+     processed.  If the time of a reply was before its arrival, the clock of
+     the backend server would seem to be further ahead than it is, and a lease
+     would last longer there than calculated here.  */
+  start = ba_clock_now_us ();
+  process_event (server, start, event);
+  end = ba_clock_now_us ();
+  sv_event_queue_record (server->event_queue, event, start, end);
+  sv_loop_report_event (&server->loop_report, event, start, end);
   talloc_free (event);
+  return true;
 }
 
 /* Accept no more clients once the load balancer sends them elsewhere: while
@@ -702,23 +703,17 @@
   g_mutex_unlock (&server->metrics_lock);
 }
 
-/* Count and log an iteration of the event loop that began at START, processed
-   EVENT_COUNT events until PROCESSED_AT, and is late.  */
-static void
-report_late_iteration (struct sv_job_server *server, jb_time start,
-                       jb_time processed_at, uint32_t event_count)
+/* Process events, MAX_EVENTS_PER_ITERATION at most, and none after the time
+   END.  Return false if none is left.  */
+static bool
+process_events (struct sv_job_server *server, jb_time end)
 {
-  jb_time now = ba_clock_now_us ();
-  const struct jb_log_field fields[]
-      = { { "ms", jb_itoa ((now - start) / JB_MS) },
-          { "events", jb_itoa (event_count) },
-          { "events_ms", jb_itoa ((processed_at - start) / JB_MS) } };
-
-  if (now - start < LATE_ITERATION_TIME)
-    return;
-  atomic_fetch_add (&server->late_iteration_count, 1);
-  log_event (server, JB_LEVEL_WARN, "event-loop-late", fields,
-             G_N_ELEMENTS (fields));
+  for (unsigned i = 0; i < MAX_EVENTS_PER_ITERATION; i++)
+    if (!process_next_event (server))
+      return false;
+    else if (ba_clock_now_us () >= end)
+      return true;
+  return true;
 }
 
 static void
@@ -726,42 +721,37 @@
 {
   struct sv_job_server *server = data;
   struct pollfd p
-      = { .fd = ba_ring_fd (server->event_ring), .events = POLLIN };
+      = { .fd = sv_event_queue_fd (server->event_queue), .events = POLLIN };
   jb_time wakeup = 0;
+  jb_time event_time = MIN_EVENT_TIME;
 
   while (!atomic_load (&server->event_loop_stopping))
     {
-      jb_time now = ba_clock_now_us ();
+      jb_time start = ba_clock_now_us ();
       int64_t wait_ms
-          = CLAMP ((wakeup - now + JB_MS - 1) / JB_MS, 0, MAX_EVENT_WAIT_MS);
-      struct event *event;
-      uint32_t processed = 0;
-      jb_time start;
+          = CLAMP ((wakeup - start + JB_MS - 1) / JB_MS, 0, MAX_EVENT_WAIT_MS);
+      jb_time processed_at;
+      jb_time now;
+      bool events_left;
 
       poll (&p, 1, (int)wait_ms);
       heartbeat (context);
-      ba_ring_reset_fd (server->event_ring);
+      sv_event_queue_reset_fd (server->event_queue);
       start = ba_clock_now_us ();
-      now = start;
-      jb_host_set_unix_origin (server->host, unix_time_ms () * JB_MS - now);
-      /* Take a new time for each event, because events arrive while others are
-         processed.  If the time of a reply was before its arrival, the clock
-         of the backend server would seem to be further ahead than it is, and a
-         lease would last longer there than calculated here.  */
-      while (processed < MAX_EVENTS_PER_ITERATION
-             && (event = ba_ring_pop (server->event_ring)) != NULL)
-        {
-          process_event (server, ba_clock_now_us (), event);
-          processed++;
-        }
+      sv_loop_report_begin (&server->loop_report, start);
+      jb_host_set_unix_origin (server->host, unix_time_ms () * JB_MS - start);
+      events_left = process_events (server, start + event_time);
+      processed_at = ba_clock_now_us ();
+      wakeup = jb_host_run (server->host, processed_at);
+      if (events_left)
+        wakeup = processed_at; /* don't wait: the descriptor was reset */
+      stop_accepting_if_drained (server, processed_at);
+      publish_state (server, processed_at);
       now = ba_clock_now_us ();
-      wakeup = jb_host_run (server->host, now);
-      if (processed == MAX_EVENTS_PER_ITERATION)
-        wakeup = now; /* don't wait: the ring may hold more events, and its
-                         descriptor was reset */
-      stop_accepting_if_drained (server, now);
-      publish_state (server, now);
-      report_late_iteration (server, start, now, processed);
+      event_time = CLAMP (now - processed_at, MIN_EVENT_TIME, MAX_EVENT_TIME);
+      if (sv_loop_report_end (&server->loop_report, server->event_queue,
+                              processed_at, now))
+        atomic_fetch_add (&server->late_iteration_count, 1);
     }
 }
 
@@ -771,7 +761,7 @@
   struct sv_job_server *server = data;
 
   atomic_store (&server->event_loop_stopping, true);
-  ba_ring_wake (server->event_ring);
+  sv_event_queue_wake (server->event_queue);
 }
 
 static void
@@ -925,7 +915,9 @@
       = sv_log_new (server, &options->settings->log, options->settings->name);
   /* The keys are not copied: names of log events are string literals.  */
   server->log_limits = g_hash_table_new (g_str_hash, g_str_equal);
-  server->event_ring = ba_ring_new (server, EVENT_RING_CAPACITY);
+  server->event_queue = sv_event_queue_new (server);
+  server->loop_report
+      = (struct sv_loop_report){ .log = log_event, .context = server };
   server->http_client = ht_client_new (server, &client);
   server->connections[0]
       = (struct sv_connections){ &server->client_server, "clients", { 0 } };
