HTTP server: end a connection only if no whole request was read over it

Cause: a connection that is chosen to be closed was shut down in both directions, by whatever thread, while a whole request could have arrived over it or have just been read; such a request was ended with MHD_NO. And a planned stop had no means to end connections: it stopped accepting, which reset those that only the kernel had accepted, and waited.

What callers saw: a request that was sent over an open connection ended without an answer.

Change: - ht_server_drain accepts what the kernel has accepted, no more after that, closes each connection after its response and closes those without a request. It is reached through a socket pair that is passed to MHD_add_connection. - A victim over which something has arrived is read first. If that completes a request, the request is refused as not run, else the connection is closed. - ht_call_take claims a call for the one that runs it. ht_server_refuse_requests gives up those that nobody has taken, and ht_server_give_up_calls the others, too; the handler give_up responds. A call that was given up can't be taken.

Ruled out by a trial: shutdown (SHUT_RD) instead. libmicrohttpd 0.9.75 reads once more after a request is complete, takes the end for an abort and drops the response; and it misses an end that comes with the last bytes.

--- a/packages/http/include/ht_server.h
+++ b/packages/http/include/ht_server.h
@@ -62,6 +62,11 @@
      full, has room again, or the call has ended.  Called on a server thread.
      May be NULL.  */
   void (*writable) (void *context, uint64_t id);
+  /* Respond to call ID, which the server gives up because the process ends:
+     nobody has taken it (ht_call_take) and nobody can any more, or if it was
+     TAKEN, its response has not come in time.  Called on any thread.  May be
+     NULL if ht_server_refuse_requests is not called.  */
+  void (*give_up) (void *context, uint64_t id, bool taken);
 };
 
 struct ht_server_options
@@ -91,10 +96,36 @@
                                  const struct ht_server_options *options,
                                  GError **error);
 
-/* Stop accepting connections.  Open connections are still served, and closed
-   after their current response.  */
+/* Stop accepting connections, except those that the kernel has accepted
+   already.  Open connections are still served.  */
 void ht_server_stop_accepting (struct ht_server *server);
 
+/* The end of a server's work, so that no request is read and left without a
+   response; each function does what the one before it does.  They are to be
+   called again every few milliseconds, by the same thread, until
+   ht_server_connection_count is 0: connections become idle again, and requests
+   may arrive until then.  A connection that is closed gets no request read, or
+   the one that is read whole meanwhile is given up.
+
+   ht_server_drain: stop accepting, close each connection after its response,
+   and close those without a request.
+
+   ht_server_refuse_requests: give up the requests that nobody has taken, and
+   those that come.
+
+   ht_server_give_up_calls: give up taken calls, too, and close the connections
+   whose request is not complete.
+
+   The last two return the number of calls that were given up, of those
+   that waited.  */
+void ht_server_drain (struct ht_server *server);
+unsigned ht_server_refuse_requests (struct ht_server *server);
+unsigned ht_server_give_up_calls (struct ht_server *server);
+
+/* Return the number of connections that are open or are being closed, or were
+   accepted and not passed to the server's thread yet.  */
+unsigned ht_server_connection_count (struct ht_server *server);
+
 /* Close the connections whose clients take too long to send a request.  To be
    called about once a second, by any thread.  */
 void ht_server_close_overdue (struct ht_server *server);
@@ -116,6 +147,10 @@
 /* Return the number of calls that have not ended.  */
 unsigned ht_server_call_count (struct ht_server *server);
 
+/* Claim call ID for the caller, who is then going to respond to it.  Return
+   false when the call was given up or has ended: it must not be run.  */
+bool ht_call_take (struct ht_server *server, uint64_t id);
+
 /* Return the value of the request header NAME, matched without regard to case,
    as a copy owned by MEM.  Return NULL when the request of call ID has no such
    header or the call has ended.  */
--- a/packages/http/src/ht_admission.c
+++ b/packages/http/src/ht_admission.c
@@ -80,9 +80,9 @@
     g_queue_push_tail_link (to, &admitted->link);
 }
 
-/* Stop counting ADMITTED, which is to be closed.  */
-static void
-begin_close (struct ht_admission *admission, struct ht_admitted *admitted)
+void
+ht_admission_begin_close (struct ht_admission *admission,
+                          struct ht_admitted *admitted)
 {
   count_body (admission, admitted, 0);
   set_state (admission, admitted, HT_CONNECTION_CLOSING);
@@ -105,7 +105,7 @@
                     struct ht_admitted *admitted)
 {
   if (admitted->state != HT_CONNECTION_CLOSING)
-    begin_close (admission, admitted);
+    ht_admission_begin_close (admission, admitted);
 }
 
 void
@@ -175,7 +175,7 @@
         victim = receiving;
     }
   if (victim != NULL)
-    begin_close (admission, victim);
+    ht_admission_begin_close (admission, victim);
   return victim;
 }
 
@@ -195,10 +195,26 @@
         overdue = admitted;
     }
   if (overdue != NULL)
-    begin_close (admission, overdue);
+    ht_admission_begin_close (admission, overdue);
   return overdue;
 }
 
+GList *
+ht_admission_list_unused (const struct ht_admission *admission, bool receiving)
+{
+  GList *list = g_list_copy (admission->idle.head);
+
+  for (GList *link = admission->receiving.head; link != NULL;
+       link = link->next)
+    {
+      const struct ht_admitted *admitted = link->data;
+
+      if (receiving || admitted->state == HT_CONNECTION_NEW)
+        list = g_list_prepend (list, link->data);
+    }
+  return list;
+}
+
 bool
 ht_admission_may_wait (const struct ht_admission *admission,
                        const struct ht_admitted *admitted)
--- a/packages/http/src/ht_admission.h
+++ b/packages/http/src/ht_admission.h
@@ -103,6 +103,17 @@
 struct ht_admitted *ht_admission_next_overdue (struct ht_admission *admission,
                                                int64_t now);
 
+/* Return the connections without a request, new or idle, and with RECEIVING
+   those whose request is not complete, too: a list of struct ht_admitted that
+   the caller frees with g_list_free.  */
+GList *ht_admission_list_unused (const struct ht_admission *admission,
+                                 bool receiving);
+
+/* ADMITTED, which is not to be closed yet, is chosen to be closed.  It counts
+   no more.  */
+void ht_admission_begin_close (struct ht_admission *admission,
+                               struct ht_admitted *admitted);
+
 /* Return whether the connection, whose request is complete, may wait for its
    response, or has to be refused because of its body.  */
 bool ht_admission_may_wait (const struct ht_admission *admission,
--- a/packages/http/src/ht_server.c
+++ b/packages/http/src/ht_server.c
@@ -40,7 +40,10 @@
   CONNECTION_OVERHEAD_BYTES = 4096,
   /* Connections that are chosen to be closed, or were just accepted, beyond
      max_connections: so many that libmicrohttpd goes on accepting.  */
-  SPARE_CONNECTIONS_PER_THREAD = 64
+  SPARE_CONNECTIONS_PER_THREAD = 64,
+  /* A connection over which more arrives whenever libmicrohttpd has read is
+     closed after so many times.  */
+  MAX_SWEEPS = 3
 };
 
 enum call_phase
@@ -59,6 +62,9 @@
   struct ht_admitted admitted; /* must be first */
   int fd;
   struct call *call; /* whose request is received or answered, or NULL */
+  bool answering;    /* the request of CALL is complete */
+  GList closing;     /* in the list of the server, DATA is this */
+  unsigned sweeps;   /* that found something to read while it was in there */
 };
 
 struct call
@@ -74,13 +80,16 @@
   enum call_phase phase;
   bool disconnect_reported; /* don't call `disconnected' any more */
   bool suspended; /* until there is a response; protected by `lock' */
+  bool taken;     /* by who responds to it; protected by `lock' */
+  bool given_up;  /* nobody may take it any more; protected by `lock' */
   bool too_large; /* max_body_bytes exceeded: BODY is empty */
   char *method;
   char *target;
   struct ht_body body; /* protected by the server's lock until the request is
                           complete */
   size_t body_limit;   /* max_body_bytes, or less if it was announced */
-  size_t discarded_bytes;          /* of a body that is too large */
+  size_t discarded_bytes; /* of a body that is too large, or whose connection
+                             is to be closed */
   struct ht_request_copy *request; /* only its header fields are set */
   struct MHD_Response *response;
   unsigned status;
@@ -97,11 +106,22 @@
 {
   struct ht_server_options options;
   struct MHD_Daemon *daemon;
-  GMutex lock; /* protects CALLS, their reference counts, ADMISSION and
-                  REJECTIONS */
+  GMutex lock; /* protects CALLS, their reference counts, and what follows up
+                  to REFUSING */
   struct ht_admission *admission;
   uint64_t rejections[HT_REJECTION_COUNT];
-  GHashTable *calls; /* ID -> call */
+  GHashTable *calls;                  /* ID -> call */
+  unsigned connection_count;          /* those to be closed included */
+  GQueue closing;                     /* connections that are to be closed */
+  const struct connection *receiving; /* whose body is being stored */
+  int sweep_socket;                   /* that requests a sweep, or -1 */
+  bool closing_all; /* close connections whose request is not complete */
+  /* Accepted sockets that libmicrohttpd got and has not reported yet.  */
+  GHashTable *added_sockets;
+  bool refusing; /* give up each request */
+  int listener;  /* that libmicrohttpd uses no more, or -1; used only by the
+                    thread that stops accepting */
+  _Atomic bool draining; /* close each connection after its response */
   _Atomic uint64_t last_id;
   _Atomic bool stopping;
   GThread *disconnect_watcher;
@@ -118,20 +138,102 @@
   g_mutex_unlock (&server->lock);
 }
 
-/* Have libmicrohttpd close the connection of ADMITTED, because of REASON.  Its
-   thread sees the end of the stream, but perhaps not before others have
-   received much more, so free the body at once.  The server must be
-   locked.  */
+/* Return whether there is something to read from FD, or its end.  */
+static bool
+has_input (int fd)
+{
+  struct pollfd p = { .fd = fd, .events = POLLIN };
+
+  return poll (&p, 1, 0) > 0;
+}
+
+/* Have the thread of libmicrohttpd call sweep: it reports a new connection,
+   whose other end is closed already.  Only on that thread a connection that
+   has no complete request, and nothing to be read, can't be one whose request
+   it has just read.  The server must be locked.  */
 static void
-begin_close (struct ht_server *server, struct ht_admitted *admitted,
-             enum ht_rejection reason)
+request_sweep (struct ht_server *server)
+{
+  static const struct sockaddr address = { .sa_family = AF_UNIX };
+  int sockets[2];
+
+  if (server->sweep_socket >= 0
+      || socketpair (AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0,
+                     sockets)
+             != 0)
+    return; /* the next request may succeed */
+  server->sweep_socket = sockets[0];
+  if (MHD_add_connection (server->daemon, sockets[0], &address, sizeof address)
+      != MHD_YES)
+    server->sweep_socket = -1; /* it has closed the socket */
+  close (sockets[1]);
+}
+
+/* Have libmicrohttpd close the connection of ADMITTED, at once unless
+   something has arrived: that may complete a request, which is then refused.
+   Its thread may have received much more from others before, so free the body
+   now.  The server must be locked.  */
+static void
+begin_close (struct ht_server *server, struct ht_admitted *admitted)
 {
   struct connection *client = (struct connection *)admitted;
 
-  server->rejections[reason]++;
+  g_queue_push_tail_link (&server->closing, &client->closing);
   if (client->call != NULL)
     ht_body_clear (&client->call->body);
-  shutdown (client->fd, SHUT_RDWR);
+  if (client == server->receiving || has_input (client->fd))
+    request_sweep (server);
+  else
+    shutdown (client->fd, SHUT_RDWR);
+}
+
+/* Close the connections without a request, except those over which one is
+   arriving, and with `closing_all' those whose request is not complete.  The
+   server must be locked.  */
+static void
+close_unused (struct ht_server *server)
+{
+  GList *list
+      = ht_admission_list_unused (server->admission, server->closing_all);
+
+  for (GList *link = list; link != NULL; link = link->next)
+    {
+      struct connection *client = link->data;
+
+      if (has_input (client->fd))
+        continue;
+      ht_admission_begin_close (server->admission, &client->admitted);
+      begin_close (server, &client->admitted);
+    }
+  g_list_free (list);
+}
+
+/* Close the connections that are to be closed and whose request is still not
+   complete.  Called on the thread of libmicrohttpd, with the server locked. */
+static void
+sweep (struct ht_server *server)
+{
+  bool again = false;
+
+  server->sweep_socket = -1;
+  for (GList *link = server->closing.head; link != NULL; link = link->next)
+    {
+      struct connection *client = link->data;
+
+      if (client->answering)
+        continue;
+      if (client->sweeps < MAX_SWEEPS && has_input (client->fd))
+        {
+          client->sweeps++;
+          again = true;
+        }
+      else
+        shutdown (client->fd, SHUT_RDWR);
+    }
+  if (atomic_load (&server->draining))
+    close_unused (server);
+  if (again)
+    request_sweep (server);
 }
 
 /* Close the connections that there is no room for.  The server must be
@@ -144,7 +246,10 @@
 
   while ((victim = ht_admission_next_victim (server->admission, now, &reason))
          != NULL)
-    begin_close (server, victim, reason);
+    {
+      server->rejections[reason]++;
+      begin_close (server, victim);
+    }
 }
 
 void
@@ -156,7 +261,10 @@
   g_mutex_lock (&server->lock);
   while ((overdue = ht_admission_next_overdue (server->admission, now))
          != NULL)
-    begin_close (server, overdue, HT_REJECTION_TIMEOUT);
+    {
+      server->rejections[HT_REJECTION_TIMEOUT]++;
+      begin_close (server, overdue);
+    }
   g_mutex_unlock (&server->lock);
 }
 
@@ -170,23 +278,32 @@
   struct ht_server *server = context;
   struct connection *client = *socket_context;
   int64_t now = ba_clock_now_us ();
+  int fd
+      = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+            ->connect_fd;
 
   g_mutex_lock (&server->lock);
-  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+  if (code == MHD_CONNECTION_NOTIFY_STARTED && fd == server->sweep_socket)
+    sweep (server);
+  else if (code == MHD_CONNECTION_NOTIFY_STARTED)
     {
       client = g_new0 (struct connection, 1);
-      client->fd = MHD_get_connection_info (connection,
-                                            MHD_CONNECTION_INFO_CONNECTION_FD)
-                       ->connect_fd;
+      client->fd = fd;
+      client->closing.data = client;
       *socket_context = client;
+      server->connection_count++;
+      g_hash_table_remove (server->added_sockets, GINT_TO_POINTER (fd));
       ht_admission_open (server->admission, &client->admitted, now);
       close_victims (server, now);
     }
   else if (client != NULL)
     {
+      if (client->admitted.state == HT_CONNECTION_CLOSING)
+        g_queue_unlink (&server->closing, &client->closing);
       ht_admission_close (server->admission, &client->admitted);
       g_free (client);
       *socket_context = NULL;
+      server->connection_count--;
     }
   g_mutex_unlock (&server->lock);
 }
@@ -203,28 +320,42 @@
   g_mutex_unlock (&server->lock);
 }
 
+/* What becomes of a complete request.  */
+enum verdict
+{
+  VERDICT_RUN,     /* pass it to its handler */
+  VERDICT_REFUSE,  /* there are too many requests */
+  VERDICT_GIVE_UP, /* the process ends */
+};
+
 /* Let the connection of CALL, whose request is complete, wait for its
-   response.  Set REFUSED if there are too many bodies for that.  Return false
-   if the connection is to be closed.  */
-static bool
-begin_wait (struct call *call, bool *refused)
+   response.  If there is no room for its body, or the connection was chosen to
+   be closed while the request arrived, the request is not run.  */
+static enum verdict
+begin_wait (struct call *call)
 {
   struct ht_server *server = call->server;
   struct ht_admitted *admitted = &call->client->admitted;
-  bool open;
+  enum verdict verdict = VERDICT_RUN;
 
   g_mutex_lock (&server->lock);
-  open = admitted->state != HT_CONNECTION_CLOSING;
-  *refused = !ht_admission_may_wait (server->admission, admitted);
-  if (*refused)
+  if (!ht_admission_may_wait (server->admission, admitted))
     {
+      verdict = VERDICT_REFUSE;
       server->rejections[HT_REJECTION_OVERLOADED]++;
       ht_admission_set_body (server->admission, admitted, 0);
     }
+  call->client->answering = true;
+  if (admitted->state == HT_CONNECTION_CLOSING)
+    verdict = VERDICT_REFUSE;
+  if (server->refusing
+      || (verdict == VERDICT_REFUSE && atomic_load (&server->draining)
+          && server->options.handlers->give_up != NULL))
+    verdict = VERDICT_GIVE_UP;
   ht_admission_enter (server->admission, admitted, HT_CONNECTION_WAITING,
                       ba_clock_now_us ());
   g_mutex_unlock (&server->lock);
-  return open;
+  return verdict;
 }
 
 void
@@ -382,9 +513,14 @@
 queue_response (struct call *call)
 {
   struct MHD_Response *response = call->response;
-  enum MHD_Result result
-      = MHD_queue_response (call->connection, call->status, response);
-
+  enum MHD_Result result;
+
+  if ((atomic_load (&call->server->draining)
+       || call->client->admitted.state == HT_CONNECTION_CLOSING)
+      && MHD_get_response_header (response, MHD_HTTP_HEADER_CONNECTION)
+             == NULL)
+    MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
+  result = MHD_queue_response (call->connection, call->status, response);
   call->response = NULL;
   MHD_destroy_response (response);
   return result;
@@ -418,12 +554,13 @@
 {
   struct ht_server *server = call->server;
   struct ht_call view = call_view (call);
-  bool refused;
 
   count_rejection (server, HT_REJECTION_TOO_LARGE);
   copy_header (call);
-  if (!begin_wait (call, &refused))
-    return MHD_NO;
+  g_mutex_lock (&server->lock);
+  call->client->answering = true;
+  g_mutex_unlock (&server->lock);
+  enter_state (call, HT_CONNECTION_WAITING);
   g_mutex_lock (&call->lock);
   call->phase = PHASE_AWAITING_RESPONSE;
   g_mutex_unlock (&call->lock);
@@ -449,33 +586,57 @@
   return MHD_YES;
 }
 
-/* Receive LEN bytes of the body.  Fail if the connection is to be closed.  */
+/* Receive LEN bytes of the body.  Those of a connection that is to be closed
+   are read and dropped: if they complete the request, it is refused.  Fail if
+   there are too many of these.  */
 static enum MHD_Result
 receive_body (struct call *call, const void *data, size_t len)
 {
   struct ht_server *server = call->server;
   const struct ht_admitted *admitted = &call->client->admitted;
-  bool open;
+  bool open = true;
 
   g_mutex_lock (&server->lock);
-  open = admitted->state != HT_CONNECTION_CLOSING;
-  if (open && call->too_large)
+  if (call->too_large || admitted->state == HT_CONNECTION_CLOSING)
     {
       call->discarded_bytes += len;
       open = call->discarded_bytes <= server->options.max_body_bytes;
     }
-  else if (open)
+  else if (len <= call->body_limit - call->body.len)
     {
-      if (len <= call->body_limit - call->body.len)
-        append_body (call, data, len);
-      else
-        begin_discard (call);
-      open = admitted->state != HT_CONNECTION_CLOSING;
+      server->receiving = call->client;
+      append_body (call, data, len);
+      server->receiving = NULL;
     }
+  else
+    begin_discard (call);
   g_mutex_unlock (&server->lock);
   return open ? MHD_YES : MHD_NO;
 }
 
+/* Give up CALL, whose connection is suspended, unless that was done before or
+   it has a response.  One that was taken is given up only with TAKEN_TOO.
+   Return whether it has been given up.  */
+static bool
+give_up (struct call *call, bool taken_too)
+{
+  const struct ht_server *server = call->server;
+  bool given_up;
+  bool taken;
+
+  g_mutex_lock (&call->lock);
+  taken = call->taken;
+  given_up = call->connection != NULL && !call->given_up
+             && call->phase == PHASE_AWAITING_RESPONSE
+             && (taken_too || !taken);
+  call->given_up |= given_up;
+  g_mutex_unlock (&call->lock);
+  if (given_up)
+    server->options.handlers->give_up (server->options.context, call->id,
+                                       taken);
+  return given_up;
+}
+
 /* Suspend the connection and pass the complete request to its handler.  */
 static enum MHD_Result
 dispatch_request (struct call *call)
@@ -484,11 +645,9 @@
   const struct ht_server_handlers *handlers = server->options.handlers;
   struct ht_call view;
   uint64_t id = call->id;
-  bool refused;
+  enum verdict verdict = begin_wait (call);
 
-  if (!begin_wait (call, &refused))
-    return MHD_NO;
-  if (refused)
+  if (verdict != VERDICT_RUN)
     ht_body_clear (&call->body);
   view = call_view (call);
   copy_header (call);
@@ -502,7 +661,10 @@
   call = call_acquire (server, id);
   if (call->too_large)
     handlers->too_large (server->options.context, &view);
-  else if (refused || !handlers->request (server->options.context, &view))
+  else if (verdict == VERDICT_GIVE_UP)
+    give_up (call, false);
+  else if (verdict == VERDICT_REFUSE
+           || !handlers->request (server->options.context, &view))
     ht_call_respond (server, id, 503, overload_fields,
                      G_N_ELEMENTS (overload_fields), overload_body,
                      sizeof overload_body - 1);
@@ -574,6 +736,7 @@
     MHD_destroy_response (unsent_response);
   g_mutex_lock (&server->lock);
   call->client->call = NULL;
+  call->client->answering = false;
   ht_admission_set_body (server->admission, &call->client->admitted, 0);
   ht_admission_enter (server->admission, &call->client->admitted,
                       HT_CONNECTION_IDLE, ba_clock_now_us ());
@@ -761,6 +924,23 @@
   call_release (call);
 }
 
+bool
+ht_call_take (struct ht_server *server, uint64_t id)
+{
+  struct call *call = call_acquire (server, id);
+  bool taken;
+
+  if (call == NULL)
+    return false;
+  g_mutex_lock (&call->lock);
+  taken = call->connection != NULL && !call->given_up
+          && call->phase == PHASE_AWAITING_RESPONSE;
+  call->taken = taken;
+  g_mutex_unlock (&call->lock);
+  call_release (call);
+  return taken;
+}
+
 char *
 ht_call_get_header (struct ht_server *server, uint64_t id, TALLOC_CTX *mem,
                     const char *name)
@@ -862,13 +1042,116 @@
 
 /* ---- the server ---- */
 
+/* ---- the end of the server's work ---- */
+
+/* Pass the accepted socket FD to libmicrohttpd, which closes it if it doesn't
+   take it.  */
+static void
+add_socket (struct ht_server *server, int fd,
+            const struct sockaddr_storage *address, socklen_t len)
+{
+  g_mutex_lock (&server->lock);
+  g_hash_table_add (server->added_sockets, GINT_TO_POINTER (fd));
+  g_mutex_unlock (&server->lock);
+  if (MHD_add_connection (server->daemon, fd, (const struct sockaddr *)address,
+                          len)
+      == MHD_YES)
+    return;
+  g_mutex_lock (&server->lock);
+  g_hash_table_remove (server->added_sockets, GINT_TO_POINTER (fd));
+  g_mutex_unlock (&server->lock);
+}
+
 void
 ht_server_stop_accepting (struct ht_server *server)
 {
-  int fd = MHD_quiesce_daemon (server->daemon);
+  struct sockaddr_storage address;
+  socklen_t len = sizeof address;
+  int fd;
+
+  if (server->listener >= 0)
+    return;
+  server->listener = MHD_quiesce_daemon (server->daemon);
+  if (server->listener < 0)
+    return;
+  while ((fd = accept4 (server->listener, (struct sockaddr *)&address, &len,
+                        SOCK_NONBLOCK | SOCK_CLOEXEC))
+         >= 0)
+    {
+      add_socket (server, fd, &address, len);
+      len = sizeof address;
+    }
+  /* Refuse clients, but keep the descriptor: the thread of libmicrohttpd may
+     still use it.  */
+  shutdown (server->listener, SHUT_RDWR);
+}
+
+/* Give up the calls that wait, and with TAKEN_TOO those that were taken.
+   Return their number.  */
+static unsigned
+give_up_waiting (struct ht_server *server, bool taken_too)
+{
+  GArray *ids = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  unsigned count = 0;
+  GHashTableIter iter;
+  gpointer key;
+
+  g_mutex_lock (&server->lock);
+  server->refusing = true;
+  g_hash_table_iter_init (&iter, server->calls);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    g_array_append_val (ids, *(uint64_t *)key);
+  g_mutex_unlock (&server->lock);
+  for (guint i = 0; i < ids->len; i++)
+    {
+      struct call *call
+          = call_acquire (server, g_array_index (ids, uint64_t, i));
+
+      if (call == NULL)
+        continue;
+      count += give_up (call, taken_too);
+      call_release (call);
+    }
+  g_array_free (ids, TRUE);
+  return count;
+}
+
+void
+ht_server_drain (struct ht_server *server)
+{
+  atomic_store (&server->draining, true);
+  ht_server_stop_accepting (server);
+  g_mutex_lock (&server->lock);
+  request_sweep (server);
+  g_mutex_unlock (&server->lock);
+}
 
-  if (fd >= 0)
-    close (fd);
+unsigned
+ht_server_refuse_requests (struct ht_server *server)
+{
+  ht_server_drain (server);
+  return give_up_waiting (server, false);
+}
+
+unsigned
+ht_server_give_up_calls (struct ht_server *server)
+{
+  g_mutex_lock (&server->lock);
+  server->closing_all = true;
+  g_mutex_unlock (&server->lock);
+  ht_server_drain (server);
+  return give_up_waiting (server, true);
+}
+
+unsigned
+ht_server_connection_count (struct ht_server *server)
+{
+  unsigned count;
+
+  g_mutex_lock (&server->lock);
+  count = server->connection_count + g_hash_table_size (server->added_sockets);
+  g_mutex_unlock (&server->lock);
+  return count;
 }
 
 unsigned
@@ -919,7 +1202,10 @@
     g_thread_join (server->disconnect_watcher);
   resume_suspended_calls (server);
   MHD_stop_daemon (server->daemon);
+  if (server->listener >= 0)
+    close (server->listener);
   g_hash_table_destroy (server->calls);
+  g_hash_table_destroy (server->added_sockets);
   g_mutex_clear (&server->lock);
   return 0;
 }
@@ -955,6 +1241,9 @@
 
   server->options = *options;
   server->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
+  server->added_sockets = g_hash_table_new (NULL, NULL);
+  server->listener = -1;
+  server->sweep_socket = -1;
   server->admission = create_admission (server);
   g_mutex_init (&server->lock);
   if (options->server_out != NULL)
@@ -981,6 +1270,7 @@
       g_set_error (error, BA_ERROR, BA_ERROR_IO, "can't listen on %s: %s",
                    options->address, g_strerror (errno));
       g_hash_table_destroy (server->calls);
+      g_hash_table_destroy (server->added_sockets);
       g_mutex_clear (&server->lock);
       talloc_free (server);
       return NULL;
--- a/packages/server/tests/test_sv_job_server.c
+++ b/packages/server/tests/test_sv_job_server.c
@@ -246,9 +246,9 @@
    a certain time after SIGTERM.  */
 struct idle_client
 {
+  int fd;
   int number;
   int64_t send_at;
-  bool was_answered; /* before */
   bool answered;
 };
 
@@ -256,19 +256,13 @@
 run_idle_client (gpointer data)
 {
   struct idle_client *client = data;
-  int fd = dp_connect (&client_address);
-  int64_t now;
+  int64_t now = ba_clock_now_us ();
 
-  send_first_half (fd, MAX_REQUEST_COUNT);
-  dp_send_text (fd, "\r\n");
-  client->was_answered = dp_receive_response (fd) != 0;
-  now = ba_clock_now_us ();
   if (client->send_at > now)
     g_usleep ((gulong)(client->send_at - now));
-  send_first_half (fd, client->number);
-  dp_send_text (fd, "\r\n");
-  client->answered = dp_receive_response (fd) != 0;
-  close (fd);
+  send_first_half (client->fd, client->number);
+  dp_send_text (client->fd, "\r\n");
+  client->answered = dp_receive_response (client->fd) != 0;
   return NULL;
 }
 
@@ -289,27 +283,33 @@
   GThread *thread = start_server (&server);
   struct idle_client clients[COUNT];
   GThread *client_threads[COUNT];
-  int64_t stop_at = ba_clock_now_us () + JB_SECOND;
+  int64_t stop_at;
 
   for (int i = 0; i < COUNT; i++)
     {
-      clients[i] = (struct idle_client){
-        .number = i, .send_at = stop_at + (FIRST_MS + i * STEP_MS) * JB_MS
-      };
-      client_threads[i]
-          = g_thread_new ("client", run_idle_client, &clients[i]);
+      clients[i] = (struct idle_client){ .fd = dp_connect (&client_address),
+                                         .number = i };
+      send_first_half (clients[i].fd, MAX_REQUEST_COUNT);
+      dp_send_text (clients[i].fd, "\r\n");
+      CU_ASSERT_NOT_EQUAL (dp_receive_response (clients[i].fd), 0);
     }
-  g_usleep ((gulong)MAX (stop_at - ba_clock_now_us (), 1));
   kill (getpid (), SIGTERM);
+  stop_at = ba_clock_now_us ();
   atomic_store (&slow_answer_ms, ANSWER_MS);
   atomic_store (&slow_answer_count, COUNT);
+  for (int i = 0; i < COUNT; i++)
+    {
+      clients[i].send_at = stop_at + (FIRST_MS + i * STEP_MS) * JB_MS;
+      client_threads[i]
+          = g_thread_new ("client", run_idle_client, &clients[i]);
+    }
   for (int i = 0; i < COUNT; i++)
     g_thread_join (client_threads[i]);
   CU_ASSERT_EQUAL (GPOINTER_TO_INT (g_thread_join (thread)), EXIT_SUCCESS);
   for (int i = 0; i < COUNT; i++)
     {
-      CU_ASSERT_TRUE (clients[i].was_answered);
       CU_ASSERT_TRUE (clients[i].answered || !atomic_load (&was_read[i]));
+      close (clients[i].fd);
     }
   talloc_free (server);
 }
