Job server: end a planned stop by connections, not by time

Cause: after the decision code had stopped, the server waited 250 to 400 ms by the clock and then freed its servers, one after the other. A call that was read while the event loop was late waited in the queue of events by then; one that was read while the servers were freed was ended without an answer. The event loop, which still ran, answered through the freed server. The request to stop was an event, behind up to 16,383 others, and was lost if the queue was full.

Change: - sv_stop decides, apart from input and output: serve until the balancer has noticed, drain, refuse what nobody has taken once the host is idle, give up all calls when an eighth of the grace period remains, end when no client is connected or a sixteenth remains. - The event loop takes each call before it runs it, so a refusal as not run is true, and calls that were taken get 504. The main thread does that, however late the event loop is, and before the process ends because of a failed thread, too. - The stop is a flag that the event loop reads, and its grace period counts from the signal. Readiness fails from the signal on. - The threads end before the servers are freed, the client server first. - New log event calls-given-up, fields of stopped, and the metric dogwoodpulley_calls_given_up_total.

The end after a failed thread was not run.

--- a/packages/jobs/include/jb_host.h
+++ b/packages/jobs/include/jb_host.h
@@ -65,10 +65,11 @@
    nothing if this host is stopping already.  */
 void jb_host_stop (struct jb_host *host, jb_time now, jb_time grace);
 
-/* Return whether this host is stopping, and the load balancer has had time to
-   notice it: connections of clients need not be accepted any more.  Over those
-   that are open, calls may still come.  */
-bool jb_host_is_drained (const struct jb_host *host, jb_time now);
+/* Return the time that the load balancer gets to notice that a host is
+   stopping, for which there is GRACE.  Then the host is drained: connections
+   of clients need not be accepted any more.  Over those that are open, calls
+   may still come.  */
+jb_time jb_host_drain_time (jb_time grace);
 
 /* Return whether a planned stop is complete: this host was drained, had
    answered all calls and handed no pool over, or had no more time for that.
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -894,13 +894,19 @@
   return jb_frontend_pending_count (host->frontend) == 0;
 }
 
+static bool
+is_drained (const struct jb_host *host, jb_time now)
+{
+  return host->stopping && now >= host->drained_at;
+}
+
 /* Complete a planned stop as soon as nothing is left to do, or there is no
    more time.  Calls that come later are refused: they might not be answered
    before the process ends.  */
 static void
 complete_stop (struct jb_host *host, jb_time now)
 {
-  if (host->stopped || !jb_host_is_drained (host, now)
+  if (host->stopped || !is_drained (host, now)
       || (now < host->answer_by && !is_idle (host)))
     return;
   host->stopped = true;
@@ -945,6 +951,12 @@
   return MAX (next, now + JB_MS);
 }
 
+jb_time
+jb_host_drain_time (jb_time grace)
+{
+  return MIN (BALANCER_DRAIN_TIME, grace / 2);
+}
+
 void
 jb_host_stop (struct jb_host *host, jb_time now, jb_time grace)
 {
@@ -952,7 +964,7 @@
   if (host->stopping)
     return;
   host->stopping = true;
-  host->drained_at = now + MIN (BALANCER_DRAIN_TIME, grace / 2);
+  host->drained_at = now + jb_host_drain_time (grace);
   host->answer_by = now + grace - grace / STOP_MARGIN_FRACTION;
   jb_frontend_stop (host->frontend, host->answer_by);
   host->heartbeat_due = true;
@@ -967,12 +979,6 @@
     }
 }
 
-bool
-jb_host_is_drained (const struct jb_host *host, jb_time now)
-{
-  return host->stopping && now >= host->drained_at;
-}
-
 bool
 jb_host_has_stopped (const struct jb_host *host)
 {
--- a/packages/server/src/sv_job_server.c
+++ b/packages/server/src/sv_job_server.c
@@ -8,6 +8,7 @@
 #include "sv_connections.h"
 #include "sv_log.h"
 #include "sv_signals.h"
+#include "sv_stop.h"
 #include "sv_supervisor.h"
 
 #include <errno.h>
@@ -40,17 +41,16 @@
   SUPERVISION_INTERVAL_MS = 500,
   MAX_EVENT_WAIT_MS = 1000,
   SETTINGS_CHECK_INTERVAL_MS = 1000,
-  STOP_CHECK_INTERVAL_MS = 20, /* between two checks whether a planned stop is
-                                  complete */
+  STOP_CHECK_INTERVAL_MS = 20, /* between two steps of a planned stop */
+  /* A client is told to repeat a call that was given up after this time.  */
+  GIVEN_UP_RETRY_AFTER_MS = 1000,
   MAX_LOG_LINES_PER_SECOND = 200, /* for each log event */
   EXIT_THREAD_FAILED = 70
 };
 
-/* At the end of a planned stop, the time in which responses in flight can
-   reach their clients, and the longest time to wait for calls that have come
-   meanwhile.  */
-#define RESPONSE_FLUSH_US (250 * JB_MS)
-#define MAX_RESPONSE_FLUSH_US (400 * JB_MS)
+/* When a thread has failed, the longest time to wait for the answers to reach
+   their clients.  */
+#define MAX_FAILURE_FLUSH (1000 * JB_MS)
 
 /* An iteration of the event loop that takes longer is late: meanwhile no
    answer is read, and no lease is extended.  */
@@ -62,7 +62,6 @@
   EVENT_COMMAND_REPLY,
   EVENT_PEER_MESSAGE,
   EVENT_VIEW_REQUEST,
-  EVENT_STOP,
   EVENT_NEW_BOUNDS
 };
 
@@ -77,7 +76,6 @@
   struct jb_reply reply;
   struct ba_bytes message; /* from a peer */
   struct jb_bounds bounds;
-  jb_time grace; /* of a planned stop */
   enum jb_view_topic topic;
   char *job_id; /* for a view of one job, or NULL */
 };
@@ -98,11 +96,16 @@
   struct jb_host *host; /* the decision code; event loop only */
   struct sv_supervisor *supervisor;
   int signal_fd;
-  bool stopping;          /* event loop only */
-  bool accepting_stopped; /* of clients; event loop only */
+  /* The planned stop, set before STOPPING.  It is no event, because the queue
+     of events may be full.  */
+  struct sv_stop stop;
+  _Atomic bool stopping;
+  bool stop_begun;           /* event loop only */
+  jb_time host_stopped_at;   /* as seen by the main thread, or 0 */
+  _Atomic bool host_stopped; /* the decision code has nothing left to do */
   _Atomic bool ready;
-  _Atomic bool close_connections; /* after each response to a client */
-  _Atomic bool stopped;           /* the planned stop is complete */
+  /* Calls that were answered only because the process was about to end.  */
+  _Atomic uint64_t given_up_count;
   _Atomic bool event_loop_stopping;
   GMutex metrics_lock;
   struct jb_metrics metrics; /* copy of the decision code's; under the lock */
@@ -344,7 +347,7 @@
                   response.retry_after_s);
       fields[count++] = (struct ht_field){ "Retry-After", seconds };
     }
-  if (atomic_load (&server->close_connections))
+  if (atomic_load (&server->stopping))
     fields[count++] = (struct ht_field){ "Connection", "close" };
   ht_call_respond (server->client_server, call, response.status, fields, count,
                    response.body != NULL ? response.body : "",
@@ -352,6 +355,18 @@
   talloc_free (scratch);
 }
 
+/* Answer CALL, which the HTTP server gives up because the process ends.  */
+static void
+give_up_call (void *context, uint64_t call, bool taken)
+{
+  struct jb_answer answer
+      = { .kind = taken ? JB_ANSWER_UNKNOWN : JB_ANSWER_UNAVAILABLE,
+          .retry_after_ms = taken ? 0 : GIVEN_UP_RETRY_AFTER_MS,
+          .reason = "this host is stopping" };
+
+  answer_client (context, call, &answer);
+}
+
 static void
 answer_text (struct ht_server *http_server, uint64_t call, unsigned status,
              const char *text)
@@ -432,7 +447,8 @@
 static const struct ht_server_handlers client_handlers
     = { .request = queue_client_call,
         .too_large = reject_large_client_request,
-        .disconnected = ignore_disconnect };
+        .disconnected = ignore_disconnect,
+        .give_up = give_up_call };
 
 static bool
 handle_readiness_check (void *context, const struct ht_call *call)
@@ -440,7 +456,8 @@
   struct sv_job_server *server = context;
   bool is_known_path
       = strcmp (call->target, server->options.adapter->readiness_path) == 0;
-  bool ready = atomic_load (&server->ready);
+  bool ready
+      = atomic_load (&server->ready) && !atomic_load (&server->stopping);
 
   answer_text (server->readiness_server, call->id,
                !is_known_path ? 404
@@ -514,11 +531,14 @@
       "dogwoodpulley_events_dropped_total %" G_GUINT64_FORMAT "\n"
       "# TYPE dogwoodpulley_late_iterations_total counter\n"
       "dogwoodpulley_late_iterations_total %" G_GUINT64_FORMAT "\n"
+      "# TYPE dogwoodpulley_calls_given_up_total counter\n"
+      "dogwoodpulley_calls_given_up_total %" G_GUINT64_FORMAT "\n"
       "# TYPE dogwoodpulley_peer_buffered_bytes gauge\n"
       "dogwoodpulley_peer_buffered_bytes %" G_GSIZE_FORMAT "\n",
       sv_log_lost_count (server->log),
       atomic_load (&server->dropped_event_count),
       atomic_load (&server->late_iteration_count),
+      atomic_load (&server->given_up_count),
       pr_link_buffered_bytes (server->peer_link));
   text = talloc_strdup_append_buffer (
       text, ba_counter_format (scratch, pr_link_counters (server->peer_link),
@@ -602,15 +622,18 @@
 
 /* ---- event loop (thread `decider') ---- */
 
-/* Begin a planned stop, for which there is the time GRACE.  Clients are
-   answered until the load balancer has had time to stop sending them here.  */
+/* Begin a planned stop if there is a request for it.  Of the grace period,
+   only what is left counts: the event loop may be late.  */
 static void
-begin_stop (struct sv_job_server *server, jb_time now, jb_time grace)
+begin_stop_if_requested (struct sv_job_server *server, jb_time now)
 {
-  server->stopping = true;
-  atomic_store (&server->ready, false);
-  atomic_store (&server->close_connections, true);
-  jb_host_stop (server->host, now, grace);
+  jb_time killed_at;
+
+  if (server->stop_begun || !atomic_load (&server->stopping))
+    return;
+  server->stop_begun = true;
+  killed_at = server->stop.requested_at + server->stop.grace;
+  jb_host_stop (server->host, now, MAX (killed_at - now, 0));
 }
 
 static json_t *
@@ -654,7 +677,8 @@
   switch (event->type)
     {
     case EVENT_CLIENT_CALL:
-      jb_host_receive_call (server->host, now, event->number, &event->call);
+      if (ht_call_take (server->client_server, event->number))
+        jb_host_receive_call (server->host, now, event->number, &event->call);
       break;
     case EVENT_COMMAND_REPLY:
       jb_host_receive_reply (server->host, now, event->number, &event->reply);
@@ -667,9 +691,6 @@
     case EVENT_VIEW_REQUEST:
       answer_view_request (server, now, event);
       break;
-    case EVENT_STOP:
-      begin_stop (server, now, event->grace);
-      break;
     case EVENT_NEW_BOUNDS:
       jb_host_set_bounds (server->host, &event->bounds);
       break;
@@ -677,26 +698,14 @@
   talloc_free (event);
 }
 
-/* Accept no more clients once the load balancer sends them elsewhere: while
-   new ones come, there may be no moment without a call.  */
-static void
-stop_accepting_if_drained (struct sv_job_server *server, jb_time now)
-{
-  if (server->accepting_stopped || !jb_host_is_drained (server->host, now))
-    return;
-  server->accepting_stopped = true;
-  ht_server_stop_accepting (server->client_server);
-}
-
 /* Copy the readiness, the end of a planned stop and the metrics to where other
    threads read them.  */
 static void
 publish_state (struct sv_job_server *server, jb_time now)
 {
-  atomic_store (&server->ready,
-                !server->stopping && jb_host_is_ready (server->host, now));
+  atomic_store (&server->ready, jb_host_is_ready (server->host, now));
   if (jb_host_has_stopped (server->host))
-    atomic_store (&server->stopped, true);
+    atomic_store (&server->host_stopped, true);
   g_mutex_lock (&server->metrics_lock);
   server->metrics = *jb_host_metrics (server->host);
   g_mutex_unlock (&server->metrics_lock);
@@ -744,6 +753,7 @@
       start = ba_clock_now_us ();
       now = start;
       jb_host_set_unix_origin (server->host, unix_time_ms () * JB_MS - now);
+      begin_stop_if_requested (server, now);
       /* Take a new time for each event, because events arrive while others are
          processed.  If the time of a reply was before its arrival, the clock
          of the backend server would seem to be further ahead than it is, and a
@@ -759,7 +769,6 @@
       if (processed == MAX_EVENTS_PER_ITERATION)
         wakeup = now; /* don't wait: the ring may hold more events, and its
                          descriptor was reset */
-      stop_accepting_if_drained (server, now);
       publish_state (server, now);
       report_late_iteration (server, start, now, processed);
     }
@@ -973,42 +982,92 @@
   push_event (server, event);
 }
 
-/* Return whether the signal NUMBER, which is handled, begins a planned stop.
- */
-static bool
+static void
 handle_signal (struct sv_job_server *server, uint32_t number)
 {
-  struct event *event;
-
   if (number == SIGHUP)
+    reload_settings (server);
+  if (number == SIGHUP || atomic_load (&server->stopping))
+    return;
+  sv_log (server->log, CF_LOG_INFO, "stopping", NULL);
+  server->stop
+      = (struct sv_stop){ ba_clock_now_us (),
+                          server->options.settings->stop_grace_ms * JB_MS };
+  atomic_store (&server->stopping, true);
+  ba_ring_wake (server->event_ring);
+}
+
+/* Count and log COUNT calls that were given up.  */
+static void
+report_given_up (struct sv_job_server *server, unsigned count)
+{
+  if (count == 0)
+    return;
+  atomic_fetch_add (&server->given_up_count, count);
+  sv_log (server->log, CF_LOG_WARN, "calls-given-up", "count", jb_itoa (count),
+          "connections",
+          jb_itoa (ht_server_connection_count (server->client_server)), NULL);
+}
+
+/* Go on with a planned stop.  Return whether it is complete.  */
+static bool
+continue_stop (struct sv_job_server *server)
+{
+  jb_time now = ba_clock_now_us ();
+  struct sv_stop_state state
+      = { .host_stopped = atomic_load (&server->host_stopped),
+          .connections = ht_server_connection_count (server->client_server),
+          .peer_bytes = pr_link_buffered_bytes (server->peer_link) };
+
+  if (state.host_stopped && server->host_stopped_at == 0)
+    server->host_stopped_at = now;
+  state.host_stopped_at = server->host_stopped_at;
+  switch (sv_stop_decide (&server->stop, now, &state))
     {
-      reload_settings (server);
-      return false;
+    case SV_STOP_SERVE:
+      break;
+    case SV_STOP_DRAIN:
+      ht_server_drain (server->client_server);
+      break;
+    case SV_STOP_REFUSE:
+      ht_server_refuse_requests (server->client_server);
+      break;
+    case SV_STOP_GIVE_UP:
+      report_given_up (server,
+                       ht_server_give_up_calls (server->client_server));
+      break;
+    case SV_STOP_END:
+      sv_log (server->log, CF_LOG_INFO, "stopped", "ms",
+              jb_itoa ((now - server->stop.requested_at) / JB_MS),
+              "connections", jb_itoa (state.connections), "calls_given_up",
+              jb_itoa ((int64_t)atomic_load (&server->given_up_count)),
+              "host_stopped", state.host_stopped ? "yes" : "no", NULL);
+      return true;
     }
-  sv_log (server->log, CF_LOG_INFO, "stopping", NULL);
-  event = talloc_zero (NULL, struct event);
-  event->type = EVENT_STOP;
-  event->grace = server->options.settings->stop_grace_ms * JB_MS;
-  push_event (server, event);
-  return true;
+  return false;
 }
 
-/* Give the responses in flight time to reach their clients.  Over connections
-   that are open, calls may come until the end, and a call that has been read
-   must be answered: the event loop still runs.  */
+/* The thread NAME hangs or has returned too often.  One that hangs can't be
+   stopped, so answer the calls and end the process, which must then be
+   replaced.  */
 static void
-flush_responses (struct sv_job_server *server)
+end_after_failure (struct sv_job_server *server, const char *name)
 {
-  int64_t start = ba_clock_now_us ();
-  int64_t elapsed = 0;
+  jb_time until = ba_clock_now_us () + MAX_FAILURE_FLUSH;
 
-  while (elapsed < RESPONSE_FLUSH_US
-         || (elapsed < MAX_RESPONSE_FLUSH_US
-             && ht_server_call_count (server->client_server) > 0))
+  fprintf (stderr,
+           "dogwoodpulleyd: thread %s hangs or has returned too often; "
+           "ending the process\n",
+           name);
+  do
     {
+      report_given_up (server,
+                       ht_server_give_up_calls (server->client_server));
       g_usleep (STOP_CHECK_INTERVAL_MS * 1000);
-      elapsed = ba_clock_now_us () - start;
     }
+  while (ht_server_connection_count (server->client_server) > 0
+         && ba_clock_now_us () < until);
+  _exit (EXIT_THREAD_FAILED);
 }
 
 int
@@ -1019,19 +1078,19 @@
   const char *failed_thread = NULL;
   jb_time next_settings_check = 0;
   int interval_ms = SUPERVISION_INTERVAL_MS;
+  bool stopped = false;
 
   sv_supervisor_start (server->supervisor);
   sv_log (server->log, CF_LOG_INFO, "started", "listen",
           settings->client_address, "zone", settings->zone, "version",
           DP_VERSION, NULL);
-  while (!atomic_load (&server->stopped) && failed_thread == NULL)
+  while (!stopped && failed_thread == NULL)
     {
       struct signalfd_siginfo info;
 
       poll (&p, 1, interval_ms);
       while (read (p.fd, &info, sizeof info) == (ssize_t)sizeof info)
-        if (handle_signal (server, info.ssi_signo))
-          interval_ms = STOP_CHECK_INTERVAL_MS;
+        handle_signal (server, info.ssi_signo);
       if (ba_clock_now_us () >= next_settings_check)
         {
           next_settings_check
@@ -1042,23 +1101,18 @@
                                 server->log);
         }
       failed_thread = sv_supervisor_check (server->supervisor);
+      if (!atomic_load (&server->stopping))
+        continue;
+      interval_ms = STOP_CHECK_INTERVAL_MS;
+      stopped = continue_stop (server);
     }
   if (failed_thread != NULL)
-    {
-      /* A thread that hangs can't be stopped, so end the process, which must
-         then be replaced.  */
-      fprintf (stderr,
-               "dogwoodpulleyd: thread %s hangs or has returned too often; "
-               "ending the process\n",
-               failed_thread);
-      _exit (EXIT_THREAD_FAILED);
-    }
-  flush_responses (server);
-  sv_log (server->log, CF_LOG_INFO, "stopped", NULL);
-  TALLOC_FREE (server->admin_server);
-  TALLOC_FREE (server->readiness_server);
-  TALLOC_FREE (server->client_server);
+    end_after_failure (server, failed_thread);
+  /* The event loop uses the servers.  */
   sv_supervisor_stop (server->supervisor);
+  TALLOC_FREE (server->client_server);
+  TALLOC_FREE (server->readiness_server);
+  TALLOC_FREE (server->admin_server);
   close (server->signal_fd);
   return EXIT_SUCCESS;
 }
