--- a/packages/server/src/sv_event_queue.h
+++ b/packages/server/src/sv_event_queue.h
@@ -61,7 +61,6 @@
   struct jb_reply reply;
   struct ba_bytes message; /* from a peer */
   struct jb_bounds bounds;
-  jb_time grace; /* of a planned stop */
   enum jb_view_topic topic;
   char *job_id;        /* for a view of one job, or NULL */
   jb_time received_at; /* when it was queued */
