Measure the events of starts in doubt that hosts tell each other

Nothing measured what one of these events costs.

bench_doubts prints, for 10 to 10,000 entries in 26 pools and 8 members, the processor time of a message, of a member's heartbeat, and of what follows the heartbeats of members that were silent: the longest single call, all calls and the bytes that are sent. scripts/measure.sh runs it.

--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -1,9 +1,9 @@
 #!/bin/bash
-# Run all measurements.  The scheduling policies, the decision core and the
-# owner of a pool are measured first, in virtual time: the figures of the
-# policies are the same on every run.  The request path follows, with real processes on loopback:
-# compare only ratios within a run, since times depend on the machine and its
-# load.  With PATH_ONLY set, only the request path is measured.
+# Run all measurements.  The scheduling policies, the decision core, the owner
+# of a pool and the starts in doubt that hosts tell each other are measured
+# first, in virtual time: the figures of the policies are the same on every run.
+# The request path follows, with real processes on loopback: compare only ratios
+# within a run, since times depend on the machine and its load.  With PATH_ONLY set, only the request path is measured.
 set -u
 cd "$(dirname "$0")/.."
 . scripts/site.sh
@@ -15,6 +15,8 @@
 echo
 [ -n "${PATH_ONLY:-}" ] || "$BIN/bench/bench_pool"
 echo
+[ -n "${PATH_ONLY:-}" ] || "$BIN/bench/bench_doubts"
+echo
 [ -n "${PATH_ONLY:-}" ] || "$BIN/bench/bench_http_client"
 echo
 site_start run/measure bench/measure.yaml 51 1 0
