--- a/packages/jobs/tests/test_jb_peer_doubts.c
+++ b/packages/jobs/tests/test_jb_peer_doubts.c
@@ -89,6 +89,46 @@
   talloc_free (table);
 }
 
+static uint32_t freed_count;
+
+static int
+count_freed (char *string)
+{
+  (void)string;
+  freed_count++;
+  return 0;
+}
+
+static void
+watch_task (void *data, const struct jb_peer_doubt *doubt)
+{
+  (void)data;
+  talloc_set_destructor (doubt->entry.task, count_freed);
+}
+
+/* An entry that is there already, as several hosts pass it on, must not be
+   freed and allocated again: the time for that makes event loops late.  */
+static void
+test_known_entry (void)
+{
+  struct jb_peer_doubts *table = jb_peer_doubts_new (NULL);
+  size_t blocks;
+
+  freed_count = 0;
+  add (table, NOW, "a", 3, TASK, 30001);
+  jb_peer_doubts_visit (table, "a", 9, watch_task, NULL);
+  blocks = talloc_total_blocks (table);
+  add (table, NOW, "a", 3, TASK, 30001);
+  add (table, NOW - JB_MS, "a", 3, TASK, 30001);
+  add (table, NOW + 2 * JB_SECOND, "a", 3, TASK, 30001);
+  add (table, NOW, "a", 2, TASK, 20001);
+  CU_ASSERT_EQUAL (freed_count, 0);
+  CU_ASSERT_EQUAL (talloc_total_blocks (table), blocks);
+  /* The time is still the latest one.  */
+  CU_ASSERT_EQUAL (find (table, "a", 9).sent_at, NOW + 2 * JB_SECOND);
+  talloc_free (table);
+}
+
 /* An entry that another host passes on must not last longer, nor replace a
    later start.  */
 static void
@@ -185,6 +225,7 @@
       = { { "entries belong to a pool and a generation",
             test_pool_and_generation },
           { "the newest entry of the last owner counts", test_replacement },
+          { "a known entry costs no memory", test_known_entry },
           { "an entry that was passed on has an age", test_age },
           { "an entry is kept until its start is over", test_expiry },
           { "the table is bounded", test_bounded_size },
