Pass on each start in doubt once to a process, and in portions

A coordinator sent its whole table to each member that it heard again after 1 s without a heartbeat, in the event of that heartbeat. When its event loop was late by more than that, all members looked silent, and each was sent the table: 8.8 ms of a whole core a member with 10,000 entries, which made the loop later. Every receiver decoded all of it from up to nine coordinators.

A coordinator now notes for each process up to which change of the table it was sent entries, and up to which one it has received them: it has shown, without a silence since, that it has heard this host 500 ms after they were sent. After a silence it is sent what it isn't known to have received; a new process, all. Portions of 250 entries are sent at intervals of 10 ms, to processes that have just started first; 5,000 entries take 200 ms, and a new process claims a pool after 700 ms at the earliest. The messages are the same as before.

So no doubt is left out: what a member was sent before it is sent once instead of after each silence.

--- a/packages/jobs/include/jb_peer_doubts.h
+++ b/packages/jobs/include/jb_peer_doubts.h
@@ -8,8 +8,12 @@
 
    An entry is kept until its start can't have an effect any more.
 
+   Changes of entries are numbered, so that a host which has got all up to a
+   number can be told of the later ones only.
+
    Expected load: none while the store answers.  While it does not, a message
-   of each owner every 40 ms, with a few entries.  */
+   of each owner every 40 ms, with a few entries; and on a host that has just
+   started, all entries from each coordinator, thousands of them.  */
 
 #include "jb_msg.h"
 
@@ -34,7 +38,8 @@
 
 /* Add copies of the entries of MESSAGE, received at NOW.  An entry replaces
    the one of the same task, unless that is of a later generation or of a later
-   start.  Return how many were ignored because the table is full.  */
+   start.  One of the same content, and not much later, is not a change. Return
+   how many were ignored because the table is full.  */
 uint32_t jb_peer_doubts_add (struct jb_peer_doubts *table, jb_time now,
                              const struct jb_msg_doubts *message);
 
@@ -43,6 +48,17 @@
 void jb_peer_doubts_expire (struct jb_peer_doubts *table, jb_time now,
                             int64_t max_lease_ms);
 
+/* Return the number of the last change, or 0 if there was none.  */
+uint64_t jb_peer_doubts_last_change (const struct jb_peer_doubts *table);
+
+/* Store in DOUBTS up to LIMIT entries, borrowed until the table changes, whose
+   last changes came after the change AFTER, the oldest change first.  Return
+   their number, and set AFTER to the last one's change.  */
+uint32_t jb_peer_doubts_list_changes (const struct jb_peer_doubts *table,
+                                      uint64_t *after,
+                                      const struct jb_peer_doubt **doubts,
+                                      uint32_t limit);
+
 /* Call VISIT with DATA for each entry of POOL from a generation below
    GENERATION.  */
 void jb_peer_doubts_visit (
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -741,6 +741,7 @@
   host->driver = jb_driver_new (host, ops, context);
   members.driver = host->driver;
   host->peer_doubts = jb_peer_doubts_new (host);
+  host->doubt_relays = jb_doubt_relays_new (host);
   host->kept_starts = g_ptr_array_new ();
   host->members = jb_members_new (host, now, &members);
   frontend.driver = host->driver;
@@ -775,11 +776,21 @@
                   const struct jb_msg_heartbeat *heartbeat)
 {
   const struct jb_member *member = jb_members_find (host->members, from);
-  bool was_alive = member != NULL && jb_member_is_alive (member, now);
+  bool is_new = member == NULL || member->last_heartbeat_at == 0;
+  bool was_alive = !is_new && jb_member_is_alive (member, now);
 
   jb_members_receive_heartbeat (host->members, now, from, heartbeat);
-  if (!was_alive && from != host->options.incarnation)
-    jb_host_relay_doubts (host, now, from);
+  if (from == host->options.incarnation)
+    return;
+  if (!was_alive)
+    {
+      jb_host_relay_doubts (host, from, is_new);
+      return;
+    }
+  for (uint32_t i = 0; i < heartbeat->peer_count; i++)
+    if (heartbeat->peers[i].incarnation == host->options.incarnation)
+      jb_host_confirm_doubts (host, from,
+                              now - heartbeat->peers[i].age_ms * JB_MS);
 }
 
 bool
@@ -923,6 +934,7 @@
   jb_host_send_zones (host, now);
   jb_peer_doubts_expire (host->peer_doubts, now,
                          host->options.bounds.max_lease_ms);
+  next = MIN (next, jb_host_run_relays (host, now));
   for (guint i = 0; i < host->pools->len; i++)
     {
       struct pool_slot *slot = g_ptr_array_index (host->pools, i);
--- a/packages/jobs/src/jb_host_internal.h
+++ b/packages/jobs/src/jb_host_internal.h
@@ -47,9 +47,10 @@
   uint64_t logged_zone_change; /* last change of a zone that was logged */
   uint64_t sent_zone_update;   /* last update of a zone that was sent */
   jb_time next_zone_message;
-  GPtrArray *pools;                   /* struct pool_slot */
-  struct jb_peer_doubts *peer_doubts; /* of all pools */
-  GPtrArray *kept_starts;             /* see jb_host_starts.c */
+  GPtrArray *pools;                     /* struct pool_slot */
+  struct jb_peer_doubts *peer_doubts;   /* of all pools */
+  struct jb_doubt_relays *doubt_relays; /* see jb_host_doubts.c */
+  GPtrArray *kept_starts;               /* see jb_host_starts.c */
   struct jb_planner *planner; /* NULL: neither owned nor being claimed */
   jb_time next_planner_claim; /* earliest time to claim its partition */
   GPtrArray *waves;           /* struct requested_wave */
@@ -140,9 +141,21 @@
 void jb_host_send_doubts (void *data, jb_time now,
                           const struct jb_msg_doubts *doubts);
 
-/* If this host is a coordinator, send what it keeps to the member with
-   incarnation TO, which was not alive.  */
-void jb_host_relay_doubts (struct jb_host *host, jb_time now, uint64_t to);
+struct jb_doubt_relays *jb_doubt_relays_new (TALLOC_CTX *mem);
+
+/* If this host is a coordinator, queue what it keeps, and was not sent yet,
+   for the member with incarnation TO, which was not alive, or has just started
+   if IS_NEW.  */
+void jb_host_relay_doubts (struct jb_host *host, uint64_t to, bool is_new);
+
+/* The member with the incarnation FROM, which was alive all the time, has
+   received a heartbeat of this host at HEARD_AT.  */
+void jb_host_confirm_doubts (struct jb_host *host, uint64_t from,
+                             jb_time heard_at);
+
+/* Send the next portion of what is queued, if it is time to.  Return when to
+   call this next, or JB_NEVER.  */
+jb_time jb_host_run_relays (struct jb_host *host, jb_time now);
 
 /* ---- jb_host_zones.c ---- */
 
--- a/packages/jobs/src/jb_peer_doubts.c
+++ b/packages/jobs/src/jb_peer_doubts.c
@@ -13,7 +13,7 @@
 /* An entry of the same content is passed on again only if its time is this
    much later.  What several hosts pass on differs by the time that a message
    takes.  */
-#define SAME_TIME_TOLERANCE (100 * JB_MS)
+#define SAME_TIME_TOLERANCE (20 * JB_MS)
 
 /* The entries of one pool.  */
 struct pool_doubts
@@ -226,6 +226,44 @@
     }
 }
 
+uint64_t
+jb_peer_doubts_last_change (const struct jb_peer_doubts *table)
+{
+  return table->last_serial;
+}
+
+static int
+compare_serials (gconstpointer a, gconstpointer b, gpointer data)
+{
+  const struct kept_doubt *x = a;
+  const struct kept_doubt *y = b;
+
+  (void)data;
+  return x->serial < y->serial ? -1 : x->serial > y->serial;
+}
+
+uint32_t
+jb_peer_doubts_list_changes (const struct jb_peer_doubts *table,
+                             uint64_t *after,
+                             const struct jb_peer_doubt **doubts,
+                             uint32_t limit)
+{
+  struct kept_doubt key = { .serial = *after };
+  GSequenceIter *iter
+      = g_sequence_search (table->changes, &key, compare_serials, NULL);
+  uint32_t count = 0;
+
+  while (count < limit && !g_sequence_iter_is_end (iter))
+    {
+      const struct kept_doubt *kept = g_sequence_get (iter);
+
+      doubts[count++] = &kept->doubt;
+      *after = kept->serial;
+      iter = g_sequence_iter_next (iter);
+    }
+  return count;
+}
+
 void
 jb_peer_doubts_visit (
     const struct jb_peer_doubts *table, const char *pool, uint32_t generation,
