Let an owner look only at the starts in doubt that a message lists

For each message with starts in doubt an owner loaded the whole table of its pool again, marked the tasks of all starts in doubt, and looked which of them are over and which ends are held. Up to nine coordinators send it the same. Starts that were settled meanwhile, since their run was listed, were in doubt again after a message on other tasks.

An owner now takes up the entries of the message: one that tells nothing new is only looked up; otherwise its task is marked and the start counted at its backend server at once, so that no end there is acknowledged. What came before the rows were read is loaded with them, as before.

--- a/packages/jobs/include/jb_doubt.h
+++ b/packages/jobs/include/jb_doubt.h
@@ -174,6 +174,9 @@
                        jb_time asked_at, int64_t max_lease_ms,
                        const struct jb_lease *lease);
 
+/* Remove DOUBT from TABLE, and free it.  */
+void jb_doubt_remove (struct jb_doubt_table *table, struct jb_doubt *doubt);
+
 /* Call VISIT for each entry, and remove those for which it returns true.  */
 void jb_doubt_visit (struct jb_doubt_table *table,
                      bool (*visit) (void *data, struct jb_doubt *doubt),
--- a/packages/jobs/src/jb_doubt.c
+++ b/packages/jobs/src/jb_doubt.c
@@ -140,8 +140,8 @@
              : NULL;
 }
 
-static void
-remove_entry (struct jb_doubt_table *table, struct jb_doubt *doubt)
+void
+jb_doubt_remove (struct jb_doubt_table *table, struct jb_doubt *doubt)
 {
   g_hash_table_remove (table->entries, doubt->task);
   talloc_free (doubt);
@@ -162,7 +162,7 @@
   drop_start (doubt, index < doubt->sent ? index : 0);
   if (doubt->sent > 0)
     return false;
-  remove_entry (table, doubt);
+  jb_doubt_remove (table, doubt);
   return true;
 }
 
@@ -200,7 +200,7 @@
   doubt->is_queued = false;
   drop_start (doubt, doubt->sent - 1);
   if (doubt->sent == 0)
-    remove_entry (table, doubt);
+    jb_doubt_remove (table, doubt);
 }
 
 bool
@@ -214,7 +214,7 @@
       || doubt->in_flight_since != 0 || doubt->succeeded
       || doubt->is_ambiguous)
     return false;
-  remove_entry (table, doubt);
+  jb_doubt_remove (table, doubt);
   return true;
 }
 
--- a/packages/jobs/src/jb_pool_doubt.c
+++ b/packages/jobs/src/jb_pool_doubt.c
@@ -800,14 +800,61 @@
          && is_only_start (pool, doubt);
 }
 
+/* Return whether all that ENTRY tells is in DOUBT, of the same task, or
+   NULL.  */
+static bool
+is_known (const struct jb_doubt *doubt, const struct jb_doubt_entry *entry)
+{
+  return doubt != NULL
+         && (doubt->run > entry->run
+             || (doubt->run == entry->run
+                 && strcmp (doubt->instance, entry->instance) == 0
+                 && doubt->sent >= MIN (entry->sent, JB_MAX_STARTS_IN_DOUBT)));
+}
+
+bool
+jb_pool_take_up_start (struct jb_pool *pool, jb_time now,
+                       const struct jb_doubt_entry *entry, jb_time sent_at)
+{
+  struct jb_doubt_table *table = pool->doubts->table;
+  struct visit visit = { .pool = pool, .now = now };
+  struct jb_doubt *doubt = jb_doubt_find (table, entry->task);
+  struct jb_backend *backend
+      = g_hash_table_lookup (pool->backends, entry->instance);
+  bool is_counted = doubt != NULL && backend != NULL
+                    && jb_doubt_sent_count (doubt) > 0
+                    && strcmp (doubt->instance, entry->instance) == 0;
+
+  if (is_known (doubt, entry))
+    return false;
+  doubt = jb_pool_add_left_start (pool, entry, sent_at);
+  if (doubt == NULL)
+    return false;
+  /* expire_doubt counts it.  */
+  if (is_counted && backend->doubt_count > 0)
+    backend->doubt_count--;
+  if (mark_task (pool, doubt) || expire_doubt (&visit, doubt))
+    {
+      jb_doubt_remove (table, doubt);
+      return false;
+    }
+  return true;
+}
+
 void
-jb_pool_mark_tasks_in_doubt (struct jb_pool *pool, jb_time now)
+jb_pool_log_doubts (const struct jb_pool *pool)
 {
-  jb_pool_load_peer_doubts (pool);
-  jb_doubt_visit (pool->doubts->table, mark_task, pool);
-  jb_pool_expire_doubts (pool, now);
   if (jb_doubt_count (pool->doubts->table) > 0)
     jb_log (pool->options.driver, JB_LEVEL_INFO, "starts-in-doubt", "pool",
             pool->options.name, "tasks",
             jb_itoa (jb_doubt_count (pool->doubts->table)), NULL);
 }
+
+void
+jb_pool_mark_tasks_in_doubt (struct jb_pool *pool, jb_time now)
+{
+  jb_pool_load_peer_doubts (pool);
+  jb_doubt_visit (pool->doubts->table, mark_task, pool);
+  jb_pool_expire_doubts (pool, now);
+  jb_pool_log_doubts (pool);
+}
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -519,6 +519,14 @@
 jb_time jb_pool_doubt_row_pending_since (const struct jb_pool *pool);
 /* Return the table of the starts in doubt, borrowed.  */
 struct jb_doubt_table *jb_pool_doubt_table (const struct jb_pool *pool);
+/* Add the starts of ENTRY, which a former owner has sent, not after SENT_AT,
+   and mark the task, after all rows were read.  Return whether that was new
+   and is in doubt.  */
+bool jb_pool_take_up_start (struct jb_pool *pool, jb_time now,
+                            const struct jb_doubt_entry *entry,
+                            jb_time sent_at);
+/* Log how many tasks have starts in doubt, if any has.  */
+void jb_pool_log_doubts (const struct jb_pool *pool);
 /* All rows were read: mark the tasks with starts in doubt.  */
 void jb_pool_mark_tasks_in_doubt (struct jb_pool *pool, jb_time now);
 
--- a/packages/jobs/src/jb_pool_peer_doubts.c
+++ b/packages/jobs/src/jb_pool_peer_doubts.c
@@ -140,17 +140,21 @@
                             const struct jb_msg_doubts *message)
 {
   uint32_t generation = jb_ownership_generation (pool->ownership);
+  bool is_changed = false;
 
-  if (pool->stage < JB_STAGE_SCANNING)
+  /* What came before was loaded with the rows.  */
+  if (pool->stage < JB_STAGE_SCANNING
+      || jb_pool_has_disabled (pool, JB_SAFEGUARD_DOUBT))
     return;
   for (uint32_t i = 0; i < message->count; i++)
     {
       const struct jb_msg_doubt *listed = &message->entries[i];
-      struct jb_peer_doubt left = { .entry = listed->entry,
-                                    .sent_at = now - listed->age_ms * JB_MS };
 
-      if (listed->generation < generation)
-        load_doubt (pool, &left);
+      if (listed->generation < generation
+          && jb_pool_take_up_start (pool, now, &listed->entry,
+                                    now - listed->age_ms * JB_MS))
+        is_changed = true;
     }
-  jb_pool_mark_tasks_in_doubt (pool, now);
+  if (is_changed)
+    jb_pool_log_doubts (pool);
 }
