Judge a member's silence by when its messages arrive

A heartbeat that waited in the event queue counted as one that came late: a host whose event loop was late by more than 1 s took all members for silent, and passed on starts in doubt to each, which made the loop later. An entry whose message had waited counted as younger by that time, so that it lasted longer, on this host and on those that it was passed on to.

The thread that receives a message notes the time (a field of the event), and the host gets it beside the present time. Whether a member was silent, when it has heard this host, and the age of an entry are counted from it. Whether a member is alive is still decided by when its heartbeats are processed, as for ownership that is the safe side.

Two new cases of test_jb_host_doubts: eight members whose heartbeats have waited for 2 s are sent nothing, and the age of an entry includes the wait.

--- a/bench/bench_doubts.c
+++ b/bench/bench_doubts.c
@@ -114,7 +114,8 @@
   struct ba_bytes bytes = jb_msg_encode (NULL, message);
   double started = cpu_seconds ();
 
-  (void)jb_host_receive_message (bench->host, bench->now, from, bytes);
+  (void)jb_host_receive_message (bench->host, bench->now, bench->now, from,
+                                 bytes);
   record (bench, started);
   talloc_free (bytes.data);
 }
@@ -136,14 +137,13 @@
   for (uint32_t i = 0; i < MEMBER_COUNT; i++)
     {
       char name[16];
-      struct jb_msg message
-          = { .type = JB_MSG_HEARTBEAT,
-              .u.heartbeat = { .name = name,
-                               .address = "10.0.0.2:1",
-                               .zone = "a",
-                               .store_reachable = true,
-                               .peers = &peer,
-                               .peer_count = 1 } };
+      struct jb_msg message = { .type = JB_MSG_HEARTBEAT,
+                                .u.heartbeat = { .name = name,
+                                                 .address = "10.0.0.2:1",
+                                                 .zone = "a",
+                                                 .store_reachable = true,
+                                                 .peers = &peer,
+                                                 .peer_count = 1 } };
 
       g_snprintf (name, sizeof name, "member-%u", i);
       receive (bench, FIRST_MEMBER + i, &message);
--- a/packages/jobs/include/jb_host.h
+++ b/packages/jobs/include/jb_host.h
@@ -46,8 +46,11 @@
                            const struct jb_call *call);
 
 /* Process the encoded message BYTES, which is borrowed, from the member with
-   incarnation FROM.  Return false if it can't be decoded.  */
-bool jb_host_receive_message (struct jb_host *host, jb_time now, uint64_t from,
+   incarnation FROM.  It arrived at ARRIVED_AT, and may have waited for this
+   call until NOW: that this host is late doesn't show that the member was
+   silent.  Return false if it can't be decoded.  */
+bool jb_host_receive_message (struct jb_host *host, jb_time now,
+                              jb_time arrived_at, uint64_t from,
                               struct ba_bytes bytes);
 
 /* Process the REPLY, which is borrowed, to the command with NUMBER.  */
--- a/packages/jobs/include/jb_pool.h
+++ b/packages/jobs/include/jb_pool.h
@@ -96,8 +96,9 @@
 void jb_pool_send_all_doubts (struct jb_pool *pool, jb_time now);
 
 /* Process MESSAGE, borrowed, with starts of former owners that could not be
-   stored.  */
+   stored.  It arrived at ARRIVED_AT.  */
 void jb_pool_handle_peer_doubts (struct jb_pool *pool, jb_time now,
+                                 jb_time arrived_at,
                                  const struct jb_msg_doubts *message);
 
 /* Process STARTS, borrowed, which a witness has kept of a former owner. Return
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -772,17 +772,14 @@
 }
 
 static void
-handle_heartbeat (struct jb_host *host, jb_time now, uint64_t from,
-                  const struct jb_msg_heartbeat *heartbeat)
+handle_heartbeat (struct jb_host *host, jb_time now, jb_time arrived_at,
+                  uint64_t from, const struct jb_msg_heartbeat *heartbeat)
 {
   const struct jb_member *member = jb_members_find (host->members, from);
   bool is_new = member == NULL || member->last_heartbeat_at == 0;
-  bool was_alive = !is_new && jb_member_is_alive (member, now);
 
   jb_members_receive_heartbeat (host->members, now, from, heartbeat);
-  if (from == host->options.incarnation)
-    return;
-  if (!was_alive)
+  if (jb_members_note_arrival (host->members, from, arrived_at))
     {
       jb_host_relay_doubts (host, from, is_new);
       return;
@@ -790,12 +787,12 @@
   for (uint32_t i = 0; i < heartbeat->peer_count; i++)
     if (heartbeat->peers[i].incarnation == host->options.incarnation)
       jb_host_confirm_doubts (host, from,
-                              now - heartbeat->peers[i].age_ms * JB_MS);
+                              arrived_at - heartbeat->peers[i].age_ms * JB_MS);
 }
 
 bool
-jb_host_receive_message (struct jb_host *host, jb_time now, uint64_t from,
-                         struct ba_bytes bytes)
+jb_host_receive_message (struct jb_host *host, jb_time now, jb_time arrived_at,
+                         uint64_t from, struct ba_bytes bytes)
 {
   struct jb_msg *message = jb_msg_decode (NULL, bytes);
 
@@ -805,7 +802,7 @@
   switch ((enum jb_msg_type)message->type)
     {
     case JB_MSG_HEARTBEAT:
-      handle_heartbeat (host, now, from, &message->u.heartbeat);
+      handle_heartbeat (host, now, arrived_at, from, &message->u.heartbeat);
       break;
     case JB_MSG_REQUEST:
       handle_request (host, now, from, &message->u.request);
@@ -861,7 +858,7 @@
       jb_members_receive_process_ended (host->members, &message->u.process);
       break;
     case JB_MSG_DOUBTS:
-      jb_host_handle_doubts (host, now, &message->u.doubts);
+      jb_host_handle_doubts (host, now, arrived_at, &message->u.doubts);
       break;
     case JB_MSG_STARTS:
       jb_host_handle_starts (host, now, from, &message->u.starts);
--- a/packages/jobs/src/jb_host_doubts.c
+++ b/packages/jobs/src/jb_host_doubts.c
@@ -47,10 +47,11 @@
 };
 
 void
-jb_host_keep_doubts (struct jb_host *host, jb_time now,
+jb_host_keep_doubts (struct jb_host *host, jb_time arrived_at,
                      const struct jb_msg_doubts *message)
 {
-  uint32_t ignored = jb_peer_doubts_add (host->peer_doubts, now, message);
+  uint32_t ignored
+      = jb_peer_doubts_add (host->peer_doubts, arrived_at, message);
 
   if (ignored > 0)
     jb_log (host->driver, JB_LEVEL_WARN, "starts-in-doubt-ignored", "pool",
@@ -59,17 +60,17 @@
 }
 
 void
-jb_host_handle_doubts (struct jb_host *host, jb_time now,
+jb_host_handle_doubts (struct jb_host *host, jb_time now, jb_time arrived_at,
                        const struct jb_msg_doubts *message)
 {
-  jb_host_keep_doubts (host, now, message);
+  jb_host_keep_doubts (host, arrived_at, message);
   for (guint i = 0; i < host->pools->len; i++)
     {
       struct pool_slot *slot = g_ptr_array_index (host->pools, i);
 
       if (strcmp (slot->name, message->pool) == 0
           && jb_host_slot_is_owned (slot))
-        jb_pool_handle_peer_doubts (slot->pool, now, message);
+        jb_pool_handle_peer_doubts (slot->pool, now, arrived_at, message);
     }
 }
 
--- a/packages/jobs/src/jb_host_internal.h
+++ b/packages/jobs/src/jb_host_internal.h
@@ -101,12 +101,13 @@
 
 /* ---- jb_host_doubts.c ---- */
 
-/* Keep the starts in doubt that MESSAGE lists, received at NOW.  */
-void jb_host_keep_doubts (struct jb_host *host, jb_time now,
+/* Keep the starts in doubt that MESSAGE lists, which arrived at ARRIVED_AT. */
+void jb_host_keep_doubts (struct jb_host *host, jb_time arrived_at,
                           const struct jb_msg_doubts *message);
 
 /* The same, and let the pool know if this host owns it.  */
 void jb_host_handle_doubts (struct jb_host *host, jb_time now,
+                            jb_time arrived_at,
                             const struct jb_msg_doubts *message);
 
 /* ---- jb_host_starts.c ---- */
--- a/packages/jobs/src/jb_members.c
+++ b/packages/jobs/src/jb_members.c
@@ -428,6 +428,22 @@
                           g_ptr_array_index (members->former_processes, i));
 }
 
+bool
+jb_members_note_arrival (struct jb_members *members, uint64_t from,
+                         jb_time arrived_at)
+{
+  struct jb_member *member
+      = (struct jb_member *)jb_members_find (members, from);
+  bool was_silent;
+
+  if (member == NULL)
+    return false;
+  was_silent = member->last_arrival_at == 0
+               || arrived_at - member->last_arrival_at >= MAX_HEARTBEAT_AGE;
+  member->last_arrival_at = arrived_at;
+  return was_silent;
+}
+
 /* ---- coordinators ---- */
 
 /* A host in the order of coordinators.  */
--- a/packages/jobs/src/jb_pool_peer_doubts.c
+++ b/packages/jobs/src/jb_pool_peer_doubts.c
@@ -137,6 +137,7 @@
 
 void
 jb_pool_handle_peer_doubts (struct jb_pool *pool, jb_time now,
+                            jb_time arrived_at,
                             const struct jb_msg_doubts *message)
 {
   uint32_t generation = jb_ownership_generation (pool->ownership);
@@ -152,7 +153,7 @@
 
       if (listed->generation < generation
           && jb_pool_take_up_start (pool, now, &listed->entry,
-                                    now - listed->age_ms * JB_MS))
+                                    arrived_at - listed->age_ms * JB_MS))
         is_changed = true;
     }
   if (is_changed)
--- a/packages/jobs/tests/test_jb_host_doubts.c
+++ b/packages/jobs/tests/test_jb_host_doubts.c
@@ -36,9 +36,11 @@
   uint64_t incarnations[MAX_MEMBERS];
   bool is_silent[MAX_MEMBERS];
   uint32_t member_count;
+  jb_time waited;       /* by each message, until it is processed */
   bool host_is_unheard; /* members report that they don't hear the host */
   uint32_t sent[MAX_MEMBERS]; /* entries */
   GHashTable *tasks;          /* names of those sent to the first member */
+  int64_t youngest_ms;        /* of these */
   uint32_t sent_in_call;
   uint32_t most_in_call;
 };
@@ -60,8 +62,12 @@
         fixture->sent[i] += doubts->count;
         fixture->sent_in_call += doubts->count;
         for (uint32_t j = 0; i == 0 && j < doubts->count; j++)
-          g_hash_table_add (fixture->tasks,
-                            g_strdup (doubts->entries[j].entry.task));
+          {
+            g_hash_table_add (fixture->tasks,
+                              g_strdup (doubts->entries[j].entry.task));
+            fixture->youngest_ms
+                = MIN (fixture->youngest_ms, doubts->entries[j].age_ms);
+          }
       }
   talloc_free (message);
 }
@@ -78,8 +84,9 @@
 {
   struct ba_bytes bytes = jb_msg_encode (NULL, message);
 
-  CU_ASSERT (
-      jb_host_receive_message (fixture->host, fixture->now, from, bytes));
+  CU_ASSERT (jb_host_receive_message (fixture->host, fixture->now,
+                                      fixture->now - fixture->waited, from,
+                                      bytes));
   end_call (fixture);
   talloc_free (bytes.data);
 }
@@ -130,6 +137,7 @@
 {
   memset (fixture->sent, 0, sizeof fixture->sent);
   fixture->most_in_call = 0;
+  fixture->youngest_ms = G_MAXINT64;
   g_hash_table_remove_all (fixture->tasks);
 }
 
@@ -331,6 +339,58 @@
   tear_down (&fixture);
 }
 
+/* Messages that wait for this host's event loop must not make it later: the
+   members were not silent.  */
+static void
+test_late_event_loop (void)
+{
+  struct fixture fixture;
+
+  set_up (&fixture, MAX_MEMBERS);
+  /* Heartbeats that have arrived every 200 ms are processed 2 s later, within
+     a moment.  */
+  fixture.now += 2 * JB_SECOND;
+  for (fixture.waited = 1800 * JB_MS; fixture.waited >= 0;
+       fixture.waited -= HEARTBEAT_INTERVAL)
+    for (uint32_t i = 0; i < MAX_MEMBERS; i++)
+      receive_heartbeat (&fixture, i);
+  fixture.waited = 0;
+  advance (&fixture, JB_SECOND);
+  for (uint32_t i = 0; i < MAX_MEMBERS; i++)
+    CU_ASSERT_EQUAL (fixture.sent[i], 0);
+  /* A silence that is only seen later must still count.  */
+  fixture.is_silent[0] = true;
+  advance (&fixture, SILENCE);
+  fixture.is_silent[0] = false;
+  fixture.waited = 900 * JB_MS;
+  fixture.now += fixture.waited;
+  receive_heartbeat (&fixture, 0);
+  fixture.waited = 0;
+  advance (&fixture, JB_SECOND);
+  CU_ASSERT_EQUAL (fixture.sent[0], ENTRY_COUNT);
+  CU_ASSERT_EQUAL (g_hash_table_size (fixture.tasks), ENTRY_COUNT);
+  tear_down (&fixture);
+}
+
+/* An entry must not last longer because its message has waited for this host's
+   event loop.  */
+static void
+test_age_of_late_message (void)
+{
+  struct fixture fixture;
+
+  set_up (&fixture, 2);
+  interrupt (&fixture);
+  forget_sent (&fixture);
+  fixture.waited = 3 * JB_SECOND;
+  receive_doubts (&fixture, ENTRY_COUNT, ENTRY_COUNT + 30, 1);
+  fixture.waited = 0;
+  interrupt (&fixture);
+  CU_ASSERT_EQUAL (fixture.sent[0], 30);
+  CU_ASSERT (fixture.youngest_ms >= (3 * JB_SECOND + SILENCE) / JB_MS);
+  tear_down (&fixture);
+}
+
 int
 main (void)
 {
@@ -340,6 +400,9 @@
           { "what may be lost is sent again", test_lost_relay },
           { "a new process gets all once, in portions", test_new_process },
           { "all members get all, in portions", test_all_members },
+          { "a late event loop sends nothing", test_late_event_loop },
+          { "a late message makes no entry younger",
+            test_age_of_late_message },
           { NULL, NULL } };
 
   return dp_test_main ("starts in doubt that are passed on", tests);
--- a/packages/jobs/tests/test_jb_pool_peer_doubts.c
+++ b/packages/jobs/tests/test_jb_pool_peer_doubts.c
@@ -99,7 +99,7 @@
       = { .pool = "p", .count = 1, .entries = &entry };
 
   jb_peer_doubts_add (fixture->table, NOW, &message);
-  jb_pool_handle_peer_doubts (fixture->pool, NOW, &message);
+  jb_pool_handle_peer_doubts (fixture->pool, NOW, NOW, &message);
 }
 
 static uint32_t
--- a/packages/server/src/sv_job_server.c
+++ b/packages/server/src/sv_job_server.c
@@ -76,6 +76,7 @@
   struct jb_call call;
   struct jb_reply reply;
   struct ba_bytes message; /* from a peer */
+  jb_time arrived_at;      /* the message */
   struct jb_bounds bounds;
   jb_time grace; /* of a planned stop */
   enum jb_view_topic topic;
@@ -317,6 +318,7 @@
   event->type = EVENT_PEER_MESSAGE;
   event->number = from;
   event->message = ba_bytes_copy (event, body.data, body.len);
+  event->arrived_at = ba_clock_now_us ();
   return push_event (server, event) ? PR_RECEIVE_ACCEPTED
                                     : PR_RECEIVE_QUEUE_FULL;
 }
@@ -660,8 +662,8 @@
       jb_host_receive_reply (server->host, now, event->number, &event->reply);
       break;
     case EVENT_PEER_MESSAGE:
-      if (!jb_host_receive_message (server->host, now, event->number,
-                                    event->message))
+      if (!jb_host_receive_message (server->host, now, event->arrived_at,
+                                    event->number, event->message))
         sv_log (server->log, CF_LOG_WARN, "message-unreadable", NULL);
       break;
     case EVENT_VIEW_REQUEST:
--- a/tests/sim/jobs/jw_world.c
+++ b/tests/sim/jobs/jw_world.c
@@ -286,8 +286,8 @@
       && is_new_message (message->body))
     return;
   message->to->received_bytes += message->body.len;
-  if (!jb_host_receive_message (message->to->host, world->now, message->from,
-                                message->body))
+  if (!jb_host_receive_message (message->to->host, world->now, world->now,
+                                message->from, message->body))
     jw_report_violation (world, "MESSAGE", "a message can't be decoded");
   jw_host_run (message->to);
 }
