Count what a heartbeat reports from its arrival

An owner that the store does not answer goes on for as long as the heartbeats of the others show that they hear it. When they have heard it, and when the store has answered them, is reported as an age, which was subtracted from the time at which the heartbeat was processed. If the heartbeat had waited for an event loop that was late by 2 s, the owner believed to have been heard 2 s later than it was, in which time another host may have claimed its pool.

Both ages now count from the arrival of the heartbeat, which is an argument of jb_members_receive_heartbeat. That one also returns whether the member was silent, so that jb_members_note_arrival is not needed. A member is alive for 1 s from the processing of its heartbeat, as before.

The new case of test_jb_members failed before (with the new argument unused).

--- a/packages/jobs/include/jb_members.h
+++ b/packages/jobs/include/jb_members.h
@@ -20,7 +20,7 @@
   /* Content of its last heartbeat, and when that was received.  */
   uint32_t cpu_share_milli;  /* of one processor, in thousandths; 0: unknown */
   jb_time last_heartbeat_at; /* 0: never */
-  jb_time last_arrival_at;   /* see jb_members_note_arrival; 0: never */
+  jb_time last_arrival_at;   /* when it had arrived, before it waited */
   jb_time alive_since;       /* see jb_members_find_successor */
   bool stopping;
   bool store_reachable;
@@ -68,18 +68,13 @@
                                    const struct jb_members_options *options);
 
 /* Process HEARTBEAT, which is borrowed, of the member with the incarnation
-   FROM.  */
-void jb_members_receive_heartbeat (struct jb_members *members, jb_time now,
-                                   uint64_t from,
+   FROM.  It arrived at ARRIVED_AT, and may have waited until NOW.  Return
+   whether the member was silent before that: for as long as makes it count as
+   not alive, no other heartbeat had arrived.  */
+bool jb_members_receive_heartbeat (struct jb_members *members, jb_time now,
+                                   jb_time arrived_at, uint64_t from,
                                    const struct jb_msg_heartbeat *heartbeat);
 
-/* Record that the heartbeat of the member FROM that was processed last has
-   arrived at ARRIVED_AT, since when it may have waited.  Return whether the
-   member was silent before that: for as long as makes it count as not alive,
-   no other one had arrived.  */
-bool jb_members_note_arrival (struct jb_members *members, uint64_t from,
-                              jb_time arrived_at);
-
 /* Send this host's heartbeat with STATUS now, even if it is not due yet, so
    that all members that get heartbeats of this host learn of a change at
    once.  */
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -778,8 +778,8 @@
   const struct jb_member *member = jb_members_find (host->members, from);
   bool is_new = member == NULL || member->last_heartbeat_at == 0;
 
-  jb_members_receive_heartbeat (host->members, now, from, heartbeat);
-  if (jb_members_note_arrival (host->members, from, arrived_at))
+  if (jb_members_receive_heartbeat (host->members, now, arrived_at, from,
+                                    heartbeat))
     {
       jb_host_relay_doubts (host, from, is_new);
       return;
--- a/packages/jobs/src/jb_members.c
+++ b/packages/jobs/src/jb_members.c
@@ -381,15 +381,16 @@
 
 /* ---- processing of heartbeats ---- */
 
-void
+bool
 jb_members_receive_heartbeat (struct jb_members *members, jb_time now,
-                              uint64_t from,
+                              jb_time arrived_at, uint64_t from,
                               const struct jb_msg_heartbeat *heartbeat)
 {
   struct jb_member *member;
+  bool was_silent;
 
   if (from == members->options.incarnation)
-    return;
+    return false;
   member = get_or_add_member (members, from, heartbeat->name,
                               heartbeat->address, heartbeat->zone);
   if (!jb_member_is_alive (member, now))
@@ -398,12 +399,15 @@
   if (member->last_heartbeat_at == 0
       || now - member->last_heartbeat_at > MAX_INTERRUPTION)
     member->alive_since = now;
+  was_silent = member->last_heartbeat_at == 0
+               || arrived_at - member->last_arrival_at >= MAX_HEARTBEAT_AGE;
   member->last_heartbeat_at = now;
+  member->last_arrival_at = arrived_at;
   member->cpu_share_milli = heartbeat->cpu_share_milli;
   member->stopping = heartbeat->stopping;
   member->store_answered_at
       = heartbeat->store_answer_age_ms >= 0
-            ? now - heartbeat->store_answer_age_ms * JB_MS
+            ? arrived_at - heartbeat->store_answer_age_ms * JB_MS
             : 0;
   member->store_reachable = heartbeat->store_reachable;
   member->catalog_version = heartbeat->catalog_version;
@@ -426,21 +430,6 @@
   for (guint i = 0; i < members->former_processes->len; i++)
     query_former_process (members, member,
                           g_ptr_array_index (members->former_processes, i));
-}
-
-bool
-jb_members_note_arrival (struct jb_members *members, uint64_t from,
-                         jb_time arrived_at)
-{
-  struct jb_member *member
-      = (struct jb_member *)jb_members_find (members, from);
-  bool was_silent;
-
-  if (member == NULL)
-    return false;
-  was_silent = member->last_arrival_at == 0
-               || arrived_at - member->last_arrival_at >= MAX_HEARTBEAT_AGE;
-  member->last_arrival_at = arrived_at;
   return was_silent;
 }
 
@@ -910,7 +899,7 @@
 {
   for (uint32_t i = 0; i < member->peer_count; i++)
     if (member->peers[i].incarnation == members->options.incarnation)
-      return member->last_heartbeat_at - member->peers[i].age_ms * JB_MS;
+      return member->last_arrival_at - member->peers[i].age_ms * JB_MS;
   return 0;
 }
 
--- a/packages/jobs/tests/test_jb_catalog_fetch.c
+++ b/packages/jobs/tests/test_jb_catalog_fetch.c
@@ -45,7 +45,8 @@
                                         .catalog_version = version };
 
   g_snprintf (name, sizeof name, "host-%u", (unsigned)incarnation);
-  jb_members_receive_heartbeat (members, now, incarnation, &heartbeat);
+  (void)jb_members_receive_heartbeat (members, now, now, incarnation,
+                                      &heartbeat);
 }
 
 /* A copy takes longer than the time between two requests: however many members
--- a/packages/jobs/tests/test_jb_members.c
+++ b/packages/jobs/tests/test_jb_members.c
@@ -60,7 +60,8 @@
   struct jb_reply reply = { .result = JB_RESULT_OK };
   bool claim;
 
-  jb_members_receive_heartbeat (members, NOW - 1, 2, &heartbeat);
+  (void)jb_members_receive_heartbeat (members, NOW - 1, NOW - 1, 2,
+                                      &heartbeat);
   (void)jb_members_run (members, NOW - 1, &self);
   for (uint64_t number = 1; number <= last; number++)
     jb_driver_receive_reply (driver, NOW - 1, number, &reply);
@@ -103,7 +104,7 @@
 
   for (jb_time when = NOW - 5 * JB_SECOND; when <= NOW; when += 200 * JB_MS)
     if (when >= silence_end || when <= silence_end - silence)
-      jb_members_receive_heartbeat (members, when, 2, &heartbeat);
+      (void)jb_members_receive_heartbeat (members, when, when, 2, &heartbeat);
   (void)jb_members_run (members, NOW, &self);
   result = jb_members_find_successor (members, NOW, &self, 0) != NULL;
   talloc_free (mem);
@@ -212,17 +213,19 @@
       = { .name = "other", .address = "10.0.0.2:1", .zone = "b" };
   struct jb_msg_process process = { (char *)"other", 7 };
 
-  jb_members_receive_heartbeat (members, NOW, 5, &heartbeat);
+  (void)jb_members_receive_heartbeat (members, NOW, NOW, 5, &heartbeat);
   CU_ASSERT_FALSE (jb_members_has_process_ended (members, "other", 7));
   CU_ASSERT_EQUAL (sent.queries, 1);
   CU_ASSERT_EQUAL (sent.to, 5);
   CU_ASSERT_FALSE (jb_members_has_process_ended (members, "other", 7));
   CU_ASSERT_EQUAL (sent.queries, 1);
-  jb_members_receive_heartbeat (members, NOW + 200 * JB_MS, 5, &heartbeat);
+  (void)jb_members_receive_heartbeat (members, NOW + 200 * JB_MS,
+                                      NOW + 200 * JB_MS, 5, &heartbeat);
   CU_ASSERT_EQUAL (sent.queries, 2);
   CU_ASSERT_FALSE (jb_members_has_process_ended (members, "other", 7));
   /* The process itself is not asked.  */
-  jb_members_receive_heartbeat (members, NOW + 400 * JB_MS, 7, &heartbeat);
+  (void)jb_members_receive_heartbeat (members, NOW + 400 * JB_MS,
+                                      NOW + 400 * JB_MS, 7, &heartbeat);
   CU_ASSERT_EQUAL (sent.queries, 2);
   jb_members_receive_process_ended (members, &process);
   CU_ASSERT (jb_members_has_process_ended (members, "other", 7));
@@ -267,8 +270,8 @@
   CU_ASSERT_FALSE (jb_members_has_process_ended (members, "other", 7));
   CU_ASSERT_EQUAL (sent.queries, 0);
   for (int i = 0; i < 1000; i++)
-    jb_members_receive_heartbeat (members, NOW + i * 200 * JB_MS, 5,
-                                  &heartbeat);
+    (void)jb_members_receive_heartbeat (members, NOW + i * 200 * JB_MS,
+                                        NOW + i * 200 * JB_MS, 5, &heartbeat);
   CU_ASSERT (sent.queries > 0 && sent.queries <= 20);
   talloc_free (mem);
 }
@@ -290,7 +293,8 @@
                                             .peers = &own };
 
       g_snprintf (name, sizeof name, "host-%zu", i);
-      jb_members_receive_heartbeat (members, NOW, 2 + i, &heartbeat);
+      (void)jb_members_receive_heartbeat (members, NOW, NOW, 2 + i,
+                                          &heartbeat);
     }
 }
 
@@ -335,6 +339,39 @@
   talloc_free (mem);
 }
 
+/* Two owners: a report that has waited for this host's event loop shows until
+   when it was heard before that, and another host may have claimed since.  */
+static void
+test_report_that_waited (void)
+{
+  const jb_time arrived_at = NOW - 2 * JB_SECOND;
+  TALLOC_CTX *mem = talloc_new (NULL);
+  uint64_t last = 0;
+  struct jb_members_options options
+      = { .driver = jb_driver_new (mem, &driver_ops, &last),
+          .name = "own",
+          .address = "10.0.0.1:1",
+          .zone = "a",
+          .incarnation = 1 };
+  struct jb_members *members = jb_members_new (mem, 0, &options);
+  struct jb_msg_heartbeat_age peer = { 1, 100 };
+  struct jb_msg_heartbeat heartbeat = { .name = "other",
+                                        .address = "10.0.0.2:1",
+                                        .zone = "b",
+                                        .store_reachable = true,
+                                        .store_answer_age_ms = 50,
+                                        .peers = &peer,
+                                        .peer_count = 1 };
+
+  (void)jb_members_receive_heartbeat (members, NOW, arrived_at, 2, &heartbeat);
+  CU_ASSERT_EQUAL (jb_members_unclaimed_until (members),
+                   arrived_at - 100 * JB_MS);
+  CU_ASSERT_EQUAL (jb_members_find (members, 2)->store_answered_at,
+                   arrived_at - 50 * JB_MS);
+  CU_ASSERT_TRUE (jb_member_is_alive (jb_members_find (members, 2), NOW));
+  talloc_free (mem);
+}
+
 int
 main (void)
 {
@@ -346,6 +383,7 @@
             test_unreported_share },
           { "a late host hands its pool over", test_silence_before_handover },
           { "up to when no other host has claimed", test_unclaimed_until },
+          { "a report that has waited is old", test_report_that_waited },
           { "the end of a former process", test_ended_process },
           { "a query about a former process", test_process_query },
           { "a query without a reply", test_process_query_without_reply },
