Take up only the starts that a witness's list names

A new owner asks all hosts for the lists of former owners until its takeover ends. Each list that it got made it load what other hosts had told, mark the tasks of all starts in doubt and look which are over, also if the list was the same as before; starts that were settled meanwhile were in doubt again.

It now takes up the starts that the list names, as it does with those that coordinators pass on, once its rows are read.

The new case of test_jb_pool_peer_doubts failed before (five passes for five equal lists, and a settled start in doubt again).

--- a/packages/jobs/src/jb_pool_starts.c
+++ b/packages/jobs/src/jb_pool_starts.c
@@ -661,6 +661,10 @@
 jb_pool_handle_left_starts (struct jb_pool *pool, jb_time now,
                             const struct jb_msg_starts *starts)
 {
+  /* The former owner may send them again until then.  */
+  jb_time sent_at = MAX (now, pool->predecessor_until);
+  bool is_changed = false;
+
   if (starts->generation > jb_ownership_generation (pool->ownership))
     {
       jb_ownership_verify (pool->ownership, now);
@@ -671,14 +675,16 @@
     return true;
   jb_pool_add_left_grants (pool, now, starts);
   for (uint32_t i = 0; i < starts->count; i++)
-    jb_pool_add_left_start (pool, &starts->entries[i],
-                            MAX (now, pool->predecessor_until));
+    if (pool->stage < JB_STAGE_SCANNING)
+      jb_pool_add_left_start (pool, &starts->entries[i], sent_at);
+    else if (jb_pool_take_up_start (pool, now, &starts->entries[i], sent_at))
+      is_changed = true;
   jb_log (pool->options.driver, JB_LEVEL_INFO, "starts-told", "pool",
           pool->options.name, "tasks", jb_itoa (starts->count), "backends",
           jb_itoa (starts->grant_count), "generation",
           jb_itoa (starts->generation), NULL);
-  if (pool->stage >= JB_STAGE_SCANNING)
-    jb_pool_mark_tasks_in_doubt (pool, now);
+  if (is_changed)
+    jb_pool_log_doubts (pool);
   return true;
 }
 
--- a/packages/jobs/tests/test_jb_pool_peer_doubts.c
+++ b/packages/jobs/tests/test_jb_pool_peer_doubts.c
@@ -163,6 +163,27 @@
   talloc_free (fixture.mem);
 }
 
+/* The list of a witness, which is asked until the takeover ends, must concern
+   the tasks that it names only, too.  */
+static void
+test_list_of_witness (void)
+{
+  struct jb_doubt_entry entry = { TASK, "i-1", 1, 1 };
+  struct jb_msg_starts list = { .pool = "p", .count = 1, .entries = &entry };
+  struct fixture fixture;
+
+  set_up (&fixture);
+  receive (&fixture, OTHER_TASK, 1, 0);
+  jb_pool_run_listed (fixture.pool, fixture.backend, OTHER_TASK, 1);
+  fixture.logged = 0;
+  for (uint32_t i = 0; i < 5; i++)
+    CU_ASSERT_TRUE (jb_pool_handle_left_starts (fixture.pool, NOW, &list));
+  CU_ASSERT_EQUAL (count_doubts (&fixture), 1);
+  CU_ASSERT_EQUAL (fixture.backend->doubt_count, 1);
+  CU_ASSERT_EQUAL (fixture.logged, 1);
+  talloc_free (fixture.mem);
+}
+
 /* A start that can't be carried out any more must not hold up its task.  */
 static void
 test_old_entry (void)
@@ -183,6 +204,7 @@
       = { { "a new entry counts at once", test_new_entry },
           { "a known entry causes no work", test_same_entry },
           { "other entries don't come back", test_other_entries },
+          { "a list of a witness, too", test_list_of_witness },
           { "an old entry does not count", test_old_entry },
           { NULL, NULL } };
 
