--- a/packages/jobs/include/jb_members.h
+++ b/packages/jobs/include/jb_members.h
@@ -23,7 +23,7 @@
   /* When that heartbeat arrived at this host, which may have processed it
      later.  What it says is about that time, and all that the member sent
      before has been processed.  */
-  jb_time last_heartbeat_arrived_at;
+  jb_time last_arrival_at;
   jb_time alive_since; /* see jb_members_find_successor */
   bool stopping;
   bool store_reachable;
@@ -71,10 +71,12 @@
                                    const struct jb_members_options *options);
 
 /* Process HEARTBEAT, which is borrowed, of the member with the incarnation
-   FROM.  It arrived at ARRIVED_AT and has waited since.  The member counts as
-   alive from NOW on, since a wait in this host is no silence of the member;
-   for what the heartbeat proves about others, the arrival counts.  */
-void jb_members_receive_heartbeat (struct jb_members *members, jb_time now,
+   FROM.  It arrived at ARRIVED_AT and has waited until NOW.  The member counts
+   as alive from NOW on, since a wait in this host is no silence of the member;
+   for what the heartbeat proves about others, the arrival counts.  Return
+   whether the member was silent before that: for as long as makes it count as
+   not alive, no other heartbeat had arrived.  */
+bool jb_members_receive_heartbeat (struct jb_members *members, jb_time now,
                                    jb_time arrived_at, uint64_t from,
                                    const struct jb_msg_heartbeat *heartbeat);
 
--- a/packages/jobs/src/jb_members.c
+++ b/packages/jobs/src/jb_members.c
@@ -381,15 +381,16 @@
 
 /* ---- processing of heartbeats ---- */
 
-void
+bool
 jb_members_receive_heartbeat (struct jb_members *members, jb_time now,
                               jb_time arrived_at, uint64_t from,
                               const struct jb_msg_heartbeat *heartbeat)
 {
   struct jb_member *member;
+  bool was_silent;
 
   if (from == members->options.incarnation)
-    return;
+    return false;
   member = get_or_add_member (members, from, heartbeat->name,
                               heartbeat->address, heartbeat->zone);
   if (!jb_member_is_alive (member, now))
@@ -398,8 +399,10 @@
   if (member->last_heartbeat_at == 0
       || now - member->last_heartbeat_at > MAX_INTERRUPTION)
     member->alive_since = now;
+  was_silent = member->last_heartbeat_at == 0
+               || arrived_at - member->last_arrival_at >= MAX_HEARTBEAT_AGE;
   member->last_heartbeat_at = now;
-  member->last_heartbeat_arrived_at = arrived_at;
+  member->last_arrival_at = arrived_at;
   member->cpu_share_milli = heartbeat->cpu_share_milli;
   member->stopping = heartbeat->stopping;
   member->store_answered_at
@@ -427,6 +430,7 @@
   for (guint i = 0; i < members->former_processes->len; i++)
     query_former_process (members, member,
                           g_ptr_array_index (members->former_processes, i));
+  return was_silent;
 }
 
 /* ---- coordinators ---- */
@@ -559,8 +563,7 @@
       if (is_reported (member, now))
         heartbeat->peers[heartbeat->peer_count++]
             = (struct jb_msg_heartbeat_age){
-                member->incarnation,
-                (now - member->last_heartbeat_arrived_at) / JB_MS
+                member->incarnation, (now - member->last_arrival_at) / JB_MS
               };
     }
   return jb_msg_encode (mem, &message);
@@ -896,8 +899,7 @@
 {
   for (uint32_t i = 0; i < member->peer_count; i++)
     if (member->peers[i].incarnation == members->options.incarnation)
-      return member->last_heartbeat_arrived_at
-             - member->peers[i].age_ms * JB_MS;
+      return member->last_arrival_at - member->peers[i].age_ms * JB_MS;
   return 0;
 }
 
