Give the queues of bench_pool to its pool

Since owners know which queues belong to their pool, the benchmark's catalog, which listed none, let the owner answer each submission as one of another pool: it measured an idle owner (0 starts a second, in all rows).

--- a/bench/bench_pool.c
+++ b/bench/bench_pool.c
@@ -594,6 +594,13 @@
       if (i < ORG_COUNT - 1)
         catalog->orgs[i].limit.cpu_milli = INT32_MAX;
     }
+  catalog->queue_count = QUEUE_COUNT;
+  catalog->queues = talloc_zero_array (catalog, struct jb_queue, QUEUE_COUNT);
+  for (uint32_t i = 0; i < QUEUE_COUNT; i++)
+    {
+      catalog->queues[i].name = talloc_asprintf (catalog, "queue%u", i);
+      catalog->queues[i].pool = talloc_strdup (catalog, "pool");
+    }
   return catalog;
 }
 
