Benchmark of single events of an owner, by active jobs

bench_pool printed means of all calls of jb_pool_run and no refused submission, so the cost of an event that grows with the backlog didn't show. The new form `bench_pool events' prints it for 10, 100, 1,000 and 10,000 active jobs; in make measure too.

--- a/bench/bench_pool.c
+++ b/bench/bench_pool.c
@@ -3,8 +3,10 @@
 
    Usage: bench_pool [JOBS BACKENDS]
           bench_pool lookahead [JOBS BACKENDS]
+          bench_pool events
 
-   The second form compares placement with and without lookahead
+   The third form prints the processor time of single events for several
+   numbers of active jobs.  The second form compares placement with and without lookahead
    (jb_reserve.h), for jobs of which some have tasks that need most of a
    backend server.  The column "ratio" is that of all processor time; compare
    "run, us" for the cycle.
@@ -29,6 +31,9 @@
 #define STORE_LATENCY (8 * JB_MS)
 #define WARM_UP (2 * JB_SECOND)
 #define MEASURED_TIME (3 * JB_SECOND)
+/* So many that 10,000 jobs are stored.  */
+#define EVENT_WARM_UP (5 * JB_SECOND)
+#define IDLE_CYCLE_INTERVAL (8 * JB_MS)
 #define LIST_INTERVAL (1 * JB_SECOND)
 #define LOAD_INTERVAL (200 * JB_MS)
 /* Unix time of the driver clock's origin.  */
@@ -62,6 +67,13 @@
   /* 5,000 waiting tasks.  */
   LOOKAHEAD_JOBS = 5000 / MEAN_TASKS_PER_JOB,
   LOOKAHEAD_BACKENDS = 200,
+  /* For single events: how often those are repeated that the load does not
+     cause, and the estimate of a task, so short that 10,000 jobs are
+     accepted.  */
+  EVENT_BACKENDS = 20,
+  EVENT_REPETITIONS = 50,
+  EVENT_SUBMISSIONS_PER_MS = 10,
+  EVENT_ESTIMATE_MS = 1,
   CLIENT = 1,       /* incarnation of the member that sends requests */
   PLANNER_FENCE = 1 /* fence of the planner that assigns shares */
 };
@@ -75,7 +87,16 @@
   OPERATION_START_REPLY,
   OPERATION_WRITE_REPLY,
   OPERATION_REPORT, /* of load and usage, to the planner */
-  OPERATION_COUNT
+  OPERATION_COUNT,
+  /* Single events, of which some are part of those above.  */
+  EVENT_REFUSED_SUBMISSION = OPERATION_COUNT,
+  EVENT_ACCEPTED_SUBMISSION,
+  EVENT_USAGE_REPORT,
+  EVENT_LOAD_REPORT,
+  EVENT_IDLE_CYCLE, /* a scheduling cycle with nothing to start */
+  EVENT_ONE_END,    /* an answer to a probe with one end of a run */
+  EVENT_PENDING_COUNT,
+  EVENT_END
 };
 
 struct run
@@ -114,6 +135,7 @@
   struct jb_bounds bounds;
   const struct jb_catalog *catalog;
   bool large_tasks; /* some steps have them */
+  bool single_events;
   jb_time now;
   uint64_t serial;
   uint64_t version; /* of the store */
@@ -128,8 +150,9 @@
   uint64_t hash;
   uint32_t starts;
   bool measuring;
-  double seconds[OPERATION_COUNT];
-  uint32_t counts[OPERATION_COUNT];
+  uint64_t shares_serial;
+  double seconds[EVENT_END];
+  uint32_t counts[EVENT_END];
 };
 
 static double
@@ -360,6 +383,8 @@
   started = cpu_seconds ();
   jb_driver_receive_reply (bench->driver, bench->now, event->number, &reply);
   record (bench, operation, started);
+  if (reply.ended_run_count == 1)
+    record (bench, EVENT_ONE_END, started);
   talloc_free (mem);
 }
 
@@ -479,7 +504,9 @@
           = cpu_milli[g_rand_int_range (random, 0, G_N_ELEMENTS (cpu_milli))];
       step->resources.memory_mb = g_rand_int_range (random, 1, 5) * 1000;
       /* Half of the true run time, so that the backlog is accepted.  */
-      step->estimate_ms = RUN_MS_PER_BACKEND * bench->backend_count / 2;
+      step->estimate_ms = bench->single_events
+                              ? EVENT_ESTIMATE_MS
+                              : RUN_MS_PER_BACKEND * bench->backend_count / 2;
       if (i > 0 && g_rand_boolean (random))
         {
           step->predecessor_count = 1;
@@ -508,9 +535,14 @@
   request.id = request.desc->id;
   request.queue = request.desc->queue;
   bench->unfinished++;
+  bench->refused = false;
   started = cpu_seconds ();
   jb_pool_handle_request (bench->pool, bench->now, CLIENT, &request);
   record (bench, OPERATION_SUBMIT, started);
+  record (bench,
+          bench->refused ? EVENT_REFUSED_SUBMISSION
+                         : EVENT_ACCEPTED_SUBMISSION,
+          started);
   talloc_free (mem);
 }
 
@@ -535,7 +567,7 @@
   struct jb_msg_shares message = { .pool = "pool",
                                    .fence = jb_pool_fence (bench->pool),
                                    .planner_fence = PLANNER_FENCE,
-                                   .serial = 1,
+                                   .serial = ++bench->shares_serial,
                                    .count = ORG_COUNT - 1,
                                    .shares = shares };
   char names[ORG_COUNT][16];
@@ -563,8 +595,15 @@
   bool reported = jb_pool_report_usage (bench->pool, mem, bench->now,
                                         PLANNER_FENCE, &usage);
 
+  if (reported)
+    record (bench, EVENT_USAGE_REPORT, started);
   if (load_due)
-    jb_pool_get_load (bench->pool, mem, bench->now, &load);
+    {
+      double load_started = cpu_seconds ();
+
+      jb_pool_get_load (bench->pool, mem, bench->now, &load);
+      record (bench, EVENT_LOAD_REPORT, load_started);
+    }
   if (reported || load_due)
     record (bench, OPERATION_REPORT, started);
   if (reported)
@@ -716,6 +755,8 @@
   jb_time next_list = bench->now;
   jb_time next_load = bench->now;
   bool shares_assigned = bench->measuring;
+  uint32_t submissions = bench->single_events ? EVENT_SUBMISSIONS_PER_MS
+                                              : SUBMISSIONS_PER_MS;
 
   while (bench->now < until)
     {
@@ -733,7 +774,7 @@
           shares_assigned = true;
         }
       bench->refused = false;
-      for (uint32_t i = 0; i < SUBMISSIONS_PER_MS && shares_assigned
+      for (uint32_t i = 0; i < submissions && shares_assigned
                            && !bench->refused && bench->unfinished < job_count;
            i++)
         submit_job (bench);
@@ -802,6 +843,106 @@
   measure (&setup, base);
 }
 
+/* Submit a job that makes the backlog too long, so that all others are
+   refused.  */
+static void
+fill_backlog (struct bench *bench)
+{
+  TALLOC_CTX *mem = talloc_new (NULL);
+  struct jb_msg_request request = { .call = ++bench->next_job,
+                                    .kind = JB_REQUEST_SUBMIT,
+                                    .pool = "pool",
+                                    .desc = make_job (bench, mem) };
+
+  request.id = request.desc->id;
+  request.queue = request.desc->queue;
+  request.desc->priority = 1;
+  request.desc->step_count = 1;
+  request.desc->steps[0].task_count = bench->backend_count;
+  request.desc->steps[0].resources.cpu_milli = BACKEND_CPU_MILLI;
+  request.desc->steps[0].estimate_ms = 60000;
+  bench->unfinished++;
+  jb_pool_handle_request (bench->pool, bench->now, CLIENT, &request);
+  talloc_free (mem);
+}
+
+static void
+count_pending (struct bench *bench)
+{
+  struct jb_msg_request request = { .call = ++bench->next_job,
+                                    .kind = JB_REQUEST_PENDING_COUNT,
+                                    .pool = "pool",
+                                    .id = "",
+                                    .queue = "queue0" };
+  double started = cpu_seconds ();
+
+  jb_pool_handle_request (bench->pool, bench->now, CLIENT, &request);
+  record (bench, EVENT_PENDING_COUNT, started);
+}
+
+/* Cause the events that the load does not cause: no reply is delivered
+   meanwhile, so the backend servers remain full.  */
+static void
+cause_events (struct bench *bench)
+{
+  jb_pool_run (bench->pool, bench->now);
+  for (uint32_t i = 0; i < EVENT_REPETITIONS; i++)
+    {
+      uint32_t starts = bench->starts;
+      double started;
+
+      assign_shares (bench);
+      bench->now += IDLE_CYCLE_INTERVAL;
+      started = cpu_seconds ();
+      jb_pool_run (bench->pool, bench->now);
+      if (bench->starts == starts)
+        record (bench, EVENT_IDLE_CYCLE, started);
+      count_pending (bench);
+    }
+  fill_backlog (bench);
+  for (uint32_t i = 0; i < EVENT_REPETITIONS; i++)
+    submit_job (bench);
+}
+
+/* Print a row with the processor time of single events with JOB_COUNT active
+   jobs.  */
+static void
+measure_events (uint32_t job_count)
+{
+  struct bench *bench = make_bench (EVENT_BACKENDS);
+
+  bench->single_events = true;
+  /* Few requests may wait while the pool's rows are being read.  */
+  advance (bench, bench->now + LIST_INTERVAL, 0);
+  advance (bench, bench->now + EVENT_WARM_UP, job_count);
+  bench->measuring = true;
+  advance (bench, bench->now + MEASURED_TIME, job_count);
+  printf ("| %u", bench->unfinished);
+  cause_events (bench);
+  for (uint32_t i = EVENT_REFUSED_SUBMISSION; i < EVENT_END; i++)
+    {
+      g_assert (bench->counts[i] > 0);
+      printf (" | %.1f", bench->seconds[i] * 1e6 / bench->counts[i]);
+    }
+  printf (" | %016llx |\n", (unsigned long long)bench->hash);
+  fflush (stdout);
+  free_bench (bench);
+}
+
+static void
+measure_all_events (void)
+{
+  static const uint32_t job_counts[] = { 10, 100, 1000, 10000 };
+
+  printf ("| active jobs | refused submission, us | accepted submission, us | "
+          "usage report, us | load report, us | scheduling cycle with nothing "
+          "to start, us | probe answer with one end, us | count of pending "
+          "jobs, us | decisions |\n");
+  printf ("|---|---|---|---|---|---|---|---|---|\n");
+  for (uint32_t i = 0; i < G_N_ELEMENTS (job_counts); i++)
+    measure_events (job_counts[i]);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -809,6 +950,11 @@
   static const uint32_t backend_counts[] = { 20, 80, 300 };
   double base = 0;
 
+  if (argc == 2 && strcmp (argv[1], "events") == 0)
+    {
+      measure_all_events ();
+      return 0;
+    }
   printf (
       "| waiting jobs | backend servers | jobs not ended | starts/s | run, "
       "us | submission, us | probe reply, us | start reply, us | write "
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -15,6 +15,8 @@
 echo
 [ -n "${PATH_ONLY:-}" ] || "$BIN/bench/bench_pool"
 echo
+[ -n "${PATH_ONLY:-}" ] || "$BIN/bench/bench_pool" events
+echo
 [ -n "${PATH_ONLY:-}" ] || "$BIN/bench/bench_http_client"
 echo
 site_start run/measure bench/measure.yaml 51 1 0
