Keep the sums over a pool's active jobs as these change

Each submission, also one that was refused, went over all active jobs of the pool and their task groups to sum the unfinished work; each usage report and each scheduling cycle did so for what organisations use and want; each load report did twice, and each count of pending jobs once.

Each active job now keeps what it was last counted with, and is put into a list when something changes that this depends on: in the functions that change it (jb_job.c, jb_takeover.c), and where a job is stored, released, ended, or its tasks are awaited or in doubt. Before a sum is used, only the jobs in the list are counted anew (jb_pool_sums.c). The end of a doubt doesn't tell its job, so jobs with tasks that have no run but a start in doubt are counted for each report and cycle. A job knows its index in the list of active jobs, so its removal no longer searches that.

The cycle still goes over all waiting groups.

test_jb_pool_sums compares the sums with those over all tasks after random changes, and checks that unchanged jobs aren't counted again. In the emulator every use of a sum is checked (jb_bounds.check_sums).

--- a/bench/bench_pool.c
+++ b/bench/bench_pool.c
@@ -6,10 +6,10 @@
           bench_pool events
 
    The third form prints the processor time of single events for several
-   numbers of active jobs.  The second form compares placement with and without lookahead
-   (jb_reserve.h), for jobs of which some have tasks that need most of a
-   backend server.  The column "ratio" is that of all processor time; compare
-   "run, us" for the cycle.
+   numbers of active jobs.  The second form compares placement with and without
+   lookahead (jb_reserve.h), for jobs of which some have tasks that need most
+   of a backend server.  The column "ratio" is that of all processor time;
+   compare "run, us" for the cycle.
 
    A pool with a simulated store and simulated backend servers, which are kept
    full, runs in virtual time.  As many tasks start a second at all sizes:
@@ -755,8 +755,8 @@
   jb_time next_list = bench->now;
   jb_time next_load = bench->now;
   bool shares_assigned = bench->measuring;
-  uint32_t submissions = bench->single_events ? EVENT_SUBMISSIONS_PER_MS
-                                              : SUBMISSIONS_PER_MS;
+  uint32_t submissions
+      = bench->single_events ? EVENT_SUBMISSIONS_PER_MS : SUBMISSIONS_PER_MS;
 
   while (bench->now < until)
     {
--- a/packages/jobs/include/jb_job.h
+++ b/packages/jobs/include/jb_job.h
@@ -140,6 +140,26 @@
 struct jb_queue_stats;
 struct jb_pool_org_usage;
 
+/* What a job contributes to the sums of its pool (jb_pool_sums.c).  */
+struct jb_job_demand
+{
+  /* For its organisation: what its tasks use that run or may run, of that what
+     those without a run use that a start in doubt may give one, and what those
+     want that are ready to start.  */
+  struct jb_resources used;
+  struct jb_resources in_doubt;
+  struct jb_resources wanted;
+  /* Thousandths of a core * ms that are not done, at most JB_MAX_JOB_WORK.  */
+  int64_t unfinished_work;
+  /* CPU that its tasks want that are ready to start, in thousandths of a core;
+     and the same with at least one for each task, also if it is
+     best-effort.  */
+  int64_t waiting_cpu_milli;
+  int64_t waiting_weight;
+  bool is_pending; /* it is accepted, and no task has been started */
+  bool has_doubts; /* in_doubt isn't nothing */
+};
+
 struct jb_job
 {
   struct jb_job_desc *desc;
@@ -177,12 +197,25 @@
   struct jb_queue_stats *queue_stats;
   struct jb_pool_org_usage *org_usage;
   struct jb_waiter *waiters; /* clients that wait for a write to the store */
+  /* Its index in the pool's active jobs, what it was last counted with in the
+     sums over them, and the list of those that have changed since, borrowed
+     from the pool; NULL if it is not active.  */
+  uint32_t active_index;
+  struct jb_job_demand demand;
+  GPtrArray *changed_jobs;
+  bool is_changed; /* it is in that list */
 };
 
 /* Return a new job, owned by MEM, that takes over the ownership of DESC.  No
    occurrence is open yet.  */
 struct jb_job *jb_job_new (TALLOC_CTX *mem, struct jb_job_desc *desc);
 
+/* Something has changed that the demand of JOB depends on: its groups, which
+   of them are ready, the tasks that are done, run, are awaited or have a start
+   in doubt, or whether JOB is stored, was loaded, has started or has ended.
+   The functions below call this.  */
+void jb_job_note_change (struct jb_job *job);
+
 /* Return the number of occurrences of JOB, at least 1.  */
 uint32_t jb_job_occurrence_count (const struct jb_job *job);
 
--- a/packages/jobs/include/jb_types.h
+++ b/packages/jobs/include/jb_types.h
@@ -166,6 +166,9 @@
   bool shares;
   /* Bit set of enum jb_safeguard; 0 except in tests.  */
   uint32_t disabled_safeguards;
+  /* For tests: whether a pool's owner checks its sums over the active jobs
+     whenever it uses them, and aborts if they are wrong.  */
+  bool check_sums;
 };
 
 #endif
--- a/packages/jobs/src/jb_job.c
+++ b/packages/jobs/src/jb_job.c
@@ -34,6 +34,15 @@
   return job;
 }
 
+void
+jb_job_note_change (struct jb_job *job)
+{
+  if (job->changed_jobs == NULL || job->is_changed)
+    return;
+  job->is_changed = true;
+  g_ptr_array_add (job->changed_jobs, job);
+}
+
 uint32_t
 jb_job_occurrence_count (const struct jb_job *job)
 {
@@ -75,6 +84,7 @@
         }
       g_ptr_array_add (job->groups, group);
     }
+  jb_job_note_change (job);
   jb_job_update_ready_groups (job, occurrence);
 }
 
@@ -132,6 +142,8 @@
                   && predecessor->done_count == predecessor->task_count;
         }
       group->ready = ready;
+      if (ready)
+        jb_job_note_change (job);
     }
 }
 
@@ -180,6 +192,7 @@
         talloc_free (g_ptr_array_index (job->groups, i));
       g_ptr_array_remove_range (job->groups, 0, job->desc->step_count);
       job->dropped_occurrences++;
+      jb_job_note_change (job);
     }
 }
 
@@ -279,6 +292,7 @@
   task->group->active_runs++;
   task->group->job->active_runs++;
   task->group->job->ever_started = true;
+  jb_job_note_change (task->group->job);
 }
 
 void
@@ -304,6 +318,7 @@
   task->ended_at = now;
   task->group->active_runs--;
   task->group->job->active_runs--;
+  jb_job_note_change (task->group->job);
 }
 
 void
@@ -314,6 +329,7 @@
   task->done = true;
   task->group->done_count++;
   task->group->job->dirty = true;
+  jb_job_note_change (task->group->job);
 }
 
 bool
@@ -635,6 +651,7 @@
            k++)
         jb_job_update_ready_groups (job, k);
       job->dirty = false;
+      jb_job_note_change (job);
     }
   talloc_free (scratch);
   return valid;
@@ -660,6 +677,7 @@
     restore_crashes (job, &saved.crashes[i]);
   if (valid)
     job->dirty = false;
+  jb_job_note_change (job);
   talloc_free (scratch);
   return valid;
 }
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -90,6 +90,7 @@
   g_hash_table_destroy (pool->empty_zones);
   g_ptr_array_free (pool->backend_list, TRUE);
   g_ptr_array_free (pool->active_jobs, TRUE);
+  jb_pool_sums_clear (pool);
   g_ptr_array_free (pool->dirty_jobs, TRUE);
   g_ptr_array_free (pool->obsolete_keys, TRUE);
   g_ptr_array_free (pool->deferred_requests, TRUE);
@@ -123,6 +124,7 @@
   pool->empty_zones
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   pool->active_jobs = g_ptr_array_new ();
+  jb_pool_sums_init (pool);
   pool->dirty_jobs = g_ptr_array_new ();
   pool->obsolete_keys = g_ptr_array_new_with_free_func (g_free);
   pool->deferred_requests = g_ptr_array_new ();
@@ -322,7 +324,7 @@
   compute_local_times (pool, job);
   if (job->desc->scheduled_occurrences == 0)
     jb_job_open_next_occurrence (job);
-  g_ptr_array_add (pool->active_jobs, job);
+  jb_pool_activate_job (pool, job);
 }
 
 void
@@ -338,7 +340,7 @@
           job->desc->id, "queue", job->desc->queue, "reason",
           "the store refuses it", NULL);
   g_hash_table_remove (pool->jobs, job->desc->id);
-  g_ptr_array_remove_fast (pool->active_jobs, job);
+  jb_pool_deactivate_job (pool, job);
   g_ptr_array_remove (pool->dirty_jobs, job);
   talloc_free (job);
 }
@@ -386,6 +388,7 @@
 
   job->state = state;
   job->ended_at = now;
+  jb_job_note_change (job);
   jb_count_event (pool->options.driver, counters[state]);
   if (state == JB_JOB_COMPLETED)
     jb_observe_latency (pool->options.driver, JB_HIST_JOB_DONE,
@@ -406,7 +409,7 @@
   if (job->ended_at == 0 || job->active_runs > 0 || job->is_inactive)
     return;
   job->is_inactive = true;
-  g_ptr_array_remove_fast (pool->active_jobs, job);
+  jb_pool_deactivate_job (pool, job);
 }
 
 void
@@ -445,34 +448,6 @@
 
 /* ---- requests ---- */
 
-/* Return the work that was accepted and is not done, in thousandths of a core
-   times milliseconds, but at most JB_MAX_JOB_WORK.  */
-static int64_t
-unfinished_work (const struct jb_pool *pool)
-{
-  int64_t work = 0;
-
-  for (guint i = 0; i < pool->active_jobs->len; i++)
-    {
-      const struct jb_job *job = g_ptr_array_index (pool->active_jobs, i);
-
-      if (job->ended_at != 0)
-        continue;
-      for (guint j = 0; j < job->groups->len; j++)
-        {
-          const struct jb_task_group *group
-              = g_ptr_array_index (job->groups, j);
-          const struct jb_step *step = jb_task_group_step (group);
-
-          if (!step->long_running)
-            work += (int64_t)(group->task_count - group->done_count)
-                    * step->resources.cpu_milli * step->estimate_ms;
-          work = MIN (work, JB_MAX_JOB_WORK);
-        }
-    }
-  return work;
-}
-
 /* Add the capacity of all reachable backend servers to SUM, and raise LARGEST
    to the largest capacity of one of them, in each dimension.  These are the
    listed ones that answer probes and are not being evacuated for a command to
@@ -513,7 +488,7 @@
   struct jb_resources capacity = { 0 };
   struct jb_admission_input input
       = { .desc = desc,
-          .unfinished_work = unfinished_work (pool),
+          .unfinished_work = jb_pool_unfinished_work (pool),
           .active_jobs = pool->active_jobs->len };
 
   sum_capacity (pool, now, &capacity, &input.largest_backend);
@@ -664,16 +639,8 @@
 handle_pending_count (struct jb_pool *pool, uint64_t member,
                       const struct jb_msg_request *request)
 {
-  uint32_t pending = 0;
+  uint32_t pending = jb_pool_count_pending (pool, request->queue);
 
-  for (guint i = 0; i < pool->active_jobs->len; i++)
-    {
-      const struct jb_job *job = g_ptr_array_index (pool->active_jobs, i);
-
-      if (job->stored && job->ended_at == 0 && !job->ever_started
-          && strcmp (job->desc->queue, request->queue) == 0)
-        pending++;
-    }
   send_reply (pool, member, request->call, JB_ANSWER_PENDING_COUNT, 0, pending,
               0);
 }
@@ -869,39 +836,6 @@
   jb_pool_finish_scan_if_complete (pool, now);
 }
 
-/* Return the CPU, in thousandths of a core, that the tasks of POOL want that
-   are ready to start.  Best-effort tasks use what others leave; but if the
-   pool HAS_NO_CAPACITY, each task counts for more than nothing, or the planner
-   would take the pool for one where none waits.  */
-static int64_t
-sum_waiting (const struct jb_pool *pool, bool has_no_capacity)
-{
-  int64_t sum = 0;
-
-  for (guint i = 0; i < pool->active_jobs->len; i++)
-    {
-      const struct jb_job *job = g_ptr_array_index (pool->active_jobs, i);
-
-      for (guint j = 0; job->ended_at == 0 && j < job->groups->len; j++)
-        {
-          const struct jb_task_group *group
-              = g_ptr_array_index (job->groups, j);
-          const struct jb_step *step = jb_task_group_step (group);
-          int64_t cpu_milli
-              = step->best_effort ? 0 : step->resources.cpu_milli;
-
-          if (has_no_capacity)
-            cpu_milli = MAX (cpu_milli, 1);
-          if (group->ready
-              && group->task_count > group->done_count + group->active_runs)
-            sum += (int64_t)(group->task_count - group->done_count
-                             - group->active_runs)
-                   * cpu_milli;
-        }
-    }
-  return sum;
-}
-
 void
 jb_pool_get_load (struct jb_pool *pool, TALLOC_CTX *mem, jb_time now,
                   struct jb_msg_load *load)
@@ -939,8 +873,9 @@
             load->finite_cpu_milli += step->resources.cpu_milli;
         }
     }
-  load->waiting_cpu_milli = sum_waiting (pool, capacity.cpu_milli <= 0);
-  load->unfinished_work_cpu_milli_ms = unfinished_work (pool);
+  load->waiting_cpu_milli
+      = jb_pool_waiting_cpu_milli (pool, capacity.cpu_milli <= 0);
+  load->unfinished_work_cpu_milli_ms = jb_pool_unfinished_work (pool);
   load->arriving_cpu_milli = recent_cpu_demand (pool, now);
 }
 
@@ -973,7 +908,7 @@
                                           .key = talloc_asprintf (
                                               scratch, "%s%s", job->desc->id,
                                               JB_KEY_SUFFIX_END) };
-      g_ptr_array_remove_fast (pool->active_jobs, job);
+      jb_pool_deactivate_job (pool, job);
       g_hash_table_iter_remove (&iter);
       talloc_free (job);
     }
--- a/packages/jobs/src/jb_pool_doubt.c
+++ b/packages/jobs/src/jb_pool_doubt.c
@@ -791,6 +791,7 @@
   if (task != NULL)
     {
       task->in_doubt = true;
+      jb_job_note_change (task->group->job);
       return task->done && is_only_start (pool, doubt);
     }
   job = jb_task_ref_parse (doubt->task, &ref)
--- a/packages/jobs/src/jb_pool_handover.c
+++ b/packages/jobs/src/jb_pool_handover.c
@@ -244,6 +244,8 @@
 
           if (task == NULL)
             continue;
+          if (task->is_awaited != (is_awaited && !task->done))
+            jb_job_note_change (task->group->job);
           task->is_awaited = is_awaited && !task->done;
           count += task->is_awaited;
         }
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -99,6 +99,17 @@
 {
   int64_t mean_work;     /* thousandths of a core * ms */
   double duration_ratio; /* mean of actual to estimated run time of tasks */
+  /* Accepted jobs of which no task has been started (jb_pool_sums.c).  */
+  uint32_t pending_jobs;
+};
+
+/* What the active jobs of an organisation use and want, as in struct
+   jb_job_demand.  */
+struct jb_org_demand
+{
+  struct jb_resources used;
+  struct jb_resources in_doubt;
+  struct jb_resources wanted;
 };
 
 /* Resources of this pool that an organisation uses.  */
@@ -113,6 +124,9 @@
   struct jb_resources in_doubt;
   struct jb_resources wanted; /* by tasks that are ready to start */
   struct jb_resources share; /* the pool's share of the organisation's quota */
+  /* The sum over the active jobs as far as they are counted.  The three above
+     are taken from it by jb_pool_update_usage.  */
+  struct jb_org_demand counted;
   /* Whether it has a quota in the version of the catalog `quota_version'; 0:
      not looked up yet.  */
   bool has_quota;
@@ -132,6 +146,18 @@
   struct jb_rank rank; /* of the group whose tasks are being started */
 };
 
+/* Sums over the active jobs as far as they are counted: of struct
+   jb_job_demand, except what is kept for each organisation and queue.  */
+struct jb_pool_sums
+{
+  unsigned __int128 unfinished_work; /* of 20,000 jobs it exceeds 64 bits */
+  int64_t waiting_cpu_milli;
+  int64_t waiting_weight;
+  GPtrArray *changed_jobs;  /* struct jb_job: to be counted anew */
+  GPtrArray *doubtful_jobs; /* struct jb_job: counted with starts in doubt */
+  uint64_t recount_count;   /* how often a job was counted */
+};
+
 /* What the predecessor has stored of a backend server that did not answer
    it.  */
 struct jb_silent_backend
@@ -232,6 +258,7 @@
   GHashTable *jobs;        /* ID -> struct jb_job */
   GPtrArray *active_jobs;  /* struct jb_job: not ended, or with active runs */
   GHashTable *queue_stats; /* name -> struct jb_queue_stats */
+  struct jb_pool_sums sums;
   /* Writes to the store.  */
   GPtrArray *dirty_jobs; /* struct jb_job: changes that are not written */
   jb_time dirty_since;   /* time of the first such change; 0: there is none */
@@ -887,7 +914,7 @@
 
 /* With shares, if it is time to: decide which jobs are deferred because the
    pool can't finish all of them on time.  The usage of the organisations must
-   have been recounted just before.  */
+   have been updated just before.  */
 void jb_pool_select_jobs (struct jb_pool *pool, jb_time now);
 
 /* ---- jb_pool_quota.c ---- */
@@ -920,14 +947,36 @@
                                    const struct jb_resources *resources);
 /* Return whether JOB's organisation, which must not be NULL, stays within the
    pool's share of its quota even if all of its tasks that are ready start. The
-   usage must have been recounted just before.  */
+   usage must have been updated just before.  */
 bool jb_pool_covers_demand (struct jb_pool *pool, struct jb_job *job);
 /* Return when the next report to the planner is due.  */
 jb_time jb_pool_usage_report_due_at (const struct jb_pool *pool);
 /* Forget the copies: all runs of previous owners have ended or are known.  */
 void jb_pool_forget_copies (struct jb_pool *pool);
-/* Recompute what the organisations use and want, from the active jobs.  */
-void jb_pool_recount_usage (struct jb_pool *pool);
+
+/* ---- jb_pool_sums.c ---- */
+
+void jb_pool_sums_init (struct jb_pool *pool);
+void jb_pool_sums_clear (struct jb_pool *pool);
+/* Add JOB to the active jobs of POOL, or remove it from them if it is one.  */
+void jb_pool_activate_job (struct jb_pool *pool, struct jb_job *job);
+void jb_pool_deactivate_job (struct jb_pool *pool, struct jb_job *job);
+/* Return the work that was accepted and is not done, in thousandths of a core
+   times milliseconds, but at most JB_MAX_JOB_WORK.  */
+int64_t jb_pool_unfinished_work (struct jb_pool *pool);
+/* Return the CPU, in thousandths of a core, that the tasks of POOL want that
+   are ready to start.  Best-effort tasks use what others leave; but if the
+   pool HAS_NO_CAPACITY, each task counts for more than nothing, or the planner
+   would take the pool for one where none waits.  */
+int64_t jb_pool_waiting_cpu_milli (struct jb_pool *pool, bool has_no_capacity);
+/* Return the number of accepted jobs of QUEUE of which no task has been
+   started.  */
+uint32_t jb_pool_count_pending (struct jb_pool *pool, const char *queue);
+/* Set what the organisations use and want, as of now.  */
+void jb_pool_update_usage (struct jb_pool *pool);
+/* For tests: return whether the sums are those of all active jobs, each
+   counted as it is now unless it is marked as changed.  */
+bool jb_pool_sums_are_exact (struct jb_pool *pool);
 
 /* ---- jb_pool_throttle.c ---- */
 
--- a/packages/jobs/src/jb_pool_quota.c
+++ b/packages/jobs/src/jb_pool_quota.c
@@ -14,7 +14,7 @@
 
 /* Return whether the active runs on all backend servers that answer are known,
    and orphaned runs have ended.  Runs on backend servers that don't answer are
-   covered by add_job_usage, which counts each task of a loaded job that is not
+   covered by the usage, which counts each task of a loaded job that is not
    done.  */
 static bool
 active_runs_are_known (const struct jb_pool *pool, jb_time now)
@@ -154,113 +154,6 @@
          || jb_resources_fit (&sum, &org_usage->share);
 }
 
-/* Add COUNT times AMOUNT to SUM.  */
-static void
-add_multiple (struct jb_resources *sum, const struct jb_resources *amount,
-              int64_t count)
-{
-  sum->cpu_milli += count * amount->cpu_milli;
-  sum->memory_mb += count * amount->memory_mb;
-  sum->accelerators += count * amount->accelerators;
-}
-
-/* Return how many tasks of GROUP are done and still have a run.  Such a run is
-   about to be stopped.  */
-static uint32_t
-count_done_with_run (const struct jb_task_group *group)
-{
-  uint32_t count = 0;
-
-  if (group->active_runs == 0 || group->done_count == 0)
-    return 0;
-  for (uint32_t i = 0; i < group->task_count; i++)
-    if (group->tasks[i].done && group->tasks[i].state != JB_RUN_NONE)
-      count++;
-  return count;
-}
-
-/* Count the tasks of GROUP without a known run that may have one: in AWAITED
-   those of which a former owner has left a run on a silent backend server, in
-   DOUBTFUL others with a start in doubt.  */
-static void
-count_possible_runs (const struct jb_pool *pool,
-                     const struct jb_task_group *group, uint32_t *awaited,
-                     uint32_t *doubtful)
-{
-  *awaited = 0;
-  *doubtful = 0;
-  for (uint32_t i = 0; i < group->task_count; i++)
-    {
-      struct jb_task *task = &group->tasks[i];
-
-      if (task->state != JB_RUN_NONE || task->done)
-        continue;
-      if (task->is_awaited)
-        ++*awaited;
-      else
-        *doubtful += jb_pool_find_doubt (pool, task) != NULL;
-    }
-}
-
-/* Add what the tasks of JOB use and want to ORG_USAGE.  */
-static void
-add_job_usage (const struct jb_pool *pool, const struct jb_job *job,
-               struct jb_pool_org_usage *org_usage)
-{
-  for (guint i = 0; i < job->groups->len; i++)
-    {
-      const struct jb_task_group *group = g_ptr_array_index (job->groups, i);
-      const struct jb_resources *resources
-          = &jb_task_group_step (group)->resources;
-      /* Tasks that are neither done nor have a run.  */
-      int64_t waiting = (int64_t)group->task_count - group->done_count
-                        - group->active_runs + count_done_with_run (group);
-
-      add_multiple (&org_usage->used, resources, group->active_runs);
-      if (job->ended_at != 0)
-        continue;
-      /* A task of a job that was loaded from the store may have a run that is
-         not known yet.  */
-      if (job->loaded_from_store)
-        add_multiple (&org_usage->used, resources, waiting);
-      else if (group->ready)
-        {
-          uint32_t awaited;
-          uint32_t doubtful;
-
-          count_possible_runs (pool, group, &awaited, &doubtful);
-          add_multiple (&org_usage->used, resources, awaited + doubtful);
-          add_multiple (&org_usage->in_doubt, resources, doubtful);
-          add_multiple (&org_usage->wanted, resources,
-                        waiting - awaited - doubtful);
-        }
-    }
-}
-
-void
-jb_pool_recount_usage (struct jb_pool *pool)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, pool->org_usages);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct jb_pool_org_usage *org_usage = value;
-
-      org_usage->used = org_usage->copies;
-      org_usage->in_doubt = (struct jb_resources){ 0 };
-      org_usage->wanted = (struct jb_resources){ 0 };
-    }
-  for (guint i = 0; i < pool->active_jobs->len; i++)
-    {
-      struct jb_job *job = g_ptr_array_index (pool->active_jobs, i);
-
-      if (job->desc->org != NULL)
-        add_job_usage (pool, job, jb_pool_get_job_usage (pool, job));
-    }
-}
-
 void
 jb_pool_handle_shares (struct jb_pool *pool, jb_time now,
                        const struct jb_msg_shares *shares)
@@ -316,7 +209,7 @@
   pool->reported_planner_fence
       = MAX (pool->reported_planner_fence, planner_fence);
   pool->quota_blocked = false;
-  jb_pool_recount_usage (pool);
+  jb_pool_update_usage (pool);
   *usage = (struct jb_msg_usage){ .pool = (char *)pool->options.name,
                                   .fence = jb_pool_fence (pool),
                                   .planner_fence = pool->shares_planner_fence,
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -1035,7 +1035,7 @@
   jb_pool_collect_usable_backends (pool, now);
   if (pool->usable_count == 0)
     return;
-  jb_pool_recount_usage (pool);
+  jb_pool_update_usage (pool);
   jb_pool_select_jobs (pool, now);
   if (jb_pool_lookahead_begin (pool, now))
     rank_reservations (pool, now);
--- a/packages/jobs/src/jb_pool_store.c
+++ b/packages/jobs/src/jb_pool_store.c
@@ -128,6 +128,7 @@
     {
     case WRITTEN_DESCRIPTION:
       job->stored = true;
+      jb_job_note_change (job);
       jb_count_event (pool->options.driver, JB_COUNT_ACCEPTED);
       jb_observe_latency (pool->options.driver, JB_HIST_JOB_STORED,
                           now - job->received_at);
--- a/packages/jobs/src/jb_pool_takeover.c
+++ b/packages/jobs/src/jb_pool_takeover.c
@@ -350,6 +350,7 @@
 release_job (struct jb_pool *pool, struct jb_job *job, enum jb_counter counter)
 {
   job->loaded_from_store = false;
+  jb_job_note_change (job);
   pool->schedule_due = true;
   jb_count_event (pool->options.driver, counter);
 }
--- a/packages/jobs/src/jb_takeover.c
+++ b/packages/jobs/src/jb_takeover.c
@@ -142,6 +142,7 @@
             count += await_group (group);
         }
     }
+  jb_job_note_change (job);
   return count;
 }
 
@@ -155,4 +156,5 @@
       for (uint32_t j = 0; j < group->task_count; j++)
         group->tasks[j].is_awaited = false;
     }
+  jb_job_note_change (job);
 }
--- a/tests/sim/jobs/jw_world.c
+++ b/tests/sim/jobs/jw_world.c
@@ -410,7 +410,8 @@
               .max_host_commands_per_s = 64,
               .max_row_bytes = JW_MAX_ROW_BYTES,
               .lookahead = world->options.lookahead,
-              .disabled_safeguards = world->options.disabled_safeguards } };
+              .disabled_safeguards = world->options.disabled_safeguards,
+              .check_sums = true } };
 
   if (host->host != NULL || host->up)
     return;
