--- a/bench/bench_pool.c
+++ b/bench/bench_pool.c
@@ -33,6 +33,8 @@
 #define MEASURED_TIME (3 * JB_SECOND)
 /* So many that 10,000 jobs are stored.  */
 #define EVENT_WARM_UP (5 * JB_SECOND)
+/* Least time between two scheduling cycles.  */
+#define CYCLE_INTERVAL (4 * JB_MS)
 #define IDLE_CYCLE_INTERVAL (8 * JB_MS)
 #define LIST_INTERVAL (1 * JB_SECOND)
 #define LOAD_INTERVAL (200 * JB_MS)
@@ -94,7 +96,10 @@
   EVENT_USAGE_REPORT,
   EVENT_LOAD_REPORT,
   EVENT_IDLE_CYCLE, /* a scheduling cycle with nothing to start */
-  EVENT_ONE_END,    /* an answer to a probe with one end of a run */
+  /* jb_pool_run after an answer with ends of runs, 4 ms after the last one at
+     the earliest: a cycle that starts tasks.  */
+  EVENT_STARTING_CYCLE,
+  EVENT_ONE_END, /* an answer to a probe with one end of a run */
   EVENT_PENDING_COUNT,
   EVENT_END
 };
@@ -147,6 +152,8 @@
   uint32_t backend_count;
   uint32_t unfinished; /* accepted jobs that have not ended */
   bool refused;        /* the last submission was refused */
+  bool has_ends;       /* an answer had some since the last scheduling cycle */
+  jb_time cycle_at;    /* when the last one began, if ends caused it */
   uint64_t hash;
   uint32_t starts;
   bool measuring;
@@ -383,6 +390,7 @@
   started = cpu_seconds ();
   jb_driver_receive_reply (bench->driver, bench->now, event->number, &reply);
   record (bench, operation, started);
+  bench->has_ends = bench->has_ends || reply.ended_run_count > 0;
   if (reply.ended_run_count == 1)
     record (bench, EVENT_ONE_END, started);
   talloc_free (mem);
@@ -784,6 +792,12 @@
       started = cpu_seconds ();
       next = jb_pool_run (bench->pool, bench->now);
       record (bench, OPERATION_RUN, started);
+      if (bench->has_ends && bench->now >= bench->cycle_at + CYCLE_INTERVAL)
+        {
+          record (bench, EVENT_STARTING_CYCLE, started);
+          bench->has_ends = false;
+          bench->cycle_at = bench->now;
+        }
       next = MIN (next, next_event);
       bench->now = CLAMP (next, bench->now + 1, bench->now + JB_MS);
     }
@@ -936,9 +950,10 @@
 
   printf ("| active jobs | refused submission, us | accepted submission, us | "
           "usage report, us | load report, us | scheduling cycle with nothing "
-          "to start, us | probe answer with one end, us | count of pending "
+          "to start, us | scheduling cycle after ends, us | probe answer with "
+          "one end, us | count of pending "
           "jobs, us | decisions |\n");
-  printf ("|---|---|---|---|---|---|---|---|---|\n");
+  printf ("|---|---|---|---|---|---|---|---|---|---|\n");
   for (uint32_t i = 0; i < G_N_ELEMENTS (job_counts); i++)
     measure_events (job_counts[i]);
 }
