Keep the task groups that wait in classes, and order only what may start

A scheduling cycle looked at each task group of each active job, ranked all that there was room for, sorted them, and then visited each of them, also after the room was used up: 0.7 ms with 10,000 active jobs where nothing could start, and 2.0 ms after ends of runs, every 4 ms at the least.

Groups that wait and need the same (resources, label, organisation, whether they are a gang, need advice, may have starts in doubt, or were loaded) are in one class (jb_pool_waiting.c), which is brought up to date with the sums, for changed jobs only. A cycle finds out once for each class whether there is room. Of the candidates (jb_pool_candidates.c) only the first one of each class is known until a second one is wanted, and a class is dropped once none of it can start in this cycle: there is no room, and its organisation's share covers all it wants, or the share is used up and that was noticed. Gangs, groups with starts in doubt, those that need advice, and with lookahead all groups are visited as before.

Those of equal rank were ordered by their places in the list of active jobs, as the sort was stable; this order is explicit now.

What remains grows with the jobs that there is room for: each is ranked.

--- a/packages/jobs/include/jb_job.h
+++ b/packages/jobs/include/jb_job.h
@@ -111,6 +111,8 @@
   uint32_t next_backend;
 };
 
+struct jb_waiting_class;
+
 /* The tasks of one step in one occurrence of a job.  */
 struct jb_task_group
 {
@@ -135,6 +137,10 @@
   struct jb_duration expected;
   jb_time expected_until;
   jb_time no_reservation_until;
+  /* The class of the groups that wait to be started like this one
+     (jb_pool_waiting.c), and its index there; NULL: it does not wait.  */
+  struct jb_waiting_class *waiting_class;
+  uint32_t waiting_index;
 };
 
 struct jb_queue_stats;
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -91,6 +91,7 @@
   g_ptr_array_free (pool->backend_list, TRUE);
   g_ptr_array_free (pool->active_jobs, TRUE);
   jb_pool_sums_clear (pool);
+  jb_pool_waiting_clear (pool);
   g_ptr_array_free (pool->dirty_jobs, TRUE);
   g_ptr_array_free (pool->obsolete_keys, TRUE);
   g_ptr_array_free (pool->deferred_requests, TRUE);
@@ -125,6 +126,7 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   pool->active_jobs = g_ptr_array_new ();
   jb_pool_sums_init (pool);
+  jb_pool_waiting_init (pool);
   pool->dirty_jobs = g_ptr_array_new ();
   pool->obsolete_keys = g_ptr_array_new_with_free_func (g_free);
   pool->deferred_requests = g_ptr_array_new ();
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -158,6 +158,22 @@
   uint64_t recount_count;   /* how often a job was counted */
 };
 
+/* Groups that wait to be started and need the same.  */
+struct jb_waiting_class
+{
+  struct jb_resources resources;       /* of each task */
+  char *label;                         /* that is required, or NULL */
+  struct jb_pool_org_usage *org_usage; /* borrowed; NULL: anonymous */
+  bool best_effort;
+  bool gang;
+  bool needs_advice;
+  bool has_doubts;     /* a task may have a start in doubt */
+  bool is_loaded;      /* loaded_from_store of the jobs */
+  bool may_copy;       /* jb_takeover_may_start_copies of the steps */
+  GHashTable *classes; /* the pool's */
+  GPtrArray *groups;   /* struct jb_task_group, at least one */
+};
+
 /* What the predecessor has stored of a backend server that did not answer
    it.  */
 struct jb_silent_backend
@@ -259,6 +275,7 @@
   GPtrArray *active_jobs;  /* struct jb_job: not ended, or with active runs */
   GHashTable *queue_stats; /* name -> struct jb_queue_stats */
   struct jb_pool_sums sums;
+  GHashTable *waiting_classes; /* struct jb_waiting_class */
   /* Writes to the store.  */
   GPtrArray *dirty_jobs; /* struct jb_job: changes that are not written */
   jb_time dirty_since;   /* time of the first such change; 0: there is none */
@@ -972,12 +989,54 @@
 /* Return the number of accepted jobs of QUEUE of which no task has been
    started.  */
 uint32_t jb_pool_count_pending (struct jb_pool *pool, const char *queue);
-/* Set what the organisations use and want, as of now.  */
+/* Count the jobs anew that have changed, and put their groups that wait into
+   their classes.  */
+void jb_pool_update_sums (struct jb_pool *pool);
+/* The same, also for jobs with starts in doubt, and set what the organisations
+   use and want.  */
 void jb_pool_update_usage (struct jb_pool *pool);
 /* For tests: return whether the sums are those of all active jobs, each
    counted as it is now unless it is marked as changed.  */
 bool jb_pool_sums_are_exact (struct jb_pool *pool);
 
+/* ---- jb_pool_waiting.c ---- */
+
+void jb_pool_waiting_init (struct jb_pool *pool);
+void jb_pool_waiting_clear (struct jb_pool *pool);
+/* Put the groups of the active JOB, which has changed, into their classes.  */
+void jb_pool_update_waiting (struct jb_pool *pool, const struct jb_job *job);
+/* Remove the groups of JOB, which is not active any more, from theirs.  */
+void jb_pool_remove_waiting (const struct jb_job *job);
+/* For tests: return whether the groups that wait, of jobs that are not marked
+   as changed, are in classes, and no others.  */
+bool jb_pool_waiting_is_exact (const struct jb_pool *pool);
+
+/* ---- jb_pool_candidates.c ---- */
+
+/* A task group that may be started.  */
+struct jb_candidate
+{
+  struct jb_task_group *group;
+  struct jb_rank rank;
+};
+
+/* Return a number below, equal to or above 0 if A goes before B, is B, or goes
+   after it.  Those of equal rank go in the order of their jobs in the pool,
+   and of their occurrences and steps.  */
+int jb_candidate_compare (const struct jb_candidate *a,
+                          const struct jb_candidate *b);
+struct jb_candidates *jb_candidates_new (TALLOC_CTX *mem);
+/* Add MEMBERS, COUNT groups of a class, which are copied.  Not to be called
+   after jb_candidates_take.  */
+void jb_candidates_add_class (struct jb_candidates *candidates,
+                              const struct jb_candidate *members, guint count);
+/* Return the first candidate that has not been returned, or NULL.  It is
+   borrowed until the next call.  */
+const struct jb_candidate *
+jb_candidates_take (struct jb_candidates *candidates);
+/* Remove all of the class of the candidate that was returned last.  */
+void jb_candidates_drop_class (struct jb_candidates *candidates);
+
 /* ---- jb_pool_throttle.c ---- */
 
 /* Adjust the speed of the best-effort tasks on BACKEND to the tail latency of
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -647,13 +647,6 @@
          && !jb_pool_may_have_other_run (pool, task, now);
 }
 
-/* A task group with tasks to start.  */
-struct candidate
-{
-  struct jb_task_group *group;
-  struct jb_rank rank;
-};
-
 static int64_t
 group_remaining_work (const struct jb_task_group *group)
 {
@@ -695,13 +688,6 @@
   return jb_rank_compute (&input, now);
 }
 
-static int
-compare_candidates (const void *a, const void *b)
-{
-  return jb_rank_compare (&((const struct candidate *)a)->rank,
-                          &((const struct candidate *)b)->rank);
-}
-
 /* Return whether GROUP, whose tasks fit nowhere, must be ranked with the
    others because it needs advice, or because it may be noticed that its
    organisation's share is used up.  Until all tasks that want to start have
@@ -719,77 +705,83 @@
          || !jb_pool_covers_demand (pool, job);
 }
 
-/* Return whether a step that precedes GROUP's, though done, still has a run:
-   another run of a task has completed it, and this one is being stopped.  A
-   successor of this owner that finds such a run takes the step for not done,
-   and the steps behind it for not started (jb_takeover.h).  A gang is not
-   concerned, since it must be found as a whole.  */
+/* Return whether the tasks of CLASS may be started.  MAY_COPY says whether all
+   backend servers that answer were probed, so that copies of runs on the
+   others may be started.  */
 static bool
-is_behind_active_run (const struct jb_task_group *group)
+is_released (const struct jb_waiting_class *class, bool may_copy)
 {
-  const struct jb_step *step = jb_task_group_step (group);
+  return !class->is_loaded || (may_copy && class->may_copy);
+}
 
-  for (uint32_t i = 0; i < step->predecessor_count; i++)
+/* Add the groups of CLASS to CANDIDATES.  */
+static void
+add_candidates (struct jb_pool *pool, const struct jb_waiting_class *class,
+                struct jb_candidates *candidates, jb_time now)
+{
+  GArray *members = g_array_sized_new (
+      FALSE, FALSE, sizeof (struct jb_candidate), class->groups->len);
+
+  for (guint i = 0; i < class->groups->len; i++)
     {
-      const struct jb_task_group *predecessor = jb_job_find_group (
-          group->job, group->occurrence, step->predecessors[i]);
+      struct jb_candidate candidate
+          = { .group = g_ptr_array_index (class->groups, i) };
 
-      if (predecessor->active_runs > 0
-          && !jb_task_group_step (predecessor)->gang)
-        return true;
+      candidate.rank = rank_group (pool, candidate.group, now);
+      g_array_append_val (members, candidate);
     }
-  return false;
-}
-
-/* Return whether tasks of GROUP wait to be started.  MAY_COPY says whether all
-   backend servers that answer were probed, so that copies of runs on the
-   others may be started.  */
-static bool
-is_waiting (const struct jb_task_group *group, bool may_copy)
-{
-  const struct jb_job *job = group->job;
-
-  return job->ended_at == 0 && job->stored && group->ready
-         && group->done_count + group->active_runs < group->task_count
-         && (!job->loaded_from_store
-             || (may_copy
-                 && jb_takeover_may_start_copies (jb_task_group_step (group))))
-         && !is_behind_active_run (group);
+  jb_candidates_add_class (
+      candidates, (struct jb_candidate *)(void *)members->data, members->len);
+  g_array_free (members, TRUE);
 }
 
-/* Return the task groups with tasks to start, ordered by rank.  Those for
-   which it makes no difference are left out: with a long queue, most of them
-   fit nowhere.  The caller frees the array.  */
-static GArray *
+/* Return the task groups with tasks to start, owned by the caller.  Those of
+   classes for which it makes no difference are left out: with a long queue,
+   most of them fit nowhere.  */
+static struct jb_candidates *
 collect_candidates (struct jb_pool *pool, struct jb_place_room *room,
                     jb_time now)
 {
-  GArray *candidates = g_array_new (FALSE, FALSE, sizeof (struct candidate));
+  struct jb_candidates *candidates = jb_candidates_new (pool);
   bool may_copy = jb_pool_answering_are_probed (pool);
+  GHashTableIter iter;
+  gpointer value;
 
-  for (guint i = 0; i < pool->active_jobs->len; i++)
+  g_hash_table_iter_init (&iter, pool->waiting_classes);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      struct jb_job *job = g_ptr_array_index (pool->active_jobs, i);
-
-      for (guint j = 0; j < job->groups->len; j++)
-        {
-          struct jb_task_group *group = g_ptr_array_index (job->groups, j);
-          struct candidate candidate = { .group = group };
-
-          if (!is_waiting (group, may_copy))
-            continue;
-          if (!jb_place_has_room (room, &group->tasks[0],
-                                  pool->usable_backends, pool->usable_count)
-              && !matters_without_room (pool, group))
-            continue;
-          candidate.rank = rank_group (pool, group, now);
-          g_array_append_val (candidates, candidate);
-        }
+      const struct jb_waiting_class *class = value;
+      struct jb_task_group *first = g_ptr_array_index (class->groups, 0);
+
+      if (is_released (class, may_copy)
+          && (jb_place_has_room (room, &first->tasks[0], pool->usable_backends,
+                                 pool->usable_count)
+              || matters_without_room (pool, first)))
+        add_candidates (pool, class, candidates, now);
     }
-  g_array_sort (candidates, compare_candidates);
   return candidates;
 }
 
+/* Return whether no other group of GROUP's class can start in this cycle,
+   nor be noticed to need a larger share: since there is no room, or since the
+   organisation's share is used up, which is noticed already.  What a start in
+   doubt uses may be left out of the latter; a gang may raise fencing tokens;
+   and lookahead learns from each group.  */
+static bool
+is_class_over (struct jb_pool *pool, const struct jb_task_group *group,
+               const struct jb_place_room *room)
+{
+  const struct jb_waiting_class *class = group->waiting_class;
+
+  if (class->gang || class->needs_advice || class->has_doubts
+      || pool->lookahead != NULL)
+    return false;
+  if (jb_place_is_hopeless (room, &group->tasks[0]))
+    return !matters_without_room (pool, group);
+  return pool->quota_blocked
+         && !jb_pool_check_share (pool, group->job, &class->resources);
+}
+
 void
 jb_pool_collect_usable_backends (struct jb_pool *pool, jb_time now)
 {
@@ -955,18 +947,19 @@
 /* Insert CANDIDATE into the COUNT FIRST ones, which are ordered by rank and of
    which LIMIT are kept.  Return the new count.  */
 static uint32_t
-insert_candidate (struct candidate *first, uint32_t count, uint32_t limit,
-                  const struct candidate *candidate)
+insert_candidate (struct jb_candidate *first, uint32_t count, uint32_t limit,
+                  const struct jb_candidate *candidate)
 {
   uint32_t i = count;
 
-  if (count == limit && compare_candidates (&first[count - 1], candidate) <= 0)
+  if (count == limit
+      && jb_candidate_compare (&first[count - 1], candidate) <= 0)
     return count;
   if (count == limit)
     i--;
   else
     count++;
-  for (; i > 0 && compare_candidates (&first[i - 1], candidate) > 0; i--)
+  for (; i > 0 && jb_candidate_compare (&first[i - 1], candidate) > 0; i--)
     first[i] = first[i - 1];
   first[i] = *candidate;
   return count;
@@ -978,25 +971,29 @@
 plan_reservations (struct jb_pool *pool, jb_time now)
 {
   /* Some of them may not be able to get one.  */
-  struct candidate first[2 * JB_RESERVE_MAX];
+  struct jb_candidate first[2 * JB_RESERVE_MAX];
   bool may_copy = jb_pool_answering_are_probed (pool);
   uint32_t count = 0;
+  GHashTableIter iter;
+  gpointer value;
 
   if (!jb_pool_lookahead_plan (pool, now))
     return;
-  for (guint i = 0; i < pool->active_jobs->len; i++)
+  jb_pool_update_sums (pool);
+  g_hash_table_iter_init (&iter, pool->waiting_classes);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      struct jb_job *job = g_ptr_array_index (pool->active_jobs, i);
+      struct jb_waiting_class *class = value;
 
-      for (guint j = 0; j < job->groups->len; j++)
+      for (guint i = 0;
+           is_released (class, may_copy) && i < class->groups->len; i++)
         {
-          struct jb_task_group *group = g_ptr_array_index (job->groups, j);
-          struct candidate candidate = { .group = group };
+          struct jb_candidate candidate
+              = { .group = g_ptr_array_index (class->groups, i) };
 
-          if (!is_waiting (group, may_copy)
-              || !jb_pool_may_reserve (pool, group, now))
+          if (!jb_pool_may_reserve (pool, candidate.group, now))
             continue;
-          candidate.rank = rank_group (pool, group, now);
+          candidate.rank = rank_group (pool, candidate.group, now);
           count = insert_candidate (first, count, G_N_ELEMENTS (first),
                                     &candidate);
         }
@@ -1019,12 +1016,39 @@
     }
 }
 
+/* Start tasks of CANDIDATES, the first ones first.  Return the number of
+   started tasks.  ROOM is that of this cycle.  */
+static uint32_t
+start_candidates (struct jb_pool *pool, struct jb_candidates *candidates,
+                  struct jb_place_room *room, jb_time now)
+{
+  const struct jb_candidate *candidate;
+  uint32_t started = 0;
+
+  while (started < MAX_STARTS_PER_CYCLE
+         && (candidate = jb_candidates_take (candidates)) != NULL)
+    {
+      struct jb_task_group *group = candidate->group;
+
+      if (!jb_pool_ensure_advice (pool, group, now))
+        continue;
+      if (pool->lookahead != NULL)
+        pool->lookahead->rank = candidate->rank;
+      started += jb_task_group_step (group)->gang
+                     ? start_gang (pool, group, room, now)
+                     : start_group (pool, group, room, now);
+      if (is_class_over (pool, group, room))
+        jb_candidates_drop_class (candidates);
+    }
+  return started;
+}
+
 void
 jb_pool_schedule (struct jb_pool *pool, jb_time now)
 {
   struct jb_place_room room = { 0 };
-  GArray *candidates;
-  uint32_t started = 0;
+  struct jb_candidates *candidates;
+  uint32_t started;
 
   if (!pool->schedule_due || now < pool->next_schedule
       || jb_pool_count_queued_starts (pool) >= MAX_STARTS_PER_CYCLE
@@ -1040,23 +1064,10 @@
   if (jb_pool_lookahead_begin (pool, now))
     rank_reservations (pool, now);
   candidates = collect_candidates (pool, &room, now);
-  for (guint i = 0; i < candidates->len && started < MAX_STARTS_PER_CYCLE; i++)
-    {
-      struct jb_task_group *group
-          = g_array_index (candidates, struct candidate, i).group;
-
-      if (!jb_pool_ensure_advice (pool, group, now))
-        continue;
-      if (pool->lookahead != NULL)
-        pool->lookahead->rank
-            = g_array_index (candidates, struct candidate, i).rank;
-      started += jb_task_group_step (group)->gang
-                     ? start_gang (pool, group, &room, now)
-                     : start_group (pool, group, &room, now);
-    }
+  started = start_candidates (pool, candidates, &room, now);
   if (started >= MAX_STARTS_PER_CYCLE)
     pool->schedule_due = true;
   else if (pool->lookahead != NULL)
     plan_reservations (pool, now);
-  g_array_free (candidates, TRUE);
+  talloc_free (candidates);
 }
--- a/packages/jobs/src/jb_pool_sums.c
+++ b/packages/jobs/src/jb_pool_sums.c
@@ -4,7 +4,8 @@
 
    Expected load: 10,000 active jobs, of which a few change between two events
    that need a sum.  So each job keeps what it was last counted with, and only
-   jobs that have changed since are counted anew.  */
+   jobs that have changed since are counted anew.  The classes of the groups
+   that wait (jb_pool_waiting.c) are brought up to date with the sums.  */
 
 #include "jb_pool_internal.h"
 
@@ -169,9 +170,8 @@
   *counted = *demand;
 }
 
-/* Count the jobs anew that have changed.  */
-static void
-update_sums (struct jb_pool *pool)
+void
+jb_pool_update_sums (struct jb_pool *pool)
 {
   GPtrArray *changed = pool->sums.changed_jobs;
 
@@ -182,6 +182,7 @@
 
       job->is_changed = false;
       set_demand (pool, job, &demand);
+      jb_pool_update_waiting (pool, job);
     }
   pool->sums.recount_count += changed->len;
   g_ptr_array_set_size (changed, 0);
@@ -198,7 +199,7 @@
 
   for (guint i = 0; i < doubtful->len; i++)
     jb_job_note_change (g_ptr_array_index (doubtful, i));
-  update_sums (pool);
+  jb_pool_update_sums (pool);
 }
 
 void
@@ -233,6 +234,7 @@
   if (job->changed_jobs == NULL)
     return;
   set_demand (pool, job, &none);
+  jb_pool_remove_waiting (job);
   if (job->is_changed)
     g_ptr_array_remove_fast (pool->sums.changed_jobs, job);
   job->is_changed = false;
@@ -245,14 +247,14 @@
 int64_t
 jb_pool_unfinished_work (struct jb_pool *pool)
 {
-  update_sums (pool);
+  jb_pool_update_sums (pool);
   return (int64_t)MIN (pool->sums.unfinished_work, JB_MAX_JOB_WORK);
 }
 
 int64_t
 jb_pool_waiting_cpu_milli (struct jb_pool *pool, bool has_no_capacity)
 {
-  update_sums (pool);
+  jb_pool_update_sums (pool);
   return has_no_capacity ? pool->sums.waiting_weight
                          : pool->sums.waiting_cpu_milli;
 }
@@ -262,7 +264,7 @@
 {
   const struct jb_queue_stats *stats;
 
-  update_sums (pool);
+  jb_pool_update_sums (pool);
   stats = g_hash_table_lookup (pool->queue_stats, queue);
   return stats != NULL ? stats->pending_jobs : 0;
 }
@@ -378,7 +380,8 @@
                              - 1));
     }
   exact = exact && left.unfinished_work == 0 && left.waiting_cpu_milli == 0
-          && left.waiting_weight == 0 && is_nothing_left (orgs, queues);
+          && left.waiting_weight == 0 && is_nothing_left (orgs, queues)
+          && jb_pool_waiting_is_exact (pool);
   g_hash_table_destroy (orgs);
   g_hash_table_destroy (queues);
   return exact;
