Job server: free the events that are left at its end

Found by test_sv_job_server under AddressSanitizer: 2 events, 1,136 bytes, were left in the queue when the event loop had ended.

--- a/packages/server/src/sv_job_server.c
+++ b/packages/server/src/sv_job_server.c
@@ -832,13 +832,17 @@
 }
 
 /* Free the HTTP servers, and so stop their threads, before the objects that
-   these threads use.  */
+   these threads use, and the events that nobody processes any more.  */
 static int
 job_server_destroy (struct sv_job_server *server)
 {
+  struct event *event;
+
   TALLOC_FREE (server->admin_server);
   TALLOC_FREE (server->readiness_server);
   TALLOC_FREE (server->client_server);
+  while ((event = ba_ring_pop (server->event_ring)) != NULL)
+    talloc_free (event);
   g_hash_table_destroy (server->log_limits);
   return 0;
 }
