--- a/soak/process_soak.c
+++ b/soak/process_soak.c
@@ -11,6 +11,7 @@
    seed that fails, the program ends and leaves the logs in the directory.  */
 
 #include "jw_mix.h"
+#include "ps_clients.h"
 #include "ps_harness.h"
 
 #include <argp.h>
@@ -32,7 +33,12 @@
   MIN_MANY_HOSTS = 21, /* beyond the usual 3 to 6 */
   MAX_MANY_HOSTS = 34,
   STOP_COUNT = 6,
-  JOBS_PER_STOP = 50
+  JOBS_PER_STOP = 50,
+  CLIENTS_PER_STOP = 60,
+  /* They have had a first answer when the signal comes, and go on for somewhat
+     longer than a stop may take.  */
+  CLIENT_DELAY_MS = 600,
+  CLIENT_DURATION_MS = 2200
 };
 
 struct arguments
@@ -356,10 +362,27 @@
     jw_advance (world, 200 * JB_MS);
 }
 
-/* Stop all entry hosts in turn.  A submission takes about a second, so that
-   each of them always has calls that wait.  */
+/* Report what the clients of entry host HOST have seen.  */
 static void
-run_stops_scenario (struct jw_world *world)
+check_clients (struct jw_world *world, uint32_t host,
+               struct ps_clients_result result)
+{
+  printf ("stop of entry-%u: %u requests answered, %u closed, %u without an "
+          "answer\n",
+          host, result.answered, result.closed, result.unanswered);
+  if (result.unanswered > 0)
+    jw_report_violation (world, "LOST",
+                         "entry-%u has stopped without an answer to %u "
+                         "requests; after up to %d ms",
+                         host, result.unanswered, (int)result.max_age_ms);
+}
+
+/* Stop all entry hosts in turn, every second one with a fraction of a core.  A
+   submission takes about a second, so that each of them always has calls that
+   wait, and clients keep connections open until the process is gone.  */
+static void
+run_stops_scenario (const struct arguments *arguments,
+                    struct ps_harness *harness, struct jw_world *world)
 {
   static const jb_time store_delay = 400 * JB_MS;
 
@@ -368,9 +391,18 @@
   for (uint32_t i = 0; i < STOP_COUNT; i++)
     {
       uint32_t host = i % world->options.hosts;
-
+      struct sockaddr_in address = ps_harness_client_address (harness, host);
+      struct ps_clients *clients = ps_clients_start (
+          &address, CLIENTS_PER_STOP, CLIENT_DELAY_MS * JB_MS,
+          CLIENT_DURATION_MS * JB_MS, arguments->seed + i);
+
+      jw_advance (world, CLIENT_DELAY_MS * JB_MS);
+      if (i % 2 != 0)
+        ps_harness_set_slow_host (harness, host);
       jw_host_stop (world, host);
       submit_jobs (world, JOBS_PER_STOP);
+      check_clients (world, host, ps_clients_finish (clients));
+      ps_harness_set_slow_host (harness, JW_MAX_HOST_COUNT);
       jw_host_start (world, host);
       submit_jobs (world, JOBS_PER_STOP / 3);
     }
@@ -399,7 +431,7 @@
   world = jw_world_new (&world_options);
   ps_harness_set_world (harness, world);
   if (arguments->stops)
-    run_stops_scenario (world);
+    run_stops_scenario (arguments, harness, world);
   else if (arguments->idle)
     jw_advance (world, 4 * JB_SECOND);
   else
--- a/soak/ps_harness.c
+++ b/soak/ps_harness.c
@@ -8,6 +8,7 @@
 #include "pf_standin.h"
 #include "standin_http.h"
 
+#include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <glib/gstdio.h>
@@ -27,6 +28,9 @@
   STORE_ADDRESS_BYTE = 254,
   HOST_ADDRESS_BYTE = 253,
   CALL_TIMEOUT_MS = 3100,
+  /* Of each period, a slow entry host runs only so long.  */
+  SLOW_PERIOD_MS = 100,
+  SLOW_RUN_MS = 12,
   CLIENT_RING_CAPACITY = 1024
 };
 
@@ -63,6 +67,9 @@
   struct MHD_Daemon *http_server;
   struct ht_client *http_client;
   GThread *client_thread;
+  GThread *slow_thread;
+  uint32_t slow_host; /* index, or JW_MAX_HOST_COUNT */
+  bool closing;
   pid_t pids[JW_MAX_HOST_COUNT]; /* 0: not started */
   bool stop_requested[JW_MAX_HOST_COUNT];
   jb_time started_at[JW_MAX_HOST_COUNT];
@@ -504,6 +511,61 @@
     reap_host (harness, index, 0);
 }
 
+struct sockaddr_in
+ps_harness_client_address (const struct ps_harness *harness, uint32_t index)
+{
+  char *text = g_strdup_printf ("127.%u.%u.%d", harness->options.network,
+                                index + 1, HOST_ADDRESS_BYTE);
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons (PF_STANDIN_CLIENT_PORT) };
+
+  address.sin_addr.s_addr = inet_addr (text);
+  g_free (text);
+  return address;
+}
+
+/* Send SIGNAL_NUMBER to the process of entry host INDEX, if there is one.  The
+   caller holds the lock, so it isn't reaped meanwhile.  */
+static void
+signal_slow_host (const struct ps_harness *harness, uint32_t index,
+                  int signal_number)
+{
+  if (index < JW_MAX_HOST_COUNT && harness->pids[index] != 0)
+    kill (harness->pids[index], signal_number);
+}
+
+static gpointer
+slow_main (gpointer data)
+{
+  struct ps_harness *harness = data;
+  bool closing = false;
+
+  while (!closing)
+    {
+      uint32_t host;
+
+      g_mutex_lock (&harness->lock);
+      host = harness->slow_host;
+      signal_slow_host (harness, host, SIGSTOP);
+      g_mutex_unlock (&harness->lock);
+      g_usleep ((SLOW_PERIOD_MS - SLOW_RUN_MS) * 1000);
+      g_mutex_lock (&harness->lock);
+      signal_slow_host (harness, host, SIGCONT);
+      closing = harness->closing;
+      g_mutex_unlock (&harness->lock);
+      g_usleep (SLOW_RUN_MS * 1000);
+    }
+  return NULL;
+}
+
+void
+ps_harness_set_slow_host (struct ps_harness *harness, uint32_t index)
+{
+  harness->slow_host = index;
+  if (harness->slow_thread == NULL)
+    harness->slow_thread = g_thread_new ("slow-host", slow_main, harness);
+}
+
 uint32_t
 ps_harness_take_crash_count (struct ps_harness *harness)
 {
@@ -565,7 +627,10 @@
 {
   ps_harness_lock (harness);
   ps_harness_set_world (harness, NULL);
+  harness->closing = true;
   ps_harness_unlock (harness);
+  if (harness->slow_thread != NULL)
+    g_thread_join (harness->slow_thread);
   for (uint32_t i = 0; i < JW_MAX_HOST_COUNT; i++)
     signal_host (harness, i, SIGKILL);
   if (harness->client_thread != NULL)
@@ -591,6 +656,7 @@
   char address[32];
 
   harness->options = *options;
+  harness->slow_host = JW_MAX_HOST_COUNT;
   harness->network = talloc_asprintf (harness, "127.%u.0", options->network);
   harness->external_hosts
       = (struct jw_external_hosts){ .context = harness,
--- a/soak/ps_harness.h
+++ b/soak/ps_harness.h
@@ -12,6 +12,8 @@
 
 #include "jw_world.h"
 
+#include <netinet/in.h>
+
 struct ps_options
 {
   const char *program;   /* path of dogwoodpulleyd */
@@ -44,6 +46,15 @@
    holds the lock.  */
 void ps_harness_set_world (struct ps_harness *harness, struct jw_world *world);
 
+/* Return the address at which entry host INDEX serves clients.  */
+struct sockaddr_in ps_harness_client_address (const struct ps_harness *harness,
+                                              uint32_t index);
+
+/* From now on let entry host INDEX run only 12 ms in each 100 ms, as one does
+   that has an eighth of a core; with JW_MAX_HOST_COUNT, none.  It is not
+   counted as disturbed: it must keep all rules.  The caller holds the lock. */
+void ps_harness_set_slow_host (struct ps_harness *harness, uint32_t index);
+
 /* Return the number of entry hosts that crashed since the last call: that
    ended although they were neither stopped nor killed, or that failed while
    they stopped.  */
