Report an organisation once its jobs were counted for the usage, as before

Since the sums are kept, a load report or a submission counts the jobs that have changed, and so added the usage of their organisations to the table that reports to the planner list. A new owner whose jobs of an organisation had ended before its first report listed the organisation with nothing used; before, it was left out, and the planner reserved what the former owner may have used until a later report. Both are true, but the decisions were to stay the same.

The new test checks that other sums don't list it.

--- a/packages/jobs/include/jb_job.h
+++ b/packages/jobs/include/jb_job.h
@@ -164,6 +164,7 @@
   int64_t waiting_weight;
   bool is_pending; /* it is accepted, and no task has been started */
   bool has_doubts; /* in_doubt isn't nothing */
+  bool is_counted; /* false: the job is in no sum */
 };
 
 struct jb_job
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -127,6 +127,11 @@
   /* The sum over the active jobs as far as they are counted.  The three above
      are taken from it by jb_pool_update_usage.  */
   struct jb_org_demand counted;
+  uint32_t counted_jobs;
+  /* It has had active jobs when the usage was updated, or a share: it is
+     listed in reports to the planner, which reserves room for it until then.
+   */
+  bool is_reported;
   /* Whether it has a quota in the version of the catalog `quota_version'; 0:
      not looked up yet.  */
   bool has_quota;
--- a/packages/jobs/src/jb_pool_quota.c
+++ b/packages/jobs/src/jb_pool_quota.c
@@ -168,8 +168,11 @@
   for (uint32_t i = 0; i < shares->count; i++)
     {
       const struct jb_msg_org_share *org_share = &shares->shares[i];
+      struct jb_pool_org_usage *org_usage;
 
-      jb_pool_get_org_usage (pool, org_share->org)->share = org_share->share;
+      org_usage = jb_pool_get_org_usage (pool, org_share->org);
+      org_usage->share = org_share->share;
+      org_usage->is_reported = true;
       jb_log (pool->options.driver, JB_LEVEL_DEBUG, "quota-share-received",
               "pool", pool->options.name, "organisation", org_share->org,
               "cpu", jb_itoa (org_share->share.cpu_milli), "planner",
@@ -221,7 +224,8 @@
     {
       struct jb_pool_org_usage *org_usage = value;
 
-      if (jb_pool_org_has_quota (pool, org_usage->org))
+      if (org_usage->is_reported
+          && jb_pool_org_has_quota (pool, org_usage->org))
         usage->org_usages[usage->count++]
             = (struct jb_msg_org_usage){ org_usage->org, org_usage->used,
                                          org_usage->wanted, org_usage->share };
--- a/packages/jobs/src/jb_pool_sums.c
+++ b/packages/jobs/src/jb_pool_sums.c
@@ -116,7 +116,8 @@
 {
   struct jb_job_demand demand
       = { .is_pending
-          = job->stored && job->ended_at == 0 && !job->ever_started };
+          = job->stored && job->ended_at == 0 && !job->ever_started,
+          .is_counted = true };
 
   for (guint i = 0; i < job->groups->len; i++)
     {
@@ -154,8 +155,11 @@
     }
   if (job->desc->org != NULL)
     {
-      struct jb_org_demand *org = &jb_pool_get_job_usage (pool, job)->counted;
+      struct jb_pool_org_usage *usage = jb_pool_get_job_usage (pool, job);
+      struct jb_org_demand *org = &usage->counted;
 
+      usage->counted_jobs += demand->is_counted;
+      usage->counted_jobs -= counted->is_counted;
       jb_resources_add (&org->used, &demand->used);
       jb_resources_subtract (&org->used, &counted->used);
       jb_resources_add (&org->in_doubt, &demand->in_doubt);
@@ -281,6 +285,8 @@
     {
       struct jb_pool_org_usage *org_usage = value;
 
+      org_usage->is_reported
+          = org_usage->is_reported || org_usage->counted_jobs > 0;
       org_usage->used = org_usage->copies;
       jb_resources_add (&org_usage->used, &org_usage->counted.used);
       org_usage->in_doubt = org_usage->counted.in_doubt;
--- a/packages/jobs/tests/test_jb_pool_sums.c
+++ b/packages/jobs/tests/test_jb_pool_sums.c
@@ -401,6 +401,35 @@
   tear_down (&fixture);
 }
 
+/* Whether an organisation is in a report must not depend on which other sum
+   was needed before: until a new owner lists it, the planner reserves what the
+   former one may have used.  */
+static void
+test_org_is_reported_if_counted_for_report (void)
+{
+  struct fixture fixture = set_up (1);
+  struct jb_job *job = add_job (&fixture);
+
+  while (job->desc->org == NULL)
+    job = add_job (&fixture);
+  /* The last one takes the place of the first one that is removed.  */
+  while (fixture.pool->active_jobs->len > 1)
+    jb_pool_deactivate_job (
+        fixture.pool,
+        g_ptr_array_index (
+            fixture.pool->active_jobs,
+            g_ptr_array_index (fixture.pool->active_jobs, 0) == job ? 1 : 0));
+  jb_pool_unfinished_work (fixture.pool);
+  CU_ASSERT_FALSE (jb_pool_get_job_usage (fixture.pool, job)->is_reported);
+  jb_pool_update_usage (fixture.pool);
+  CU_ASSERT_TRUE (jb_pool_get_job_usage (fixture.pool, job)->is_reported);
+  jb_pool_deactivate_job (fixture.pool, job);
+  jb_pool_update_usage (fixture.pool);
+  CU_ASSERT_TRUE (job->org_usage->is_reported);
+  CU_ASSERT_EQUAL (job->org_usage->counted_jobs, 0);
+  tear_down (&fixture);
+}
+
 /* The work of many jobs exceeds 64 bits: a sum that overflows would let an
    owner accept any number of jobs.  */
 static void
@@ -432,6 +461,8 @@
       = { { "random changes", test_random_changes },
           { "unchanged jobs are not counted again",
             test_unchanged_jobs_are_not_counted },
+          { "an organisation is reported once it was counted for that",
+            test_org_is_reported_if_counted_for_report },
           { "huge work", test_huge_work },
           { NULL, NULL } };
 
