Log requests that are forwarded again

A job was refused (429) and ran. The owner of its pool logged job-refused, and job-accepted for the same job 0.7 s later, with no line between them: a request that the front end forwards again after 0.5 s left no trace, so that the logs could not tell two copies of one call from two calls.

call-repeated now tells the job, the owner, the number of copies and the time since the first one; the counter calls_repeated counts them. The owner's lines job-refused and job-unavailable name the request, and job-submitted-again is written for a submission of a job that the owner knows.

--- a/packages/jobs/include/jb_driver.h
+++ b/packages/jobs/include/jb_driver.h
@@ -100,6 +100,9 @@
   JB_COUNT_BAD_KEY,
   JB_COUNT_NO_QUEUE,
   JB_COUNT_BAD_REQUEST,
+  /* Requests that were forwarded again, since no reply came in time or the
+     pool's owner changed.  */
+  JB_COUNT_CALLS_REPEATED,
   /* Jobs that ended.  */
   JB_COUNT_COMPLETED,
   JB_COUNT_FAILED,
--- a/packages/jobs/src/jb_driver.c
+++ b/packages/jobs/src/jb_driver.c
@@ -312,6 +312,7 @@
   [JB_COUNT_BAD_KEY] = { "jobs_handed_in", "outcome=\"bad-key\"" },
   [JB_COUNT_NO_QUEUE] = { "jobs_handed_in", "outcome=\"no-queue\"" },
   [JB_COUNT_BAD_REQUEST] = { "jobs_handed_in", "outcome=\"bad-request\"" },
+  [JB_COUNT_CALLS_REPEATED] = { "calls_repeated", NULL },
   [JB_COUNT_COMPLETED] = { "jobs_ended", "state=\"completed\"" },
   [JB_COUNT_FAILED] = { "jobs_ended", "state=\"failed\"" },
   [JB_COUNT_CANCELLED] = { "jobs_ended", "state=\"cancelled\"" },
--- a/packages/jobs/src/jb_frontend.c
+++ b/packages/jobs/src/jb_frontend.c
@@ -43,6 +43,8 @@
                          to; 0: send it as soon as the owner is known */
   jb_time sent_at;    /* when it was last sent */
   bool was_forwarded; /* to any host, including this one */
+  uint32_t copy_count;      /* of the request, sent since its target was set */
+  jb_time first_sent_at;    /* when the first of them was sent */
   uint32_t next_pool_index; /* catalog index of the next pool to try */
   /* The pool that the job is to be submitted to if no other one knows it;
      NULL: it is not searched.  */
@@ -199,6 +201,7 @@
   pending_call->request.pool = talloc_strdup (pending_call, pool);
   pending_call->partition = talloc_asprintf (pending_call, "pool/%s", pool);
   pending_call->owner = 0;
+  pending_call->copy_count = 0;
 }
 
 /* Return the incarnation of the host that owns the pool of PENDING_CALL, or 0
@@ -217,6 +220,34 @@
   return member != NULL ? member->incarnation : 0;
 }
 
+/* Record that the request of PENDING_CALL is sent to OWNER, and log it if it
+   was sent before.  */
+static void
+record_copy (struct jb_frontend *frontend, jb_time now,
+             struct pending_call *pending_call, uint64_t owner)
+{
+  const struct jb_member *member;
+
+  pending_call->owner = owner;
+  pending_call->sent_at = now;
+  pending_call->was_forwarded = true;
+  if (++pending_call->copy_count == 1)
+    {
+      pending_call->first_sent_at = now;
+      return;
+    }
+  member = jb_members_find (frontend->options.members, owner);
+  jb_count_event (frontend->options.driver, JB_COUNT_CALLS_REPEATED);
+  jb_log (frontend->options.driver, JB_LEVEL_INFO, "call-repeated", "job",
+          pending_call->request.id, "kind",
+          jb_itoa (pending_call->request.kind), "pool",
+          pending_call->request.pool, "owner",
+          member != NULL ? member->name : "this host", "call",
+          jb_itoa ((int64_t)pending_call->request.call), "copies",
+          jb_itoa (pending_call->copy_count), "ms",
+          jb_itoa ((now - pending_call->first_sent_at) / JB_MS), NULL);
+}
+
 /* Send the request of PENDING_CALL to the pool's owner if the owner is known
    and was not sent the request less than RESEND_INTERVAL ago.  If this host is
    the owner, the call may be answered and PENDING_CALL freed.  */
@@ -233,9 +264,7 @@
       || (owner == pending_call->owner
           && now - pending_call->sent_at < RESEND_INTERVAL))
     return;
-  pending_call->owner = owner;
-  pending_call->sent_at = now;
-  pending_call->was_forwarded = true;
+  record_copy (frontend, now, pending_call, owner);
   if (owner == frontend->options.incarnation)
     {
       frontend->options.handle_local (frontend->options.data, now,
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -554,6 +554,9 @@
   if (job != NULL)
     {
       jb_count_event (pool->options.driver, JB_COUNT_SUBMITTED_AGAIN);
+      jb_log (pool->options.driver, JB_LEVEL_INFO, "job-submitted-again",
+              "job", request->id, "stored", job->stored ? "yes" : "no", "call",
+              jb_itoa ((int64_t)request->call), NULL);
       add_waiter (job, member, request);
       jb_pool_answer_waiters (pool, job, now);
       return;
@@ -586,7 +589,8 @@
       jb_count_event (pool->options.driver, JB_COUNT_UNAVAILABLE);
       jb_log (pool->options.driver, JB_LEVEL_INFO, "job-unavailable", "job",
               request->id, "reason", "the store does not answer", "since_ms",
-              jb_itoa ((now - failing_since) / JB_MS), NULL);
+              jb_itoa ((now - failing_since) / JB_MS), "call",
+              jb_itoa ((int64_t)request->call), NULL);
       send_reply (pool, member, request->call, JB_ANSWER_UNAVAILABLE, 0, 0,
                   UNAVAILABLE_RETRY_AFTER_MS);
       return;
@@ -598,7 +602,8 @@
       jb_log (pool->options.driver, JB_LEVEL_INFO, "job-refused", "job",
               request->id, "queue", request->desc->queue, "reason",
               decision.reason, "retry_after_ms",
-              jb_itoa (decision.retry_after_ms), NULL);
+              jb_itoa (decision.retry_after_ms), "call",
+              jb_itoa ((int64_t)request->call), NULL);
       send_reply (pool, member, request->call, JB_ANSWER_REFUSED, 0, 0,
                   decision.retry_after_ms);
       return;
