Tests: refusals of submissions that are forwarded more than once

An owner whose event loop is late handles the copies of a submission one after the other: it refuses the first one, since its backlog is at the limit or the store does not answer, and accepts the second one some milliseconds later. The client has been told by then that its job will not run.

The emulator handled every message when it arrived, and a client repeated a refused submission after 0.4 s, which hid that the job had been accepted. Now the event loop of a host can be late, what arrives is handled in its order, and clients can give up refused submissions.

--- a/tests/sim/jobs/jw_check.c
+++ b/tests/sim/jobs/jw_check.c
@@ -335,6 +335,9 @@
       jw_report_violation (world, "UNASKED", "%s belongs to no job", name);
       return;
     }
+  if (!job->started && job->only_refused && job->open_submissions == 0)
+    jw_report_violation (world, "REFUSED",
+                         "%s starts although its job was refused", name);
   job->started = true;
   if (strcmp (command->u.start_task.spec, job->desc->spec) != 0)
     jw_report_violation (world, "UNASKED",
--- a/tests/sim/jobs/jw_clients.c
+++ b/tests/sim/jobs/jw_clients.c
@@ -24,6 +24,15 @@
   MAX_RETRIES = 40
 };
 
+/* A call that waits for its turn in the event loop of its entry host.  */
+struct queued_call
+{
+  struct jw_host *host;
+  uint32_t epoch;
+  uint64_t number;
+  struct jb_call call;
+};
+
 struct jw_call
 {
   uint64_t key;
@@ -81,12 +90,43 @@
     return;
   g_hash_table_remove (world->calls, key);
   if (call->kind == JB_CALL_SUBMIT)
-    call->job->only_refused = false;
+    {
+      call->job->open_submissions--;
+      call->job->only_refused = false;
+    }
   if (call->kind != JB_CALL_QUERY)
     retry_call (world, call->job, call->kind, UNANSWERED_RETRY_DELAY);
   talloc_free (call);
 }
 
+static void
+handle_queued_call (struct jw_world *world, void *data)
+{
+  const struct queued_call *queued = data;
+  struct jw_host *host = queued->host;
+
+  if (host->host == NULL || host->epoch != queued->epoch)
+    return;
+  jb_host_receive_call (host->host, world->now, queued->number, &queued->call);
+  jw_host_run (host);
+}
+
+/* Let HOST, whose event loop is late, handle its last call at WHEN, which is
+   CALL.  Its description is moved.  */
+static void
+queue_call (struct jw_world *world, struct jw_host *host,
+            const struct jb_call *call, jb_time when)
+{
+  struct queued_call *queued = talloc_zero (NULL, struct queued_call);
+
+  queued->host = host;
+  queued->epoch = host->epoch;
+  queued->number = host->last_call;
+  queued->call = *call;
+  talloc_steal (queued, call->desc);
+  jw_schedule (world, when, handle_queued_call, queued);
+}
+
 /* Send a call about JOB to a random entry host that is up and not frozen.  */
 static void
 send_call (struct jw_world *world, struct jw_job *job, enum jb_call_kind kind)
@@ -102,6 +142,7 @@
                              .key = job->desc->org,
                              .deadline_ms = CALL_DEADLINE_MS,
                              .received_ms = world->now / JB_MS };
+  jb_time when;
 
   for (uint32_t i = 0; i < world->options.hosts && host == NULL; i++)
     {
@@ -125,6 +166,7 @@
                talloc_memdup (NULL, &call->key, sizeof call->key));
   if (kind == JB_CALL_SUBMIT)
     {
+      job->open_submissions++;
       message.desc = talloc_zero (call, struct jb_job_desc);
       ba_codec_deep_copy (message.desc, jb_job_desc_serialize, job->desc,
                           message.desc);
@@ -135,6 +177,12 @@
                                  host->index, &message);
       return;
     }
+  when = jw_host_handling_time (host);
+  if (when > world->now)
+    {
+      queue_call (world, host, &message, when);
+      return;
+    }
   jb_host_receive_call (host->host, world->now, host->last_call, &message);
   jw_host_run (host);
 }
@@ -220,6 +268,8 @@
   g_hash_table_remove (world->calls, &key);
   job = call->job;
   job->answered_at = world->now;
+  if (call->kind == JB_CALL_SUBMIT)
+    job->open_submissions--;
   switch (answer->kind)
     {
     case JB_ANSWER_ACCEPTED:
@@ -242,7 +292,8 @@
       break;
     case JB_ANSWER_REFUSED:
     case JB_ANSWER_UNAVAILABLE:
-      if (call->kind != JB_CALL_QUERY)
+      if (call->kind == JB_CALL_CANCEL
+          || (call->kind == JB_CALL_SUBMIT && !world->clients_give_up))
         retry_call (world, job, call->kind, REFUSED_RETRY_DELAY);
       break;
     case JB_ANSWER_UNKNOWN:
@@ -292,7 +343,8 @@
       step->task_count = options->tasks_per_step;
       step->resources.cpu_milli = options->cpu_milli;
       step->resources.memory_mb = 100;
-      step->estimate_ms = options->duration_ms;
+      step->estimate_ms = options->estimate_ms > 0 ? options->estimate_ms
+                                                   : options->duration_ms;
       step->long_running = options->long_running;
       step->best_effort = options->best_effort;
       step->max_unavailable = options->max_unavailable;
--- a/tests/sim/jobs/jw_mix.c
+++ b/tests/sim/jobs/jw_mix.c
@@ -136,6 +136,7 @@
     { soak->lookahead, " --lookahead" },
     { soak->signal_series, " --signals" },
     { soak->slow_replies, " --slow-replies" },
+    { soak->late_hosts, " --late-hosts" },
   };
   char *text = talloc_strdup (mem, "");
 
--- a/tests/sim/jobs/jw_soak.c
+++ b/tests/sim/jobs/jw_soak.c
@@ -71,6 +71,15 @@
 /* Share of the commands to backend servers that are then sent twice.  */
 #define RESEND_PERMILLE 20
 
+/* Longest delay of an event in the event loop of an owner that is late, and
+   longest time between two changes of it.  */
+#define MAX_EVENT_DELAY_MS 1500
+#define MAX_EVENT_DELAY_GAP_MS 1000
+
+/* Clients then overestimate their tasks by this factor, so that the backlog is
+   at the limit of what is accepted and room comes and goes.  */
+#define OVERESTIMATE_FACTOR 30
+
 enum
 {
   BACKENDS = 4,       /* in each pool */
@@ -550,6 +559,27 @@
     schedule_step (world, gap_ms * JB_MS, next_reply_delay, cycle);
 }
 
+/* Let the event loop of the owner of a pool handle what arrives late, and
+   those of the others in time.  */
+static void
+next_event_delay (struct jw_world *world, void *data)
+{
+  struct fault_cycle *cycle = *(struct fault_cycle **)data;
+  uint32_t pool = (uint32_t)g_rand_int_range (cycle->random, 0,
+                                              (gint32)world->options.pools);
+  int delay_ms = g_rand_int_range (cycle->random, 0, MAX_EVENT_DELAY_MS);
+  int gap_ms = g_rand_int_range (cycle->random, 50, MAX_EVENT_DELAY_GAP_MS);
+  int owner = jw_pool_owner (world, pool);
+
+  for (uint32_t i = 0; i < world->options.hosts; i++)
+    world->hosts[i].event_delay = 0;
+  if (world->now >= cycle->until)
+    return;
+  if (owner >= 0)
+    world->hosts[owner].event_delay = delay_ms * JB_MS;
+  schedule_step (world, gap_ms * JB_MS, next_event_delay, cycle);
+}
+
 static void
 inject_backend_fault (struct jw_world *world)
 {
@@ -648,6 +678,8 @@
     }
   if (jw_random_permille (world, 300))
     job.api_key = "key-1";
+  if (soak->late_hosts)
+    job.estimate_ms = job.duration_ms * OVERESTIMATE_FACTOR;
   job.speculative = soak->speculative_steps && job.duration_ms % 3 == 0;
   if (soak->late_leases != JW_LATE_LEASES_NONE && job.duration_ms % 4 == 0)
     {
@@ -711,6 +743,7 @@
   uint32_t long_running_count = 0;
   jb_time end;
 
+  world->clients_give_up = soak->late_hosts;
   if (soak->on_world_change != NULL)
     soak->on_world_change (soak->on_world_change_data, world);
   jw_advance (world, 4 * JB_SECOND);
@@ -734,6 +767,8 @@
     begin_fault_cycle (world, soak->seed, end, next_signal);
   if (soak->slow_replies)
     begin_fault_cycle (world, soak->seed, end, next_reply_delay);
+  if (soak->late_hosts)
+    begin_fault_cycle (world, soak->seed, end, next_event_delay);
   while (world->now < end)
     {
       uint32_t kind = random_below (world, 100);
--- a/tests/sim/jobs/jw_soak.h
+++ b/tests/sim/jobs/jw_soak.h
@@ -23,6 +23,8 @@
   bool signal_series;     /* of all kinds to entry hosts, one upon another */
   bool slow_replies;      /* of backend servers, many of which are idle, and of
                              the store */
+  bool late_hosts;        /* owners whose event loops are late, at the limit
+                             of what they accept */
   uint32_t more_hosts;    /* entry hosts beyond the usual 3 to 6 */
   uint32_t small_hosts;   /* as in struct jw_options */
   bool verbose;
--- a/tests/sim/jobs/jw_world.c
+++ b/tests/sim/jobs/jw_world.c
@@ -183,6 +183,15 @@
                run_if_still_scheduled, scheduled);
 }
 
+jb_time
+jw_host_handling_time (struct jw_host *host)
+{
+  jb_time when = host->world->now + host->event_delay;
+
+  host->last_handled_at = MAX (host->last_handled_at, when);
+  return host->last_handled_at;
+}
+
 /* ---- replies ---- */
 
 struct pending_reply
@@ -191,13 +200,18 @@
   uint32_t epoch;
   uint64_t number;
   struct jb_reply reply;
+  bool queued; /* its turn in the host's event loop is known */
 };
 
+static void postpone_reply (struct jw_world *world,
+                            const struct pending_reply *pending, jb_time when);
+
 static void
 deliver_reply (struct jw_world *world, void *data)
 {
   struct pending_reply *pending = data;
   struct jw_host *host = pending->host;
+  jb_time when;
   const struct jw_external_hosts *external_hosts
       = world->options.external_hosts;
 
@@ -214,12 +228,14 @@
   if (host->frozen)
     {
       /* The host reads it once it is no longer frozen.  */
-      struct pending_reply *later
-          = talloc_memdup (NULL, pending, sizeof *pending);
-
-      talloc_steal (later, pending->reply.mem);
-      jw_schedule (world, world->now + FROZEN_RETRY_INTERVAL, deliver_reply,
-                   later);
+      postpone_reply (world, pending, world->now + FROZEN_RETRY_INTERVAL);
+      return;
+    }
+  when = pending->queued ? world->now : jw_host_handling_time (host);
+  if (when > world->now)
+    {
+      pending->queued = true;
+      postpone_reply (world, pending, when);
       return;
     }
   jb_host_receive_reply (host->host, world->now, pending->number,
@@ -227,6 +243,17 @@
   jw_host_run (host);
 }
 
+/* Schedule PENDING again, at WHEN.  */
+static void
+postpone_reply (struct jw_world *world, const struct pending_reply *pending,
+                jb_time when)
+{
+  struct pending_reply *later = talloc_memdup (NULL, pending, sizeof *pending);
+
+  talloc_steal (later, pending->reply.mem);
+  jw_schedule (world, when, deliver_reply, later);
+}
+
 void
 jw_schedule_reply (struct jw_host *host, uint32_t epoch, uint64_t number,
                    jb_time when, struct jb_reply *reply)
@@ -249,6 +276,7 @@
   uint32_t epoch;
   uint64_t from;
   struct ba_bytes body;
+  bool queued; /* its turn in the host's event loop is known */
 };
 
 /* Return whether BODY is a message that a host of the previous version can't
@@ -278,6 +306,7 @@
 deliver_message (struct jw_world *world, void *data)
 {
   struct peer_message *message = data;
+  jb_time when;
 
   if (message->to->host == NULL || message->to->epoch != message->epoch
       || message->to->frozen || message->to->peers_unreachable)
@@ -285,6 +314,17 @@
   if (jw_host_is_previous_version (message->to)
       && is_new_message (message->body))
     return;
+  when = message->queued ? world->now : jw_host_handling_time (message->to);
+  if (when > world->now)
+    {
+      struct peer_message *later
+          = talloc_memdup (NULL, message, sizeof *message);
+
+      talloc_steal (later, message->body.data);
+      later->queued = true;
+      jw_schedule (world, when, deliver_message, later);
+      return;
+    }
   message->to->received_bytes += message->body.len;
   if (!jb_host_receive_message (message->to->host, world->now, message->from,
                                 message->body))
@@ -417,6 +457,7 @@
   host->epoch++;
   host->last_call = 0;
   host->disturbed_at = world->now;
+  host->last_handled_at = 0;
   host->frozen = false;
   host->link_in_free_at = 0;
   host->arriving_reply = 0;
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -141,6 +141,10 @@
   /* It is too busy to send commands to backend servers before their timeout
      has passed.  */
   bool too_busy;
+  /* How late its event loop handles the messages, replies and calls that
+     arrive.  Its periodic work is done in time.  Not for external hosts.  */
+  jb_time event_delay;
+  jb_time last_handled_at; /* of the last event that waits, or waited */
   /* Bandwidth of its link in each direction; 0: unlimited.  Only messages
      between entry hosts and the store's answers with a configuration take time
      on it, one after the other.  */
@@ -257,7 +261,8 @@
   char *path;
   uint32_t pool;
   bool accepted;
-  bool only_refused; /* every submission was refused */
+  bool only_refused; /* every submission that was answered was refused */
+  uint32_t open_submissions; /* whose answers the client waits for */
   bool cancel_sent;
   jb_time cancelled_at;    /* when an entry host acknowledged it; 0: not yet */
   bool always_fails;       /* its tasks always fail */
@@ -337,6 +342,7 @@
   uint32_t starts_after_done; /* of tasks that a run had completed, whether an
                                  entry host knew it or not */
   bool delivering_delayed_command;
+  bool clients_give_up; /* they don't repeat refused submissions */
   /* Chance in a thousand that a lease is granted late, with a random generator
      of its own, so that a seed gives the same other faults as without.  */
   uint32_t late_lease_permille;
@@ -414,6 +420,7 @@
   uint32_t tasks_per_step;
   int64_t cpu_milli;   /* of each task, thousandths of a core */
   int64_t duration_ms; /* of each task */
+  int64_t estimate_ms; /* what its client says of that; 0: the same */
   bool always_fails;
   bool crashes_backends; /* the first task crashes each backend server that
                             starts it */
@@ -516,6 +523,10 @@
    and schedule its next run.  */
 void jw_host_run (struct jw_host *host);
 
+/* Return when the event loop of HOST handles an event that arrives now, after
+   those that arrived before.  */
+jb_time jw_host_handling_time (struct jw_host *host);
+
 /* Whether HOST is one of the options' previous_version_hosts.  */
 bool jw_host_is_previous_version (const struct jw_host *host);
 
@@ -523,7 +534,7 @@
 
    UNASKED  a task starts that no job has, with a specification other than its
             job's, or after its job was cancelled
-   REFUSED  a task of a job starts whose submission was refused
+   REFUSED  a task of a job starts all of whose submissions were refused
    TWICE    a task has two runs at once, or starts again after it was done and
             that end is acknowledged, before the start or later, without the
             lease having expired in between; tasks of speculative steps
--- a/tests/sim/jobs/soak_jobs.c
+++ b/tests/sim/jobs/soak_jobs.c
@@ -59,6 +59,10 @@
     "more, "
     "take up to 0.3 s",
     0 },
+  { "late-hosts", 'd', NULL, 0,
+    "Let the event loops of owners be up to 1.5 s late while their backlog is "
+    "at its limit (not drawn by --mix)",
+    0 },
   { "more-hosts", 'm', "N", 0, "Entry hosts beyond the usual 3 to 6 (0)", 0 },
   { "small-hosts", 'l', "N", 0,
     "Entry hosts with a small share of a processor, the others have a large "
@@ -132,6 +136,9 @@
     case 'w':
       soak->slow_replies = true;
       break;
+    case 'd':
+      soak->late_hosts = true;
+      break;
     case 'm':
       soak->more_hosts
           = MIN ((uint32_t)strtoul (value, NULL, 10), JW_MAX_HOST_COUNT - 6);
