Pass a refusal on only when no copy of the request can be accepted

An owner whose event loop is late handles the copies of a submission one after the other. As room comes and goes, or the store answers again, it refuses the first copy and accepts the next one; the front end passed the first reply on. The client was told 429 or 503, and the job ran.

Each copy now has a number of its own, so that a reply tells which one it is about. A refusal is the answer once all other copies that may be accepted are resolved: at once if the request was sent once, as before. Until then no further copy is sent, and an acceptance by any copy, also of a request that a search or a moved queue has replaced, is the answer. Otherwise the client is told at its deadline that the result is unknown.

A host that releases its pool replies that it does not own it to copies that it may be writing. The next owner's claim fences that write and it reads the rows after its claim, so its refusal is true, but one by the same or an earlier owner is not: the next owner is asked. Another owner's refusal does not resolve a copy to a former owner that has not replied: that host could get the pool again before it handles the copy.

Repeated queries need nothing of this. Of a cancellation of which one copy finds no job, another one may find it, if the job is submitted meanwhile; the client is told 404 then, and the job does not run, as before.

An owner does not remember what it refused. A second copy could then be given the same outcome, but so would the submission that a client repeats a moment later, when there is room.

--- a/packages/jobs/include/jb_frontend.h
+++ b/packages/jobs/include/jb_frontend.h
@@ -4,7 +4,9 @@
 /* The front end: handles the calls that clients make to this entry host.  Each
    call is checked and forwarded to the owner of its queue's pool, which may be
    this host itself.  It is forwarded again if the pool's owner changes or does
-   not reply, and answered exactly once, before its deadline.  */
+   not reply, and answered exactly once, before its deadline.  A submission of
+   which one copy was refused and another one never replied to is answered
+   JB_ANSWER_UNKNOWN.  */
 
 #include "jb_members.h"
 
@@ -57,7 +59,9 @@
 
 /* Process a pool owner's REPLY, which is borrowed, to a forwarded request.  A
    reply to a call that has been answered, or to a request that was replaced by
-   another one, is ignored.  */
+   another one, is ignored.  But that a submission was accepted is its answer
+   whichever copy of whichever request it is the reply to, and that it was
+   refused is its answer only when no other copy can be accepted.  */
 void jb_frontend_receive_reply (struct jb_frontend *frontend, jb_time now,
                                 const struct jb_msg_reply *reply);
 
--- a/packages/jobs/src/jb_frontend.c
+++ b/packages/jobs/src/jb_frontend.c
@@ -27,10 +27,18 @@
   /* Time after which a client should repeat a call that was answered
      JB_ANSWER_UNAVAILABLE.  */
   UNAVAILABLE_RETRY_AFTER_MS = 1000,
-  /* Numbers of requests that belong to one call.  */
+  /* Numbers of requests that belong to one call: one for each copy.  */
   MAX_REQUESTS_PER_CALL = 1 << 16
 };
 
+/* A copy of a request that was sent and not replied to.  */
+struct open_copy
+{
+  uint64_t call;   /* number of the request */
+  uint64_t owner;  /* incarnation of the host that it was sent to */
+  bool may_accept; /* its receiver accepts a job that it doesn't know */
+};
+
 /* A call that has not been answered.  */
 struct pending_call
 {
@@ -43,8 +51,20 @@
                          to; 0: send it as soon as the owner is known */
   jb_time sent_at;    /* when it was last sent */
   bool was_forwarded; /* to any host, including this one */
-  uint32_t copy_count;      /* of the request, sent since its target was set */
-  jb_time first_sent_at;    /* when the first of them was sent */
+  uint64_t first_call;   /* number of the first copy for the present target */
+  uint32_t copy_count;   /* of these copies */
+  jb_time first_sent_at; /* when the first of them was sent */
+  struct open_copy *open_copies; /* for all targets */
+  uint32_t open_count;
+  /* Copies of a submission may have different outcomes, as room comes and goes
+     at an owner, so a refusal is the answer only once no other copy can be
+     accepted.  */
+  bool is_refused;
+  struct jb_answer refusal;
+  uint64_t refused_call; /* number of the copy that it is the reply to */
+  /* Copies up to this number may have been accepted by a host that released
+     the pool meanwhile, so their refusal says nothing; 0: none.  */
+  uint64_t released_call;
   uint32_t next_pool_index; /* catalog index of the next pool to try */
   /* The pool that the job is to be submitted to if no other one knows it;
      NULL: it is not searched.  */
@@ -179,7 +199,10 @@
             pending_call->request.id, "kind",
             jb_itoa (pending_call->request.kind), "answer",
             answer_name (answer->kind), "reason", answer->reason, "ms",
-            jb_itoa ((now - pending_call->received_at) / JB_MS), NULL);
+            jb_itoa ((now - pending_call->received_at) / JB_MS), "open_copies",
+            pending_call->open_count > 0 ? jb_itoa (pending_call->open_count)
+                                         : NULL,
+            NULL);
   send_answer (frontend, pending_call->number, answer);
   g_hash_table_remove (frontend->pending_calls, &pending_call->number);
   talloc_free (pending_call);
@@ -188,14 +211,14 @@
 /* ---- forwarding ---- */
 
 /* Forward the request of PENDING_CALL, which has been changed to KIND, to the
-   owner of POOL from now on.  It gets a number of its own, because a reply to
-   one that was sent twice may still arrive, and says nothing about POOL.  */
+   owner of POOL from now on.  Replies to copies that were sent before say
+   nothing about POOL.  */
 static void
 set_target (struct pending_call *pending_call, enum jb_request_kind kind,
             const char *pool)
 {
   pending_call->request.kind = kind;
-  pending_call->request.call++;
+  pending_call->first_call = pending_call->request.call + 1;
   talloc_free (pending_call->request.pool);
   talloc_free (pending_call->partition);
   pending_call->request.pool = talloc_strdup (pending_call, pool);
@@ -220,14 +243,24 @@
   return member != NULL ? member->incarnation : 0;
 }
 
-/* Record that the request of PENDING_CALL is sent to OWNER, and log it if it
-   was sent before.  */
+/* Give the request of PENDING_CALL, which is sent to OWNER, the number of a
+   new copy, and log it if it was sent before.  */
 static void
 record_copy (struct jb_frontend *frontend, jb_time now,
              struct pending_call *pending_call, uint64_t owner)
 {
   const struct jb_member *member;
 
+  pending_call->request.call++;
+  pending_call->open_copies
+      = talloc_realloc (pending_call, pending_call->open_copies,
+                        struct open_copy, pending_call->open_count + 1);
+  pending_call->open_copies[pending_call->open_count++] = (struct open_copy){
+    .call = pending_call->request.call,
+    .owner = owner,
+    .may_accept = pending_call->request.kind == JB_REQUEST_SUBMIT
+                  || pending_call->request.kind == JB_REQUEST_SUBMIT_SEARCHED
+  };
   pending_call->owner = owner;
   pending_call->sent_at = now;
   pending_call->was_forwarded = true;
@@ -248,19 +281,29 @@
           jb_itoa ((now - pending_call->first_sent_at) / JB_MS), NULL);
 }
 
+/* Return whether all numbers for copies of PENDING_CALL are used.  */
+static bool
+has_used_all_numbers (const struct jb_frontend *frontend,
+                      const struct pending_call *pending_call)
+{
+  return pending_call->request.call + 1 - frontend->request_number_offset
+         >= (pending_call->number + 1) * MAX_REQUESTS_PER_CALL;
+}
+
 /* Send the request of PENDING_CALL to the pool's owner if the owner is known
-   and was not sent the request less than RESEND_INTERVAL ago.  If this host is
-   the owner, the call may be answered and PENDING_CALL freed.  */
+   and was not sent the request less than RESEND_INTERVAL ago.  Once a copy was
+   refused, no further one is sent.  If this host is the owner, the call may be
+   answered and PENDING_CALL freed.  */
 static void
 forward_call (struct jb_frontend *frontend, jb_time now,
               struct pending_call *pending_call)
 {
   uint64_t owner = find_owner (frontend, now, pending_call);
-  struct jb_msg message
-      = { .type = JB_MSG_REQUEST, .u.request = pending_call->request };
+  struct jb_msg message = { .type = JB_MSG_REQUEST };
   struct ba_bytes bytes;
 
-  if (owner == 0
+  if (owner == 0 || pending_call->is_refused
+      || has_used_all_numbers (frontend, pending_call)
       || (owner == pending_call->owner
           && now - pending_call->sent_at < RESEND_INTERVAL))
     return;
@@ -271,6 +314,7 @@
                                       &pending_call->request);
       return;
     }
+  message.u.request = pending_call->request;
   bytes = jb_msg_encode (NULL, &message);
   jb_driver_send (frontend->options.driver, owner, bytes);
   talloc_free (bytes.data);
@@ -508,6 +552,126 @@
   set_target (pending_call, JB_REQUEST_SUBMIT, pool);
 }
 
+/* Remove the copy of PENDING_CALL that has the number CALL.  Return the
+   incarnation of the host that it was sent to, or 0 if there is none: the
+   reply to it is a duplicate.  */
+static uint64_t
+close_copy (struct pending_call *pending_call, uint64_t call)
+{
+  for (uint32_t i = 0; i < pending_call->open_count; i++)
+    {
+      uint64_t owner = pending_call->open_copies[i].owner;
+
+      if (pending_call->open_copies[i].call != call)
+        continue;
+      pending_call->open_copies[i]
+          = pending_call->open_copies[--pending_call->open_count];
+      return owner;
+    }
+  return 0;
+}
+
+/* Return the number of copies of PENDING_CALL that may still be accepted, or
+   may have been.  */
+static uint32_t
+count_acceptable_copies (const struct pending_call *pending_call)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < pending_call->open_count; i++)
+    count += pending_call->open_copies[i].may_accept;
+  return count;
+}
+
+/* Answer the submission PENDING_CALL, of which a copy was refused, unless
+   another one may be accepted.  */
+static void
+answer_if_refused (struct jb_frontend *frontend, jb_time now,
+                   struct pending_call *pending_call)
+{
+  uint32_t count = count_acceptable_copies (pending_call);
+
+  if (count == 0)
+    {
+      struct jb_answer refusal = pending_call->refusal;
+
+      finish_call (frontend, now, pending_call, &refusal);
+      return;
+    }
+  jb_log (frontend->options.driver, JB_LEVEL_INFO, "refusal-not-final", "job",
+          pending_call->request.id, "answer",
+          answer_name (pending_call->refusal.kind), "open_copies",
+          jb_itoa (count), "ms",
+          jb_itoa ((now - pending_call->received_at) / JB_MS), NULL);
+}
+
+/* Record that OWNER has replied JB_MSG_NOT_OWNER to the copy of PENDING_CALL
+   that has the number CALL.  It may have accepted the job in memory and be
+   writing it: an owner that releases its pool replies so.  The claim of the
+   next owner fences that write, and it reads the rows after its claim, so it
+   knows the job if it was written.  Its refusal is therefore true, but that of
+   a copy sent to OWNER or to an owner before it is not.  */
+static void
+record_release (struct pending_call *pending_call, uint64_t call,
+                uint64_t owner)
+{
+  for (uint32_t i = 0; i < pending_call->open_count; i++)
+    if (pending_call->open_copies[i].owner == owner)
+      call = MAX (call, pending_call->open_copies[i].call);
+  pending_call->released_call = MAX (pending_call->released_call, call);
+}
+
+/* Handle the REPLY JB_MSG_NOT_OWNER of OWNER to a copy of PENDING_CALL.  */
+static void
+handle_not_owner (struct jb_frontend *frontend, jb_time now,
+                  struct pending_call *pending_call, uint64_t owner,
+                  const struct jb_msg_reply *reply)
+{
+  bool is_current = reply->call >= pending_call->first_call;
+
+  record_release (pending_call, reply->call, owner);
+  if (pending_call->is_refused)
+    {
+      if (pending_call->refused_call > pending_call->released_call)
+        {
+          answer_if_refused (frontend, now, pending_call);
+          return;
+        }
+      pending_call->is_refused = false;
+      pending_call->owner = 0;
+      return;
+    }
+  if (!is_current || owner != pending_call->owner)
+    return;
+  pending_call->owner = 0;
+  if (reply->state == JB_MSG_REASON_SEARCH_POOLS
+      && pending_call->request.kind == JB_REQUEST_SUBMIT)
+    begin_search (frontend, now, pending_call);
+  else
+    follow_queue (frontend, pending_call);
+}
+
+/* Handle the REPLY of OWNER that it refuses a copy of the submission
+   PENDING_CALL for its present target.  */
+static void
+handle_refusal (struct jb_frontend *frontend, jb_time now,
+                struct pending_call *pending_call, uint64_t owner,
+                const struct jb_msg_reply *reply)
+{
+  if (reply->call <= pending_call->released_call)
+    {
+      if (owner == pending_call->owner)
+        pending_call->owner = 0;
+      return;
+    }
+  pending_call->is_refused = true;
+  pending_call->refused_call = reply->call;
+  pending_call->refusal
+      = (struct jb_answer){ .kind = reply->kind,
+                            .retry_after_ms = reply->retry_after_ms };
+  answer_if_refused (frontend, now, pending_call);
+}
+
 void
 jb_frontend_receive_reply (struct jb_frontend *frontend, jb_time now,
                            const struct jb_msg_reply *reply)
@@ -520,19 +684,41 @@
                               .state = reply->state,
                               .pending = reply->pending,
                               .retry_after_ms = reply->retry_after_ms };
+  uint64_t owner;
+  bool is_current;
 
-  if (pending_call == NULL || reply->call != pending_call->request.call)
+  if (pending_call == NULL)
+    return;
+  /* An accepted job is stored, so this is true of every copy, whatever became
+     of the others.  */
+  if (reply->kind == JB_ANSWER_ACCEPTED)
+    {
+      finish_call (frontend, now, pending_call, &answer);
+      return;
+    }
+  owner = close_copy (pending_call, reply->call);
+  is_current = reply->call >= pending_call->first_call;
+  if (owner == 0)
     return;
   if (reply->kind == JB_MSG_NOT_OWNER)
     {
-      pending_call->owner = 0;
-      if (reply->state == JB_MSG_REASON_SEARCH_POOLS
-          && pending_call->request.kind == JB_REQUEST_SUBMIT)
-        begin_search (frontend, now, pending_call);
-      else
-        follow_queue (frontend, pending_call);
+      handle_not_owner (frontend, now, pending_call, owner, reply);
+      return;
+    }
+  if (is_current && is_submission (pending_call)
+      && (reply->kind == JB_ANSWER_REFUSED
+          || reply->kind == JB_ANSWER_UNAVAILABLE))
+    {
+      handle_refusal (frontend, now, pending_call, owner, reply);
       return;
     }
+  if (pending_call->is_refused)
+    {
+      answer_if_refused (frontend, now, pending_call);
+      return;
+    }
+  if (!is_current)
+    return;
   if (reply->kind == JB_ANSWER_NO_JOB && is_submission (pending_call))
     {
       if (pending_call->request.kind == JB_REQUEST_SUBMIT_KNOWN)
@@ -563,7 +749,10 @@
       && pending_call->request.kind != JB_REQUEST_PENDING_COUNT)
     {
       answer.kind = JB_ANSWER_UNKNOWN;
-      answer.reason = "the holder of the pool did not answer";
+      answer.reason = pending_call->is_refused
+                          ? "one copy of the request was refused, and another "
+                            "one not answered"
+                          : "the holder of the pool did not answer";
     }
   finish_call (frontend, now, pending_call, &answer);
 }
