Reply to the requests that wait at an owner that loses its pool

An owner that released its pool replied to the requests that wait for a write, but not to those that wait for the rows to be read, and one that had lost its pool to another host to none of them. Now it replies in both cases that it does not own the pool, so that the front end asks the next owner at once.

--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -66,12 +66,15 @@
   pool->options.state_changed (pool->options.data, pool);
 }
 
-static void
-handle_ownership_lost (void *data, jb_time now)
+static void dismiss_requests (struct jb_pool *pool);
+
+void
+jb_pool_handle_ownership_lost (void *data, jb_time now)
 {
   struct jb_pool *pool = data;
 
   (void)now;
+  dismiss_requests (pool);
   pool->stage = JB_STAGE_NOT_OWNED;
   pool->options.state_changed (pool->options.data, pool);
 }
@@ -106,7 +109,7 @@
           .owner = options->owner,
           .incarnation = options->incarnation,
           .on_claimed = handle_claim_result,
-          .on_lost = handle_ownership_lost,
+          .on_lost = jb_pool_handle_ownership_lost,
           .data = pool };
 
   pool->options = *options;
@@ -252,12 +255,38 @@
   job->waiters = waiter;
 }
 
-void
-jb_pool_release (struct jb_pool *pool, jb_time now, const char *reason)
+/* Reply that this host does not own the pool to all requests that wait: for a
+   row to be written, or for the rows to be read.  */
+static void
+dismiss_requests (struct jb_pool *pool)
 {
   GHashTableIter iter;
   gpointer value;
 
+  g_hash_table_iter_init (&iter, pool->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct jb_job *job = value;
+
+      for (struct jb_waiter *w = job->waiters; w != NULL; w = w->next)
+        send_reply (pool, w->member, w->call, JB_MSG_NOT_OWNER, 0, 0, 0);
+      job->waiters = NULL;
+    }
+  for (guint i = 0; i < pool->deferred_requests->len; i++)
+    {
+      struct jb_deferred_request *deferred
+          = g_ptr_array_index (pool->deferred_requests, i);
+
+      send_reply (pool, deferred->member, deferred->message->u.request.call,
+                  JB_MSG_NOT_OWNER, 0, 0, 0);
+      talloc_free (deferred);
+    }
+  g_ptr_array_set_size (pool->deferred_requests, 0);
+}
+
+void
+jb_pool_release (struct jb_pool *pool, jb_time now, const char *reason)
+{
   if (jb_ownership_state (pool->ownership) == JB_OWNERSHIP_HELD)
     {
       jb_count_event (pool->options.driver, JB_COUNT_OWNERSHIP_RELEASED);
@@ -268,15 +297,7 @@
     }
   (void)now;
   jb_pool_cancel_queued_starts (pool);
-  g_hash_table_iter_init (&iter, pool->jobs);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct jb_job *job = value;
-
-      for (struct jb_waiter *w = job->waiters; w != NULL; w = w->next)
-        send_reply (pool, w->member, w->call, JB_MSG_NOT_OWNER, 0, 0, 0);
-      job->waiters = NULL;
-    }
+  dismiss_requests (pool);
   pool->stage = JB_STAGE_NOT_OWNED;
   pool->options.state_changed (pool->options.data, pool);
 }
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -966,6 +966,8 @@
 void jb_pool_end_job (struct jb_pool *pool, struct jb_job *job,
                       enum jb_job_state state, jb_time now,
                       const char *reason);
+/* Stop owning the pool DATA, which another host has claimed.  */
+void jb_pool_handle_ownership_lost (void *data, jb_time now);
 /* Refuse JOB, which can't be stored and so wasn't accepted, and free it.  */
 void jb_pool_refuse_job (struct jb_pool *pool, struct jb_job *job);
 /* Answer the requests that wait for a state of JOB that is durable now.  */
