Keep what the rank of a waiting group depends on with its class

So it is kept in the class beside the group, and is brought up to date with it; a job that is deferred, or no longer, is marked as changed.

The emulator checks in each use of the sums that what is kept is what the jobs say.

--- a/packages/jobs/include/jb_job.h
+++ b/packages/jobs/include/jb_job.h
@@ -217,10 +217,11 @@
    occurrence is open yet.  */
 struct jb_job *jb_job_new (TALLOC_CTX *mem, struct jb_job_desc *desc);
 
-/* Something has changed that the demand of JOB depends on: its groups, which
+/* Something has changed that the demand of JOB or the ranks of its groups
+   depend on: the groups, which
    of them are ready, the tasks that are done, run, are awaited or have a start
-   in doubt, or whether JOB is stored, was loaded, has started or has ended.
-   The functions below call this.  */
+   in doubt, or whether JOB is stored, was loaded, has started, is deferred or
+   has ended.  The functions below call this.  */
 void jb_job_note_change (struct jb_job *job);
 
 /* Return the number of occurrences of JOB, at least 1.  */
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -163,6 +163,17 @@
   uint64_t recount_count;   /* how often a job was counted */
 };
 
+/* A group that waits to be started, and what its rank depends on.  */
+struct jb_waiting_group
+{
+  struct jb_task_group *group;
+  /* Without queue_mean_work and critical_path_ms, which depend on the
+     statistics of the queue.  */
+  struct jb_rank_input rank_input;
+  int64_t critical_path_ms; /* by the estimates */
+  const struct jb_queue_stats *queue_stats;
+};
+
 /* Groups that wait to be started and need the same.  */
 struct jb_waiting_class
 {
@@ -176,7 +187,7 @@
   bool is_loaded;      /* loaded_from_store of the jobs */
   bool may_copy;       /* jb_takeover_may_start_copies of the steps */
   GHashTable *classes; /* the pool's */
-  GPtrArray *groups;   /* struct jb_task_group, at least one */
+  GArray *groups;      /* struct jb_waiting_group, at least one */
 };
 
 /* What the predecessor has stored of a backend server that did not answer
@@ -1020,6 +1031,24 @@
 void jb_pool_update_waiting (struct jb_pool *pool, const struct jb_job *job);
 /* Remove the groups of JOB, which is not active any more, from theirs.  */
 void jb_pool_remove_waiting (const struct jb_job *job);
+/* Return the first group of CLASS, or the one with INDEX.  */
+static inline struct jb_task_group *
+jb_waiting_class_first (const struct jb_waiting_class *class)
+{
+  return g_array_index (class->groups, struct jb_waiting_group, 0).group;
+}
+
+static inline const struct jb_waiting_group *
+jb_waiting_class_get (const struct jb_waiting_class *class, guint index)
+{
+  return &g_array_index (class->groups, struct jb_waiting_group, index);
+}
+
+/* Return the rank of WAITING at NOW, or that of GROUP, which need not wait. */
+struct jb_rank jb_pool_rank_waiting (const struct jb_waiting_group *waiting,
+                                     jb_time now);
+struct jb_rank jb_pool_rank_group (struct jb_pool *pool,
+                                   struct jb_task_group *group, jb_time now);
 /* For tests: return whether the groups that wait, of jobs that are not marked
    as changed, are in classes, and no others.  */
 bool jb_pool_waiting_is_exact (const struct jb_pool *pool);
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -647,47 +647,6 @@
          && !jb_pool_may_have_other_run (pool, task, now);
 }
 
-static int64_t
-group_remaining_work (const struct jb_task_group *group)
-{
-  const struct jb_step *step = jb_task_group_step (group);
-
-  return (int64_t)(group->task_count - group->done_count)
-         * step->resources.cpu_milli * step->estimate_ms;
-}
-
-static struct jb_rank
-rank_group (struct jb_pool *pool, struct jb_task_group *group, jb_time now)
-{
-  struct jb_job *job = group->job;
-  const struct jb_step *step = jb_task_group_step (group);
-  struct jb_rank_input input = { .long_running = step->long_running,
-                                 .best_effort = step->best_effort,
-                                 .deferred = job->deferred,
-                                 .priority = job->desc->priority,
-                                 .total_work = job->total_work,
-                                 .received_at = job->received_at,
-                                 .due_at = job->due_at };
-  int64_t remaining_work = 0;
-
-  if (job->queue_stats == NULL)
-    job->queue_stats = jb_pool_get_queue_stats (pool, job->desc->queue);
-  input.queue_mean_work = job->queue_stats->mean_work;
-  for (uint32_t i = 0; i < job->desc->step_count; i++)
-    remaining_work += group_remaining_work (
-        jb_job_find_group (job, group->occurrence, i));
-  if (group->work_divisor == 0 || group->ranked_work != remaining_work)
-    {
-      group->ranked_work = remaining_work;
-      group->work_divisor = jb_rank_work_divisor (remaining_work);
-    }
-  input.work_divisor = group->work_divisor;
-  input.critical_path_ms
-      = (int64_t)((double)jb_task_group_critical_path_ms (group)
-                  * job->queue_stats->duration_ratio);
-  return jb_rank_compute (&input, now);
-}
-
 /* Return whether GROUP, whose tasks fit nowhere, must be ranked with the
    others because it needs advice, or because it may be noticed that its
    organisation's share is used up.  Until all tasks that want to start have
@@ -716,7 +675,7 @@
 
 /* Add the groups of CLASS to CANDIDATES.  */
 static void
-add_candidates (struct jb_pool *pool, const struct jb_waiting_class *class,
+add_candidates (const struct jb_waiting_class *class,
                 struct jb_candidates *candidates, jb_time now)
 {
   GArray *members = g_array_sized_new (
@@ -724,10 +683,10 @@
 
   for (guint i = 0; i < class->groups->len; i++)
     {
+      const struct jb_waiting_group *waiting = jb_waiting_class_get (class, i);
       struct jb_candidate candidate
-          = { .group = g_ptr_array_index (class->groups, i) };
+          = { waiting->group, jb_pool_rank_waiting (waiting, now) };
 
-      candidate.rank = rank_group (pool, candidate.group, now);
       g_array_append_val (members, candidate);
     }
   jb_candidates_add_class (
@@ -751,13 +710,13 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct jb_waiting_class *class = value;
-      struct jb_task_group *first = g_ptr_array_index (class->groups, 0);
+      struct jb_task_group *first = jb_waiting_class_first (class);
 
       if (is_released (class, may_copy)
           && (jb_place_has_room (room, &first->tasks[0], pool->usable_backends,
                                  pool->usable_count)
               || matters_without_room (pool, first)))
-        add_candidates (pool, class, candidates, now);
+        add_candidates (class, candidates, now);
     }
   return candidates;
 }
@@ -988,12 +947,13 @@
       for (guint i = 0;
            is_released (class, may_copy) && i < class->groups->len; i++)
         {
-          struct jb_candidate candidate
-              = { .group = g_ptr_array_index (class->groups, i) };
+          const struct jb_waiting_group *waiting
+              = jb_waiting_class_get (class, i);
+          struct jb_candidate candidate = { .group = waiting->group };
 
-          if (!jb_pool_may_reserve (pool, candidate.group, now))
+          if (!jb_pool_may_reserve (pool, waiting->group, now))
             continue;
-          candidate.rank = rank_group (pool, candidate.group, now);
+          candidate.rank = jb_pool_rank_waiting (waiting, now);
           count = insert_candidate (first, count, G_N_ELEMENTS (first),
                                     &candidate);
         }
@@ -1012,7 +972,7 @@
     {
       struct jb_reservation *reservation = jb_reserve_get (reserve, i);
 
-      reservation->rank = rank_group (pool, reservation->group, now);
+      reservation->rank = jb_pool_rank_group (pool, reservation->group, now);
     }
 }
 
@@ -1061,6 +1021,7 @@
     return;
   jb_pool_update_usage (pool);
   jb_pool_select_jobs (pool, now);
+  jb_pool_update_sums (pool);
   if (jb_pool_lookahead_begin (pool, now))
     rank_reservations (pool, now);
   candidates = collect_candidates (pool, &room, now);
--- a/packages/jobs/src/jb_pool_select.c
+++ b/packages/jobs/src/jb_pool_select.c
@@ -103,6 +103,14 @@
           "organisations_over_share", jb_itoa (over_share), NULL);
 }
 
+static void
+set_deferred (struct jb_job *job, bool deferred)
+{
+  if (job->deferred != deferred)
+    jb_job_note_change (job);
+  job->deferred = deferred;
+}
+
 void
 jb_pool_select_jobs (struct jb_pool *pool, jb_time now)
 {
@@ -110,7 +118,6 @@
   struct jb_resources capacity;
   struct jb_select_job *entries;
   struct jb_job **jobs;
-  bool *was_deferred;
   uint32_t deferred;
   uint32_t count = 0;
 
@@ -119,17 +126,17 @@
   pool->next_selection = now + SELECTION_INTERVAL;
   entries = g_new0 (struct jb_select_job, len + 1);
   jobs = g_new (struct jb_job *, len + 1);
-  was_deferred = g_new (bool, len + 1);
   capacity = finite_capacity (pool);
   compare_orgs (pool, &capacity);
   for (guint i = 0; i < len; i++)
     {
       struct jb_job *job = g_ptr_array_index (pool->active_jobs, i);
 
-      was_deferred[count] = job->deferred;
-      job->deferred = false;
       if (!may_be_on_time (job, now))
-        continue;
+        {
+          set_deferred (job, false);
+          continue;
+        }
       if (job->queue_stats == NULL)
         job->queue_stats = jb_pool_get_queue_stats (pool, job->desc->queue);
       entries[count] = (struct jb_select_job){
@@ -146,12 +153,11 @@
   deferred = jb_select_on_time (entries, count, capacity.cpu_milli, now);
   for (uint32_t i = 0; i < count; i++)
     {
-      jobs[i]->deferred = entries[i].deferred;
-      if (entries[i].deferred && !was_deferred[i])
+      if (entries[i].deferred && !jobs[i]->deferred)
         jb_count_event (pool->options.driver, JB_COUNT_JOBS_DEFERRED);
+      set_deferred (jobs[i], entries[i].deferred);
     }
   log_change (pool, deferred);
   g_free (entries);
   g_free (jobs);
-  g_free (was_deferred);
 }
--- a/packages/jobs/src/jb_pool_waiting.c
+++ b/packages/jobs/src/jb_pool_waiting.c
@@ -50,13 +50,12 @@
 remove_group (struct jb_task_group *group)
 {
   struct jb_waiting_class *class = group->waiting_class;
-  struct jb_task_group *last;
 
   if (class == NULL)
     return;
-  last = g_ptr_array_index (class->groups, class->groups->len - 1);
-  last->waiting_index = group->waiting_index;
-  g_ptr_array_remove_index_fast (class->groups, group->waiting_index);
+  jb_waiting_class_get (class, class->groups->len - 1)->group->waiting_index
+      = group->waiting_index;
+  g_array_remove_index_fast (class->groups, group->waiting_index);
   group->waiting_class = NULL;
   talloc_set_destructor (group, NULL);
   if (class->groups->len > 0)
@@ -75,7 +74,7 @@
 static int
 class_destroy (struct jb_waiting_class *class)
 {
-  g_ptr_array_free (class->groups, TRUE);
+  g_array_free (class->groups, TRUE);
   return 0;
 }
 
@@ -92,7 +91,7 @@
 
       for (guint i = 0; i < class->groups->len; i++)
         {
-          struct jb_task_group *group = g_ptr_array_index (class->groups, i);
+          struct jb_task_group *group = jb_waiting_class_get (class, i)->group;
 
           group->waiting_class = NULL;
           talloc_set_destructor (group, NULL);
@@ -148,6 +147,78 @@
   return false;
 }
 
+static int64_t
+remaining_work_of_group (const struct jb_task_group *group)
+{
+  const struct jb_step *step = jb_task_group_step (group);
+
+  return (int64_t)(group->task_count - group->done_count)
+         * step->resources.cpu_milli * step->estimate_ms;
+}
+
+/* Return the work of GROUP's occurrence that remains to be done.  */
+static int64_t
+remaining_work (const struct jb_task_group *group)
+{
+  const struct jb_job *job = group->job;
+  int64_t work = 0;
+
+  for (uint32_t i = 0; i < job->desc->step_count; i++)
+    work += remaining_work_of_group (
+        jb_job_find_group (job, group->occurrence, i));
+  return work;
+}
+
+/* Return what the rank of GROUP depends on.  */
+static struct jb_waiting_group
+describe_group (struct jb_pool *pool, struct jb_task_group *group)
+{
+  struct jb_job *job = group->job;
+  const struct jb_step *step = jb_task_group_step (group);
+  int64_t work = remaining_work (group);
+
+  if (job->queue_stats == NULL)
+    job->queue_stats = jb_pool_get_queue_stats (pool, job->desc->queue);
+  if (group->work_divisor == 0 || group->ranked_work != work)
+    {
+      group->ranked_work = work;
+      group->work_divisor = jb_rank_work_divisor (work);
+    }
+  return (struct jb_waiting_group){ .group = group,
+                                    .rank_input
+                                    = { .long_running = step->long_running,
+                                        .best_effort = step->best_effort,
+                                        .deferred = job->deferred,
+                                        .priority = job->desc->priority,
+                                        .total_work = job->total_work,
+                                        .received_at = job->received_at,
+                                        .due_at = job->due_at,
+                                        .work_divisor = group->work_divisor },
+                                    .critical_path_ms
+                                    = jb_task_group_critical_path_ms (group),
+                                    .queue_stats = job->queue_stats };
+}
+
+struct jb_rank
+jb_pool_rank_waiting (const struct jb_waiting_group *waiting, jb_time now)
+{
+  struct jb_rank_input input = waiting->rank_input;
+
+  input.queue_mean_work = waiting->queue_stats->mean_work;
+  input.critical_path_ms = (int64_t)((double)waiting->critical_path_ms
+                                     * waiting->queue_stats->duration_ratio);
+  return jb_rank_compute (&input, now);
+}
+
+struct jb_rank
+jb_pool_rank_group (struct jb_pool *pool, struct jb_task_group *group,
+                    jb_time now)
+{
+  struct jb_waiting_group waiting = describe_group (pool, group);
+
+  return jb_pool_rank_waiting (&waiting, now);
+}
+
 static void
 add_group (struct jb_pool *pool, struct jb_task_group *group,
            const struct jb_waiting_class *key)
@@ -161,13 +232,14 @@
       *class = *key;
       class->label = talloc_strdup (class, key->label);
       class->classes = pool->waiting_classes;
-      class->groups = g_ptr_array_new ();
+      class->groups
+          = g_array_new (FALSE, FALSE, sizeof (struct jb_waiting_group));
       talloc_set_destructor (class, class_destroy);
       g_hash_table_add (pool->waiting_classes, class);
     }
   group->waiting_class = class;
   group->waiting_index = class->groups->len;
-  g_ptr_array_add (class->groups, group);
+  g_array_set_size (class->groups, class->groups->len + 1);
   talloc_set_destructor (group, group_destroy);
 }
 
@@ -195,10 +267,15 @@
     .is_loaded = job->loaded_from_store,
     .may_copy = jb_takeover_may_start_copies (step)
   };
-  if (group->waiting_class != NULL && equal_class (group->waiting_class, &key))
-    return;
-  remove_group (group);
-  add_group (pool, group, &key);
+  if (group->waiting_class == NULL
+      || !equal_class (group->waiting_class, &key))
+    {
+      remove_group (group);
+      add_group (pool, group, &key);
+    }
+  g_array_index (group->waiting_class->groups, struct jb_waiting_group,
+                 group->waiting_index)
+      = describe_group (pool, group);
 }
 
 void
@@ -215,6 +292,21 @@
     remove_group (g_ptr_array_index (job->groups, i));
 }
 
+/* Return whether CLASS has what the rank of GROUP depends on and may change.
+ */
+static bool
+is_described (const struct jb_waiting_class *class,
+              const struct jb_task_group *group)
+{
+  const struct jb_waiting_group *waiting
+      = jb_waiting_class_get (class, group->waiting_index);
+
+  return waiting->group == group
+         && waiting->rank_input.deferred == group->job->deferred
+         && waiting->rank_input.due_at == group->job->due_at
+         && group->ranked_work == remaining_work (group);
+}
+
 bool
 jb_pool_waiting_is_exact (const struct jb_pool *pool)
 {
@@ -233,6 +325,9 @@
           const struct jb_waiting_class *class = group->waiting_class;
 
           count += class != NULL;
+          if (class != NULL && !job->is_changed
+              && !is_described (class, group))
+            return false;
           if (!job->is_changed
               && ((class != NULL) != is_waiting (group)
                   || (class != NULL
