jobs.sh: start without the output of a run before

Seen once, beside other tests: 7 checks failed within seconds, and the entry hosts of the demo were left running. The script waits for a line in demo.txt, which the background process empties when it starts. If the script looks earlier, it sees the line of the run before, checks too early, and its SIGTERM ends process_soak before that has its handler, so its hosts stay and keep their addresses. Concluded from the times of the processes and the code, not replayed.

--- a/tests/process/jobs.sh
+++ b/tests/process/jobs.sh
@@ -39,6 +39,7 @@
 }
 
 mkdir -p run/process-jobs
+rm -f run/process-jobs/demo.txt # the loop below must not see that of a run before
 "$BIN/soak/process_soak" --demo --keep --network $NETWORK \
   --program "$BIN/programs/dogwoodpulleyd" \
   --directory run/process-jobs > run/process-jobs/demo.txt 2>&1 &
