Send a request to a host that does not own the pool at intervals

The log of repeated requests showed that a host that hands its pool over sent the same request to itself after each event that it handled: 11 copies in 9 ms, for each call that waited, since the reply that it does not own the pool let the front end forward the request whenever it ran.

A host that has replied so is now sent the request again after 20 ms; another owner is asked at once, as before.

--- a/packages/jobs/src/jb_frontend.c
+++ b/packages/jobs/src/jb_frontend.c
@@ -8,6 +8,11 @@
 /* A forwarded request is sent again if no reply arrives within this time.  */
 #define RESEND_INTERVAL (500 * JB_MS)
 
+/* A host that has replied that it does not own the pool, but still seems to,
+   is sent a request again after this time: it hands the pool over, or its
+   configuration is another one.  */
+#define NOT_OWNER_RESEND_INTERVAL (20 * JB_MS)
+
 /* A call is answered at the latest this long before the client's deadline, or
    after half of the time until the deadline if that is later.  */
 #define ANSWER_MARGIN_MS 150
@@ -49,6 +54,7 @@
   jb_time deadline;   /* latest time to answer */
   uint64_t owner;     /* incarnation of the host that the request was last sent
                          to; 0: send it as soon as the owner is known */
+  uint64_t not_owner; /* the last one that did not own the pool, or 0 */
   jb_time sent_at;    /* when it was last sent */
   bool was_forwarded; /* to any host, including this one */
   uint64_t first_call;   /* number of the first copy for the present target */
@@ -224,6 +230,7 @@
   pending_call->request.pool = talloc_strdup (pending_call, pool);
   pending_call->partition = talloc_asprintf (pending_call, "pool/%s", pool);
   pending_call->owner = 0;
+  pending_call->not_owner = 0;
   pending_call->copy_count = 0;
 }
 
@@ -290,8 +297,21 @@
          >= (pending_call->number + 1) * MAX_REQUESTS_PER_CALL;
 }
 
+/* Return whether OWNER was sent the request of PENDING_CALL a short time
+   ago.  */
+static bool
+was_just_sent (const struct pending_call *pending_call, jb_time now,
+               uint64_t owner)
+{
+  jb_time age = now - pending_call->sent_at;
+
+  return (owner == pending_call->owner && age < RESEND_INTERVAL)
+         || (owner == pending_call->not_owner
+             && age < NOT_OWNER_RESEND_INTERVAL);
+}
+
 /* Send the request of PENDING_CALL to the pool's owner if the owner is known
-   and was not sent the request less than RESEND_INTERVAL ago.  Once a copy was
+   and was not sent the request a short time ago.  Once a copy was
    refused, no further one is sent.  If this host is the owner, the call may be
    answered and PENDING_CALL freed.  */
 static void
@@ -304,8 +324,7 @@
 
   if (owner == 0 || pending_call->is_refused
       || has_used_all_numbers (frontend, pending_call)
-      || (owner == pending_call->owner
-          && now - pending_call->sent_at < RESEND_INTERVAL))
+      || was_just_sent (pending_call, now, owner))
     return;
   record_copy (frontend, now, pending_call, owner);
   if (owner == frontend->options.incarnation)
@@ -644,6 +663,7 @@
   if (!is_current || owner != pending_call->owner)
     return;
   pending_call->owner = 0;
+  pending_call->not_owner = owner;
   if (reply->state == JB_MSG_REASON_SEARCH_POOLS
       && pending_call->request.kind == JB_REQUEST_SUBMIT)
     begin_search (frontend, now, pending_call);
--- a/packages/jobs/tests/test_jb_frontend.c
+++ b/packages/jobs/tests/test_jb_frontend.c
@@ -523,6 +523,31 @@
   tear_down (&fixture);
 }
 
+/* An owner that hands its pool over was sent the same request after each event
+   that its host handled, dozens of times in some milliseconds.  */
+static void
+test_own_pool_handed_over (void)
+{
+  struct fixture fixture;
+
+  set_up (&fixture);
+  fixture.owns_pool = true;
+  fixture.own_reply = JB_MSG_NOT_OWNER;
+  make_call (&fixture, JB_CALL_SUBMIT);
+  for (uint32_t i = 0; i < 10; i++)
+    jb_frontend_run (fixture.frontend, fixture.now);
+  CU_ASSERT_EQUAL (fixture.copy_count, 1);
+  wait_for (&fixture, 5 * POLL_INTERVAL, FIRST_OWNER, 0);
+  CU_ASSERT_EQUAL (fixture.copy_count, 6);
+  /* Another owner is asked at once.  */
+  fixture.owns_pool = false;
+  set_owner (&fixture, SECOND_OWNER, 2);
+  jb_frontend_run (fixture.frontend, fixture.now);
+  CU_ASSERT_EQUAL_FATAL (fixture.copy_count, 7);
+  CU_ASSERT_EQUAL (fixture.copies[6].owner, SECOND_OWNER);
+  tear_down (&fixture);
+}
+
 /* The reply to any copy of a query or cancellation is its answer.  */
 static void
 test_copies_of_other_calls (void)
@@ -561,6 +586,7 @@
     { "copy of a replaced request", test_copy_of_replaced_request },
     { "refusal of a replaced request", test_refusal_of_replaced_request },
     { "own pool", test_own_pool },
+    { "own pool handed over", test_own_pool_handed_over },
     { "copies of other calls", test_copies_of_other_calls },
     { NULL, NULL }
   };
