--- a/soak/process_soak.c
+++ b/soak/process_soak.c
@@ -41,6 +41,9 @@
   CLIENT_DURATION_MS = 2200
 };
 
+/* Time for the jobs to end after the last fault, as in jw_soak.c.  */
+#define RECOVERY_TIME (80 * JB_SECOND)
+
 struct arguments
 {
   struct ps_options harness;
@@ -385,6 +388,7 @@
                     struct ps_harness *harness, struct jw_world *world)
 {
   static const jb_time store_delay = 400 * JB_MS;
+  jb_time recovered_by;
 
   jw_advance (world, 4 * JB_SECOND);
   world->store_delay = store_delay;
@@ -407,7 +411,13 @@
       submit_jobs (world, JOBS_PER_STOP / 3);
     }
   world->store_delay = 0;
-  jw_advance (world, 10 * JB_SECOND);
+  recovered_by = world->now + RECOVERY_TIME;
+  do
+    {
+      jw_query_all_jobs (world);
+      jw_advance (world, JB_SECOND);
+    }
+  while (world->now < recovered_by && !jw_have_all_jobs_settled (world));
   jw_check_final_states (world);
 }
 
