Limit the starts in flight to what the owner can send in time

Cause: an owner decides on starts faster than its HTTP client can send them since events cost less, and nothing but 64 starts for each backend server limited them. A start that was too late is decided on again, and its backend server probed, which takes the processor time of those that could be in time.

Change: a window of starts in flight, halved when a start was too late and grown while they are in time, as in congestion control.

test_jb_start_window submits more than can be sent: without the limit its first and its third test fail, with it all pass.

--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -8,6 +8,7 @@
 #include "jb_place.h"
 #include "jb_pool.h"
 #include "jb_rank.h"
+#include "jb_start_window.h"
 #include "jb_takeover.h"
 #include "jb_reserve.h"
 
@@ -303,6 +304,7 @@
      refused a batch as invalid.  */
   uint32_t single_batches;
   /* Scheduling and periodic work.  */
+  struct jb_start_window start_window;
   bool schedule_due;     /* something changed since the last cycle */
   jb_time next_schedule; /* earliest time of the next cycle */
   jb_time next_sweep;
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -431,6 +431,16 @@
              : reply->result;
 }
 
+/* Return whether START was not sent in time, as REPLY shows.  */
+static bool
+was_too_late (const struct start_request *start, jb_time now,
+              const struct jb_reply *reply)
+{
+  return reply->result == JB_RESULT_NOT_SENT
+         || (reply->refusal == JB_REFUSAL_LEASE_EXPIRED
+             && now - start->sent_at > JB_START_LEASE_MS * JB_MS);
+}
+
 static void
 handle_start_reply (void *data, jb_time now, jb_time sent_at,
                     const struct jb_reply *reply)
@@ -444,6 +454,8 @@
   char name[JB_TASK_NAME_SIZE];
 
   backend->starts_in_flight--;
+  jb_start_window_remove (&pool->start_window, now, start->sent_at,
+                          was_too_late (start, now, reply));
   if (reply->result != JB_RESULT_UNKNOWN
       && (reply->result != JB_RESULT_NOT_SENT
           || backend->starts_in_flight == 0))
@@ -544,6 +556,7 @@
   start->sent_at = now;
   task->sent_by_owner = true;
   backend->starts_in_flight++;
+  jb_start_window_add (&pool->start_window);
   if (backend->awaited_since == 0)
     backend->awaited_since = now;
   jb_pool_note_start_sent (pool, task, now);
@@ -976,16 +989,16 @@
     }
 }
 
-/* Start tasks of CANDIDATES, the first ones first.  Return the number of
-   started tasks.  ROOM is that of this cycle.  */
+/* Start tasks of CANDIDATES, the first ones first, until at least LIMIT are
+   started.  Return their number.  ROOM is that of this cycle.  */
 static uint32_t
 start_candidates (struct jb_pool *pool, struct jb_candidates *candidates,
-                  struct jb_place_room *room, jb_time now)
+                  struct jb_place_room *room, uint32_t limit, jb_time now)
 {
   const struct jb_candidate *candidate;
   uint32_t started = 0;
 
-  while (started < MAX_STARTS_PER_CYCLE
+  while (started < limit
          && (candidate = jb_candidates_take (candidates)) != NULL)
     {
       struct jb_task_group *group = candidate->group;
@@ -1008,14 +1021,18 @@
 {
   struct jb_place_room room = { 0 };
   struct jb_candidates *candidates;
+  uint32_t queued = jb_pool_count_queued_starts (pool);
+  uint32_t limit = jb_start_window_room (&pool->start_window);
   uint32_t started;
 
   if (!pool->schedule_due || now < pool->next_schedule
-      || jb_pool_count_queued_starts (pool) >= MAX_STARTS_PER_CYCLE
-      || !jb_pool_may_command (pool, now))
+      || queued >= MAX_STARTS_PER_CYCLE || !jb_pool_may_command (pool, now))
     return;
-  pool->schedule_due = false;
   pool->next_schedule = now + SCHEDULE_MIN_INTERVAL;
+  if (queued >= limit)
+    return;
+  limit = MIN (limit - queued, MAX_STARTS_PER_CYCLE);
+  pool->schedule_due = false;
   jb_pool_collect_usable_backends (pool, now);
   if (pool->usable_count == 0)
     return;
@@ -1025,8 +1042,8 @@
   if (jb_pool_lookahead_begin (pool, now))
     rank_reservations (pool, now);
   candidates = collect_candidates (pool, &room, now);
-  started = start_candidates (pool, candidates, &room, now);
-  if (started >= MAX_STARTS_PER_CYCLE)
+  started = start_candidates (pool, candidates, &room, limit, now);
+  if (started >= limit)
     pool->schedule_due = true;
   else if (pool->lookahead != NULL)
     plan_reservations (pool, now);
