HTTP server: pass no socket to libmicrohttpd over its limit

Callers would have seen: on a host with nearly as many connections as it takes and more clients in the kernel's queue, SIGTERM leaves every call without an answer until the process is killed.

Change: neither is passed on unless a part of the spare connections is free.

--- a/packages/http/include/ht_server.h
+++ b/packages/http/include/ht_server.h
@@ -97,7 +97,8 @@
                                  GError **error);
 
 /* Stop accepting connections, except those that the kernel has accepted
-   already.  Open connections are still served.  */
+   already; if there is no room for all of these, the rest when this is called
+   again.  Open connections are still served.  */
 void ht_server_stop_accepting (struct ht_server *server);
 
 /* The end of a server's work, so that no request is read and left without a
--- a/packages/http/src/ht_server.c
+++ b/packages/http/src/ht_server.c
@@ -41,6 +41,11 @@
   /* Connections that are chosen to be closed, or were just accepted, beyond
      max_connections: so many that libmicrohttpd goes on accepting.  */
   SPARE_CONNECTIONS_PER_THREAD = 64,
+  /* So many of them may be taken when a client that the kernel has accepted,
+     or a request for a sweep, is passed to libmicrohttpd, which accepts
+     further ones meanwhile.  */
+  MAX_SPARE_FOR_CLIENTS = 16,
+  MAX_SPARE_FOR_SWEEP = 32,
   /* A connection over which more arrives whenever libmicrohttpd has read is
      closed after so many times.  */
   MAX_SWEEPS = 3
@@ -119,8 +124,9 @@
   /* Accepted sockets that libmicrohttpd got and has not reported yet.  */
   GHashTable *added_sockets;
   bool refusing; /* give up each request */
-  int listener;  /* that libmicrohttpd uses no more, or -1; used only by the
-                    thread that stops accepting */
+  /* Used only by the thread that stops accepting.  */
+  int listener; /* that libmicrohttpd uses no more, or -1 */
+  bool listener_closed;
   _Atomic bool draining; /* close each connection after its response */
   _Atomic uint64_t last_id;
   _Atomic bool stopping;
@@ -147,26 +153,41 @@
   return poll (&p, 1, 0) > 0;
 }
 
+/* Return whether libmicrohttpd can be passed another socket while at most
+   SPARE of the spare connections of a thread are taken.  Over its limit, its
+   thread blocks for ever on a lock of its own (0.9.75).  The server must be
+   locked.  */
+static bool
+has_room (const struct ht_server *server, unsigned spare)
+{
+  return server->connection_count + g_hash_table_size (server->added_sockets)
+         < server->options.max_connections + server->options.threads * spare;
+}
+
 /* Have the thread of libmicrohttpd call sweep: it reports a new connection,
    whose other end is closed already.  Only on that thread a connection that
    has no complete request, and nothing to be read, can't be one whose request
-   it has just read.  The server must be locked.  */
-static void
+   it has just read.  Return false if that fails.  The server must be
+   locked.  */
+static bool
 request_sweep (struct ht_server *server)
 {
   static const struct sockaddr address = { .sa_family = AF_UNIX };
   int sockets[2];
 
-  if (server->sweep_socket >= 0
+  if (server->sweep_socket >= 0)
+    return true;
+  if (!has_room (server, MAX_SPARE_FOR_SWEEP)
       || socketpair (AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0,
                      sockets)
              != 0)
-    return; /* the next request may succeed */
+    return false;
   server->sweep_socket = sockets[0];
   if (MHD_add_connection (server->daemon, sockets[0], &address, sizeof address)
       != MHD_YES)
     server->sweep_socket = -1; /* it has closed the socket */
   close (sockets[1]);
+  return server->sweep_socket >= 0;
 }
 
 /* Have libmicrohttpd close the connection of ADMITTED, at once unless
@@ -181,9 +202,8 @@
   g_queue_push_tail_link (&server->closing, &client->closing);
   if (client->call != NULL)
     ht_body_clear (&client->call->body);
-  if (client == server->receiving || has_input (client->fd))
-    request_sweep (server);
-  else
+  if ((client != server->receiving && !has_input (client->fd))
+      || !request_sweep (server))
     shutdown (client->fd, SHUT_RDWR);
 }
 
@@ -1044,6 +1064,17 @@
 
 /* ---- the end of the server's work ---- */
 
+static bool
+has_room_for_client (struct ht_server *server)
+{
+  bool result;
+
+  g_mutex_lock (&server->lock);
+  result = has_room (server, MAX_SPARE_FOR_CLIENTS);
+  g_mutex_unlock (&server->lock);
+  return result;
+}
+
 /* Pass the accepted socket FD to libmicrohttpd, which closes it if it doesn't
    take it.  */
 static void
@@ -1069,21 +1100,25 @@
   socklen_t len = sizeof address;
   int fd;
 
-  if (server->listener >= 0)
-    return;
-  server->listener = MHD_quiesce_daemon (server->daemon);
   if (server->listener < 0)
+    server->listener = MHD_quiesce_daemon (server->daemon);
+  if (server->listener < 0 || server->listener_closed)
     return;
-  while ((fd = accept4 (server->listener, (struct sockaddr *)&address, &len,
-                        SOCK_NONBLOCK | SOCK_CLOEXEC))
-         >= 0)
+  while (has_room_for_client (server))
     {
+      fd = accept4 (server->listener, (struct sockaddr *)&address, &len,
+                    SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd < 0)
+        {
+          /* Refuse clients, but keep the descriptor: the thread of
+             libmicrohttpd may still use it.  */
+          server->listener_closed = true;
+          shutdown (server->listener, SHUT_RDWR);
+          return;
+        }
       add_socket (server, fd, &address, len);
       len = sizeof address;
     }
-  /* Refuse clients, but keep the descriptor: the thread of libmicrohttpd may
-     still use it.  */
-  shutdown (server->listener, SHUT_RDWR);
 }
 
 /* Give up the calls that wait, and with TAKEN_TOO those that were taken.
--- a/packages/http/tests/test_ht_drain.c
+++ b/packages/http/tests/test_ht_drain.c
@@ -366,6 +366,42 @@
   TALLOC_FREE (server);
 }
 
+/* More clients wait in the kernel's queue than libmicrohttpd has room for when
+   the server stops accepting.  Guards against sockets that are passed to
+   libmicrohttpd over its limit of connections: its thread then blocks for ever
+   on a lock of its own, so that neither what was read is answered nor the
+   server can be freed.  */
+static void
+test_drain_with_full_queue (void)
+{
+  int queued[CROWD];
+  gint64 until;
+  bool empty;
+  int held;
+
+  start_server (MAX_CONNECTIONS);
+  held = hold_thread ();
+  for (int i = 0; i < CROWD; i++)
+    queued[i] = dp_connect (&address);
+  ht_server_drain (server);
+  atomic_store (&thread_held, false);
+  until = g_get_monotonic_time () + 3 * G_USEC_PER_SEC;
+  do
+    {
+      ht_server_drain (server);
+      g_usleep (10000);
+      empty = ht_server_connection_count (server) == 0;
+    }
+  while (!empty && g_get_monotonic_time () < until);
+  CU_ASSERT_TRUE (empty);
+  for (int i = 0; i < CROWD; i++)
+    close (queued[i]);
+  close (held);
+  /* A thread that blocks can't be joined.  */
+  if (empty)
+    TALLOC_FREE (server);
+}
+
 int
 main (void)
 {
@@ -375,6 +411,7 @@
     { "drain with a request that was not read", test_drain_with_input },
     { "calls given up", test_give_up },
     { "connections without a whole request", test_close_incomplete },
+    { "drain with a full queue of clients", test_drain_with_full_queue },
     { "requests during a drain", test_requests_during_drain },
     { NULL, NULL },
   };
