Pass starts in doubt on to a new process in time from a late event loop

A coordinator sent one portion of 250 entries each time its event loop got to it, however late that was. Run each 200 ms, it had sent 1,000 of 3,000 entries when a new process may claim a pool, found by the review. It now sends up to 8 portions that are due. test_jb_host_doubts, "a new process gets all in time from a slow host": failed before, passes now.

--- a/packages/jobs/src/jb_host_doubts.c
+++ b/packages/jobs/src/jb_host_doubts.c
@@ -26,7 +26,10 @@
 {
   /* Entries in a portion, about 10 KB: a few milliseconds on the smallest
      hosts.  A new process has 5,000 entries after 200 ms.  */
-  PORTION_SIZE = 250
+  PORTION_SIZE = 250,
+  /* So many are sent at once if the event loop is late: a new process may
+     claim a pool 0.7 s after its start, and must have the entries by then.  */
+  MAX_PORTIONS_AT_ONCE = 8
 };
 
 /* What was passed on to a member.  */
@@ -175,6 +178,9 @@
   if (relay->is_queued
       || relay->sent_change == jb_peer_doubts_last_change (host->peer_doubts))
     return;
+  if (g_queue_is_empty (queue))
+    host->doubt_relays->next_portion
+        = MAX (host->doubt_relays->next_portion, host->now);
   relay->is_queued = true;
   /* A new process knows nothing yet, and may claim a pool soon.  */
   if (is_new)
@@ -234,20 +240,27 @@
 jb_host_run_relays (struct jb_host *host, jb_time now)
 {
   struct jb_doubt_relays *relays = host->doubt_relays;
-  uint32_t limit = PORTION_SIZE;
+  jb_time late;
+  uint32_t limit;
 
   if (g_queue_is_empty (&relays->queue))
     return JB_NEVER;
   if (now < relays->next_portion)
     return relays->next_portion;
+  late = now - relays->next_portion;
+  limit = PORTION_SIZE
+          * (uint32_t)CLAMP (late / PORTION_INTERVAL, 1, MAX_PORTIONS_AT_ONCE);
   relays->next_portion = now + PORTION_INTERVAL;
   while (limit > 0 && !g_queue_is_empty (&relays->queue))
     {
       struct doubt_relay *relay = g_queue_peek_head (&relays->queue);
 
-      limit -= send_portion (host, now, relay, limit);
-      if (limit == 0)
-        break;
+      uint32_t portion = MIN (limit, PORTION_SIZE);
+      uint32_t sent = send_portion (host, now, relay, portion);
+
+      limit -= sent;
+      if (sent == portion)
+        continue; /* it may need more */
       relay->is_queued = false;
       g_queue_pop_head (&relays->queue);
     }
--- a/packages/jobs/tests/test_jb_host_doubts.c
+++ b/packages/jobs/tests/test_jb_host_doubts.c
@@ -391,6 +391,29 @@
   tear_down (&fixture);
 }
 
+/* A new process must get all entries before it may claim a pool also if this
+   host's event loop is slow, so that the host is run each 200 ms only: a start
+   that the process has not heard of may be repeated.  */
+static void
+test_new_process_and_slow_loop (void)
+{
+  struct fixture fixture;
+
+  set_up (&fixture, 2);
+  interrupt (&fixture);
+  forget_sent (&fixture);
+  fixture.incarnations[0] = FIRST_MEMBER + MAX_MEMBERS + 1;
+  for (jb_time waited = 0; waited <= STARTUP_TIME;
+       waited += HEARTBEAT_INTERVAL)
+    {
+      receive_heartbeat (&fixture, 0);
+      receive_heartbeat (&fixture, 1);
+      fixture.now += HEARTBEAT_INTERVAL;
+    }
+  CU_ASSERT_EQUAL (g_hash_table_size (fixture.tasks), ENTRY_COUNT);
+  tear_down (&fixture);
+}
+
 int
 main (void)
 {
@@ -399,6 +422,8 @@
           { "an interruption sends what has changed", test_changes },
           { "what may be lost is sent again", test_lost_relay },
           { "a new process gets all once, in portions", test_new_process },
+          { "a new process gets all in time from a slow host",
+            test_new_process_and_slow_loop },
           { "all members get all, in portions", test_all_members },
           { "a late event loop sends nothing", test_late_event_loop },
           { "a late message makes no entry younger",
