Keep replies behind the messages of peers that arrived before them

Since replies and messages of peers wait in rings of their own, a host with a backlog of messages could claim a pool and read its rows before it had read the starts in doubt that the former owner had sent it before: a task could run twice.

The two classes now share their turns, and the event that arrived first goes first; calls and views still have turns of their own. test_sv_event_queue, "replies keep their place among messages": fails with the queue of before.

--- a/packages/server/src/sv_event_queue.c
+++ b/packages/server/src/sv_event_queue.c
@@ -16,6 +16,7 @@
 struct class_queue
 {
   struct ba_ring *ring;
+  struct event *head; /* taken from the ring, or NULL; event loop only */
   _Atomic uint64_t refused_count;
   /* How long its events have waited; the buckets are not cumulative.  */
   _Atomic uint64_t wait_buckets[WAIT_BUCKET_COUNT];
@@ -162,19 +163,44 @@
   sv_event_queue_wake (queue);
 }
 
+/* Return the oldest event in the ring of CLASS, or NULL.  */
 static struct event *
-pop_reply (struct sv_event_queue *queue)
+peek (struct sv_event_queue *queue, enum event_class class)
 {
-  struct event *event = g_queue_pop_head (&queue->unsent_replies);
+  struct class_queue *waiting = &queue->classes[class];
 
-  if (event != NULL)
-    return event;
-  event = ba_ring_pop (queue->classes[EVENT_CLASS_REPLY].ring);
-  if (event != NULL)
+  if (waiting->head == NULL)
+    waiting->head = ba_ring_pop (waiting->ring);
+  return waiting->head;
+}
+
+static struct event *
+pop_class (struct sv_event_queue *queue, enum event_class class)
+{
+  struct event *event = peek (queue, class);
+
+  queue->classes[class].head = NULL;
+  if (event != NULL && class == EVENT_CLASS_REPLY)
     sv_event_queue_release_reply (queue);
   return event;
 }
 
+/* Return which one of replies and messages of peers has the oldest event.  A
+   host that claims a pool must know what peers sent it before: a reply must
+   not overtake that.  */
+static enum event_class
+choose_oldest (struct sv_event_queue *queue)
+{
+  const struct event *reply = peek (queue, EVENT_CLASS_REPLY);
+  const struct event *message = peek (queue, EVENT_CLASS_PEER);
+
+  return message != NULL
+                 && (reply == NULL
+                     || message->received_at < reply->received_at)
+             ? EVENT_CLASS_PEER
+             : EVENT_CLASS_REPLY;
+}
+
 struct event *
 sv_event_queue_pop (struct sv_event_queue *queue)
 {
@@ -191,8 +217,11 @@
   class = sv_event_shares_choose (&queue->shares, waiting);
   if (class == EVENT_CLASS_COUNT)
     return NULL;
-  return class == EVENT_CLASS_REPLY ? pop_reply (queue)
-                                    : ba_ring_pop (queue->classes[class].ring);
+  if (class == EVENT_CLASS_REPLY && queue->unsent_replies.length > 0)
+    return g_queue_pop_head (&queue->unsent_replies);
+  if (class == EVENT_CLASS_REPLY || class == EVENT_CLASS_PEER)
+    class = choose_oldest (queue);
+  return pop_class (queue, class);
 }
 
 void
@@ -239,6 +268,8 @@
 {
   unsigned count = ba_ring_count (queue->classes[class].ring);
 
+  count += queue->classes[class].head != NULL;
+
   if (class == EVENT_CLASS_REPLY)
     count += queue->unsent_replies.length;
   return count;
--- a/packages/server/src/sv_event_queue.h
+++ b/packages/server/src/sv_event_queue.h
@@ -13,12 +13,12 @@
    it if there is none.  Clients' calls, messages of peers and views that find
    their ring full are refused and counted.
 
-   Order: the events of one class from one thread keep theirs, so the messages
-   of one peer do.  Between classes there is none: a message of a peer may be
-   processed after a reply, a call or a stop that came later, as if the network
-   had held it up, and a view or a stop before what came earlier.  The decision
-   code must therefore not take the time of processing for that of arrival:
-   events carry the latter.
+   Order: replies to commands and messages of peers keep the order in which
+   they arrived, since a host that claims a pool must know what it was told
+   before.  Else the events of one class from one thread keep theirs, and
+   between classes there is none: a message of a peer may be processed after a
+   call or a stop that came later, as if the network had held it up, and a view
+   or a stop before what came earlier.
 
    Expected load: some thousand events a second, at 10 us to 100 ms of
    processing time each.  While the event loop is late, a second of it brings
@@ -99,7 +99,7 @@
 /* Return the name of CLASS in metrics and logs, a static string.  */
 const char *sv_event_class_name (enum event_class class);
 
-/* Return how many events of CLASS wait, for other threads an estimate.  */
+/* Return how many events of CLASS wait.  */
 unsigned sv_event_queue_count (const struct sv_event_queue *queue,
                                enum event_class class);
 
--- a/packages/server/tests/test_sv_event_queue.c
+++ b/packages/server/tests/test_sv_event_queue.c
@@ -176,6 +176,38 @@
   talloc_free (queue);
 }
 
+/* A host that claims a pool reads replies of the store.  It must know what
+   peers had told it before them of starts in doubt, or tasks would run
+   twice.  */
+static void
+test_replies_keep_place_among_messages (void)
+{
+  struct sv_event_queue *queue = sv_event_queue_new (NULL);
+  jb_time last = 0;
+  bool ordered = true;
+
+  for (unsigned i = 0; i < 1000; i++)
+    if (i % 10 == 9)
+      {
+        CU_ASSERT_TRUE_FATAL (sv_event_queue_reserve_reply (queue));
+        sv_event_queue_push (queue, i + 1, new_event (EVENT_COMMAND_REPLY, i));
+      }
+    else
+      sv_event_queue_push (queue, i + 1, new_event (EVENT_PEER_MESSAGE, i));
+  for (unsigned i = 0; i < 1000; i++)
+    {
+      struct event *event = sv_event_queue_pop (queue);
+
+      CU_ASSERT_PTR_NOT_NULL_FATAL (event);
+      ordered = ordered && event->received_at > last;
+      last = event->received_at;
+      sv_event_queue_record (queue, event, 0, JB_MS);
+      talloc_free (event);
+    }
+  CU_ASSERT_TRUE (ordered);
+  talloc_free (queue);
+}
+
 /* An event of any class must wake the event loop.  */
 static void
 test_wake_up (void)
@@ -309,6 +341,8 @@
     { "replies are kept when the queue is full", test_replies_are_kept },
     { "repeated stops and bounds", test_repeated_control_events },
     { "classes take turns and keep their order", test_classes_take_turns },
+    { "replies keep their place among messages",
+      test_replies_keep_place_among_messages },
     { "each event wakes the event loop", test_wake_up },
     { "metrics", test_metrics },
     { "many threads", test_many_threads },
