End the planned stop of the server for requests by connections

Its end waited until no call was in flight, at most 2 s, and then closed all connections, one server after the other, while requests were still read. It now closes the connections without a request, and each one after its response, and ends when none is left, at most as late as before. Found by the review, by reading. What a late core leaves after 2 s still ends without an answer.

Tests: those of tests/process.

--- a/packages/server/src/sv_request_server.c
+++ b/packages/server/src/sv_request_server.c
@@ -452,17 +452,22 @@
   sv_core_loop_push_blocking (server->core_loop, event);
 }
 
-/* Accept no more clients, and wait until the responses in flight have reached
-   theirs, at most RESPONSE_FLUSH_MS.  */
+/* Accept no more clients, and wait until all have their responses and none is
+   connected, at most RESPONSE_FLUSH_MS: requests may come over the connections
+   that are open.  */
 static void
 flush_responses (struct sv_request_server *server)
 {
   struct ht_server *http_server = sv_frontend_http_server (server->frontend);
   int64_t until = ba_clock_now_us () + RESPONSE_FLUSH_MS * 1000;
 
-  ht_server_stop_accepting (http_server);
-  while (ht_server_call_count (http_server) > 0 && ba_clock_now_us () < until)
-    g_usleep (RESPONSE_FLUSH_POLL_US);
+  do
+    {
+      ht_server_drain (http_server);
+      g_usleep (RESPONSE_FLUSH_POLL_US);
+    }
+  while (ht_server_connection_count (http_server) > 0
+         && ba_clock_now_us () < until);
 }
 
 /* Request the list of hosts if the time NEXT_DUE_US has come, and set the next
