HTTP server: close a connection that is receiving a request at once

A client that goes on sending kept its connection, and the room that it was to make, for longer.

Only a connection without a request, over which a whole one may have arrived, is read first; one that is receiving a request is closed at once, as before. test_ht_drain and test_ht_server pass.

--- a/packages/http/src/ht_server.c
+++ b/packages/http/src/ht_server.c
@@ -68,6 +68,7 @@
   int fd;
   struct call *call; /* whose request is received or answered, or NULL */
   bool answering;    /* the request of CALL is complete */
+  bool shut_down;    /* no response can be sent any more */
   GList closing;     /* in the list of the server, DATA is this */
   unsigned sweeps;   /* that found something to read while it was in there */
 };
@@ -115,11 +116,10 @@
                   to REFUSING */
   struct ht_admission *admission;
   uint64_t rejections[HT_REJECTION_COUNT];
-  GHashTable *calls;                  /* ID -> call */
-  unsigned connection_count;          /* those to be closed included */
-  GQueue closing;                     /* connections that are to be closed */
-  const struct connection *receiving; /* whose body is being stored */
-  int sweep_socket;                   /* that requests a sweep, or -1 */
+  GHashTable *calls;         /* ID -> call */
+  unsigned connection_count; /* those to be closed included */
+  GQueue closing;            /* connections that are to be closed */
+  int sweep_socket;          /* that requests a sweep, or -1 */
   bool closing_all; /* close connections whose request is not complete */
   /* Accepted sockets that libmicrohttpd got and has not reported yet.  */
   GHashTable *added_sockets;
@@ -190,10 +190,19 @@
   return server->sweep_socket >= 0;
 }
 
-/* Have libmicrohttpd close the connection of ADMITTED, at once unless
-   something has arrived: that may complete a request, which is then refused.
-   Its thread may have received much more from others before, so free the body
-   now.  The server must be locked.  */
+static void
+shut_down (struct connection *client)
+{
+  client->shut_down = true;
+  shutdown (client->fd, SHUT_RDWR);
+}
+
+/* Have libmicrohttpd close the connection of ADMITTED.  If it has no request
+   and something has arrived, that may be a whole request, which is read first
+   and refused.  One that is receiving a request is closed at once, and its
+   body freed: its thread may receive much more from others before it closes
+   it, and a client that goes on sending would keep it open.  The server must
+   be locked.  */
 static void
 begin_close (struct ht_server *server, struct ht_admitted *admitted)
 {
@@ -202,9 +211,9 @@
   g_queue_push_tail_link (&server->closing, &client->closing);
   if (client->call != NULL)
     ht_body_clear (&client->call->body);
-  if ((client != server->receiving && !has_input (client->fd))
+  if (client->call != NULL || !has_input (client->fd)
       || !request_sweep (server))
-    shutdown (client->fd, SHUT_RDWR);
+    shut_down (client);
 }
 
 /* Close the connections without a request, except those over which one is
@@ -248,7 +257,7 @@
           again = true;
         }
       else
-        shutdown (client->fd, SHUT_RDWR);
+        shut_down (client);
     }
   if (atomic_load (&server->draining))
     close_unused (server);
@@ -608,7 +617,7 @@
 
 /* Receive LEN bytes of the body.  Those of a connection that is to be closed
    are read and dropped: if they complete the request, it is refused.  Fail if
-   there are too many of these.  */
+   there are too many of these, or no response can be sent.  */
 static enum MHD_Result
 receive_body (struct call *call, const void *data, size_t len)
 {
@@ -620,14 +629,11 @@
   if (call->too_large || admitted->state == HT_CONNECTION_CLOSING)
     {
       call->discarded_bytes += len;
-      open = call->discarded_bytes <= server->options.max_body_bytes;
+      open = !call->client->shut_down
+             && call->discarded_bytes <= server->options.max_body_bytes;
     }
   else if (len <= call->body_limit - call->body.len)
-    {
-      server->receiving = call->client;
-      append_body (call, data, len);
-      server->receiving = NULL;
-    }
+    append_body (call, data, len);
   else
     begin_discard (call);
   g_mutex_unlock (&server->lock);
