--- a/review/standin-2/cases.c
+++ b/review/standin-2/cases.c
@@ -554,6 +554,59 @@
   return finish (has_two_runs (), "no two runs of a task at the same time");
 }
 
+/* ---- two starts of a task that its worker carries out after a crash ---- */
+
+static int
+run_both (void)
+{
+  enum
+  {
+    WORKERS = 7,
+    CRASH_MS = 1000, /* after the second unanswered start */
+    DOWN_MS = 1000,
+    FIRST_LATE_MS = 3000,
+    SECOND_LATE_MS = 2020
+  };
+  const char *task = JOB_ID ".0.0.0";
+  const char *body
+      = "{\"spec\":\"work=1000 cpu=1000 fails\",\"steps\":[{\"count\":1,"
+        "\"cpu\":1000,\"memMb\":256,\"estimateMs\":1000}]}";
+  int worker = 0;
+  int lost = 0;
+
+  if (!start_all (WORKERS, 0, LABELS, 0))
+    return give_up ("the entry hosts are not ready");
+  standin_sleep_ms (4000);
+  if (has_trouble ())
+    {
+      worker = submit_unanswered (body, WORKERS, FIRST_LATE_MS);
+      if (worker >= 0)
+        standin_keep_answers (worker);
+    }
+  else if (!submit (0, JOB_ID, body))
+    worker = -1;
+  if (worker < 0)
+    return give_up ("the job was not started");
+  if (has_trouble ())
+    {
+      if (await_run (task) != worker)
+        return give_up ("the start was not sent again");
+      standin_lose_answers (worker, "/run-start", SECOND_LATE_MS);
+      for (int i = 0; i < 300 && lost < 2; i++)
+        {
+          standin_sleep_ms (10);
+          lost = standin_count_lost (worker);
+        }
+      standin_keep_answers (worker);
+      if (lost < 2)
+        return give_up ("no further start was sent");
+      standin_sleep_ms (CRASH_MS);
+      standin_crash_worker (worker, DOWN_MS, NULL);
+    }
+  standin_sleep_ms (8000);
+  return finish (has_two_runs (), "no two runs of a task at the same time");
+}
+
 static void
 end_at_once (int number)
 {
@@ -569,11 +622,12 @@
   {
     const char *name;
     int (*run) (void);
-  } cases[] = { { "labels", run_labels }, { "crashes", run_crashes },
-                { "share", run_share },   { "after", run_after },
-                { "spec", run_spec },     { "refused", run_refused },
-                { "moved", run_moved },   { "forgotten", run_forgotten },
-                { "mix", try_mix },       { "planner", try_planner } };
+  } cases[] = { { "labels", run_labels },  { "crashes", run_crashes },
+                { "share", run_share },    { "after", run_after },
+                { "spec", run_spec },      { "refused", run_refused },
+                { "moved", run_moved },    { "forgotten", run_forgotten },
+                { "both", run_both },      { "mix", try_mix },
+                { "planner", try_planner } };
 
   if (count != 5)
     return 2;
--- a/review/standin-2/standin.c
+++ b/review/standin-2/standin.c
@@ -90,7 +90,8 @@
   char *lost_path;
   int64_t lost_delay_ms;
   bool has_lost; /* a start */
-  bool refuses;  /* starts, with 503: it is unhealthy */
+  int lost_count;
+  bool refuses; /* starts, with 503: it is unhealthy */
   struct MHD_Daemon *daemon;
 };
 
@@ -1072,7 +1073,14 @@
 
   standin_sleep_ms (order->delay_ms);
   standin_lock ();
-  if (order->w->up && !the_end)
+  /* What reaches no process waits for the next one.  */
+  while (!order->w->up && !the_end)
+    {
+      standin_unlock ();
+      standin_sleep_ms (1);
+      standin_lock ();
+    }
+  if (!the_end)
     {
       if (strcmp (order->path, "/run-start") == 0)
         standin_note ("%s: the late order %s is carried out", order->w->id,
@@ -1116,6 +1124,7 @@
   if (strcmp (path, "/run-start") == 0)
     {
       w->has_lost = true;
+      w->lost_count++;
       standin_note ("%s: %s of %s gets no answer, it is carried out after "
                     "%" G_GINT64_FORMAT " ms",
                     w->id, path, text_of (root, "task"), order->delay_ms);
@@ -1344,6 +1353,12 @@
   return found;
 }
 
+int
+standin_count_lost (int index)
+{
+  return the_workers[index].lost_count;
+}
+
 void
 standin_keep_answers (int index)
 {
--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -75,6 +75,8 @@
 void standin_lose_answers (int index, const char *path, int64_t delay_ms);
 /* Return the index of a worker that has lost the answer to a start, or -1.  */
 int standin_find_losing (void);
+/* Return how many starts worker INDEX has left unanswered.  */
+int standin_count_lost (int index);
 /* Answer them again.  */
 void standin_keep_answers (int index);
 /* Worker INDEX refuses starts with 503, or no longer.  */
