--- a/review/standin-2/cases.c
+++ b/review/standin-2/cases.c
@@ -607,6 +607,76 @@
   return finish (has_two_runs (), "no two runs of a task at the same time");
 }
 
+/* ---- a late start of a task that is done ---- */
+
+/* Return whether a run of a task has begun after one that was done.  */
+static bool
+has_run_again (void)
+{
+  const GPtrArray *runs;
+  bool found = false;
+
+  standin_lock ();
+  runs = standin_runs ();
+  for (guint i = 0; i < runs->len; i++)
+    for (guint j = 0; j < runs->len; j++)
+      {
+        const struct run *a = g_ptr_array_index (runs, i);
+        const struct run *b = g_ptr_array_index (runs, j);
+
+        if (strcmp (a->task, b->task) != 0 || g_strcmp0 (a->how, "done") != 0
+            || b->begun_ms < a->ended_ms)
+          continue;
+        found = true;
+        standin_note ("run %d of %s begins after run %d is done",
+                      (int)b->number, a->task, (int)a->number);
+      }
+  standin_unlock ();
+  return found;
+}
+
+static int
+run_again (void)
+{
+  enum
+  {
+    WORKERS = 7,
+    CRASH_MS = 2000, /* after the unanswered start */
+    DOWN_MS = 1000,
+    LATE_MS = 3000
+  };
+  const char *task = JOB_ID ".0.0.0";
+  const char *body
+      = "{\"spec\":\"work=1000 cpu=1000\",\"steps\":[{\"count\":1,"
+        "\"cpu\":1000,\"memMb\":256,\"estimateMs\":1000}]}";
+  int worker = 0;
+  int64_t sent_ms;
+
+  if (!start_all (WORKERS, 0, LABELS, 0))
+    return give_up ("the entry hosts are not ready");
+  standin_sleep_ms (4000);
+  if (has_trouble ())
+    {
+      worker = submit_unanswered (body, WORKERS, LATE_MS);
+      if (worker >= 0)
+        standin_keep_answers (worker);
+    }
+  else if (!submit (0, JOB_ID, body))
+    worker = -1;
+  sent_ms = standin_now_ms ();
+  if (worker < 0)
+    return give_up ("the job was not started");
+  if (has_trouble ())
+    {
+      if (await_run (task) != worker)
+        return give_up ("the start was not sent again");
+      standin_sleep_ms (CRASH_MS - (standin_now_ms () - sent_ms));
+      standin_crash_worker (worker, DOWN_MS, NULL);
+    }
+  standin_sleep_ms (12000);
+  return finish (has_run_again (), "no start of a task after it is done");
+}
+
 static void
 end_at_once (int number)
 {
@@ -622,12 +692,12 @@
   {
     const char *name;
     int (*run) (void);
-  } cases[] = { { "labels", run_labels },  { "crashes", run_crashes },
-                { "share", run_share },    { "after", run_after },
-                { "spec", run_spec },      { "refused", run_refused },
-                { "moved", run_moved },    { "forgotten", run_forgotten },
-                { "both", run_both },      { "mix", try_mix },
-                { "planner", try_planner } };
+  } cases[] = { { "labels", run_labels }, { "crashes", run_crashes },
+                { "share", run_share },   { "after", run_after },
+                { "spec", run_spec },     { "refused", run_refused },
+                { "moved", run_moved },   { "forgotten", run_forgotten },
+                { "both", run_both },     { "again", run_again },
+                { "mix", try_mix },       { "planner", try_planner } };
 
   if (count != 5)
     return 2;
