--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,8 +1,9 @@
 #!/bin/bash
 # Run the case: 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
-# Needs the build of the deploy file, and review/build-2.sh.
+# With TROUBLE=0 the same without the disruption.  Needs the build of the deploy file, and review/build-2.sh.
 set -u
 cd "$(dirname "$0")/../.."
+export TROUBLE="${TROUBLE:-1}" # read by the stand-ins, has_trouble
 folder=$(mktemp -d) || exit 2
 target/review-2/cases share target/programs/dogwoodpulleyd "$folder" \
   review/6/record.txt &
