Divide limits so that whole tasks and gangs can start

Cause: the planner gave pools that want more than there is equal parts, whatever a start needs. Each pool held a part that was smaller than its next task, and none gave it up. A large task beside a backlog of small ones in another pool, and gangs, waited for ever in the same way.

Change: owners report what the first start by rank needs that has room but not enough share (JB_MSG_QUOTA_NEEDS, a message of its own so that hosts of the previous version go on reading JB_MSG_QUOTA_USAGE). A pool that can start nothing in its fair part claims room for one start; the one that has started nothing for longest comes first, and pools whose claims can't be met keep no more than they use. Shares still grow only by what no pool may have in force, so the limit holds meanwhile.

--- a/packages/jobs/include/jb_msg.h
+++ b/packages/jobs/include/jb_msg.h
@@ -41,7 +41,10 @@
                            owner of the pool to all members, without a list
    JB_MSG_STARTS_LEFT      the reply to that: the last list of a former owner;
                            if there is none, it is sent only if the query
-                           wants a reply  */
+                           wants a reply
+   JB_MSG_QUOTA_NEEDS      what organisations need for their next start in a
+                           pool, from its owner to the planner before a
+                           JB_MSG_QUOTA_USAGE  */
 
 #include "jb_catalog.h"
 #include "jb_doubt.h"
@@ -69,6 +72,7 @@
   JB_MSG_STARTS_KEPT,
   JB_MSG_STARTS_QUERY,
   JB_MSG_STARTS_LEFT,
+  JB_MSG_QUOTA_NEEDS,
   JB_MSG_TYPE_COUNT
 };
 
@@ -222,6 +226,22 @@
   struct jb_msg_org_usage *org_usages;
 };
 
+struct jb_msg_org_need
+{
+  char *org;
+  struct jb_resources needed;
+};
+
+/* What organisations need for a start that only their shares prevent.  Those
+   that are not listed need nothing.  */
+struct jb_msg_needs
+{
+  char *pool;
+  uint64_t fence; /* of the pool's owner */
+  uint32_t count;
+  struct jb_msg_org_need *needs;
+};
+
 struct jb_msg_org_share
 {
   char *org;
@@ -318,6 +338,7 @@
     struct jb_msg_doubts doubts;
     struct jb_msg_starts starts;
     struct jb_msg_starts_left starts_left;
+    struct jb_msg_needs needs;
   } u;
 };
 
--- a/packages/jobs/include/jb_planner.h
+++ b/packages/jobs/include/jb_planner.h
@@ -95,6 +95,8 @@
                              const struct jb_msg_load *load);
 void jb_planner_handle_usage (struct jb_planner *planner, jb_time now,
                               const struct jb_msg_usage *usage);
+void jb_planner_handle_needs (struct jb_planner *planner, jb_time now,
+                              const struct jb_msg_needs *needs);
 
 /* Set the Unix time of the driver clock's origin, in microseconds.  */
 void jb_planner_set_unix_origin (struct jb_planner *planner,
--- a/packages/jobs/include/jb_pool.h
+++ b/packages/jobs/include/jb_pool.h
@@ -215,6 +215,13 @@
 bool jb_pool_report_usage (struct jb_pool *pool, TALLOC_CTX *mem, jb_time now,
                            uint64_t planner_fence, struct jb_msg_usage *usage);
 
+/* Fill NEEDS with what organisations need for their next start in addition to
+   the usage that was reported last, and return true, or return false if
+   nothing is needed now nor was at the last call.  Memory is owned as by
+   jb_pool_report_usage.  */
+bool jb_pool_report_needs (struct jb_pool *pool, TALLOC_CTX *mem,
+                           struct jb_msg_needs *needs);
+
 /* Process the shares of organisations' quotas that a planner assigned to POOL.
    SHARES is borrowed.  */
 void jb_pool_handle_shares (struct jb_pool *pool, jb_time now,
--- a/packages/jobs/src/jb_host.c
+++ b/packages/jobs/src/jb_host.c
@@ -840,6 +840,10 @@
       if (host->planner != NULL)
         jb_planner_handle_usage (host->planner, now, &message->u.usage);
       break;
+    case JB_MSG_QUOTA_NEEDS:
+      if (host->planner != NULL)
+        jb_planner_handle_needs (host->planner, now, &message->u.needs);
+      break;
     case JB_MSG_QUOTA_SHARES:
       jb_host_handle_shares (host, now, &message->u.shares);
       break;
--- a/packages/jobs/src/jb_host_planner.c
+++ b/packages/jobs/src/jb_host_planner.c
@@ -165,6 +165,39 @@
     jb_pool_handle_shares (slot->pool, now, shares);
 }
 
+/* Report to PLANNER what organisations use of the pool of SLOT, and what they
+   need in order to start more, if that is due.  PLANNER is NULL if this host
+   is the planner.  */
+static void
+send_usage (struct jb_host *host, const struct pool_slot *slot,
+            const struct jb_member *planner, jb_time now)
+{
+  struct jb_msg usage = { .type = JB_MSG_QUOTA_USAGE };
+  struct jb_msg needs = { .type = JB_MSG_QUOTA_NEEDS };
+  TALLOC_CTX *scratch = talloc_new (NULL);
+  uint64_t fence
+      = planner == NULL
+            ? jb_planner_fence (host->planner)
+            : jb_members_owner_fence (host->members, JB_PLANNER_PARTITION);
+
+  if (jb_pool_report_usage (slot->pool, scratch, now, fence, &usage.u.usage))
+    {
+      /* The first, so that the limits are divided once.  */
+      if (jb_pool_report_needs (slot->pool, scratch, &needs.u.needs))
+        {
+          if (planner == NULL)
+            jb_planner_handle_needs (host->planner, now, &needs.u.needs);
+          else
+            send_message (host, planner->incarnation, &needs);
+        }
+      if (planner == NULL)
+        jb_planner_handle_usage (host->planner, now, &usage.u.usage);
+      else
+        send_message (host, planner->incarnation, &usage);
+    }
+  talloc_free (scratch);
+}
+
 void
 jb_host_send_usages (struct jb_host *host, jb_time now)
 {
@@ -175,26 +208,10 @@
 
   for (guint i = 0; i < host->pools->len; i++)
     {
-      struct pool_slot *slot = g_ptr_array_index (host->pools, i);
-      struct jb_msg message = { .type = JB_MSG_QUOTA_USAGE };
-      TALLOC_CTX *scratch;
+      const struct pool_slot *slot = g_ptr_array_index (host->pools, i);
 
-      if (!jb_host_slot_is_owned (slot) || (!is_planner && planner == NULL))
-        continue;
-      scratch = talloc_new (NULL);
-      if (jb_pool_report_usage (slot->pool, scratch, now,
-                                is_planner
-                                    ? jb_planner_fence (host->planner)
-                                    : jb_members_owner_fence (
-                                        host->members, JB_PLANNER_PARTITION),
-                                &message.u.usage))
-        {
-          if (is_planner)
-            jb_planner_handle_usage (host->planner, now, &message.u.usage);
-          else
-            send_message (host, planner->incarnation, &message);
-        }
-      talloc_free (scratch);
+      if (jb_host_slot_is_owned (slot) && (is_planner || planner != NULL))
+        send_usage (host, slot, is_planner ? NULL : planner, now);
     }
 }
 
--- a/packages/jobs/src/jb_msg.c
+++ b/packages/jobs/src/jb_msg.c
@@ -121,6 +121,22 @@
                   serialize_org_usage);
 }
 
+static void
+serialize_org_need (struct ba_codec *io, struct jb_msg_org_need *need)
+{
+  ba_codec_required_str (io, &need->org);
+  jb_resources_serialize (io, &need->needed);
+}
+
+static void
+serialize_needs (struct ba_codec *io, struct jb_msg_needs *needs)
+{
+  ba_codec_required_str (io, &needs->pool);
+  ba_codec_u64 (io, &needs->fence);
+  ba_codec_array (io, needs->needs, needs->count, MAX_ORG_COUNT,
+                  serialize_org_need);
+}
+
 static void
 serialize_org_share (struct ba_codec *io, struct jb_msg_org_share *org_share)
 {
@@ -229,6 +245,9 @@
       ba_codec_bool (io, &message->u.starts_left.is_last);
       serialize_starts (io, &message->u.starts_left.starts);
       break;
+    case JB_MSG_QUOTA_NEEDS:
+      serialize_needs (io, &message->u.needs);
+      break;
     case JB_MSG_TYPE_COUNT:
       break;
     }
@@ -289,6 +308,7 @@
           [JB_MSG_STARTS_KEPT] = "starts-kept",
           [JB_MSG_STARTS_QUERY] = "starts-query",
           [JB_MSG_STARTS_LEFT] = "starts-left",
+          [JB_MSG_QUOTA_NEEDS] = "quota-needs",
           [JB_MSG_TYPE_COUNT] = "unreadable" };
 
   return names[type];
--- a/packages/jobs/src/jb_planner_internal.h
+++ b/packages/jobs/src/jb_planner_internal.h
@@ -94,6 +94,8 @@
   char *org;
   struct jb_resources used;
   struct jb_resources wanted;
+  struct jb_resources needed; /* for the next start; 0: it isn't blocked */
+  jb_time blocked_since;      /* as in struct jb_quota_pool */
   struct jb_resources reported_share; /* by the pool's owner */
   struct jb_resources assigned_share; /* by this planner, last */
   struct jb_resources highest_share;  /* that the owner may have in force */
--- a/packages/jobs/src/jb_planner_quota.c
+++ b/packages/jobs/src/jb_planner_quota.c
@@ -214,7 +214,8 @@
 
 /* Divide the limit of ORG among the pools.  */
 static void
-divide_limit (struct jb_planner *planner, const struct jb_org *org)
+divide_limit (struct jb_planner *planner, const struct jb_org *org,
+              jb_time now)
 {
   guint count = g_hash_table_size (planner->quotas);
   struct jb_quota_pool *pools = g_new0 (struct jb_quota_pool, count + 1);
@@ -233,9 +234,11 @@
       pools[n].wanted = org_quota->wanted;
       pools[n].current_share = org_quota->reported_share;
       pools[n].highest_share = org_quota->highest_share;
+      pools[n].needed = org_quota->needed;
+      pools[n].blocked_since = org_quota->blocked_since;
       n++;
     }
-  jb_quota_divide (&org->limit, pools, n);
+  jb_quota_divide (&org->limit, pools, n, now);
   for (guint i = 0; i < n; i++)
     {
       struct org_quota *org_quota
@@ -305,7 +308,7 @@
 
       if (limit->cpu_milli > 0 || limit->memory_mb > 0
           || limit->accelerators > 0)
-        divide_limit (planner, &catalog->orgs[i]);
+        divide_limit (planner, &catalog->orgs[i], now);
     }
   planner->usage_changed = false;
   g_hash_table_iter_init (&iter, planner->quotas);
@@ -349,6 +352,7 @@
           raise_to_maximum (&org_quota->use_bound, &org_quota->highest_share);
           org_quota->assigned_share = (struct jb_resources){ 0 };
           org_quota->is_unsent = false;
+          org_quota->needed = (struct jb_resources){ 0 };
           g_array_set_size (org_quota->unacked_shares, 0);
         }
     }
@@ -361,6 +365,8 @@
       const struct jb_msg_org_usage *report = &usage->org_usages[i];
       struct org_quota *org_quota = get_or_add_org_quota (quota, report->org);
 
+      if (!jb_resources_fit (&report->used, &org_quota->used))
+        org_quota->blocked_since = now; /* it has started something */
       org_quota->used = report->used;
       /* Without a report it may have had no quota, and used anything.  */
       if (org_quota->last_report != quota->reports - 1)
@@ -375,5 +381,39 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     update_highest_share (value, quota->acked_serial);
   planner->usage_changed = true;
-  (void)now;
+}
+
+/* Return what ORG needs for its next start according to NEEDS.  */
+static struct jb_resources
+find_need (const struct jb_msg_needs *needs, const char *org)
+{
+  for (uint32_t i = 0; i < needs->count; i++)
+    if (strcmp (needs->needs[i].org, org) == 0)
+      return needs->needs[i].needed;
+  return (struct jb_resources){ 0 };
+}
+
+void
+jb_planner_handle_needs (struct jb_planner *planner, jb_time now,
+                         const struct jb_msg_needs *needs)
+{
+  static const struct jb_resources nothing;
+  struct pool_quota *quota
+      = g_hash_table_lookup (planner->quotas, needs->pool);
+  GHashTableIter iter;
+  gpointer value;
+
+  if (quota == NULL || needs->fence != quota->fence)
+    return;
+  g_hash_table_iter_init (&iter, quota->orgs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct org_quota *org_quota = value;
+      bool was_blocked = !jb_resources_fit (&org_quota->needed, &nothing);
+
+      org_quota->needed = find_need (needs, org_quota->org);
+      if (!was_blocked)
+        org_quota->blocked_since = now;
+    }
+  planner->usage_changed = true;
 }
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -124,6 +124,9 @@
   /* Of `used', by tasks without a run that a start in doubt may give one.  */
   struct jb_resources in_doubt;
   struct jb_resources wanted; /* by tasks that are ready to start */
+  /* In addition to `used', what the first start by rank needs that has room
+     but not enough share; 0: none.  Of the last cycle.  */
+  struct jb_resources needed;
   struct jb_resources share; /* the pool's share of the organisation's quota */
   /* The sum over the active jobs as far as they are counted.  The three above
      are taken from it by jb_pool_update_usage.  */
@@ -319,6 +322,7 @@
   /* When a probe last listed an orphaned run, which no job needs, or 0.  */
   jb_time orphan_seen_at;
   bool quota_blocked;        /* a task waits for a larger share */
+  bool needs_reported;       /* the last jb_pool_report_needs had any */
   jb_time usage_reported_at; /* 0: never */
   jb_time next_usage_report;
   /* Load.  */
@@ -988,6 +992,12 @@
    exceed the share together, some of them can start nevertheless.  */
 bool jb_pool_check_share_in_doubt (struct jb_pool *pool, struct jb_job *job,
                                    const struct jb_resources *resources);
+/* Note that a start by JOB has room and rank, but needs a larger share: one
+   for RESOURCES in addition.  */
+void jb_pool_note_need (struct jb_pool *pool, struct jb_job *job,
+                        const struct jb_resources *resources);
+/* Forget what was noted.  */
+void jb_pool_forget_needs (struct jb_pool *pool);
 /* Return whether JOB's organisation, which must not be NULL, stays within the
    pool's share of its quota even if all of its tasks that are ready start. The
    usage must have been updated just before.  */
--- a/packages/jobs/src/jb_pool_quota.c
+++ b/packages/jobs/src/jb_pool_quota.c
@@ -142,6 +142,36 @@
   return check_share (pool, job, resources, true);
 }
 
+/* Return whether RESOURCES contain anything.  */
+static bool
+is_any (const struct jb_resources *resources)
+{
+  static const struct jb_resources nothing;
+
+  return !jb_resources_fit (resources, &nothing);
+}
+
+void
+jb_pool_note_need (struct jb_pool *pool, struct jb_job *job,
+                   const struct jb_resources *resources)
+{
+  struct jb_pool_org_usage *org_usage = jb_pool_get_job_usage (pool, job);
+
+  if (!is_any (&org_usage->needed))
+    org_usage->needed = *resources;
+}
+
+void
+jb_pool_forget_needs (struct jb_pool *pool)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, pool->org_usages);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct jb_pool_org_usage *)value)->needed = (struct jb_resources){ 0 };
+}
+
 bool
 jb_pool_covers_demand (struct jb_pool *pool, struct jb_job *job)
 {
@@ -235,3 +265,30 @@
         + (usage->count > 0 ? REPORT_DELAY_LIMITED : REPORT_DELAY_UNLIMITED);
   return true;
 }
+
+bool
+jb_pool_report_needs (struct jb_pool *pool, TALLOC_CTX *mem,
+                      struct jb_msg_needs *needs)
+{
+  bool had_any = pool->needs_reported;
+  GHashTableIter iter;
+  gpointer value;
+
+  *needs = (struct jb_msg_needs){
+    .pool = (char *)pool->options.name,
+    .fence = jb_pool_fence (pool),
+    .needs = talloc_zero_array (mem, struct jb_msg_org_need,
+                                g_hash_table_size (pool->org_usages) + 1)
+  };
+  g_hash_table_iter_init (&iter, pool->org_usages);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct jb_pool_org_usage *org_usage = value;
+
+      if (is_any (&org_usage->needed))
+        needs->needs[needs->count++]
+            = (struct jb_msg_org_need){ org_usage->org, org_usage->needed };
+    }
+  pool->needs_reported = needs->count > 0;
+  return had_any || needs->count > 0;
+}
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -796,6 +796,18 @@
   return backend;
 }
 
+/* Note that GROUP needs RESOURCES in addition to the share, if there is room
+   for TASK, one of its tasks.  */
+static void
+note_need (struct jb_pool *pool, const struct jb_task_group *group,
+           const struct jb_task *task, const struct jb_resources *resources,
+           struct jb_place_room *room)
+{
+  if (jb_place_has_room (room, task, pool->usable_backends,
+                         pool->usable_count))
+    jb_pool_note_need (pool, group->job, resources);
+}
+
 /* Start the tasks of GROUP that fit somewhere.  Return the number of started
    tasks.  ROOM is that of this cycle.  */
 static uint32_t
@@ -812,10 +824,16 @@
 
       if (!is_startable (pool, task, now))
         continue;
-      if (!(jb_pool_find_doubt (pool, task) != NULL
-                ? jb_pool_check_share_in_doubt (pool, group->job, &resources)
-                : jb_pool_check_share (pool, group->job, &resources)))
-        break;
+      if (jb_pool_find_doubt (pool, task) != NULL)
+        {
+          if (!jb_pool_check_share_in_doubt (pool, group->job, &resources))
+            break;
+        }
+      else if (!jb_pool_check_share (pool, group->job, &resources))
+        {
+          note_need (pool, group, task, &resources, room);
+          break;
+        }
       backend = choose_backend (pool, task, room, now);
       if (backend == NULL && task->in_doubt)
         continue;
@@ -845,9 +863,10 @@
 
 /* Return whether the gang GROUP may start within the share of its
    organisation.  What its members in doubt need is part of what the
-   organisation uses.  */
+   organisation uses.  ROOM is that of this cycle.  */
 static bool
-check_share_of_gang (struct jb_pool *pool, const struct jb_task_group *group)
+check_share_of_gang (struct jb_pool *pool, const struct jb_task_group *group,
+                     struct jb_place_room *room)
 {
   struct jb_resources all = sum_resources (group, group->task_count);
   struct jb_resources others;
@@ -856,9 +875,13 @@
   for (uint32_t i = 0; i < group->task_count; i++)
     in_doubt += jb_pool_find_doubt (pool, &group->tasks[i]) != NULL;
   others = sum_resources (group, group->task_count - in_doubt);
-  return (in_doubt == group->task_count
-          || jb_pool_check_share (pool, group->job, &others))
-         && jb_pool_check_share_in_doubt (pool, group->job, &all);
+  if (in_doubt < group->task_count
+      && !jb_pool_check_share (pool, group->job, &others))
+    {
+      note_need (pool, group, &group->tasks[0], &others, room);
+      return false;
+    }
+  return jb_pool_check_share_in_doubt (pool, group->job, &all);
 }
 
 /* Start all tasks of the gang GROUP if all fit at the same time, else none.
@@ -880,7 +903,7 @@
     if (!is_startable (pool, &group->tasks[i], now)
         || !jb_pool_try_renumber (pool, &group->tasks[i], now))
       return 0;
-  if (!check_share_of_gang (pool, group))
+  if (!check_share_of_gang (pool, group, room))
     return 0;
   while (placed < group->task_count)
     {
@@ -1034,6 +1057,7 @@
   limit = MIN (limit - queued, MAX_STARTS_PER_CYCLE);
   pool->schedule_due = false;
   jb_pool_collect_usable_backends (pool, now);
+  jb_pool_forget_needs (pool);
   if (pool->usable_count == 0)
     return;
   jb_pool_update_usage (pool);
--- a/packages/jobs/tests/test_jb_policies.c
+++ b/packages/jobs/tests/test_jb_policies.c
@@ -105,7 +105,7 @@
   for (int i = 0; i < POOL_COUNT - 1; i++)
     pools[i].highest_share.cpu_milli = JB_QUOTA_UNLIMITED;
   pools[POOL_COUNT - 1].wanted.cpu_milli = 5000;
-  jb_quota_divide (&quota, pools, POOL_COUNT);
+  jb_quota_divide (&quota, pools, POOL_COUNT, 0);
   CU_ASSERT_EQUAL (pools[POOL_COUNT - 1].share.cpu_milli, 0);
 }
 
@@ -122,20 +122,84 @@
             .highest_share = { 1000, 0, 0 } },
           { .highest_share = { 1000, 0, 0 } } };
 
-  jb_quota_divide (&quota, pools, 3);
+  jb_quota_divide (&quota, pools, 3, 0);
   /* The first pool's share is reduced.  The second gains nothing until the
      first has acknowledged that.  */
   CU_ASSERT (pools[0].share.cpu_milli < 8000);
   CU_ASSERT_EQUAL (pools[1].share.cpu_milli, 1000);
   CU_ASSERT_EQUAL (pools[1].share.memory_mb, JB_QUOTA_UNLIMITED);
   pools[0].highest_share = pools[0].share;
-  jb_quota_divide (&quota, pools, 3);
+  jb_quota_divide (&quota, pools, 3, 0);
   CU_ASSERT (pools[1].share.cpu_milli > 6000);
   CU_ASSERT (pools[0].highest_share.cpu_milli + pools[1].share.cpu_milli
                  + pools[2].highest_share.cpu_milli
              <= 10000);
 }
 
+/* A standstill: equal parts of the limit that are smaller than the next start
+   of each pool.  Of the pools that have been blocked for the same time the
+   first ones get room, and then the one that has waited since.  */
+static void
+test_quota_of_large_starts (void)
+{
+  enum
+  {
+    POOL_COUNT = 4
+  };
+  struct jb_resources quota = { 8000, 0, 0 };
+  struct jb_quota_pool pools[POOL_COUNT] = { 0 };
+
+  for (int i = 0; i < POOL_COUNT; i++)
+    {
+      pools[i].wanted.cpu_milli = 9600;
+      pools[i].needed.cpu_milli = 2400;
+    }
+  jb_quota_divide (&quota, pools, POOL_COUNT, 0);
+  for (int i = 0; i < POOL_COUNT; i++)
+    {
+      bool is_first = i < POOL_COUNT - 1;
+
+      CU_ASSERT_EQUAL (pools[i].share.cpu_milli, is_first ? 2400 : 0);
+      pools[i].highest_share = pools[i].share;
+      if (!is_first)
+        continue;
+      pools[i].used.cpu_milli = 2400;
+      pools[i].wanted.cpu_milli -= 2400;
+      pools[i].blocked_since = JB_MS;
+    }
+  /* A task has ended.  The pool may not start another one.  */
+  pools[1].used.cpu_milli = 0;
+  jb_quota_divide (&quota, pools, POOL_COUNT, JB_SECOND);
+  CU_ASSERT (pools[1].share.cpu_milli < 2400);
+  pools[1].highest_share = pools[1].share;
+  jb_quota_divide (&quota, pools, POOL_COUNT, JB_SECOND);
+  CU_ASSERT_EQUAL (pools[POOL_COUNT - 1].share.cpu_milli, 2400);
+}
+
+/* A pool that uses most of its part may claim room for a start only after a
+   while, and one that needs more than the limit may not at all: it would keep
+   the others from starting.  */
+static void
+test_quota_claims (void)
+{
+  struct jb_resources quota = { 8000, 0, 0 };
+  struct jb_quota_pool pools[2] = { { .used = { 3000, 0, 0 },
+                                      .wanted = { 6000, 0, 0 },
+                                      .needed = { 2000, 0, 0 },
+                                      .highest_share = { 3000, 0, 0 } },
+                                    { .used = { 3000, 0, 0 },
+                                      .wanted = { 9000, 0, 0 },
+                                      .needed = { 6000, 0, 0 },
+                                      .highest_share = { 3000, 0, 0 } } };
+
+  jb_quota_divide (&quota, pools, 2, JB_QUOTA_CLAIM_DELAY - 1);
+  CU_ASSERT_EQUAL (pools[0].share.cpu_milli, 4000);
+  CU_ASSERT_EQUAL (pools[1].share.cpu_milli, 4000);
+  jb_quota_divide (&quota, pools, 2, JB_QUOTA_CLAIM_DELAY);
+  CU_ASSERT_EQUAL (pools[0].share.cpu_milli, 5000);
+  CU_ASSERT_EQUAL (pools[1].share.cpu_milli, 3000);
+}
+
 /* Surges that come to the pools in turn must be forecast from the second round
    on.  Without records no surge is forecast.  */
 static void
@@ -627,6 +691,8 @@
     { "small late jobs go first", test_rank_late },
     { "jobs that can't be done are refused", test_admission },
     { "shares stay within the quota", test_quota },
+    { "shares hold whole starts", test_quota_of_large_starts },
+    { "claims on a quota", test_quota_claims },
     { "a quota is new while pools have unlimited shares", test_new_quota },
     { "recurring surges are forecast", test_forecast },
     { "hosts move to a pool in need", test_rebalance },
