Tell successors of the leases that next incarnations have taken

Cause: a command that was computed for the clock of the former incarnation gets the longest lease that the platform allows from the next one. A successor that reached it before the cut expected 3.5 s too.

Change: lists for the witness, the row `leases' and the row `runs' of a handover name backend servers with such a lease; a list is sent and the row written when the restart is seen. A successor holds the tasks that may run there if it is silent. At its first answer a young backend server is expected to have the longest lease. The row of leases is written before rows of starts are removed.

--- a/Makefile
+++ b/Makefile
@@ -66,6 +66,8 @@
 	BIN=$(BUILD) bash tests/process/clients.sh
 	$(BUILD)/soak/process_soak --stops --network 88 --directory run/stops \
 	  --program $(BUILD)/programs/dogwoodpulleyd
+	$(BUILD)/soak/process_soak --restarts --hosts 4 --network 87 --directory run/restarts \
+	  --program $(BUILD)/programs/dogwoodpulleyd
 	$(MAKE) process-soak SEED=8 RUNS=2
 
 # Run entry hosts as real processes with random faults, two seeds at a time:
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -1012,9 +1012,10 @@
   due = MIN (due, jb_pool_release_loaded_jobs (pool, now));
   jb_pool_schedule (pool, now);
   jb_pool_write_roster (pool, now);
+  /* Before rows of starts are removed, on whose runs the leases are.  */
+  due = MIN (due, jb_pool_write_leases (pool, now));
   due = MIN (due, jb_pool_run_starts (pool, now));
   due = MIN (due, jb_pool_write_doubts (pool, now));
-  due = MIN (due, jb_pool_write_leases (pool, now));
   due = MIN (due, jb_pool_send_doubts (pool, now));
   jb_pool_write_dirty_jobs (pool, now);
   due = MIN (due, jb_pool_send_grants (pool, now));
--- a/packages/jobs/src/jb_pool_handover.c
+++ b/packages/jobs/src/jb_pool_handover.c
@@ -275,13 +275,15 @@
   talloc_free (scratch);
 }
 
-/* Return whether a successor may find BACKEND silent as this owner does, or
-   whether it is not known what runs there.  */
+/* Return whether a successor may find BACKEND silent as this owner does,
+   whether it is not known what runs there, or whether that may go on for
+   longer than a successor expects if it is silent then.  */
 static bool
-is_silent (const struct jb_backend *backend)
+is_silent (const struct jb_backend *backend, jb_time now)
 {
   return backend->unanswered_probes > 0 || !backend->probed
-         || backend->may_get_old_commands;
+         || backend->may_get_old_commands
+         || jb_pool_has_long_lease (backend, now);
 }
 
 /* Add the tasks that may run on BACKEND to SAVED, whose array has room.
@@ -394,7 +396,7 @@
   saved.silent = talloc_zero_array (scratch, struct jb_silent_backend,
                                     backends->len + 1);
   for (guint i = 0; i < backends->len; i++)
-    if (is_silent (g_ptr_array_index (backends, i)))
+    if (is_silent (g_ptr_array_index (backends, i), now))
       task_count += add_silent_backend (
           scratch, g_ptr_array_index (backends, i), &saved);
   fits = task_count <= MAX_HANDOVER_TASKS
--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -628,6 +628,9 @@
 void jb_pool_remove_start_rows (struct jb_pool *pool, jb_time now);
 /* Less may be open than the witness was told.  */
 void jb_pool_note_list_changed (struct jb_pool *pool);
+/* There is a long lease that no list has: the next one is sent as soon as
+   possible, and earlier ones don't replace a row that has it.  */
+void jb_pool_note_lease_unlisted (struct jb_pool *pool);
 /* Return the number of the last list for the witness.  */
 uint64_t jb_pool_list_serial (const struct jb_pool *pool);
 /* Tell the witness of the grants that are about to be sent to the backend
@@ -697,6 +700,17 @@
 /* Let these tasks start once the backend servers have answered, are gone, or
    their leases have expired.  */
 void jb_pool_release_held_tasks (struct jb_pool *pool, jb_time now);
+/* Return whether BACKEND may have a lease that a successor of its owner
+   wouldn't expect.  */
+bool jb_pool_has_long_lease (const struct jb_backend *backend, jb_time now);
+/* A backend server may have such a lease: pass that on soon.  */
+void jb_pool_note_long_lease (struct jb_pool *pool);
+/* BACKEND has answered for the first time, with CLOCK_MS as its clock: expect
+   the lease that a former owner may have granted.  One that was meant for the
+   previous incarnation of a young backend server is the longest possible.  */
+void jb_pool_expect_left_lease (struct jb_pool *pool,
+                                struct jb_backend *backend, jb_time now,
+                                int64_t clock_ms);
 /* Return whether tasks wait for BACKEND, or for any, after the scan.  */
 bool jb_pool_is_held_backend (const struct jb_pool *pool,
                               const struct jb_backend *backend);
--- a/packages/jobs/src/jb_pool_leases.c
+++ b/packages/jobs/src/jb_pool_leases.c
@@ -10,8 +10,15 @@
    takeover.  That the platform doesn't list a backend server ends no wait: it
    may be cut off and carry out what it has received.
 
+   A backend server that has restarted under its name may have a lease that is
+   longer than those that owners ask for: a command that was computed for the
+   clock of its previous incarnation asks for a time far ahead on the new one,
+   and gets the longest lease that the platform allows.  Its owner knows when
+   it sees the restart.  Long leases are passed on in the same way.
+
    Expected load: no row and no entry in most pools; while many commands are
-   late, all of 85 backend servers, with a row of 2 KB each 10 s.  */
+   late, all of 85 backend servers, with a row of 2 KB each 10 s.  After a
+   restart an entry for a few seconds.  */
 
 #include "jb_pool_internal.h"
 
@@ -36,10 +43,14 @@
   char *instance;
   uint32_t grants; /* commands without an answer */
   jb_time until;   /* when their leases have expired, however late they are */
+  /* When the long lease that it may have expires; 0: it has none.  */
+  jb_time long_until;
   /* If a former owner has sent some: until when they may have extended a lease
      that it had confirmed, else 0.  */
   jb_time held_until;
-  uint32_t stored_grants; /* in the last row that was queued */
+  /* In the last row that was queued.  */
+  uint32_t stored_grants;
+  jb_time stored_long_until;
 };
 
 struct jb_pool_leases
@@ -125,16 +136,42 @@
 }
 
 /* Return when the leases of commands that were sent at SENT_AT have expired,
-   however late they arrive.  */
+   however late they arrive, and at whichever incarnation.  */
 static jb_time
-late_leases_end (jb_time sent_at)
+late_leases_end (const struct jb_pool *pool, jb_time sent_at)
 {
   return sent_at + JB_MAX_COMMAND_DELAY
-         + jb_backend_lease_time (JB_RUN_LEASE_MS);
+         + jb_backend_lease_time (pool->options.bounds->max_lease_ms);
+}
+
+/* Return when the lease of BACKEND expires if a successor wouldn't expect one
+   that lasts as long at NOW, else 0.  */
+static jb_time
+long_lease_end (const struct jb_backend *backend, jb_time now)
+{
+  jb_time until = jb_lease_confirmed_until (backend->lease);
+  jb_time expected = now + jb_backend_lease_time (JB_RUN_LEASE_MS)
+                     + JB_LEASE_MARGIN_MS * JB_MS;
+
+  return until > expected ? until : 0;
+}
+
+bool
+jb_pool_has_long_lease (const struct jb_backend *backend, jb_time now)
+{
+  return long_lease_end (backend, now) != 0;
+}
+
+void
+jb_pool_note_long_lease (struct jb_pool *pool)
+{
+  pool->leases->next_check = 0;
+  jb_pool_note_lease_unlisted (pool);
 }
 
 /* Add the backend servers with a command with a lease that has had no answer
-   for MIN_AGE.  Return when the next one has, or JB_NEVER.  */
+   for MIN_AGE, and those with a long lease.  Return when the next one has, or
+   JB_NEVER.  */
 static jb_time
 add_own_backends (struct jb_pool *pool, jb_time now, jb_time min_age)
 {
@@ -145,13 +182,18 @@
     {
       const struct jb_backend *backend = g_ptr_array_index (backends, i);
       jb_time since = jb_lease_waiting_since (backend->lease, now);
+      jb_time long_until = long_lease_end (backend, now);
 
       if (since != 0 && now < since + min_age)
         next = MIN (next, since + min_age);
       else if (since != 0)
         add_late_backend (pool->leases, backend->instance,
                           count_open_grants (backend, now, now - min_age + 1),
-                          late_leases_end (now));
+                          late_leases_end (pool, now));
+      if (long_until != 0)
+        add_late_backend (pool->leases, backend->instance, 0, long_until)
+            ->long_until
+            = long_until;
     }
   return next;
 }
@@ -187,12 +229,21 @@
     {
       const struct late_backend *late = value;
 
-      if (late->grants > late->stored_grants)
+      if (late->grants > late->stored_grants
+          || late->long_until > late->stored_long_until)
         return true;
     }
   return false;
 }
 
+/* Return how many milliseconds remain from NOW to UNTIL, rounded up; 0 if that
+   has passed.  */
+static uint32_t
+remaining_ms (jb_time until, jb_time now)
+{
+  return until > now ? (uint32_t)((until - now) / JB_MS) + 1 : 0;
+}
+
 static void
 handle_row_written (void *data, jb_time now)
 {
@@ -224,10 +275,13 @@
       struct late_backend *late = value;
 
       late->stored_grants = late->grants;
+      late->stored_long_until = late->long_until;
       if (saved.count < MAX_LATE_BACKENDS)
-        saved.backends[saved.count++]
-            = (struct jb_open_grants){ .instance = late->instance,
-                                       .grants = late->grants };
+        saved.backends[saved.count++] = (struct jb_open_grants){
+          .instance = late->instance,
+          .grants = late->grants,
+          .remaining_ms = remaining_ms (late->long_until, now)
+        };
     }
   saved.list_serial = jb_pool_list_serial (pool);
   is_empty = saved.count == 0;
@@ -279,14 +333,33 @@
 add_left_grants (struct jb_pool *pool, const struct jb_open_grants *left,
                  jb_time sent_before, jb_time held_until)
 {
-  jb_time until = late_leases_end (sent_before);
+  jb_time until = late_leases_end (pool, sent_before);
   struct late_backend *late
       = add_late_backend (pool->leases, left->instance, left->grants, until);
+  struct jb_backend *backend
+      = g_hash_table_lookup (pool->backends, left->instance);
 
   late->held_until = MAX (late->held_until, MIN (held_until, until));
+  if (backend != NULL)
+    jb_lease_confirm (backend->lease, late->held_until);
   return late;
 }
 
+void
+jb_pool_expect_left_lease (struct jb_pool *pool, struct jb_backend *backend,
+                           jb_time now, int64_t clock_ms)
+{
+  const struct late_backend *late
+      = g_hash_table_lookup (pool->leases->late, backend->instance);
+  int64_t max_lease_ms = pool->options.bounds->max_lease_ms;
+  bool is_young = clock_ms < JB_MAX_COMMAND_DELAY / JB_MS + max_lease_ms;
+
+  jb_backend_expect_lease (backend, now,
+                           is_young ? max_lease_ms : JB_RUN_LEASE_MS);
+  if (late != NULL)
+    jb_lease_confirm (backend->lease, late->held_until);
+}
+
 void
 jb_pool_add_left_grants (struct jb_pool *pool, jb_time now,
                          const struct jb_msg_starts *list)
@@ -330,14 +403,14 @@
       uint32_t open = count_open_grants (backend, now, JB_NEVER) + is_due;
       jb_time until = late != NULL ? late->held_until : 0;
 
-      if (open > 0)
+      if (open > 0 || jb_pool_has_long_lease (backend, now))
         until = MAX (until, MAX (jb_backend_leases_expire_at (backend), now)
                                 + (is_due ? full : 0));
       if (until > now)
         grants[count++] = (struct jb_open_grants){
           .instance = backend->instance,
           .grants = open > 0 || late == NULL ? open : late->grants,
-          .remaining_ms = (uint32_t)((until - now) / JB_MS) + 1
+          .remaining_ms = remaining_ms (until, now)
         };
     }
   return count;
@@ -371,10 +444,11 @@
     {
       /* The predecessor sends the last ones before predecessor_until, and they
          extend the lease that it had confirmed one after the other.  */
+      jb_time full = jb_backend_lease_time (JB_RUN_LEASE_MS);
       jb_time sent_before = MAX (now, pool->predecessor_until);
-      jb_time extended = sent_before
-                         + (1 + (jb_time)saved.backends[i].grants)
-                               * jb_backend_lease_time (JB_RUN_LEASE_MS);
+      jb_time confirmed = MAX (sent_before + full,
+                               now + saved.backends[i].remaining_ms * JB_MS);
+      jb_time extended = confirmed + (jb_time)saved.backends[i].grants * full;
       struct late_backend *late = add_left_grants (
           pool, &saved.backends[i], sent_before, is_replaced ? 0 : extended);
 
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -385,6 +385,7 @@
   /* A lease on the former clock is as long as possible on the new one.  */
   jb_backend_expect_other_clock (backend, now,
                                  pool->options.bounds->max_lease_ms);
+  jb_pool_note_long_lease (pool);
 }
 
 /* BACKEND has restarted, as REPLY shows: discard what is known about its
@@ -441,6 +442,7 @@
 {
   backend->may_get_old_commands = false;
   jb_backend_expect_lease (backend, now, pool->options.bounds->max_lease_ms);
+  jb_pool_note_long_lease (pool);
   jb_pool_clear_lost_runs (pool, backend, now, JB_LOSS_RESTARTED);
 }
 
@@ -466,9 +468,8 @@
   if (reply->backend_clock_ms < backend->probe_clock_ms)
     return;
   backend->probe_clock_ms = reply->backend_clock_ms;
-  /* The runs may have a lease of a former owner.  */
   if (backend->clock_received_at == 0)
-    jb_backend_expect_lease (backend, now, JB_RUN_LEASE_MS);
+    jb_pool_expect_left_lease (pool, backend, now, reply->backend_clock_ms);
   jb_backend_record_clock (backend, now, reply->backend_clock_ms);
   backend->unanswered_probes = 0;
   backend->awaited_since = 0;
--- a/packages/jobs/src/jb_pool_starts.c
+++ b/packages/jobs/src/jb_pool_starts.c
@@ -78,6 +78,7 @@
   jb_time told_at;
   jb_time waiting_since; /* of the first start in `told' */
   bool has_changed;      /* commands have been answered since the last check */
+  bool lacks_lease;      /* a list is due because of a long lease */
   /* The last list that asked for a reply, and when the last such list was
      sent that was answered; 0: none.  */
   uint64_t asked_serial;
@@ -346,6 +347,7 @@
       starts->asked_at = 0;
     }
   starts->witness = witness;
+  starts->lacks_lease = false;
   starts->serial++;
   starts->told_count
       = message.count + sum_grants (message.grants, message.grant_count);
@@ -450,6 +452,8 @@
       if (is_witness_confirmed (starts, now))
         send_starts (pool, starts->told, now);
     }
+  if (starts->lacks_lease)
+    tell_witness (pool, now, NULL);
   if (starts->told->len > 0)
     return starts->waiting_since + WITNESS_TIMEOUT;
   if (starts->told_count == 0 || !starts->has_changed)
@@ -468,6 +472,13 @@
   pool->starts->has_changed = true;
 }
 
+void
+jb_pool_note_lease_unlisted (struct jb_pool *pool)
+{
+  pool->starts->serial++;
+  pool->starts->lacks_lease = true;
+}
+
 uint64_t
 jb_pool_list_serial (const struct jb_pool *pool)
 {
--- a/soak/process_soak.c
+++ b/soak/process_soak.c
@@ -5,7 +5,7 @@
    does, and every tenth has many entry hosts.
 
    Or plays a fixed scenario: process_soak --demo, process_soak --stops,
-   process_soak --idle
+   process_soak --restarts, process_soak --idle
 
    Exit status 0 if there was neither a violation nor a crash.  After the first
    seed that fails, the program ends and leaves the logs in the directory.  */
@@ -38,9 +38,16 @@
   /* They have had a first answer when the signal comes, and go on for somewhat
      longer than a stop may take.  */
   CLIENT_DELAY_MS = 600,
-  CLIENT_DURATION_MS = 2200
+  CLIENT_DURATION_MS = 2200,
+  RESTART_ROUNDS = 4,
+  RESTARTED_BACKENDS = 3
 };
 
+/* How long restarted backend servers are cut off, and longest time until one
+   of them runs a task.  */
+#define RESTART_CUT_TIME (9 * JB_SECOND)
+#define RESTART_START_LIMIT (5 * JB_SECOND)
+
 /* Time for the jobs to end after the last fault, as in jw_soak.c.  */
 #define RECOVERY_TIME (80 * JB_SECOND)
 
@@ -54,6 +61,7 @@
   bool plain;
   bool demo;
   bool stops;
+  bool restarts;
   bool idle;
   bool keep;
   uint32_t hosts; /* of the fixed scenarios */
@@ -72,6 +80,10 @@
   { "demo", 'D', NULL, 0, "Demonstrate jobs while entry hosts fail", 0 },
   { "stops", 'S', NULL, 0,
     "Stop entry hosts in turn, as planned, while the store is slow", 0 },
+  { "restarts", 'R', NULL, 0,
+    "Restart backend servers under their names and cut them off, and stop or "
+    "kill the owner of their pool",
+    0 },
   { "idle", 'i', NULL, 0, "Run entry hosts without load until interrupted",
     0 },
   { "hosts", 'h', "N", 0, "Entry hosts of a fixed scenario (3)", 0 },
@@ -120,6 +132,9 @@
     case 'S':
       arguments->stops = true;
       return 0;
+    case 'R':
+      arguments->restarts = true;
+      return 0;
     case 'i':
       arguments->idle = true;
       arguments->keep = true;
@@ -380,6 +395,20 @@
                          host, result.unanswered, (int)result.max_age_ms);
 }
 
+/* Wait until all jobs have ended, or for RECOVERY_TIME.  */
+static void
+wait_for_jobs (struct jw_world *world)
+{
+  jb_time recovered_by = world->now + RECOVERY_TIME;
+
+  do
+    {
+      jw_query_all_jobs (world);
+      jw_advance (world, JB_SECOND);
+    }
+  while (world->now < recovered_by && !jw_have_all_jobs_settled (world));
+}
+
 /* Stop all entry hosts in turn, every second one with a fraction of a core.  A
    submission takes about a second, so that each of them always has calls that
    wait, and clients keep connections open until the process is gone.  */
@@ -388,7 +417,6 @@
                     struct ps_harness *harness, struct jw_world *world)
 {
   static const jb_time store_delay = 400 * JB_MS;
-  jb_time recovered_by;
 
   jw_advance (world, 4 * JB_SECOND);
   world->store_delay = store_delay;
@@ -411,13 +439,74 @@
       submit_jobs (world, JOBS_PER_STOP / 3);
     }
   world->store_delay = 0;
-  recovered_by = world->now + RECOVERY_TIME;
-  do
+  wait_for_jobs (world);
+  jw_check_final_states (world);
+}
+
+/* Restart RESTARTED_BACKENDS backend servers of the first pool, submit a job
+   of which some starts are meant for their former incarnations, and wait until
+   one of them has a run.  Return whether one has.  */
+static bool
+start_after_restart (struct jw_world *world, struct jw_backend **restarted)
+{
+  static const struct jw_job_options job = { .step_count = 1,
+                                             .tasks_per_step = 8,
+                                             .cpu_milli = 4000,
+                                             .duration_ms = 12000 };
+  jb_time limit = world->now + RESTART_START_LIMIT;
+  guint runs = 0;
+
+  for (uint32_t i = 0; i < RESTARTED_BACKENDS; i++)
     {
-      jw_query_all_jobs (world);
-      jw_advance (world, JB_SECOND);
+      restarted[i] = jw_find_backend (world, 0, i);
+      jw_backend_restart (world, restarted[i]);
     }
-  while (world->now < recovered_by && !jw_have_all_jobs_settled (world));
+  jw_submit_job (world, &job);
+  while (runs == 0 && world->now < limit)
+    {
+      jw_advance (world, JB_MS);
+      for (uint32_t i = 0; i < RESTARTED_BACKENDS; i++)
+        runs += restarted[i]->runs->len;
+    }
+  return runs > 0;
+}
+
+/* Let backend servers restart under their names and cut them off soon after,
+   while the owner of their pool is stopped, or killed and started again.  */
+static void
+run_restarts_scenario (const struct arguments *arguments,
+                       struct jw_world *world)
+{
+  GRand *random = g_rand_new_with_seed (arguments->seed);
+  uint32_t hit_rounds = 0;
+
+  jw_advance (world, 4 * JB_SECOND);
+  for (uint32_t i = 0; i < RESTART_ROUNDS; i++)
+    {
+      struct jw_backend *restarted[RESTARTED_BACKENDS];
+      jb_time cut_delay = g_rand_int_range (random, 5, 1400) * JB_MS;
+      uint32_t owner;
+
+      hit_rounds += start_after_restart (world, restarted);
+      jw_advance (world, cut_delay);
+      for (uint32_t j = 0; j < RESTARTED_BACKENDS; j++)
+        restarted[j]->unreachable = true;
+      owner = (uint32_t)MAX (jw_pool_owner (world, 0), 0);
+      if (i % 2 == 0)
+        jw_host_stop (world, owner);
+      else
+        jw_host_kill (world, owner);
+      jw_advance (world, g_rand_int_range (random, 50, 1000) * JB_MS);
+      jw_host_start (world, owner);
+      jw_advance (world, RESTART_CUT_TIME);
+      for (uint32_t j = 0; j < RESTARTED_BACKENDS; j++)
+        restarted[j]->unreachable = false;
+      wait_for_jobs (world);
+    }
+  printf ("restarts: tasks ran on restarted backend servers in %u of %d "
+          "rounds\n",
+          hit_rounds, (int)RESTART_ROUNDS);
+  g_rand_free (random);
   jw_check_final_states (world);
 }
 
@@ -442,6 +531,8 @@
   ps_harness_set_world (harness, world);
   if (arguments->stops)
     run_stops_scenario (arguments, harness, world);
+  else if (arguments->restarts)
+    run_restarts_scenario (arguments, world);
   else if (arguments->idle)
     jw_advance (world, 4 * JB_SECOND);
   else
@@ -457,9 +548,10 @@
   failures += ps_harness_take_crash_count (harness);
   talloc_free (harness);
   printf ("%s of jobs: %u violations or crashes\n",
-          arguments->stops  ? "stops"
-          : arguments->idle ? "idle"
-                            : "demo",
+          arguments->stops      ? "stops"
+          : arguments->restarts ? "restarts"
+          : arguments->idle     ? "idle"
+                                : "demo",
           failures);
   return failures == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
@@ -481,7 +573,8 @@
           .runs = 1 };
 
   argp_parse (&argp, argc, argv, 0, NULL, &arguments);
-  return arguments.demo || arguments.stops || arguments.idle
+  return arguments.demo || arguments.stops || arguments.restarts
+                 || arguments.idle
              ? run_scenario (&arguments)
              : run_seeds (&arguments);
 }
--- a/tests/sim/jobs/jw_backend.c
+++ b/tests/sim/jobs/jw_backend.c
@@ -37,10 +37,6 @@
 /* How long the members of a gang wait for the last one to start.  */
 #define GANG_TIMEOUT (3 * JB_SECOND)
 
-/* Longest lease on a backend server's clock: max_lease_ms of the entry hosts
-   (jw_host_start).  */
-#define MAX_LEASE_MS 6000
-
 /* Shortest time between commands of two planners to a host: command_lease_ms
    of the entry hosts (jw_host_start).  */
 #define COMMAND_LEASE (3 * JB_SECOND)
@@ -333,16 +329,16 @@
              JB_OUTCOME_LEASE_EXPIRED);
 }
 
-/* Extend the lease to UNTIL_MS on the clock of BACKEND, but to MAX_LEASE_MS
-   from now at most, unless it is longer already.  */
+/* Extend the lease to UNTIL_MS on the clock of BACKEND, but to the longest
+   lease from now at most, unless it is longer already.  */
 static void
 extend_lease (struct jw_world *world, struct jw_backend *backend,
               int64_t until_ms)
 {
   int64_t left;
 
-  until_ms = MIN (until_ms,
-                  jw_backend_clock_ms (backend, world->now) + MAX_LEASE_MS);
+  until_ms = MIN (until_ms, jw_backend_clock_ms (backend, world->now)
+                                + world->options.max_lease_ms);
   if (until_ms <= backend->lease_until_ms)
     return;
   backend->lease_until_ms = until_ms;
--- a/tests/sim/jobs/jw_world.c
+++ b/tests/sim/jobs/jw_world.c
@@ -437,7 +437,7 @@
           .zone = "zone",
           .address = host->name,
           .bounds
-          = { .max_lease_ms = 6000,
+          = { .max_lease_ms = world->options.max_lease_ms,
               .max_stop_ms = 500,
               .gang_timeout_ms = 3000,
               .unavailable_after_ms = 4500,
@@ -698,6 +698,8 @@
   struct jw_world *world = talloc_zero (NULL, struct jw_world);
 
   world->options = *options;
+  if (options->max_lease_ms == 0)
+    world->options.max_lease_ms = JW_MAX_LEASE_MS;
   world->now = 1000 * JB_SECOND;
   if (options->external_hosts != NULL)
     world->now = options->external_hosts->wait_until (
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -32,6 +32,9 @@
   JW_MAX_STARTS_AFTER_CRASHES = 3
 };
 
+/* The longest lease of a backend server unless a test sets another one.  */
+#define JW_MAX_LEASE_MS 6000
+
 /* Share of a processor, in thousandths, and bandwidth of the link of a large
    and of a small entry host (jw_options.small_hosts).  */
 #define JW_LARGE_CPU_SHARE_MILLI (500)
@@ -97,6 +100,8 @@
      host, as those of hosts of the previous version always do.  */
   bool unbound_links;
   int64_t max_delay_ms; /* of a command that is carried out late; 0: 6000 */
+  int64_t max_lease_ms; /* longest lease of a backend server; 0:
+                           JW_MAX_LEASE_MS */
   enum jw_late_leases late_leases; /* while jw_world.late_lease_permille is
                                       not 0 */
   bool verbose;                    /* print the log lines of entry hosts */
