Watch for restarts while starts may be forgotten

Cause: a start is known to its owner and one witness until it has had no answer for 25 ms. When all entry hosts are killed before, the next owner starts the task elsewhere. Only its fencing token bars the late start, and a restart of the backend server forgets that; the owner doesn't probe one without tasks, and reads the list of backend servers once a second.

Change: an owner that learns that the witness of its predecessor has ended, or is silent, probes the inherited backend servers for 12.5 s: each probe waits for 250 ms, and is repeated after 25 ms if it fails. A start that is carried out before the first answer after the restart still runs (docs/design/starts-in-doubt.md).

--- a/packages/jobs/src/jb_pool_internal.h
+++ b/packages/jobs/src/jb_pool_internal.h
@@ -273,6 +273,7 @@
   jb_time restart_seen_at;   /* of any backend server */
   jb_time restarts_expected_until; /* see jb_pool_restarts.c */
   bool has_restarts_row;
+  jb_time restarts_watched_until; /* see jb_pool_watch_for_restarts */
   /* When the next group of grants is due, and which was the last one.  */
   jb_time next_grants;
   uint32_t grant_group;
@@ -607,6 +608,14 @@
 /* Remove that row if none has restarted for a while.  */
 void jb_pool_expire_restarts (struct jb_pool *pool, jb_time now);
 
+/* Starts of a former owner may be carried out that nobody knows of any more,
+   since the witness has ended as well.  Watch the backend servers that it may
+   have sent them to, until they can't be carried out: one that restarts would
+   do that until it has seen the fencing token of this owner.  */
+void jb_pool_watch_for_restarts (struct jb_pool *pool, jb_time now);
+bool jb_pool_is_watched (const struct jb_pool *pool,
+                         const struct jb_backend *backend, jb_time now);
+
 /* ---- jb_pool_starts.c ---- */
 
 struct jb_pool_starts *jb_pool_starts_new (TALLOC_CTX *mem);
@@ -670,7 +679,7 @@
    does not know of.  */
 bool jb_pool_awaits_witness (struct jb_pool *pool, jb_time now);
 /* The takeover has ended: await none any more.  */
-void jb_pool_forget_awaited_witnesses (struct jb_pool *pool);
+void jb_pool_forget_awaited_witnesses (struct jb_pool *pool, jb_time now);
 
 /* ---- jb_pool_leases.c ---- */
 
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -34,6 +34,14 @@
 #define UNANSWERED_RETRY_INTERVAL (150 * JB_MS)
 #define EXPIRED_RETRY_INTERVAL (1000 * JB_MS)
 
+/* The same while it is watched for a restart: a late start may follow that at
+   once.  */
+#define WATCHED_RETRY_INTERVAL (25 * JB_MS)
+
+/* How long a probe waits for an end of a run meanwhile.  A restart may leave
+   it without an answer.  */
+#define WATCHED_WAIT_MS 250
+
 /* While reported ends of runs wait to be stored, the next probe waits as well,
    so that it can acknowledge them, but at most for this time after the last
    one.  */
@@ -564,6 +572,8 @@
                 && jb_pool_awaits_backend (backend))
            && !jb_pool_is_held_backend (pool, backend))
     backend->next_probe = now + EXPIRED_RETRY_INTERVAL;
+  if (jb_pool_is_watched (pool, backend, now))
+    backend->next_probe = now + WATCHED_RETRY_INTERVAL;
 }
 
 /* A probe of BACKEND was not sent in time: send one at once.  Only one that
@@ -631,17 +641,19 @@
 
 /* Return whether BACKEND needs to be probed: it has never been probed, it may
    have runs or carry out starts late, it is listed but does not answer or has
-   not since its zone was taken back, or it has reported ends of runs that are
-   not acknowledged yet.  */
+   not since its zone was taken back, it has reported ends of runs that are not
+   acknowledged yet, or it is watched for a restart.  */
 static bool
-needs_probing (const struct jb_pool *pool, const struct jb_backend *backend)
+needs_probing (const struct jb_pool *pool, const struct jb_backend *backend,
+               jb_time now)
 {
   return !backend->probed || backend->task_count > 0
          || backend->doubt_count > 0 || jb_pool_awaits_answer (pool, backend)
          || (backend->unanswered_probes > 0 && backend->listed)
          || backend->orphan_seen_at != 0
          || jb_pool_ackable_end (backend) > backend->acked_end
-         || backend->processed_end > backend->stored_end;
+         || backend->processed_end > backend->stored_end
+         || jb_pool_is_watched (pool, backend, now);
 }
 
 /* Return a new probe of BACKEND that is sent with the fencing token FENCE.  */
@@ -697,7 +709,8 @@
   command.u.probe.acked_end = probe->acked_end;
   backend->open_acks += probe->acked_end != 0;
   if (backend->unanswered_probes == 0 && backend->probed
-      && backend->task_count + backend->doubt_count > 0
+      && (backend->task_count + backend->doubt_count > 0
+          || jb_pool_is_watched (pool, backend, now))
       && backend->processed_end == backend->stored_end
       && !jb_pool_holds_ends (backend) && !backend->probe_urgent)
     {
@@ -705,6 +718,9 @@
           = jb_crash_has_probation (backend)
                 ? JB_CRASH_EARLY_MS
                 : jb_pool_poll_wait_ms (pool, backend, now);
+      if (jb_pool_is_watched (pool, backend, now))
+        command.u.probe.wait_ms
+            = MIN (command.u.probe.wait_ms, WATCHED_WAIT_MS);
       probe->wait = command.u.probe.wait_ms * JB_MS;
       command.timeout_ms += command.u.probe.wait_ms;
     }
@@ -731,11 +747,12 @@
 
 /* Return when the next probe of BACKEND is due, or JB_NEVER.  */
 static jb_time
-probe_due_at (const struct jb_pool *pool, const struct jb_backend *backend)
+probe_due_at (const struct jb_pool *pool, const struct jb_backend *backend,
+              jb_time now)
 {
   jb_time due = backend->next_probe;
 
-  if (!needs_probing (pool, backend))
+  if (!needs_probing (pool, backend, now))
     return JB_NEVER;
   if (backend->probes_in_flight > (backend->probe_urgent ? 1U : 0U))
     return last_probe_due_at (backend);
@@ -764,12 +781,12 @@
   for (guint i = 0; i < backends->len; i++)
     {
       struct jb_backend *backend = g_ptr_array_index (backends, i);
-      jb_time due = probe_due_at (pool, backend);
+      jb_time due = probe_due_at (pool, backend, now);
 
       if (may_send && now >= due)
         {
           send_probe (pool, backend, now);
-          due = probe_due_at (pool, backend);
+          due = probe_due_at (pool, backend, now);
         }
       next = MIN (next, due);
     }
--- a/packages/jobs/src/jb_pool_restarts.c
+++ b/packages/jobs/src/jb_pool_restarts.c
@@ -52,3 +52,22 @@
   pool->has_restarts_row = false;
   jb_ownership_write (pool->ownership, now, NULL, 0, &row, 1, NULL, NULL);
 }
+
+void
+jb_pool_watch_for_restarts (struct jb_pool *pool, jb_time now)
+{
+  if (now < pool->restarts_watched_until)
+    return;
+  pool->restarts_watched_until
+      = MAX (now, pool->predecessor_until) + JB_MAX_COMMAND_DELAY;
+  jb_log (pool->options.driver, JB_LEVEL_WARN, "restarts-watched", "pool",
+          pool->options.name, "reason", "starts may be forgotten", "for_ms",
+          jb_itoa ((pool->restarts_watched_until - now) / JB_MS), NULL);
+}
+
+bool
+jb_pool_is_watched (const struct jb_pool *pool,
+                    const struct jb_backend *backend, jb_time now)
+{
+  return backend->inherited && now < pool->restarts_watched_until;
+}
--- a/packages/jobs/src/jb_pool_takeover.c
+++ b/packages/jobs/src/jb_pool_takeover.c
@@ -456,7 +456,7 @@
       if (unprobed > 0)
         return;
     }
-  jb_pool_forget_awaited_witnesses (pool);
+  jb_pool_forget_awaited_witnesses (pool, now);
   pool->stage = JB_STAGE_ACTIVE;
   pool->schedule_due = true;
   pool->waiting_jobs = 0;
--- a/packages/jobs/src/jb_pool_witness.c
+++ b/packages/jobs/src/jb_pool_witness.c
@@ -260,13 +260,16 @@
 
       if (pool->options.has_process_ended (pool->options.data, witness->name,
                                            witness->incarnation))
-        remove_awaited (witnesses, i);
+        {
+          remove_awaited (witnesses, i);
+          jb_pool_watch_for_restarts (pool, now);
+        }
     }
   return witnesses->awaited->len > 0;
 }
 
 void
-jb_pool_forget_awaited_witnesses (struct jb_pool *pool)
+jb_pool_forget_awaited_witnesses (struct jb_pool *pool, jb_time now)
 {
   GPtrArray *awaited = pool->witnesses->awaited;
 
@@ -276,8 +279,11 @@
           = g_ptr_array_index (awaited, awaited->len - 1);
 
       if (!pool->predecessor.has_handed_over)
-        jb_log (pool->options.driver, JB_LEVEL_WARN, "witness-silent", "pool",
-                pool->options.name, "member", witness->name, NULL);
+        {
+          jb_log (pool->options.driver, JB_LEVEL_WARN, "witness-silent",
+                  "pool", pool->options.name, "member", witness->name, NULL);
+          jb_pool_watch_for_restarts (pool, now);
+        }
       remove_awaited (pool->witnesses, awaited->len - 1);
     }
 }
