Take over the labels of restarted backend servers

Cause: labels were read when a name was first seen only. Lists updated capacity, address and state, and the roster passed the old labels on.

Change: the labels and the rack of an entry that is not older than the known incarnation are taken over; from a restart until then no task that requires a label starts there.

--- a/packages/jobs/include/jb_backend.h
+++ b/packages/jobs/include/jb_backend.h
@@ -28,6 +28,7 @@
   char *rack; /* last label, or NULL */
   char **labels;
   uint32_t label_count;
+  int64_t labelled_unix_ms; /* start of the incarnation that had them */
   struct jb_resources capacity;
   struct jb_resources reserved;
   bool draining;
@@ -144,8 +145,9 @@
 struct jb_backend *jb_backend_new (TALLOC_CTX *mem,
                                    const struct jb_backend_entry *entry);
 
-/* Update BACKEND from the newer ENTRY that it published.  */
-void jb_backend_update (struct jb_backend *backend,
+/* Update BACKEND from the newer ENTRY that it published.  Return whether its
+   labels have changed, or were not known of its incarnation.  */
+bool jb_backend_update (struct jb_backend *backend,
                         const struct jb_backend_entry *entry, jb_time now);
 
 /* Record CLOCK_MS, the backend server's own clock in an answer that was
@@ -188,7 +190,8 @@
    most, with the usual margin.  */
 jb_time jb_backend_lease_time (int64_t lease_ms);
 
-/* Return whether BACKEND has LABEL, or LABEL is NULL.  */
+/* Return whether BACKEND has LABEL, as far as is known of its incarnation, or
+   LABEL is NULL.  */
 bool jb_backend_has_label (const struct jb_backend *backend,
                            const char *label);
 
--- a/packages/jobs/src/jb_backend.c
+++ b/packages/jobs/src/jb_backend.c
@@ -3,6 +3,36 @@
 #include <glib.h>
 #include <string.h>
 
+/* Take over the labels of ENTRY.  */
+static void
+set_labels (struct jb_backend *backend, const struct jb_backend_entry *entry)
+{
+  char **labels = talloc_array (backend, char *, entry->label_count + 1);
+
+  for (uint32_t i = 0; i < entry->label_count; i++)
+    labels[i] = talloc_strdup (labels, entry->labels[i]);
+  talloc_free (backend->labels);
+  backend->labels = labels;
+  backend->label_count = entry->label_count;
+  backend->rack
+      = entry->label_count > 0 ? labels[entry->label_count - 1] : NULL;
+  backend->labelled_unix_ms = entry->started_unix_ms;
+}
+
+/* Return whether ENTRY has other labels than BACKEND, or is of another
+   incarnation than those.  */
+static bool
+has_other_labels (const struct jb_backend *backend,
+                  const struct jb_backend_entry *entry)
+{
+  bool differs = entry->label_count != backend->label_count
+                 || entry->started_unix_ms != backend->labelled_unix_ms;
+
+  for (uint32_t i = 0; i < entry->label_count && !differs; i++)
+    differs = strcmp (entry->labels[i], backend->labels[i]) != 0;
+  return differs;
+}
+
 struct jb_backend *
 jb_backend_new (TALLOC_CTX *mem, const struct jb_backend_entry *entry)
 {
@@ -12,31 +42,33 @@
   backend->instance = talloc_strdup (backend, entry->instance);
   backend->address = talloc_strdup (backend, entry->address);
   backend->zone = talloc_strdup (backend, entry->zone);
-  backend->labels = talloc_array (backend, char *, entry->label_count + 1);
-  backend->label_count = entry->label_count;
-  for (uint32_t i = 0; i < entry->label_count; i++)
-    backend->labels[i] = talloc_strdup (backend->labels, entry->labels[i]);
-  if (entry->label_count > 0)
-    backend->rack = backend->labels[entry->label_count - 1];
+  set_labels (backend, entry);
   backend->capacity = entry->capacity;
   backend->started_unix_ms = entry->started_unix_ms;
   return backend;
 }
 
-void
+bool
 jb_backend_update (struct jb_backend *backend,
                    const struct jb_backend_entry *entry, jb_time now)
 {
+  /* That of a former incarnation may be listed for a while.  */
+  bool is_relabelled = entry->started_unix_ms >= backend->started_unix_ms
+                       && has_other_labels (backend, entry);
+
   backend->listed = true;
   backend->capacity = entry->capacity;
   if (entry->draining && !backend->draining)
     backend->draining_since = now;
   backend->draining = entry->draining;
+  if (is_relabelled)
+    set_labels (backend, entry);
   if (strcmp (backend->address, entry->address) != 0)
     {
       talloc_free (backend->address);
       backend->address = talloc_strdup (backend, entry->address);
     }
+  return is_relabelled;
 }
 
 void
@@ -114,6 +146,9 @@
 {
   if (label == NULL)
     return true;
+  /* The next incarnation may have other ones.  */
+  if (backend->labelled_unix_ms < backend->started_unix_ms)
+    return false;
   for (uint32_t i = 0; i < backend->label_count; i++)
     if (strcmp (backend->labels[i], label) == 0)
       return true;
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -785,7 +785,14 @@
       backend->next_probe = now;
       backend->probed = false;
     }
-  jb_backend_update (backend, entry, now);
+  if (jb_backend_update (backend, entry, now))
+    {
+      jb_log (pool->options.driver, JB_LEVEL_INFO, "backend-relabelled",
+              "backend", entry->instance, "pool", pool->options.name, "labels",
+              jb_itoa (backend->label_count), "born",
+              jb_itoa (entry->started_unix_ms), NULL);
+      pool->schedule_due = true;
+    }
   backend->listed_at = now;
   backend->list_number = pool->list_number;
   backend->missing_since = 0;
--- a/tests/sim/jobs/jw_check.c
+++ b/tests/sim/jobs/jw_check.c
@@ -327,6 +327,10 @@
   const struct jb_step *step = find_step (world, name, &job, &ref);
 
   check_capacity (world, backend, name);
+  if (step->required_label != NULL
+      && g_strcmp0 (backend->label, step->required_label) != 0)
+    jw_report_violation (world, "ROUTE", "%s starts on %s without its label",
+                         name, backend->instance);
   world->task_starts++;
   task->last_started_at = world->now;
   task->active_runs++;
--- a/tests/sim/jobs/jw_clients.c
+++ b/tests/sim/jobs/jw_clients.c
@@ -349,6 +349,7 @@
       step->best_effort = options->best_effort;
       step->max_unavailable = options->max_unavailable;
       step->gang = options->gang;
+      step->required_label = talloc_strdup (desc, options->required_label);
       step->speculative = options->speculative && i == 0;
       step->max_per_backend = options->long_running ? 1 : 0;
       step->predecessors = talloc_zero_array (desc, uint32_t, 1);
--- a/tests/sim/jobs/jw_store.c
+++ b/tests/sim/jobs/jw_store.c
@@ -345,6 +345,8 @@
         .zone = backend->zone,
         .draining = backend->draining,
         .capacity = { backend->cpu_milli, 100000, 0 },
+        .labels = (const char **)&backend->label,
+        .label_count = backend->label != NULL,
         .started_unix_ms = backend->started_unix_ms
       };
     }
--- a/tests/sim/jobs/jw_world.h
+++ b/tests/sim/jobs/jw_world.h
@@ -215,6 +215,7 @@
   char *address;
   char *host; /* name of its host in the fleet */
   const char *zone;
+  const char *label; /* NULL: none */
   uint32_t pool;
   bool up;
   jb_time ended_at; /* when it went down */
@@ -433,6 +434,7 @@
   bool best_effort; /* its tasks use what others leave */
   uint32_t max_unavailable;
   bool gang;
+  const char *required_label; /* of the backend servers; NULL: none */
   bool
       speculative; /* copies of a task of the first step may run in parallel */
   uint32_t occurrence_count; /* of a scheduled job, else 0 */
@@ -544,8 +546,9 @@
             that end is acknowledged, before the start or later, without the
             lease having expired in between; tasks of speculative steps
             are exempt
-   ORDER    a task starts before the preceding steps are done
-   BUDGET   a task starts again after JW_MAX_ATTEMPTS failures, or
+   ROUTE    a task starts on a backend server without the label that it
+   requires ORDER    a task starts before the preceding steps are done BUDGET
+   a task starts again after JW_MAX_ATTEMPTS failures, or
             JW_MAX_STARTS_AFTER_CRASHES times after JW_MAX_CRASHES backend
             servers have crashed under it
    QUOTA    a task starts above its organisation's limit
