Use labels of entries without a start time

An entry of the list of backend servers that doesn't report when its backend server was started counted as one of a former incarnation, so its labels would never be known. Found by reading; the platform's entries report it. test_changed_labels passes.

--- a/packages/jobs/include/jb_backend.h
+++ b/packages/jobs/include/jb_backend.h
@@ -28,7 +28,8 @@
   char *rack; /* last label, or NULL */
   char **labels;
   uint32_t label_count;
-  int64_t labelled_unix_ms; /* start of the incarnation that had them */
+  /* Start of the incarnation that had them; 0: not reported.  */
+  int64_t labelled_unix_ms;
   struct jb_resources capacity;
   struct jb_resources reserved;
   bool draining;
--- a/packages/jobs/src/jb_backend.c
+++ b/packages/jobs/src/jb_backend.c
@@ -53,7 +53,8 @@
                    const struct jb_backend_entry *entry, jb_time now)
 {
   /* That of a former incarnation may be listed for a while.  */
-  bool is_relabelled = entry->started_unix_ms >= backend->started_unix_ms
+  bool is_relabelled = (entry->started_unix_ms == 0
+                        || entry->started_unix_ms >= backend->started_unix_ms)
                        && has_other_labels (backend, entry);
 
   backend->listed = true;
@@ -147,7 +148,8 @@
   if (label == NULL)
     return true;
   /* The next incarnation may have other ones.  */
-  if (backend->labelled_unix_ms < backend->started_unix_ms)
+  if (backend->labelled_unix_ms != 0
+      && backend->labelled_unix_ms < backend->started_unix_ms)
     return false;
   for (uint32_t i = 0; i < backend->label_count; i++)
     if (strcmp (backend->labels[i], label) == 0)
