Let the next run of a failed task wait for starts in doubt

Cause: a run with a higher number waited for the starts in doubt of a lower one only where restarts had been seen. Before the first one a start of the next run could go to the same backend server, and its next incarnation carried out both.

Change: it waits if the run has failed, too. Always to wait would cost LOST (test_unanswered_starts); a run that has lapsed or was stopped starts again at once, as before.

--- a/packages/jobs/include/jb_doubt.h
+++ b/packages/jobs/include/jb_doubt.h
@@ -90,6 +90,7 @@
   /* Run number `run' has ended or was stopped, so a start of the task needs a
      higher one.  */
   bool run_closed;
+  bool run_failed; /* it has failed, although a start of it is in doubt */
   jb_time sent_at; /* of the start that was sent last */
   bool is_queued;  /* that one is counted already, and waits to be sent */
   /* When the last start was sent whose result isn't known yet, which may be
--- a/packages/jobs/src/jb_doubt.c
+++ b/packages/jobs/src/jb_doubt.c
@@ -86,6 +86,7 @@
   if (doubt->run != run)
     {
       doubt->run_closed = false;
+      doubt->run_failed = false;
       doubt->succeeded = false;
       doubt->is_ambiguous = false;
       doubt->first_sent_at = sent_at;
--- a/packages/jobs/src/jb_pool_doubt.c
+++ b/packages/jobs/src/jb_pool_doubt.c
@@ -200,13 +200,15 @@
 /* Return whether TASK may be started beside the starts of DOUBT.  The same
    number is the same run.  A backend server refuses these starts if their
    number is closed there, but after a restart it carries them out, and one
-   with a new number as well: so a new one waits where restarts occur.  */
+   with a new number as well: so a new one waits where restarts occur, and
+   everywhere if the run has failed.  Others may not have run at all, and would
+   be lost time for their jobs.  */
 static bool
 may_start_beside (const struct jb_pool *pool, const struct jb_task *task,
                   const struct jb_doubt *doubt, jb_time now)
 {
   return (!doubt->run_closed && doubt->run >= task->run)
-         || !jb_pool_restarts_occur (pool, now);
+         || (!doubt->run_failed && !jb_pool_restarts_occur (pool, now));
 }
 
 bool
@@ -322,7 +324,10 @@
     return;
   doubt = jb_doubt_find (pool->doubts->table, ended_run->task);
   if (doubt != NULL && doubt->run == ended_run->run)
-    doubt->run_closed = true;
+    {
+      doubt->run_closed = true;
+      doubt->run_failed = ended_run->outcome == JB_OUTCOME_FAILED;
+    }
   if (ended_run->outcome != JB_OUTCOME_DONE
       && ended_run->outcome != JB_OUTCOME_FAILED)
     return;
