Count jobs as pending until a run of them is known

Cause: a job left the count when a task was assigned, not when it ran.

Change: it leaves the count when a run is known.

--- a/packages/jobs/include/jb_job.h
+++ b/packages/jobs/include/jb_job.h
@@ -179,6 +179,7 @@
      that no probe has found yet.  */
   bool loaded_from_store;
   bool ever_started;   /* a task has been started at some time */
+  bool has_begun;      /* a task has had a run, as far as is known */
   bool start_observed; /* the latency of its first start was measured */
   bool is_inactive;    /* it has ended and has no active runs */
   jb_time received_at; /* when it was submitted, by the driver's clock */
@@ -224,6 +225,9 @@
    has ended.  The functions below call this.  */
 void jb_job_note_change (struct jb_job *job);
 
+/* A task of JOB has had a run.  */
+void jb_job_note_begun (struct jb_job *job);
+
 /* Return the number of occurrences of JOB, at least 1.  */
 uint32_t jb_job_occurrence_count (const struct jb_job *job);
 
--- a/packages/jobs/src/jb_job.c
+++ b/packages/jobs/src/jb_job.c
@@ -43,6 +43,15 @@
   g_ptr_array_add (job->changed_jobs, job);
 }
 
+void
+jb_job_note_begun (struct jb_job *job)
+{
+  if (job->has_begun)
+    return;
+  job->has_begun = true;
+  jb_job_note_change (job);
+}
+
 uint32_t
 jb_job_occurrence_count (const struct jb_job *job)
 {
@@ -592,6 +601,7 @@
         jb_task_record_failure (task, saved_task->failed_runs[j]);
       task->ever_started = true;
       job->ever_started = true;
+      jb_job_note_begun (job);
       if (saved_task->checkpoint != NULL)
         {
           talloc_free (task->checkpoint);
@@ -615,6 +625,7 @@
   task->crashes = saved->crashes;
   task->early_crashes = saved->early_crashes;
   task->ever_started = true;
+  jb_job_note_begun (job);
   /* It isn't stored which checkpoint was the newest at the last crash.  */
   talloc_free (task->crash_checkpoint);
   task->crash_checkpoint = talloc_strdup (group, task->checkpoint);
--- a/packages/jobs/src/jb_pool_probe.c
+++ b/packages/jobs/src/jb_pool_probe.c
@@ -215,6 +215,7 @@
     task->other_run_seen_at = 0;
   task->run = MAX (task->run, ended_run->run);
   task->ever_started = true;
+  jb_job_note_begun (job);
   update_checkpoint (task, ended_run->checkpoint);
   update_backend_health (pool, backend, task, ended_run->outcome, now);
   jb_log (pool->options.driver,
@@ -298,6 +299,7 @@
       task->run = active_run->run;
       task->inherited = true;
       task->started_at = now;
+      jb_job_note_begun (job);
       task->confirmed_at = now;
       jb_log (pool->options.driver, JB_LEVEL_INFO, "run-found", "task",
               active_run->task, "run", jb_itoa (active_run->run), "backend",
@@ -316,6 +318,7 @@
     {
       task->state = JB_RUN_RUNNING;
       task->started_at = now;
+      jb_job_note_begun (job);
       task->confirmed_at = now;
     }
   if (job->loaded_from_store)
--- a/packages/jobs/src/jb_pool_schedule.c
+++ b/packages/jobs/src/jb_pool_schedule.c
@@ -373,6 +373,7 @@
     task->started_at = now;
   task->confirmed_at = now;
   task->state = JB_RUN_RUNNING;
+  jb_job_note_begun (job);
   record_clock (start, now, sent_at, reply);
   start->backend->next_probe = MIN (start->backend->next_probe, now);
   if (!pool->first_start_observed)
--- a/packages/jobs/src/jb_pool_sums.c
+++ b/packages/jobs/src/jb_pool_sums.c
@@ -115,8 +115,7 @@
 compute_demand (const struct jb_pool *pool, const struct jb_job *job)
 {
   struct jb_job_demand demand
-      = { .is_pending
-          = job->stored && job->ended_at == 0 && !job->ever_started,
+      = { .is_pending = job->stored && job->ended_at == 0 && !job->has_begun,
           .is_counted = true };
 
   for (guint i = 0; i < job->groups->len; i++)
--- a/packages/jobs/tests/test_jb_pool_sums.c
+++ b/packages/jobs/tests/test_jb_pool_sums.c
@@ -155,6 +155,8 @@
   task->run++;
   jb_pool_begin_start (fixture->pool, task, fixture->now);
   jb_pool_note_start_sent (fixture->pool, task, fixture->now);
+  if (random_below (fixture, 2) == 0)
+    jb_job_note_begun (task->group->job);
 }
 
 /* Something happens to TASK of JOB.  */
@@ -302,7 +304,7 @@
     {
       const struct jb_job *job = g_ptr_array_index (pool->active_jobs, i);
 
-      if (job->stored && job->ended_at == 0 && !job->ever_started)
+      if (job->stored && job->ended_at == 0 && !job->has_begun)
         expected.pending[job->desc->queue[5] - '0']++;
       for (guint j = 0; j < job->groups->len; j++)
         {
@@ -454,6 +456,31 @@
   tear_down (&fixture);
 }
 
+/* A job whose start was refused has not begun: it left the count of pending
+   jobs.  */
+static void
+test_refused_start (void)
+{
+  struct fixture fixture = set_up (1);
+  struct jb_job *job = add_job (&fixture);
+  const char *queue = job->desc->queue;
+  struct jb_task *task;
+
+  job->stored = true;
+  job->loaded_from_store = false;
+  if (job->groups->len == 0)
+    jb_job_open_next_occurrence (job);
+  task = &((struct jb_task_group *)g_ptr_array_index (job->groups, 0))
+              ->tasks[0];
+  jb_task_assign (task, fixture.backends[0], JB_RUN_STARTING);
+  CU_ASSERT_EQUAL (jb_pool_count_pending (fixture.pool, queue), 1);
+  jb_task_unassign (task, fixture.now);
+  CU_ASSERT_EQUAL (jb_pool_count_pending (fixture.pool, queue), 1);
+  jb_job_note_begun (job);
+  CU_ASSERT_EQUAL (jb_pool_count_pending (fixture.pool, queue), 0);
+  tear_down (&fixture);
+}
+
 int
 main (void)
 {
@@ -464,6 +491,7 @@
           { "an organisation is reported once it was counted for that",
             test_org_is_reported_if_counted_for_report },
           { "huge work", test_huge_work },
+          { "a refused start", test_refused_start },
           { NULL, NULL } };
 
   return dp_test_main ("sums over the active jobs of a pool", tests);
