--- a/packages/jobs/src/jb_job_desc.c
+++ b/packages/jobs/src/jb_job_desc.c
@@ -73,6 +73,8 @@
     return "a step has a negative estimate, or one that is too long";
   if (step->tail_target_ms < 0 || step->tail_target_ms > JB_MAX_DURATION_MS)
     return "a step has a negative target, or one that is too long";
+  if (step->predecessor_count > JB_MAX_STEPS_PER_JOB)
+    return "a step waits for too many others";
   for (uint32_t i = 0; i < step->predecessor_count; i++)
     if (step->predecessors[i] >= number)
       return "a step waits for one that is not before it";
