Extend the watch for restarts at each takeover

A pool that is claimed again within the watch of the former takeover could be watched for too short a time. Found by reading; the tests of the module pass, and an include that isn't needed is removed.

--- a/packages/jobs/include/jb_quota.h
+++ b/packages/jobs/include/jb_quota.h
@@ -18,7 +18,6 @@
    with the highest share that its owner may still have in force, because
    messages with smaller shares may not have arrived yet.  */
 
-#include "jb_driver.h"
 #include "jb_types.h"
 
 /* A pool that uses half of its fair part or more may claim room for a start
--- a/packages/jobs/src/jb_host_planner.c
+++ b/packages/jobs/src/jb_host_planner.c
@@ -182,7 +182,7 @@
 
   if (jb_pool_report_usage (slot->pool, scratch, now, fence, &usage.u.usage))
     {
-      /* The first, so that the limits are divided once.  */
+      /* Before the usage, so that the limits are divided once.  */
       if (jb_pool_report_needs (slot->pool, scratch, &needs.u.needs))
         {
           if (planner == NULL)
--- a/packages/jobs/src/jb_pool_restarts.c
+++ b/packages/jobs/src/jb_pool_restarts.c
@@ -56,10 +56,12 @@
 void
 jb_pool_watch_for_restarts (struct jb_pool *pool, jb_time now)
 {
-  if (now < pool->restarts_watched_until)
+  jb_time until = MAX (now, pool->predecessor_until) + JB_MAX_COMMAND_DELAY;
+  bool is_new = now >= pool->restarts_watched_until;
+
+  pool->restarts_watched_until = MAX (pool->restarts_watched_until, until);
+  if (!is_new)
     return;
-  pool->restarts_watched_until
-      = MAX (now, pool->predecessor_until) + JB_MAX_COMMAND_DELAY;
   jb_log (pool->options.driver, JB_LEVEL_WARN, "restarts-watched", "pool",
           pool->options.name, "reason", "starts may be forgotten", "for_ms",
           jb_itoa ((pool->restarts_watched_until - now) / JB_MS), NULL);
