Count the pending jobs at the former pool of a queue

Cause: the count is asked of the pool that the queue belongs to only.

Change: an owner whose queue has not belonged to its pool for long says so in its reply, in a field that hosts of the previous version ignore. The entry host then asks the other pools, as for a submission, and answers with the sum, or at the deadline with the sum of those that have replied.

--- a/packages/jobs/include/jb_msg.h
+++ b/packages/jobs/include/jb_msg.h
@@ -152,7 +152,9 @@
 };
 
 /* Why a request is not handled, in `state' of a JB_MSG_NOT_OWNER.  A host of
-   the previous version takes all for the first.  */
+   the previous version takes all for the first.  In that of a
+   JB_ANSWER_PENDING_COUNT JB_MSG_REASON_SEARCH_POOLS says that other pools may
+   have jobs of the queue as well.  */
 enum jb_msg_not_owner_reason
 {
   JB_MSG_REASON_NOT_OWNER,
--- a/packages/jobs/src/jb_frontend.c
+++ b/packages/jobs/src/jb_frontend.c
@@ -76,6 +76,10 @@
      NULL: it is not searched.  */
   char *searched_for;
   uint64_t search_version; /* of the catalog when the search began */
+  /* Of a JB_REQUEST_PENDING_COUNT: the sum of the replies so far, and whether
+     all pools are asked, since the queue was moved.  */
+  uint32_t pending;
+  bool sums_pools;
 };
 
 struct jb_frontend
@@ -702,6 +706,20 @@
   answer_if_refused (frontend, now, pending_call);
 }
 
+/* Add the REPLY to the count PENDING_CALL.  Return whether another pool has
+   been asked; PENDING_CALL may be freed then.  */
+static bool
+sum_pending (struct jb_frontend *frontend, jb_time now,
+             struct pending_call *pending_call,
+             const struct jb_msg_reply *reply)
+{
+  pending_call->pending += reply->pending;
+  pending_call->sums_pools
+      = pending_call->sums_pools || reply->state == JB_MSG_REASON_SEARCH_POOLS;
+  return pending_call->sums_pools
+         && try_next_pool (frontend, now, pending_call);
+}
+
 void
 jb_frontend_receive_reply (struct jb_frontend *frontend, jb_time now,
                            const struct jb_msg_reply *reply)
@@ -758,6 +776,13 @@
   if (reply->kind == JB_ANSWER_NO_JOB
       && try_next_pool (frontend, now, pending_call))
     return;
+  if (reply->kind == JB_ANSWER_PENDING_COUNT)
+    {
+      if (sum_pending (frontend, now, pending_call, reply))
+        return;
+      answer.pending = pending_call->pending;
+      answer.state = 0;
+    }
   finish_call (frontend, now, pending_call, &answer);
 }
 
@@ -774,6 +799,10 @@
                               .retry_after_ms = UNAVAILABLE_RETRY_AFTER_MS,
                               .reason = "nobody holds the pool" };
 
+  /* What the other pools have is at least a part.  */
+  if (pending_call->sums_pools)
+    answer = (struct jb_answer){ .kind = JB_ANSWER_PENDING_COUNT,
+                                 .pending = pending_call->pending };
   if (pending_call->was_forwarded
       && pending_call->request.kind != JB_REQUEST_QUERY
       && pending_call->request.kind != JB_REQUEST_PENDING_COUNT)
--- a/packages/jobs/src/jb_pool.c
+++ b/packages/jobs/src/jb_pool.c
@@ -664,13 +664,14 @@
 }
 
 static void
-handle_pending_count (struct jb_pool *pool, uint64_t member,
+handle_pending_count (struct jb_pool *pool, jb_time now, uint64_t member,
                       const struct jb_msg_request *request)
 {
   uint32_t pending = jb_pool_count_pending (pool, request->queue);
+  bool is_new = jb_pool_is_queue_new (pool, now, request->queue);
 
-  send_reply (pool, member, request->call, JB_ANSWER_PENDING_COUNT, 0, pending,
-              0);
+  send_reply (pool, member, request->call, JB_ANSWER_PENDING_COUNT,
+              is_new ? JB_MSG_REASON_SEARCH_POOLS : 0, pending, 0);
 }
 
 static void
@@ -724,7 +725,7 @@
       handle_cancel (pool, now, member, request);
       break;
     case JB_REQUEST_PENDING_COUNT:
-      handle_pending_count (pool, member, request);
+      handle_pending_count (pool, now, member, request);
       break;
     case JB_REQUEST_KIND_COUNT:
       break;
--- a/packages/jobs/tests/test_jb_frontend.c
+++ b/packages/jobs/tests/test_jb_frontend.c
@@ -570,6 +570,71 @@
   tear_down (&fixture);
 }
 
+/* Reply to the copy INDEX that PENDING jobs have not started, and whether
+   other pools may have some, too.  */
+static void
+reply_count (struct fixture *fixture, uint32_t index, uint32_t pending,
+             bool others_may_have)
+{
+  struct jb_msg_reply reply
+      = { .kind = JB_ANSWER_PENDING_COUNT,
+          .state = others_may_have ? JB_MSG_REASON_SEARCH_POOLS : 0,
+          .pending = pending };
+
+  CU_ASSERT_FATAL (index < fixture->copy_count);
+  reply.call = fixture->copies[index].call;
+  jb_frontend_receive_reply (fixture->frontend, fixture->now, &reply);
+}
+
+static void
+ask_for_count (struct fixture *fixture)
+{
+  struct jb_call call = { .kind = JB_CALL_QUERY,
+                          .host = "queues.example",
+                          .path = "/q/",
+                          .deadline_ms = DEADLINE_MS };
+
+  jb_frontend_receive_call (fixture->frontend, fixture->now, CALL, &call);
+  CU_ASSERT_EQUAL_FATAL (fixture->copy_count, 1);
+}
+
+/* The jobs that wait at the former pool of a queue were not counted.  */
+static void
+test_count_of_moved_queue (void)
+{
+  struct fixture fixture;
+
+  set_up (&fixture);
+  ask_for_count (&fixture);
+  reply_count (&fixture, 0, 3, true);
+  CU_ASSERT_EQUAL (fixture.answer_count, 0);
+  reply_count (&fixture, 1, 20, true);
+  assert_answer (&fixture, JB_ANSWER_PENDING_COUNT);
+  CU_ASSERT_EQUAL (fixture.answer.pending, 23);
+  tear_down (&fixture);
+  set_up (&fixture);
+  ask_for_count (&fixture);
+  reply_count (&fixture, 0, 3, false);
+  assert_answer (&fixture, JB_ANSWER_PENDING_COUNT);
+  CU_ASSERT_EQUAL (fixture.answer.pending, 3);
+  tear_down (&fixture);
+}
+
+/* The owner of the former pool does not answer.  */
+static void
+test_partial_count (void)
+{
+  struct fixture fixture;
+
+  set_up (&fixture);
+  ask_for_count (&fixture);
+  reply_count (&fixture, 0, 3, true);
+  wait_for (&fixture, (DEADLINE_MS + 100) * JB_MS, FIRST_OWNER, 1);
+  assert_answer (&fixture, JB_ANSWER_PENDING_COUNT);
+  CU_ASSERT_EQUAL (fixture.answer.pending, 3);
+  tear_down (&fixture);
+}
+
 int
 main (void)
 {
@@ -588,6 +653,8 @@
     { "own pool", test_own_pool },
     { "own pool handed over", test_own_pool_handed_over },
     { "copies of other calls", test_copies_of_other_calls },
+    { "count of a moved queue", test_count_of_moved_queue },
+    { "partial count", test_partial_count },
     { NULL, NULL }
   };
 
