Revert the longest lease for every start in doubt

Cause: a task with a start in doubt on a backend server that does not answer again waits for the longest lease, 22.8 s instead of 16.1 where that is 10 s.

--- a/packages/jobs/include/jb_doubt.h
+++ b/packages/jobs/include/jb_doubt.h
@@ -15,10 +15,8 @@
      sent: a command is executed at most once;
    - or the start can't be carried out any more, and the backend server was
      asked for its runs after that;
-   - or, if it does not answer, the longest lease that the platform allows has
-     expired since then, with all that grants without an answer may have added
-     to it: a next incarnation may carry the start out, which asks for a time
-     far ahead on its clock;
+   - or, if it does not answer, the longest lease has expired since then, with
+     all that grants without an answer may have added to it;
    - or its instance will not come back: it is replaced, or about to leave.
 
    An end of a run whose task has another start in doubt is held back: it is
--- a/packages/jobs/src/jb_pool_doubt.c
+++ b/packages/jobs/src/jb_pool_doubt.c
@@ -430,6 +430,17 @@
          && doubt->sent_at < backend->restart_seen_at;
 }
 
+/* Return the longest lease that a late start may get.  Its time is one of the
+   clock of the incarnation that it was sent to, and far in the future for the
+   next one.  */
+static int64_t
+longest_late_lease_ms (const struct jb_pool *pool, jb_time now)
+{
+  return jb_pool_restarts_occur (pool, now)
+             ? pool->options.bounds->max_lease_ms
+             : JB_RUN_LEASE_MS;
+}
+
 /* Log that DOUBT ends.  That BACKEND has answered after all its starts is the
    usual case.  */
 static void
@@ -460,7 +471,7 @@
     return false;
   if (jb_doubt_is_over (doubt, visit->now,
                         backend != NULL ? backend->asked_at : 0,
-                        pool->options.bounds->max_lease_ms,
+                        longest_late_lease_ms (pool, visit->now),
                         backend != NULL ? backend->lease : NULL))
     {
       log_end (pool, backend, doubt, visit->now,
