--- a/tests/sim/jobs/jw_check.c
+++ b/tests/sim/jobs/jw_check.c
@@ -327,10 +327,6 @@
   const struct jb_step *step = find_step (world, name, &job, &ref);
 
   check_capacity (world, backend, name);
-  if (step->required_label != NULL
-      && g_strcmp0 (backend->label, step->required_label) != 0)
-    jw_report_violation (world, "ROUTE", "%s starts on %s without its label",
-                         name, backend->instance);
   world->task_starts++;
   task->last_started_at = world->now;
   task->active_runs++;
@@ -339,6 +335,10 @@
       jw_report_violation (world, "UNASKED", "%s belongs to no job", name);
       return;
     }
+  if (step->required_label != NULL
+      && g_strcmp0 (backend->label, step->required_label) != 0)
+    jw_report_violation (world, "ROUTE", "%s starts on %s without its label",
+                         name, backend->instance);
   if (!job->started && job->only_refused && job->open_submissions == 0)
     jw_report_violation (world, "REFUSED",
                          "%s starts although its job was refused", name);
