--- a/soak/process_soak.c
+++ b/soak/process_soak.c
@@ -443,11 +443,25 @@
   jw_check_final_states (world);
 }
 
-/* Restart RESTARTED_BACKENDS backend servers of the first pool, submit a job
-   of which some starts are meant for their former incarnations, and wait until
-   one of them has a run.  Return whether one has.  */
+/* Restart up to RESTARTED_BACKENDS backend servers of the first pool, which
+   may have lent some.  Return their number.  */
+static uint32_t
+restart_backends (struct jw_world *world, struct jw_backend **restarted)
+{
+  uint32_t count = 0;
+
+  while (count < RESTARTED_BACKENDS
+         && (restarted[count] = jw_find_backend (world, 0, count)) != NULL)
+    jw_backend_restart (world, restarted[count++]);
+  return count;
+}
+
+/* Submit a job of which some starts are meant for the former incarnations of
+   the COUNT RESTARTED backend servers, and wait until one of them has a run.
+   Return whether one has.  */
 static bool
-start_after_restart (struct jw_world *world, struct jw_backend **restarted)
+start_after_restart (struct jw_world *world, struct jw_backend **restarted,
+                     uint32_t count)
 {
   static const struct jw_job_options job = { .step_count = 1,
                                              .tasks_per_step = 8,
@@ -456,21 +470,24 @@
   jb_time limit = world->now + RESTART_START_LIMIT;
   guint runs = 0;
 
-  for (uint32_t i = 0; i < RESTARTED_BACKENDS; i++)
-    {
-      restarted[i] = jw_find_backend (world, 0, i);
-      jw_backend_restart (world, restarted[i]);
-    }
   jw_submit_job (world, &job);
   while (runs == 0 && world->now < limit)
     {
       jw_advance (world, JB_MS);
-      for (uint32_t i = 0; i < RESTARTED_BACKENDS; i++)
+      for (uint32_t i = 0; i < count; i++)
         runs += restarted[i]->runs->len;
     }
   return runs > 0;
 }
 
+static void
+set_unreachable (struct jw_backend **backends, uint32_t count,
+                 bool unreachable)
+{
+  for (uint32_t i = 0; i < count; i++)
+    backends[i]->unreachable = unreachable;
+}
+
 /* Let backend servers restart under their names and cut them off soon after,
    while the owner of their pool is stopped, or killed and started again.  */
 static void
@@ -485,12 +502,12 @@
     {
       struct jw_backend *restarted[RESTARTED_BACKENDS];
       jb_time cut_delay = g_rand_int_range (random, 5, 1400) * JB_MS;
+      uint32_t count = restart_backends (world, restarted);
       uint32_t owner;
 
-      hit_rounds += start_after_restart (world, restarted);
+      hit_rounds += start_after_restart (world, restarted, count);
       jw_advance (world, cut_delay);
-      for (uint32_t j = 0; j < RESTARTED_BACKENDS; j++)
-        restarted[j]->unreachable = true;
+      set_unreachable (restarted, count, true);
       owner = (uint32_t)MAX (jw_pool_owner (world, 0), 0);
       if (i % 2 == 0)
         jw_host_stop (world, owner);
@@ -499,8 +516,7 @@
       jw_advance (world, g_rand_int_range (random, 50, 1000) * JB_MS);
       jw_host_start (world, owner);
       jw_advance (world, RESTART_CUT_TIME);
-      for (uint32_t j = 0; j < RESTARTED_BACKENDS; j++)
-        restarted[j]->unreachable = false;
+      set_unreachable (restarted, count, false);
       wait_for_jobs (world);
     }
   printf ("restarts: tasks ran on restarted backend servers in %u of %d "
